Set up the module, shared types and the interfaces between packages

Ruled out: one types package for all, since the engine, store and key-value interfaces belong to different owners.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+.PHONY: build test demo faults schedules bench-control bench-policy lint proto clean
+
+BIN := bin
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test $(TESTFLAGS) ./...
+
+lint:
+	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+demo: build
+	scripts/demo.sh
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
+proto:
+	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative peer.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/storeapi/storeapi.go
@@ -0,0 +1,63 @@
+// Package storeapi holds the messages of a store VM's HTTP interface. A store VM
+// keeps named immutable objects in memory or on disk behind a limited link.
+//
+//	PUT    /v1/objects/{name}   body; header X-Digest; X-Simulated-Length paces the link
+//	GET    /v1/objects/{name}   body with X-Digest
+//	DELETE /v1/objects/{name}   409 while pinned
+//	POST   /v1/tier             TierRequest
+//	POST   /v1/pin              PinRequest
+//	GET    /v1/status           Status
+//
+// A name, once deleted, is refused for ever (410 Gone), so that no reader can meet
+// other content under a name it knows.
+package storeapi
+
+// Paths of the interface.
+const (
+	PathObjects = "/v1/objects/"
+	PathTier    = "/v1/tier"
+	PathPin     = "/v1/pin"
+	PathStatus  = "/v1/status"
+)
+
+// Headers of the interface.
+const (
+	// HeaderDigest carries the SHA-256 of the content in hexadecimal.
+	HeaderDigest = "X-Digest"
+	// HeaderLength carries the length in bytes that the link is charged for.
+	HeaderLength = "X-Simulated-Length"
+)
+
+// Tier is where an object lies in a store VM.
+type Tier string
+
+const (
+	// TierMemory is the store VM's memory.
+	TierMemory Tier = "memory"
+	// TierDisk is the store VM's disk.
+	TierDisk Tier = "disk"
+)
+
+// TierRequest moves objects to a tier.
+type TierRequest struct {
+	Names []string `json:"names"`
+	Tier  Tier     `json:"tier"`
+}
+
+// PinRequest keeps objects from being freed for a while.
+type PinRequest struct {
+	Names     []string `json:"names"`
+	TTLMillis int64    `json:"ttl_ms"`
+}
+
+// Status reports room and link use.
+type Status struct {
+	MemoryUsed      int64 `json:"memory_used"` // bytes
+	MemoryTotal     int64 `json:"memory_total"`
+	DiskUsed        int64 `json:"disk_used"`
+	DiskTotal       int64 `json:"disk_total"`
+	LinkBytesPerSec int64 `json:"link_bytes_per_sec"`
+	LinkQueueBytes  int64 `json:"link_queue_bytes"`
+	BytesOut        int64 `json:"bytes_out"`
+	BytesIn         int64 `json:"bytes_in"`
+}
--- /dev/null
+++ b/internal/table/doc.go
@@ -0,0 +1,2 @@
+// Package table holds the operators' table: rows, pages, edits and distribution.
+package table
