--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
+	"github.com/bluebellscale/bluebellscale/internal/standin/service"
+	"github.com/bluebellscale/bluebellscale/internal/standin/store"
+	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
+)
+
+const (
+	timeScaleFlag   = "time-scale"
+	defaultLink     = 3 << 30
+	defaultDiskRate = 1 << 30
+	defaultMemory   = 64 << 30
+	defaultDisk     = 512 << 30
+)
+
+func engineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "a model engine replica",
+		Flags: commonFlags(
+			&cli.StringFlag{Name: "name", Usage: "replica name in reports to the weight store"},
+			&cli.StringFlag{Name: "model", Required: true},
+			&cli.StringFlag{Name: "version", Required: true, Usage: "weight version loaded at the start"},
+			&cli.StringFlag{Name: "role"},
+			&cli.Float64Flag{Name: timeScaleFlag, Value: 1, Usage: "real time of a nominal second"},
+			&cli.IntFlag{Name: "max-running", Usage: "requests in the batch"},
+			&cli.IntFlag{Name: "max-queued", Usage: "requests waiting for the batch"},
+			&cli.IntFlag{Name: "blocks", Usage: "room of the prefix cache"},
+			&cli.Int64Flag{Name: "kv-per-token", Usage: "bytes of KV cache a token"},
+			&cli.DurationFlag{Name: "event-lag", Usage: "nominal lag of cache events"},
+			&cli.DurationFlag{Name: "load-lag", Usage: "nominal lag of the load report"},
+			&cli.DurationFlag{Name: "load-time", Usage: "nominal time of a weight load"},
+			&cli.DurationFlag{Name: "keep-streams", Usage: "real time that a finished stream stays readable"},
+			&cli.BoolFlag{Name: "checks-epoch", Usage: "refuse orders with an old epoch"},
+			&cli.StringFlag{Name: "weights", Usage: "address of the VM list stand-in, which counts weight loads"},
+		),
+		Action: runEngine,
+	}
+}
+
+func runEngine(c *cli.Context) error {
+	o := engine.Options{
+		Name:        c.String("name"),
+		Model:       request.Model(c.String("model")),
+		Version:     request.Version(c.String("version")),
+		Role:        c.String("role"),
+		TimeScale:   c.Float64(timeScaleFlag),
+		MaxRunning:  c.Int("max-running"),
+		MaxQueued:   c.Int("max-queued"),
+		TotalBlocks: c.Int("blocks"),
+		KVPerToken:  c.Int64("kv-per-token"),
+		EventLag:    c.Duration("event-lag"),
+		LoadLag:     c.Duration("load-lag"),
+		LoadTime:    c.Duration("load-time"),
+		KeepStreams: c.Duration("keep-streams"),
+		ChecksEpoch: c.Bool("checks-epoch"),
+		Switches:    newSwitches(c),
+	}
+	if address := c.String("weights"); address != "" {
+		o.Weights = engine.NewRemoteWeights(address)
+	}
+	e := engine.New(o)
+	defer e.Close()
+	return serve(c, e.Switches(), e.Handler())
+}
+
+func serviceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "a plain service instance",
+		Flags: commonFlags(
+			&cli.DurationFlag{Name: "delay", Value: 5 * time.Millisecond, Usage: "time of one execution"},
+		),
+		Action: func(c *cli.Context) error {
+			switches := newSwitches(c)
+			s := service.New(service.Options{Delay: c.Duration("delay"), Switches: switches})
+			return serve(c, switches, s)
+		},
+	}
+}
+
+func storeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "a store VM",
+		Flags: commonFlags(
+			&cli.Int64Flag{Name: "memory", Value: defaultMemory, Usage: "bytes of the memory tier"},
+			&cli.Int64Flag{Name: "disk", Value: defaultDisk, Usage: "bytes of the disk tier"},
+			&cli.Float64Flag{Name: "link", Value: defaultLink, Usage: "nominal bytes a second; 0: unlimited"},
+			&cli.Float64Flag{Name: "disk-rate", Value: defaultDiskRate, Usage: "nominal bytes a second; 0: unlimited"},
+			&cli.Float64Flag{Name: timeScaleFlag, Value: 1, Usage: "real time of a nominal second"},
+			&cli.BoolFlag{Name: "evict", Usage: "free the least recently used objects when full"},
+		),
+		Action: func(c *cli.Context) error {
+			switches := newSwitches(c)
+			s := store.New(store.Options{
+				MemoryBytes:     c.Int64("memory"),
+				DiskBytes:       c.Int64("disk"),
+				LinkBytesPerSec: c.Float64("link"),
+				DiskBytesPerSec: c.Float64("disk-rate"),
+				TimeScale:       c.Float64(timeScaleFlag),
+				Evict:           c.Bool("evict"),
+				Switches:        switches,
+			})
+			return serve(c, switches, s.Handler())
+		},
+	}
+}
+
+func vmlistCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "vmlist",
+		Usage: "the VM list, and the weight store's count of loads",
+		Flags: commonFlags(
+			&cli.DurationFlag{Name: "lag", Usage: "age of the list that readers get"},
+			&cli.IntFlag{Name: "load-cap", Usage: "weight loads at once at full speed; 0: no limit"},
+		),
+		Action: func(c *cli.Context) error {
+			list := vmlist.New(vmlist.Options{Lag: c.Duration("lag"), LoadCap: c.Int("load-cap")})
+			return serve(c, newSwitches(c), list)
+		},
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,3 +1,87 @@
+// Command standin runs one stand-in of a platform part for tests and demos. Each
+// stand-in serves its fault switches at /fault.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+)
+
+func main() {
+	app := &cli.App{
+		Name:  "standin",
+		Usage: "run a stand-in of a platform part",
+		// A stand-in for the key-value service adds its command here.
+		Commands: []*cli.Command{
+			engineCommand(),
+			serviceCommand(),
+			storeCommand(),
+			vmlistCommand(),
+		},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := app.RunContext(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// commonFlags are the flags of every stand-in.
+func commonFlags(own ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to listen on"},
+		&cli.StringFlag{Name: "addr-file", Usage: "file that gets the actual address"},
+		&cli.Int64Flag{Name: "seed", Value: 1, Usage: "seed of the fault switches"},
+	}, own...)
+}
+
+func newSwitches(c *cli.Context) *fault.Switches {
+	return fault.New(fault.Options{Seed: c.Int64("seed")})
+}
+
+// serve runs a handler until the process is told to stop.
+func serve(c *cli.Context, switches *fault.Switches, handler http.Handler) error {
+	server, err := fault.Serve(c.String("listen"), switches, handler)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	if path := c.String("addr-file"); path != "" {
+		if err := writeWhole(path, server.Address()+"\n"); err != nil {
+			return err
+		}
+	}
+	fmt.Println(server.Address())
+	select {
+	case <-c.Context.Done():
+	case <-server.Done():
+	}
+	return nil
+}
+
+// writeWhole writes a file under another name and renames it, so that a reader that
+// waits for the file never sees half an address.
+func writeWhole(path, text string) error {
+	temporary, err := os.CreateTemp(filepath.Dir(path), ".addr-*")
+	if err != nil {
+		return errors.Wrap(err, "address file")
+	}
+	defer os.Remove(temporary.Name())
+	_, err = temporary.WriteString(text)
+	err = errors.CombineErrors(err, temporary.Close())
+	if err != nil {
+		return errors.Wrap(err, "address file")
+	}
+	return errors.Wrap(os.Rename(temporary.Name(), path), "address file")
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,195 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+)
+
+// step is what one pass over the batch does: one piece of one prompt, and a token for
+// each request whose prompt is in place.
+type step struct {
+	prefill  *stream
+	computed []block.Hash // whole blocks of the piece
+	tokens   int          // of the piece
+	decode   []*stream
+}
+
+func (p step) empty() bool { return p.prefill == nil && len(p.decode) == 0 }
+
+// nominal returns the time of the step without scale.
+func (p step) nominal() time.Duration {
+	d := time.Duration(p.tokens) * time.Second / PrefillTokensPerSec
+	if len(p.decode) > 0 {
+		d += DecodeStep
+	}
+	return d
+}
+
+// runBatches is the duty that runs the batch step by step.
+func (e *Engine) runBatches() {
+	defer e.work.Done()
+	free := time.Now() // when the last step ended, were timers exact
+	for {
+		if e.switches.WaitThawed(e.ctx) != nil {
+			return
+		}
+		next, crash := e.plan()
+		if crash != "" {
+			if e.switches.CrashIfMarked(crash) {
+				return
+			}
+			continue
+		}
+		if next.empty() {
+			if !e.waitForWork() {
+				return
+			}
+			free = time.Now()
+			continue
+		}
+		free = free.Add(e.real(next.nominal()))
+		if !e.pause(e.ctx, time.Until(free)) {
+			return
+		}
+		// Small delays of timers are made up for by the next steps; long ones are not.
+		if late := time.Now().Add(-e.real(DecodeStep)); free.Before(late) {
+			free = late
+		}
+		e.complete(next)
+	}
+}
+
+func (e *Engine) waitForWork() bool {
+	select {
+	case <-e.wake:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
+
+// plan admits requests to the batch and returns the next step; or the prompt of a
+// request that is to crash the replica.
+func (e *Engine) plan() (next step, crash string) {
+	marked := e.switches.Status().CrashMarker != ""
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.queue) > 0 && len(e.running) < e.o.MaxRunning {
+		s := e.queue[0]
+		e.queue = e.queue[1:]
+		s.started = true
+		e.running = insertSorted(e.running, s)
+		if marked {
+			return step{}, s.req.Prompt
+		}
+	}
+	for _, s := range e.running {
+		if !s.prefilled() {
+			e.reuseLocked(s)
+		}
+		switch {
+		case s.prefilled():
+			next.decode = append(next.decode, s)
+		case next.prefill == nil:
+			next.prefill = s
+			next.computed, next.tokens = e.pieceLocked(s)
+		}
+	}
+	return next, ""
+}
+
+// reuseLocked advances over cached blocks. It is asked before every piece, so that
+// blocks imported while earlier ones are computed are not computed again.
+func (e *Engine) reuseLocked(s *stream) {
+	for {
+		i := s.position / block.TokensPerBlock
+		if i >= len(s.chain) || !e.cache.acquire(s.chain[i]) {
+			return
+		}
+		s.held = append(s.held, s.chain[i])
+		s.position += block.TokensPerBlock
+		s.reused += block.TokensPerBlock
+	}
+}
+
+// pieceLocked returns the next piece to compute: up to the next cached block, the end
+// of the prompt, or PrefillPiece tokens.
+func (e *Engine) pieceLocked(s *stream) ([]block.Hash, int) {
+	first := s.position / block.TokensPerBlock
+	end := first
+	for end < len(s.chain) && (end-first+1)*block.TokensPerBlock <= PrefillPiece && !e.cache.has(s.chain[end]) {
+		end++
+	}
+	tokens := (end - first) * block.TokensPerBlock
+	if end == len(s.chain) && s.tokens-s.position <= PrefillPiece {
+		tokens = s.tokens - s.position
+	}
+	return s.chain[first:end], tokens
+}
+
+// complete applies a step. A prompt that is in place gives its first token with its
+// last piece.
+func (e *Engine) complete(done step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if s := done.prefill; s != nil && !s.done {
+		e.stats.PrefilledTokens += int64(done.tokens)
+		s.position += done.tokens
+		for _, h := range e.insertLocked(done.computed) {
+			e.cache.acquire(h)
+			s.held = append(s.held, h)
+		}
+		if s.prefilled() {
+			e.emitLocked(s, now)
+		}
+	}
+	for _, s := range done.decode {
+		if !s.done {
+			e.emitLocked(s, now)
+		}
+	}
+	e.dropDoneLocked()
+	e.forgetLocked(now)
+}
+
+func (e *Engine) emitLocked(s *stream, now time.Time) {
+	if len(s.frames) == 0 {
+		e.stats.ReusedTokens += int64(s.reused)
+	}
+	s.emitToken(now)
+}
+
+// reportLoad is the duty that renews the load report, which is why it lags.
+func (e *Engine) reportLoad() {
+	defer e.work.Done()
+	for e.pause(e.ctx, max(e.real(e.o.LoadLag), time.Millisecond)) {
+		if e.switches.WaitThawed(e.ctx) != nil {
+			return
+		}
+		e.takeLoadReport()
+	}
+}
+
+func (e *Engine) takeLoadReport() {
+	leaving := e.switches.Status().Leaving
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loadAt = time.Now()
+	e.load.Incarnation = e.o.Incarnation
+	e.load.Model = e.state.Model
+	e.load.Version = e.state.Version
+	e.load.Running = len(e.running)
+	e.load.Queued = len(e.queue)
+	e.load.PrefillTokens = 0
+	for _, s := range e.running {
+		e.load.PrefillTokens += max(0, s.tokens-s.position)
+	}
+	for _, s := range e.queue {
+		e.load.PrefillTokens += s.tokens
+	}
+	e.load.UsedBlocks = e.cache.used()
+	e.load.TotalBlocks = e.o.TotalBlocks
+	e.load.Leaving = leaving
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,263 @@
+// Package engine is a stand-in for a model engine; it serves engineapi.
+//
+// It keeps the time behaviour of a real engine without a model: continuous batching,
+// prefill in pieces, priorities, a prefix cache in limited memory, resume and cancel,
+// KV export and import, late and gapped cache events, a lagging load report, orders.
+// Its output is a function of the prompt alone (ExpectedText).
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
+)
+
+// Nominal behaviour; Options.TimeScale turns nominal times into real ones.
+const (
+	// PrefillTokensPerSec is the speed of prefill.
+	PrefillTokensPerSec = 8000
+	// PrefillPiece is the most prompt tokens in one step.
+	PrefillPiece = 2000
+	// DecodeStep is the time of one step that gives each running request a token.
+	DecodeStep = 30 * time.Millisecond
+
+	defaultMaxRunning  = 16
+	defaultMaxQueued   = 256
+	defaultBlocks      = 4096
+	defaultKVPerToken  = 128 << 10
+	defaultEventLag    = 200 * time.Millisecond
+	defaultLoadLag     = 500 * time.Millisecond
+	defaultLoadTime    = 20 * time.Second
+	defaultKeepStreams = time.Minute
+	defaultHeartbeat   = 500 * time.Millisecond
+)
+
+// WeightStore counts the replicas that load weights at once; *vmlist.List is one.
+type WeightStore interface {
+	Report(vmlist.LoadReport) vmlist.LoadAnswer
+}
+
+// Options of New. Zero fields take defaults.
+type Options struct {
+	Name        string // replica name in reports to the weight store
+	Incarnation uint64 // 0: taken from the clock
+	Model       request.Model
+	Version     request.Version
+	Role        string
+	TimeScale   float64 // real time of a nominal second
+	MaxRunning  int     // requests in the batch
+	MaxQueued   int     // requests waiting for the batch
+	TotalBlocks int     // room of the prefix cache
+	KVPerToken  int64   // bytes of KV cache a token
+	EventLag    time.Duration
+	LoadLag     time.Duration
+	LoadTime    time.Duration // time that loading a weight version takes
+	KeepStreams time.Duration // real time that a finished stream stays readable
+	Heartbeat   time.Duration // real time between comments on a stream without frames
+	ChecksEpoch bool          // refuses orders with an old epoch
+	Weights     WeightStore   // nil: loads never slow each other
+	Switches    *fault.Switches
+}
+
+func (o Options) withDefaults() Options {
+	orElse(&o.Incarnation, uint64(time.Now().UnixNano()))
+	orElse(&o.TimeScale, 1)
+	orElse(&o.MaxRunning, defaultMaxRunning)
+	orElse(&o.MaxQueued, defaultMaxQueued)
+	orElse(&o.TotalBlocks, defaultBlocks)
+	orElse(&o.KVPerToken, defaultKVPerToken)
+	orElse(&o.EventLag, defaultEventLag)
+	orElse(&o.LoadLag, defaultLoadLag)
+	orElse(&o.LoadTime, defaultLoadTime)
+	orElse(&o.KeepStreams, defaultKeepStreams)
+	orElse(&o.Heartbeat, defaultHeartbeat)
+	if o.Switches == nil {
+		o.Switches = fault.New(fault.Options{})
+	}
+	return o
+}
+
+func orElse[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Stats counts what an engine did, for checks in tests.
+type Stats struct {
+	Accepted             int   `json:"accepted"`
+	AcceptedWhileLeaving int   `json:"accepted_while_leaving"`
+	PrefilledTokens      int64 `json:"prefilled_tokens"`
+	ReusedTokens         int64 `json:"reused_tokens"`
+	ImportedBlocks       int64 `json:"imported_blocks"`
+	ExportedBlocks       int64 `json:"exported_blocks"`
+	ImportedBytes        int64 `json:"imported_bytes"`
+	ExportedBytes        int64 `json:"exported_bytes"`
+	OrdersObeyed         int   `json:"orders_obeyed"`
+	OrdersRefused        int   `json:"orders_refused"`
+}
+
+// Engine is one replica. Close it to stop its goroutines.
+type Engine struct {
+	o        Options
+	switches *fault.Switches
+	client   *http.Client
+	ctx      context.Context
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+	wake     chan struct{}
+
+	mu       sync.Mutex
+	cache    *cache
+	events   eventLog
+	streams  map[request.ID]*stream
+	queue    []*stream // by priority, then arrival
+	running  []*stream // by priority, then arrival
+	arrivals uint64
+	swapped  map[request.ID]engineapi.Frame // frames owed to the other stream of a swap
+	state    engineapi.State
+	orders   map[string]struct{}
+	load     engineapi.Load
+	loadAt   time.Time
+	loading  context.CancelFunc
+	stats    Stats
+}
+
+// New starts a replica.
+func New(o Options) *Engine {
+	o = o.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Engine{
+		o:        o,
+		switches: o.Switches,
+		client:   newStoreClient(),
+		ctx:      ctx,
+		stop:     stop,
+		wake:     make(chan struct{}, 1),
+		cache:    newCache(o.TotalBlocks),
+		streams:  make(map[request.ID]*stream),
+		swapped:  make(map[request.ID]engineapi.Frame),
+		orders:   make(map[string]struct{}),
+		loading:  func() {},
+		state: engineapi.State{
+			Incarnation: o.Incarnation,
+			Model:       o.Model,
+			Version:     o.Version,
+			Role:        o.Role,
+			ChecksEpoch: o.ChecksEpoch,
+		},
+	}
+	e.events.lag = e.real(o.EventLag)
+	e.takeLoadReport()
+	e.work.Add(2)
+	go e.runBatches()
+	go e.reportLoad()
+	return e
+}
+
+// Start starts a replica and serves it on address. If o.Switches is nil the replica
+// gets switches whose Die closes the server and the replica.
+func Start(address string, o Options) (*Engine, *fault.Server, error) {
+	own := o.Switches == nil
+	if own {
+		o.Switches = fault.New(fault.Options{Seed: int64(o.Incarnation)})
+	}
+	e := New(o)
+	server, err := fault.Serve(address, o.Switches, e.Handler())
+	if err != nil {
+		e.Close()
+		return nil, nil, err
+	}
+	if own {
+		o.Switches.SetDie(func() {
+			e.stop()
+			go server.Close()
+		})
+	}
+	return e, server, nil
+}
+
+// Close stops the replica; open streams end without a last frame.
+func (e *Engine) Close() {
+	e.stop()
+	e.work.Wait()
+	e.client.CloseIdleConnections()
+}
+
+// Switches returns the replica's fault switches.
+func (e *Engine) Switches() *fault.Switches { return e.switches }
+
+// Stats returns the counts so far.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// real turns a nominal duration into a real one, by scale and slow factor.
+func (e *Engine) real(nominal time.Duration) time.Duration {
+	return e.switches.Scale(time.Duration(float64(nominal) * e.o.TimeScale))
+}
+
+func (e *Engine) blockBytes() int64 { return e.o.KVPerToken * block.TokensPerBlock }
+
+// pause waits and tells whether the replica goes on.
+func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) eventLocked(kind engineapi.EventKind, blocks []block.Hash) {
+	if len(blocks) == 0 && kind != engineapi.BlocksCleared {
+		return
+	}
+	e.events.add(time.Now(), kind, blocks, e.switches.TakeSkippedEvent())
+}
+
+// insertLocked adds blocks to the cache, publishes what changed, and returns the
+// blocks that are in the cache now.
+func (e *Engine) insertLocked(hashes []block.Hash) []block.Hash {
+	var removed, stored, in []block.Hash
+	for _, h := range hashes {
+		known := e.cache.has(h)
+		evicted, ok := e.cache.insert(h)
+		removed = append(removed, evicted...)
+		if !ok {
+			continue
+		}
+		in = append(in, h)
+		if !known {
+			stored = append(stored, h)
+		}
+		// In use until all are in, so that none evicts another of its own chain.
+		e.cache.acquire(h)
+	}
+	e.cache.release(in)
+	e.eventLocked(engineapi.BlocksRemoved, removed)
+	e.eventLocked(engineapi.BlocksStored, stored)
+	return in
+}
--- /dev/null
+++ b/internal/standin/engine/kv.go
@@ -0,0 +1,231 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+)
+
+const (
+	// transfersAtOnce is how many blocks of one export or import are on their way.
+	transfersAtOnce  = 8
+	storeDialTimeout = 2 * time.Second
+	// maxPayload is the largest block content read, in bytes.
+	maxPayload = 1 << 20
+	// payloadCopies makes a block's content long enough to be torn.
+	payloadCopies = 8
+)
+
+var (
+	errTorn = errors.New("engine: block is torn")
+	errMiss = errors.New("engine: block cannot be read")
+)
+
+func newStoreClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 2 * transfersAtOnce,
+	}}
+}
+
+// payload is the content that stands for a block's KV cache.
+func payload(h block.Hash) []byte {
+	return bytes.Repeat([]byte(h.String()), payloadCopies)
+}
+
+func objectURL(address, name string) string {
+	return "http://" + address + storeapi.PathObjects + url.PathEscape(name)
+}
+
+// inOrder runs f for 0..n-1, several at once, and returns how many leading ones
+// succeeded and the error of the first that did not. It starts none after an error.
+func inOrder(ctx context.Context, n int, f func(context.Context, int) error) (int, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make([]chan error, n)
+	for i := range results {
+		results[i] = make(chan error, 1)
+	}
+	slots := make(chan struct{}, transfersAtOnce)
+	go func() {
+		for i := range results {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			go func() {
+				results[i] <- f(ctx, i)
+				<-slots
+			}()
+		}
+	}()
+	for i := range results {
+		select {
+		case err := <-results[i]:
+			if err != nil {
+				return i, err
+			}
+		case <-ctx.Done():
+			return i, ctx.Err()
+		}
+	}
+	return n, nil
+}
+
+// export writes blocks to a store VM, up to the first that is not cached or cannot
+// be written. Blocks are in use, so not evicted, until they are written.
+func (e *Engine) export(ctx context.Context, req engineapi.ExportRequest) engineapi.ExportResponse {
+	held := e.holdLeading(req.Blocks)
+	defer e.releaseBlocks(held)
+	written := make([]engineapi.ExportedBlock, len(held))
+	n, _ := inOrder(ctx, len(held), func(ctx context.Context, i int) error {
+		var err error
+		written[i], err = e.exportBlock(ctx, req, held[i])
+		return err
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.ExportedBlocks += int64(n)
+	e.stats.ExportedBytes += int64(n) * e.blockBytes()
+	return engineapi.ExportResponse{Written: written[:n]}
+}
+
+func (e *Engine) holdLeading(hashes []block.Hash) []block.Hash {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, h := range hashes {
+		if !e.cache.acquire(h) {
+			return hashes[:i]
+		}
+	}
+	return hashes
+}
+
+func (e *Engine) releaseBlocks(hashes []block.Hash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.release(hashes)
+}
+
+func (e *Engine) exportBlock(ctx context.Context, req engineapi.ExportRequest, h block.Hash) (engineapi.ExportedBlock, error) {
+	content := payload(h)
+	out := engineapi.ExportedBlock{Hash: h, Length: e.blockBytes(), Digest: digestOf(content)}
+	url := objectURL(req.StoreAddress, req.Prefix+h.String())
+	put, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(content))
+	if err != nil {
+		return out, err
+	}
+	put.Header.Set(storeapi.HeaderDigest, out.Digest)
+	put.Header.Set(storeapi.HeaderLength, strconv.FormatInt(out.Length, 10))
+	resp, err := e.client.Do(put)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return out, errors.Newf("engine: store answered %s", resp.Status)
+	}
+	return out, nil
+}
+
+// importBlocks reads blocks from a store VM and enters each into the cache only when
+// its length and digest are right, so that a running request never meets a torn one.
+func (e *Engine) importBlocks(ctx context.Context, req engineapi.ImportRequest) (engineapi.ImportResponse, *engineapi.Error) {
+	if refused := e.checkVersion(req); refused != nil {
+		return engineapi.ImportResponse{}, refused
+	}
+	n, err := inOrder(ctx, len(req.Blocks), func(ctx context.Context, i int) error {
+		return e.importBlock(ctx, req, req.Blocks[i])
+	})
+	out := engineapi.ImportResponse{Imported: n}
+	for _, b := range req.Blocks[:n] {
+		out.Bytes += b.Length
+	}
+	if errors.Is(err, errTorn) {
+		out.Torn = 1
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.ImportedBlocks += int64(n)
+	e.stats.ImportedBytes += out.Bytes
+	return out, nil
+}
+
+func (e *Engine) checkVersion(req engineapi.ImportRequest) *engineapi.Error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if req.Version != e.state.Version {
+		return refusal(engineapi.CodeWrongVersion, "loaded is "+string(e.state.Version))
+	}
+	return nil
+}
+
+func (e *Engine) importBlock(ctx context.Context, req engineapi.ImportRequest, want engineapi.ExportedBlock) error {
+	if e.hasBlock(want.Hash) {
+		return nil
+	}
+	if err := e.readBlock(ctx, req, want); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if req.Version != e.state.Version {
+		return errMiss
+	}
+	if len(e.insertLocked([]block.Hash{want.Hash})) == 0 {
+		return errMiss
+	}
+	return nil
+}
+
+func (e *Engine) hasBlock(h block.Hash) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.has(h)
+}
+
+func (e *Engine) readBlock(ctx context.Context, req engineapi.ImportRequest, want engineapi.ExportedBlock) error {
+	url := objectURL(req.StoreAddress, req.Prefix+want.Hash.String())
+	get, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := e.client.Do(get)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, resp.Body)
+		return errMiss
+	}
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxPayload))
+	if err != nil {
+		return errTorn
+	}
+	length := resp.Header.Get(storeapi.HeaderLength)
+	if length != strconv.FormatInt(want.Length, 10) || digestOf(content) != want.Digest {
+		return errTorn
+	}
+	return nil
+}
+
+func digestOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
+)
+
+// loadSteps is how many parts a weight load is paced in.
+const loadSteps = 20
+
+// order obeys an order, or refuses one with an old epoch if this replica checks.
+func (e *Engine) order(o engineapi.Order) *engineapi.Error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, repeated := e.orders[o.OperationID]; repeated && o.OperationID != "" {
+		return nil
+	}
+	if e.o.ChecksEpoch && o.Epoch < e.state.HighestEpoch {
+		e.stats.OrdersRefused++
+		return refusal(engineapi.CodeStaleEpoch, "a higher epoch was seen")
+	}
+	e.state.HighestEpoch = max(e.state.HighestEpoch, o.Epoch)
+	switch o.Kind {
+	case engineapi.OrderLoadVersion:
+		e.startLoadLocked(o)
+	case engineapi.OrderLoadAdapter:
+		if !slices.Contains(e.state.Adapters, o.Adapter) {
+			e.state.Adapters = append(slices.Clone(e.state.Adapters), o.Adapter)
+		}
+	case engineapi.OrderSetRole:
+		e.state.Role = o.Role
+	default:
+		return refusal(engineapi.CodeBadRequest, "unknown order kind")
+	}
+	e.orders[o.OperationID] = struct{}{}
+	e.state.LastOrder = o.OperationID
+	e.stats.OrdersObeyed++
+	return nil
+}
+
+// startLoadLocked begins to load a version; a load under way is given up.
+func (e *Engine) startLoadLocked(o engineapi.Order) {
+	e.loading()
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.loading = cancel
+	e.state.Loading = o.Version
+	e.work.Add(1)
+	go e.loadVersion(ctx, o)
+}
+
+func (e *Engine) loadVersion(ctx context.Context, o engineapi.Order) {
+	defer e.work.Done()
+	defer e.reportWeights(false)
+	for progress := 0.0; progress < loadSteps; {
+		speed := e.reportWeights(true)
+		if !e.pause(ctx, e.real(e.o.LoadTime/loadSteps)) || e.switches.WaitThawed(ctx) != nil {
+			return
+		}
+		progress += speed
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.Err() == nil {
+		e.swapVersionLocked(o.Model, o.Version)
+	}
+}
+
+// reportWeights returns the speed of this replica's load, 1 for full.
+func (e *Engine) reportWeights(loading bool) float64 {
+	if e.o.Weights == nil {
+		return 1
+	}
+	a := e.o.Weights.Report(vmlist.LoadReport{Replica: e.o.Name, Loading: loading})
+	if a.Cap == 0 || a.Loading <= a.Cap {
+		return 1
+	}
+	return float64(a.Cap) / float64(a.Loading)
+}
+
+// swapVersionLocked puts loaded weights into use. Running requests go on with their
+// own version and blocks; waiting ones have not started and are handed back; blocks
+// that nothing uses are dropped.
+func (e *Engine) swapVersionLocked(model request.Model, version request.Version) {
+	if model != "" {
+		e.state.Model = model
+	}
+	e.state.Version = version
+	e.state.Loading = ""
+	now := time.Now()
+	for _, s := range e.queue {
+		s.finish(now, nil, refusal(engineapi.CodeWrongVersion, "weights were swapped before the request started"))
+	}
+	e.dropDoneLocked()
+	kept := e.cache.clear()
+	e.eventLocked(engineapi.BlocksCleared, nil)
+	e.eventLocked(engineapi.BlocksStored, kept)
+}
--- /dev/null
+++ b/internal/standin/fault/middleware.go
@@ -0,0 +1,96 @@
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Path is where the switches are read and set.
+const Path = "/fault"
+
+type connKey struct{}
+
+// ConnContext makes a request's connection known to Middleware; http.Server has a
+// field of this name.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Middleware serves Path and lets all other requests meet the faults that are set.
+func Middleware(s *Switches, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == Path {
+			s.serveControl(w, r)
+			return
+		}
+		s.serveFaulty(w, r, next)
+	})
+}
+
+func (s *Switches) serveControl(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		conn.control.Store(true)
+	}
+	// The connection is exempt from now on, so it must not carry other requests.
+	w.Header().Set("Connection", "close")
+	status := s.Status()
+	if r.Method == http.MethodPost {
+		var c Command
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		status = s.Apply(c)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(status)
+}
+
+func (s *Switches) serveFaulty(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	if err := s.WaitThawed(r.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	status := s.Status()
+	if status.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if !sleep(r.Context(), time.Duration(status.DelayMillis)*time.Millisecond) {
+		panic(http.ErrAbortHandler)
+	}
+	if s.TakeLostAnswer() {
+		next.ServeHTTP(newDiscard(), r)
+		panic(http.ErrAbortHandler)
+	}
+	next.ServeHTTP(w, r)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// discard is a response that goes nowhere.
+type discard struct {
+	header http.Header
+}
+
+func newDiscard() *discard { return &discard{header: make(http.Header)} }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Flush()                      {}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,116 @@
+// Package service is a stand-in for a plain service, such as one that prints lot
+// labels. It does not deduplicate: each call it accepts is one more execution.
+//
+//	POST /v1/services/{name}/...   Answer
+//	GET  /debug/executions         executions by idempotency key
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+)
+
+// Paths and headers of the interface.
+const (
+	PathServices   = "/v1/services/"
+	PathExecutions = "/debug/executions"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// maxBody is the largest call body in bytes.
+const maxBody = 8 << 20
+
+// Answer is the result of a call.
+type Answer struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	Serial  uint64 `json:"serial"` // counts executions of this instance
+	Bytes   int    `json:"bytes"`  // length of the call's body
+}
+
+// Options of New.
+type Options struct {
+	Delay    time.Duration // time that one execution takes
+	Switches *fault.Switches
+}
+
+// Service is the stand-in's state. It is an http.Handler.
+type Service struct {
+	mux      *http.ServeMux
+	delay    time.Duration
+	switches *fault.Switches
+
+	mu         sync.Mutex
+	serial     uint64
+	executions map[string]int
+}
+
+// New returns a service that has executed nothing.
+func New(o Options) *Service {
+	s := &Service{
+		mux:        http.NewServeMux(),
+		delay:      o.Delay,
+		switches:   o.Switches,
+		executions: make(map[string]int),
+	}
+	if s.switches == nil {
+		s.switches = fault.New(fault.Options{})
+	}
+	s.mux.HandleFunc("POST "+PathServices+"{name}/{rest...}", s.serveCall)
+	s.mux.HandleFunc("POST "+PathServices+"{name}", s.serveCall)
+	s.mux.HandleFunc("GET "+PathExecutions, s.serveExecutions)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Executions returns how often each idempotency key was executed.
+func (s *Service) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executions)
+}
+
+func (s *Service) execute(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions[key]++
+	s.serial++
+	return s.serial
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if s.switches.CrashIfMarked(string(body)) {
+		panic(http.ErrAbortHandler)
+	}
+	key := r.Header.Get(HeaderKey)
+	answer := Answer{
+		Service: r.PathValue("name"),
+		Path:    r.PathValue("rest"),
+		Key:     key,
+		Serial:  s.execute(key),
+		Bytes:   len(body),
+	}
+	// The execution stands from here on, even if its caller goes away.
+	time.Sleep(s.switches.Scale(s.delay))
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Service) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s.Executions())
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,259 @@
+// Package store is a stand-in for a store VM: named immutable objects in a memory
+// and a disk tier of limited size, behind a limited link. It serves storeapi.
+package store
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+)
+
+// Errors of Store.
+var (
+	errAbsent = errors.New("store: no such object")
+	errGone   = errors.New("store: name was freed")
+	errExists = errors.New("store: name holds other content")
+	errFull   = errors.New("store: full")
+	errPinned = errors.New("store: pinned")
+)
+
+// Options of New.
+type Options struct {
+	MemoryBytes     int64   // room of the memory tier
+	DiskBytes       int64   // room of the disk tier
+	LinkBytesPerSec float64 // nominal; 0: unlimited
+	DiskBytesPerSec float64 // nominal; 0: unlimited
+	TimeScale       float64 // real time of a nominal second; 0 counts as 1
+	// Evict lets a full tier free its least recently used unpinned object: memory moves
+	// it to disk, disk frees it. Without it a full tier refuses.
+	Evict    bool
+	Switches *fault.Switches
+}
+
+type object struct {
+	name    string
+	content []byte
+	digest  string
+	length  int64 // bytes charged
+	tier    storeapi.Tier
+	pinned  time.Time // until then
+	place   *list.Element
+}
+
+// tier is one kind of room. Its order is by use, most recent first.
+type tier struct {
+	total int64
+	used  int64
+	order *list.List
+}
+
+// Store is the stand-in's state.
+type Store struct {
+	switches *fault.Switches
+	evict    bool
+	link     *link
+	disk     *link
+
+	mu       sync.Mutex
+	objects  map[string]*object
+	gone     map[string]struct{}
+	tiers    map[storeapi.Tier]*tier
+	bytesIn  int64
+	bytesOut int64
+}
+
+// New returns an empty store.
+func New(o Options) *Store {
+	scale := o.TimeScale
+	if scale == 0 {
+		scale = 1
+	}
+	s := &Store{
+		switches: o.Switches,
+		evict:    o.Evict,
+		link:     newLink(o.LinkBytesPerSec / scale),
+		disk:     newLink(o.DiskBytesPerSec / scale),
+		objects:  make(map[string]*object),
+		gone:     make(map[string]struct{}),
+		tiers: map[storeapi.Tier]*tier{
+			storeapi.TierMemory: {total: o.MemoryBytes, order: list.New()},
+			storeapi.TierDisk:   {total: o.DiskBytes, order: list.New()},
+		},
+	}
+	if s.switches == nil {
+		s.switches = fault.New(fault.Options{})
+	}
+	return s
+}
+
+// put adds an object to the memory tier. A repeat with equal content is harmless.
+func (s *Store) put(name string, content []byte, digest string, length int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.gone[name]; ok {
+		return errGone
+	}
+	if old, ok := s.objects[name]; ok {
+		if old.digest != digest || old.length != length {
+			return errExists
+		}
+		return nil
+	}
+	if s.switches.Status().Full {
+		return errFull
+	}
+	if err := s.makeRoomLocked(storeapi.TierMemory, length, time.Now()); err != nil {
+		return err
+	}
+	o := &object{name: name, content: content, digest: digest, length: length}
+	s.objects[name] = o
+	s.enterLocked(o, storeapi.TierMemory)
+	s.bytesIn += length
+	return nil
+}
+
+// get returns an object and counts a use of it.
+func (s *Store) get(name string) (object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err := s.findLocked(name)
+	if err != nil {
+		return object{}, err
+	}
+	s.tiers[o.tier].order.MoveToFront(o.place)
+	s.bytesOut += o.length
+	return *o, nil
+}
+
+func (s *Store) findLocked(name string) (*object, error) {
+	if o, ok := s.objects[name]; ok {
+		return o, nil
+	}
+	if _, ok := s.gone[name]; ok {
+		return nil, errGone
+	}
+	return nil, errAbsent
+}
+
+// free deletes an object for ever.
+func (s *Store) free(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err := s.findLocked(name)
+	if err != nil {
+		return err
+	}
+	if time.Now().Before(o.pinned) {
+		return errPinned
+	}
+	s.freeLocked(o)
+	return nil
+}
+
+func (s *Store) freeLocked(o *object) {
+	s.leaveLocked(o)
+	delete(s.objects, o.name)
+	s.gone[o.name] = struct{}{}
+}
+
+// move brings an object to a tier and returns the bytes moved.
+func (s *Store) move(name string, to storeapi.Tier) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err := s.findLocked(name)
+	if err != nil {
+		return 0, err
+	}
+	if o.tier == to {
+		return 0, nil
+	}
+	if err := s.makeRoomLocked(to, o.length, time.Now()); err != nil {
+		return 0, err
+	}
+	s.leaveLocked(o)
+	s.enterLocked(o, to)
+	return o.length, nil
+}
+
+// pin keeps an object from being freed until a time.
+func (s *Store) pin(name string, until time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err := s.findLocked(name)
+	if err != nil {
+		return err
+	}
+	if until.After(o.pinned) {
+		o.pinned = until
+	}
+	return nil
+}
+
+func (s *Store) makeRoomLocked(name storeapi.Tier, length int64, now time.Time) error {
+	t := s.tiers[name]
+	if length > t.total {
+		return errFull
+	}
+	for t.used+length > t.total {
+		if !s.evict {
+			return errFull
+		}
+		if err := s.evictOneLocked(name, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) evictOneLocked(name storeapi.Tier, now time.Time) error {
+	for e := s.tiers[name].order.Back(); e != nil; e = e.Prev() {
+		o := e.Value.(*object)
+		if now.Before(o.pinned) {
+			continue
+		}
+		if name == storeapi.TierMemory && s.makeRoomLocked(storeapi.TierDisk, o.length, now) == nil {
+			s.leaveLocked(o)
+			s.enterLocked(o, storeapi.TierDisk)
+			return nil
+		}
+		s.freeLocked(o)
+		return nil
+	}
+	return errFull
+}
+
+func (s *Store) enterLocked(o *object, name storeapi.Tier) {
+	t := s.tiers[name]
+	o.tier = name
+	o.place = t.order.PushFront(o)
+	t.used += o.length
+}
+
+func (s *Store) leaveLocked(o *object) {
+	t := s.tiers[o.tier]
+	t.order.Remove(o.place)
+	t.used -= o.length
+}
+
+// Status reports room and link use; the link's speed is the real one.
+func (s *Store) Status() storeapi.Status {
+	slow := s.switches.Status().Slow
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	memory, disk := s.tiers[storeapi.TierMemory], s.tiers[storeapi.TierDisk]
+	return storeapi.Status{
+		MemoryUsed:      memory.used,
+		MemoryTotal:     memory.total,
+		DiskUsed:        disk.used,
+		DiskTotal:       disk.total,
+		LinkBytesPerSec: int64(s.link.bytesPerSec / slow),
+		LinkQueueBytes:  s.link.queued(time.Now(), slow),
+		BytesOut:        s.bytesOut,
+		BytesIn:         s.bytesIn,
+	}
+}
--- /dev/null
+++ b/internal/standin/vmlist/vmlist.go
@@ -0,0 +1,155 @@
+// Package vmlist is a stand-in for the platform's VM list and for its weight store.
+//
+//	GET  /v1/vms       []platform.VM as it was a lag ago
+//	POST /v1/vms       []platform.VM replaces the list
+//	POST /v1/weights   LoadReport -> LoadAnswer
+//
+// The weight store only counts: a replica that loads reports so again and again and
+// learns how many load at once. Past the cap each loads slower.
+package vmlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+// Paths of the interface.
+const (
+	PathVMs     = "/v1/vms"
+	PathWeights = "/v1/weights"
+)
+
+// reportLife is how long a replica counts as loading after its last report.
+const reportLife = 2 * time.Second
+
+// LoadReport says whether a replica loads weights now.
+type LoadReport struct {
+	Replica string `json:"replica"`
+	Loading bool   `json:"loading"`
+}
+
+// LoadAnswer tells how many replicas load at once.
+type LoadAnswer struct {
+	Loading int `json:"loading"`
+	Cap     int `json:"cap"`  // loads at once at full speed
+	Peak    int `json:"peak"` // most loads at once so far
+}
+
+// Options of New.
+type Options struct {
+	Lag     time.Duration // age of the list that readers get
+	LoadCap int           // loads at once at full speed; 0: no limit
+}
+
+type version struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// List is the stand-in's state. It is an http.Handler.
+type List struct {
+	mux     *http.ServeMux
+	loadCap int
+
+	mu       sync.Mutex
+	lag      time.Duration
+	versions []version // oldest first
+	loading  map[string]time.Time
+	peak     int
+}
+
+// New returns an empty list.
+func New(o Options) *List {
+	l := &List{
+		mux:     http.NewServeMux(),
+		loadCap: o.LoadCap,
+		lag:     o.Lag,
+		loading: make(map[string]time.Time),
+	}
+	l.mux.HandleFunc("GET "+PathVMs, l.serveGet)
+	l.mux.HandleFunc("POST "+PathVMs, l.serveSet)
+	l.mux.HandleFunc("POST "+PathWeights, l.serveWeights)
+	return l
+}
+
+// ServeHTTP implements http.Handler.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// Set replaces the list; readers see it after the lag. The first list is seen at once.
+func (l *List) Set(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, version{at: time.Now(), vms: vms})
+}
+
+// SetLag changes the lag.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// VMs returns the list as it was a lag ago.
+func (l *List) VMs() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.versions) == 0 {
+		return []platform.VM{}
+	}
+	seen := time.Now().Add(-l.lag)
+	current := 0
+	for i, v := range l.versions {
+		if !v.at.After(seen) {
+			current = i
+		}
+	}
+	return l.versions[current].vms
+}
+
+// Report notes a replica's load of weights and tells how many load at once.
+func (l *List) Report(r LoadReport) LoadAnswer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	delete(l.loading, r.Replica)
+	if r.Loading {
+		l.loading[r.Replica] = now
+	}
+	for replica, at := range l.loading {
+		if now.Sub(at) > reportLife {
+			delete(l.loading, replica)
+		}
+	}
+	l.peak = max(l.peak, len(l.loading))
+	return LoadAnswer{Loading: len(l.loading), Cap: l.loadCap, Peak: l.peak}
+}
+
+func (l *List) serveGet(w http.ResponseWriter, _ *http.Request) { reply(w, l.VMs()) }
+
+func (l *List) serveSet(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Set(vms)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) serveWeights(w http.ResponseWriter, r *http.Request) {
+	var report LoadReport
+	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, l.Report(report))
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/target/service.go
@@ -0,0 +1,81 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ServiceCall is a call to a plain service.
+type ServiceCall struct {
+	Method string
+	Path   string // with query, from the slash on
+	Header http.Header
+	Body   []byte
+	// Repeatable allows a pooled connection. A call that may not be repeated always
+	// gets a fresh one; see newRequestOnce.
+	Repeatable bool
+}
+
+// ServiceResponse is a plain service's whole answer, whatever its status.
+type ServiceResponse struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// CallService sends a call at most once and returns the whole answer. An error that
+// is not NotStarted leaves open whether the call was executed.
+func (c *Client) CallService(ctx context.Context, call ServiceCall) (*ServiceResponse, error) {
+	const op = "service call"
+	ctx, cancel := context.WithTimeoutCause(ctx, c.o.ServiceTimeout, ErrSilent)
+	defer cancel()
+	req, err := newRequestOnce(ctx, call.Method, "http://"+c.o.Address+call.Path, call.Body)
+	if err != nil {
+		return nil, c.fail(op, ErrBadAnswer, true, err)
+	}
+	req.Header = passedOn(call.Header)
+	transport := c.connections.fresh
+	if call.Repeatable {
+		transport = c.connections.pooled()
+	}
+	resp, err := c.send(op, transport, req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.o.MaxBody+1))
+	if err != nil {
+		return nil, c.broken(op, ctx, err)
+	}
+	if int64(len(body)) > c.o.MaxBody {
+		return nil, c.fail(op, ErrBadAnswer, false, errors.Newf("answer above %d bytes", c.o.MaxBody))
+	}
+	return &ServiceResponse{Status: resp.StatusCode, Header: passedOn(resp.Header), Body: body}, nil
+}
+
+func passedOn(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		return make(http.Header)
+	}
+	for _, named := range h.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	out.Del("Content-Length")
+	return out
+}
