Add the client of store VMs; an export that is cut short frees what it does not list

A store VM that met its cap half way through an export kept blocks that nobody knew of: the first run of the full-store test listed 0 to 2 blocks of 3 stored. The engine stand-in now frees them; the test compares what is listed with what is used.

--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,43 +53,39 @@
 }
 
 // inOrder runs f for 0..n-1, several at once, and returns how many leading ones
-// succeeded and the error of the first that did not. It starts none after an error.
+// succeeded and the error of the first that did not. It starts none after an error
+// and returns when all that it started have ended.
 func inOrder(ctx context.Context, n int, f func(context.Context, int) error) (int, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make([]chan error, n)
-	for i := range results {
-		results[i] = make(chan error, 1)
-	}
-	slots := make(chan struct{}, transfersAtOnce)
-	go func() {
-		for i := range results {
-			select {
-			case slots <- struct{}{}:
-			case <-ctx.Done():
-				return
+	errs := make([]error, n)
+	var next atomic.Int64
+	var failed atomic.Bool
+	var workers sync.WaitGroup
+	for range min(n, transfersAtOnce) {
+		workers.Go(func() {
+			for ctx.Err() == nil && !failed.Load() {
+				i := int(next.Add(1)) - 1
+				if i >= n {
+					return
+				}
+				if errs[i] = f(ctx, i); errs[i] != nil {
+					failed.Store(true)
+				}
 			}
-			go func() {
-				results[i] <- f(ctx, i)
-				<-slots
-			}()
-		}
-	}()
-	for i := range results {
-		select {
-		case err := <-results[i]:
-			if err != nil {
-				return i, err
-			}
-		case <-ctx.Done():
-			return i, ctx.Err()
+		})
+	}
+	workers.Wait()
+	started := min(n, int(next.Load()))
+	for i, err := range errs[:started] {
+		if err != nil {
+			return i, err
 		}
 	}
-	return n, nil
+	return started, ctx.Err()
 }
 
 // export writes blocks to a store VM, up to the first that is not cached or cannot
-// be written. Blocks are in use, so not evicted, until they are written.
+// be written; later ones that were on their way are freed again, since nobody would
+// know of them. Blocks are in use, so not evicted, until they are written.
 func (e *Engine) export(ctx context.Context, req engineapi.ExportRequest) engineapi.ExportResponse {
 	held := e.holdLeading(req.Blocks)
 	defer e.releaseBlocks(held)
@@ -97,6 +95,11 @@
 		written[i], err = e.exportBlock(ctx, req, held[i])
 		return err
 	})
+	for _, tried := range written[n:] {
+		if tried.Length > 0 {
+			e.freeExported(req, tried.Hash)
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.ExportedBlocks += int64(n)
@@ -143,6 +146,17 @@
 	return out, nil
 }
 
+func (e *Engine) freeExported(req engineapi.ExportRequest, h block.Hash) {
+	url := objectURL(req.StoreAddress, req.Prefix+h.String())
+	del, err := http.NewRequestWithContext(e.ctx, http.MethodDelete, url, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := e.client.Do(del); err == nil {
+		resp.Body.Close()
+	}
+}
+
 // importBlocks reads blocks from a store VM and enters each into the cache only when
 // its length and digest are right, so that a running request never meets a torn one.
 func (e *Engine) importBlocks(ctx context.Context, req engineapi.ImportRequest) (engineapi.ImportResponse, *engineapi.Error) {
--- /dev/null
+++ b/internal/store/manifest.go
@@ -0,0 +1,134 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+// Manifest lists the blocks of one exported context, first block first. It is written
+// after all of them, and readers use only blocks that a manifest lists: a context
+// whose export stopped half way has no manifest and does not exist for them.
+type Manifest struct {
+	Org        request.OrgID             `json:"org"`
+	Model      request.Model             `json:"model"`
+	Version    request.Version           `json:"version"`
+	Generation Generation                `json:"generation"`
+	Blocks     []engineapi.ExportedBlock `json:"blocks"`
+}
+
+// Scope returns what the context belongs to.
+func (m Manifest) Scope() block.Scope {
+	return block.Scope{Org: m.Org, Model: m.Model, Version: m.Version}
+}
+
+// Tail returns the hash of the last block.
+func (m Manifest) Tail() block.Hash {
+	if len(m.Blocks) == 0 {
+		return block.Hash{}
+	}
+	return m.Blocks[len(m.Blocks)-1].Hash
+}
+
+// Name returns the manifest's name.
+func (m Manifest) Name() string { return ManifestName(m.Scope(), m.Generation, m.Tail()) }
+
+// BlockNames returns the names of all blocks.
+func (m Manifest) BlockNames() []string {
+	prefix := Prefix(m.Scope(), m.Generation)
+	names := make([]string, len(m.Blocks))
+	for i, b := range m.Blocks {
+		names[i] = prefix + b.Hash.String()
+	}
+	return names
+}
+
+// Bytes returns the length of all blocks.
+func (m Manifest) Bytes() int64 {
+	var n int64
+	for _, b := range m.Blocks {
+		n += b.Length
+	}
+	return n
+}
+
+// envelope is the stored form: the manifest with a digest of its own, so that a check
+// does not rest on what the store VM says about it.
+type envelope struct {
+	Manifest json.RawMessage `json:"manifest"`
+	Digest   string          `json:"digest"`
+}
+
+// PutManifest commits an export. The caller has seen every block's write succeed.
+func (c *Client) PutManifest(ctx context.Context, m Manifest) error {
+	if len(m.Blocks) == 0 {
+		return errors.New("store: manifest without blocks")
+	}
+	inner, err := json.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "store: manifest")
+	}
+	content, err := json.Marshal(envelope{Manifest: inner, Digest: digestOf(inner)})
+	if err != nil {
+		return errors.Wrap(err, "store: manifest")
+	}
+	return c.put(ctx, m.Name(), content)
+}
+
+// GetManifest reads the manifest of an export. One that is absent, freed, torn, or of
+// another scope, generation or context is a *MissError.
+func (c *Client) GetManifest(ctx context.Context, scope block.Scope, generation Generation, tail block.Hash) (Manifest, error) {
+	name := ManifestName(scope, generation, tail)
+	content, _, err := c.get(ctx, name)
+	if err != nil {
+		return Manifest{}, err
+	}
+	m, ok := openEnvelope(content)
+	if !ok {
+		return Manifest{}, &MissError{Name: name, Reason: MissTorn}
+	}
+	if m.Name() != name {
+		return Manifest{}, &MissError{Name: name, Reason: MissForeign}
+	}
+	return m, nil
+}
+
+func openEnvelope(content []byte) (Manifest, bool) {
+	var e envelope
+	if json.Unmarshal(content, &e) != nil || digestOf(e.Manifest) != e.Digest {
+		return Manifest{}, false
+	}
+	var m Manifest
+	return m, json.Unmarshal(e.Manifest, &m) == nil
+}
+
+// GetBlock reads one block's content. One that is absent, freed, or does not have the
+// manifest's length and digest is a *MissError.
+func (c *Client) GetBlock(ctx context.Context, m Manifest, b engineapi.ExportedBlock) ([]byte, error) {
+	name := BlockName(m.Scope(), m.Generation, b.Hash)
+	content, length, err := c.get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	if length != b.Length || digestOf(content) != b.Digest {
+		return nil, &MissError{Name: name, Reason: MissTorn}
+	}
+	return content, nil
+}
+
+// DeleteExport frees an export: the manifest first, so that no new reader finds its
+// blocks, then the blocks. What is gone already is passed over; a pinned object stops
+// it with ErrPinned, and a repeat goes on from there.
+func (c *Client) DeleteExport(ctx context.Context, m Manifest) error {
+	for _, name := range append([]string{m.Name()}, m.BlockNames()...) {
+		if err := c.Delete(ctx, name); err != nil && !errors.Is(err, ErrMiss) {
+			return err
+		}
+	}
+	return nil
+}
