Read settings from INI and report every problem at once

Cause: a daemon that starts with a mistyped setting fails later and elsewhere. Ruled out: stopping at the first problem, since an operator then needs one start per mistake; ini.v1's struct mapping, since it drops unknown keys in silence.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,240 @@
+// Package config reads a daemon's settings from an INI file and checks them as a
+// whole: every problem is reported with section, key, value and what is allowed, and
+// a daemon does not start with any.
+package config
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Config holds all settings of a daemon.
+type Config struct {
+	Daemon     Daemon
+	Platform   Platform
+	Membership Membership
+	Table      Table
+	Admission  Admission
+	Placement  Placement
+	Journal    Journal
+	Streams    Streams
+	Drain      Drain
+	Fleet      Fleet
+	Log        Log
+}
+
+// Daemon says who and where this daemon is.
+type Daemon struct {
+	ID            string
+	Region        string
+	FailureDomain string
+	Listen        string // callers, ip:port
+	Peer          string // peers, debug and metrics, ip:port
+	MaxInFlight   int    // credits of the request path
+}
+
+// Platform says where the platform's services are and how much they may be asked.
+type Platform struct {
+	KV              []string // ip:port, tried in turn
+	VMList          string   // ip:port
+	Timeout         time.Duration
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+}
+
+// Membership sets heartbeats between daemons.
+type Membership struct {
+	Seeds        []string // peer addresses, ip:port
+	Interval     time.Duration
+	SuspectAfter time.Duration
+	DeadAfter    time.Duration
+	Fanout       int
+}
+
+// Table sets how the operators' table is followed.
+type Table struct {
+	Watchers   int           // daemons that watch the service
+	StaleAfter time.Duration // no proof of currency for this long stops new requests
+}
+
+// Admission bounds waiting.
+type Admission struct {
+	QueuePerTarget  int
+	DefaultDeadline time.Duration // for requests that name none
+	MaxPromptBytes  int
+}
+
+// Placement weighs first-token time against recomputation and link use.
+type Placement struct {
+	Profile string // atlas or fonografos
+}
+
+// Journal sets the at-most-once journal.
+type Journal struct {
+	Partitions int
+	Keep       time.Duration // how long a key and its result are kept
+	LeaseTTL   time.Duration
+}
+
+// Streams sets the deadlines of target connections.
+type Streams struct {
+	DialTimeout   time.Duration
+	HeaderTimeout time.Duration
+	SilentAfter   time.Duration // no frame for this long makes a stream silent
+	MaxResumes    int
+}
+
+// Drain sets the planned stop.
+type Drain struct {
+	RouteKeep time.Duration // how long callers keep a route answer
+	Limit     time.Duration // the longest that a planned stop waits for requests in flight
+}
+
+// Fleet sets the duties on targets.
+type Fleet struct {
+	OrderTimeout time.Duration
+	PollInterval time.Duration
+}
+
+// Log sets the log.
+type Log struct {
+	Level string
+	JSON  bool
+}
+
+// Load reads and checks the file at path. The error lists every problem.
+func Load(path string) (*Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "config: read %s", path)
+	}
+	return parse(file)
+}
+
+// Parse reads and checks settings from data.
+func Parse(data []byte) (*Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, data)
+	if err != nil {
+		return nil, errors.Wrap(err, "config: parse")
+	}
+	return parse(file)
+}
+
+func parse(file *ini.File) (*Config, error) {
+	r := newReader(file)
+	c := &Config{
+		Daemon:     readDaemon(r),
+		Platform:   readPlatform(r),
+		Membership: readMembership(r),
+		Table:      readTable(r),
+		Admission:  readAdmission(r),
+		Placement:  Placement{Profile: r.oneOf("placement", "profile", "atlas", "atlas", "fonografos")},
+		Journal:    readJournal(r),
+		Streams:    readStreams(r),
+		Drain:      readDrain(r),
+		Fleet:      readFleet(r),
+		Log:        readLog(r),
+	}
+	r.checkTogether(c)
+	r.reportUnknown()
+	if len(r.problems) > 0 {
+		return nil, &InvalidError{Problems: r.problems}
+	}
+	return c, nil
+}
+
+func readDaemon(r *reader) Daemon {
+	const s = "daemon"
+	return Daemon{
+		ID:            r.name(s, "id"),
+		Region:        r.name(s, "region"),
+		FailureDomain: r.name(s, "failure_domain"),
+		Listen:        r.address(s, "listen"),
+		Peer:          r.address(s, "peer"),
+		MaxInFlight:   r.integer(s, "max_in_flight", 1024, 1, 65536),
+	}
+}
+
+func readPlatform(r *reader) Platform {
+	const s = "platform"
+	return Platform{
+		KV:              r.addresses(s, "kv", true),
+		VMList:          r.optionalAddress(s, "vm_list"),
+		Timeout:         r.duration(s, "timeout", time.Second, 10*time.Millisecond, time.Minute),
+		ReadsPerSecond:  r.float(s, "reads_per_second", 50, 1, 2000),
+		WritesPerSecond: r.float(s, "writes_per_second", 40, 1, 500),
+	}
+}
+
+func readMembership(r *reader) Membership {
+	const s = "membership"
+	return Membership{
+		Seeds:        r.addresses(s, "seeds", false),
+		Interval:     r.duration(s, "interval", time.Second, 10*time.Millisecond, time.Minute),
+		SuspectAfter: r.duration(s, "suspect_after", 3*time.Second, 50*time.Millisecond, 10*time.Minute),
+		DeadAfter:    r.duration(s, "dead_after", 8*time.Second, 100*time.Millisecond, time.Hour),
+		Fanout:       r.integer(s, "fanout", 2, 1, 16),
+	}
+}
+
+func readTable(r *reader) Table {
+	const s = "table"
+	return Table{
+		Watchers:   r.integer(s, "watchers", 2, 1, 16),
+		StaleAfter: r.duration(s, "stale_after", 5*time.Minute, 100*time.Millisecond, 24*time.Hour),
+	}
+}
+
+func readAdmission(r *reader) Admission {
+	const s = "admission"
+	return Admission{
+		QueuePerTarget:  r.integer(s, "queue_per_target", 64, 1, 10000),
+		DefaultDeadline: r.duration(s, "default_deadline", 30*time.Second, 100*time.Millisecond, time.Hour),
+		MaxPromptBytes:  r.integer(s, "max_prompt_bytes", 4<<20, 1024, 64<<20),
+	}
+}
+
+func readJournal(r *reader) Journal {
+	const s = "journal"
+	return Journal{
+		Partitions: r.integer(s, "partitions", 16, 1, 256),
+		Keep:       r.duration(s, "keep", 24*time.Hour, time.Minute, 30*24*time.Hour),
+		LeaseTTL:   r.duration(s, "lease_ttl", 9*time.Second, 300*time.Millisecond, 10*time.Minute),
+	}
+}
+
+func readStreams(r *reader) Streams {
+	const s = "streams"
+	return Streams{
+		DialTimeout:   r.duration(s, "dial_timeout", time.Second, 10*time.Millisecond, time.Minute),
+		HeaderTimeout: r.duration(s, "header_timeout", 10*time.Second, 10*time.Millisecond, 10*time.Minute),
+		SilentAfter:   r.duration(s, "silent_after", 3*time.Second, 10*time.Millisecond, 10*time.Minute),
+		MaxResumes:    r.integer(s, "max_resumes", 3, 0, 20),
+	}
+}
+
+func readDrain(r *reader) Drain {
+	const s = "drain"
+	return Drain{
+		RouteKeep: r.duration(s, "route_keep", 5*time.Second, 50*time.Millisecond, 10*time.Minute),
+		Limit:     r.duration(s, "limit", 2*time.Minute, time.Second, time.Hour),
+	}
+}
+
+func readFleet(r *reader) Fleet {
+	const s = "fleet"
+	return Fleet{
+		OrderTimeout: r.duration(s, "order_timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
+		PollInterval: r.duration(s, "poll_interval", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+	}
+}
+
+func readLog(r *reader) Log {
+	const s = "log"
+	return Log{
+		Level: r.oneOf(s, "level", "info", "trace", "debug", "info", "warn", "error"),
+		JSON:  r.boolean(s, "json", false),
+	}
+}
