Add the stand-in of the key-value service

In memory and over HTTP, with call counts and fault switches: down, slow, lost answers, one client cut off.

--- /dev/null
+++ b/internal/standin/kv/server.go
@@ -0,0 +1,296 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/bluebellscale/bluebellscale/internal/kvapi"
+)
+
+// ClientHeader carries the daemon id of the caller, so that one daemon can be cut off.
+const ClientHeader = "X-Client"
+
+// Paths beside those of kvapi.
+const (
+	PathFault  = "/fault"
+	PathCounts = "/debug/counts"
+)
+
+const (
+	maxRequestBytes = 2 * kvapi.MaxValue // base64 and framing
+	maxWatch        = time.Minute
+	expireInterval  = 20 * time.Millisecond
+	shutdownTimeout = time.Second
+)
+
+// Options of Server. Zero rates mean no limit.
+type Options struct {
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	Now             func() time.Time // nil: time.Now
+}
+
+// Server is the HTTP side of the stand-in. Its switches set faults while it runs.
+type Server struct {
+	*switches
+	core   *Core
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	mux    *http.ServeMux
+}
+
+// NewServer returns a server with an empty store.
+func NewServer(opts Options) *Server {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	s := &Server{
+		switches: newSwitches(),
+		core:     NewCore(opts.Now),
+		reads:    newLimiter(opts.ReadsPerSecond),
+		writes:   newLimiter(opts.WritesPerSecond),
+		mux:      http.NewServeMux(),
+	}
+	s.routes()
+	return s
+}
+
+// Serve answers on a listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, opts Options) error {
+	return NewServer(opts).Serve(ctx, l)
+}
+
+// Serve answers on a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: shutdownTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	tick := time.NewTicker(expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-tick.C:
+			s.core.Expire()
+		case <-ctx.Done():
+			err := srv.Close()
+			<-failed
+			return err
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond)+1)
+}
+
+func (s *Server) routes() {
+	s.mux.HandleFunc("GET "+kvapi.PathGet, s.guard(classRead, s.get))
+	s.mux.HandleFunc("GET "+kvapi.PathList, s.guard(classRead, s.list))
+	s.mux.HandleFunc("GET "+kvapi.PathWatch, s.guard(classWatch, s.watch))
+	s.mux.HandleFunc("POST "+kvapi.PathCAS, s.guard(classWrite, s.cas))
+	s.mux.HandleFunc("POST "+kvapi.PathGrant, s.guard(classWrite, s.grant))
+	s.mux.HandleFunc("POST "+kvapi.PathKeepAlive, s.guard(classWrite, s.keepAlive))
+	s.mux.HandleFunc("POST "+kvapi.PathRevoke, s.guard(classWrite, s.revoke))
+	s.mux.HandleFunc("POST "+PathFault, s.fault)
+	s.mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Counts())
+	})
+}
+
+// guard counts a call and applies rates and faults. A cut connection is closed
+// without an answer, as a caller of an unreachable service would see it.
+func (s *Server) guard(c class, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		slow, reachable := s.arrive(r.Header.Get(ClientHeader), c, max(0, int(r.ContentLength)))
+		if !reachable {
+			panic(http.ErrAbortHandler)
+		}
+		if !s.allow(c) {
+			s.reject()
+			writeJSON(w, http.StatusTooManyRequests, struct{}{})
+			return
+		}
+		if !sleep(r.Context(), slow) {
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		next(w, r)
+	}
+}
+
+func (s *Server) allow(c class) bool {
+	if c == classWrite {
+		return s.writes.Allow()
+	}
+	return s.reads.Allow()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	e, err := s.core.Get(r.URL.Query().Get("key"))
+	if err != nil {
+		writeJSON(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	s.sent(len(e.Value))
+	writeJSON(w, http.StatusOK, e)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	out := s.core.List(r.URL.Query().Get("prefix"))
+	for _, e := range out.Entries {
+		s.sent(len(e.Value))
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	millis, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	wait := min(time.Duration(millis)*time.Millisecond, maxWatch)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	out := s.core.await(ctx, q.Get("prefix"), after)
+	if r.Context().Err() != nil {
+		return
+	}
+	for _, e := range out.Entries {
+		s.sent(len(e.Value))
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+// await returns the changes after a revision, or none when ctx ends first.
+func (c *Core) await(ctx context.Context, prefix string, after uint64) kvapi.WatchResponse {
+	for {
+		out, changed := c.Changes(prefix, after)
+		if len(out.Entries) > 0 {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+func (s *Server) cas(w http.ResponseWriter, r *http.Request) {
+	var req kvapi.CASRequest
+	if !readJSON(w, r, &req) {
+		s.reject()
+		return
+	}
+	revision, err := s.core.CompareAndSwap(req)
+	if s.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	var conflict *conflictError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, kvapi.CASResponse{Revision: revision})
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, kvapi.CASResponse{Current: &conflict.current})
+	case errors.Is(err, errTooLarge):
+		s.reject()
+		writeJSON(w, http.StatusRequestEntityTooLarge, struct{}{})
+	default:
+		writeJSON(w, http.StatusNotFound, struct{}{})
+	}
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var req kvapi.LeaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	id := s.core.Grant(time.Duration(req.TTLMillis) * time.Millisecond)
+	s.answerLease(w, kvapi.LeaseResponse{ID: id, TTLMillis: req.TTLMillis})
+}
+
+func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	var req kvapi.LeaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	ttl, err := s.core.KeepAlive(req.ID)
+	if err != nil {
+		writeJSON(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	s.answerLease(w, kvapi.LeaseResponse{ID: req.ID, TTLMillis: ttl.Milliseconds()})
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	var req kvapi.LeaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	s.core.Revoke(req.ID)
+	s.answerLease(w, kvapi.LeaseResponse{ID: req.ID})
+}
+
+func (s *Server) answerLease(w http.ResponseWriter, resp kvapi.LeaseResponse) {
+	if s.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, resp)
+}
+
+func (s *Server) fault(w http.ResponseWriter, r *http.Request) {
+	var req FaultRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	s.Apply(req)
+	writeJSON(w, http.StatusOK, req)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(r.Body).Decode(into)
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	status := http.StatusBadRequest
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	writeJSON(w, status, struct{}{})
+	return false
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
