Add the client of the key-value service

Cause: an answer can be lost after its write took effect, and another writer may go over the value before the first one reads back. Comparing values then undoes the other's change: the naive client in the test does so. Each value names its own write and the eight before it with their revisions, so a lost write is settled as if its answer had come late. What that history can't tell is reported as ErrUncertain: deleted meanwhile, or buried deeper than eight. Ruled out: sending a lost creation again, since a key created and deleted meanwhile would come back to life.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/bluebellscale/bluebellscale/internal/kvapi"
+)
+
+const (
+	defaultTimeout = time.Second
+	slowFraction   = 4 // an answer is late after this part of the timeout
+	readTries      = 3
+	minBackoff     = 20 * time.Millisecond
+	maxBackoff     = time.Second
+)
+
+// Options of NewClient.
+type Options struct {
+	Addresses       []string      // host:port, host an IP number; tried in turn
+	ClientID        string        // this daemon, for the service's own counts
+	Timeout         time.Duration // of one attempt; zero: 1 s
+	ReadsPerSecond  float64       // call budget; zero: none
+	WritesPerSecond float64       // call budget; zero: none
+	Logger          hclog.Logger
+	Metrics         tally.Scope
+}
+
+// Client is KV over HTTP. In a long outage reads fail with ErrUnavailable after a
+// few tries, and writes with ErrUnavailable if none left this process, else with
+// ErrUncertain when their context ends; so every write needs a deadline.
+type Client struct {
+	transport *transport
+	health    *healthTracker
+	reads     *rate.Limiter
+	writes    *rate.Limiter
+	timeout   time.Duration
+	chains    *chainCache
+	logger    hclog.Logger
+	metrics   tally.Scope
+}
+
+var _ KV = (*Client)(nil)
+
+// NewClient returns a client. It connects at the first call.
+func NewClient(opts Options) *Client {
+	if opts.Timeout <= 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	health := &healthTracker{slowAfter: opts.Timeout / slowFraction}
+	return &Client{
+		transport: newTransport(opts, health),
+		health:    health,
+		reads:     newBudget(opts.ReadsPerSecond),
+		writes:    newBudget(opts.WritesPerSecond),
+		timeout:   opts.Timeout,
+		chains:    newChainCache(),
+		logger:    opts.Logger.Named("platform"),
+		metrics:   opts.Metrics.SubScope("platform"),
+	}
+}
+
+func newBudget(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond)+1)
+}
+
+// Health judges the service from recent calls.
+func (c *Client) Health() Health { return c.health.health() }
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.http.CloseIdleConnections() }
+
+// Get implements KV.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	r := request{method: http.MethodGet, path: kvapi.PathGet, query: url.Values{"key": {key}}}
+	a, err := c.read(ctx, r)
+	if err != nil {
+		return Entry{}, err
+	}
+	if a.status == http.StatusNotFound {
+		return Entry{}, ErrNotFound
+	}
+	var e kvapi.Entry
+	if err := a.decode(&e); err != nil {
+		return Entry{}, err
+	}
+	return c.open(e), nil
+}
+
+// List implements KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
+	r := request{method: http.MethodGet, path: kvapi.PathList, query: url.Values{"prefix": {prefix}}}
+	a, err := c.read(ctx, r)
+	if err != nil {
+		return nil, 0, err
+	}
+	var out kvapi.ListResponse
+	if err := a.decode(&out); err != nil {
+		return nil, 0, err
+	}
+	return c.openAll(out.Entries), Revision(out.Revision), nil
+}
+
+// Watch implements KV. It is sent once: its caller repeats it anyway.
+func (c *Client) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error) {
+	if err := c.spend(ctx, c.reads); err != nil {
+		return nil, 0, err
+	}
+	r := request{
+		method: http.MethodGet,
+		path:   kvapi.PathWatch,
+		query: url.Values{
+			"prefix":  {prefix},
+			"after":   {strconv.FormatUint(uint64(after), 10)},
+			"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		},
+		wait: wait,
+	}
+	a, err := c.transport.attempt(ctx, r)
+	if err != nil {
+		return nil, 0, err
+	}
+	var out kvapi.WatchResponse
+	if err := a.decode(&out); err != nil {
+		return nil, 0, err
+	}
+	return c.openAll(out.Entries), Revision(out.Revision), nil
+}
+
+// GrantLease implements KV. A lease whose grant lost its answer lapses unused.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var out kvapi.LeaseResponse
+	err := c.lease(ctx, kvapi.PathGrant, kvapi.LeaseRequest{TTLMillis: ttl.Milliseconds()}, &out)
+	return LeaseID(out.ID), err
+}
+
+// KeepAlive implements KV. It is not held back by the call budget: a lease lost for
+// want of budget would cost more calls than it saves.
+func (c *Client) KeepAlive(ctx context.Context, id LeaseID) error {
+	return c.lease(ctx, kvapi.PathKeepAlive, kvapi.LeaseRequest{ID: string(id)}, nil)
+}
+
+// RevokeLease implements KV.
+func (c *Client) RevokeLease(ctx context.Context, id LeaseID) error {
+	return c.lease(ctx, kvapi.PathRevoke, kvapi.LeaseRequest{ID: string(id)}, nil)
+}
+
+func (c *Client) lease(ctx context.Context, path string, body kvapi.LeaseRequest, out *kvapi.LeaseResponse) error {
+	c.metrics.Counter("writes").Inc(1)
+	a, err := c.retry(ctx, request{method: http.MethodPost, path: path, body: body})
+	if err != nil {
+		return err
+	}
+	if a.status == http.StatusNotFound {
+		return ErrNotFound
+	}
+	if out == nil {
+		return nil
+	}
+	return a.decode(out)
+}
+
+func (c *Client) read(ctx context.Context, r request) (answer, error) {
+	if err := c.spend(ctx, c.reads); err != nil {
+		return answer{}, err
+	}
+	c.metrics.Counter("reads").Inc(1)
+	return c.retry(ctx, r)
+}
+
+// retry repeats a call that may be sent twice.
+func (c *Client) retry(ctx context.Context, r request) (answer, error) {
+	op := func() (answer, error) { return c.transport.attempt(ctx, r) }
+	a, err := backoff.Retry(ctx, op, backoff.WithBackOff(newBackOff()), backoff.WithMaxTries(readTries))
+	if err != nil {
+		return answer{}, errors.Mark(err, ErrUnavailable)
+	}
+	return a, nil
+}
+
+// spend waits a short while for the call budget.
+func (c *Client) spend(ctx context.Context, budget *rate.Limiter) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := budget.Wait(ctx); err != nil {
+		c.metrics.Counter("over_budget").Inc(1)
+		return errors.Mark(err, ErrBudget)
+	}
+	return nil
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = minBackoff
+	b.MaxInterval = maxBackoff
+	return b
+}
+
+// open takes a value out of its envelope and remembers the chain of its writes.
+func (c *Client) open(e kvapi.Entry) Entry {
+	out := toEntry(e)
+	if e.Deleted {
+		return out
+	}
+	env := decodeEnvelope(e.Value)
+	c.chains.put(e.Key, out.Revision, env)
+	out.Value = env.payload
+	return out
+}
+
+func (c *Client) openAll(in []kvapi.Entry) []Entry {
+	out := make([]Entry, 0, len(in))
+	for _, e := range in {
+		out = append(out, c.open(e))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,302 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/kvapi"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+)
+
+// wire is a service whose calls a test can act on, as a network would.
+type wire struct {
+	*kv.Server
+	mu sync.Mutex
+	on func(w http.ResponseWriter, r *http.Request, next http.Handler)
+}
+
+func (s *wire) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	on := s.on
+	s.mu.Unlock()
+	if on == nil {
+		s.Server.ServeHTTP(w, r)
+		return
+	}
+	on(w, r, s.Server)
+}
+
+func (s *wire) intercept(on func(w http.ResponseWriter, r *http.Request, next http.Handler)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.on = on
+}
+
+func newWire(t *testing.T) (*wire, string) {
+	s := &wire{Server: kv.NewServer(kv.Options{})}
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return s, srv.Listener.Addr().String()
+}
+
+func newClient(t *testing.T, id string, addresses ...string) *platform.Client {
+	c := platform.NewClient(platform.Options{Addresses: addresses, ClientID: id})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func must[T any](t *testing.T, v T, err error) func() T {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() T { return v }
+}
+
+// naiveSwap sends a write once and, when the answer is lost, sends it again with the
+// revision that it then finds.
+func naiveSwap(t *testing.T, ctx context.Context, kv platform.KV, first func() error, key string, value []byte) {
+	if first() == nil {
+		return
+	}
+	e, err := kv.Get(ctx, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := kv.CompareAndSwap(ctx, key, e.Revision, value, ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Story: operator one sets a limit; the write takes effect but its answer is lost.
+// Before the client reads back, operator two changes the limit. A client that finds
+// "not my value" and writes again silently undoes operator two's accepted change.
+func TestLostAnswerThenWrittenOver(t *testing.T) {
+	ctx := testContext(t)
+	run := func(swap func(one platform.KV, s *wire, base platform.Revision)) string {
+		s, addr := newWire(t)
+		one, two := newClient(t, "one", addr), newClient(t, "two", addr)
+		base, err := one.CompareAndSwap(ctx, "k", 0, []byte("base"), "")
+		must(t, base, err)
+		s.intercept(func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+			if r.URL.Path != kvapi.PathCAS || r.Header.Get(kv.ClientHeader) != "one" {
+				next.ServeHTTP(w, r)
+				return
+			}
+			s.intercept(nil)
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			e, err := two.Get(ctx, "k")
+			must(t, e, err)
+			rev, err := two.CompareAndSwap(ctx, "k", e.Revision, []byte("two"), "")
+			must(t, rev, err)
+			panic(http.ErrAbortHandler)
+		})
+		swap(one, s, base)
+		e, err := two.Get(ctx, "k")
+		return string(must(t, e, err)().Value)
+	}
+
+	got := run(func(one platform.KV, _ *wire, base platform.Revision) {
+		rev, err := one.CompareAndSwap(ctx, "k", base, []byte("one"), "")
+		if err != nil || rev != base+1 {
+			t.Errorf("lost write settled as revision %d, error %v; want %d", rev, err, base+1)
+		}
+		_, err = one.CompareAndSwap(ctx, "k", rev, []byte("one again"), "")
+		if !errors.Is(err, platform.ErrConflict) {
+			t.Errorf("write over the other operator: %v, want a conflict", err)
+		}
+	})
+	if got != "two" {
+		t.Errorf("kept %q, want the later change", got)
+	}
+
+	naive := run(func(one platform.KV, _ *wire, base platform.Revision) {
+		naiveSwap(t, ctx, one, func() error {
+			_, err := one.CompareAndSwap(ctx, "k", base, []byte("one"), "")
+			return errors.CombineErrors(err, platform.ErrUnavailable)
+		}, "k", []byte("one"))
+	})
+	if naive != "one" {
+		t.Errorf("naive client kept %q; it should have undone the later change", naive)
+	}
+}
+
+// Story: the same, but so many writes follow that the value no longer names ours, or
+// the key was deleted and created again. The client must not guess.
+func TestLostAnswerBeyondHistory(t *testing.T) {
+	ctx := testContext(t)
+	for name, bury := range map[string]func(two platform.KV, rev platform.Revision) error{
+		"many writes": func(two platform.KV, rev platform.Revision) error {
+			for range 9 {
+				var err error
+				if rev, err = two.CompareAndSwap(ctx, "k", rev, []byte("two"), ""); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		"deleted": func(two platform.KV, rev platform.Revision) error {
+			return two.Delete(ctx, "k", rev)
+		},
+		"created again": func(two platform.KV, rev platform.Revision) error {
+			if err := two.Delete(ctx, "k", rev); err != nil {
+				return err
+			}
+			_, err := two.CompareAndSwap(ctx, "k", 0, []byte("two"), "")
+			return err
+		},
+	} {
+		for _, create := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				s, addr := newWire(t)
+				one, two := newClient(t, "one", addr), newClient(t, "two", addr)
+				var base platform.Revision
+				if !create {
+					rev, err := one.CompareAndSwap(ctx, "k", 0, []byte("base"), "")
+					base = must(t, rev, err)()
+				}
+				s.intercept(func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+					s.intercept(nil)
+					next.ServeHTTP(httptest.NewRecorder(), r)
+					e, err := two.Get(ctx, "k")
+					must(t, e, err)
+					if err := bury(two, e.Revision); err != nil {
+						t.Error(err)
+					}
+					panic(http.ErrAbortHandler)
+				})
+				_, err := one.CompareAndSwap(ctx, "k", base, []byte("one"), "")
+				if !errors.Is(err, platform.ErrUncertain) {
+					t.Errorf("got %v, want ErrUncertain", err)
+				}
+			})
+		}
+	}
+}
+
+// Story: the answers of several writes and of a delete are lost in a row; each is
+// settled, and a write that lost against another is a conflict, never a guess.
+func TestLostAnswersSettle(t *testing.T) {
+	ctx := testContext(t)
+	s, addr := newWire(t)
+	c := newClient(t, "one", addr)
+	var rev platform.Revision
+	for range 3 {
+		s.LoseWrites(1)
+		next, err := c.CompareAndSwap(ctx, "k", rev, []byte("v"), "")
+		rev = must(t, next, err)()
+	}
+	s.LoseWrites(2)
+	_, err := c.CompareAndSwap(ctx, "k", rev-1, []byte("stale"), "")
+	if !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("stale write: %v, want a conflict", err)
+	}
+	s.LoseWrites(1)
+	if err := c.Delete(ctx, "k", rev); err != nil {
+		t.Errorf("delete: %v", err)
+	}
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("get after delete: %v", err)
+	}
+}
+
+// Story: the service takes writes but no answer returns until the deadline: the
+// outcome is unknown. When nothing listens, the write surely did not happen.
+func TestOutageOfWrites(t *testing.T) {
+	s, addr := newWire(t)
+	c := newClient(t, "one", addr)
+	s.SetDown(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := c.CompareAndSwap(ctx, "k", 0, nil, ""); !errors.Is(err, platform.ErrUncertain) {
+		t.Errorf("got %v, want ErrUncertain", err)
+	}
+	if _, err := c.Get(testContext(t), "k"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("read: %v, want ErrUnavailable", err)
+	}
+	if c.Health() != platform.HealthDown {
+		t.Errorf("health %v, want down", c.Health())
+	}
+
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	refused := newClient(t, "two", gone.Listener.Addr().String())
+	_, err := refused.CompareAndSwap(testContext(t), "k", 0, nil, "")
+	if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
+		t.Errorf("got %v, want ErrUnavailable only", err)
+	}
+
+	s.SetDown(false)
+	both := newClient(t, "three", gone.Listener.Addr().String(), addr)
+	if _, err := both.CompareAndSwap(testContext(t), "k2", 0, nil, ""); err != nil {
+		t.Errorf("second address: %v", err)
+	}
+	s.Cut("three", true)
+	if _, err := both.Get(testContext(t), "k2"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("cut client: %v", err)
+	}
+}
+
+// Leases, watches, the cap, the budget and the counts, over the wire.
+func TestLeaseWatchBudget(t *testing.T) {
+	ctx := testContext(t)
+	s, addr := newWire(t)
+	c := newClient(t, "one", addr)
+	id, err := c.GrantLease(ctx, time.Hour)
+	must(t, id, err)
+	rev, err := c.CompareAndSwap(ctx, "s/1", 0, []byte("v"), id)
+	must(t, rev, err)
+	if err := c.KeepAlive(ctx, id); err != nil {
+		t.Error(err)
+	}
+	got, after, err := c.Watch(ctx, "s/", 0, time.Minute)
+	must(t, got, err)
+	if len(got) != 1 || string(got[0].Value) != "v" || got[0].Lease != id {
+		t.Errorf("watch got %+v", got)
+	}
+	if err := c.RevokeLease(ctx, id); err != nil {
+		t.Error(err)
+	}
+	got, _, err = c.Watch(ctx, "s/", after, time.Minute)
+	if len(must(t, got, err)()) != 1 || !got[0].Deleted {
+		t.Errorf("watch got %+v, want the deleted key", got)
+	}
+	got, _, err = c.Watch(ctx, "s/", got[0].Revision, time.Millisecond)
+	if len(must(t, got, err)()) != 0 {
+		t.Errorf("watch got %+v, want none", got)
+	}
+	if err := c.KeepAlive(ctx, id); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("keep-alive of a lapsed lease: %v", err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "s/1", 0, nil, id); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("write under a lapsed lease: %v", err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "big", 0, make([]byte, kvapi.MaxValue), ""); !errors.Is(err, platform.ErrTooLarge) {
+		t.Errorf("big value: %v", err)
+	}
+	if n := s.Counts(); n.Watches != 3 || n.ByClient["one"] < 9 {
+		t.Errorf("counts %+v", n)
+	}
+	tight := platform.NewClient(platform.Options{Addresses: []string{addr}, ReadsPerSecond: 0.001})
+	defer tight.Close()
+	_, err = tight.Get(ctx, "k")
+	if !errors.Is(err, platform.ErrNotFound) {
+		t.Error(err)
+	}
+	if _, err = tight.Get(ctx, "k"); !errors.Is(err, platform.ErrBudget) {
+		t.Errorf("over budget: %v", err)
+	}
+}
