--- /dev/null
+++ b/internal/table/run.go
@@ -0,0 +1,182 @@
+package table
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+// ErrRead reports that the table could not be read from the key-value service.
+var ErrRead = errors.New("table: read failed")
+
+// Timing holds the periods of Run. Zero values stand for the defaults.
+type Timing struct {
+	WatchWait   time.Duration // longest wait of one watch; 5 s
+	CallTimeout time.Duration // on top of WatchWait; 3 s
+	Poll        time.Duration // how often a daemon looks whether it is a watcher; 250 ms
+	FirstRead   time.Duration // a daemon that peers told nothing reads for itself after this; 2 s
+	ProofAge    time.Duration // a daemon whose proof is older reads for itself; 15 s
+	Reread      time.Duration // every daemon reads for itself once in this time; 10 min
+	BackoffMin  time.Duration // first pause after a failed read; 200 ms
+	BackoffMax  time.Duration // longest pause after a failed read; 10 s
+}
+
+func (t Timing) withDefaults() Timing {
+	set := func(d *time.Duration, fallback time.Duration) {
+		if *d == 0 {
+			*d = fallback
+		}
+	}
+	set(&t.WatchWait, 5*time.Second)
+	set(&t.CallTimeout, 3*time.Second)
+	set(&t.Poll, 250*time.Millisecond)
+	set(&t.FirstRead, 2*time.Second)
+	set(&t.ProofAge, 15*time.Second)
+	set(&t.Reread, 10*time.Minute)
+	set(&t.BackoffMin, 200*time.Millisecond)
+	set(&t.BackoffMax, 10*time.Second)
+	return t
+}
+
+// Run reads the table from the service until ctx ends. While watcher returns true this
+// daemon waits for changes there; otherwise it reads only when peers leave it without a
+// proof, and rarely in any case. The service's calls so grow with the number of watchers,
+// not of daemons.
+func (r *Replica) Run(ctx context.Context, watcher func() bool) error {
+	loop := &runLoop{replica: r, started: r.now(), pause: backoff.NewExponentialBackOff()}
+	loop.pause.InitialInterval = r.timing.BackoffMin
+	loop.pause.MaxInterval = r.timing.BackoffMax
+	loop.lastRead = loop.started
+	loop.setRereadJitter()
+	for ctx.Err() == nil {
+		wait := loop.step(ctx, watcher())
+		sleep(ctx, wait)
+	}
+	return ctx.Err()
+}
+
+// runLoop is the state of one Run.
+type runLoop struct {
+	replica  *Replica
+	started  time.Time
+	lastRead time.Time
+	reread   time.Duration
+	listed   bool              // after is valid
+	after    platform.Revision // everything up to here was read
+	pause    *backoff.ExponentialBackOff
+}
+
+// setRereadJitter spreads the rare reads of a fleet that started at once.
+func (l *runLoop) setRereadJitter() {
+	l.reread = l.replica.timing.Reread + rand.N(l.replica.timing.Reread/2)
+}
+
+// step does at most one call and returns how long to wait before the next step.
+func (l *runLoop) step(ctx context.Context, watching bool) time.Duration {
+	wait := l.replica.timing.WatchWait
+	if !watching {
+		if !l.due(l.replica.now()) {
+			return l.replica.timing.Poll
+		}
+		wait = 0
+	}
+	if err := l.read(ctx, wait); err != nil {
+		if ctx.Err() == nil {
+			l.replica.log.Warn("read failed", "error", err)
+			l.replica.metrics.Counter("table_read_errors").Inc(1)
+		}
+		return l.pause.NextBackOff()
+	}
+	l.pause.Reset()
+	if watching {
+		return 0
+	}
+	return l.replica.timing.Poll
+}
+
+// due tells whether a daemon that is no watcher should read for itself.
+func (l *runLoop) due(now time.Time) bool {
+	age := l.replica.Confirmed(now)
+	if age == NeverConfirmed {
+		return now.Sub(l.started) >= l.replica.timing.FirstRead
+	}
+	return age >= l.replica.timing.ProofAge || now.Sub(l.lastRead) >= l.reread
+}
+
+// read takes what changed in the service. The proof dates from before the call: the
+// answer shows the table at some moment after that.
+//
+// The failure: a connection to the service gone silent. The call has its own timeout, so
+// the watch ends and the next one is tried; until one answers, the proof grows old.
+func (l *runLoop) read(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+l.replica.timing.CallTimeout)
+	defer cancel()
+	asked := l.replica.now()
+	entries, revision, err := l.fetch(ctx, wait)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "read table"), ErrRead)
+	}
+	if l.listed && revision < l.after {
+		// The failure: the service was restored from an older copy. What was accepted and
+		// is in force here stays; everything is listed again to see what the service has.
+		l.listed = false
+		return errors.Mark(errors.Newf("service went back from revision %d to %d", l.after, revision), ErrRead)
+	}
+	if err := l.replica.takeEntries(entries, asked); err != nil {
+		l.listed = false
+		return err
+	}
+	l.listed = true
+	l.after = revision
+	l.lastRead = asked
+	l.setRereadJitter()
+	return nil
+}
+
+func (l *runLoop) fetch(ctx context.Context, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	if !l.listed {
+		return l.replica.kv.List(ctx, KeyPrefix)
+	}
+	return l.replica.kv.Watch(ctx, KeyPrefix, l.after, wait)
+}
+
+// takeEntries merges pages read from the service. A page that can't be decoded leaves the
+// replica without a new proof, since an accepted edit may be in it.
+func (r *Replica) takeEntries(entries []platform.Entry, asked time.Time) error {
+	var pages []*peer.Page
+	for _, entry := range entries {
+		name := strings.TrimPrefix(entry.Key, KeyPrefix)
+		if entry.Deleted {
+			r.log.Error("page deleted from the service, kept here", "page", name)
+			continue
+		}
+		pages = append(pages, &peer.Page{Name: name, Revision: uint64(entry.Revision), Value: entry.Value})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, refused := r.merge(pages)
+	if refused > 0 {
+		return errors.Mark(errors.Newf("%d pages refused", refused), ErrRead)
+	}
+	r.confirm(asked)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/table/wait.go
@@ -0,0 +1,110 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Periods of Wait.
+const (
+	waitPoll    = 100 * time.Millisecond
+	waitTimeout = 2 * time.Second // of one question to one daemon
+)
+
+// ErrNotInForce reports that some daemon had not confirmed the table when ctx ended.
+var ErrNotInForce = errors.New("table: not in force everywhere")
+
+// DaemonState is what one daemon answered.
+type DaemonState struct {
+	Address string `json:"address"` // host:port of the peer address
+	InForce bool   `json:"in_force"`
+	State   State  `json:"state"`
+	Err     string `json:"error,omitempty"`
+}
+
+// Wait asks the daemons at the peer addresses until each has every page at the revision
+// that the service holds now, or later. It returns the last answers, in the order of the
+// addresses, and ErrNotInForce if ctx ends first.
+func (e *Editor) Wait(ctx context.Context, addresses []string, client *http.Client) ([]DaemonState, error) {
+	stored, err := e.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	wanted := make([]PageState, 0, len(stored))
+	for name, p := range stored {
+		wanted = append(wanted, PageState{Page: name, Revision: uint64(p.revision)})
+	}
+	states := make([]DaemonState, len(addresses))
+	var group sync.WaitGroup
+	for i, address := range addresses {
+		group.Go(func() { states[i] = waitDaemon(ctx, address, wanted, client) })
+	}
+	group.Wait()
+	var late []string
+	for _, s := range states {
+		if !s.InForce {
+			late = append(late, s.Address)
+		}
+	}
+	if len(late) > 0 {
+		return states, errors.Mark(errors.Newf("not in force on %s", strings.Join(late, ", ")), ErrNotInForce)
+	}
+	return states, nil
+}
+
+func waitDaemon(ctx context.Context, address string, wanted []PageState, client *http.Client) DaemonState {
+	last := DaemonState{Address: address, Err: "not asked"}
+	for ctx.Err() == nil {
+		state, err := fetchState(ctx, address, client)
+		if err == nil {
+			last = DaemonState{Address: address, State: state, InForce: covers(state.Pages, wanted)}
+		} else if ctx.Err() == nil {
+			last.Err = err.Error()
+		}
+		if last.InForce {
+			return last
+		}
+		sleep(ctx, waitPoll)
+	}
+	return last
+}
+
+func covers(held, wanted []PageState) bool {
+	revisions := make(map[string]uint64, len(held))
+	for _, p := range held {
+		revisions[p.Page] = p.Revision
+	}
+	for _, p := range wanted {
+		if revisions[p.Page] < p.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+func fetchState(ctx context.Context, address string, client *http.Client) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+StatePath, nil)
+	if err != nil {
+		return State{}, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return State{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return State{}, fmt.Errorf("status %d", response.StatusCode)
+	}
+	var state State
+	err = json.NewDecoder(response.Body).Decode(&state)
+	return state, err
+}
