--- /dev/null
+++ b/internal/policy/placement/links.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	// defaultLinkRate, in bytes a second, stands in for a link neither configured nor measured.
+	defaultLinkRate = 1e9
+	// minMeasuredBytes keeps out transfers too short to tell the rate.
+	minMeasuredBytes = 1 << 20
+	// downFor is how long a store is left alone after a failed transfer.
+	downFor = 2 * time.Second
+	// maxDownFor bounds the doubling of downFor after repeated failures.
+	maxDownFor = 30 * time.Second
+	// overdue is how far a transfer may exceed its expected time before the link counts as slowed.
+	overdue = 1.5
+	// overdueGrace is allowed on top, for pauses that say nothing about the link.
+	overdueGrace = 50 * time.Millisecond
+)
+
+// TransferID names a transfer within a Links.
+type TransferID uint64
+
+// Links tracks what each store VM's link has left for a waiting caller. It learns the
+// rate from finished transfers and also from one that is overdue, so that a link that
+// slows down is noticed before anything on it finishes.
+type Links struct {
+	next  TransferID
+	links map[request.StoreID]*link
+}
+
+type link struct {
+	rate        float64
+	transfers   []transfer // oldest first
+	outstanding int64
+	reported    int64 // queue of all daemons at the last report, less what has drained since
+	reportedAt  time.Time
+	failures    int
+	downUntil   time.Time
+	lastDone    time.Time
+}
+
+type transfer struct {
+	id      TransferID
+	bytes   int64
+	ahead   int64 // bytes outstanding when it started
+	started time.Time
+}
+
+// NewLinks returns a tracker without links.
+func NewLinks() *Links { return &Links{links: map[request.StoreID]*link{}} }
+
+// Configure sets a link's rate as the settings give it, if nothing was learned yet.
+func (l *Links) Configure(store request.StoreID, bytesPerSec float64) {
+	if _, ok := l.links[store]; !ok && bytesPerSec > 0 {
+		l.links[store] = &link{rate: bytesPerSec}
+	}
+}
+
+// Reported takes a store VM's own, lagging report of its queue, which includes other daemons' transfers.
+func (l *Links) Reported(store request.StoreID, queueBytes int64, now time.Time) {
+	k := l.link(store)
+	k.reported = queueBytes
+	k.reportedAt = now
+}
+
+// Start records a transfer of a waiting caller.
+func (l *Links) Start(store request.StoreID, bytes int64, now time.Time) TransferID {
+	k := l.link(store)
+	l.next++
+	k.transfers = append(k.transfers, transfer{id: l.next, bytes: bytes, ahead: k.outstanding, started: now})
+	k.outstanding += bytes
+	return l.next
+}
+
+// Finish records the end of a transfer. Carried is what arrived; failed tells that the
+// store did not answer, broke off or was given up on.
+func (l *Links) Finish(store request.StoreID, id TransferID, carried int64, failed bool, now time.Time) {
+	k := l.link(store)
+	t, ok := k.remove(id)
+	if !ok {
+		return
+	}
+	if failed {
+		k.fail(now)
+		return
+	}
+	k.failures = 0
+	k.downUntil = time.Time{}
+	began := t.started
+	if k.lastDone.After(began) {
+		began = k.lastDone
+	}
+	if elapsed := now.Sub(began); carried >= minMeasuredBytes && elapsed > 0 {
+		k.rate = learn(k.rate, float64(carried)/elapsed.Seconds())
+	}
+	k.lastDone = now
+}
+
+// State returns what a link can do for a new import of a waiting caller.
+func (l *Links) State(store request.StoreID, now time.Time) LinkState {
+	k := l.link(store)
+	return LinkState{
+		BytesPerSec: k.presentRate(now),
+		QueuedBytes: max(k.outstanding-k.progress(now), k.stillReported(now)),
+		Down:        now.Before(k.downUntil),
+	}
+}
+
+func (l *Links) link(store request.StoreID) *link {
+	k, ok := l.links[store]
+	if !ok {
+		k = &link{rate: defaultLinkRate}
+		l.links[store] = k
+	}
+	return k
+}
+
+func (k *link) remove(id TransferID) (transfer, bool) {
+	for i, t := range k.transfers {
+		if t.id == id {
+			k.transfers = append(k.transfers[:i], k.transfers[i+1:]...)
+			k.outstanding -= t.bytes
+			return t, true
+		}
+	}
+	return transfer{}, false
+}
+
+// progress returns the bytes that the transfer in hand has probably carried. Of an
+// overdue one nothing is known, so nothing is counted.
+func (k *link) progress(now time.Time) int64 {
+	if len(k.transfers) == 0 || k.presentRate(now) < k.rate {
+		return 0
+	}
+	oldest := k.transfers[0]
+	began := oldest.started
+	if k.lastDone.After(began) {
+		began = k.lastDone
+	}
+	return min(oldest.bytes, int64(k.rate*now.Sub(began).Seconds()))
+}
+
+// fail leaves the store alone, for longer after each failure.
+func (k *link) fail(now time.Time) {
+	pause := min(downFor<<min(k.failures, 8), maxDownFor)
+	k.failures++
+	k.downUntil = now.Add(pause)
+}
+
+// stillReported returns the reported queue less what the link has carried since.
+func (k *link) stillReported(now time.Time) int64 {
+	drained := k.rate * now.Sub(k.reportedAt).Seconds()
+	return max(0, k.reported-int64(drained))
+}
+
+// presentRate returns the learned rate, lowered if the oldest transfer is overdue.
+// Without this, a link that slows ten times would look fast until the first slow
+// transfer ends, and all callers until then would join its queue.
+func (k *link) presentRate(now time.Time) float64 {
+	if len(k.transfers) == 0 {
+		return k.rate
+	}
+	oldest := k.transfers[0]
+	expected := float64(oldest.ahead+oldest.bytes) / k.rate
+	age := now.Sub(oldest.started).Seconds()
+	if age <= overdue*expected+overdueGrace.Seconds() {
+		return k.rate
+	}
+	return k.rate * expected / age
+}
--- /dev/null
+++ b/internal/policy/placement/links_test.go
@@ -0,0 +1,105 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// The link of a store slows to a tenth while an import is on it. Nothing finishes for
+// a long time, so a tracker that learns from finished transfers goes on sending every
+// caller there. Ours sees that the transfer in hand is overdue and plans shorter heads
+// within seconds.
+func TestSlowLinkIsNoticedBeforeAnythingFinishes(t *testing.T) {
+	const rate = 3e9
+	l := NewLinks()
+	l.Configure("s1", rate)
+	l.Start("s1", rate, epoch) // a second's worth
+	naiveRate := rate          // nothing has finished, so nothing was learned
+
+	now := epoch.Add(5 * time.Second)
+	state := l.State("s1", now)
+	r := Request{Tokens: 20000, BytesPerToken: testBytesPerToken}
+	targets := []Candidate{{ID: "t1", PrefillRate: 8000}}
+	naive := Choose(Fonografos(), r, targets, []Copy{{Store: "s1", Blocks: 312, Link: LinkState{BytesPerSec: naiveRate}}})
+	ours := Choose(Fonografos(), r, targets, []Copy{{Store: "s1", Blocks: 312, Link: state}})
+	const trueRate = rate / 10
+	if naiveTakes := float64(naive.LinkBytes) / trueRate; naiveTakes < 8 {
+		t.Fatalf("the naive import was expected to take far longer than prefilling, took %.1f s", naiveTakes)
+	}
+	if ours.ImportBlocks > naive.ImportBlocks/3 {
+		t.Fatalf("import of %d blocks (naive %d) with state %+v", ours.ImportBlocks, naive.ImportBlocks, state)
+	}
+}
+
+// A store VM dies after a plan was made. Without a deadline the caller waits for the
+// import until the connection times out. The plan carries a deadline within which
+// prefilling would have been as good; giving up there marks the store, so that the
+// next plan prefills at once, and the store is tried again after a pause.
+func TestStoreDiesAfterThePlan(t *testing.T) {
+	l := NewLinks()
+	l.Configure("s1", 3e9)
+	r := Request{Tokens: 20000, BytesPerToken: testBytesPerToken}
+	targets := []Candidate{{ID: "t1", PrefillRate: 8000}}
+	choose := func(now time.Time) Plan {
+		return Choose(Atlas(), r, targets, []Copy{{Store: "s1", Blocks: 312, Link: l.State("s1", now)}})
+	}
+	plan := choose(epoch)
+	const connectionTimeout = 30 * time.Second
+	if plan.LinkBytes == 0 || plan.ImportDeadline <= 0 || plan.ImportDeadline > 2500*time.Millisecond {
+		t.Fatalf("the plan would hold its caller for up to %v: %+v", connectionTimeout, plan)
+	}
+	id := l.Start("s1", plan.LinkBytes, epoch)
+	gaveUp := epoch.Add(plan.ImportDeadline)
+	l.Finish("s1", id, 0, true, gaveUp)
+	if next := choose(gaveUp); next.LinkBytes != 0 {
+		t.Fatalf("the dead store was chosen again: %+v", next)
+	}
+	if later := choose(gaveUp.Add(downFor)); later.LinkBytes == 0 {
+		t.Fatal("the store is never tried again")
+	}
+}
+
+// Whatever is started and finished, no bytes are lost or counted twice.
+func TestOutstandingBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLinks()
+		l.Configure("s1", 1e9)
+		open := map[TransferID]int64{}
+		var want int64
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			if len(open) == 0 || rapid.Bool().Draw(t, "start") {
+				n := rapid.Int64Range(1, 1<<30).Draw(t, "bytes")
+				open[l.Start("s1", n, epoch)] = n
+				want += n
+			} else {
+				for id, n := range open {
+					l.Finish("s1", id, n, rapid.Bool().Draw(t, "failed"), epoch)
+					delete(open, id)
+					want -= n
+					break
+				}
+			}
+			if got := l.State("s1", epoch).QueuedBytes; got != want {
+				t.Fatalf("queued %d, want %d", got, want)
+			}
+		}
+	})
+}
+
+func TestCostsLearn(t *testing.T) {
+	c := NewCosts(0)
+	for range 30 {
+		c.ObservePrefill("slow", 2000, time.Second)
+	}
+	c.ObservePrefill("slow", 10, time.Hour)
+	if got := c.PrefillRate("slow"); got < 1990 || got > 2020 {
+		t.Fatalf("learned %f tokens a second of 2000", got)
+	}
+	if got := c.PrefillRate("new"); got != defaultPrefillRate {
+		t.Fatalf("a new target starts at %f", got)
+	}
+}
--- /dev/null
+++ b/internal/policy/placement/plan.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+)
+
+// ranking keeps the best few options in order.
+type ranking struct {
+	costs   [maxOptions]cost
+	indexes [maxOptions]int
+	count   int
+}
+
+// offer inserts an option; an earlier candidate wins a tie.
+func (r *ranking) offer(c cost, index int) {
+	at := r.count
+	for at > 0 && c.score < r.costs[at-1].score {
+		at--
+	}
+	if at == maxOptions {
+		return
+	}
+	if r.count < maxOptions {
+		r.count++
+	}
+	copy(r.costs[at+1:r.count], r.costs[at:r.count-1])
+	copy(r.indexes[at+1:r.count], r.indexes[at:r.count-1])
+	r.costs[at] = c
+	r.indexes[at] = index
+}
+
+func (e *estimator) plan(best *ranking, candidates []Candidate) Plan {
+	plan := Plan{PieceTokens: e.params.PieceTokens}
+	if best.count == 0 {
+		return plan
+	}
+	plan.Found = true
+	plan.Option = e.describe(best.costs[0], &candidates[best.indexes[0]])
+	plan.ImportDeadline = e.importDeadline(best.costs[0])
+	plan.Late = e.request.Deadline > 0 && plan.Expected > e.request.Deadline
+	if best.count > 1 {
+		plan.Alternatives = make([]Option, 0, maxOptions-1)
+	}
+	for i := 1; i < best.count; i++ {
+		plan.Alternatives = append(plan.Alternatives, e.describe(best.costs[i], &candidates[best.indexes[i]]))
+	}
+	return plan
+}
+
+// importDeadline guards against a store that dies or a link that slows after the
+// choice: the caller would wait on an import that prefilling has long overtaken.
+func (e *estimator) importDeadline(c cost) time.Duration {
+	if c.head == 0 {
+		return 0
+	}
+	slack := duration(c.importTime)*importSlack + importGrace
+	worth := max(duration(e.patience), duration(c.importTime)+importGrace)
+	return min(slack, worth)
+}
+
+func (e *estimator) describe(c cost, target *Candidate) Option {
+	have := max(c.reuse, c.head)
+	o := Option{
+		Target:      target.ID,
+		Kind:        e.kind(c),
+		ReuseBlocks: c.reuse,
+		Recomputed:  e.tail(have),
+		Expected:    duration(c.expected),
+		ImportTime:  duration(c.importTime),
+		Score:       c.score,
+	}
+	if c.head > 0 {
+		o.ImportBlocks = c.head
+		o.Store = e.copies[c.copy].Store
+		o.LinkBytes = int64(c.head-c.reuse) * e.request.BytesPerToken * block.TokensPerBlock
+	}
+	return o
+}
+
+func (e *estimator) kind(c cost) Kind {
+	switch {
+	case c.head == 0 && c.reuse == 0:
+		return Prefill
+	case c.head == 0:
+		return Reuse
+	case c.head == min(e.copies[c.copy].Blocks, e.request.Tokens/block.TokensPerBlock):
+		return ImportWhole
+	default:
+		return ImportHead
+	}
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
