policy/admission: the steward of one target

Grants up to the target's capacity in weighted fair order; what was granted since a report counts on top of it, and what the report shows beyond the grants counts as work of others. A suspect runs alone.

Ruled out: taking the rate from single request times, which measures demand and not speed on an idle target.

--- /dev/null
+++ b/internal/policy/admission/grants.go
@@ -0,0 +1,116 @@
+package admission
+
+import (
+	"strconv"
+	"time"
+)
+
+// grant is a place at the target, held by one request until released or expired.
+type grant struct {
+	ask     Ask
+	id      string
+	alone   bool
+	granted time.Time
+	expires time.Time
+	ended   time.Time // zero while live
+}
+
+func (g *grant) action() Grant {
+	return Grant{Ask: g.ask, ID: g.id, Expires: g.expires, Alone: g.alone}
+}
+
+// liveAt reports whether the grant was held at t.
+func (g *grant) liveAt(t time.Time) bool {
+	if g.granted.After(t) {
+		return false
+	}
+	return g.ended.IsZero() || g.ended.After(t)
+}
+
+func (s *Steward) grant(now time.Time, ask Ask, alone bool) Action {
+	s.seq++
+	g := &grant{
+		ask:     ask,
+		id:      s.params.Instance + "." + strconv.FormatUint(s.seq, 10),
+		alone:   alone,
+		granted: now,
+		expires: now.Add(s.params.GrantTTL),
+	}
+	s.grants[ask.ID] = g
+	s.order = append(s.order, g)
+	s.alone = s.alone || alone
+	s.count.granted++
+	return g.action()
+}
+
+// Release ends a grant. An id that is unknown, for example of an earlier steward,
+// is ignored.
+func (s *Steward) Release(now time.Time, grantID string, out Outcome) []Action {
+	actions := s.advance(now)
+	for _, g := range s.order {
+		if g.id == grantID {
+			s.meter.served(g.ask.Tokens)
+			s.end(now, g)
+			break
+		}
+	}
+	return append(actions, s.pump(now)...)
+}
+
+// expireGrants frees the places of daemons that died. Should the request still run
+// at the target, the next load report shows it as work of others.
+func (s *Steward) expireGrants(now time.Time) {
+	for i := 0; i < len(s.order); {
+		g := s.order[i]
+		if g.expires.After(now) {
+			i++
+			continue
+		}
+		s.end(now, g)
+		s.count.expired++
+	}
+	s.pruneEnded(now)
+}
+
+func (s *Steward) end(now time.Time, g *grant) {
+	g.ended = now
+	delete(s.grants, g.ask.ID)
+	for i, other := range s.order {
+		if other == g {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			break
+		}
+	}
+	s.ended = append(s.ended, g)
+	if g.alone {
+		s.alone = false
+		s.aloneEnd = now
+	}
+}
+
+func (s *Steward) pruneEnded(now time.Time) {
+	old := now.Add(-s.params.LoadTTL)
+	i := 0
+	for i < len(s.ended) && s.ended[i].ended.Before(old) {
+		i++
+	}
+	s.ended = s.ended[i:]
+}
+
+// fits reports whether one more request of the given size may go to the target.
+func (s *Steward) fits(now time.Time, tokens int64) bool {
+	if s.running(now) >= s.params.MaxRunning {
+		return false
+	}
+	if s.params.MaxPrefillTokens <= 0 {
+		return true
+	}
+	backlog := s.prefillBacklog(now)
+	return backlog < 1 || backlog+float64(tokens) <= float64(s.params.MaxPrefillTokens)
+}
+
+// saturated reports whether the target is as busy as it may be, so that what is
+// served now measures its rate.
+func (s *Steward) saturated() bool {
+	return len(s.waiting) > 0 || len(s.order) >= s.params.MaxRunning
+}
