--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 	"github.com/bluebellscale/bluebellscale/internal/standin/service"
 	"github.com/bluebellscale/bluebellscale/internal/standin/store"
 	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
@@ -128,3 +131,28 @@
 		},
 	}
 }
+
+// kvCommand runs the key-value service, which has fault switches of its own.
+func kvCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "kv",
+		Usage: "the key-value service",
+		Flags: commonFlags(
+			&cli.Float64Flag{Name: "reads", Usage: "reads a second; 0: no limit"},
+			&cli.Float64Flag{Name: "writes", Usage: "writes a second; 0: no limit"},
+		),
+		Action: func(c *cli.Context) error {
+			listener, err := net.Listen("tcp", c.String("listen"))
+			if err != nil {
+				return errors.Wrap(err, "listen")
+			}
+			if err := announce(c, listener.Addr().String()); err != nil {
+				return err
+			}
+			return kv.Serve(c.Context, listener, kv.Options{
+				ReadsPerSecond:  c.Float64("reads"),
+				WritesPerSecond: c.Float64("writes"),
+			})
+		},
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,12 +21,12 @@
 	app := &cli.App{
 		Name:  "standin",
 		Usage: "run a stand-in of a platform part",
-		// A stand-in for the key-value service adds its command here.
 		Commands: []*cli.Command{
 			engineCommand(),
 			serviceCommand(),
 			storeCommand(),
 			vmlistCommand(),
+			kvCommand(),
 		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -57,12 +57,9 @@
 		return err
 	}
 	defer server.Close()
-	if path := c.String("addr-file"); path != "" {
-		if err := writeWhole(path, server.Address()+"\n"); err != nil {
-			return err
-		}
+	if err := announce(c, server.Address()); err != nil {
+		return err
 	}
-	fmt.Println(server.Address())
 	select {
 	case <-c.Context.Done():
 	case <-server.Done():
@@ -70,6 +67,16 @@
 	return nil
 }
 
+// announce tells the actual address on standard output and in the address file.
+func announce(c *cli.Context, address string) error {
+	fmt.Println(address)
+	path := c.String("addr-file")
+	if path == "" {
+		return nil
+	}
+	return writeWhole(path, address+"\n")
+}
+
 // writeWhole writes a file under another name and renames it, so that a reader that
 // waits for the file never sees half an address.
 func writeWhole(path, text string) error {
