--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,199 @@
+package loadgen_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/bluebellscale/bluebellscale/internal/loadgen"
+	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
+	"github.com/bluebellscale/bluebellscale/internal/standin/service"
+)
+
+const (
+	testTimeout = 30 * time.Second
+	orgCount    = 2
+	contexts    = 3
+	turns       = 2
+	callCount   = 10
+	maxTokens   = 8
+	requests    = orgCount * (contexts*turns + callCount)
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// daemon is a small daemon for tests: it answers completions by itself, and hands
+// service calls to a stand-in, remembering results by key. Its fields are faults.
+type daemon struct {
+	service *service.Service
+
+	swapAnswers bool // answers the prompt with another prompt's words
+	cutShort    bool // leaves out the last word, and ends as if whole
+	forgets     bool // does not remember results by key, and loses the first answer
+	liesNotRun  bool // runs the call and says that it did not
+	refuseFirst bool // refuses the first try of each request, and asks to come back
+	losesFirst  bool // closes the connection on the first try of each request
+
+	mu      sync.Mutex
+	seen    map[string]int
+	results map[string][]byte
+}
+
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	key := r.Header.Get(service.HeaderKey)
+	switch {
+	case r.URL.Path == "/v1/route":
+		json.NewEncoder(w).Encode(map[string]any{"addresses": []string{r.Host}, "keep_ms": 1000})
+	case !strings.HasPrefix(r.Header.Get("Authorization"), "Bearer key-"):
+		d.refuse(w, "unauthorized", "not_run", 0)
+	case d.refuseFirst && d.visit(key+string(body)) == 1:
+		d.refuse(w, "overloaded", "not_run", 1)
+	case d.losesFirst && key == "" && d.visit(string(body)) == 1:
+		panic(http.ErrAbortHandler)
+	case key != "":
+		d.call(w, r, key, body)
+	default:
+		d.complete(w, body)
+	}
+}
+
+func (d *daemon) visit(what string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen[what]++
+	return d.seen[what]
+}
+
+func (d *daemon) refuse(w http.ResponseWriter, code, ran string, retryAfterMs int) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	fmt.Fprintf(w, `{"error":{"code":%q,"message":"","ran":%q,"retry_after_ms":%d}}`, code, ran, retryAfterMs)
+}
+
+func (d *daemon) call(w http.ResponseWriter, r *http.Request, key string, body []byte) {
+	d.mu.Lock()
+	result := d.results[key]
+	d.mu.Unlock()
+	if result == nil || d.forgets {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		recorder := httptest.NewRecorder()
+		d.service.ServeHTTP(recorder, r)
+		result = recorder.Body.Bytes()
+		d.mu.Lock()
+		d.results[key] = result
+		d.mu.Unlock()
+	}
+	if d.liesNotRun {
+		d.refuse(w, "no_target", "not_run", 0)
+		return
+	}
+	if (d.forgets || d.losesFirst) && d.visit(key) == 1 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(result)
+}
+
+func (d *daemon) complete(w http.ResponseWriter, body []byte) {
+	var req struct {
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"max_tokens"`
+	}
+	json.Unmarshal(body, &req)
+	words := strings.SplitAfter(engine.ExpectedText(req.Prompt, req.MaxTokens), " ")
+	if d.swapAnswers {
+		words = strings.SplitAfter(engine.ExpectedText("another prompt", req.MaxTokens), " ")
+	}
+	if d.cutShort {
+		words = words[:len(words)-2]
+	}
+	for _, word := range words {
+		fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", word)
+	}
+	tokens := len(req.Prompt) / 4
+	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"cached_tokens\":%d}}\n\n",
+		tokens, req.MaxTokens, tokens/2)
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// The load driver itself must see each broken promise, and must not see one where a
+// daemon refuses, loses connections or is not there, and callers try again.
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		daemon *daemon
+		check  func(loadgen.Report) bool
+	}{
+		{"sound", &daemon{}, func(r loadgen.Report) bool {
+			return !r.Failed() && r.Answered == requests && r.RecomputedShare() > 0.49 && r.RecomputedShare() < 0.51
+		}},
+		{"refuses first", &daemon{refuseFirst: true}, func(r loadgen.Report) bool {
+			return !r.Failed() && r.Answered == requests && r.Refused == requests
+		}},
+		{"loses first answers", &daemon{losesFirst: true}, func(r loadgen.Report) bool {
+			return !r.Failed() && r.Answered == requests
+		}},
+		{"swaps answers", &daemon{swapAnswers: true}, func(r loadgen.Report) bool {
+			return r.Failed() && r.Lost == orgCount*contexts*turns
+		}},
+		{"cuts answers short", &daemon{cutShort: true}, func(r loadgen.Report) bool {
+			return r.Failed() && r.Lost == orgCount*contexts*turns
+		}},
+		{"forgets results", &daemon{forgets: true}, func(r loadgen.Report) bool {
+			return r.Failed() && r.Doubled == orgCount*callCount
+		}},
+		{"says not run of what ran", &daemon{liesNotRun: true}, func(r loadgen.Report) bool {
+			return r.Failed() && r.FalseNotRun == orgCount*callCount
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			report := runAgainst(t, c.daemon)
+			if !c.check(report) {
+				t.Errorf("%+v", report)
+			}
+		})
+	}
+}
+
+func runAgainst(t *testing.T, d *daemon) loadgen.Report {
+	t.Helper()
+	d.service = service.New(service.Options{})
+	d.seen = make(map[string]int)
+	d.results = make(map[string][]byte)
+	plain := httptest.NewServer(d.service)
+	defer plain.Close()
+	live := httptest.NewServer(d)
+	defer live.Close()
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	report, err := loadgen.Run(ctx, loadgen.Config{
+		Daemons:       []string{dead.Listener.Addr().String(), live.Listener.Addr().String()},
+		Services:      []string{plain.Listener.Addr().String()},
+		Orgs:          []loadgen.Org{{ID: "a", Key: "key-a"}, {ID: "b", Key: "key-b"}},
+		Model:         "verdict",
+		Seed:          1,
+		Contexts:      contexts,
+		Turns:         turns,
+		ContextTokens: 200,
+		TurnTokens:    8,
+		MaxTokens:     maxTokens,
+		Service:       "label",
+		Calls:         callCount,
+		Callers:       2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
