--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 	"github.com/bluebellscale/bluebellscale/internal/standin/service"
 	"github.com/bluebellscale/bluebellscale/internal/standin/store"
@@ -132,7 +134,8 @@
 	}
 }
 
-// kvCommand runs the key-value service, which has fault switches of its own.
+// kvCommand runs the key-value service. It has fault switches of its own at /fault;
+// those on its connections are at another address.
 func kvCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "kv",
@@ -140,19 +143,34 @@
 		Flags: commonFlags(
 			&cli.Float64Flag{Name: "reads", Usage: "reads a second; 0: no limit"},
 			&cli.Float64Flag{Name: "writes", Usage: "writes a second; 0: no limit"},
+			&cli.StringFlag{Name: "fault-listen", Usage: "address of the switches on connections; empty: none"},
+			&cli.StringFlag{Name: "fault-addr-file", Usage: "file that gets that actual address"},
 		),
-		Action: func(c *cli.Context) error {
-			listener, err := net.Listen("tcp", c.String("listen"))
-			if err != nil {
-				return errors.Wrap(err, "listen")
-			}
-			if err := announce(c, listener.Addr().String()); err != nil {
-				return err
-			}
-			return kv.Serve(c.Context, listener, kv.Options{
-				ReadsPerSecond:  c.Float64("reads"),
-				WritesPerSecond: c.Float64("writes"),
-			})
-		},
+		Action: runKV,
+	}
+}
+
+func runKV(c *cli.Context) error {
+	switches := newSwitches(c)
+	listener, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if address := c.String("fault-listen"); address != "" {
+		control, err := fault.Serve(address, switches, http.NotFoundHandler())
+		if err != nil {
+			return err
+		}
+		defer control.Close()
+		if err := writeAddress(c.String("fault-addr-file"), control.Address()); err != nil {
+			return err
+		}
+	}
+	if err := announce(c, listener.Addr().String()); err != nil {
+		return err
 	}
+	return kv.Serve(c.Context, fault.NewListener(listener, switches), kv.Options{
+		ReadsPerSecond:  c.Float64("reads"),
+		WritesPerSecond: c.Float64("writes"),
+	})
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -70,22 +70,22 @@
 // announce tells the actual address on standard output and in the address file.
 func announce(c *cli.Context, address string) error {
 	fmt.Println(address)
-	path := c.String("addr-file")
+	return writeAddress(c.String("addr-file"), address)
+}
+
+// writeAddress writes an address to a file, unless path is empty. It does so under
+// another name and renames the file, so that a reader that waits for the file never
+// sees half an address.
+func writeAddress(path, address string) error {
 	if path == "" {
 		return nil
 	}
-	return writeWhole(path, address+"\n")
-}
-
-// writeWhole writes a file under another name and renames it, so that a reader that
-// waits for the file never sees half an address.
-func writeWhole(path, text string) error {
 	temporary, err := os.CreateTemp(filepath.Dir(path), ".addr-*")
 	if err != nil {
 		return errors.Wrap(err, "address file")
 	}
 	defer os.Remove(temporary.Name())
-	_, err = temporary.WriteString(text)
+	_, err = temporary.WriteString(address + "\n")
 	err = errors.CombineErrors(err, temporary.Close())
 	if err != nil {
 		return errors.Wrap(err, "address file")
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -213,6 +213,35 @@
 	}
 }
 
+func TestLowerPriorityNumberRunsFirst(t *testing.T) {
+	ctx := testContext(t)
+	_, client := start(t, engine.Options{MaxRunning: 1})
+	open := func(id request.ID, priority int) *target.Stream {
+		t.Helper()
+		req := completion(id, string(id), endless)
+		req.Priority = priority
+		s, err := client.Complete(ctx, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		return s
+	}
+	running := open("running", 5)
+	if _, err := running.Next(ctx); err != nil {
+		t.Fatal(err)
+	}
+	open("first come", 5)
+	urgent := open("urgent", 1)
+	if err := client.Cancel(ctx, "running"); err != nil {
+		t.Fatal(err)
+	}
+	// The batch has room for one and no request ends by itself.
+	if f, err := urgent.Next(ctx); err != nil || f.Done {
+		t.Fatalf("urgent request: %+v, %v", f, err)
+	}
+}
+
 func TestCrashOnMarkedRequest(t *testing.T) {
 	ctx := testContext(t)
 	e, client := start(t, engine.Options{})
