--- /dev/null
+++ b/internal/membership/rendezvous.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+)
+
+// Rank returns the first n members in the order of their weight for a key (rendezvous
+// hashing). When a member goes, only keys that it had change their place, and when one
+// comes it only takes keys.
+func Rank(members []*peer.Member, key string, n int) []*peer.Member {
+	keyHash := xxhash.Sum64String(key)
+	ranked := make([]weighted, len(members))
+	for i, m := range members {
+		ranked[i] = weighted{member: m, weight: weight(keyHash, m.Id)}
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	ranked = ranked[:min(n, len(ranked))]
+	first := make([]*peer.Member, len(ranked))
+	for i, w := range ranked {
+		first[i] = w.member
+	}
+	return first
+}
+
+// Place returns the first member of Rank without sorting, nil if there are no members.
+func Place(members []*peer.Member, key string) *peer.Member {
+	keyHash := xxhash.Sum64String(key)
+	var best weighted
+	for _, m := range members {
+		w := weighted{member: m, weight: weight(keyHash, m.Id)}
+		if best.member == nil || w.before(best) {
+			best = w
+		}
+	}
+	return best.member
+}
+
+type weighted struct {
+	member *peer.Member
+	weight uint64
+}
+
+func (w weighted) before(v weighted) bool {
+	if w.weight != v.weight {
+		return w.weight > v.weight
+	}
+	return strings.Compare(w.member.Id, v.member.Id) < 0
+}
+
+// weight mixes both hashes with the finalizer of SplitMix64 (Steele, Lea and Flood,
+// "Fast Splittable Pseudorandom Number Generators", OOPSLA 2014).
+func weight(keyHash uint64, id string) uint64 {
+	x := keyHash ^ (xxhash.Sum64String(id) * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
