Add leases with epochs

One platform lease a process, shared by all its names, so that calls grow with processes. A name's record stays for good and gives the epoch; a claim raises it by compare-and-swap once the former holder's session key is gone.

--- /dev/null
+++ b/internal/lease/session.go
@@ -0,0 +1,122 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+// session is the platform lease of this process, which all its names share.
+type session struct {
+	id platform.LeaseID
+
+	mu       sync.Mutex
+	validity validity
+}
+
+func (s *session) left(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.validity.left(now)
+}
+
+// renewed notes a keep-alive that was sent at a time and answered.
+func (s *session) renewed(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent.After(s.validity.sent) {
+		s.validity.sent = sent
+	}
+}
+
+// Beat renews the session, or starts one if there is none, and finishes releases
+// that could not be written before. Run calls it; tests call it themselves.
+func (m *Manager) Beat(ctx context.Context) error {
+	if err := m.renew(ctx); err != nil {
+		return err
+	}
+	m.cleanUp(ctx)
+	return nil
+}
+
+func (m *Manager) renew(ctx context.Context) error {
+	m.beating.Lock()
+	defer m.beating.Unlock()
+	s := m.current()
+	if s == nil {
+		return m.start(ctx)
+	}
+	sent := m.opts.Now()
+	err := m.opts.KV.KeepAlive(ctx, s.id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		m.drop(s, "Session lapsed.")
+		return m.start(ctx)
+	case err != nil:
+		m.CheckDeadline()
+		return errors.Mark(err, ErrUnavailable)
+	}
+	s.renewed(sent)
+	return nil
+}
+
+// start grants a platform lease and attaches the session key to it. The key must
+// exist before any record names the session: its absence is what others read as the
+// end of the session.
+func (m *Manager) start(ctx context.Context) error {
+	sent := m.opts.Now()
+	id, err := m.opts.KV.GrantLease(ctx, m.opts.TTL)
+	if err != nil {
+		return errors.Mark(err, ErrUnavailable)
+	}
+	value, _ := json.Marshal(m.self()) // plain fields: can't fail
+	if _, err := m.opts.KV.CompareAndSwap(ctx, sessionPrefix+string(id), 0, value, id); err != nil {
+		return errors.Mark(err, ErrUnavailable)
+	}
+	s := &session{id: id, validity: validity{sent: sent, ttl: m.opts.TTL, margin: m.opts.Margin}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.session = s
+	m.opts.Logger.Info("Session started.", "session", id)
+	return nil
+}
+
+// CheckDeadline ends the leases if the session was not renewed in time. The session
+// is then given up even if the service still knows it: a holder that was late once
+// acquires again, under a higher epoch.
+func (m *Manager) CheckDeadline() {
+	s := m.current()
+	if s != nil && s.left(m.opts.Now()) <= 0 {
+		m.drop(s, "Session not renewed in time.")
+	}
+}
+
+// current returns the session, or nil.
+func (m *Manager) current() *session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.session
+}
+
+// drop ends a session and all its leases.
+func (m *Manager) drop(s *session, why string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.session != s {
+		return
+	}
+	m.session = nil
+	m.former[s.id] = struct{}{}
+	clear(m.unsettled)
+	for name, l := range m.held {
+		l.end()
+		delete(m.held, name)
+	}
+	m.opts.Metrics.Counter("sessions_lost").Inc(1)
+	m.opts.Logger.Warn(why, "session", s.id)
+}
--- /dev/null
+++ b/internal/lease/state.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// State is a dump of a manager.
+type State struct {
+	Session   string       `json:"session,omitempty"`
+	Left      string       `json:"left,omitempty"` // time until the session must be renewed
+	Held      []LeaseState `json:"held"`
+	Unsettled []string     `json:"unsettled,omitempty"`
+}
+
+// LeaseState is the dump of one lease.
+type LeaseState struct {
+	Name  string `json:"name"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// State returns a dump that can be encoded as JSON.
+func (m *Manager) State() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := State{Unsettled: sortedKeys(m.unsettled)}
+	if m.session != nil {
+		out.Session = string(m.session.id)
+		out.Left = m.session.left(m.opts.Now()).Round(time.Millisecond).String()
+	}
+	for _, name := range sortedKeys(m.held) {
+		out.Held = append(out.Held, LeaseState{Name: name, Epoch: m.held[name].epoch})
+	}
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
