--- /dev/null
+++ b/internal/policy/limit/table_test.go
@@ -0,0 +1,95 @@
+package limit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/cockroachdb/datadriven"
+)
+
+func TestTable(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var h *Home
+		var s *Steward
+		var limits Limits
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var ms, tokens, want, places, used int64
+			d.MaybeScanArgs(t, "at", &ms)
+			d.MaybeScanArgs(t, "tokens", &tokens)
+			d.MaybeScanArgs(t, "want", &want)
+			d.MaybeScanArgs(t, "places", &places)
+			d.MaybeScanArgs(t, "used", &used)
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			home := "d1"
+			d.MaybeScanArgs(t, "home", &home)
+			switch d.Cmd {
+			case "limits":
+				limits = Limits{}
+				d.MaybeScanArgs(t, "rate", &limits.RequestsPerSecond)
+				d.MaybeScanArgs(t, "burst", &limits.Burst)
+				d.MaybeScanArgs(t, "concurrency", &limits.Concurrency)
+				d.MaybeScanArgs(t, "token-rate", &limits.TokensPerSecond)
+				h = NewHome(Params{}, 4)
+				started := epoch
+				if d.HasArg("settled") {
+					started = epoch.Add(-time.Hour)
+				}
+				s = NewSteward(started, Params{})
+				s.OnMembers(started, 4, 4)
+				return ""
+			case "admit":
+				return describe(h.Admit(now, "a", limits, tokens))
+			case "answer":
+				slice := s.Slice(now, request.DaemonID(home), "a", limits, Want{
+					Org: "a", Requests: want, Tokens: tokens, Concurrency: places, Used: used,
+				})
+				h.OnSlice(now, "a", slice)
+				return describeSlice(slice)
+			case "slice":
+				return describeSlice(s.Slice(now, request.DaemonID(home), "a", limits, Want{
+					Org: "a", Requests: want, Tokens: tokens, Concurrency: places, Used: used,
+				}))
+			case "failed":
+				h.OnSliceFailed(now, "a")
+			case "done":
+				h.Done(now, "a", tokens)
+			case "tick":
+				var out strings.Builder
+				for _, w := range h.Tick(now) {
+					out.WriteString(describeWant(w))
+				}
+				return out.String()
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+func describe(d Decision) string {
+	out := string(d.Verdict)
+	if d.RetryAfter > 0 {
+		out += fmt.Sprintf(" after %s", d.RetryAfter)
+	}
+	out += "\n"
+	if d.Ask != nil {
+		out += describeWant(*d.Ask)
+	}
+	return out
+}
+
+func describeWant(w Want) string {
+	return fmt.Sprintf("ask requests %d, tokens %d, places %d, used %d\n", w.Requests, w.Tokens, w.Concurrency, w.Used)
+}
+
+func describeSlice(s Slice) string {
+	out := fmt.Sprintf("slice requests %d, tokens %d, places %d", s.Requests, s.Tokens, s.Concurrency)
+	if s.RetryAfter > 0 {
+		out += fmt.Sprintf(", more after %s", s.RetryAfter)
+	}
+	return out + "\n"
+}
