policy/retry: budgets for a request and a target set

Retries only where the request did not run or may run twice, and only before the first byte; resumes have a bound of their own.

--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,145 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func TestTable(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var b *Budget
+		rng := rand.New(rand.NewPCG(1, 1))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var ms int64
+			d.MaybeScanArgs(t, "at", &ms)
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			switch d.Cmd {
+			case "budget":
+				var p Params
+				d.MaybeScanArgs(t, "burst", &p.Burst)
+				d.MaybeScanArgs(t, "share", &p.Share)
+				d.MaybeScanArgs(t, "per-second", &p.PerSecond)
+				b = NewBudget(epoch, p)
+				return ""
+			case "first-try":
+				b.OnFirstTry(now)
+				return fmt.Sprintf("%.1f left\n", b.Left(now))
+			case "decide":
+				r := Request{Repeatable: d.HasArg("repeatable"), Started: d.HasArg("started")}
+				d.MaybeScanArgs(t, "retries", &r.Retries)
+				d.MaybeScanArgs(t, "resumes", &r.Resumes)
+				var deadline int64
+				if d.MaybeScanArgs(t, "deadline", &deadline); deadline > 0 {
+					r.Deadline = epoch.Add(time.Duration(deadline) * time.Millisecond)
+				}
+				var code, ran string
+				d.ScanArgs(t, "code", &code)
+				d.ScanArgs(t, "ran", &ran)
+				f := Failure{Err: &request.Error{Code: request.Code(code), Ran: request.Ran(ran)}, Resumable: d.HasArg("resumable")}
+				return describe(b.Decide(now, rng, r, f)) + fmt.Sprintf("%.1f left\n", b.Left(now))
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func describe(d Decision) string {
+	switch d := d.(type) {
+	case RetryElsewhere:
+		return "retry elsewhere\n"
+	case ResumeStream:
+		return "resume\n"
+	case GiveUp:
+		return fmt.Sprintf("give up: %s %s after %s\n", d.Err.Code, d.Err.Ran, d.Err.RetryAfter)
+	}
+	return "nothing\n"
+}
+
+// Retries of a set never exceed its share of the first tries, the burst and the rate;
+// one request's never exceed its count; nothing that may have run and may not run
+// twice, or whose answer has begun, is tried again.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := Params{
+			MaxRetries: rapid.IntRange(1, 4).Draw(rt, "max"),
+			Share:      rapid.Float64Range(0.01, 1).Draw(rt, "share"),
+			Burst:      rapid.Float64Range(1, 20).Draw(rt, "burst"),
+			PerSecond:  rapid.Float64Range(0.01, 2).Draw(rt, "rate"),
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		b, now := NewBudget(epoch, p), epoch
+		first, retries := 0, 0
+		codes := []request.Code{request.CodeTargetFailed, request.CodeNoTarget, request.CodeBadRequest, request.CodeQuarantined}
+		for range rapid.IntRange(1, 300).Draw(rt, "requests") {
+			now = now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)
+			b.OnFirstTry(now)
+			first++
+			r := Request{Repeatable: rng.IntN(2) == 0, Started: rng.IntN(4) == 0}
+			for {
+				ran := []request.Ran{request.NotRun, request.DidRun, request.InDoubt}[rng.IntN(3)]
+				f := Failure{Err: &request.Error{Code: codes[rng.IntN(len(codes))], Ran: ran}, Resumable: rng.IntN(4) == 0}
+				d := b.Decide(now, rng, r, f)
+				if _, ok := d.(ResumeStream); ok {
+					r.Resumes++
+					continue
+				}
+				if _, ok := d.(RetryElsewhere); !ok {
+					break
+				}
+				if r.Started || (ran != request.NotRun && !r.Repeatable) || f.Err.Code == request.CodeBadRequest {
+					rt.Fatalf("retried %+v after %v", r, f.Err)
+				}
+				r.Retries++
+				retries++
+			}
+			if r.Retries > p.MaxRetries || r.Resumes > DefaultMaxResumes {
+				rt.Fatalf("one request: %d retries, %d resumes", r.Retries, r.Resumes)
+			}
+		}
+		bound := p.Burst + p.Share*float64(first) + p.PerSecond*now.Sub(epoch).Seconds()
+		if float64(retries) > bound+1e-6 {
+			rt.Fatalf("%d retries, bound %.1f", retries, bound)
+		}
+	})
+}
+
+// All targets of a model fail for a while, and the calls of it arrive at three times
+// the usual rate at what is left, so that it fails too. Cause: each call is tried three
+// times. The naive twin retries by count alone.
+func TestOutageDoesNotMultiplyLoad(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	b := NewBudget(epoch, Params{})
+	const calls = 1000
+	naive, ours := 0, 0
+	for i := range calls {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		b.OnFirstTry(now)
+		naive += 1 + DefaultMaxRetries
+		ours++
+		r := Request{Repeatable: true}
+		f := Failure{Err: request.Refuse(request.CodeTargetFailed, 502, 0, "connection refused")}
+		for {
+			if _, ok := b.Decide(now, rng, r, f).(RetryElsewhere); !ok {
+				break
+			}
+			r.Retries++
+			ours++
+		}
+	}
+	if naive < 3*calls {
+		t.Fatal("the naive twin does not multiply; the test shows nothing")
+	}
+	if ours > calls*115/100 {
+		t.Errorf("%d tries of %d calls", ours, calls)
+	}
+	t.Logf("%d calls: %d tries, naive %d", calls, ours, naive)
+}
