--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -130,14 +130,22 @@
 }
 
 // Finish stores the result of a call that ran. The caller may be answered whatever
-// Finish returns: an error tells only what others will see of the key.
+// Finish returns, and before it does: an error tells only what others will see of the
+// key if this process dies.
 func (j *Journal) Finish(ctx context.Context, t *Ticket, r Result) error {
-	return t.worker.conclude(ctx, t, func(w waiter) (bool, error) { return t.worker.core.finish(w, t, r) })
+	s, err := j.StartFinish(t, r)
+	return s.wait(ctx, err)
+}
+
+// StartFinish is Finish without the wait.
+func (j *Journal) StartFinish(t *Ticket, r Result) (*Saving, error) {
+	return t.worker.conclude(func(w waiter) (bool, error) { return t.worker.core.finish(w, t, r) })
 }
 
 // Abort frees the key of a call that surely did not run.
 func (j *Journal) Abort(ctx context.Context, t *Ticket) error {
-	return t.worker.conclude(ctx, t, func(w waiter) (bool, error) { return t.worker.core.abort(w, t) })
+	s, err := t.worker.conclude(func(w waiter) (bool, error) { return t.worker.core.abort(w, t) })
+	return s.wait(ctx, err)
 }
 
 // Doubt gives up a ticket whose outcome is unknown: its key stays in doubt. Nothing
@@ -149,27 +157,53 @@
 	return nil
 }
 
-// conclude enters an outcome and waits until it is durable.
-func (w *worker) conclude(ctx context.Context, t *Ticket, enter func(waiter) (bool, error)) error {
+// Saving is an outcome that waits to be written.
+type Saving struct {
+	worker *worker
+	waiter waiter
+	done   chan reply
+}
+
+// conclude enters the outcome of a ticket.
+func (w *worker) conclude(enter func(waiter) (waiting bool, err error)) (*Saving, error) {
 	w.mu.Lock()
-	p := w.expectLocked(t.id)
+	defer w.mu.Unlock()
+	p := w.expectLocked("")
 	waiting, err := enter(p.waiter)
 	if !waiting {
 		delete(w.waiting, p.waiter)
+		return nil, err
 	}
-	w.mu.Unlock()
-	if !waiting {
+	w.signal()
+	return &Saving{worker: w, waiter: p.waiter, done: p.done}, nil
+}
+
+// Poll reports whether the wait is over, and with which error.
+func (s *Saving) Poll() (ok bool, err error) {
+	select {
+	case r := <-s.done:
+		return true, r.err
+	default:
+		return false, nil
+	}
+}
+
+func (s *Saving) wait(ctx context.Context, err error) error {
+	if s == nil {
 		return err
 	}
-	w.signal()
 	select {
-	case r := <-p.done:
+	case r := <-s.done:
 		return r.err
 	case <-ctx.Done():
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		delete(w.waiting, p.waiter)
-		w.core.cancel(p.waiter)
+		s.cancel()
 		return ErrUnavailable
 	}
 }
+
+func (s *Saving) cancel() {
+	s.worker.mu.Lock()
+	defer s.worker.mu.Unlock()
+	delete(s.worker.waiting, s.waiter)
+	s.worker.core.cancel(s.waiter)
+}
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -319,8 +319,11 @@
 		r.pages = append(r.pages, heldPage{ref: ref, revision: e.Revision, entries: p.Entries})
 		delete(found, ref.Name)
 	}
-	for name, e := range found {
-		r.orphans = append(r.orphans, heldPage{ref: pageRef{Name: name}, revision: e.Revision})
+	for _, e := range entries {
+		name := strings.TrimPrefix(e.Key, pageKey(index, ""))
+		if _, ok := found[name]; ok {
+			r.orphans = append(r.orphans, heldPage{ref: pageRef{Name: name}, revision: e.Revision})
+		}
 	}
 	return r, nil
 }
--- a/internal/standin/kv/fake.go
+++ b/internal/standin/kv/fake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,9 @@
 	FaultUnavailable
 	// FaultLostAnswer lets a write take effect and reports ErrUncertain.
 	FaultLostAnswer
+	// FaultDelayed holds a write back and reports ErrUncertain; Deliver lets it reach
+	// the service later, as a slow network would.
+	FaultDelayed
 )
 
 // Hook chooses the fault of one call. It runs without any lock held, so that a test
@@ -30,8 +34,12 @@
 // Fake is the service in the same process. Its switches and hook set faults.
 type Fake struct {
 	*switches
-	core *Core
-	hook Hook
+	core  *Core
+	hook  Hook
+	after func(client string)
+
+	delayedMu sync.Mutex
+	delayed   []kvapi.CASRequest
 }
 
 // NewFake returns an empty service that reads the time from now (nil: time.Now).
@@ -45,6 +53,31 @@
 // SetHook sets the fault hook; call it before the fake is used.
 func (f *Fake) SetHook(h Hook) { f.hook = h }
 
+// SetAfter sets a hook that runs after each call took effect and before its caller
+// sees the answer; call it before the fake is used.
+func (f *Fake) SetAfter(after func(client string)) { f.after = after }
+
+// Deliver lets the i-th delayed write reach the service. It reports false if there
+// is none.
+func (f *Fake) Deliver(i int) bool {
+	f.delayedMu.Lock()
+	if i >= len(f.delayed) {
+		f.delayedMu.Unlock()
+		return false
+	}
+	req := f.delayed[i]
+	f.delayed = append(f.delayed[:i:i], f.delayed[i+1:]...)
+	f.delayedMu.Unlock()
+	_, _ = f.core.CompareAndSwap(req)
+	return true
+}
+
+func (f *Fake) delay(req kvapi.CASRequest) {
+	f.delayedMu.Lock()
+	defer f.delayedMu.Unlock()
+	f.delayed = append(f.delayed, req)
+}
+
 // Expire ends lapsed leases, so that watches learn of it.
 func (f *Fake) Expire() { f.core.Expire() }
 
@@ -58,6 +91,12 @@
 
 var _ platform.KV = (*fakeClient)(nil)
 
+func (c *fakeClient) settled() {
+	if c.f.after != nil {
+		c.f.after(c.id)
+	}
+}
+
 func (c *fakeClient) fault(ctx context.Context, write bool, key string, bytes int) Fault {
 	cl := classRead
 	if write {
@@ -84,6 +123,7 @@
 		return platform.Entry{}, platform.ErrUnavailable
 	}
 	e, err := c.f.core.Get(key)
+	c.settled()
 	if err != nil {
 		return platform.Entry{}, platform.ErrNotFound
 	}
@@ -96,6 +136,7 @@
 		return nil, 0, platform.ErrUnavailable
 	}
 	out := c.f.core.List(prefix)
+	c.settled()
 	return fromAPIAll(out.Entries), platform.Revision(out.Revision), nil
 }
 
@@ -112,10 +153,15 @@
 
 func (c *fakeClient) write(ctx context.Context, req kvapi.CASRequest) (platform.Revision, error) {
 	fault := c.fault(ctx, true, req.Key, len(req.Value))
-	if fault == FaultUnavailable {
+	switch fault {
+	case FaultUnavailable:
+		return 0, platform.ErrUncertain
+	case FaultDelayed:
+		c.f.delay(req)
 		return 0, platform.ErrUncertain
 	}
 	revision, err := c.f.core.CompareAndSwap(req)
+	c.settled()
 	if fault == FaultLostAnswer {
 		return 0, platform.ErrUncertain
 	}
@@ -150,10 +196,11 @@
 // GrantLease implements platform.KV.
 func (c *fakeClient) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	fault := c.fault(ctx, true, "", 0)
-	if fault == FaultUnavailable {
+	if fault == FaultUnavailable || fault == FaultDelayed {
 		return "", platform.ErrUnavailable
 	}
 	id := c.f.core.Grant(ttl)
+	c.settled()
 	if fault == FaultLostAnswer {
 		return "", platform.ErrUnavailable
 	}
@@ -163,10 +210,11 @@
 // KeepAlive implements platform.KV.
 func (c *fakeClient) KeepAlive(ctx context.Context, id platform.LeaseID) error {
 	fault := c.fault(ctx, true, "", 0)
-	if fault == FaultUnavailable {
+	if fault == FaultUnavailable || fault == FaultDelayed {
 		return platform.ErrUnavailable
 	}
 	_, err := c.f.core.KeepAlive(string(id))
+	c.settled()
 	switch {
 	case fault == FaultLostAnswer:
 		return platform.ErrUnavailable
