--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -1,3 +1,57 @@
+// Command bluebellctl edits the operators' table and looks into daemons.
 package main
 
-func main() {}
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"os/user"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/bluebellscale/bluebellscale/internal/config"
+	"github.com/bluebellscale/bluebellscale/internal/ctl"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args, ctl.Deps{
+		NewKV:       newKV,
+		CheckConfig: checkConfig,
+		Client:      &http.Client{},
+		Operator:    operator(),
+		Version:     version(),
+		Stdout:      os.Stdout,
+		Stderr:      os.Stderr,
+	})
+	stop()
+	os.Exit(code)
+}
+
+func newKV(addresses []string) platform.KV {
+	return platform.NewClient(platform.Options{Addresses: addresses, ClientID: "bluebellctl-" + operator()})
+}
+
+func checkConfig(path string) error {
+	_, err := config.Load(path)
+	return err
+}
+
+// operator names the user for the histories of rows.
+func operator() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/ctl/app.go
@@ -0,0 +1,188 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// Exit codes of Run.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+)
+
+// Deps is what the tool needs from its process.
+type Deps struct {
+	NewKV       func(addresses []string) platform.KV // client of the key-value service
+	CheckConfig func(path string) error              // checks a daemon's settings
+	Client      *http.Client                         // for daemons' debug endpoints
+	Operator    string                               // name for histories
+	Version     string
+	Stdout      io.Writer
+	Stderr      io.Writer
+}
+
+// usageError is a wrong use of the tool.
+type usageError struct{ reason string }
+
+// Error implements the error interface.
+func (e *usageError) Error() string { return e.reason }
+
+func usagef(format string, args ...any) error {
+	return &usageError{reason: fmt.Sprintf(format, args...)}
+}
+
+// Run runs the tool with the process's arguments and returns its exit code.
+func Run(ctx context.Context, args []string, deps Deps) int {
+	err := App(deps).RunContext(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(deps.Stderr, "bluebellctl:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		return ExitConflict
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+// tool is the state that commands share.
+type tool struct {
+	deps Deps
+}
+
+// App returns the tool's commands.
+func App(deps Deps) *cli.App {
+	t := &tool{deps: deps}
+	app := &cli.App{
+		Name:      "bluebellctl",
+		Usage:     "edit the operators' table and look into daemons",
+		Writer:    deps.Stdout,
+		ErrWriter: deps.Stderr,
+		Version:   deps.Version,
+		Description: "Exit codes: 0 done, 1 failure, 2 wrong use, 3 conflict with another operator.\n\n" +
+			"Examples:\n" +
+			"  bluebellctl table plan --kv 10.0.0.5:7400 rows/\n" +
+			"  bluebellctl table set --kv 10.0.0.5:7400 organisations acme weight=20\n" +
+			"  bluebellctl members 10.0.0.11:9001",
+		HideVersion:    true,
+		ExitErrHandler: func(*cli.Context, error) {}, // Run chooses the exit code
+		OnUsageError:   onUsageError,
+		Action:         unknownCommand,
+		Commands: []*cli.Command{
+			t.tableCommand(),
+			t.checkCommand(),
+			t.debugCommand("state", "/debug/state", "print a daemon's whole state"),
+			t.debugCommand("members", membersPath, "list the daemons that a daemon knows"),
+			t.debugCommand("targets", "/debug/targets", "list targets as a daemon sees them"),
+			t.debugCommand("contexts", "/debug/contexts", "list contexts that a daemon knows"),
+			t.drainCommand(),
+			t.versionCommand(),
+		},
+	}
+	setUsageErrors(app.Commands)
+	return app
+}
+
+// setUsageErrors makes wrong flags of every command a usageError.
+func setUsageErrors(commands []*cli.Command) {
+	for _, c := range commands {
+		c.OnUsageError = onUsageError
+		if c.Action == nil {
+			c.Action = unknownCommand
+		}
+		setUsageErrors(c.Subcommands)
+	}
+}
+
+func onUsageError(_ *cli.Context, err error, _ bool) error { return usagef("%s", err) }
+
+func unknownCommand(c *cli.Context) error {
+	if c.Args().Present() {
+		return usagef("no command %q; see %s --help", c.Args().First(), c.App.Name)
+	}
+	return cli.ShowSubcommandHelp(c)
+}
+
+// Names of flags.
+const (
+	flagKV        = "kv"
+	flagOutput    = "output"
+	flagTimeout   = "timeout"
+	flagRevision  = "revision"
+	flagMaxRemove = "max-remove"
+	flagOnly      = "only"
+	flagWho       = "who"
+)
+
+const (
+	defaultTimeout   = 30 * time.Second
+	defaultMaxRemove = 10
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "json or table"}
+}
+
+func timeoutFlag() cli.Flag {
+	return &cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "give up after this"}
+}
+
+func (t *tool) checkCommand() *cli.Command {
+	return &cli.Command{
+		Name: "check", Usage: "check a daemon's settings file", ArgsUsage: "FILE",
+		Description: "Example:\n  bluebellctl check /etc/bluebellscale.ini",
+		Action: func(c *cli.Context) error {
+			path, err := oneArg(c, "FILE")
+			if err != nil {
+				return err
+			}
+			if err := t.deps.CheckConfig(path); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(t.deps.Stdout, "%s: fine\n", path)
+			return err
+		},
+	}
+}
+
+func (t *tool) versionCommand() *cli.Command {
+	return &cli.Command{
+		Name: "version", Usage: "print the tool's version",
+		Action: func(*cli.Context) error {
+			_, err := fmt.Fprintln(t.deps.Stdout, t.deps.Version)
+			return err
+		},
+	}
+}
+
+func oneArg(c *cli.Context, name string) (string, error) {
+	if c.NArg() != 1 {
+		return "", usagef("%s: want one argument, %s; flags stand before it", c.Command.FullName(), name)
+	}
+	return c.Args().First(), nil
+}
+
+// withTimeout bounds a command by its flag.
+func withTimeout(c *cli.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Context, c.Duration(flagTimeout))
+}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -433,33 +432,3 @@
 	s.node.core.Leave()
 	s.refresh()
 }
-
-// MemberInfo is one daemon in a state dump.
-type MemberInfo struct {
-	ID            string `json:"id"`
-	State         string `json:"state"`
-	PeerAddress   string `json:"peer_address"`
-	CallerAddress string `json:"caller_address"`
-	Region        string `json:"region"`
-	FailureDomain string `json:"failure_domain"`
-	Incarnation   string `json:"incarnation"` // decimal; JSON numbers are too short for it
-	Heartbeat     uint64 `json:"heartbeat"`
-	Self          bool   `json:"self"`
-}
-
-// stateNames are the states' names in dumps.
-var stateNames = map[peer.MemberState]string{alive: "alive", suspect: "suspect", leaving: "leaving", dead: "dead"}
-
-// State returns the members for a state dump.
-func (s *Service) State() any {
-	v := s.view.Load()
-	infos := make([]MemberInfo, 0, len(v.members))
-	for _, m := range v.members {
-		infos = append(infos, MemberInfo{
-			ID: m.Id, State: stateNames[m.State], PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress,
-			Region: m.Region, FailureDomain: m.FailureDomain, Incarnation: strconv.FormatUint(m.Incarnation, 10),
-			Heartbeat: m.Heartbeat, Self: m.Id == v.self.Id,
-		})
-	}
-	return infos
-}
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -94,7 +94,7 @@
 	if p, q := a.Place("context"), c.Place("context"); p.Id != q.Id {
 		t.Fatalf("places differ: %s and %s", p.Id, q.Id)
 	}
-	page := &peer.Page{Name: "models/00", Revision: 7, Value: []byte(`{"name":"models/00"}`)}
+	page := &peer.Page{Name: "models/000", Revision: 7, Value: []byte(`{"name":"models/000"}`)}
 	if b.replica.Merge([]*peer.Page{page}) != 1 {
 		t.Fatal("page not taken")
 	}
--- a/internal/table/editor_test.go
+++ b/internal/table/editor_test.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
-	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
 func digestOf(c byte) string { return strings.Repeat(string(c), 2*keyDigestBytes) }
@@ -56,7 +55,7 @@
 }
 
 func TestPlanApplyExportRoundTrip(t *testing.T) {
-	kv := newMemoryKV()
+	kv := newTestKV()
 	editor := applySample(t, kv)
 	files, err := editor.Export(t.Context())
 	if err != nil {
@@ -100,23 +99,20 @@
 // last-write-wins the first operator's weight silently returns to the old value.
 func TestTwoOperatorsAtTheSameMoment(t *testing.T) {
 	t.Run("naive last write wins loses the first edit", func(t *testing.T) {
-		editor := applySample(t, newMemoryKV())
-		first, _ := editor.Get(t.Context(), SheetOrganisations, "acme")
-		second := first
-		naive := map[request.OrgID][]string{}
-		write := func(cells []string, column int, value string) {
-			cells = append([]string(nil), cells...)
-			cells[column] = value
-			naive["acme"] = cells
+		kv := newTestKV()
+		editor := applySample(t, kv)
+		seen, err := editor.Get(t.Context(), SheetOrganisations, "acme")
+		if err != nil {
+			t.Fatal(err)
 		}
-		write(first.Cells, 2, "40")
-		write(second.Cells, 5, "9")
-		if naive["acme"][2] != "10" {
-			t.Fatal("the naive table kept the first edit; the story no longer shows the fault")
+		naiveWrite(t, editor, seen.Row, "weight", "40")
+		naiveWrite(t, editor, seen.Row, "concurrency", "9")
+		if got := cellOf(t, editor, SheetOrganisations, "acme", "weight"); got != "10" {
+			t.Fatalf("the naive table kept the first edit (%s); the story no longer shows the fault", got)
 		}
 	})
 	t.Run("second operator gets both values", func(t *testing.T) {
-		kv := newMemoryKV()
+		kv := newTestKV()
 		applySample(t, kv)
 		ana, bo := newTestEditor(kv, "ana"), newTestEditor(kv, "bo")
 		seen, err := bo.Get(t.Context(), SheetOrganisations, "acme")
@@ -147,19 +143,41 @@
 	})
 }
 
+// naiveWrite writes the row as the operator saw it with one cell changed, whatever the
+// row has become since.
+func naiveWrite(t *testing.T, e *Editor, seen Row, column, value string) {
+	t.Helper()
+	stored, err := e.loadPage(t.Context(), PageName(seen.Sheet, seen.ID), seen.Sheet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cells, err := setCells(seen, []CellValue{{column, value}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored.page.get(seen.ID).Cells = cells
+	data, err := stored.page.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := e.kv.CompareAndSwap(t.Context(), KeyPrefix+stored.page.Name, stored.revision, data, ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Both operators plan from files, and the second one's write of the page meets the first
 // one's in the middle: after the look at the row, before the swap. Two rows of one page
 // must both be written; two edits of one row must not.
 func TestApplyMeetsAnotherWriteInBetween(t *testing.T) {
 	for _, sameRow := range []bool{false, true} {
 		t.Run(fmt.Sprintf("same row %v", sameRow), func(t *testing.T) {
-			kv := newMemoryKV()
+			kv := newTestKV()
 			editor := applySample(t, kv)
 			other := "acme"
 			if !sameRow {
 				other = addNeighbour(t, editor, "acme")
 			}
-			kv.beforeCS = func() {
+			kv.beforeWrite = func() {
 				mustSet(t, newTestEditor(kv, "ana"), other, "weight", "40")
 			}
 			_, err := newTestEditor(kv, "bo").Set(t.Context(), SetRequest{
@@ -208,9 +226,9 @@
 // The service writes the page and its answer is lost. The operator must be told that the
 // edit is accepted, once, and not that somebody else (in truth the operator) was faster.
 func TestLostAnswerOfAnAcceptedEdit(t *testing.T) {
-	kv := newMemoryKV()
+	kv := newTestKV()
 	editor := applySample(t, kv)
-	kv.loseNext = true
+	kv.LoseWrites(1)
 	result, err := editor.Set(t.Context(), SetRequest{Sheet: SheetOrganisations, ID: "acme", Cells: []CellValue{{"weight", "11"}}})
 	if err != nil || result.Written != 1 {
 		t.Fatalf("result %+v, error %v", result, err)
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -53,7 +53,7 @@
 // second peer, keep them when the first tells its old ones again, and count itself
 // current only as long ago as the peer that was.
 func TestRestartDuringOutageLearnsFromPeers(t *testing.T) {
-	kv := newMemoryKV()
+	kv := newTestKV()
 	editor := applySample(t, kv)
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
@@ -68,7 +68,7 @@
 	mustSet(t, editor, "acme", "weight", "77")
 	now = now.Add(10 * time.Second)
 	current := read()
-	kv.setDown(true)
+	kv.SetDown(true)
 	now = now.Add(20 * time.Second)
 
 	restarted := NewReplica(ReplicaOptions{KV: kv, Now: clock})
@@ -107,7 +107,7 @@
 // The service goes away and comes back while a watcher waits on it. The edit made right
 // after must come into force there, although the watch in between failed.
 func TestWatcherOutlivesOutage(t *testing.T) {
-	kv := newMemoryKV()
+	kv := newTestKV()
 	editor := applySample(t, kv)
 	replica := NewReplica(ReplicaOptions{KV: kv, Timing: fastTiming})
 	runReplica(t, replica, true)
@@ -119,8 +119,8 @@
 		return o.Weight
 	}
 	waitFor(t, replica, func() bool { return weight() == 10 })
-	kv.setDown(true)
-	kv.setDown(false)
+	kv.SetDown(true)
+	kv.SetDown(false)
 	mustSet(t, editor, "acme", "weight", "55")
 	waitFor(t, replica, func() bool { return weight() == 55 })
 }
@@ -128,7 +128,7 @@
 // A page that a newer program wrote can't be read here. The rows in force stay, and the
 // daemon must not count itself current.
 func TestUndecodablePageKeepsRowsAndProof(t *testing.T) {
-	kv := newMemoryKV()
+	kv := newTestKV()
 	applySample(t, kv)
 	now := time.Unix(1000, 0)
 	replica := NewReplica(ReplicaOptions{KV: kv, Now: func() time.Time { return now }})
@@ -137,7 +137,11 @@
 		t.Fatal(err)
 	}
 	key := KeyPrefix + PageName(SheetOrganisations, "acme")
-	if _, err := kv.CompareAndSwap(t.Context(), key, kv.entries[key].Revision, []byte("{"), ""); err != nil {
+	entry, err := kv.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := kv.CompareAndSwap(t.Context(), key, entry.Revision, []byte("{"), ""); err != nil {
 		t.Fatal(err)
 	}
 	now = now.Add(time.Minute)
--- a/internal/table/sheet.go
+++ b/internal/table/sheet.go
@@ -26,9 +26,9 @@
 const MaxPageBytes = 960 << 10
 
 // Numbers of pages. They can't change once rows are written, since a row's page
-// follows from its id. 35,000 organisations make about 550 rows a page.
+// follows from its id. 35,000 organisations make about 270 rows a page.
 const (
-	organisationPages = 64
+	organisationPages = 128
 	targetPages       = 8
 	modelPages        = 2
 	storePages        = 2
@@ -73,7 +73,7 @@
 }
 
 func pageName(s Sheet, n uint64) string {
-	return string(s) + "/" + fmt.Sprintf("%02d", n)
+	return string(s) + "/" + fmt.Sprintf("%03d", n)
 }
 
 // sheetOfPage returns the sheet of a page name, and false if there is no such page.
