policy/rollout: weight versions, adapters and roles under a load cap

Reads the state of targets and orders what is missing; an order whose effect is not seen counts as loading and is sent again under its operation id. A new holder waits TakeoverWait and goes by states that were read after it.

--- /dev/null
+++ b/internal/policy/rollout/rollout.go
@@ -0,0 +1,265 @@
+// Package rollout brings targets to the weight version, adapter and role that the
+// table wants, under a cap on weight loads at once and while requests go on.
+//
+// It is run by the holder of a lease, which gives orders under the lease's epoch. Each
+// step reads what the targets are now and orders what is missing, so it does not matter
+// which order was lost or who gave it.
+//
+// The package is pure: it holds no clock, I/O, goroutine or randomness. A Rollout is
+// not safe for concurrent use.
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+// Defaults of Params.
+const (
+	DefaultLoadCap      = 2
+	DefaultMaxOutShare  = 0.34
+	DefaultOrderTimeout = 5 * time.Second
+	DefaultLoadTimeout  = 5 * time.Minute
+)
+
+// Params bounds a rollout. Zero values take the defaults above.
+type Params struct {
+	// LoadCap is the number of replicas that may load weights at once. More would slow
+	// each of them.
+	LoadCap int
+	// MaxOutShare is the share of a model's replicas that may be out at once, because
+	// they load or can't be reached; at least one.
+	MaxOutShare float64
+	// OrderTimeout is the longest time from giving an order to its effect in the
+	// target's state. The sender gives up on it well before.
+	OrderTimeout time.Duration
+	// LoadTimeout is how long a target that can't be read counts as loading.
+	LoadTimeout time.Duration
+	// TakeoverWait is how long a new holder gives no orders. It must cover the longest
+	// time that an order of the holder before may still take effect. A target that does
+	// not check epochs would obey such an order; one that does might too, as long as it
+	// has seen none of the new epoch. Zero: OrderTimeout.
+	TakeoverWait time.Duration
+}
+
+// Wanted is what the table wants of one target. Empty fields are left as they are.
+type Wanted struct {
+	Target  request.TargetID
+	Model   request.Model
+	Version request.Version
+	Adapter string
+	Role    string
+}
+
+// Observed is a target's state as it was read last.
+type Observed struct {
+	Target    request.TargetID
+	State     engineapi.State
+	ReadAt    time.Time // when the request for it was sent; zero: never read
+	Reachable bool      // the last read succeeded
+	Leaving   bool
+}
+
+// Action is a decision for the caller to carry out: Order, Wait or StepDown.
+type Action interface{ isAction() }
+
+// Order is to be sent to a target. A lost answer needs no care: the next steps read
+// the target's state and send the order again, with the same operation id, if it had
+// no effect.
+type Order struct {
+	Target request.TargetID
+	Order  engineapi.Order
+}
+
+// Wait says why a target is not brought on now.
+type Wait struct {
+	Target request.TargetID // empty: all
+	Reason Reason
+	Until  time.Time // zero: until something changes
+}
+
+// StepDown says that a target has seen a higher epoch: another daemon holds the lease.
+// No order may be given any more.
+type StepDown struct{ Epoch uint64 }
+
+func (Order) isAction()    {}
+func (Wait) isAction()     {}
+func (StepDown) isAction() {}
+
+// Reason says why a target waits.
+type Reason string
+
+// The reasons of Wait.
+const (
+	ReasonTakeover    Reason = "takeover"    // orders of the holder before may still act
+	ReasonLoadCap     Reason = "load_cap"    // as many load as may
+	ReasonOutShare    Reason = "out_share"   // as many replicas are out as may
+	ReasonUnreachable Reason = "unreachable" // its state can't be read
+	ReasonPending     Reason = "pending"     // an order has not shown its effect yet
+	ReasonLoading     Reason = "loading"     // it loads
+)
+
+// pending is an order whose effect has not been seen.
+type pending struct {
+	order  engineapi.Order
+	sentAt time.Time
+}
+
+// Rollout is the state of one holder of the duty.
+type Rollout struct {
+	params  Params
+	epoch   uint64
+	since   time.Time // start of the epoch here
+	pending map[request.TargetID]pending
+	seq     uint64
+}
+
+// New returns a rollout that has not taken the duty yet.
+func New(p Params) *Rollout {
+	if p.LoadCap <= 0 {
+		p.LoadCap = DefaultLoadCap
+	}
+	if p.MaxOutShare <= 0 {
+		p.MaxOutShare = DefaultMaxOutShare
+	}
+	if p.OrderTimeout <= 0 {
+		p.OrderTimeout = DefaultOrderTimeout
+	}
+	if p.LoadTimeout <= 0 {
+		p.LoadTimeout = DefaultLoadTimeout
+	}
+	if p.TakeoverWait <= 0 {
+		p.TakeoverWait = p.OrderTimeout
+	}
+	return &Rollout{params: p, pending: make(map[request.TargetID]pending)}
+}
+
+// Step returns what to do now under an epoch. wanted and observed must cover all the
+// targets that share the cap. The caller makes sure that the lease lasts longer than
+// an order may take.
+func (r *Rollout) Step(now time.Time, epoch uint64, wanted []Wanted, observed []Observed) []Action {
+	if epoch != r.epoch {
+		r.epoch, r.since = epoch, now
+		clear(r.pending)
+	}
+	v := r.view(now, wanted, observed)
+	if v.highest > epoch {
+		return []Action{StepDown{Epoch: v.highest}}
+	}
+	if until := r.since.Add(r.params.TakeoverWait); now.Before(until) {
+		return []Action{Wait{Reason: ReasonTakeover, Until: until}}
+	}
+	var actions []Action
+	for _, w := range v.sorted(wanted) {
+		if action := r.stepTarget(now, w, v); action != nil {
+			actions = append(actions, action)
+		}
+	}
+	return actions
+}
+
+// stepTarget returns what to do about one target, or nil if it is as wanted.
+func (r *Rollout) stepTarget(now time.Time, w Wanted, v *view) Action {
+	o := v.of(w.Target)
+	if o.Leaving {
+		return nil
+	}
+	if !o.Reachable {
+		return Wait{Target: w.Target, Reason: ReasonUnreachable}
+	}
+	if p, ok := r.pending[w.Target]; ok {
+		return r.stepPending(now, p, w, o)
+	}
+	if o.ReadAt.Before(r.since.Add(r.params.TakeoverWait)) {
+		// Read before an order of the holder before could take effect.
+		return Wait{Target: w.Target, Reason: ReasonTakeover}
+	}
+	if o.State.Loading != "" {
+		return Wait{Target: w.Target, Reason: ReasonLoading}
+	}
+	if w.Version != "" && o.State.Version != w.Version {
+		return r.load(now, w, o, v)
+	}
+	order := engineapi.Order{Kind: engineapi.OrderLoadAdapter, Model: w.Model, Adapter: w.Adapter}
+	if w.Adapter != "" && !slices.Contains(o.State.Adapters, w.Adapter) {
+		return r.order(now, w.Target, order)
+	}
+	if w.Role != "" && o.State.Role != w.Role {
+		return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderSetRole, Model: w.Model, Role: w.Role})
+	}
+	return nil
+}
+
+// load orders a weight version if the cap and the share of replicas out allow it.
+func (r *Rollout) load(now time.Time, w Wanted, o Observed, v *view) Action {
+	if v.loading >= r.params.LoadCap {
+		return Wait{Target: w.Target, Reason: ReasonLoadCap}
+	}
+	serving := o.State.Version != ""
+	if serving && v.out[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
+		return Wait{Target: w.Target, Reason: ReasonOutShare}
+	}
+	v.loading++
+	if serving {
+		v.out[w.Model]++
+	}
+	return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
+}
+
+// stepPending waits for the effect of an order. If the state that was read after it
+// should have taken effect shows nothing of it, it is sent again, or forgotten if the
+// table wants something else by now.
+func (r *Rollout) stepPending(now time.Time, p pending, w Wanted, o Observed) Action {
+	until := p.sentAt.Add(r.params.OrderTimeout)
+	if o.ReadAt.Before(until) {
+		return Wait{Target: o.Target, Reason: ReasonPending, Until: until}
+	}
+	if !p.wanted(w) {
+		delete(r.pending, w.Target)
+		return Wait{Target: o.Target, Reason: ReasonPending, Until: now}
+	}
+	p.sentAt = now
+	r.pending[w.Target] = p
+	return Order{Target: o.Target, Order: p.order}
+}
+
+// wanted reports whether the table still wants what was ordered.
+func (p pending) wanted(w Wanted) bool {
+	switch p.order.Kind {
+	case engineapi.OrderLoadVersion:
+		return p.order.Version == w.Version
+	case engineapi.OrderLoadAdapter:
+		return p.order.Adapter == w.Adapter
+	case engineapi.OrderSetRole:
+		return p.order.Role == w.Role
+	}
+	return false
+}
+
+func (r *Rollout) order(now time.Time, target request.TargetID, order engineapi.Order) Action {
+	r.seq++
+	order.Epoch = r.epoch
+	order.OperationID = fmt.Sprintf("%s/%d.%d", target, r.epoch, r.seq)
+	r.pending[target] = pending{order: order, sentAt: now}
+	return Order{Target: target, Order: order}
+}
+
+// settled reports whether a state shows the effect of an order, or of a newer one.
+func (p pending) settled(s engineapi.State) bool {
+	if s.LastOrder == p.order.OperationID {
+		return true
+	}
+	switch p.order.Kind {
+	case engineapi.OrderLoadVersion:
+		return s.Version == p.order.Version && s.Loading == ""
+	case engineapi.OrderLoadAdapter:
+		return slices.Contains(s.Adapters, p.order.Adapter)
+	case engineapi.OrderSetRole:
+		return s.Role == p.order.Role
+	}
+	return false
+}
--- /dev/null
+++ b/internal/policy/rollout/rollout_test.go
@@ -0,0 +1,242 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	simStep = 100 * time.Millisecond
+	loadFor = 40 // steps
+	orderIn = 30 // steps at most until an order takes effect or is lost
+	model   = "m"
+)
+
+// engine is a target as far as orders go.
+type engine struct {
+	state  engineapi.State
+	until  int // step at which the load ends
+	down   int // step until which it can't be reached
+	checks bool
+}
+
+func (e *engine) step(step int) {
+	if e.state.Loading != "" && step >= e.until {
+		e.state.Version, e.state.Loading = e.state.Loading, ""
+	}
+}
+
+func (e *engine) order(step int, o engineapi.Order) {
+	if e.checks {
+		if o.Epoch < e.state.HighestEpoch {
+			return
+		}
+		e.state.HighestEpoch = o.Epoch
+	}
+	if e.state.LastOrder == o.OperationID {
+		return
+	}
+	e.state.LastOrder = o.OperationID
+	switch o.Kind {
+	case engineapi.OrderLoadVersion:
+		e.state.Loading, e.until = o.Version, step+loadFor
+	case engineapi.OrderSetRole:
+		e.state.Role = o.Role
+	case engineapi.OrderLoadAdapter:
+		e.state.Adapters = append(e.state.Adapters, o.Adapter)
+	}
+}
+
+type delivery struct {
+	at     int
+	target int
+	order  engineapi.Order
+}
+
+// fleet runs one or more holders, one after the other, against engines.
+type fleet struct {
+	rng     *rand.Rand
+	engines []engine
+	wire    []delivery
+	holder  *Rollout
+	epoch   uint64
+	naive   bool
+	maxLoad int
+	maxOut  int
+}
+
+func params(load int, share float64) Params {
+	return Params{
+		LoadCap: load, MaxOutShare: share, OrderTimeout: (orderIn + 1) * simStep,
+		LoadTimeout: (loadFor + 2*orderIn) * simStep,
+	}
+}
+
+func newFleet(seed int64, n int, p Params) *fleet {
+	f := &fleet{rng: rand.New(rand.NewSource(seed)), engines: make([]engine, n), holder: New(p), epoch: 1}
+	for i := range f.engines {
+		f.engines[i].state = engineapi.State{Incarnation: 1, Model: model, Version: "v1"}
+		f.engines[i].checks = f.rng.Intn(2) == 0
+	}
+	return f
+}
+
+func simTarget(i int) request.TargetID { return request.TargetID(fmt.Sprintf("t%02d", i)) }
+
+func (f *fleet) observe(step int) []Observed {
+	now := epoch.Add(time.Duration(step) * simStep)
+	var out []Observed
+	for i, e := range f.engines {
+		out = append(out, Observed{Target: simTarget(i), State: e.state, ReadAt: now, Reachable: step >= e.down})
+	}
+	return out
+}
+
+func (f *fleet) step(step int, wanted request.Version, loss float64) {
+	now := epoch.Add(time.Duration(step) * simStep)
+	var wants []Wanted
+	for i := range f.engines {
+		wants = append(wants, Wanted{Target: simTarget(i), Model: model, Version: wanted, Role: "prefill"})
+	}
+	observed := f.observe(step)
+	for _, action := range f.decide(now, wants, observed) {
+		o, ok := action.(Order)
+		if !ok || f.rng.Float64() < loss {
+			continue
+		}
+		for i := range f.engines {
+			if simTarget(i) == o.Target {
+				f.wire = append(f.wire, delivery{at: step + 1 + f.rng.Intn(orderIn-1), target: i, order: o.Order})
+			}
+		}
+	}
+	wire := f.wire
+	f.wire = nil
+	for _, d := range wire {
+		if d.at > step {
+			f.wire = append(f.wire, d)
+			continue
+		}
+		f.engines[d.target].order(step, d.order)
+	}
+	loading := 0
+	for i := range f.engines {
+		f.engines[i].step(step)
+		if f.engines[i].state.Loading != "" {
+			loading++
+		}
+	}
+	f.maxLoad = max(f.maxLoad, loading)
+	f.maxOut = max(f.maxOut, loading)
+}
+
+// decide asks the holder, or the naive twin, which orders what it sees missing.
+func (f *fleet) decide(now time.Time, wanted []Wanted, observed []Observed) []Action {
+	if !f.naive {
+		return f.holder.Step(now, f.epoch, wanted, observed)
+	}
+	var out []Action
+	for i, o := range observed {
+		if o.State.Version != wanted[i].Version && o.State.Loading == "" {
+			out = append(out, Order{Target: o.Target, Order: engineapi.Order{
+				Kind: engineapi.OrderLoadVersion, Version: wanted[i].Version, OperationID: now.String(),
+			}})
+		}
+	}
+	return out
+}
+
+func (f *fleet) done(wanted request.Version) bool {
+	for _, e := range f.engines {
+		if e.state.Version != wanted || e.state.Loading != "" || e.state.Role != "prefill" {
+			return false
+		}
+	}
+	return len(f.wire) == 0
+}
+
+// Orders and their answers are lost or late, holders are replaced while their orders
+// are under way, the table changes its mind, and targets restart; some obey anybody.
+// The cap of weight loads and the share of replicas out always hold, and once faults
+// end all targets come to what is wanted.
+func TestRollout(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "targets")
+		loadCap := rapid.IntRange(1, 4).Draw(rt, "cap")
+		share := rapid.Float64Range(0.1, 0.6).Draw(rt, "share")
+		p := params(loadCap, share)
+		f := newFleet(rapid.Int64().Draw(rt, "seed"), n, p)
+		faulty := rapid.IntRange(0, 600).Draw(rt, "faulty steps")
+		wanted := request.Version("v2")
+		for i := range 6000 {
+			loss := 0.0
+			if i < faulty {
+				loss = 0.3
+				switch f.rng.Intn(100) {
+				case 0: // another daemon takes the lease; the holder before is dead or paused
+					f.epoch++
+					f.holder = New(p)
+				case 1:
+					wanted = request.Version(fmt.Sprintf("v%d", 2+f.rng.Intn(3)))
+				case 2:
+					e := &f.engines[f.rng.Intn(n)]
+					e.state.Incarnation++
+					e.state.Loading = ""
+				case 3:
+					f.engines[f.rng.Intn(n)].down = i + f.rng.Intn(200)
+				}
+			}
+			f.step(i, wanted, loss)
+			if i > faulty && f.done(wanted) {
+				break
+			}
+		}
+		if f.maxLoad > loadCap {
+			rt.Fatalf("%d load at once, cap %d", f.maxLoad, loadCap)
+		}
+		if bound := max(1, int(float64(n)*share)); f.maxOut > bound {
+			rt.Fatalf("%d of %d out at once, bound %d", f.maxOut, n, bound)
+		}
+		if !f.done(wanted) {
+			rt.Fatalf("not all targets came to %s", wanted)
+		}
+	})
+}
+
+// An operator changes a model's version and all its replicas reload at once: callers
+// wait for minutes, and each load is slow. The naive twin orders each target that does
+// not have the wanted version.
+func TestNaiveRolloutTakesAllOut(t *testing.T) {
+	naive, ours := newFleet(1, 12, params(3, 0.34)), newFleet(1, 12, params(3, 0.34))
+	naive.naive = true
+	for i := range 2000 {
+		naive.step(i, "v2", 0)
+		ours.step(i, "v2", 0)
+	}
+	if naive.maxLoad <= 3 {
+		t.Fatalf("the naive twin kept to %d; the test shows nothing", naive.maxLoad)
+	}
+	if ours.maxLoad != 3 || !ours.done("v2") {
+		t.Errorf("%d loaded at once, want 3; done %t", ours.maxLoad, ours.done("v2"))
+	}
+	t.Logf("at once: %d, naive %d", ours.maxLoad, naive.maxLoad)
+}
+
+// A daemon was paused and its lease lapsed; another one gives orders now. When the
+// first wakes, a target shows it the higher epoch, and it stops.
+func TestStepsDownBeforeAHigherEpoch(t *testing.T) {
+	r := New(Params{})
+	observed := []Observed{{Target: "t1", Reachable: true, ReadAt: epoch, State: engineapi.State{Version: "v1", HighestEpoch: 8}}}
+	actions := r.Step(epoch.Add(time.Hour), 7, []Wanted{{Target: "t1", Model: model, Version: "v2"}}, observed)
+	if len(actions) != 1 || actions[0] != (StepDown{Epoch: 8}) {
+		t.Errorf("got %v, want to step down", actions)
+	}
+}
