--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -34,6 +34,9 @@
 	DefaultMaxRetryAfter   = 30 * time.Second
 )
 
+// reserveShare is the part of the places that is kept back: one in so many.
+const reserveShare = 8
+
 // Params describes one target and the bounds of its queue. Zero values take the
 // defaults above.
 type Params struct {
@@ -43,8 +46,12 @@
 	Instance string
 	// MaxRunning is the number of requests at once; below 1 counts as 1.
 	MaxRunning int
+	// Reserve is how many of them are kept for organisations within their share, so
+	// that one that comes back finds a place. Zero: an eighth; negative: none.
+	Reserve int
 	// MaxPrefillTokens bounds the prompt tokens that wait for prefill at the target.
-	// Zero: no bound. A larger prompt goes when nothing waits.
+	// Zero: no bound. A larger prompt goes when nothing waits. Organisations within
+	// their share have this bound for themselves, since theirs are computed first.
 	MaxPrefillTokens int64
 	// PrefillRate is the target's prefill speed in tokens a second.
 	PrefillRate float64
@@ -93,8 +100,18 @@
 	ID      string
 	Expires time.Time // renewed by submitting the same request again
 	Alone   bool      // nothing else is in flight there
+	// Priority is for the engine; lower runs first. It is PriorityOverShare for an
+	// organisation that uses more than its share of the target, so that the piece of
+	// prefill that comes next is one of the others.
+	Priority int
 }
 
+// The priorities of grants.
+const (
+	PriorityWithinShare = 0
+	PriorityOverShare   = 1
+)
+
 // Refuse is the final answer to an ask. Err says that the request did not run and
 // when to come back.
 type Refuse struct {
@@ -147,6 +164,7 @@
 
 	report report
 	meter  meter
+	usage  usage
 	count  counts
 }
 
@@ -160,11 +178,16 @@
 		waiting: make(map[request.ID]Ask),
 		grants:  make(map[request.ID]*grant),
 		meter:   newMeter(p.ServiceRate),
+		usage:   newUsage(),
 	}
 }
 
 func (p *Params) setDefaults() {
 	p.MaxRunning = max(p.MaxRunning, 1)
+	if p.Reserve == 0 {
+		p.Reserve = p.MaxRunning / reserveShare
+	}
+	p.Reserve = min(max(p.Reserve, 0), p.MaxRunning-1)
 	setDefault(&p.PrefillRate, DefaultPrefillRate)
 	setDefault(&p.ServiceRate, p.PrefillRate)
 	setDefault(&p.GrantTTL, DefaultGrantTTL)
--- a/internal/policy/admission/grants.go
+++ b/internal/policy/admission/grants.go
@@ -10,13 +10,18 @@
 	ask     Ask
 	id      string
 	alone   bool
+	over    bool // its organisation was over its share
 	granted time.Time
 	expires time.Time
 	ended   time.Time // zero while live
 }
 
 func (g *grant) action() Grant {
-	return Grant{Ask: g.ask, ID: g.id, Expires: g.expires, Alone: g.alone}
+	out := Grant{Ask: g.ask, ID: g.id, Expires: g.expires, Alone: g.alone, Priority: PriorityWithinShare}
+	if g.over {
+		out.Priority = PriorityOverShare
+	}
+	return out
 }
 
 // liveAt reports whether the grant was held at t.
@@ -33,9 +38,11 @@
 		ask:     ask,
 		id:      s.params.Instance + "." + strconv.FormatUint(s.seq, 10),
 		alone:   alone,
+		over:    s.usage.over(now, ask.Org, ask.Weight),
 		granted: now,
 		expires: now.Add(s.params.GrantTTL),
 	}
+	s.usage.add(now, ask.Org, ask.Weight, ask.Tokens)
 	s.grants[ask.ID] = g
 	s.order = append(s.order, g)
 	s.alone = s.alone || alone
@@ -97,15 +104,23 @@
 	s.ended = s.ended[i:]
 }
 
-// fits reports whether one more request of the given size may go to the target.
-func (s *Steward) fits(now time.Time, tokens int64) bool {
-	if s.running(now) >= s.params.MaxRunning {
+// fits reports whether one more request of the given size may go to the target. over
+// says that its organisation is over its share.
+func (s *Steward) fits(now time.Time, tokens int64, over bool) bool {
+	places := s.params.MaxRunning
+	if over {
+		places -= s.params.Reserve
+	}
+	if s.running(now) >= places {
 		return false
 	}
 	if s.params.MaxPrefillTokens <= 0 {
 		return true
 	}
 	backlog := s.prefillBacklog(now)
+	if !over {
+		backlog = min(backlog, s.withinShareBacklog(now))
+	}
 	return backlog < 1 || backlog+float64(tokens) <= float64(s.params.MaxPrefillTokens)
 }
 
--- a/internal/policy/admission/load.go
+++ b/internal/policy/admission/load.go
@@ -152,8 +152,19 @@
 		backlog = float64(s.report.prefill)
 		at = s.report.taken
 	}
+	return s.foldBacklog(now, backlog, at, func(*grant) bool { return true })
+}
+
+// withinShareBacklog is the part of the backlog that is computed first. It is known
+// from the grants alone.
+func (s *Steward) withinShareBacklog(now time.Time) float64 {
+	return s.foldBacklog(now, 0, time.Time{}, func(g *grant) bool { return !g.over })
+}
+
+// foldBacklog adds to a backlog of some time the grants since then.
+func (s *Steward) foldBacklog(now time.Time, backlog float64, at time.Time, counts func(*grant) bool) float64 {
 	for _, g := range s.order {
-		if !g.granted.After(at) {
+		if !g.granted.After(at) || !counts(g) {
 			continue
 		}
 		backlog = s.computed(backlog, g.granted.Sub(at))
--- a/internal/policy/admission/submit.go
+++ b/internal/policy/admission/submit.go
@@ -86,11 +86,11 @@
 func (s *Steward) pump(now time.Time) []Action {
 	actions := s.pumpSuspects(now)
 	for s.status == statusUp && !s.alone && !s.emptying(now) {
-		item, ok := s.queue.Peek()
-		if !ok || !s.fits(now, item.Cost) {
+		item, ok := s.nextFitting(now)
+		if !ok {
 			break
 		}
-		s.queue.Pop()
+		s.queue.PopOrg(item.Org)
 		ask := s.waiting[item.ID]
 		delete(s.waiting, item.ID)
 		actions = append(actions, s.grant(now, ask, false))
@@ -99,6 +99,23 @@
 	return actions
 }
 
+// nextFitting returns the next item in fair order if it fits. One of an organisation
+// over its share that does not fit yet is passed by those within theirs, for which
+// room is kept; nothing else is passed, so that a large prompt is not kept out by
+// small ones.
+func (s *Steward) nextFitting(now time.Time) (fairqueue.Item, bool) {
+	for _, item := range s.queue.Heads() {
+		over := s.usage.over(now, item.Org, item.Weight)
+		if s.fits(now, item.Cost, over) {
+			return item, true
+		}
+		if !over {
+			break
+		}
+	}
+	return fairqueue.Item{}, false
+}
+
 func (s *Steward) isWaiting(id request.ID) bool {
 	if _, ok := s.waiting[id]; ok {
 		return true
@@ -123,12 +140,19 @@
 // expectedWait estimates how long a new ask would wait for its grant.
 func (s *Steward) expectedWait(now time.Time, ask Ask) time.Duration {
 	ahead := s.queue.Ahead(ask.Org, ask.Weight)
-	if ahead == 0 && !s.alone && s.fits(now, ask.Tokens) {
+	over := s.usage.over(now, ask.Org, ask.Weight)
+	if ahead == 0 && !s.alone && s.fits(now, ask.Tokens, over) {
 		return 0
 	}
 	return s.untilPlace(now, ask.Tokens) + fairqueue.Duration(float64(ahead), s.meter.rate)
 }
 
+// ExpectedWait estimates how long an ask would wait for its grant if it were submitted
+// now. It serves the choice between targets.
+func (s *Steward) ExpectedWait(now time.Time, ask Ask) time.Duration {
+	return s.expectedWait(now, ask)
+}
+
 // untilPlace estimates when the next in line may start, if it has the given tokens.
 func (s *Steward) untilPlace(now time.Time, tokens int64) time.Duration {
 	if s.running(now) >= s.params.MaxRunning || s.alone {
--- /dev/null
+++ b/internal/policy/admission/usage.go
@@ -0,0 +1,74 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	usageWindow = 10 * time.Second // over which usage decays
+	usageLeast  = 1                // tokens below which an organisation is idle
+	// overShare is how far above the mean of all, by weight, an organisation is over
+	// its share. Above 1, since equal ones differ by chance.
+	overShare = 1.5
+)
+
+// usage measures what each organisation took of the target lately.
+type usage struct {
+	orgs map[request.OrgID]*orgUsage
+	at   time.Time
+}
+
+type orgUsage struct {
+	tokens float64
+	weight int
+}
+
+func newUsage() usage { return usage{orgs: make(map[request.OrgID]*orgUsage)} }
+
+func (u *usage) add(now time.Time, org request.OrgID, weight int, tokens int64) {
+	u.decay(now)
+	o, ok := u.orgs[org]
+	if !ok {
+		o = &orgUsage{}
+		u.orgs[org] = o
+	}
+	o.weight = weight
+	o.tokens += float64(tokens)
+}
+
+func (u *usage) decay(now time.Time) {
+	elapsed := now.Sub(u.at)
+	u.at = now
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-elapsed.Seconds() / usageWindow.Seconds())
+	for id, o := range u.orgs {
+		if o.tokens *= factor; o.tokens < usageLeast {
+			delete(u.orgs, id)
+		}
+	}
+}
+
+// over reports whether an organisation uses more than its share. One that is alone is
+// over it too: what is kept back then is for whoever comes back.
+func (u *usage) over(now time.Time, org request.OrgID, weight int) bool {
+	u.decay(now)
+	o, ok := u.orgs[org]
+	if !ok {
+		return false
+	}
+	if len(u.orgs) == 1 {
+		return true
+	}
+	tokens, weights := 0.0, 0
+	for _, other := range u.orgs {
+		tokens += other.tokens
+		weights += other.weight
+	}
+	mean := tokens / float64(weights)
+	return o.tokens/float64(weight) > overShare*mean
+}
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -10,6 +10,8 @@
 package fairqueue
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -129,14 +131,47 @@
 	return o.items[0], true
 }
 
+// Heads returns the first item of each organisation, in fair order.
+func (q *Queue) Heads() []Item {
+	var waiting []*orgState
+	for _, o := range q.order {
+		if len(o.items) > 0 {
+			waiting = append(waiting, o)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *orgState) int {
+		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.since, b.since))
+	})
+	items := make([]Item, len(waiting))
+	for i, o := range waiting {
+		items[i] = o.items[0]
+	}
+	return items
+}
+
 // Pop removes and returns the next item in fair order.
 func (q *Queue) Pop() (Item, bool) {
-	o := q.head()
+	return q.pop(q.head())
+}
+
+// PopOrg removes and returns the first item of one organisation, out of turn. The
+// organisation is charged for it as if it were its turn.
+func (q *Queue) PopOrg(org request.OrgID) (Item, bool) {
+	o := q.orgs[org]
+	if o == nil || len(o.items) == 0 {
+		return Item{}, false
+	}
+	return q.pop(o)
+}
+
+func (q *Queue) pop(o *orgState) (Item, bool) {
 	if o == nil {
 		return Item{}, false
 	}
 	item := o.items[0]
-	q.virtual = o.start
+	if o == q.head() { // out of turn, virtual time stays behind those that wait
+		q.virtual = o.start
+	}
 	finish := o.start + float64(item.Cost)/float64(item.Weight)
 	q.newest = max(q.newest, finish)
 	q.removeAt(o, 0)
