--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -7,12 +7,12 @@
 	"os"
 	"os/signal"
 	"os/user"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/ctl"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/version"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 		CheckConfig: checkConfig,
 		Client:      &http.Client{},
 		Operator:    operator(),
-		Version:     version(),
+		Version:     version.String(),
 		Stdout:      os.Stdout,
 		Stderr:      os.Stderr,
 	})
@@ -47,11 +47,3 @@
 	}
 	return u.Username
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,244 @@
+// Package daemon wires a daemon together: the gateway for callers, the stewards, the
+// journal, membership and the table, their listeners, and the planned stop.
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellscale/bluebellscale/internal/config"
+	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/journal"
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/limiter"
+	"github.com/bluebellscale/bluebellscale/internal/membership"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/planner"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/steward"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+const (
+	watcherKey = "table/watcher"
+	// firstSilence is the longest wait for a first frame: prefill of a long prompt.
+	firstSilence = 60 * time.Second
+	// writeTimeout bounds one write to a caller.
+	writeTimeout = 30 * time.Second
+	// releaseTimeout bounds giving up leases in a planned stop.
+	releaseTimeout = 5 * time.Second
+	// readHeaderTimeout bounds the head of a request.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Daemon is one daemon process.
+type Daemon struct {
+	config      *config.Config
+	log         hclog.Logger
+	metrics     tally.Scope
+	scrape      http.Handler
+	incarnation uint64
+	started     time.Time
+
+	callers net.Listener
+	peers   net.Listener
+
+	kv       *platform.Client
+	vms      platform.VMList
+	table    *table.Replica
+	members  *membership.Service
+	leases   *lease.Manager
+	journal  *journal.Journal
+	targets  *targetPool
+	stewards *steward.Service
+	limiter  *limiter.Limiter
+	planner  *planner.Planner
+	suspects *suspects
+	gateway  *gateway.Gateway
+
+	draining atomic.Bool
+	drain    chan struct{}
+}
+
+// New opens the listeners and builds all parts. Nothing runs before Run.
+func New(c *config.Config, log hclog.Logger) (*Daemon, error) {
+	callers, err := net.Listen("tcp", c.Daemon.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "daemon: [daemon] listen = %s", c.Daemon.Listen)
+	}
+	peers, err := net.Listen("tcp", c.Daemon.Peer)
+	if err != nil {
+		_ = callers.Close()
+		return nil, errors.Wrapf(err, "daemon: [daemon] peer = %s", c.Daemon.Peer)
+	}
+	now := time.Now()
+	d := &Daemon{
+		config:      c,
+		log:         log,
+		incarnation: uint64(now.UnixNano()),
+		started:     now,
+		callers:     callers,
+		peers:       peers,
+		drain:       make(chan struct{}),
+	}
+	d.metrics, d.scrape = newMetrics()
+	d.buildShared()
+	d.buildPath()
+	return d, nil
+}
+
+// CallerAddress returns the address that callers reach.
+func (d *Daemon) CallerAddress() string { return d.callers.Addr().String() }
+
+// PeerAddress returns the address for peers, debug and metrics.
+func (d *Daemon) PeerAddress() string { return d.peers.Addr().String() }
+
+// instance differs for every start of every daemon.
+func (d *Daemon) instance() string { return fmt.Sprintf("%s.%x", d.config.Daemon.ID, d.incarnation) }
+
+// buildShared builds what rests on the platform and on peers.
+func (d *Daemon) buildShared() {
+	c := d.config
+	d.kv = platform.NewClient(platform.Options{
+		Addresses:       c.Platform.KV,
+		ClientID:        c.Daemon.ID,
+		Timeout:         c.Platform.Timeout,
+		ReadsPerSecond:  c.Platform.ReadsPerSecond,
+		WritesPerSecond: c.Platform.WritesPerSecond,
+		Logger:          d.log,
+		Metrics:         d.metrics,
+	})
+	if c.Platform.VMList != "" {
+		d.vms = newVMCache(platform.NewVMListClient(c.Platform.VMList))
+	}
+	d.table = table.NewReplica(table.ReplicaOptions{KV: d.kv, Logger: d.log.Named("table"), Metrics: d.metrics})
+	d.suspects = newSuspects(d.log)
+	d.members = membership.New(membership.Options{
+		Self: &peer.Member{
+			Id:            c.Daemon.ID,
+			PeerAddress:   d.PeerAddress(),
+			CallerAddress: d.CallerAddress(),
+			Region:        c.Daemon.Region,
+			FailureDomain: c.Daemon.FailureDomain,
+			Incarnation:   d.incarnation,
+		},
+		Seeds:   c.Membership.Seeds,
+		Replica: d.table,
+		VMs:     d.vms,
+		Logger:  d.log,
+		Metrics: d.metrics,
+		Params:  membershipParams(c.Membership, d.incarnation),
+	})
+	d.leases = lease.NewManager(lease.Options{
+		KV:                d.kv,
+		Self:              request.DaemonID(c.Daemon.ID),
+		Address:           d.CallerAddress(),
+		TTL:               c.Journal.LeaseTTL,
+		Margin:            c.Journal.LeaseTTL / leaseMarginShare,
+		WaitAfterTakeover: c.Fleet.OrderTimeout,
+		Logger:            d.log,
+		Metrics:           d.metrics,
+	})
+	d.journal = journal.New(journal.Options{
+		KV:         d.kv,
+		Leases:     d.leases,
+		Self:       request.DaemonID(c.Daemon.ID),
+		Address:    d.CallerAddress(),
+		Partitions: c.Journal.Partitions,
+		Keep:       c.Journal.Keep,
+		Logger:     d.log,
+		Metrics:    d.metrics,
+	})
+	d.journal.SetPreferred(d.prefersPartition)
+}
+
+// leaseMarginShare is the part of a lease's time that a holder does not use, against
+// clocks that run at different rates and pauses between a check and an act.
+const leaseMarginShare = 5
+
+func membershipParams(m config.Membership, seed uint64) membership.Params {
+	return membership.Params{
+		Interval:     m.Interval,
+		SuspectAfter: m.SuspectAfter,
+		DeadAfter:    m.DeadAfter,
+		Fanout:       m.Fanout,
+		Seed:         seed,
+	}
+}
+
+// prefersPartition spreads the journal's partitions over the live daemons.
+func (d *Daemon) prefersPartition(partition int) bool {
+	place := d.members.Place(fmt.Sprintf("journal/%d", partition))
+	return place != nil && place.Id == d.config.Daemon.ID
+}
+
+// buildPath builds the parts on the way of a request.
+func (d *Daemon) buildPath() {
+	c := d.config
+	d.targets = newTargetPool(c.Streams, d.log, d.metrics)
+	peers := newPeerPool()
+	d.stewards = steward.New(steward.Options{
+		Tables:       d.table,
+		Members:      d.members,
+		Targets:      d.targets,
+		VMs:          d.vms,
+		Peers:        peers,
+		Instance:     d.instance(),
+		PollInterval: c.Fleet.PollInterval,
+		QueueLimit:   c.Admission.QueuePerTarget,
+		Logger:       d.log,
+		Metrics:      d.metrics,
+	})
+	d.limiter = limiter.New(limiter.Options{
+		Tables: d.table, Members: d.members, Peers: peers, Logger: d.log, Metrics: d.metrics,
+	})
+	d.planner = planner.New(planner.Options{
+		Params:   placementParams(c.Placement),
+		Tables:   d.table,
+		Looker:   d.stewards,
+		Targets:  d.targets,
+		Instance: d.instance(),
+		Seed:     d.incarnation,
+		Logger:   d.log,
+		Metrics:  d.metrics,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Tables:            d.table,
+		Members:           d.members,
+		Limiter:           d.limiter,
+		Journal:           d.journal,
+		Contexts:          d.planner,
+		Stewards:          d.stewards,
+		Targets:           d.targets,
+		Quarantine:        d.suspects,
+		Logger:            d.log,
+		Metrics:           d.metrics,
+		Credits:           c.Daemon.MaxInFlight,
+		MaxBody:           c.Admission.MaxPromptBytes,
+		DefaultDeadline:   c.Admission.DefaultDeadline,
+		StaleAfter:        c.Table.StaleAfter,
+		RouteKeep:         c.Drain.RouteKeep,
+		MaxResumes:        c.Streams.MaxResumes,
+		Seed:              d.incarnation,
+		StreamSilentAfter: c.Streams.SilentAfter,
+		FirstSilentAfter:  firstSilence,
+		HopSilentAfter:    c.Streams.SilentAfter,
+		WriteTimeout:      writeTimeout,
+	})
+}
+
+func placementParams(p config.Placement) placement.Params {
+	if p.Profile == "fonografos" {
+		return placement.Fonografos()
+	}
+	return placement.Atlas()
+}
--- /dev/null
+++ b/internal/daemon/debug.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/bluebellscale/bluebellscale/internal/limiter"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/steward"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// metricsInterval is how often metrics reach the endpoint.
+const metricsInterval = time.Second
+
+// newMetrics returns the root scope and the handler of its endpoint.
+func newMetrics() (tally.Scope, http.Handler) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "bluebellscale",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return scope, reporter.HTTPHandler()
+}
+
+// stewardServer joins the two halves of peer.Steward.
+type stewardServer struct {
+	*steward.Server
+	slices *limiter.Limiter
+}
+
+// peerHandler serves peers, metrics and state dumps.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	gossip := peer.NewGossipServer(d.members)
+	mux.Handle(gossip.PathPrefix(), gossip)
+	stewards := peer.NewStewardServer(stewardServer{Server: d.stewards.Server(), slices: d.limiter})
+	mux.Handle(stewards.PathPrefix(), stewards)
+	mux.Handle("GET /metrics", d.scrape)
+	mux.Handle(table.StatePath, table.StateHandler(d.table))
+	mux.HandleFunc("GET /debug/state", d.dump(func() any { return d.State() }))
+	mux.HandleFunc("GET /debug/members", d.dump(d.members.State))
+	mux.HandleFunc("GET /debug/targets", d.dump(func() any { return d.stewards.State() }))
+	mux.HandleFunc("GET /debug/contexts", d.dump(d.planner.State))
+	mux.HandleFunc("POST /debug/drain", d.handleDrain)
+	return mux
+}
+
+func (d *Daemon) dump(state func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(state()); err != nil {
+			d.log.Debug("Dump was not read to its end.", "error", err)
+		}
+	}
+}
+
+func (d *Daemon) handleDrain(w http.ResponseWriter, _ *http.Request) {
+	d.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// State is the dump of a daemon.
+type State struct {
+	ID            string `json:"id"`
+	Instance      string `json:"instance"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	Callers       string `json:"callers"`
+	Peers         string `json:"peers"`
+	UptimeSeconds int64  `json:"uptime_seconds"`
+	Draining      bool   `json:"draining"`
+	InFlight      int    `json:"in_flight"`
+	Platform      string `json:"platform"`
+	Table         any    `json:"table"`
+	Members       any    `json:"members"`
+	Leases        any    `json:"leases"`
+	Journal       any    `json:"journal"`
+	Targets       any    `json:"targets"`
+	Contexts      any    `json:"contexts"`
+}
+
+// State returns the dump of this daemon.
+func (d *Daemon) State() State {
+	return State{
+		ID:            d.config.Daemon.ID,
+		Instance:      d.instance(),
+		Region:        d.config.Daemon.Region,
+		FailureDomain: d.config.Daemon.FailureDomain,
+		Callers:       d.CallerAddress(),
+		Peers:         d.PeerAddress(),
+		UptimeSeconds: int64(time.Since(d.started).Seconds()),
+		Draining:      d.draining.Load(),
+		InFlight:      d.gateway.InFlight(),
+		Platform:      d.kv.Health().String(),
+		Table:         d.table.State(time.Now()),
+		Members:       d.members.State(),
+		Leases:        d.leases.State(),
+		Journal:       d.journal.State(),
+		Targets:       d.stewards.State(),
+		Contexts:      d.planner.State(),
+	}
+}
+
+// Slice serves peer.Steward.
+func (s stewardServer) Slice(ctx context.Context, r *peer.SliceRequest) (*peer.SliceResponse, error) {
+	return s.slices.Slice(ctx, r)
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Run serves until ctx ends or a drain was asked for, then stops as planned: no
+// request in flight is cut off. It returns nil after a planned stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	d.startTasks(background, &tasks)
+	callers := d.serve(d.callers, d.gateway.Handler())
+	peers := d.serve(d.peers, d.peerHandler())
+	d.log.Info("Daemon started.", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
+	var err error
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	case err = <-callers.failed:
+	case err = <-peers.failed:
+	}
+	d.stop(callers, peers)
+	stop()
+	tasks.Wait()
+	d.close()
+	d.log.Info("Daemon stopped.", "id", d.config.Daemon.ID)
+	return err
+}
+
+// startTasks starts one goroutine for each duty.
+func (d *Daemon) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
+	duties := []func(context.Context){
+		func(ctx context.Context) { _ = d.members.Run(ctx) },
+		func(ctx context.Context) {
+			_ = d.table.Run(ctx, func() bool { return d.members.Among(watcherKey, d.config.Table.Watchers) })
+		},
+		func(ctx context.Context) { _ = d.leases.Run(ctx) },
+		func(ctx context.Context) { _ = d.journal.Run(ctx) },
+		d.stewards.Run,
+		d.limiter.Run,
+	}
+	for _, duty := range duties {
+		tasks.Go(func() { duty(ctx) })
+	}
+}
+
+// server is one HTTP listener being served.
+type server struct {
+	http   *http.Server
+	failed chan error
+}
+
+func (d *Daemon) serve(l net.Listener, h http.Handler) *server {
+	s := &server{
+		http: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: readHeaderTimeout,
+			ErrorLog:          d.log.Named("http").StandardLogger(nil),
+		},
+		failed: make(chan error, 1),
+	}
+	go func() {
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- errors.Wrapf(err, "daemon: serve %s", l.Addr())
+		}
+	}()
+	return s
+}
+
+// Drain starts a planned stop. It returns at once and may be called again.
+func (d *Daemon) Drain() {
+	if d.draining.CompareAndSwap(false, true) {
+		close(d.drain)
+	}
+}
+
+// stop is the planned stop. Callers keep a route answer for a while, so the daemon
+// goes on accepting for that long and forwards what comes; then it finishes what is
+// in flight.
+func (d *Daemon) stop(callers, peers *server) {
+	d.draining.Store(true)
+	d.members.Leave()
+	keep := d.config.Drain.RouteKeep
+	d.log.Info("Planned stop began.", "in_flight", d.gateway.InFlight(), "accepting_for", keep)
+	time.Sleep(keep)
+	ctx, cancel := context.WithTimeout(context.Background(), d.config.Drain.Limit)
+	defer cancel()
+	if err := callers.http.Shutdown(ctx); err != nil {
+		d.log.Error("Requests were cut off at the limit of the planned stop.", "in_flight", d.gateway.InFlight(), "error", err)
+		_ = callers.http.Close()
+	}
+	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancelRelease()
+	if err := d.journal.Shutdown(release); err != nil {
+		d.log.Warn("Journal partitions were not released. They lapse.", "error", err)
+	}
+	if err := d.leases.Close(release); err != nil {
+		d.log.Warn("Leases were not released. They lapse.", "error", err)
+	}
+	_ = peers.http.Close()
+}
+
+func (d *Daemon) close() {
+	d.gateway.Shutdown()
+	d.planner.Shutdown()
+	d.stewards.Shutdown()
+	d.kv.Close()
+	d.targets.close()
+}
--- /dev/null
+++ b/internal/gateway/accept.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+// Headers of the callers' interface and of the hop between daemons.
+const (
+	// HeaderIdempotencyKey names a call that must be produced at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderDeadline is how long the caller waits, in milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderRequestID carries the id that the accepting daemon gave to a request.
+	HeaderRequestID = "X-Request-Id"
+	headerHop       = "X-Bluebellscale-Hop"
+)
+
+const (
+	defaultMaxTokens = 16
+	maxMaxTokens     = 32768
+	maxKeyLength     = 256
+	retryWhenFull    = time.Second
+)
+
+// completionBody is the body of POST /v1/completions.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens *int   `json:"max_tokens,omitempty"`
+	Stream    bool   `json:"stream"`
+}
+
+func (b completionBody) maxTokens() int {
+	if b.MaxTokens == nil {
+		return defaultMaxTokens
+	}
+	return *b.MaxTokens
+}
+
+// Handler returns the callers' interface.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/route", g.handleRoute)
+	mux.HandleFunc("POST /v1/completions", g.handleCompletion)
+	mux.HandleFunc("/v1/services/{name}", g.handleService)
+	mux.HandleFunc("/v1/services/{name}/{rest...}", g.handleService)
+	return mux
+}
+
+func (g *Gateway) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	body, refusal := g.readBody(w, r)
+	if refusal != nil {
+		g.writeError(w, refusal)
+		return
+	}
+	j := newJob(r, kindCompletion, body)
+	if refusal := parseCompletion(j); refusal != nil {
+		g.writeError(w, refusal)
+		return
+	}
+	g.run(w, r, j)
+}
+
+func (g *Gateway) handleService(w http.ResponseWriter, r *http.Request) {
+	body, refusal := g.readBody(w, r)
+	if refusal != nil {
+		g.writeError(w, refusal)
+		return
+	}
+	j := newJob(r, kindService, body)
+	j.call = serviceCall{
+		service:     r.PathValue("name"),
+		method:      r.Method,
+		path:        r.URL.RequestURI(),
+		contentType: r.Header.Get("Content-Type"),
+		key:         r.Header.Get(HeaderIdempotencyKey),
+	}
+	if len(j.call.key) > maxKeyLength {
+		g.writeError(w, badField(HeaderIdempotencyKey, "want at most %d bytes, got %d", maxKeyLength, len(j.call.key)))
+		return
+	}
+	g.run(w, r, j)
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(g.opts.MaxBody)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, request.Refuse(request.CodePayloadTooLarge, http.StatusRequestEntityTooLarge, 0,
+			"body: want at most %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, request.Refuse(request.CodeBadRequest, http.StatusBadRequest, 0, "body: %v", err)
+	}
+	return body, nil
+}
+
+func parseCompletion(j *Job) *request.Error {
+	if err := json.Unmarshal(j.body, &j.completion); err != nil {
+		var wrongType *json.UnmarshalTypeError
+		if errors.As(err, &wrongType) {
+			return badField(wrongType.Field, "want %s, got %s", wrongType.Type, wrongType.Value)
+		}
+		return badField("body", "not JSON: %v", err)
+	}
+	if j.completion.Model == "" {
+		return badField("model", "is missing")
+	}
+	if j.completion.Prompt == "" {
+		return badField("prompt", "is missing")
+	}
+	if n := j.completion.maxTokens(); n < 1 || n > maxMaxTokens {
+		return badField("max_tokens", "want 1 to %d, got %d", maxMaxTokens, n)
+	}
+	return nil
+}
+
+func badField(field, format string, args ...any) *request.Error {
+	e := request.Refuse(request.CodeBadRequest, http.StatusBadRequest, 0, format, args...)
+	e.Field = field
+	return e
+}
+
+func bearerOf(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// run takes a job from acceptance to settlement.
+func (g *Gateway) run(w http.ResponseWriter, r *http.Request, j *Job) {
+	if refusal := g.bound(r, j); refusal != nil {
+		g.writeError(w, refusal)
+		return
+	}
+	if err := g.line.Submit(j); err != nil {
+		g.writeError(w, request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, retryWhenFull,
+			"this daemon has no room; ask for another address"))
+		return
+	}
+	g.stats.accepted.Inc(1)
+	defer g.settle(j)
+	out := newSink(w, j, g.opts.WriteTimeout)
+	defer out.keepAlive(g.opts.HopSilentAfter / keepAlivesPerSilence)()
+	if err := <-j.decided; err != nil {
+		g.fail(out, g.refusalOf(j, err))
+		return
+	}
+	g.answer(out, r, j)
+}
+
+// bound gives the job its identity and deadline. A forwarded job keeps the identity
+// that the first daemon gave it.
+func (g *Gateway) bound(r *http.Request, j *Job) *request.Error {
+	wait := g.opts.DefaultDeadline
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 || ms > time.Hour.Milliseconds() {
+			return badField(HeaderDeadline, "want milliseconds from 1 to %d, got %q", time.Hour.Milliseconds(), text)
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	j.deadline = j.arrived.Add(wait)
+	j.id = request.ID(uuid.NewString())
+	if given := r.Header.Get(HeaderRequestID); j.hopped && given != "" {
+		j.id = request.ID(given)
+	}
+	j.context.Tokens = block.Tokens(len(j.completion.Prompt))
+	return nil
+}
+
+// answer produces the answer of a job that the filters let through.
+func (g *Gateway) answer(out *sink, r *http.Request, j *Job) {
+	switch {
+	case j.replay != nil:
+		writeResult(out.w, *j.replay, true)
+	case j.forward != nil && j.kind == kindCompletion:
+		g.relayHop(out, j)
+	case j.forward != nil:
+		g.forwardCall(out.w, r, j)
+	case j.kind == kindCompletion:
+		g.relayCompletion(out, j)
+	default:
+		g.relayCall(out.w, j)
+	}
+}
--- /dev/null
+++ b/internal/gateway/filters.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/journal"
+	"github.com/bluebellscale/bluebellscale/internal/pipeline"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	retryWhenNoTarget = 2 * time.Second
+	retryInProgress   = time.Second
+	retryJournalDown  = 2 * time.Second
+)
+
+// limit keeps the organisation within its limits.
+type limit struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *limit) Name() string { return "limit" }
+
+// Process implements pipeline.Filter.
+func (f *limit) Process(j *Job) pipeline.Verdict {
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict {
+		refusal := f.g.opts.Limiter.Admit(ctx, j.org, int64(j.context.Tokens))
+		if refusal != nil {
+			return pipeline.Finish(refusal)
+		}
+		j.limited = true
+		return pipeline.Pass()
+	})
+}
+
+// place ranks the targets that may serve the job.
+type place struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *place) Name() string { return filterPlace }
+
+// filterPlace is where a retried job starts again.
+const filterPlace = "place"
+
+// Process implements pipeline.Filter.
+func (f *place) Process(j *Job) pipeline.Verdict {
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict {
+		j.choices = f.choices(ctx, j)
+		if len(j.choices) == 0 {
+			return pipeline.Finish(request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, retryWhenNoTarget,
+				"no target is ready for this request"))
+		}
+		return pipeline.Pass()
+	})
+}
+
+func (f *place) choices(ctx context.Context, j *Job) []Choice {
+	if j.kind == kindCompletion {
+		return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+	}
+	var out []Choice
+	for _, t := range f.g.opts.Stewards.Calls(ctx, j.call.service, j.exclude) {
+		out = append(out, Choice{Target: t})
+	}
+	return out
+}
+
+// queue waits for leave to use a target.
+type queue struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *queue) Name() string { return "queue" }
+
+// maxAsked is how many targets are asked for room before a job is refused.
+const maxAsked = 2
+
+// Process implements pipeline.Filter.
+func (f *queue) Process(j *Job) pipeline.Verdict {
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict { return f.acquire(ctx, j) })
+}
+
+func (f *queue) acquire(ctx context.Context, j *Job) pipeline.Verdict {
+	var refusal *request.Error
+	for i, c := range j.choices {
+		if i == maxAsked {
+			break
+		}
+		var grant Grant
+		grant, refusal = f.g.opts.Stewards.Acquire(ctx, f.g.ask(j, c))
+		if refusal == nil {
+			j.choice = c
+			j.grant = &grant
+			return pipeline.Pass()
+		}
+	}
+	return pipeline.Finish(refusal)
+}
+
+func (g *Gateway) ask(j *Job, c Choice) Ask {
+	return Ask{
+		Request:  j.id,
+		Target:   c.Target.ID,
+		Org:      j.org.ID,
+		Tokens:   int64(j.context.Tokens),
+		Deadline: j.deadline,
+		Suspect:  j.suspect,
+	}
+}
+
+// once records the intent of a call that must run at most once.
+type once struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *once) Name() string { return "once" }
+
+// Process implements pipeline.Filter.
+func (f *once) Process(j *Job) pipeline.Verdict {
+	if j.kind != kindService || j.call.repeatable {
+		return pipeline.Pass()
+	}
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict { return f.begin(ctx, j) })
+}
+
+func (f *once) begin(ctx context.Context, j *Job) pipeline.Verdict {
+	call := journal.Call{
+		Org:     j.org.ID,
+		Service: j.call.service,
+		Key:     j.call.key,
+		Digest:  callDigest(j),
+	}
+	ticket, result, err := f.g.opts.Journal.Begin(ctx, call)
+	if err != nil {
+		return pipeline.Finish(journalRefusal(err))
+	}
+	if result != nil {
+		j.replay = result
+		return pipeline.Finish(nil)
+	}
+	j.ticket = ticket
+	return pipeline.Pass()
+}
+
+func callDigest(j *Job) [sha256.Size]byte {
+	return sha256.Sum256([]byte(callFingerprint(j)))
+}
+
+// journalRefusal turns the journal's errors into answers.
+func journalRefusal(err error) *request.Error {
+	switch {
+	case errors.Is(err, journal.ErrInDoubt):
+		return &request.Error{Code: request.CodeInDoubt, Status: http.StatusConflict, Ran: request.InDoubt,
+			Message: "an earlier try with this key may have run and will not be run again"}
+	case errors.Is(err, journal.ErrKeyReused):
+		return request.Refuse(request.CodeKeyReused, http.StatusUnprocessableEntity, 0,
+			"this key was used with another call")
+	case errors.Is(err, journal.ErrResultNotKept):
+		return &request.Error{Code: request.CodeResultNotKept, Status: http.StatusGone, Ran: request.DidRun,
+			Message: "an earlier try with this key ran; its result is no longer kept"}
+	case errors.Is(err, journal.ErrInProgress):
+		return &request.Error{Code: request.CodeInProgress, Status: http.StatusConflict, Ran: request.InDoubt,
+			Message: "another try with this key runs now", RetryAfter: retryInProgress}
+	case errors.Is(err, journal.ErrNotHolder):
+		return request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
+			"the journal partition of this key has moved")
+	default:
+		return request.Refuse(request.CodeJournalDown, http.StatusServiceUnavailable, retryJournalDown,
+			"the journal can not be written now")
+	}
+}
+
+// dispatch prepares the chosen target; the relay then sends the request.
+type dispatch struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *dispatch) Name() string { return "dispatch" }
+
+// Process implements pipeline.Filter.
+func (f *dispatch) Process(j *Job) pipeline.Verdict {
+	if j.choice.Import == nil {
+		return pipeline.Pass()
+	}
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict {
+		f.g.opts.Contexts.Bring(ctx, j.context, j.choice)
+		return pipeline.Pass()
+	})
+}
--- /dev/null
+++ b/internal/gateway/hop.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	hopDialTimeout = time.Second
+	// maxEvent is the longest event that a peer sends.
+	maxEvent = 1 << 20
+	// hopIdle closes pooled connections to peers that are not used.
+	hopIdle = 30 * time.Second
+)
+
+// hopFailure ends a forwarded stream that could not be completed.
+type hopFailure struct {
+	Error  errorDetail `json:"error"`
+	Status int         `json:"status"`
+}
+
+// hopClient forwards requests to peers, at most one hop.
+type hopClient struct {
+	http      *http.Client
+	transport *http.Transport
+}
+
+func newHopClient() *hopClient {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     hopIdle,
+		DisableCompression:  true,
+	}
+	return &hopClient{http: &http.Client{Transport: t}, transport: t}
+}
+
+func (c *hopClient) close() { c.transport.CloseIdleConnections() }
+
+// send forwards a request. The body can not be rewound, so the HTTP library never
+// repeats the request by itself on a connection that died: a call that must run at
+// most once would otherwise reach the journal twice without our knowing.
+func (c *hopClient) send(ctx context.Context, to *peer.Member, method, path string, j *Job) (*http.Response, error) {
+	body := io.NopCloser(bytes.NewReader(j.body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.CallerAddress+path, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: hop")
+	}
+	req.ContentLength = int64(len(j.body))
+	req.GetBody = nil
+	req.Header.Set(headerHop, "1")
+	req.Header.Set(HeaderRequestID, string(j.id))
+	req.Header.Set("Authorization", "Bearer "+j.bearer)
+	req.Header.Set("Content-Type", j.call.contentType)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, time.Until(j.deadline).Milliseconds()), 10))
+	if j.call.key != "" {
+		req.Header.Set(HeaderIdempotencyKey, j.call.key)
+	}
+	answer, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "gateway: hop to %s", to.Id)
+	}
+	return answer, nil
+}
+
+// dialFailed tells whether a connection was never made, so the peer got nothing.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// relayHop relays a completion that the context's home serves. If the home fails,
+// this daemon serves the request itself: a soft place costs efficiency only. A refusal
+// by the home is final.
+func (g *Gateway) relayHop(out *sink, j *Job) {
+	g.stats.forwarded.Inc(1)
+	err := g.tryHop(out, j)
+	if err == nil {
+		g.stats.answered.Inc(1)
+		return
+	}
+	var refusal *request.Error
+	if errors.As(err, &refusal) {
+		g.fail(out, refusal)
+		return
+	}
+	if j.ctx.Err() != nil {
+		g.fail(out, cancelled(request.InDoubt))
+		return
+	}
+	g.log.Warn("Home did not serve a request. It is served here.", "home", j.forward.Id, "request", j.id, "error", err)
+	g.serveHere(out, j)
+}
+
+// tryHop relays what the home sends. The hop ends when the home shows no sign of
+// life: without this a frozen home would hold the caller until the home is found dead.
+func (g *Gateway) tryHop(out *sink, j *Job) error {
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	watch := time.AfterFunc(g.opts.HopSilentAfter, cancel)
+	defer watch.Stop()
+	answer, err := g.hops.send(ctx, j.forward, http.MethodPost, "/v1/completions", j)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return hopRefused(answer)
+	}
+	source := newHopStream(answer.Body, func() { watch.Reset(g.opts.HopSilentAfter) })
+	return pumpHop(ctx, out, j, source)
+}
+
+// hopRefused reads the refusal of a peer.
+func hopRefused(answer *http.Response) error {
+	var body errorBody
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxEvent)).Decode(&body); err != nil {
+		return errors.Wrapf(err, "gateway: status %d of a peer", answer.StatusCode)
+	}
+	return refusalFrom(body.Error, answer.StatusCode)
+}
+
+func refusalFrom(d errorDetail, status int) *request.Error {
+	return &request.Error{
+		Code:       d.Code,
+		Status:     status,
+		Message:    d.Message,
+		Field:      d.Field,
+		Ran:        d.Ran,
+		RetryAfter: time.Duration(d.RetryAfterMs) * time.Millisecond,
+	}
+}
+
+func pumpHop(ctx context.Context, out *sink, j *Job, source *hopStream) error {
+	for next := 0; ; next++ {
+		f, err := source.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if f.RequestID != j.id || f.Seq != next {
+			return errors.Newf("gateway: frame %d of %s where %d of %s was due", f.Seq, f.RequestID, next, j.id)
+		}
+		if f.Done {
+			j.output = int64(f.Usage.OutputTokens)
+			out.done(*f.Usage)
+			return nil
+		}
+		if err := out.text(f.Text, f.Version); err != nil {
+			return err
+		}
+	}
+}
+
+// serveHere takes a job whose home failed through the filters as if it had been
+// forwarded to this daemon.
+func (g *Gateway) serveHere(out *sink, j *Job) {
+	j.forward = nil
+	j.stay = true
+	g.line.Resubmit(j, filterIdentify)
+	if err := <-j.decided; err != nil {
+		g.fail(out, g.refusalOf(j, err))
+		return
+	}
+	out.restart()
+	g.relayCompletion(out, j)
+}
+
+// hopStream reads the frames that a peer relays.
+type hopStream struct {
+	lines *bufio.Scanner
+	alive func()
+}
+
+// newHopStream reads from body and calls alive at each sign of life.
+func newHopStream(body io.Reader, alive func()) *hopStream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEvent)
+	return &hopStream{lines: lines, alive: alive}
+}
+
+// hopEvent is a frame or the failure that ends the stream.
+type hopEvent struct {
+	engineapi.Frame
+	Error  *errorDetail `json:"error,omitempty"`
+	Status int          `json:"status,omitempty"`
+}
+
+// Next returns the next frame. A failure that the peer reports is a *request.Error.
+func (s *hopStream) Next(context.Context) (engineapi.Frame, error) {
+	for s.lines.Scan() {
+		s.alive()
+		data, ok := strings.CutPrefix(s.lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		return decodeHopEvent([]byte(data))
+	}
+	return engineapi.Frame{}, errors.CombineErrors(s.lines.Err(), io.ErrUnexpectedEOF)
+}
+
+func decodeHopEvent(data []byte) (engineapi.Frame, error) {
+	var e hopEvent
+	if err := json.Unmarshal(data, &e); err != nil {
+		return engineapi.Frame{}, errors.Wrap(err, "gateway: frame of a peer")
+	}
+	if e.Error != nil {
+		return engineapi.Frame{}, refusalFrom(*e.Error, e.Status)
+	}
+	if e.Done && e.Usage == nil {
+		return engineapi.Frame{}, errors.New("gateway: last frame of a peer without usage")
+	}
+	return e.Frame, nil
+}
+
+// forwardCall forwards a call of a plain service to the holder of its key.
+func (g *Gateway) forwardCall(w http.ResponseWriter, r *http.Request, j *Job) {
+	g.stats.forwarded.Inc(1)
+	ctx, cancel := context.WithDeadline(j.ctx, j.deadline.Add(hopDialTimeout))
+	defer cancel()
+	answer, err := g.hops.send(ctx, j.forward, r.Method, r.URL.RequestURI(), j)
+	if err != nil {
+		g.writeError(w, hopRefusal(err))
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(g.opts.MaxBody)))
+	if err != nil {
+		g.writeError(w, hopRefusal(err))
+		return
+	}
+	for _, name := range []string{"Content-Type", "Retry-After", headerReplayed} {
+		if v := answer.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	w.WriteHeader(answer.StatusCode)
+	_, _ = w.Write(body)
+}
+
+// hopRefusal answers a call whose holder could not be asked. If the holder may have
+// got the call it is in doubt here, but the journal knows: the same key asked again
+// gets the answer.
+func hopRefusal(err error) *request.Error {
+	if dialFailed(err) {
+		return request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
+			"the holder of this key can not be reached")
+	}
+	return &request.Error{Code: request.CodeInDoubt, Status: http.StatusBadGateway, Ran: request.InDoubt,
+		Message: "the holder of this key did not answer; ask again with the same key", RetryAfter: retryWhenNoHolder}
+}
--- /dev/null
+++ b/internal/gateway/identify.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/journal"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/pipeline"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+const (
+	retryWhenStale    = 5 * time.Second
+	retryWhenNoHolder = time.Second
+)
+
+// identify finds the caller's organisation, checks what it may use, and decides
+// whether a peer should serve the request.
+type identify struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *identify) Name() string { return filterIdentify }
+
+// filterIdentify is where a job starts again that a peer did not serve.
+const filterIdentify = "identify"
+
+// Process implements pipeline.Filter.
+func (f *identify) Process(j *Job) pipeline.Verdict {
+	// A daemon cut off from the service and from its peers would go on with rules that
+	// operators have long changed. It shows as two answers to one question, depending on
+	// the daemon asked. Refusing bounds the time for which an old rule can be used.
+	if f.g.opts.Tables.Confirmed(time.Now()) > f.g.opts.StaleAfter {
+		return pipeline.Finish(request.Refuse(request.CodeStale, http.StatusServiceUnavailable, retryWhenStale,
+			"this daemon can not be sure of the table; ask for another address"))
+	}
+	j.org = f.g.organisationOf(j.bearer)
+	if j.org == nil {
+		return pipeline.Finish(request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0,
+			"the bearer key belongs to no organisation"))
+	}
+	if j.kind == kindService {
+		return f.service(j)
+	}
+	return f.completion(j)
+}
+
+func (g *Gateway) organisationOf(bearer string) *table.Organisation {
+	if bearer == "" {
+		return nil
+	}
+	sum := sha256.Sum256([]byte(bearer))
+	org, ok := g.opts.Tables.Current().OrganisationByKey(hex.EncodeToString(sum[:]))
+	if !ok {
+		return nil
+	}
+	return org
+}
+
+func (f *identify) completion(j *Job) pipeline.Verdict {
+	sheet := f.g.opts.Tables.Current()
+	j.model = request.Model(j.completion.Model)
+	if _, known := sheet.Model(j.model); !known {
+		return pipeline.Finish(request.Refuse(request.CodeUnknownModel, http.StatusNotFound, 0, "no model %q", j.model))
+	}
+	version, allowed := sheet.VersionFor(j.org.ID, j.model)
+	if !allowed {
+		return pipeline.Finish(request.Refuse(request.CodeForbidden, http.StatusForbidden, 0,
+			"organisation %s may not use model %s", j.org.ID, j.model))
+	}
+	j.context.Scope = block.Scope{Org: j.org.ID, Model: j.model, Version: version}
+	head := HeadDigest(j.completion.Prompt)
+	if home := f.g.opts.Members.Place(homeKey(j.org.ID, j.model, head)); f.g.elsewhere(j, home) {
+		return f.g.forwardTo(j, home)
+	}
+	return pipeline.Await(func(context.Context) pipeline.Verdict { return f.hash(j) })
+}
+
+// hash runs outside the filter's thread: a long prompt takes milliseconds to hash.
+func (f *identify) hash(j *Job) pipeline.Verdict {
+	j.context.Chain = block.Chain(j.context.Scope.Salt(), []byte(j.completion.Prompt))
+	sum := sha256.New()
+	sum.Write([]byte(j.context.Scope.Salt()))
+	sum.Write([]byte(j.completion.Prompt))
+	return f.enter(j, hex.EncodeToString(sum.Sum(nil)))
+}
+
+func (f *identify) enter(j *Job, fingerprint string) pipeline.Verdict {
+	j.fingerprint = fingerprint
+	suspect, refusal := f.g.opts.Quarantine.Enter(fingerprint)
+	if refusal != nil {
+		return pipeline.Finish(refusal)
+	}
+	j.entered = true
+	j.suspect = suspect
+	return pipeline.Pass()
+}
+
+func (f *identify) service(j *Job) pipeline.Verdict {
+	sheet := f.g.opts.Tables.Current()
+	instances := sheet.Services(j.call.service)
+	if len(instances) == 0 {
+		return pipeline.Finish(request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no service %q", j.call.service))
+	}
+	if !slices.Contains(j.org.Services, j.call.service) {
+		return pipeline.Finish(request.Refuse(request.CodeForbidden, http.StatusForbidden, 0,
+			"organisation %s may not call service %s", j.org.ID, j.call.service))
+	}
+	j.call.repeatable = !slices.ContainsFunc(instances, func(t *table.Target) bool { return !t.Repeatable })
+	if j.call.repeatable {
+		return f.enter(j, callFingerprint(j))
+	}
+	if j.call.key == "" {
+		return pipeline.Finish(badField(HeaderIdempotencyKey, "is missing; service %s is not repeatable", j.call.service))
+	}
+	return pipeline.Await(func(ctx context.Context) pipeline.Verdict { return f.holder(ctx, j) })
+}
+
+// holder sends a call that must run at most once to the daemon that holds its
+// partition of the journal.
+func (f *identify) holder(ctx context.Context, j *Job) pipeline.Verdict {
+	h, err := f.g.opts.Journal.Holder(ctx, f.g.opts.Journal.Partition(j.org.ID, j.call.key))
+	if err != nil {
+		code := request.CodeNotHolder
+		if !errors.Is(err, journal.ErrNoHolder) {
+			code = request.CodeJournalDown
+		}
+		return pipeline.Finish(request.Refuse(code, http.StatusServiceUnavailable, retryWhenNoHolder,
+			"the journal partition of this key has no holder now"))
+	}
+	if h.ID == request.DaemonID(f.g.opts.Members.Self().Id) {
+		return f.enter(j, callFingerprint(j))
+	}
+	if j.hopped {
+		return pipeline.Finish(request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
+			"the journal partition of this key has moved"))
+	}
+	j.forward = &peer.Member{Id: string(h.ID), CallerAddress: h.Address}
+	return pipeline.Finish(nil)
+}
+
+func callFingerprint(j *Job) string {
+	sum := sha256.New()
+	for _, part := range []string{string(j.org.ID), j.call.service, j.call.method, j.call.path} {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	sum.Write(j.body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// elsewhere tells whether a peer should serve the job. A forwarded job is served
+// where it is: two daemons with different views could otherwise send it in circles.
+func (g *Gateway) elsewhere(j *Job, home *peer.Member) bool {
+	return !j.hopped && !j.stay && home != nil && home.Id != g.opts.Members.Self().Id
+}
+
+func (g *Gateway) forwardTo(j *Job, home *peer.Member) pipeline.Verdict {
+	j.forward = home
+	return pipeline.Finish(nil)
+}
--- /dev/null
+++ b/internal/gateway/job.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/journal"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// kind tells completions from calls of plain services.
+type kind int
+
+const (
+	kindCompletion kind = iota
+	kindService
+)
+
+// Job is one request on its way through the filters. It belongs to one filter at a
+// time and needs no lock.
+type Job struct {
+	ctx      context.Context
+	decided  chan error
+	arrived  time.Time
+	deadline time.Time
+	hopped   bool // a peer forwarded it; it is not forwarded again
+	stay     bool // its home failed; it is served here
+	bearer   string
+
+	id   request.ID
+	kind kind
+	body []byte // as received, for forwarding
+
+	completion completionBody
+	call       serviceCall
+
+	// Set by the filters.
+	org         *table.Organisation
+	model       request.Model
+	context     Context
+	fingerprint string
+	entered     bool // counted by the quarantine
+	suspect     bool
+	limited     bool // admitted by the limiter
+	forward     *peer.Member
+	choices     []Choice
+	choice      Choice
+	exclude     map[request.TargetID]bool
+	grant       *Grant
+	ticket      *journal.Ticket
+	replay      *journal.Result
+	tries       int
+	output      int64 // tokens relayed, for the limiter
+	prefilled   int64 // tokens recomputed, for the steward
+	failed      bool  // the target failed with this request
+}
+
+// serviceCall is a call of a plain service.
+type serviceCall struct {
+	service     string
+	method      string
+	path        string // path and query at the target
+	contentType string
+	key         string // Idempotency-Key
+	repeatable  bool
+}
+
+// Context implements pipeline.Job.
+func (j *Job) Context() context.Context { return j.ctx }
+
+// Decided implements pipeline.Job.
+func (j *Job) Decided(err error) { j.decided <- err }
+
+func newJob(r *http.Request, k kind, body []byte) *Job {
+	return &Job{
+		ctx:     r.Context(),
+		decided: make(chan error, 1),
+		arrived: time.Now(),
+		hopped:  r.Header.Get(headerHop) != "",
+		bearer:  bearerOf(r),
+		kind:    k,
+		body:    body,
+		exclude: map[request.TargetID]bool{},
+	}
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/target"
+)
+
+const (
+	retryTargetFailed = time.Second
+	// probeTimeout bounds the question whether a target lives.
+	probeTimeout = time.Second
+	// cancelTimeout bounds the order to a target to stop a stream nobody reads.
+	cancelTimeout = time.Second
+)
+
+// relayCompletion sends the job to its target and relays the answer. A try that
+// fails is repeated elsewhere within the budgets: completions are idempotent. What
+// the caller has already got is compared byte by byte with what the next try yields,
+// so a mixture of two answers can never be sent.
+func (g *Gateway) relayCompletion(out *sink, j *Job) {
+	g.budgets.first(j)
+	for {
+		failure := g.try(out, j)
+		if failure == nil {
+			g.stats.answered.Inc(1)
+			return
+		}
+		g.endTry(j, failure)
+		if !g.again(out, j, failure) {
+			return
+		}
+	}
+}
+
+// endTry gives back what the failed try held.
+func (g *Gateway) endTry(j *Job, failure *tryError) {
+	j.failed = failure.targetFailed
+	g.releaseGrant(j)
+	g.leaveQuarantine(j, failure.targetDied)
+	j.exclude[j.choice.Target.ID] = true
+	j.tries++
+}
+
+// again decides whether to try once more and if so takes the job through the filters
+// from placement on. It has answered the caller when it returns false.
+func (g *Gateway) again(out *sink, j *Job, failure *tryError) bool {
+	if final := g.nextTry(j, failure); final != nil {
+		g.fail(out, final)
+		return false
+	}
+	out.restart()
+	return true
+}
+
+// nextTry prepares another try, or returns the final answer.
+func (g *Gateway) nextTry(j *Job, failure *tryError) *request.Error {
+	if failure.final || j.ctx.Err() != nil {
+		return failure.answer
+	}
+	switch d := g.budgets.decide(j, failure.answer).(type) {
+	case retry.GiveUp:
+		return d.Err
+	case retry.RetryElsewhere:
+		if !sleep(j.ctx, d.After) {
+			return cancelled(failure.answer.Ran)
+		}
+	}
+	suspect, refusal := g.opts.Quarantine.Enter(j.fingerprint)
+	if refusal != nil {
+		return worse(refusal, failure.answer.Ran)
+	}
+	j.entered = true
+	j.suspect = suspect
+	g.stats.retried.Inc(1)
+	g.line.Resubmit(j, filterPlace)
+	if err := <-j.decided; err != nil {
+		return worse(g.refusalOf(j, err), failure.answer.Ran)
+	}
+	return nil
+}
+
+// worse returns e with what is known about earlier tries: a refusal of the second
+// try must not say "not run" of a request whose first try may have run.
+func worse(e *request.Error, earlier request.Ran) *request.Error {
+	if earlier == request.NotRun {
+		return e
+	}
+	copied := *e
+	copied.Ran = earlier
+	return &copied
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tryError is how one try at one target ended without the whole answer.
+type tryError struct {
+	answer       *request.Error // for the caller, if this was the last try
+	final        bool           // another try can not help
+	targetFailed bool
+	targetDied   bool // new connections to the target fail too
+}
+
+// try sends the job to the chosen target once and relays until the answer is whole.
+func (g *Gateway) try(out *sink, j *Job) *tryError {
+	client := g.opts.Targets.Client(j.choice.Target)
+	attempt := attemptID(j)
+	sent := time.Now()
+	source, err := client.Complete(j.ctx, engineapi.CompletionRequest{
+		RequestID: attempt,
+		Model:     j.model,
+		Version:   j.context.Scope.Version,
+		CacheSalt: j.context.Scope.Salt(),
+		Prompt:    j.completion.Prompt,
+		MaxTokens: j.completion.maxTokens(),
+	})
+	if err != nil {
+		return g.openFailed(j, client, err)
+	}
+	failure := newPump(g, j, out, client, attempt, source).run(sent)
+	if failure != nil {
+		g.stopStream(client, attempt)
+		failure.targetFailed = true
+		failure.targetDied = g.died(client)
+	}
+	return failure
+}
+
+// attemptID names one try of a request. Each try has its own, so that late frames of
+// an earlier try at another target can not enter a later one.
+func attemptID(j *Job) request.ID {
+	return j.id + request.ID("-"+string(rune('a'+j.tries%26)))
+}
+
+// openFailed classifies a try whose stream never opened.
+func (g *Gateway) openFailed(j *Job, client *target.Client, err error) *tryError {
+	if j.ctx.Err() != nil {
+		return &tryError{answer: cancelled(request.InDoubt), final: true}
+	}
+	answer := &request.Error{Code: request.CodeTargetFailed, Status: http.StatusBadGateway, Ran: request.InDoubt,
+		Message: "the target did not answer", RetryAfter: retryTargetFailed}
+	if target.NotStarted(err) {
+		answer.Ran = request.NotRun
+	}
+	var refused *engineapi.Error
+	if errors.As(err, &refused) && refused.Code == engineapi.CodeWrongVersion {
+		answer.Code = request.CodeWrongVersion
+		answer.Message = "the target has another weight version"
+	}
+	g.log.Warn("Target did not open a stream.", "target", j.choice.Target.ID, "request", j.id, "error", err)
+	return &tryError{
+		answer:       answer,
+		targetFailed: refused == nil,
+		targetDied:   refused == nil && answer.Ran == request.InDoubt && g.died(client),
+	}
+}
+
+func cancelled(ran request.Ran) *request.Error {
+	return &request.Error{Code: request.CodeCancelled, Status: statusClientGone, Message: "the caller left", Ran: ran}
+}
+
+// died asks a target over a fresh connection whether it lives.
+func (g *Gateway) died(client *target.Client) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return client.Probe(ctx) != nil
+}
+
+func (g *Gateway) stopStream(client *target.Client, id request.ID) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := client.Cancel(ctx, id); err != nil {
+			g.log.Debug("Cancel was not taken.", "request", id, "error", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+// routeAddresses is how many addresses a route answer carries: the context's home
+// first, then others to turn to when it does not answer.
+const routeAddresses = 3
+
+// routeAnswer is the body of GET /v1/route.
+type routeAnswer struct {
+	Addresses []string `json:"addresses"` // ip:port, best first
+	KeepMs    int64    `json:"keep_ms"`   // how long the answer may be kept
+}
+
+// homeKey is the soft place of a context: its organisation, model and the head of
+// the prompt. The weight version is left out, so that a new version finds the same
+// daemon, which knows the history of the context.
+func homeKey(org request.OrgID, model request.Model, headDigest string) string {
+	return "context/" + string(org) + "/" + string(model) + "/" + headDigest
+}
+
+// HeadDigest returns the digest of a prompt's head that a caller may send with a
+// route question: SHA-256 of the first 256 bytes, hexadecimal.
+func HeadDigest(prompt string) string {
+	head := prompt[:min(len(prompt), block.BytesPerBlock)]
+	sum := sha256.Sum256([]byte(head))
+	return hex.EncodeToString(sum[:])
+}
+
+func (g *Gateway) handleRoute(w http.ResponseWriter, r *http.Request) {
+	key := "caller/" + r.RemoteAddr
+	if org := g.organisationOf(bearerOf(r)); org != nil {
+		q := r.URL.Query()
+		key = routeKey(org.ID, q.Get("model"), q.Get("head"), q.Get("service"))
+	}
+	answer := routeAnswer{KeepMs: g.opts.RouteKeep.Milliseconds()}
+	for _, m := range g.opts.Members.Rank(key, routeAddresses) {
+		answer.Addresses = append(answer.Addresses, m.CallerAddress)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		g.log.Debug("Caller left before its route.", "error", err)
+	}
+}
+
+func routeKey(org request.OrgID, model, head, service string) string {
+	if service != "" {
+		return "service/" + string(org) + "/" + service
+	}
+	return homeKey(org, request.Model(model), head)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,307 @@
+// Package planner decides where prompts go. It joins the pure decisions (contextdir,
+// placement, retention) with what stewards and stores report, and carries out imports
+// and exports.
+//
+// A context's home daemon plans for it, so what the directory holds is complete for
+// the contexts that live here as long as soft places do not move. After a move the
+// new home knows less and recomputes more; it never answers wrongly, since the target
+// itself decides which blocks it has.
+package planner
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/contextdir"
+	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/steward"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+	"github.com/bluebellscale/bluebellscale/internal/target"
+)
+
+// maxLooked bounds how many targets are considered for one prompt. Beyond it, those
+// that hold the context and a random sample of the rest are.
+const maxLooked = 24
+
+// Looker gives the stewards' views of targets.
+type Looker interface {
+	Look(ctx context.Context, ids []request.TargetID, chain []block.Hash) map[request.TargetID]steward.View
+}
+
+// Tables gives the operators' table in force.
+type Tables interface {
+	Current() *table.Snapshot
+}
+
+// Targets gives the client of a target.
+type Targets interface {
+	Client(t table.Target) *target.Client
+}
+
+// Options configures a Planner.
+type Options struct {
+	Params  placement.Params
+	Tables  Tables
+	Looker  Looker
+	Targets Targets
+	// Instance differs for every start of every daemon. Names of exports carry it.
+	Instance string
+	Seed     uint64
+	Logger   hclog.Logger
+	Metrics  tally.Scope
+}
+
+// Planner implements gateway.Contexts.
+type Planner struct {
+	opts       Options
+	log        hclog.Logger
+	stores     *storePool
+	exporting  chan struct{} // one for each export that runs
+	background sync.WaitGroup
+	ctx        context.Context // ends at Shutdown
+	cancel     context.CancelFunc
+
+	mu         sync.Mutex
+	directory  *contextdir.Directory
+	links      *placement.Links
+	costs      *placement.Costs
+	random     *rand.Rand
+	generation uint64
+
+	imports, failedImports                 tally.Counter
+	exports, failedExports, droppedExports tally.Counter
+}
+
+// New returns a planner.
+func New(opts Options) *Planner {
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	log := opts.Logger.Named("planner")
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Planner{
+		opts:           opts,
+		log:            log,
+		stores:         newStorePool(log),
+		exporting:      make(chan struct{}, maxExports),
+		ctx:            ctx,
+		cancel:         cancel,
+		directory:      contextdir.New(contextdir.Params{}),
+		links:          placement.NewLinks(),
+		costs:          placement.NewCosts(0),
+		random:         rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		imports:        opts.Metrics.Counter("imports"),
+		failedImports:  opts.Metrics.Counter("imports_failed"),
+		exports:        opts.Metrics.Counter("exports"),
+		failedExports:  opts.Metrics.Counter("exports_failed"),
+		droppedExports: opts.Metrics.Counter("exports_dropped"),
+	}
+}
+
+// Shutdown ends background work.
+func (p *Planner) Shutdown() {
+	p.cancel()
+	p.background.Wait()
+	p.stores.close()
+}
+
+// Choose implements gateway.Contexts.
+func (p *Planner) Choose(ctx context.Context, c gateway.Context, exclude map[request.TargetID]bool) []gateway.Choice {
+	sheet := p.opts.Tables.Current()
+	rows := p.engines(sheet, c, exclude)
+	if len(rows) == 0 {
+		return nil
+	}
+	located := p.locate(c)
+	rows = p.sample(rows, located)
+	views := p.opts.Looker.Look(ctx, targetIDs(rows), c.Chain)
+	model, _ := sheet.Model(c.Scope.Model)
+	plan := p.plan(c, model, rows, located, views)
+	return choicesOf(sheet, plan, located)
+}
+
+// engines returns the targets that should have the wanted version.
+func (p *Planner) engines(sheet *table.Snapshot, c gateway.Context, exclude map[request.TargetID]bool) []*table.Target {
+	var out []*table.Target
+	for _, t := range sheet.EnginesFor(c.Scope.Model) {
+		if exclude[t.ID] || sheet.TargetVersion(t) != c.Scope.Version {
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func (p *Planner) locate(c gateway.Context) contextdir.Located {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.directory.Lookup(c.Scope, c.Chain)
+}
+
+// sample keeps the cost of one placement flat when there are many targets.
+func (p *Planner) sample(rows []*table.Target, located contextdir.Located) []*table.Target {
+	if len(rows) <= maxLooked {
+		return rows
+	}
+	holders := map[request.TargetID]bool{}
+	for _, r := range located.Resident {
+		holders[r.Target] = true
+	}
+	p.mu.Lock()
+	p.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	p.mu.Unlock()
+	slices.SortStableFunc(rows, func(a, b *table.Target) int {
+		return boolRank(holders[a.ID]) - boolRank(holders[b.ID])
+	})
+	return rows[:maxLooked]
+}
+
+func boolRank(first bool) int {
+	if first {
+		return 0
+	}
+	return 1
+}
+
+func targetIDs(rows []*table.Target) []request.TargetID {
+	out := make([]request.TargetID, 0, len(rows))
+	for _, t := range rows {
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+func (p *Planner) plan(
+	c gateway.Context,
+	model *table.ModelRow,
+	rows []*table.Target,
+	located contextdir.Located,
+	views map[request.TargetID]steward.View,
+) placement.Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := make([]placement.Candidate, 0, len(rows))
+	for _, t := range rows {
+		v, seen := views[t.ID]
+		candidates = append(candidates, p.candidate(t, v, seen, c, located))
+	}
+	r := placement.Request{Tokens: c.Tokens, Version: c.Scope.Version}
+	if model != nil {
+		r.BytesPerToken = model.BytesPerToken
+	}
+	return placement.Choose(p.opts.Params, r, candidates, p.copies(located, time.Now()))
+}
+
+// candidate joins what the directory remembers with what the steward sees. The
+// steward reads the target's cache events; unless it is unsure its word counts.
+func (p *Planner) candidate(t *table.Target, v steward.View, seen bool, c gateway.Context, l contextdir.Located) placement.Candidate {
+	resident, unsure := remembered(l, t.ID)
+	if seen && !v.Unsure {
+		resident, unsure = v.ResidentBlocks, false
+	}
+	version := v.Version
+	if version == "" {
+		version = c.Scope.Version
+	}
+	return placement.Candidate{
+		ID:                  t.ID,
+		FailureDomain:       t.FailureDomain,
+		Version:             version,
+		QueuedPrefillTokens: int(v.QueuedPrefill),
+		Running:             v.Running,
+		Waiting:             v.Waiting,
+		MaxRunning:          t.Capacity,
+		ResidentBlocks:      resident,
+		Unsure:              unsure,
+		Down:                v.Down,
+		Leaving:             v.Leaving,
+		PrefillRate:         p.costs.PrefillRate(t.ID),
+	}
+}
+
+func remembered(l contextdir.Located, id request.TargetID) (blocks int, unsure bool) {
+	for _, r := range l.Resident {
+		if r.Target == id {
+			return r.Blocks, r.Unsure
+		}
+	}
+	return 0, false
+}
+
+func (p *Planner) copies(l contextdir.Located, now time.Time) []placement.Copy {
+	out := make([]placement.Copy, 0, len(l.Copies))
+	for _, c := range l.Copies {
+		out = append(out, placement.Copy{Store: c.Store, Blocks: c.Blocks, Link: p.links.State(c.Store, now)})
+	}
+	return out
+}
+
+func choicesOf(sheet *table.Snapshot, plan placement.Plan, l contextdir.Located) []gateway.Choice {
+	if !plan.Found {
+		return nil
+	}
+	out := make([]gateway.Choice, 0, 1+len(plan.Alternatives))
+	for i, o := range append([]placement.Option{plan.Option}, plan.Alternatives...) {
+		t, ok := sheet.Target(o.Target)
+		if !ok {
+			continue
+		}
+		choice := gateway.Choice{Target: *t}
+		if o.ImportBlocks > 0 && i == 0 {
+			choice.Import = importOf(sheet, o, plan.ImportDeadline, l)
+		}
+		out = append(out, choice)
+	}
+	return out
+}
+
+func importOf(sheet *table.Snapshot, o placement.Option, deadline time.Duration, l contextdir.Located) *gateway.Import {
+	for _, s := range sheet.Stores() {
+		if s.ID != o.Store {
+			continue
+		}
+		for _, c := range l.Copies {
+			if c.Store == o.Store {
+				return &gateway.Import{
+					Copy:     gateway.Copy{Store: s.ID, Address: s.Address, Manifest: c.Manifest},
+					Blocks:   o.ImportBlocks,
+					Deadline: deadline,
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Learn implements gateway.Contexts.
+func (p *Planner) Learn(c gateway.Context, a gateway.Answered) {
+	p.keep(c, a.Target, p.learn(c, a))
+}
+
+func (p *Planner) learn(c gateway.Context, a gateway.Answered) []contextdir.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	freed := p.directory.Used(c.Scope, c.Chain, now)
+	p.directory.Answered(a.Target, c.Scope, c.Chain, a.CachedTokens, now)
+	if a.QueuedTokens == 0 {
+		p.costs.ObservePrefill(a.Target, a.PromptTokens-a.CachedTokens, a.FirstToken)
+	}
+	return freed
+}
+
+// State returns the dump of the directory.
+func (p *Planner) State() any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.directory.Dump()
+}
--- /dev/null
+++ b/internal/planner/reference.go
@@ -0,0 +1,69 @@
+package planner
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/store"
+)
+
+// reference is what a manifest's name says: scope, generation and the hash of the
+// last block. The directory keeps the name, so that a copy can be freed without
+// knowing whose it was.
+type reference struct {
+	scope      block.Scope
+	generation store.Generation
+	tail       block.Hash
+}
+
+// String returns the manifest's name.
+func (r reference) String() string { return store.ManifestName(r.scope, r.generation, r.tail) }
+
+const (
+	referenceParts = 5
+	manifestPrefix = "manifest-"
+)
+
+// errReference reports a name that is not a manifest's.
+var errReference = errors.New("planner: not the name of a manifest")
+
+func parseReference(name string) (reference, error) {
+	parts := strings.Split(name, "/")
+	if len(parts) != referenceParts {
+		return reference{}, errReference
+	}
+	var values [referenceParts - 1]string
+	for i, tag := range []string{"o=", "m=", "v=", "g="} {
+		value, err := url.PathUnescape(strings.TrimPrefix(parts[i], tag))
+		if err != nil || !strings.HasPrefix(parts[i], tag) {
+			return reference{}, errReference
+		}
+		values[i] = value
+	}
+	r := reference{
+		scope: block.Scope{
+			Org:     request.OrgID(values[0]),
+			Model:   request.Model(values[1]),
+			Version: request.Version(values[2]),
+		},
+		generation: store.Generation(values[3]),
+	}
+	if err := r.tail.UnmarshalText([]byte(strings.TrimPrefix(parts[4], manifestPrefix))); err != nil {
+		return reference{}, errors.Mark(err, errReference)
+	}
+	return r, nil
+}
+
+// nextGeneration returns a generation that no export has had: the instance differs
+// for every start of every daemon.
+func (p *Planner) nextGeneration() store.Generation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generation++
+	return store.Generation(fmt.Sprintf("%s-%d", p.opts.Instance, p.generation))
+}
--- /dev/null
+++ b/internal/steward/keeper.go
@@ -0,0 +1,221 @@
+package steward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/policy/admission"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+const (
+	// tickInterval is how often waiting asks are checked against their deadlines.
+	tickInterval = 50 * time.Millisecond
+	// failuresUntilDown is how many polls in a row must fail before a target is down.
+	failuresUntilDown = 2
+	defaultCapacity   = 8
+	// grantTTL is how long a grant lives unless renewed.
+	grantTTL = 15 * time.Second
+)
+
+// answerTo carries the outcome of an ask to the goroutine that waits for it.
+type answerTo chan admission.Action
+
+// Messages of a keeper's actor.
+type (
+	submitMsg struct {
+		ask    admission.Ask
+		answer answerTo
+	}
+	cancelMsg  struct{ id request.ID }
+	releaseMsg struct {
+		grant   string
+		outcome admission.Outcome
+		failed  bool
+	}
+	renewMsg  struct{ ids []request.ID }
+	loadMsg   struct{ load engineapi.Load }
+	eventsMsg struct{ page engineapi.EventPage }
+	snapMsg   struct{ snapshot engineapi.Snapshot }
+	downMsg   struct{}
+	upMsg     struct{}
+	leaveMsg  struct{}
+	tickMsg   struct{}
+	lookMsg   struct {
+		probe  probe
+		answer chan view
+	}
+)
+
+// keeper owns the admission state of one target.
+type keeper struct {
+	service *Service
+	row     table.Target
+	pid     *actor.PID
+	quit    chan struct{}
+
+	mu      sync.Mutex
+	cancel  context.CancelFunc // of the poller; nil while it does not run
+	stopped bool
+
+	// Owned by the actor.
+	core      *admission.Steward
+	residency *residency
+	load      engineapi.Load
+	waiting   map[request.ID][]answerTo
+}
+
+func newKeeper(s *Service, row table.Target) *keeper {
+	capacity := row.Capacity
+	if capacity <= 0 {
+		capacity = defaultCapacity
+	}
+	k := &keeper{
+		service:   s,
+		row:       row,
+		quit:      make(chan struct{}),
+		residency: newResidency(),
+		waiting:   map[request.ID][]answerTo{},
+		core: admission.New(admission.Params{
+			Target:     row.ID,
+			Instance:   s.opts.Instance,
+			MaxRunning: capacity,
+			MaxQueue:   s.opts.QueueLimit,
+			GrantTTL:   grantTTL,
+		}),
+	}
+	k.pid = s.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return k }))
+	go k.ticker()
+	return k
+}
+
+// ticker drives deadlines until the keeper stops.
+func (k *keeper) ticker() {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.quit:
+			return
+		case <-tick.C:
+			k.send(&tickMsg{})
+		}
+	}
+}
+
+func (k *keeper) send(message any) { k.service.system.Root.Send(k.pid, message) }
+
+func (k *keeper) stop() {
+	k.stopPolling()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped {
+		return
+	}
+	k.stopped = true
+	close(k.quit)
+	_ = k.service.system.Root.PoisonFuture(k.pid).Wait()
+}
+
+// Receive implements actor.Actor.
+func (k *keeper) Receive(c actor.Context) {
+	now := time.Now()
+	switch m := c.Message().(type) {
+	case *submitMsg:
+		k.submit(now, m)
+	case *cancelMsg:
+		delete(k.waiting, m.id)
+		k.apply(k.core.Cancel(now, m.id))
+	case *releaseMsg:
+		k.apply(k.core.Release(now, m.grant, m.outcome))
+	case *renewMsg:
+		for _, id := range m.ids {
+			k.core.Renew(now, id)
+		}
+	case *loadMsg:
+		k.load = m.load
+		k.apply(k.core.OnLoad(now, m.load))
+	case *eventsMsg:
+		k.residency.onEvents(m.page)
+	case *snapMsg:
+		k.residency.onSnapshot(m.snapshot)
+	case *downMsg:
+		k.residency.clear()
+		k.apply(k.core.OnTargetDown(now))
+	case *upMsg:
+		k.apply(k.core.OnTargetUp(now))
+	case *leaveMsg:
+		k.apply(k.core.OnTargetLeaving(now))
+	case *tickMsg:
+		k.apply(k.core.Tick(now))
+	case *lookMsg:
+		m.answer <- k.view(now, m.probe)
+	case *actor.Stopped:
+		k.refuseAll()
+	}
+}
+
+func (k *keeper) submit(now time.Time, m *submitMsg) {
+	k.waiting[m.ask.ID] = append(k.waiting[m.ask.ID], m.answer)
+	k.apply(k.core.Submit(now, m.ask))
+}
+
+// apply hands decisions to those who wait for them.
+func (k *keeper) apply(actions []admission.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case admission.Grant:
+			k.answer(a.Ask.ID, a)
+		case admission.Refuse:
+			k.answer(a.Ask.ID, a)
+		case admission.Died:
+			k.service.log.Warn("Target died with requests in flight.", "target", k.row.ID, "requests", len(a.InFlight))
+		}
+	}
+}
+
+func (k *keeper) answer(id request.ID, a admission.Action) {
+	for _, to := range k.waiting[id] {
+		to <- a
+	}
+	delete(k.waiting, id)
+}
+
+func (k *keeper) refuseAll() {
+	for id := range k.waiting {
+		k.answer(id, admission.Refuse{Err: errMoved()})
+	}
+}
+
+// errMoved answers those who waited here when this daemon stopped being steward.
+func errMoved() *request.Error {
+	return request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, tickInterval, "the target's queue has moved")
+}
+
+func (k *keeper) view(now time.Time, p probe) view {
+	v := k.core.View(now)
+	return view{
+		target:        k.row.ID,
+		queuedPrefill: v.QueuedPrefillTokens + v.WaitingTokens,
+		running:       v.Running,
+		waiting:       v.Waiting,
+		resident:      k.residency.leading(p),
+		unsure:        k.residency.unsure,
+		down:          v.Down,
+		leaving:       v.Leaving || k.vmLeaving(),
+		version:       k.load.Version,
+		age:           v.ReportAge,
+	}
+}
+
+func (k *keeper) vmLeaving() bool {
+	host, _, err := net.SplitHostPort(k.row.Address)
+	return err == nil && k.service.isLeaving(host)
+}
--- /dev/null
+++ b/internal/steward/look.go
@@ -0,0 +1,173 @@
+package steward
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// lookTimeout bounds the wait for a peer's view. A target whose steward does not
+// answer in time is judged by what this daemon knows.
+const lookTimeout = 250 * time.Millisecond
+
+// view is what a steward knows about a target and one chain of blocks.
+type view struct {
+	target        request.TargetID
+	queuedPrefill int64
+	running       int
+	waiting       int
+	resident      int
+	unsure        bool
+	down          bool
+	leaving       bool
+	version       request.Version
+	age           time.Duration
+}
+
+// View is what is known about a target for placement.
+type View struct {
+	Target         request.TargetID
+	QueuedPrefill  int64 // tokens, at the target and in its steward's queue
+	Running        int
+	Waiting        int
+	ResidentBlocks int // leading blocks of the chain in accelerator memory
+	Unsure         bool
+	Down           bool
+	Leaving        bool
+	Version        request.Version // empty: not reported yet
+}
+
+// Look returns the stewards' views of targets and of one chain. Targets whose steward
+// did not answer are missing.
+func (s *Service) Look(ctx context.Context, ids []request.TargetID, chain []block.Hash) map[request.TargetID]View {
+	p := probeOf(chain)
+	bySteward := map[string][]request.TargetID{}
+	members := map[string]*peer.Member{}
+	for _, id := range ids {
+		m := s.steward(id)
+		members[m.Id] = m
+		bySteward[m.Id] = append(bySteward[m.Id], id)
+	}
+	var mu sync.Mutex
+	out := make(map[request.TargetID]View, len(ids))
+	var wait sync.WaitGroup
+	for name, group := range bySteward {
+		wait.Go(func() {
+			views := s.lookAt(ctx, members[name], group, p)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, v := range views {
+				out[v.Target] = v
+			}
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+func (s *Service) lookAt(ctx context.Context, m *peer.Member, ids []request.TargetID, p probe) []View {
+	if s.isSelf(m) {
+		return s.lookHere(ctx, ids, p)
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	answer, err := s.opts.Peers.Steward(m).Look(ctx, lookRequest(ids, p))
+	if err != nil {
+		s.log.Debug("Steward did not answer.", "steward", m.Id, "error", err)
+		return nil
+	}
+	out := make([]View, 0, len(answer.Views))
+	for _, v := range answer.Views {
+		out = append(out, View{
+			Target:         request.TargetID(v.Target),
+			QueuedPrefill:  v.QueuedPrefillTokens,
+			Running:        int(v.Running),
+			Waiting:        int(v.Waiting),
+			ResidentBlocks: int(v.ResidentBlocks),
+			Unsure:         v.Unsure,
+			Down:           v.Down,
+			Leaving:        v.Leaving,
+			Version:        request.Version(v.Version),
+		})
+	}
+	return out
+}
+
+func lookRequest(ids []request.TargetID, p probe) *peer.LookRequest {
+	r := &peer.LookRequest{}
+	for _, id := range ids {
+		r.Targets = append(r.Targets, string(id))
+	}
+	for i, h := range p.hashes {
+		r.Positions = append(r.Positions, int32(p.positions[i]))
+		r.Hashes = append(r.Hashes, h[:])
+	}
+	return r
+}
+
+func (s *Service) lookHere(ctx context.Context, ids []request.TargetID, p probe) []View {
+	var out []View
+	for _, id := range ids {
+		row, ok := s.opts.Tables.Current().Target(id)
+		if !ok {
+			continue
+		}
+		v, ok := s.keeper(ctx, *row).look(ctx, p)
+		if !ok {
+			continue
+		}
+		out = append(out, View{
+			Target:         id,
+			QueuedPrefill:  v.queuedPrefill,
+			Running:        v.running,
+			Waiting:        v.waiting,
+			ResidentBlocks: v.resident,
+			Unsure:         v.unsure,
+			Down:           v.down,
+			Leaving:        v.leaving,
+			Version:        v.version,
+		})
+	}
+	return out
+}
+
+func (k *keeper) look(ctx context.Context, p probe) (view, bool) {
+	answer := make(chan view, 1)
+	k.send(&lookMsg{probe: p, answer: answer})
+	select {
+	case v := <-answer:
+		return v, true
+	case <-ctx.Done():
+		return view{}, false
+	case <-k.quit:
+		return view{}, false
+	}
+}
+
+// Calls implements gateway.Stewards: the instances of a service, least loaded first.
+func (s *Service) Calls(ctx context.Context, service string, exclude map[request.TargetID]bool) []table.Target {
+	var rows []table.Target
+	var ids []request.TargetID
+	for _, t := range s.opts.Tables.Current().Services(service) {
+		if !exclude[t.ID] {
+			rows = append(rows, *t)
+			ids = append(ids, t.ID)
+		}
+	}
+	views := s.Look(ctx, ids, nil)
+	rows = slices.DeleteFunc(rows, func(t table.Target) bool {
+		v := views[t.ID]
+		return v.Down || v.Leaving
+	})
+	slices.SortStableFunc(rows, func(a, b table.Target) int {
+		return cmp.Compare(views[a.ID].Running+views[a.ID].Waiting, views[b.ID].Running+views[b.ID].Waiting)
+	})
+	return rows
+}
