steward: give grants back to the steward that gave them

Cause: while a killed daemon is still taken for a target's steward, peers decide in its stead, but sent releases to the dead one. The places stayed taken until they lapsed (15 s), and new requests waited that long. The new test fails with the former release (waits out 7.5 s) and passes now.

--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
@@ -23,27 +22,30 @@
 // decides by itself: the queue's place is soft.
 func (s *Service) Acquire(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
 	m := s.steward(ask.Target)
-	grant, refusal := s.acquireFrom(ctx, m, ask)
-	if refusal == nil {
-		s.granted.add(ask.Request, grant)
-	}
-	return grant, refusal
-}
-
-func (s *Service) acquireFrom(ctx context.Context, m *peer.Member, ask gateway.Ask) (gateway.Grant, *request.Error) {
-	self := s.opts.Members.Self().Id
 	if s.isSelf(m) {
-		return s.acquireHere(ctx, ask, self)
+		return s.acquireSelf(ctx, ask)
 	}
 	grant, refusal, err := s.acquireAt(ctx, m, ask)
 	if err == nil {
+		if refusal == nil {
+			s.granted.add(ask.Request, grant, m)
+		}
 		return grant, refusal
 	}
 	if ctx.Err() != nil {
 		return gateway.Grant{}, gaveUp()
 	}
 	s.log.Warn("Steward was not reached. This daemon decides.", "steward", m.Id, "target", ask.Target, "error", err)
-	return s.acquireHere(ctx, ask, self)
+	return s.acquireSelf(ctx, ask)
+}
+
+func (s *Service) acquireSelf(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
+	self := s.opts.Members.Self()
+	grant, refusal := s.acquireHere(ctx, ask, self.Id)
+	if refusal == nil {
+		s.granted.add(ask.Request, grant, self)
+	}
+	return grant, refusal
 }
 
 func gaveUp() *request.Error {
@@ -124,17 +126,21 @@
 }
 
 // Release implements gateway.Stewards. It does not wait for a peer.
+//
+// The grant goes back to the steward that gave it, not to the one that has the place
+// now. While a dead daemon is still taken for the steward, this daemon decides in its
+// stead: grants given back to the dead one would keep their places here until they
+// lapse, and new requests would wait that long.
 func (s *Service) Release(g gateway.Grant, r gateway.Release) {
-	s.granted.remove(g.ID)
-	m := s.steward(g.Target)
-	if s.isSelf(m) {
+	giver, ok := s.granted.remove(g.ID)
+	if !ok || s.isSelf(giver) {
 		s.releaseHere(g, r)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		_, err := s.opts.Peers.Steward(m).Release(ctx, &peer.ReleaseRequest{
+		_, err := s.opts.Peers.Steward(giver).Release(ctx, &peer.ReleaseRequest{
 			GrantId:       g.ID,
 			Target:        string(g.Target),
 			PrefillTokens: r.PrefillTokens,
@@ -154,80 +160,3 @@
 		k.send(&releaseMsg{grant: g.ID, outcome: admission.Outcome{PrefillTokens: r.PrefillTokens}, failed: r.TargetFailed})
 	}
 }
-
-// grantBook remembers the grants that peers gave to this daemon, for renewal.
-type grantBook struct {
-	mu     sync.Mutex
-	grants map[string]bookedGrant
-}
-
-type bookedGrant struct {
-	request request.ID
-	target  request.TargetID
-	renewed time.Time
-}
-
-func newGrantBook() *grantBook { return &grantBook{grants: map[string]bookedGrant{}} }
-
-func (b *grantBook) add(id request.ID, g gateway.Grant) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.grants[g.ID] = bookedGrant{request: id, target: g.Target, renewed: time.Now()}
-}
-
-func (b *grantBook) remove(grant string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.grants, grant)
-}
-
-// due returns the requests whose grants should be renewed now, by target.
-func (b *grantBook) due(now time.Time) map[request.TargetID][]string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[request.TargetID][]string{}
-	for id, g := range b.grants {
-		if now.Sub(g.renewed) < grantTTL/3 {
-			continue
-		}
-		g.renewed = now
-		b.grants[id] = g
-		out[g.target] = append(out[g.target], string(g.request))
-	}
-	return out
-}
-
-func (s *Service) renewHere(id request.TargetID, requests []string) {
-	s.mu.Lock()
-	k, ok := s.keepers[id]
-	s.mu.Unlock()
-	if !ok {
-		return
-	}
-	ids := make([]request.ID, 0, len(requests))
-	for _, r := range requests {
-		ids = append(ids, request.ID(r))
-	}
-	k.send(&renewMsg{ids: ids})
-}
-
-// renewGrants keeps the grants of long requests alive, one message a target.
-func (s *Service) renewGrants(ctx context.Context) {
-	for id, requests := range s.granted.due(time.Now()) {
-		m := s.steward(id)
-		if s.isSelf(m) {
-			s.renewHere(id, requests)
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-			defer cancel()
-			_, err := s.opts.Peers.Steward(m).Renew(ctx, &peer.RenewRequest{
-				From: s.opts.Members.Self().Id, Target: string(id), RequestIds: requests,
-			})
-			if err != nil {
-				s.log.Debug("Grants were not renewed.", "target", id, "error", err)
-			}
-		}()
-	}
-}
--- /dev/null
+++ b/internal/steward/steward_test.go
@@ -0,0 +1,134 @@
+package steward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+	"github.com/bluebellscale/bluebellscale/internal/tabletest"
+	"github.com/bluebellscale/bluebellscale/internal/target"
+)
+
+// fakeMembers gives every place to one daemon.
+type fakeMembers struct{ self, place *peer.Member }
+
+func (m fakeMembers) Self() *peer.Member                { return m.self }
+func (m fakeMembers) Rank(string, int) []*peer.Member   { return []*peer.Member{m.place} }
+func (m fakeMembers) Steward(*peer.Member) peer.Steward { return deadSteward{} }
+func (m fakeMembers) Client(t table.Target) *target.Client {
+	return target.New(target.Options{ID: t.ID, Address: t.Address})
+}
+
+// deadSteward does not answer.
+type deadSteward struct{ peer.Steward }
+
+func (deadSteward) Acquire(context.Context, *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+	return nil, errors.New("connection refused")
+}
+
+func (deadSteward) Release(context.Context, *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+	return nil, errors.New("connection refused")
+}
+
+func newService(t *testing.T, place string) *Service {
+	t.Helper()
+	replica := tabletest.Load(t, kv.NewFake(time.Now).Client("d1"), tabletest.Rows{
+		Models:  "verdict,v1,1024,3\n",
+		Targets: "engine-1,engine,127.0.0.1:1,conche,verdict,,,true,false,1\n",
+	})
+	members := fakeMembers{self: &peer.Member{Id: "d1"}, place: &peer.Member{Id: place}}
+	s := New(Options{
+		Tables:       replica,
+		Members:      members,
+		Targets:      members,
+		Peers:        members,
+		Instance:     "d1.1",
+		PollInterval: time.Hour,
+		QueueLimit:   4,
+		Logger:       hclog.NewNullLogger(),
+	})
+	t.Cleanup(s.Shutdown)
+	return s
+}
+
+func ask(id request.ID) gateway.Ask {
+	return gateway.Ask{Request: id, Target: "engine-1", Org: "atlas", Tokens: 10, Deadline: time.Now().Add(time.Minute)}
+}
+
+// Callers wait up to 15 s for a first token after one daemon was killed. The daemon
+// that asks still takes the dead one for the target's steward, grants in its stead,
+// and sends the grant back to the dead one: the place stays taken here until it lapses.
+func TestGrantGoesBackToTheStewardThatGaveIt(t *testing.T) {
+	s := newService(t, "d2-which-is-dead")
+	first, refusal := s.Acquire(context.Background(), ask("r1"))
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	s.Release(first, gateway.Release{})
+	ctx, cancel := context.WithTimeout(context.Background(), grantTTL/2)
+	defer cancel()
+	if _, refusal := s.Acquire(ctx, ask("r2")); refusal != nil {
+		t.Fatalf("the place was not given back: %v", refusal)
+	}
+}
+
+// A target whose queue moves to another daemon, or whose row goes, must not leave its
+// callers waiting: they are told at once that they did not run.
+func TestWaitingAsksAreRefusedWhenTheQueueStops(t *testing.T) {
+	s := newService(t, "d1")
+	if _, refusal := s.Acquire(context.Background(), ask("r1")); refusal != nil {
+		t.Fatal(refusal)
+	}
+	refused := make(chan *request.Error)
+	go func() {
+		_, refusal := s.Acquire(context.Background(), ask("r2"))
+		refused <- refusal
+	}()
+	k := s.all()[0]
+	for {
+		if v, _ := k.look(context.Background(), probe{}); v.waiting == 1 {
+			break
+		}
+	}
+	s.drop(k)
+	refusal := <-refused
+	if refusal == nil || refusal.Ran != request.NotRun || refusal.RetryAfter == 0 {
+		t.Fatalf("got %v, want a refusal that says not run and when to come back", refusal)
+	}
+}
+
+func TestResidencyFollowsEventsAndSnapshots(t *testing.T) {
+	chain := block.Chain("salt", make([]byte, 40*block.BytesPerBlock))
+	p := probeOf(chain)
+	r := newResidency()
+	r.onSnapshot(engineapi.Snapshot{Incarnation: 1, Seq: 5, Blocks: chain})
+	if r.unsure || r.leading(p) != 40 {
+		t.Fatalf("after the snapshot: unsure %v, %d blocks", r.unsure, r.leading(p))
+	}
+	r.onEvents(engineapi.EventPage{Incarnation: 1, Next: 6, Events: []engineapi.CacheEvent{
+		{Seq: 6, Kind: engineapi.BlocksRemoved, Blocks: chain[20:]},
+	}})
+	if got := r.leading(p); r.unsure || got > 20 || got < 18 {
+		t.Fatalf("after an eviction: unsure %v, %d blocks", r.unsure, got)
+	}
+	r.onEvents(engineapi.EventPage{Incarnation: 1, Next: 9, Events: []engineapi.CacheEvent{
+		{Seq: 9, Kind: engineapi.BlocksStored, Blocks: chain[20:]},
+	}})
+	if !r.unsure {
+		t.Fatal("a gap in the events was not noticed")
+	}
+	r.onEvents(engineapi.EventPage{Incarnation: 2, Next: 1})
+	if got := r.leading(p); !r.unsure || got != 0 {
+		t.Fatalf("after a restart of the target: unsure %v, %d blocks", r.unsure, got)
+	}
+}
--- /dev/null
+++ b/internal/tabletest/tabletest.go
@@ -0,0 +1,71 @@
+// Package tabletest gives tests a table that holds given rows.
+package tabletest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// loadTimeout bounds the wait for the rows to be in force.
+const loadTimeout = 10 * time.Second
+
+// Rows are the sheets of a test's table, without their header lines.
+type Rows struct {
+	Organisations string
+	Models        string
+	Targets       string
+	Stores        string
+}
+
+// Load writes rows to a key-value service and returns a replica that holds them. The
+// replica follows the service until the test ends.
+func Load(t testing.TB, kv platform.KV, rows Rows) *table.Replica {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	editor := table.NewEditor(table.EditorOptions{KV: kv, Who: "test"})
+	plan, err := editor.Plan(ctx, []table.File{
+		sheet("organisations", "id,key_sha256,weight,requests_per_second,burst,concurrency,tokens_per_second,models,services", rows.Organisations),
+		sheet("models", "id,default_version,bytes_per_token,load_cap", rows.Models),
+		sheet("targets", "id,kind,address,failure_domain,model,version,service,checks_fencing,repeatable,capacity", rows.Targets),
+		sheet("stores", "id,address,failure_domain,link_bytes_per_sec", rows.Stores),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := editor.Apply(ctx, plan); err != nil {
+		t.Fatal(err)
+	}
+	return follow(ctx, t, kv, len(plan.Changes))
+}
+
+func sheet(name, header, rows string) table.File {
+	return table.File{Name: name + ".csv", Data: []byte(header + "\n" + rows)}
+}
+
+func follow(ctx context.Context, t testing.TB, kv platform.KV, changes int) *table.Replica {
+	t.Helper()
+	replica := table.NewReplica(table.ReplicaOptions{KV: kv})
+	run, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = replica.Run(run, func() bool { return true })
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	for changes > 0 && replica.Current().Revision() == 0 {
+		select {
+		case <-replica.Changed():
+		case <-ctx.Done():
+			t.Fatal("the table did not come into force")
+		}
+	}
+	return replica
+}
