Keep requests that crash targets from crashing many

Cause: a caller sends a request again after its target died, and each target that got it would die in turn. The gateway now asks the register before placement and enters each try before it is sent; deaths are written to the key-value service before another try, and peers are told. A target counts as dead only if nothing accepts connections there or another incarnation does: one that is frozen would put innocent requests under suspicion. Ruled out: asking at identification, since a retry starts at placement.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,8 +24,10 @@
 	"github.com/bluebellscale/bluebellscale/internal/planner"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/steward"
+	"github.com/bluebellscale/bluebellscale/internal/suspect"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
 
@@ -36,6 +39,8 @@
 	writeTimeout = 30 * time.Second
 	// releaseTimeout bounds giving up leases in a planned stop.
 	releaseTimeout = 5 * time.Second
+	// witnessTimeout bounds the write of a finding.
+	witnessTimeout = 5 * time.Second
 	// readHeaderTimeout bounds the head of a request.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -62,7 +67,7 @@
 	stewards *steward.Service
 	limiter  *limiter.Limiter
 	planner  *planner.Planner
-	suspects *suspects
+	suspects *suspect.Keeper
 	gateway  *gateway.Gateway
 
 	draining atomic.Bool
@@ -121,7 +126,7 @@
 		d.vms = newVMCache(platform.NewVMListClient(c.Platform.VMList))
 	}
 	d.table = table.NewReplica(table.ReplicaOptions{KV: d.kv, Logger: d.log.Named("table"), Metrics: d.metrics})
-	d.suspects = newSuspects(d.log)
+	d.suspects = suspect.New(suspect.Options{KV: d.kv, Urge: func() { d.members.Urge() }, Logger: d.log, Metrics: d.metrics})
 	d.members = membership.New(membership.Options{
 		Self: &peer.Member{
 			Id:            c.Daemon.ID,
@@ -131,12 +136,13 @@
 			FailureDomain: c.Daemon.FailureDomain,
 			Incarnation:   d.incarnation,
 		},
-		Seeds:   c.Membership.Seeds,
-		Replica: d.table,
-		VMs:     d.vms,
-		Logger:  d.log,
-		Metrics: d.metrics,
-		Params:  membershipParams(c.Membership, d.incarnation),
+		Seeds:    c.Membership.Seeds,
+		Replica:  d.table,
+		Findings: d.suspects,
+		VMs:      d.vms,
+		Logger:   d.log,
+		Metrics:  d.metrics,
+		Params:   membershipParams(c.Membership, d.incarnation),
 	})
 	d.leases = lease.NewManager(lease.Options{
 		KV:                d.kv,
@@ -195,6 +201,7 @@
 		Instance:     d.instance(),
 		PollInterval: c.Fleet.PollInterval,
 		QueueLimit:   c.Admission.QueuePerTarget,
+		OnDied:       d.witness,
 		Logger:       d.log,
 		Metrics:      d.metrics,
 	})
@@ -236,6 +243,13 @@
 	})
 }
 
+// witness passes on what a steward saw of a target's death.
+func (d *Daemon) witness(t request.TargetID, incarnation uint64, fingerprints []quarantine.Fingerprint) {
+	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
+	defer cancel()
+	d.suspects.Witness(ctx, t, incarnation, fingerprints)
+}
+
 func placementParams(p config.Placement) placement.Params {
 	if p.Profile == "fonografos" {
 		return placement.Fonografos()
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -88,6 +88,7 @@
 	Journal       any    `json:"journal"`
 	Targets       any    `json:"targets"`
 	Contexts      any    `json:"contexts"`
+	Quarantine    any    `json:"quarantine"`
 }
 
 // State returns the dump of this daemon.
@@ -109,6 +110,7 @@
 		Journal:       d.journal.State(),
 		Targets:       d.stewards.State(),
 		Contexts:      d.planner.State(),
+		Quarantine:    d.suspects.State(),
 	}
 }
 
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -43,6 +43,7 @@
 		},
 		func(ctx context.Context) { _ = d.leases.Run(ctx) },
 		func(ctx context.Context) { _ = d.journal.Run(ctx) },
+		d.loadFindings,
 		d.stewards.Run,
 		d.limiter.Run,
 	}
@@ -51,6 +52,20 @@
 	}
 }
 
+// loadFindings reads the stored quarantine findings, again and again until it works.
+func (d *Daemon) loadFindings(ctx context.Context) {
+	for d.suspects.Load(ctx) != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(findingsRetry):
+		}
+	}
+}
+
+// findingsRetry is the pause between tries to read the findings at the start.
+const findingsRetry = time.Second
+
 // server is one HTTP listener being served.
 type server struct {
 	http   *http.Server
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -98,7 +98,7 @@
 	return &tryError{
 		answer:       answer,
 		targetFailed: true,
-		targetDied:   g.died(client),
+		targetDied:   g.died(j, client),
 	}
 }
 
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
@@ -17,6 +19,7 @@
 	retryWhenNoTarget = 2 * time.Second
 	retryInProgress   = time.Second
 	retryJournalDown  = 2 * time.Second
+	retryWhenSuspect  = time.Second
 )
 
 // limit keeps the organisation within its limits.
@@ -49,7 +52,15 @@
 // Process implements pipeline.Filter.
 func (f *place) Process(j *Job) pipeline.Verdict {
 	return pipeline.Await(func(ctx context.Context) pipeline.Verdict {
+		verdict := f.g.opts.Quarantine.Gate(ctx, j.fingerprint)
+		if refusal := gateRefusal(verdict); refusal != nil {
+			return pipeline.Finish(refusal)
+		}
+		j.suspect = verdict.Mode == quarantine.Alone
 		j.choices = f.choices(ctx, j)
+		if verdict.Mode == quarantine.Only {
+			j.choices = onlyAt(j.choices, verdict.Target)
+		}
 		if len(j.choices) == 0 {
 			return pipeline.Finish(request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, retryWhenNoTarget,
 				"no target is ready for this request"))
@@ -58,6 +69,27 @@
 	})
 }
 
+// gateRefusal answers a request that the quarantine does not let run now.
+func gateRefusal(v quarantine.Verdict) *request.Error {
+	switch v.Mode {
+	case quarantine.Refuse:
+		return v.Err
+	case quarantine.Wait:
+		return errSuspectRuns()
+	default:
+		return nil
+	}
+}
+
+func errSuspectRuns() *request.Error {
+	return request.Refuse(request.CodeQuarantined, http.StatusServiceUnavailable, retryWhenSuspect,
+		"a target died while it ran this request, and the request runs alone now")
+}
+
+func onlyAt(choices []Choice, t request.TargetID) []Choice {
+	return slices.DeleteFunc(choices, func(c Choice) bool { return c.Target.ID != t })
+}
+
 func (f *place) choices(ctx context.Context, j *Job) []Choice {
 	if j.kind == kindCompletion {
 		return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
@@ -94,6 +126,7 @@
 		if refusal == nil {
 			j.choice = c
 			j.grant = &grant
+			j.incarnation = grant.Incarnation
 			return pipeline.Pass()
 		}
 	}
@@ -108,6 +141,8 @@
 		Tokens:   int64(j.context.Tokens),
 		Deadline: j.deadline,
 		Suspect:  j.suspect,
+
+		Fingerprint: j.fingerprint,
 	}
 }
 
@@ -145,7 +180,7 @@
 }
 
 func callDigest(j *Job) [sha256.Size]byte {
-	return sha256.Sum256([]byte(callFingerprint(j)))
+	return sha256.Sum256([]byte(j.fingerprint))
 }
 
 // journalRefusal turns the journal's errors into answers.
@@ -180,6 +215,10 @@
 
 // Process implements pipeline.Filter.
 func (f *dispatch) Process(j *Job) pipeline.Verdict {
+	if !f.g.opts.Quarantine.Begin(j.fingerprint, attemptID(j), j.choice.Target.ID, j.suspect) {
+		return pipeline.Finish(errSuspectRuns())
+	}
+	j.inFlight = attemptID(j)
 	if j.choice.Import == nil {
 		return pipeline.Pass()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
@@ -119,12 +120,15 @@
 	Tokens   int64
 	Deadline time.Time
 	Suspect  bool // run it with nothing beside it
+	// Fingerprint names the request's content, for the case that the target dies.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Grant is leave to use a target.
 type Grant struct {
-	ID     string
-	Target request.TargetID
+	ID          string
+	Target      request.TargetID
+	Incarnation uint64 // of the target, as its steward knows it; 0: unknown
 }
 
 // Release ends a grant.
@@ -146,13 +150,16 @@
 	Client(t table.Target) *target.Client
 }
 
-// Quarantine tells requests that crash targets from others.
+// Quarantine keeps a request that crashes targets from crashing many.
 type Quarantine interface {
-	// Enter starts a request; refused with an error if its fingerprint is quarantined
-	// or a suspect that runs already.
-	Enter(fingerprint string) (suspect bool, err *request.Error)
-	// Leave ends a request; died says that its target died with the request in flight.
-	Leave(ctx context.Context, fingerprint string, t request.TargetID, died bool)
+	// Gate says how a request may run, before it is placed.
+	Gate(ctx context.Context, fp quarantine.Fingerprint) quarantine.Verdict
+	// Begin enters a try that is about to be sent; false: it must not be sent now.
+	Begin(fp quarantine.Fingerprint, id request.ID, t request.TargetID, alone bool) bool
+	// End is told that a try is no longer in flight.
+	End(id request.ID)
+	// TargetDied makes suspects of all that is in flight at a target.
+	TargetDied(ctx context.Context, t request.TargetID, incarnation uint64)
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
@@ -86,21 +87,9 @@
 
 // hash runs outside the filter's thread: a long prompt takes milliseconds to hash.
 func (f *identify) hash(j *Job) pipeline.Verdict {
-	j.context.Chain = block.Chain(j.context.Scope.Salt(), []byte(j.completion.Prompt))
-	sum := sha256.New()
-	sum.Write([]byte(j.context.Scope.Salt()))
-	sum.Write([]byte(j.completion.Prompt))
-	return f.enter(j, hex.EncodeToString(sum.Sum(nil)))
-}
-
-func (f *identify) enter(j *Job, fingerprint string) pipeline.Verdict {
-	j.fingerprint = fingerprint
-	suspect, refusal := f.g.opts.Quarantine.Enter(fingerprint)
-	if refusal != nil {
-		return pipeline.Finish(refusal)
-	}
-	j.entered = true
-	j.suspect = suspect
+	prompt := []byte(j.completion.Prompt)
+	j.context.Chain = block.Chain(j.context.Scope.Salt(), prompt)
+	j.fingerprint = quarantine.Of(j.org.ID, []byte(j.model), prompt)
 	return pipeline.Pass()
 }
 
@@ -116,7 +105,8 @@
 	}
 	j.call.repeatable = !slices.ContainsFunc(instances, func(t *table.Target) bool { return !t.Repeatable })
 	if j.call.repeatable {
-		return f.enter(j, callFingerprint(j))
+		j.fingerprint = callFingerprint(j)
+		return pipeline.Pass()
 	}
 	if j.call.key == "" {
 		return pipeline.Finish(badField(HeaderIdempotencyKey, "is missing; service %s is not repeatable", j.call.service))
@@ -137,7 +127,8 @@
 			"the journal partition of this key has no holder now"))
 	}
 	if h.ID == request.DaemonID(f.g.opts.Members.Self().Id) {
-		return f.enter(j, callFingerprint(j))
+		j.fingerprint = callFingerprint(j)
+		return pipeline.Pass()
 	}
 	if j.hopped {
 		return pipeline.Finish(request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
@@ -147,14 +138,8 @@
 	return pipeline.Finish(nil)
 }
 
-func callFingerprint(j *Job) string {
-	sum := sha256.New()
-	for _, part := range []string{string(j.org.ID), j.call.service, j.call.method, j.call.path} {
-		sum.Write([]byte(part))
-		sum.Write([]byte{0})
-	}
-	sum.Write(j.body)
-	return hex.EncodeToString(sum.Sum(nil))
+func callFingerprint(j *Job) quarantine.Fingerprint {
+	return quarantine.Of(j.org.ID, []byte(j.call.method), []byte(j.call.path), j.body)
 }
 
 // elsewhere tells whether a peer should serve the job. A forwarded job is served
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
@@ -41,8 +42,8 @@
 	org         *table.Organisation
 	model       request.Model
 	context     Context
-	fingerprint string
-	entered     bool // counted by the quarantine
+	fingerprint quarantine.Fingerprint
+	inFlight    request.ID // the try that the quarantine knows of; empty: none
 	suspect     bool
 	limited     bool // admitted by the limiter
 	forward     *peer.Member
@@ -50,6 +51,7 @@
 	choice      Choice
 	exclude     map[request.TargetID]bool
 	grant       *Grant
+	incarnation uint64 // of the target that was granted; 0: unknown
 	ticket      *journal.Ticket
 	replay      *journal.Result
 	tries       int
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -43,8 +43,8 @@
 // endTry gives back what the failed try held.
 func (g *Gateway) endTry(j *Job, failure *tryError) {
 	j.failed = failure.targetFailed
+	g.endFlight(j, failure.targetDied)
 	g.releaseGrant(j)
-	g.leaveQuarantine(j, failure.targetDied)
 	j.exclude[j.choice.Target.ID] = true
 	j.tries++
 }
@@ -73,12 +73,6 @@
 			return cancelled(failure.answer.Ran)
 		}
 	}
-	suspect, refusal := g.opts.Quarantine.Enter(j.fingerprint)
-	if refusal != nil {
-		return worse(refusal, failure.answer.Ran)
-	}
-	j.entered = true
-	j.suspect = suspect
 	g.stats.retried.Inc(1)
 	g.line.Resubmit(j, filterPlace)
 	if err := <-j.decided; err != nil {
@@ -137,7 +131,7 @@
 	if failure != nil {
 		g.stopStream(client, attempt)
 		failure.targetFailed = true
-		failure.targetDied = g.died(client)
+		failure.targetDied = g.died(j, client)
 	}
 	return failure
 }
@@ -167,7 +161,7 @@
 	return &tryError{
 		answer:       answer,
 		targetFailed: refused == nil,
-		targetDied:   refused == nil && answer.Ran == request.InDoubt && g.died(client),
+		targetDied:   refused == nil && answer.Ran == request.InDoubt && g.died(j, client),
 	}
 }
 
@@ -175,11 +169,21 @@
 	return &request.Error{Code: request.CodeCancelled, Status: statusClientGone, Message: "the caller left", Ran: ran}
 }
 
-// died asks a target over a fresh connection whether it lives.
-func (g *Gateway) died(client *target.Client) bool {
+// died asks over a fresh connection whether a target that failed has died: nothing
+// accepts connections there any more, or another incarnation does. One that accepts
+// and does not answer is frozen or overloaded; to blame the requests in flight for
+// that would put innocent ones into quarantine.
+func (g *Gateway) died(j *Job, client *target.Client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	return client.Probe(ctx) != nil
+	if j.kind == kindService {
+		return errors.Is(client.Probe(ctx), target.ErrUnreachable)
+	}
+	state, err := client.State(ctx)
+	if err != nil {
+		return errors.Is(err, target.ErrUnreachable)
+	}
+	return j.incarnation != 0 && state.Incarnation != j.incarnation
 }
 
 func (g *Gateway) stopStream(client *target.Client, id request.ID) {
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -14,7 +14,7 @@
 func (g *Gateway) settle(j *Job) {
 	g.settleTicket(j, g.opts.Journal.Abort)
 	g.releaseGrant(j)
-	g.leaveQuarantine(j, false)
+	g.endFlight(j, false)
 	if j.limited {
 		g.opts.Limiter.Done(j.org.ID, j.output)
 	}
@@ -30,14 +30,19 @@
 	j.failed = false
 }
 
-func (g *Gateway) leaveQuarantine(j *Job, died bool) {
-	if !j.entered {
+// endFlight tells the quarantine that the present try is over. If the target died,
+// the finding is written before the request can be sent again.
+func (g *Gateway) endFlight(j *Job, died bool) {
+	if j.inFlight == "" {
 		return
 	}
-	j.entered = false
-	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
-	defer cancel()
-	g.opts.Quarantine.Leave(ctx, j.fingerprint, j.choice.Target.ID, died)
+	if died {
+		ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+		defer cancel()
+		g.opts.Quarantine.TargetDied(ctx, j.choice.Target.ID, j.incarnation)
+	}
+	g.opts.Quarantine.End(j.inFlight)
+	j.inFlight = ""
 }
 
 func (g *Gateway) learn(j *Job, u engineapi.Usage, first time.Duration) {
--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -63,6 +63,7 @@
 		PromptTokens: ask.Tokens,
 		DeadlineMs:   max(1, time.Until(ask.Deadline).Milliseconds()),
 		Suspect:      ask.Suspect,
+		Fingerprint:  string(ask.Fingerprint),
 	})
 	if err != nil {
 		return gateway.Grant{}, nil, err
@@ -70,7 +71,7 @@
 	if !answer.Granted {
 		return gateway.Grant{}, refusalOf(answer), nil
 	}
-	return gateway.Grant{ID: answer.GrantId, Target: ask.Target}, nil, nil
+	return gateway.Grant{ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation}, nil, nil
 }
 
 func refusalOf(a *peer.AcquireResponse) *request.Error {
@@ -89,7 +90,7 @@
 	k.send(&submitMsg{ask: s.coreAsk(ask, from), answer: answer})
 	select {
 	case a := <-answer:
-		return grantOf(a, ask.Target)
+		return grantOf(a, k)
 	case <-ctx.Done():
 		k.send(&cancelMsg{id: ask.Request})
 		return gateway.Grant{}, gaveUp()
@@ -111,13 +112,15 @@
 		Tokens:   ask.Tokens,
 		Deadline: ask.Deadline,
 		Suspect:  ask.Suspect,
+
+		Fingerprint: string(ask.Fingerprint),
 	}
 }
 
-func grantOf(a admission.Action, id request.TargetID) (gateway.Grant, *request.Error) {
+func grantOf(a admission.Action, k *keeper) (gateway.Grant, *request.Error) {
 	switch a := a.(type) {
 	case admission.Grant:
-		return gateway.Grant{ID: a.ID, Target: id}, nil
+		return gateway.Grant{ID: a.ID, Target: k.row.ID, Incarnation: k.incarnation.Load()}, nil
 	case admission.Refuse:
 		return gateway.Grant{}, a.Err
 	default:
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/policy/admission"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
@@ -65,6 +67,8 @@
 	cancel  context.CancelFunc // of the poller; nil while it does not run
 	stopped bool
 
+	incarnation atomic.Uint64 // of the target, as reported last
+
 	// Owned by the actor.
 	core      *admission.Steward
 	residency *residency
@@ -141,6 +145,7 @@
 		}
 	case *loadMsg:
 		k.load = m.load
+		k.incarnation.Store(m.load.Incarnation)
 		k.apply(k.core.OnLoad(now, m.load))
 	case *eventsMsg:
 		k.residency.onEvents(m.page)
@@ -176,9 +181,23 @@
 		case admission.Refuse:
 			k.answer(a.Ask.ID, a)
 		case admission.Died:
-			k.service.log.Warn("Target died with requests in flight.", "target", k.row.ID, "requests", len(a.InFlight))
+			k.witness(a)
+		}
+	}
+}
+
+// witness reports the requests that a dead target had in flight. Their senders report
+// it too, unless they died with it.
+func (k *keeper) witness(d admission.Died) {
+	var fingerprints []quarantine.Fingerprint
+	for _, ask := range d.InFlight {
+		if ask.Fingerprint != "" {
+			fingerprints = append(fingerprints, quarantine.Fingerprint(ask.Fingerprint))
 		}
 	}
+	if k.service.opts.OnDied != nil && len(fingerprints) > 0 {
+		go k.service.opts.OnDied(k.row.ID, d.Incarnation, fingerprints)
+	}
 }
 
 func (k *keeper) answer(id request.ID, a admission.Action) {
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
@@ -32,11 +33,13 @@
 		Tokens:   r.PromptTokens,
 		Deadline: time.Now().Add(time.Duration(r.DeadlineMs) * time.Millisecond),
 		Suspect:  r.Suspect,
+
+		Fingerprint: quarantine.Fingerprint(r.Fingerprint),
 	}, r.From)
 	if refusal != nil {
 		return &peer.AcquireResponse{Refusal: string(refusal.Code), RetryAfterMs: refusal.RetryAfter.Milliseconds()}, nil
 	}
-	return &peer.AcquireResponse{Granted: true, GrantId: grant.ID}, nil
+	return &peer.AcquireResponse{Granted: true, GrantId: grant.ID, Incarnation: grant.Incarnation}, nil
 }
 
 // Renew serves peer.Steward.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -21,6 +21,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
@@ -52,8 +53,10 @@
 	Instance     string // differs for every start of every daemon
 	PollInterval time.Duration
 	QueueLimit   int // asks waiting for one target
-	Logger       hclog.Logger
-	Metrics      tally.Scope
+	// OnDied is told which requests a target that died had in flight; may be nil.
+	OnDied  func(t request.TargetID, incarnation uint64, fingerprints []quarantine.Fingerprint)
+	Logger  hclog.Logger
+	Metrics tally.Scope
 }
 
 // PeerDialer gives the twirp client of a peer.
