--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -76,10 +76,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.expectLocked(id)
-	result, waiting, err := w.core.begin(now, p.waiter, id, newDigest(c))
+	result, waiting, err := w.core.begin(now, w.validLocked(), p.waiter, id, newDigest(c))
 	if !waiting {
 		delete(w.waiting, p.waiter)
-		if w.lease != nil && errors.Is(err, ErrNotHolder) {
+		if w.validLocked() && errors.Is(err, ErrNotHolder) {
 			err = ErrUnavailable // held, but not read yet
 		}
 		return nil, result, err
@@ -88,6 +88,8 @@
 	return p, nil, nil
 }
 
+func (w *worker) validLocked() bool { return w.lease != nil && w.lease.Valid() }
+
 func (w *worker) expectLocked(id keyID) *Pending {
 	w.nextWaiter++
 	p := &Pending{worker: w, waiter: w.nextWaiter, id: id, done: make(chan reply, 1)}
--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -194,11 +194,12 @@
 }
 
 // begin answers a call from the record, or enters its intent and lets it wait: then
-// waiting is true, and a reply to w follows.
-func (p *partition) begin(now time.Time, w waiter, id keyID, digest string) (found *Result, waiting bool, err error) {
+// waiting is true, and a reply to w follows. Without a valid lease another daemon may
+// know better: then only results, which are final, are answered.
+func (p *partition) begin(now time.Time, valid bool, w waiter, id keyID, digest string) (found *Result, waiting bool, err error) {
 	e := p.find(id)
 	known := e != nil && !p.expired(e, now)
-	if !p.loaded && !(known && e.Done) {
+	if !(p.loaded && valid) && !(known && e.Done) {
 		return nil, false, ErrNotHolder
 	}
 	if known {
--- a/internal/schedules/world.go
+++ b/internal/schedules/world.go
@@ -20,8 +20,8 @@
 	organisation = request.OrgID("atlas")
 	daemons      = 3
 	partitions   = 2
-	keys         = 24
-	events       = 400
+	keys         = 60
+	events       = 1000
 	healRounds   = 60
 	maxNesting   = 2
 	storyLength  = 60
@@ -198,6 +198,9 @@
 	d.inCall = true
 	w.nesting++
 	w.note("%s: paused in a call", d.id)
+	if w.chance(2) {
+		w.takeOver()
+	}
 	for range w.rng.IntN(25) {
 		w.event()
 	}
@@ -206,28 +209,59 @@
 	d.inCall = false
 }
 
+// takeOver lets the leases of a paused daemon lapse and the others do their rounds.
+func (w *world) takeOver() {
+	w.pass(time.Duration(8+w.rng.IntN(20)) * time.Second)
+	for range 2 + w.rng.IntN(3) {
+		for _, d := range w.daemons {
+			w.on(d, func(ctx context.Context) {
+				d.once.Beat(ctx)
+				d.once.Scan(ctx)
+				d.once.Step(ctx)
+				d.once.Step(ctx)
+			})
+			w.send(d, w.keys[w.rng.IntN(len(w.keys))])
+		}
+		w.advanceTry()
+	}
+}
+
 // event does one random thing.
 func (w *world) event() {
 	d := w.daemons[w.rng.IntN(len(w.daemons))]
 	switch n := w.rng.IntN(1000); {
-	case n < 120:
+	case n < 100:
 		w.pass(time.Duration(w.rng.IntN(int(time.Second))))
-	case n < 130:
+	case n < 105:
 		w.pass(time.Duration(w.rng.IntN(int(15 * time.Second))))
-	case n < 250:
+	case n < 200:
 		w.on(d, func(ctx context.Context) { d.once.Beat(ctx) })
-	case n < 330:
+	case n < 260:
 		w.on(d, func(ctx context.Context) { d.once.Scan(ctx) })
-	case n < 560:
+	case n < 460:
 		w.on(d, func(ctx context.Context) { d.once.Step(ctx) })
-	case n < 760:
-		w.send(d, w.keys[w.rng.IntN(len(w.keys))])
-	case n < 940:
+	case n < 600:
+		w.sendAround(w.keys[w.rng.IntN(len(w.keys))])
+	case n < 920:
 		w.advanceTry()
-	case n < 960:
+	case n < 940:
 		w.pollSaves()
+	case n < 965:
+		w.fault(d, w.rng.IntN(20))
 	default:
-		w.fault(d, n-960)
+		w.mend(d, w.rng.IntN(4))
+	}
+}
+
+// sendAround lets a caller try one daemon after the other while none holds its key.
+func (w *world) sendAround(k *key) {
+	first := w.rng.IntN(len(w.daemons))
+	for i := range w.daemons {
+		tries := len(w.tries)
+		w.send(w.daemons[(first+i)%len(w.daemons)], k)
+		if k.final || len(w.tries) > tries {
+			return
+		}
 	}
 }
 
@@ -244,32 +278,38 @@
 	}
 }
 
-// fault does one of the faults of a whole process or of the service; n is below 40.
+// fault does one of the faults of a whole process or of the service; n is below 20.
 func (w *world) fault(d *daemon, n int) {
 	w.outcome.Faults++
 	switch {
-	case n < 4:
+	case n < 5:
 		w.kill(d)
 	case n < 10:
 		w.note("%s: frozen", d.id)
 		d.frozen = true
-	case n < 18:
-		w.note("%s: woken", d.id)
-		d.frozen = false
-	case n < 21:
+	case n < 13:
 		w.note("service down")
 		w.fake.SetDown(true)
-	case n < 27:
-		w.note("service up")
-		w.fake.SetDown(false)
-	case n < 30:
+	case n < 17:
 		w.note("%s: cut off", d.id)
 		w.fake.Cut(string(d.id), true)
-	case n < 35:
+	default:
+		w.planned(d)
+	}
+}
+
+// mend ends one of the faults that last; n is below 4.
+func (w *world) mend(d *daemon, n int) {
+	switch n {
+	case 0:
+		w.note("%s: woken", d.id)
+		d.frozen = false
+	case 1:
+		w.note("service up")
+		w.fake.SetDown(false)
+	case 2:
 		w.note("%s: joined", d.id)
 		w.fake.Cut(string(d.id), false)
-	case n < 37:
-		w.planned(d)
 	default:
 		w.fake.Deliver(w.rng.IntN(3))
 	}
@@ -437,7 +477,7 @@
 	if k.ran > 1 {
 		w.violation(&w.outcome.Doubled, k, "ran %d times", k.ran)
 	}
-	body := make([]byte, 16+w.rng.IntN(journal.MaxBody/2))
+	body := make([]byte, journal.MaxBody/2+w.rng.IntN(journal.MaxBody/2))
 	binary.BigEndian.PutUint64(body, w.rng.Uint64())
 	t.result = journal.Result{Status: 201, Body: body}
 	k.results = append(k.results, t.result)
@@ -489,7 +529,7 @@
 	}
 	for w.fake.Deliver(0) {
 	}
-	for range healRounds {
+	for i := 0; i < healRounds && !w.allFinal(); i++ {
 		w.healRound()
 	}
 	for _, k := range w.keys {
@@ -497,6 +537,15 @@
 	}
 }
 
+func (w *world) allFinal() bool {
+	for _, k := range w.keys {
+		if !k.final {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *world) healRound() {
 	ctx := context.Background()
 	for _, d := range w.daemons {
