Roll out weight versions while requests run; prove the daemon in one process

Duties on targets are stepped by the holder of a model's lease. During a rollout organisations without a version of their own are served with the loaded one, under its own cache names. Cause of a second change: with 10 s for the head of an answer, a request that got a silent pooled connection waited that long. Engines answer with a head at once, so the default is 3 s, and the pool is thrown away when a fresh connection works. Also ruled out: a shared metrics registry, which panicked with two daemons in one process.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,7 +81,7 @@
 // Streams sets the deadlines of target connections.
 type Streams struct {
 	DialTimeout   time.Duration
-	HeaderTimeout time.Duration
+	HeaderTimeout time.Duration // targets answer with a head at once, also when the request waits
 	SilentAfter   time.Duration // no frame for this long makes a stream silent
 	MaxResumes    int
 }
@@ -209,7 +209,7 @@
 	const s = "streams"
 	return Streams{
 		DialTimeout:   r.duration(s, "dial_timeout", time.Second, 10*time.Millisecond, time.Minute),
-		HeaderTimeout: r.duration(s, "header_timeout", 10*time.Second, 10*time.Millisecond, 10*time.Minute),
+		HeaderTimeout: r.duration(s, "header_timeout", 3*time.Second, 10*time.Millisecond, 10*time.Minute),
 		SilentAfter:   r.duration(s, "silent_after", 3*time.Second, 10*time.Millisecond, 10*time.Minute),
 		MaxResumes:    r.integer(s, "max_resumes", 3, 0, 20),
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/config"
+	"github.com/bluebellscale/bluebellscale/internal/fleet"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
@@ -69,6 +70,7 @@
 	planner  *planner.Planner
 	suspects *suspect.Keeper
 	gateway  *gateway.Gateway
+	fleet    *fleet.Fleet
 
 	draining atomic.Bool
 	drain    chan struct{}
@@ -98,6 +100,7 @@
 	d.metrics, d.scrape = newMetrics()
 	d.buildShared()
 	d.buildPath()
+	d.buildFleet()
 	return d, nil
 }
 
@@ -183,8 +186,7 @@
 
 // prefersPartition spreads the journal's partitions over the live daemons.
 func (d *Daemon) prefersPartition(partition int) bool {
-	place := d.members.Place(fmt.Sprintf("journal/%d", partition))
-	return place != nil && place.Id == d.config.Daemon.ID
+	return d.isPlace(fmt.Sprintf("journal/%d", partition))
 }
 
 // buildPath builds the parts on the way of a request.
@@ -243,6 +245,25 @@
 	})
 }
 
+func (d *Daemon) buildFleet() {
+	d.fleet = fleet.New(fleet.Options{
+		Tables:       d.table,
+		Targets:      d.targets,
+		Leases:       d.leases,
+		Mine:         func(m request.Model) bool { return d.isPlace("fleet/" + string(m)) },
+		Leaving:      d.stewards.VMLeaving,
+		OrderTimeout: d.config.Fleet.OrderTimeout,
+		Interval:     d.config.Fleet.PollInterval,
+		Logger:       d.log,
+		Metrics:      d.metrics,
+	})
+}
+
+func (d *Daemon) isPlace(key string) bool {
+	place := d.members.Place(key)
+	return place != nil && place.Id == d.config.Daemon.ID
+}
+
 // witness passes on what a steward saw of a target's death.
 func (d *Daemon) witness(t request.TargetID, incarnation uint64, fingerprints []quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,140 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/bluebellscale/bluebellscale/internal/loadgen"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
+	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+func TestServesPromptsAndCalls(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	report := c.load(nil)
+	if report.InDoubt > 0 || report.GivenUp > 0 {
+		t.Fatalf("without any fault: %+v", report)
+	}
+}
+
+// A caller gets words of another caller's answer. The target mixes up the frames of
+// two streams, and others end in the middle because something between the ends lost
+// track of the connections, which stay open and silent.
+func TestEachCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	swaps := 20
+	for _, e := range c.engines {
+		e.Switches().Apply(fault.Command{SwapAnswers: &swaps})
+	}
+	c.load(func(l *loadgen.Config) {
+		l.OnSettled = func(settled int) {
+			if settled == 10 {
+				c.engines[0].Switches().Apply(fault.Command{Silent: true})
+			}
+		}
+	})
+}
+
+// One request crashes each target that runs it, and its caller sends it again to one
+// daemon after the other. Without quarantine all four engines would fall; at most two
+// may, the caller is told when to come back, and others are served by what is left.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	marker := "MARKER-OF-THE-CRASH"
+	for _, e := range c.engines {
+		e.Switches().Apply(fault.Command{CrashMarker: &marker})
+	}
+	poison := strings.Repeat("batch ", 100) + marker
+	var status int
+	var body string
+	for i := range 6 {
+		status, body = c.complete(c.daemons[i%2], poison)
+	}
+	if status != http.StatusServiceUnavailable || !strings.Contains(body, string(request.CodeQuarantined)) {
+		t.Fatalf("the last try got %d %s", status, body)
+	}
+	dead := 0
+	for _, s := range c.servers {
+		select {
+		case <-s.Done():
+			dead++
+		default:
+		}
+	}
+	if dead == 0 || dead > 2 {
+		t.Fatalf("%d targets fell", dead)
+	}
+	c.load(nil)
+}
+
+// An operator sets a new default version while requests run. Loading takes each
+// target away for a while; were all told at once, every caller would be refused.
+func TestVersionIsRolledOutWhileRequestsRun(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	set := false
+	c.load(func(l *loadgen.Config) {
+		l.Turns = 12
+		l.OnSettled = func(settled int) {
+			if settled == 10 && !set {
+				set = true
+				c.setDefaultVersion("v2")
+			}
+		}
+	})
+	c.await("all engines to have the new version", func() bool {
+		for _, e := range c.engines {
+			if versionOf(c, e) != "v2" {
+				return false
+			}
+		}
+		return true
+	})
+	c.load(nil)
+}
+
+func (c *cluster) setDefaultVersion(version string) {
+	editor := table.NewEditor(table.EditorOptions{KV: c.client(), Who: "operator"})
+	_, err := editor.Set(context.Background(), table.SetRequest{
+		Sheet: table.SheetModels, ID: "verdict", Cells: []table.CellValue{{Column: "default_version", Value: version}},
+	})
+	if err != nil {
+		c.t.Error(err)
+	}
+}
+
+func versionOf(c *cluster, e *engine.Engine) string {
+	for i := range c.engines {
+		if c.engines[i] != e {
+			continue
+		}
+		var state struct{ Version string }
+		c.get("http://"+c.servers[i].Address()+"/v1/state", &state)
+		return state.Version
+	}
+	return ""
+}
+
+// A daemon is stopped as planned while streams are open and callers still hold route
+// answers that name it. Were it to exit at once, callers would see cut streams.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	report := c.load(func(l *loadgen.Config) {
+		l.Turns = 8
+		l.OnSettled = func(settled int) {
+			if settled == 10 {
+				c.daemons[1].Drain()
+			}
+		}
+	})
+	if report.Cut > 0 || report.InDoubt > 0 {
+		t.Fatalf("the stop was seen by callers: %+v", report)
+	}
+	if err := <-c.daemons[1].done; err != nil {
+		t.Fatalf("the stopped daemon returned %v", err)
+	}
+	c.daemons[1].done <- nil
+}
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -20,7 +21,8 @@
 
 // newMetrics returns the root scope and the handler of its endpoint.
 func newMetrics() (tally.Scope, http.Handler) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "bluebellscale",
 		CachedReporter:         reporter,
@@ -89,6 +91,7 @@
 	Targets       any    `json:"targets"`
 	Contexts      any    `json:"contexts"`
 	Quarantine    any    `json:"quarantine"`
+	Fleet         any    `json:"fleet"`
 }
 
 // State returns the dump of this daemon.
@@ -111,6 +114,7 @@
 		Targets:       d.stewards.State(),
 		Contexts:      d.planner.State(),
 		Quarantine:    d.suspects.State(),
+		Fleet:         d.fleet.State(),
 	}
 }
 
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
@@ -69,6 +70,24 @@
 	})
 }
 
+// engines ranks the targets that have the wanted weight version. While a new default
+// version is rolled out, targets change one after the other; until the first has it,
+// an organisation that names no version of its own is served with the one that is
+// loaded, under that version's own cache names.
+func (f *place) engines(ctx context.Context, j *Job) []Choice {
+	choices := f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+	if len(choices) > 0 || j.org.Models[j.model] != "" {
+		return choices
+	}
+	version, ok := f.g.opts.Contexts.Serving(ctx, j.model)
+	if !ok || version == j.context.Scope.Version {
+		return choices
+	}
+	j.context.Scope.Version = version
+	j.context.Chain = block.Chain(j.context.Scope.Salt(), []byte(j.completion.Prompt))
+	return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+}
+
 // gateRefusal answers a request that the quarantine does not let run now.
 func gateRefusal(v quarantine.Verdict) *request.Error {
 	switch v.Mode {
@@ -92,7 +111,7 @@
 
 func (f *place) choices(ctx context.Context, j *Job) []Choice {
 	if j.kind == kindCompletion {
-		return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+		return f.engines(ctx, j)
 	}
 	var out []Choice
 	for _, t := range f.g.opts.Stewards.Calls(ctx, j.call.service, j.exclude) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,8 @@
 type Contexts interface {
 	// Choose ranks the targets that may serve the prompt.
 	Choose(ctx context.Context, c Context, exclude map[request.TargetID]bool) []Choice
+	// Serving returns the weight version that most of a model's targets have loaded.
+	Serving(ctx context.Context, model request.Model) (request.Version, bool)
 	// Bring carries out an import; a failure only means that the target prefills.
 	Bring(ctx context.Context, c Context, choice Choice)
 	// Learn takes the truth from an answer and decides what to keep.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -45,7 +45,9 @@
 	j.failed = failure.targetFailed
 	g.endFlight(j, failure.targetDied)
 	g.releaseGrant(j)
-	j.exclude[j.choice.Target.ID] = true
+	if !failure.sameTarget {
+		j.exclude[j.choice.Target.ID] = true
+	}
 	j.tries++
 }
 
@@ -107,6 +109,7 @@
 type tryError struct {
 	answer       *request.Error // for the caller, if this was the last try
 	final        bool           // another try can not help
+	sameTarget   bool           // another try may go to the same target
 	targetFailed bool
 	targetDied   bool // new connections to the target fail too
 }
@@ -152,6 +155,7 @@
 	if target.NotStarted(err) {
 		answer.Ran = request.NotRun
 	}
+	silent := errors.Is(err, target.ErrSilent) && g.recovered(client)
 	var refused *engineapi.Error
 	if errors.As(err, &refused) && refused.Code == engineapi.CodeWrongVersion {
 		answer.Code = request.CodeWrongVersion
@@ -160,11 +164,21 @@
 	g.log.Warn("Target did not open a stream.", "target", j.choice.Target.ID, "request", j.id, "error", err)
 	return &tryError{
 		answer:       answer,
-		targetFailed: refused == nil,
-		targetDied:   refused == nil && answer.Ran == request.InDoubt && g.died(j, client),
+		sameTarget:   silent,
+		targetFailed: refused == nil && !silent,
+		targetDied:   refused == nil && !silent && answer.Ran == request.InDoubt && g.died(j, client),
 	}
 }
 
+// recovered tells whether a target whose connection was silent answers on a new one.
+// Its pooled connections are then thrown away: each of them would otherwise cost one
+// request the wait for a head that never comes.
+func (g *Gateway) recovered(client *target.Client) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return client.RecoverSilence(ctx) == nil
+}
+
 func cancelled(ran request.Ran) *request.Error {
 	return &request.Error{Code: request.CodeCancelled, Status: statusClientGone, Message: "the caller left", Ran: ran}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -122,25 +122,45 @@
 		return nil
 	}
 	located := p.locate(c)
-	rows = p.sample(rows, located)
+	rows = p.sample(sheet, c.Scope.Version, rows, located)
 	views := p.opts.Looker.Look(ctx, targetIDs(rows), c.Chain)
-	model, _ := sheet.Model(c.Scope.Model)
-	plan := p.plan(c, model, rows, located, views)
+	plan := p.plan(sheet, c, rows, located, views)
 	return choicesOf(sheet, plan, located)
 }
 
-// engines returns the targets that should have the wanted version.
+// engines returns the model's engines. Which version each has loaded shows only in
+// its steward's view: while a version is rolled out it differs from the table.
 func (p *Planner) engines(sheet *table.Snapshot, c gateway.Context, exclude map[request.TargetID]bool) []*table.Target {
 	var out []*table.Target
 	for _, t := range sheet.EnginesFor(c.Scope.Model) {
-		if exclude[t.ID] || sheet.TargetVersion(t) != c.Scope.Version {
-			continue
+		if !exclude[t.ID] {
+			out = append(out, t)
 		}
-		out = append(out, t)
 	}
 	return out
 }
 
+// Serving implements gateway.Contexts: the version that most of a model's engines
+// have loaded now.
+func (p *Planner) Serving(ctx context.Context, model request.Model) (request.Version, bool) {
+	rows := p.opts.Tables.Current().EnginesFor(model)
+	if len(rows) > maxLooked {
+		rows = rows[:maxLooked]
+	}
+	count := map[request.Version]int{}
+	var best request.Version
+	for _, v := range p.opts.Looker.Look(ctx, targetIDs(rows), nil) {
+		if v.Down || v.Leaving || v.Version == "" {
+			continue
+		}
+		count[v.Version]++
+		if n := count[v.Version]; n > count[best] || n == count[best] && v.Version > best {
+			best = v.Version
+		}
+	}
+	return best, best != ""
+}
+
 func (p *Planner) locate(c gateway.Context) contextdir.Located {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,7 +168,9 @@
 }
 
 // sample keeps the cost of one placement flat when there are many targets.
-func (p *Planner) sample(rows []*table.Target, located contextdir.Located) []*table.Target {
+func (p *Planner) sample(
+	sheet *table.Snapshot, wanted request.Version, rows []*table.Target, located contextdir.Located,
+) []*table.Target {
 	if len(rows) <= maxLooked {
 		return rows
 	}
@@ -156,16 +178,19 @@
 	for _, r := range located.Resident {
 		holders[r.Target] = true
 	}
+	rank := func(t *table.Target) int {
+		return 2*firstIf(sheet.TargetVersion(t) == wanted) + firstIf(holders[t.ID])
+	}
 	p.mu.Lock()
 	p.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
 	p.mu.Unlock()
 	slices.SortStableFunc(rows, func(a, b *table.Target) int {
-		return boolRank(holders[a.ID]) - boolRank(holders[b.ID])
+		return rank(a) - rank(b)
 	})
 	return rows[:maxLooked]
 }
 
-func boolRank(first bool) int {
+func firstIf(first bool) int {
 	if first {
 		return 0
 	}
@@ -181,8 +206,8 @@
 }
 
 func (p *Planner) plan(
+	sheet *table.Snapshot,
 	c gateway.Context,
-	model *table.ModelRow,
 	rows []*table.Target,
 	located contextdir.Located,
 	views map[request.TargetID]steward.View,
@@ -192,10 +217,13 @@
 	candidates := make([]placement.Candidate, 0, len(rows))
 	for _, t := range rows {
 		v, seen := views[t.ID]
-		candidates = append(candidates, p.candidate(t, v, seen, c, located))
+		if v.Version == "" {
+			v.Version = sheet.TargetVersion(t)
+		}
+		candidates = append(candidates, p.candidate(t, v, seen, located))
 	}
 	r := placement.Request{Tokens: c.Tokens, Version: c.Scope.Version}
-	if model != nil {
+	if model, ok := sheet.Model(c.Scope.Model); ok {
 		r.BytesPerToken = model.BytesPerToken
 	}
 	return placement.Choose(p.opts.Params, r, candidates, p.copies(located, time.Now()))
@@ -203,19 +231,15 @@
 
 // candidate joins what the directory remembers with what the steward sees. The
 // steward reads the target's cache events; unless it is unsure its word counts.
-func (p *Planner) candidate(t *table.Target, v steward.View, seen bool, c gateway.Context, l contextdir.Located) placement.Candidate {
+func (p *Planner) candidate(t *table.Target, v steward.View, seen bool, l contextdir.Located) placement.Candidate {
 	resident, unsure := remembered(l, t.ID)
 	if seen && !v.Unsure {
 		resident, unsure = v.ResidentBlocks, false
 	}
-	version := v.Version
-	if version == "" {
-		version = c.Scope.Version
-	}
 	return placement.Candidate{
 		ID:                  t.ID,
 		FailureDomain:       t.FailureDomain,
-		Version:             version,
+		Version:             v.Version,
 		QueuedPrefillTokens: int(v.QueuedPrefill),
 		Running:             v.Running,
 		Waiting:             v.Waiting,
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -234,7 +233,4 @@
 	}
 }
 
-func (k *keeper) vmLeaving() bool {
-	host, _, err := net.SplitHostPort(k.row.Address)
-	return err == nil && k.service.isLeaving(host)
-}
+func (k *keeper) vmLeaving() bool { return k.service.VMLeaving(&k.row) }
--- a/internal/steward/poll.go
+++ b/internal/steward/poll.go
@@ -59,6 +59,7 @@
 		return 0
 	}
 	failures++
+	k.recover()
 	if failures == failuresUntilDown {
 		k.service.log.Warn("Target does not answer.", "target", k.row.ID, "error", err)
 		k.send(&downMsg{})
@@ -66,6 +67,16 @@
 	return failures
 }
 
+// recover throws the pooled connections to the target away if new ones work. Polls go
+// over few connections; one that has gone silent would make the target look down.
+func (k *keeper) recover() {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	if err := k.service.opts.Targets.Client(k.row).RecoverSilence(ctx); err != nil {
+		k.service.log.Debug("Target does not answer on a new connection.", "target", k.row.ID, "error", err)
+	}
+}
+
 func (k *keeper) pollOnce(ctx context.Context, after *uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -157,6 +168,9 @@
 	return host
 }
 
+// VMLeaving tells whether the VM list says that a target's VM is leaving.
+func (s *Service) VMLeaving(t *table.Target) bool { return s.isLeaving(hostOf(t.Address)) }
+
 func (s *Service) isLeaving(host string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/tabletest/tabletest.go
+++ b/internal/tabletest/tabletest.go
@@ -24,6 +24,12 @@
 // Load writes rows to a key-value service and returns a replica that holds them. The
 // replica follows the service until the test ends.
 func Load(t testing.TB, kv platform.KV, rows Rows) *table.Replica {
+	t.Helper()
+	return follow(t, kv, Write(t, kv, rows))
+}
+
+// Write writes rows to a key-value service and returns how many it changed.
+func Write(t testing.TB, kv platform.KV, rows Rows) int {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
@@ -40,15 +46,17 @@
 	if _, err := editor.Apply(ctx, plan); err != nil {
 		t.Fatal(err)
 	}
-	return follow(ctx, t, kv, len(plan.Changes))
+	return len(plan.Changes)
 }
 
 func sheet(name, header, rows string) table.File {
 	return table.File{Name: name + ".csv", Data: []byte(header + "\n" + rows)}
 }
 
-func follow(ctx context.Context, t testing.TB, kv platform.KV, changes int) *table.Replica {
+func follow(t testing.TB, kv platform.KV, changes int) *table.Replica {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
 	replica := table.NewReplica(table.ReplicaOptions{KV: kv})
 	run, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
