Let clocks fall behind in schedules

A process whose VM was suspended believes a lapsed lease to be valid; then only the compare-and-swap of the head guards.

--- a/internal/schedules/daemon.go
+++ b/internal/schedules/daemon.go
@@ -33,7 +33,7 @@
 }
 
 // newOnce builds the journal of one daemon process.
-type newOnce func(service platform.KV, clock *clock, id request.DaemonID) once
+type newOnce func(service platform.KV, clock *daemonClock, id request.DaemonID) once
 
 // realOnce is the journal under test with its leases.
 type realOnce struct {
@@ -41,7 +41,7 @@
 	journal *journal.Journal
 }
 
-func newRealOnce(service platform.KV, clock *clock, id request.DaemonID) once {
+func newRealOnce(service platform.KV, clock *daemonClock, id request.DaemonID) once {
 	leases := lease.NewManager(lease.Options{KV: service, Self: id, Now: clock.Now})
 	return &realOnce{leases: leases, journal: journal.New(journal.Options{
 		KV: service, Leases: leases, Self: id, Partitions: partitions, Now: clock.Now,
--- a/internal/schedules/world.go
+++ b/internal/schedules/world.go
@@ -33,10 +33,21 @@
 // Now returns the virtual time.
 func (c *clock) Now() time.Time { return c.now }
 
+// daemonClock is the virtual time as one process sees it. It falls behind while its
+// VM is suspended; then the process believes its leases to be valid when they are not.
+type daemonClock struct {
+	world  *clock
+	behind time.Duration
+}
+
+// Now returns the process's time.
+func (c *daemonClock) Now() time.Time { return c.world.now.Add(-c.behind) }
+
 // daemon is one process; a kill replaces it under the same id.
 type daemon struct {
 	id     request.DaemonID
 	once   once
+	clock  *daemonClock
 	frozen bool // stopped by the schedule until woken
 	inCall bool // paused inside a call of the service
 }
@@ -130,7 +141,7 @@
 	w.fake.SetAfter(func(client string) { w.pauseInCall(client) })
 	for i := range daemons {
 		d := &daemon{id: request.DaemonID(fmt.Sprintf("d%d", i))}
-		d.once = build(w.fake.Client(string(d.id)), w.clock, d.id)
+		w.restart(d)
 		w.daemons = append(w.daemons, d)
 	}
 	for i := range keys {
@@ -198,13 +209,17 @@
 	d.inCall = true
 	w.nesting++
 	w.note("%s: paused in a call", d.id)
+	start := w.clock.now
 	if w.chance(2) {
 		w.takeOver()
 	}
 	for range w.rng.IntN(25) {
 		w.event()
 	}
-	w.note("%s: goes on", d.id)
+	if w.chance(4) {
+		d.clock.behind += w.clock.now.Sub(start)
+	}
+	w.note("%s: goes on, clock behind by %v", d.id, d.clock.behind)
 	w.nesting--
 	d.inCall = false
 }
@@ -290,6 +305,9 @@
 	case n < 13:
 		w.note("service down")
 		w.fake.SetDown(true)
+	case n < 14:
+		d.clock.behind += time.Duration(w.rng.IntN(int(20 * time.Second)))
+		w.note("%s: clock behind by %v", d.id, d.clock.behind)
 	case n < 17:
 		w.note("%s: cut off", d.id)
 		w.fake.Cut(string(d.id), true)
@@ -327,8 +345,13 @@
 			w.die(t)
 		}
 	}
+	w.restart(d)
+}
+
+func (w *world) restart(d *daemon) {
 	d.frozen = false
-	d.once = w.build(w.fake.Client(string(d.id)), w.clock, d.id)
+	d.clock = &daemonClock{world: w.clock}
+	d.once = w.build(w.fake.Client(string(d.id)), d.clock, d.id)
 }
 
 // die ends a try with its process, perhaps after the dispatch left it.
