--- a/internal/policy/admission/grants.go
+++ b/internal/policy/admission/grants.go
@@ -10,6 +10,7 @@
 	ask     Ask
 	id      string
 	alone   bool
+	cost    int64
 	over    bool // its organisation was over its share
 	granted time.Time
 	expires time.Time
@@ -38,11 +39,12 @@
 		ask:     ask,
 		id:      s.params.Instance + "." + strconv.FormatUint(s.seq, 10),
 		alone:   alone,
+		cost:    s.cost(ask),
 		over:    s.usage.over(now, ask.Org, ask.Weight),
 		granted: now,
 		expires: now.Add(s.params.GrantTTL),
 	}
-	s.usage.add(now, ask.Org, ask.Weight, ask.Tokens)
+	s.usage.add(now, ask.Org, ask.Weight, g.cost)
 	s.grants[ask.ID] = g
 	s.order = append(s.order, g)
 	s.alone = s.alone || alone
@@ -56,7 +58,8 @@
 	actions := s.advance(now)
 	for _, g := range s.order {
 		if g.id == grantID {
-			s.meter.served(g.ask.Tokens)
+			s.meter.served(g.cost)
+			s.usage.held(g.ask.Org, now.Sub(g.granted))
 			s.end(now, g)
 			break
 		}
@@ -104,6 +107,16 @@
 	s.ended = s.ended[i:]
 }
 
+// cost returns what a request takes of the target, in tokens: its prompt, or its place
+// for as long as one of its organisation is held, whichever is the larger part of the
+// target. Without the second, an organisation with short prompts and long answers
+// could hold most places within its share.
+func (s *Steward) cost(ask Ask) int64 {
+	hold := s.usage.hold(ask.Org).Seconds()
+	place := hold * s.params.PrefillRate / float64(s.params.MaxRunning)
+	return max(ask.Tokens, int64(place))
+}
+
 // fits reports whether one more request of the given size may go to the target. over
 // says that its organisation is over its share.
 func (s *Steward) fits(now time.Time, tokens int64, over bool) bool {
--- a/internal/policy/admission/load.go
+++ b/internal/policy/admission/load.go
@@ -163,8 +163,9 @@
 
 // foldBacklog adds to a backlog of some time the grants since then.
 func (s *Steward) foldBacklog(now time.Time, backlog float64, at time.Time, counts func(*grant) bool) float64 {
+	since := at
 	for _, g := range s.order {
-		if !g.granted.After(at) || !counts(g) {
+		if !g.granted.After(since) || !counts(g) {
 			continue
 		}
 		backlog = s.computed(backlog, g.granted.Sub(at))
--- a/internal/policy/admission/submit.go
+++ b/internal/policy/admission/submit.go
@@ -37,7 +37,7 @@
 	}
 	s.waiting[ask.ID] = ask
 	dropped := s.queue.Push(fairqueue.Item{
-		ID: ask.ID, Org: ask.Org, Weight: ask.Weight, Cost: ask.Tokens, LatestStart: s.latestStart(ask),
+		ID: ask.ID, Org: ask.Org, Weight: ask.Weight, Cost: s.cost(ask), LatestStart: s.latestStart(ask),
 	})
 	actions = append(actions, s.refuseDropped(now, dropped)...)
 	return append(actions, s.pump(now)...)
@@ -68,7 +68,7 @@
 	actions := s.advance(now)
 	var next int64
 	if item, ok := s.queue.Peek(); ok {
-		next = item.Cost
+		next = s.waiting[item.ID].Tokens
 	}
 	dropped := s.queue.Expire(now, s.meter.rate, s.untilPlace(now, next))
 	actions = append(actions, s.refuseDropped(now, dropped)...)
@@ -106,7 +106,7 @@
 func (s *Steward) nextFitting(now time.Time) (fairqueue.Item, bool) {
 	for _, item := range s.queue.Heads() {
 		over := s.usage.over(now, item.Org, item.Weight)
-		if s.fits(now, item.Cost, over) {
+		if s.fits(now, s.waiting[item.ID].Tokens, over) {
 			return item, true
 		}
 		if !over {
@@ -147,10 +147,15 @@
 	return s.untilPlace(now, ask.Tokens) + fairqueue.Duration(float64(ahead), s.meter.rate)
 }
 
-// ExpectedWait estimates how long an ask would wait for its grant if it were submitted
-// now. It serves the choice between targets.
+// ExpectedWait estimates how long after now the target would begin to compute an ask
+// that is submitted now: its wait for a grant and for the prefill that comes first at
+// the target. It serves the choice between targets.
 func (s *Steward) ExpectedWait(now time.Time, ask Ask) time.Duration {
-	return s.expectedWait(now, ask)
+	backlog := s.prefillBacklog(now)
+	if !s.usage.over(now, ask.Org, max(ask.Weight, 1)) {
+		backlog = min(backlog, s.withinShareBacklog(now))
+	}
+	return s.expectedWait(now, ask) + fairqueue.Duration(backlog, s.params.PrefillRate)
 }
 
 // untilPlace estimates when the next in line may start, if it has the given tokens.
--- a/internal/policy/admission/table_test.go
+++ b/internal/policy/admission/table_test.go
@@ -76,6 +76,9 @@
 			if a.Alone {
 				out.WriteString(" alone")
 			}
+			if a.Priority == PriorityOverShare {
+				out.WriteString(" over share")
+			}
 			out.WriteString("\n")
 		case Refuse:
 			fmt.Fprintf(&out, "refuse %s: %s %d %s after %s\n", a.Ask.ID, a.Err.Code, a.Err.Status, a.Err.Ran, a.Err.RetryAfter)
--- a/internal/policy/admission/usage.go
+++ b/internal/policy/admission/usage.go
@@ -15,20 +15,48 @@
 	overShare = 1.5
 )
 
+// holdGain is the weight of a new measurement of how long a place is held.
+const holdGain = 0.2
+
 // usage measures what each organisation took of the target lately.
 type usage struct {
 	orgs map[request.OrgID]*orgUsage
 	at   time.Time
+	mean time.Duration // for which a place is held, over all
 }
 
 type orgUsage struct {
-	tokens float64
+	tokens float64 // cost of what was granted, decaying
 	weight int
+	hold   time.Duration // zero: none has ended
+}
+
+// held is told how long a request had its place.
+func (u *usage) held(org request.OrgID, d time.Duration) {
+	u.mean = smooth(u.mean, d)
+	if o, ok := u.orgs[org]; ok {
+		o.hold = smooth(o.hold, d)
+	}
+}
+
+// hold returns how long a request of the organisation is expected to have its place.
+func (u *usage) hold(org request.OrgID) time.Duration {
+	if o, ok := u.orgs[org]; ok && o.hold > 0 {
+		return o.hold
+	}
+	return u.mean
+}
+
+func smooth(mean, d time.Duration) time.Duration {
+	if mean == 0 {
+		return d
+	}
+	return mean + time.Duration(holdGain*float64(d-mean))
 }
 
 func newUsage() usage { return usage{orgs: make(map[request.OrgID]*orgUsage)} }
 
-func (u *usage) add(now time.Time, org request.OrgID, weight int, tokens int64) {
+func (u *usage) add(now time.Time, org request.OrgID, weight int, cost int64) {
 	u.decay(now)
 	o, ok := u.orgs[org]
 	if !ok {
@@ -36,7 +64,7 @@
 		u.orgs[org] = o
 	}
 	o.weight = weight
-	o.tokens += float64(tokens)
+	o.tokens += float64(cost)
 }
 
 func (u *usage) decay(now time.Time) {
