--- a/internal/policy/admission/usage.go
+++ b/internal/policy/admission/usage.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	usageWindow = 10 * time.Second // over which usage decays
+	usageWindow = 30 * time.Second // over which usage decays
 	usageLeast  = 1                // tokens below which an organisation is idle
 	// overShare is how far above the mean of all, by weight, an organisation is over
 	// its share. Above 1, since equal ones differ by chance.
