--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -1,3 +1,49 @@
+// Command bluebellctl edits the operators' table and looks into daemons.
 package main
 
-func main() {}
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/bluebellscale/bluebellscale/internal/config"
+	"github.com/bluebellscale/bluebellscale/internal/ctl"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/version"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args, ctl.Deps{
+		NewKV:       newKV,
+		CheckConfig: checkConfig,
+		Client:      &http.Client{},
+		Operator:    operator(),
+		Version:     version.String(),
+		Stdout:      os.Stdout,
+		Stderr:      os.Stderr,
+	})
+	stop()
+	os.Exit(code)
+}
+
+func newKV(addresses []string) platform.KV {
+	return platform.NewClient(platform.Options{Addresses: addresses, ClientID: "bluebellctl-" + operator()})
+}
+
+func checkConfig(path string) error {
+	_, err := config.Load(path)
+	return err
+}
+
+// operator names the user for the histories of rows.
+func operator() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
--- /dev/null
+++ b/internal/gateway/settle.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+)
+
+// quarantineTimeout bounds the write of a finding to the key-value service.
+const quarantineTimeout = 3 * time.Second
+
+// settle gives back all that a job still holds. It runs once, after the answer.
+func (g *Gateway) settle(j *Job) {
+	g.settleTicket(j, g.opts.Journal.Abort)
+	g.releaseGrant(j)
+	g.endFlight(j, false)
+	if j.limited {
+		g.opts.Limiter.Done(j.org.ID, j.output)
+	}
+	g.line.Settled()
+}
+
+func (g *Gateway) releaseGrant(j *Job) {
+	if j.grant == nil {
+		return
+	}
+	g.opts.Stewards.Release(*j.grant, Release{PrefillTokens: j.prefilled, TargetFailed: j.failed})
+	j.grant = nil
+	j.failed = false
+}
+
+// endFlight tells the quarantine that the present try is over. If the target died,
+// the finding is written before the request can be sent again.
+func (g *Gateway) endFlight(j *Job, died bool) {
+	if j.inFlight == "" {
+		return
+	}
+	if died {
+		ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+		defer cancel()
+		g.opts.Quarantine.TargetDied(ctx, j.choice.Target.ID, j.incarnation)
+	}
+	g.opts.Quarantine.End(j.inFlight)
+	j.inFlight = ""
+}
+
+func (g *Gateway) learn(j *Job, u engineapi.Usage, first time.Duration) {
+	g.opts.Contexts.Learn(j.context, Answered{
+		Target:       j.choice.Target.ID,
+		CachedTokens: u.CachedTokens,
+		PromptTokens: u.PromptTokens,
+		FirstToken:   first,
+	})
+}
