Log actor systems through hclog; short sentences without a full stop

Cause: the actor library logged its starts in colour to the terminal, beside the daemon's own log. Its warnings now carry the daemon's prefix.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,10 @@
 demo: build
 	scripts/demo.sh
 
+# Randomised fault schedules of the pure cores.
+schedules: build
+	$(BIN)/schedules
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
 proto:
 	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -62,7 +62,7 @@
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
 		if err := encoder.Encode(state()); err != nil {
-			d.log.Debug("Dump was not read to its end.", "error", err)
+			d.log.Debug("Dump was not read to its end", "error", err)
 		}
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,7 +18,7 @@
 	d.startTasks(background, &tasks)
 	callers := d.serve(d.callers, d.gateway.Handler())
 	peers := d.serve(d.peers, d.peerHandler())
-	d.log.Info("Daemon started.", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
+	d.log.Info("Daemon started", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
 	var err error
 	select {
 	case <-ctx.Done():
@@ -30,7 +30,7 @@
 	stop()
 	tasks.Wait()
 	d.close()
-	d.log.Info("Daemon stopped.", "id", d.config.Daemon.ID)
+	d.log.Info("Daemon stopped", "id", d.config.Daemon.ID)
 	return err
 }
 
@@ -104,21 +104,21 @@
 	d.draining.Store(true)
 	d.members.Leave()
 	keep := d.config.Drain.RouteKeep
-	d.log.Info("Planned stop began.", "in_flight", d.gateway.InFlight(), "accepting_for", keep)
+	d.log.Info("Planned stop began", "in_flight", d.gateway.InFlight(), "accepting_for", keep)
 	time.Sleep(keep)
 	ctx, cancel := context.WithTimeout(context.Background(), d.config.Drain.Limit)
 	defer cancel()
 	if err := callers.http.Shutdown(ctx); err != nil {
-		d.log.Error("Requests were cut off at the limit of the planned stop.", "in_flight", d.gateway.InFlight(), "error", err)
+		d.log.Error("Requests were cut off at the limit of the planned stop", "in_flight", d.gateway.InFlight(), "error", err)
 		_ = callers.http.Close()
 	}
 	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancelRelease()
 	if err := d.journal.Shutdown(release); err != nil {
-		d.log.Warn("Journal partitions were not released. They lapse.", "error", err)
+		d.log.Warn("Journal partitions were not released; they lapse", "error", err)
 	}
 	if err := d.leases.Close(release); err != nil {
-		d.log.Warn("Leases were not released. They lapse.", "error", err)
+		d.log.Warn("Leases were not released; they lapse", "error", err)
 	}
 	_ = peers.http.Close()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if err := d.lease.Release(ctx); err != nil {
-		f.log.Warn("Lease was not released. It lapses.", "model", d.model, "error", err)
+		f.log.Warn("Lease was not released; it lapses", "model", d.model, "error", err)
 	}
 	f.setLease(d, nil)
 }
@@ -237,7 +237,7 @@
 	if err != nil {
 		f.setLease(d, nil)
 		if !errors.Is(err, lease.ErrHeld) {
-			f.log.Warn("Duty is not held. No orders are given.", "model", d.model, "error", err)
+			f.log.Warn("Duty is not held; no orders are given", "model", d.model, "error", err)
 		}
 		return false
 	}
@@ -255,7 +255,7 @@
 		case rollout.Wait:
 			waits = append(waits, a)
 		case rollout.StepDown:
-			f.log.Warn("A target has seen a higher epoch. The duty is given up.", "model", d.model, "epoch", a.Epoch)
+			f.log.Warn("A target has seen a higher epoch; the duty is given up", "model", d.model, "epoch", a.Epoch)
 			f.giveUp(ctx, d)
 		}
 	}
@@ -277,9 +277,9 @@
 			continue
 		}
 		f.orders.Inc(1)
-		f.log.Info("Order is given.", "target", t.ID, "kind", o.Order.Kind, "version", o.Order.Version, "epoch", o.Order.Epoch)
+		f.log.Info("Order is given", "target", t.ID, "kind", o.Order.Kind, "version", o.Order.Version, "epoch", o.Order.Epoch)
 		if _, err := f.opts.Targets.Client(*t).Order(ctx, o.Order); err != nil {
-			f.log.Warn("Order was not acknowledged.", "target", t.ID, "error", err)
+			f.log.Warn("Order was not acknowledged", "target", t.ID, "error", err)
 		}
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,7 +78,7 @@
 }
 
 func (g *Gateway) callFailed(j *Job, client *target.Client, err error) *tryError {
-	g.log.Warn("Call failed.", "target", j.choice.Target.ID, "request", j.id, "error", err)
+	g.log.Warn("Call failed", "target", j.choice.Target.ID, "request", j.id, "error", err)
 	if target.NotStarted(err) {
 		g.settleTicket(j, g.opts.Journal.Abort)
 		return &tryError{
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := write(ctx, ticket); err != nil {
-		g.log.Warn("Outcome of a call was not kept.", "request", j.id, "error", err)
+		g.log.Warn("Outcome of a call was not kept", "request", j.id, "error", err)
 	}
 }
 
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -48,7 +48,7 @@
 	}
 	w.WriteHeader(e.Status)
 	if err := json.NewEncoder(w).Encode(errorBody{Error: detailOf(e)}); err != nil {
-		g.log.Debug("Caller left before its refusal.", "error", err)
+		g.log.Debug("Caller left before its refusal", "error", err)
 	}
 }
 
@@ -71,7 +71,7 @@
 	if errors.Is(err, context.Canceled) {
 		return &request.Error{Code: request.CodeCancelled, Status: statusClientGone, Message: "the caller left", Ran: ran}
 	}
-	g.log.Error("Filter failed.", "request", j.id, "error", err)
+	g.log.Error("Filter failed", "request", j.id, "error", err)
 	return &request.Error{Code: request.CodeInternal, Status: http.StatusInternalServerError, Message: "internal error", Ran: ran}
 }
 
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -102,7 +102,7 @@
 		g.fail(out, cancelled(request.InDoubt))
 		return
 	}
-	g.log.Warn("Home did not serve a request. It is served here.", "home", j.forward.Id, "request", j.id, "error", err)
+	g.log.Warn("Home did not serve a request; it is served here", "home", j.forward.Id, "request", j.id, "error", err)
 	g.serveHere(out, j)
 }
 
--- a/internal/gateway/pump.go
+++ b/internal/gateway/pump.go
@@ -192,7 +192,7 @@
 	p.stopReading()
 	source, err := p.client.Resume(p.j.ctx, p.attempt, r.From)
 	if err != nil {
-		p.g.log.Debug("Stream was not resumed.", "request", p.j.id, "error", err)
+		p.g.log.Debug("Stream was not resumed", "request", p.j.id, "error", err)
 		p.reading = endedReading(err)
 		return
 	}
@@ -217,7 +217,7 @@
 }
 
 func (p *pump) failed(e *request.Error) *tryError {
-	p.g.log.Warn("Stream failed.", "target", p.j.choice.Target.ID, "request", p.j.id, "error", e)
+	p.g.log.Warn("Stream failed", "target", p.j.choice.Target.ID, "request", p.j.id, "error", e)
 	if e.RetryAfter == 0 {
 		e.RetryAfter = retryTargetFailed
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -161,7 +161,7 @@
 		answer.Code = request.CodeWrongVersion
 		answer.Message = "the target has another weight version"
 	}
-	g.log.Warn("Target did not open a stream.", "target", j.choice.Target.ID, "request", j.id, "error", err)
+	g.log.Warn("Target did not open a stream", "target", j.choice.Target.ID, "request", j.id, "error", err)
 	return &tryError{
 		answer:       answer,
 		sameTarget:   silent,
@@ -205,7 +205,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := client.Cancel(ctx, id); err != nil {
-			g.log.Debug("Cancel was not taken.", "request", id, "error", err)
+			g.log.Debug("Cancel was not taken", "request", id, "error", err)
 		}
 	}()
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -47,7 +47,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(answer); err != nil {
-		g.log.Debug("Caller left before its route.", "error", err)
+		g.log.Debug("Caller left before its route", "error", err)
 	}
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -130,7 +130,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.log.Debug("Limit steward was not reached.", "organisation", want.Org, "error", err)
+		l.log.Debug("Limit steward was not reached", "organisation", want.Org, "error", err)
 		l.home.OnSliceFailed(time.Now(), want.Org)
 	} else {
 		l.home.OnSlice(time.Now(), want.Org, slice)
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -17,6 +17,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellscale/bluebellscale/internal/actors"
 )
 
 // ErrNoCredit reports that as many jobs as allowed are in flight.
@@ -93,7 +95,7 @@
 		opts.Metrics = tally.NoopScope
 	}
 	p := &Pipeline[J]{
-		system:  actor.NewActorSystem(),
+		system:  actors.NewSystem(opts.Logger),
 		credits: make(chan struct{}, opts.Credits),
 		log:     opts.Logger,
 		refused: opts.Metrics.Counter("pipeline_no_credit"),
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -48,7 +48,7 @@
 		return
 	}
 	p.failedImports.Inc(1)
-	p.log.Debug("Import failed.", "store", im.Copy.Store, "target", choice.Target.ID, "error", err)
+	p.log.Debug("Import failed", "store", im.Copy.Store, "target", choice.Target.ID, "error", err)
 	if errors.Is(err, store.ErrMiss) || errors.Is(err, errTorn) {
 		p.mu.Lock()
 		p.directory.Freed(im.Copy.Manifest)
@@ -146,7 +146,7 @@
 		p.free(forgotten)
 		if err := p.export(ctx, c, on); err != nil {
 			p.failedExports.Inc(1)
-			p.log.Debug("Export failed.", "target", on, "error", err)
+			p.log.Debug("Export failed", "target", on, "error", err)
 		}
 	}()
 }
@@ -215,7 +215,7 @@
 			continue
 		}
 		if err := p.freeOne(a.Copy, address); err != nil {
-			p.log.Debug("Old export was not freed.", "store", a.Copy.Store, "error", err)
+			p.log.Debug("Old export was not freed", "store", a.Copy.Store, "error", err)
 		}
 	}
 }
--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -35,7 +35,7 @@
 	if ctx.Err() != nil {
 		return gateway.Grant{}, gaveUp()
 	}
-	s.log.Warn("Steward was not reached. This daemon decides.", "steward", m.Id, "target", ask.Target, "error", err)
+	s.log.Warn("Steward was not reached; this daemon decides", "steward", m.Id, "target", ask.Target, "error", err)
 	return s.acquireSelf(ctx, ask)
 }
 
@@ -150,7 +150,7 @@
 			TargetFailed:  r.TargetFailed,
 		})
 		if err != nil {
-			s.log.Debug("Release was not taken. The grant lapses.", "target", g.Target, "error", err)
+			s.log.Debug("Release was not taken; the grant lapses", "target", g.Target, "error", err)
 		}
 	}()
 }
--- a/internal/steward/grants.go
+++ b/internal/steward/grants.go
@@ -85,7 +85,7 @@
 		From: s.opts.Members.Self().Id, Target: string(id), RequestIds: requests,
 	})
 	if err != nil {
-		s.log.Debug("Grants were not renewed.", "target", id, "error", err)
+		s.log.Debug("Grants were not renewed", "target", id, "error", err)
 	}
 }
 
--- a/internal/steward/look.go
+++ b/internal/steward/look.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	answer, err := s.opts.Peers.Steward(m).Look(ctx, lookRequest(ids, p))
 	if err != nil {
-		s.log.Debug("Steward did not answer.", "steward", m.Id, "error", err)
+		s.log.Debug("Steward did not answer", "steward", m.Id, "error", err)
 		return nil
 	}
 	out := make([]View, 0, len(answer.Views))
--- a/internal/steward/poll.go
+++ b/internal/steward/poll.go
@@ -61,7 +61,7 @@
 	failures++
 	k.recover()
 	if failures == failuresUntilDown {
-		k.service.log.Warn("Target does not answer.", "target", k.row.ID, "error", err)
+		k.service.log.Warn("Target does not answer", "target", k.row.ID, "error", err)
 		k.send(&downMsg{})
 	}
 	return failures
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 	defer cancel()
 	if err := k.service.opts.Targets.Client(k.row).RecoverSilence(ctx); err != nil {
-		k.service.log.Debug("Target does not answer on a new connection.", "target", k.row.ID, "error", err)
+		k.service.log.Debug("Target does not answer on a new connection", "target", k.row.ID, "error", err)
 	}
 }
 
@@ -141,7 +141,7 @@
 	defer cancel()
 	vms, err := s.opts.VMs.VMs(ctx)
 	if err != nil {
-		s.log.Debug("VM list was not read.", "error", err)
+		s.log.Debug("VM list was not read", "error", err)
 		return
 	}
 	s.setLeaving(vms)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/actors"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
@@ -84,7 +85,7 @@
 	return &Service{
 		opts:    opts,
 		log:     opts.Logger.Named("steward"),
-		system:  actor.NewActorSystem(),
+		system:  actors.NewSystem(opts.Logger),
 		granted: newGrantBook(),
 		keepers: map[request.TargetID]*keeper{},
 		leaving: map[string]bool{},
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -77,7 +77,7 @@
 		return v
 	}
 	if err := k.read(ctx, pageOf(fp)); err != nil {
-		k.log.Warn("Findings were not read before a suspect runs.", "error", err)
+		k.log.Warn("Findings were not read before a suspect runs", "error", err)
 	}
 	return k.gate(fp)
 }
@@ -127,11 +127,11 @@
 		return
 	}
 	k.findings.Inc(int64(len(found)))
-	k.log.Warn("Target died with requests in flight.", "target", t, "suspects", len(found))
+	k.log.Warn("Target died with requests in flight", "target", t, "suspects", len(found))
 	k.opts.Urge()
 	for name, page := range byPage(found) {
 		if err := k.write(ctx, name, page); err != nil {
-			k.log.Warn("Findings were not written. Peers are told.", "error", err)
+			k.log.Warn("Findings were not written; peers are told", "error", err)
 		}
 	}
 }
@@ -194,7 +194,7 @@
 func (k *Keeper) mergeValue(value []byte) []quarantine.Finding {
 	var stored []quarantine.Finding
 	if err := json.Unmarshal(value, &stored); err != nil {
-		k.log.Error("Stored findings can not be read.", "error", err)
+		k.log.Error("Stored findings can not be read", "error", err)
 		return nil
 	}
 	k.merge(stored)
