Pass a grant's priority to the engine; charge what is to be computed

Asks were charged with the whole prompt although most of it is reused. A queue that moves now refuses what waits with not_holder and the ask follows it. Conclusion: tests of steward and daemon pass with the race detector.

--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -146,6 +146,7 @@
 			j.choice = c
 			j.grant = &grant
 			j.incarnation = grant.Incarnation
+			j.priority = grant.Priority
 			return pipeline.Pass()
 		}
 	}
@@ -157,7 +158,7 @@
 		Request:  j.id,
 		Target:   c.Target.ID,
 		Org:      j.org.ID,
-		Tokens:   int64(j.context.Tokens),
+		Tokens:   int64(c.Recompute),
 		Deadline: j.deadline,
 		Suspect:  j.suspect,
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 // Choice is one target that a request may go to, best first.
 type Choice struct {
 	Target table.Target
+	// Recompute is how many prompt tokens the target is expected to compute.
+	Recompute int
 	// Import names what to bring from a store before dispatch; nil for nothing.
 	Import *Import
 }
@@ -131,6 +133,7 @@
 	ID          string
 	Target      request.TargetID
 	Incarnation uint64 // of the target, as its steward knows it; 0: unknown
+	Priority    int    // for the engine; lower runs first
 }
 
 // Release ends a grant.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -52,6 +52,7 @@
 	exclude     map[request.TargetID]bool
 	grant       *Grant
 	incarnation uint64 // of the target that was granted; 0: unknown
+	priority    int    // for the engine
 	ticket      *journal.Ticket
 	replay      *journal.Result
 	tries       int
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,7 @@
 		CacheSalt: j.context.Scope.Salt(),
 		Prompt:    j.completion.Prompt,
 		MaxTokens: j.completion.maxTokens(),
+		Priority:  j.priority,
 	})
 	if err != nil {
 		return g.openFailed(j, client, err)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -279,7 +279,7 @@
 		if !ok {
 			continue
 		}
-		choice := gateway.Choice{Target: *t}
+		choice := gateway.Choice{Target: *t, Recompute: o.Recomputed}
 		if o.ImportBlocks > 0 && i == 0 {
 			choice.Import = importOf(sheet, o, plan.ImportDeadline, l)
 		}
--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -18,9 +18,24 @@
 	releaseTimeout = 2 * time.Second
 )
 
-// Acquire implements gateway.Stewards. If the steward can not be asked, this daemon
-// decides by itself: the queue's place is soft.
+// maxMoves is how many times an ask follows a queue that moves to another daemon.
+const maxMoves = 2
+
+// Acquire implements gateway.Stewards.
 func (s *Service) Acquire(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
+	grant, refusal := s.acquireOnce(ctx, ask)
+	for range maxMoves {
+		if refusal == nil || refusal.Code != request.CodeNotHolder {
+			break
+		}
+		grant, refusal = s.acquireOnce(ctx, ask)
+	}
+	return grant, refusal
+}
+
+// acquireOnce asks the present steward. If it can not be asked, this daemon decides by
+// itself: the queue's place is soft.
+func (s *Service) acquireOnce(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
 	m := s.steward(ask.Target)
 	if s.isSelf(m) {
 		return s.acquireSelf(ctx, ask)
@@ -71,7 +86,7 @@
 	if !answer.Granted {
 		return gateway.Grant{}, refusalOf(answer), nil
 	}
-	return gateway.Grant{ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation}, nil, nil
+	return gateway.Grant{ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation, Priority: int(answer.Priority)}, nil, nil
 }
 
 func refusalOf(a *peer.AcquireResponse) *request.Error {
@@ -120,7 +135,7 @@
 func grantOf(a admission.Action, k *keeper) (gateway.Grant, *request.Error) {
 	switch a := a.(type) {
 	case admission.Grant:
-		return gateway.Grant{ID: a.ID, Target: k.row.ID, Incarnation: k.incarnation.Load()}, nil
+		return gateway.Grant{ID: a.ID, Target: k.row.ID, Incarnation: k.incarnation.Load(), Priority: a.Priority}, nil
 	case admission.Refuse:
 		return gateway.Grant{}, a.Err
 	default:
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -48,6 +48,7 @@
 	downMsg   struct{}
 	upMsg     struct{}
 	leaveMsg  struct{}
+	resignMsg struct{}
 	tickMsg   struct{}
 	lookMsg   struct {
 		probe  probe
@@ -157,6 +158,8 @@
 		k.apply(k.core.OnTargetUp(now))
 	case *leaveMsg:
 		k.apply(k.core.OnTargetLeaving(now))
+	case *resignMsg:
+		k.apply(k.core.Resign(now))
 	case *tickMsg:
 		k.apply(k.core.Tick(now))
 	case *lookMsg:
--- a/internal/steward/poll.go
+++ b/internal/steward/poll.go
@@ -29,6 +29,7 @@
 	if k.cancel != nil {
 		k.cancel()
 		k.cancel = nil
+		k.send(&resignMsg{})
 	}
 }
 
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -39,7 +39,7 @@
 	if refusal != nil {
 		return &peer.AcquireResponse{Refusal: string(refusal.Code), RetryAfterMs: refusal.RetryAfter.Milliseconds()}, nil
 	}
-	return &peer.AcquireResponse{Granted: true, GrantId: grant.ID, Incarnation: grant.Incarnation}, nil
+	return &peer.AcquireResponse{Granted: true, GrantId: grant.ID, Incarnation: grant.Incarnation, Priority: int32(grant.Priority)}, nil
 }
 
 // Renew serves peer.Steward.
