--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -19,6 +19,8 @@
 const (
 	// HeaderIdempotencyKey names a call that must be produced at most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderFirstSent says when the caller first sent its key (RFC 3339).
+	HeaderFirstSent = "Idempotency-First-Sent"
 	// HeaderDeadline is how long the caller waits, in milliseconds.
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderRequestID carries the id that the accepting daemon gave to a request.
@@ -90,6 +92,14 @@
 		g.writeError(w, badField(HeaderIdempotencyKey, "want at most %d bytes, got %d", maxKeyLength, len(j.call.key)))
 		return
 	}
+	if text := r.Header.Get(HeaderFirstSent); text != "" {
+		sent, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			g.writeError(w, badField(HeaderFirstSent, "want a time such as 2026-12-02T20:00:00Z, got %q", text))
+			return
+		}
+		j.call.firstSent = sent
+	}
 	g.run(w, r, j)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(j.ctx), j.deadline)
 	defer cancel()
 	client := g.opts.Targets.Client(j.choice.Target)
+	j.sent = true
 	answer, err := client.CallService(ctx, target.ServiceCall{
 		Method: j.call.method,
 		Path:   j.call.path,
@@ -80,6 +81,7 @@
 func (g *Gateway) callFailed(j *Job, client *target.Client, err error) *tryError {
 	g.log.Warn("Call failed", "target", j.choice.Target.ID, "request", j.id, "error", err)
 	if target.NotStarted(err) {
+		j.sent = false
 		g.settleTicket(j, g.opts.Journal.Abort)
 		return &tryError{
 			answer: request.Refuse(request.CodeTargetFailed, http.StatusBadGateway, retryTargetFailed,
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -186,6 +186,8 @@
 		Service: j.call.service,
 		Key:     j.call.key,
 		Digest:  callDigest(j),
+
+		FirstSent: j.call.firstSent,
 	}
 	ticket, result, err := f.g.opts.Journal.Begin(ctx, call)
 	if err != nil {
@@ -205,7 +207,14 @@
 
 // journalRefusal turns the journal's errors into answers.
 func journalRefusal(err error) *request.Error {
+	var full *journal.FullError
 	switch {
+	case errors.As(err, &full):
+		return request.Refuse(request.CodeJournalDown, http.StatusServiceUnavailable, full.RetryAfter,
+			"the journal has no room for new keys")
+	case errors.Is(err, journal.ErrKeyTooOld):
+		return &request.Error{Code: request.CodeInDoubt, Status: http.StatusConflict, Ran: request.InDoubt,
+			Message: "this key was first sent longer ago than keys are kept", Field: HeaderFirstSent}
 	case errors.Is(err, journal.ErrInDoubt):
 		return &request.Error{Code: request.CodeInDoubt, Status: http.StatusConflict, Ran: request.InDoubt,
 			Message: "an earlier try with this key may have run and will not be run again"}
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -70,6 +70,9 @@
 	if j.call.key != "" {
 		req.Header.Set(HeaderIdempotencyKey, j.call.key)
 	}
+	if !j.call.firstSent.IsZero() {
+		req.Header.Set(HeaderFirstSent, j.call.firstSent.Format(time.RFC3339))
+	}
 	answer, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "gateway: hop to %s", to.Id)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -54,6 +54,7 @@
 	incarnation uint64 // of the target that was granted; 0: unknown
 	priority    int    // for the engine
 	ticket      *journal.Ticket
+	sent        bool // the present try of a call may have reached its target
 	replay      *journal.Result
 	tries       int
 	output      int64 // tokens relayed, for the limiter
@@ -67,7 +68,8 @@
 	method      string
 	path        string // path and query at the target
 	contentType string
-	key         string // Idempotency-Key
+	key         string    // Idempotency-Key
+	firstSent   time.Time // when the caller first sent the key; zero: not said
 	repeatable  bool
 }
 
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/journal"
 )
 
 // quarantineTimeout bounds the write of a finding to the key-value service.
@@ -12,7 +13,7 @@
 
 // settle gives back all that a job still holds. It runs once, after the answer.
 func (g *Gateway) settle(j *Job) {
-	g.settleTicket(j, g.opts.Journal.Abort)
+	g.settleTicket(j, g.leftOver(j))
 	g.releaseGrant(j)
 	g.endFlight(j, false)
 	if j.limited {
@@ -21,6 +22,16 @@
 	g.line.Settled()
 }
 
+// leftOver is what becomes of a ticket that nobody has settled. A call that was never
+// sent frees its key. One that was sent and whose handler then failed in an unforeseen
+// way may have run: freeing its key would let the next try run it twice.
+func (g *Gateway) leftOver(j *Job) func(context.Context, *journal.Ticket) error {
+	if j.sent {
+		return g.opts.Journal.Doubt
+	}
+	return g.opts.Journal.Abort
+}
+
 func (g *Gateway) releaseGrant(j *Job) {
 	if j.grant == nil {
 		return
