--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -141,7 +141,7 @@
 
 // StartFinish is Finish without the wait.
 func (j *Journal) StartFinish(t *Ticket, r Result) (*Saving, error) {
-	return t.worker.conclude(func(w waiter) (bool, error) { return t.worker.core.finish(w, t, r) })
+	return t.worker.conclude(func(w waiter) (bool, error) { return t.worker.core.finish(j.opts.Now(), w, t, r) })
 }
 
 // Abort frees the key of a call that surely did not run.
--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -9,7 +9,7 @@
 
 // limits of a partition.
 type limits struct {
-	keep     time.Duration // for which a key is kept after its intent
+	keep     time.Duration // for which a key is kept
 	head     int           // bytes of a head
 	seal     int           // bytes of results in the head that start a page
 	page     int           // bytes of a page
@@ -40,6 +40,7 @@
 // outcome is what this process knows of an attempt that is not yet durable.
 type outcome struct {
 	aborted bool
+	at      time.Time // at which the result came
 	result  Result
 	kept    bool
 }
@@ -140,6 +141,7 @@
 	}
 	p.headBytes -= e.size()
 	e.Done, e.Kept, e.Result = true, o.kept, o.result
+	e.At = o.at.UnixMilli()
 	if p.headBytes+e.size() > p.limits.head {
 		e.dropResult()
 	}
@@ -295,12 +297,12 @@
 }
 
 // finish enters the result of a ticket; a reply to w follows if waiting is true.
-func (p *partition) finish(w waiter, t *Ticket, r Result) (waiting bool, err error) {
+func (p *partition) finish(now time.Time, w waiter, t *Ticket, r Result) (waiting bool, err error) {
 	if !p.live[t.attempt] {
 		return false, ErrNotHolder
 	}
 	delete(p.live, t.attempt)
-	o := outcome{result: r, kept: len(r.Body)+len(r.ContentType) <= p.limits.maxBody}
+	o := outcome{at: now, result: r, kept: len(r.Body)+len(r.ContentType) <= p.limits.maxBody}
 	if !o.kept {
 		o.result = Result{}
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -52,7 +52,7 @@
 	ID      keyID
 	Digest  string
 	Attempt attempt
-	At      int64 // Unix milliseconds of the intent
+	At      int64 // Unix milliseconds of the result, or of the intent if there is none
 	Done    bool
 	Kept    bool // the result is in Result
 	Result  Result
@@ -85,7 +85,7 @@
 type pageRef struct {
 	Name   string
 	Bytes  int
-	Newest int64 // Unix milliseconds of its youngest intent
+	Newest int64 // Unix milliseconds of its youngest entry
 }
 
 // page is the value of a page.
