Add retention, the bench's model and a tie-break to placement

Between equally good targets the first of the list won, so idle ones were filled one after the other; Request.Spread now decides. A transfer that was given up on a busy link no longer counts as a dead store.

--- a/internal/contextdir/directory.go
+++ b/internal/contextdir/directory.go
@@ -81,6 +81,20 @@
 	return c
 }
 
+// Imported records that a target confirmed an import or a prefetch: it holds the
+// leading blocks of chain. A context that is not remembered stays so.
+func (d *Directory) Imported(target request.TargetID, scope block.Scope, chain []block.Hash, blocks int) {
+	i, known := d.match(scope, chain)
+	if i == none {
+		return
+	}
+	t := d.target(target)
+	e := &d.entries[i]
+	if held := int32(min(blocks, known)); held > e.blocksAt(t) {
+		e.setBlocksAt(t, held, d.params.MaxTargetsPerContext)
+	}
+}
+
 // judge doubts a target whose answers keep showing less than remembered: its events
 // were lost without a visible gap.
 func (d *Directory) judge(t uint32, c Correction) []Action {
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -21,7 +21,9 @@
 func Choose(p Params, r Request, candidates []Candidate, copies []Copy) Plan {
 	e := newEstimator(p, r, candidates, copies)
 	var best ranking
-	for i := range candidates {
+	first := firstCandidate(r, candidates)
+	for n := range candidates {
+		i := (first + n) % len(candidates)
 		if !usable(r, &candidates[i]) {
 			continue
 		}
@@ -30,6 +32,14 @@
 	return e.plan(&best, candidates)
 }
 
+// firstCandidate returns the candidate that wins ties.
+func firstCandidate(r Request, candidates []Candidate) int {
+	if len(candidates) == 0 {
+		return 0
+	}
+	return int(r.Spread % uint64(len(candidates)))
+}
+
 func usable(r Request, c *Candidate) bool {
 	if c.Down || c.Leaving {
 		return false
--- a/internal/policy/placement/links.go
+++ b/internal/policy/placement/links.go
@@ -76,15 +76,31 @@
 	return l.next
 }
 
-// Finish records the end of a transfer. Carried is what arrived; failed tells that the
-// store did not answer, broke off or was given up on.
-func (l *Links) Finish(store request.StoreID, id TransferID, carried int64, failed bool, now time.Time) {
+// Outcome is how a transfer ended.
+type Outcome int
+
+const (
+	// Carried means that all bytes arrived.
+	Carried Outcome = iota
+	// Failed means that the store did not answer, broke off or sent wrong content.
+	Failed
+	// GivenUp means that the import's deadline passed.
+	GivenUp
+)
+
+// Finish records the end of a transfer of which carried bytes arrived. A transfer that
+// was given up counts as a failure of the store only if nothing else finished since it
+// began; otherwise the link was merely busier than expected.
+func (l *Links) Finish(store request.StoreID, id TransferID, carried int64, outcome Outcome, now time.Time) {
 	k := l.link(store)
 	t, ok := k.remove(id)
 	if !ok {
 		return
 	}
-	if failed {
+	if outcome == GivenUp && k.lastDone.After(t.started) {
+		return
+	}
+	if outcome != Carried {
 		k.fail(now)
 		return
 	}
--- a/internal/policy/placement/links_test.go
+++ b/internal/policy/placement/links_test.go
@@ -54,7 +54,7 @@
 	}
 	id := l.Start("s1", plan.LinkBytes, epoch)
 	gaveUp := epoch.Add(plan.ImportDeadline)
-	l.Finish("s1", id, 0, true, gaveUp)
+	l.Finish("s1", id, 0, GivenUp, gaveUp)
 	if next := choose(gaveUp); next.LinkBytes != 0 {
 		t.Fatalf("the dead store was chosen again: %+v", next)
 	}
@@ -77,7 +77,7 @@
 				want += n
 			} else {
 				for id, n := range open {
-					l.Finish("s1", id, n, rapid.Bool().Draw(t, "failed"), epoch)
+					l.Finish("s1", id, n, rapid.SampledFrom([]Outcome{Carried, Failed, GivenUp}).Draw(t, "outcome"), epoch)
 					delete(open, id)
 					want -= n
 					break
--- a/internal/policy/placement/types.go
+++ b/internal/policy/placement/types.go
@@ -65,6 +65,9 @@
 	BytesPerToken int64 // of KV cache
 	Version       request.Version
 	Deadline      time.Duration // time left for the first token; zero: none
+	// Spread, any number, decides between equal targets. Without it all daemons would
+	// send to the first idle target of the list.
+	Spread uint64
 }
 
 // Candidate is a target that could run the prompt.
--- /dev/null
+++ b/internal/policy/retention/budget.go
@@ -0,0 +1,105 @@
+package retention
+
+import "time"
+
+// Class orders the users of a link.
+type Class int
+
+const (
+	// Caller is a transfer that a caller waits for.
+	Caller Class = iota
+	// Prefetch is an import before an expected return.
+	Prefetch
+	// Exporting is a write of blocks to a store.
+	Exporting
+	classes
+)
+
+var classNames = [...]string{"caller", "prefetch", "export"}
+
+// String returns the name used in logs and dumps.
+func (c Class) String() string { return classNames[c] }
+
+// askedRecently is how long a refused prefetch keeps exports off the link.
+const askedRecently = 100 * time.Millisecond
+
+// Budget shares one store VM's link between classes. Callers are always granted; their
+// placement sizes their imports by the link's queue. The others get one short chunk at
+// a time and only while no caller is on the link, so a caller that comes finds at most
+// one chunk before it. Exports save up a small floor while callers keep the link busy;
+// without it new context would never reach a store again under lasting load.
+type Budget struct {
+	params         Params
+	rate           float64 // bytes a second
+	outstanding    [classes]int64
+	credit         float64 // bytes of the exports' floor
+	creditAt       time.Time
+	prefetchWaited time.Time
+}
+
+// NewBudget returns the budget of a link of rate bytes a second.
+func NewBudget(p Params, rate float64) *Budget { return &Budget{params: p, rate: rate} }
+
+// SetRate follows the learned rate of the link.
+func (b *Budget) SetRate(rate float64) { b.rate = rate }
+
+// Chunk returns the most bytes that a background transfer may carry at once.
+func (b *Budget) Chunk() int64 { return int64(b.rate * b.params.ChunkTime.Seconds()) }
+
+// Outstanding returns the bytes granted to a class and not yet done.
+func (b *Budget) Outstanding(c Class) int64 { return b.outstanding[c] }
+
+// Ask returns how many of the wanted bytes may be sent now. A caller gets all; the
+// others get a chunk at most, or zero: ask again when a transfer is done. The unit is
+// the smallest piece that can be sent, a block; one is granted even if it is larger
+// than a chunk.
+func (b *Budget) Ask(c Class, bytes, unit int64, now time.Time) int64 {
+	b.accrue(now)
+	if c == Caller {
+		b.outstanding[Caller] += bytes
+		return bytes
+	}
+	granted := min(bytes, max(unit, b.Chunk()/max(1, unit)*unit))
+	if !b.allowed(c, granted, now) {
+		if c == Prefetch {
+			b.prefetchWaited = now
+		}
+		return 0
+	}
+	b.outstanding[c] += granted
+	return granted
+}
+
+// Done records that granted bytes were carried or given up.
+func (b *Budget) Done(c Class, bytes int64, now time.Time) {
+	b.accrue(now)
+	b.outstanding[c] = max(0, b.outstanding[c]-bytes)
+}
+
+func (b *Budget) allowed(c Class, bytes int64, now time.Time) bool {
+	if b.outstanding[Prefetch]+b.outstanding[Exporting] > 0 {
+		return false
+	}
+	idle := b.outstanding[Caller] == 0
+	if c == Prefetch {
+		return idle
+	}
+	if idle && now.Sub(b.prefetchWaited) > askedRecently {
+		return true
+	}
+	if b.credit < float64(bytes) {
+		return false
+	}
+	b.credit -= float64(bytes)
+	return true
+}
+
+// accrue grows the exports' floor with time, up to a bound.
+func (b *Budget) accrue(now time.Time) {
+	if !b.creditAt.IsZero() {
+		floor := b.rate * b.params.ExportFloor
+		b.credit += floor * now.Sub(b.creditAt).Seconds()
+		b.credit = min(b.credit, floor*b.params.StarvedCredit.Seconds()+float64(b.Chunk()))
+	}
+	b.creditAt = now
+}
--- /dev/null
+++ b/internal/policysim/keeper.go
@@ -0,0 +1,260 @@
+package policysim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/contextdir"
+	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+)
+
+const (
+	// tendEvery is how often room, promotions and prefetches are looked at.
+	tendEvery = 2 * time.Second
+	// budgetRetry is how soon a refused background transfer asks again.
+	budgetRetry = 20 * time.Millisecond
+)
+
+// export writes a context's new blocks to a store, if retention wants it.
+func (s *sim) export(c *call, chain []block.Hash) {
+	ctx := c.visit.ctx
+	if s.exporting[ctx] {
+		return
+	}
+	located := s.dir.Lookup(ctx.scope, chain)
+	order, ok := retention.Export(s.config.Retention, retention.Answered{
+		Blocks:    len(chain),
+		Gaps:      located.Gaps,
+		Copies:    located.Copies,
+		Residence: s.residence[c.engine.id].Estimate(s.clock.time()),
+	}, s.rooms(), s.blockBytes())
+	if !ok {
+		return
+	}
+	s.exporting[ctx] = true
+	st := s.byStore[order.Store]
+	s.enqueue(st, &background{
+		class: retention.Exporting,
+		bytes: int64(order.To-order.From) * s.blockBytes(),
+		alive: func() bool { return c.engine.resident(ctx) >= order.To },
+		done:  func(carried int64) { s.commit(st, ctx, order, carried) },
+	})
+}
+
+// commit records the manifest of what was written.
+func (s *sim) commit(st *storeVM, ctx *contextTrace, order retention.ExportOrder, carried int64) {
+	delete(s.exporting, ctx)
+	blocks := order.From + int(carried/s.blockBytes())
+	if blocks == order.From {
+		return
+	}
+	tier := storeapi.TierMemory
+	if order.Extends != "" {
+		if s.owners[order.Extends] == nil {
+			return // freed meanwhile; the new blocks alone are of no use
+		}
+		if s.onDisk(st, ctx) {
+			tier = storeapi.TierDisk
+		}
+	}
+	s.names++
+	name := fmt.Sprint("manifest-", s.names)
+	s.owners[name] = ctx
+	st.use(tier, carried)
+	replaced := s.dir.Stored(ctx.scope, ctx.chain[:order.To], contextdir.Copy{
+		Manifest: name, Generation: uint64(s.names), Store: st.id, Tier: tier,
+		Blocks: blocks, Bytes: int64(blocks) * s.blockBytes(),
+	})
+	for _, a := range replaced {
+		delete(s.owners, a.Copy.Manifest)
+		if a.Copy.Manifest != order.Extends {
+			st.use(a.Copy.Tier, -a.Copy.Bytes)
+		}
+	}
+}
+
+// use adds bytes to a tier.
+func (st *storeVM) use(tier storeapi.Tier, bytes int64) {
+	if tier == storeapi.TierDisk {
+		st.room.DiskUsed += bytes
+		return
+	}
+	st.room.MemoryUsed += bytes
+}
+
+// free deletes what the directory no longer wants.
+func (s *sim) free(actions []contextdir.Action) {
+	for _, a := range actions {
+		if a.Kind == contextdir.FreeManifest {
+			s.byStore[a.Copy.Store].use(a.Copy.Tier, -a.Copy.Bytes)
+			delete(s.owners, a.Copy.Manifest)
+		}
+	}
+}
+
+func (s *sim) rooms() []retention.Room {
+	rooms := make([]retention.Room, len(s.stores))
+	for i, st := range s.stores {
+		rooms[i] = st.room
+		rooms[i].LinkQueue = time.Duration(float64(st.link.queued()) / st.link.rate * float64(time.Second))
+	}
+	return rooms
+}
+
+// tend moves copies between tiers and starts prefetches.
+func (s *sim) tend() {
+	s.clock.after(tendEvery, s.tend)
+	now := s.clock.time()
+	var kept []contextdir.Kept
+	s.dir.EachKept(func(k contextdir.Kept) bool {
+		if s.config.Off.ReturnTime {
+			k.Gaps = contextdir.Gaps{}
+		}
+		k.Copies = slices.Clone(k.Copies)
+		kept = append(kept, k)
+		return true
+	})
+	for _, st := range s.stores {
+		s.links.Reported(st.id, st.link.queued(), now)
+		for _, m := range retention.MakeRoom(s.config.Retention, st.room, kept, now) {
+			s.move(st, m)
+		}
+		if s.config.Off.Promotion {
+			continue
+		}
+		for _, m := range retention.Promotions(s.config.Retention, st.room, kept, now) {
+			s.promote(st, m.Copy)
+		}
+	}
+	if !s.config.Off.Prefetch {
+		for _, k := range kept {
+			s.prefetch(k)
+		}
+	}
+}
+
+func (s *sim) move(st *storeVM, m retention.Move) {
+	if s.owners[m.Copy.Manifest] == nil {
+		return
+	}
+	st.use(m.Copy.Tier, -m.Copy.Bytes)
+	if m.Kind == retention.Free {
+		s.dir.Freed(m.Copy.Manifest)
+		delete(s.owners, m.Copy.Manifest)
+		return
+	}
+	st.use(storeapi.TierDisk, m.Copy.Bytes)
+	s.dir.Moved(m.Copy.Manifest, storeapi.TierDisk)
+}
+
+// promote reads a copy from disk while nothing else does.
+func (s *sim) promote(st *storeVM, c contextdir.Copy) {
+	if st.disk.busy || st.promoted[c.Manifest] {
+		return
+	}
+	st.promoted[c.Manifest] = true
+	st.disk.send(&transfer{bytes: c.Bytes, done: func() {
+		delete(st.promoted, c.Manifest)
+		if s.owners[c.Manifest] == nil {
+			return
+		}
+		st.use(storeapi.TierDisk, -c.Bytes)
+		st.use(storeapi.TierMemory, c.Bytes)
+		s.dir.Moved(c.Manifest, storeapi.TierMemory)
+	}})
+}
+
+// prefetch imports a context that is expected soon into the least loaded target.
+func (s *sim) prefetch(k contextdir.Kept) {
+	now := s.clock.time()
+	ctx := s.owners[k.Copies[0].Manifest]
+	if ctx == nil || s.fetching[ctx] || k.Copies[0].Tier == storeapi.TierDisk {
+		return
+	}
+	e := leastLoaded(s.engines)
+	if s.residentAnywhere(ctx) || !retention.ShouldPrefetch(s.config.Retention, k, s.residence[e.id].Estimate(now), now) {
+		return
+	}
+	st := s.byStore[k.Copies[0].Store]
+	blocks := k.Copies[0].Blocks
+	lastUse := k.LastUse
+	s.fetching[ctx] = true
+	s.enqueue(st, &background{
+		class: retention.Prefetch,
+		bytes: int64(blocks) * s.blockBytes(),
+		alive: func() bool { return s.dir.Lookup(ctx.scope, ctx.chain).LastUse.Equal(lastUse) },
+		done: func(carried int64) {
+			delete(s.fetching, ctx)
+			got := int(carried / s.blockBytes())
+			if got == 0 || !s.dir.Lookup(ctx.scope, ctx.chain).LastUse.Equal(lastUse) {
+				return
+			}
+			s.residence[e.id].Entered(e.insert(ctx, got), s.clock.time())
+			s.dir.Imported(e.id, ctx.scope, ctx.chain, got)
+		},
+	})
+}
+
+func (s *sim) residentAnywhere(ctx *contextTrace) bool {
+	for _, r := range s.dir.Lookup(ctx.scope, ctx.chain).Resident {
+		if r.Blocks > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// enqueue starts a background transfer.
+func (s *sim) enqueue(st *storeVM, b *background) {
+	if s.config.Off.Budget {
+		st.link.send(&transfer{bytes: b.bytes, done: func() { b.done(b.bytes) }})
+		return
+	}
+	class := b.class - retention.Prefetch
+	st.waiting[class] = append(st.waiting[class], b)
+	s.pump(st)
+}
+
+// pump sends the next chunk that the budget allows.
+func (s *sim) pump(st *storeVM) {
+	for class := range st.waiting {
+		for len(st.waiting[class]) > 0 {
+			b := st.waiting[class][0]
+			if b.sent == b.bytes || !b.alive() {
+				st.waiting[class] = st.waiting[class][1:]
+				b.done(b.sent)
+				continue
+			}
+			s.sendChunk(st, b)
+			break
+		}
+	}
+}
+
+func (s *sim) sendChunk(st *storeVM, b *background) {
+	granted := st.budget.Ask(b.class, b.bytes-b.sent, s.blockBytes(), s.clock.time())
+	if granted == 0 {
+		s.pumpLater(st)
+		return
+	}
+	st.link.send(&transfer{bytes: granted, done: func() {
+		b.sent += granted
+		st.budget.Done(b.class, granted, s.clock.time())
+		s.pump(st)
+	}})
+}
+
+// pumpLater asks the budget again, also if no transfer ends meanwhile.
+func (s *sim) pumpLater(st *storeVM) {
+	if st.retrying {
+		return
+	}
+	st.retrying = true
+	s.clock.after(budgetRetry, func() {
+		st.retrying = false
+		s.pump(st)
+	})
+}
