Learn a link's rate only from memory copies and give up imports by what they can still save

Imports from disk are paced by the disk and dragged the learned link rate down. The import deadline is now 1.5 times the expected time plus 250 ms, bounded by the prefill time that the import saves; the bound by patience gave up imports that were almost there.

--- a/internal/contextdir/copies.go
+++ b/internal/contextdir/copies.go
@@ -86,7 +86,9 @@
 	Blocks  int
 	LastUse time.Time
 	Gaps    Gaps
-	Copies  []Copy // must not be changed
+	Copies  []Copy // must not be changed or kept
+	// Resident tells that a target is believed to hold blocks of it.
+	Resident bool
 }
 
 // EachKept calls f for every context with copies, the least recently used first,
@@ -98,11 +100,12 @@
 			continue
 		}
 		kept := Kept{
-			Scope:   d.scopes.byID[e.scope].scope,
-			Blocks:  int(e.length),
-			LastUse: time.Unix(0, e.lastUse),
-			Gaps:    e.gaps,
-			Copies:  e.copies,
+			Scope:    d.scopes.byID[e.scope].scope,
+			Blocks:   int(e.length),
+			LastUse:  time.Unix(0, e.lastUse),
+			Gaps:     e.gaps,
+			Copies:   e.copies,
+			Resident: len(e.resident) > 0,
 		}
 		if !f(kept) {
 			return
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -11,9 +11,9 @@
 	// defaultPrefillRate, in tokens a second, stands in for a target never measured.
 	defaultPrefillRate = 8000
 	// importSlack is how far an import may exceed its expected time before it is given up.
-	importSlack = 2
+	importSlack = 1.5
 	// importGrace keeps tiny imports from being given up because of a short pause.
-	importGrace = 50 * time.Millisecond
+	importGrace = 250 * time.Millisecond
 )
 
 // Choose returns the best plan for a prompt. Candidates that are down, leaving or hold
--- a/internal/policy/placement/links.go
+++ b/internal/policy/placement/links.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 )
 
 const (
@@ -46,6 +47,7 @@
 type transfer struct {
 	id      TransferID
 	bytes   int64
+	tier    storeapi.Tier
 	ahead   int64 // bytes outstanding when it started
 	started time.Time
 }
@@ -67,11 +69,12 @@
 	k.reportedAt = now
 }
 
-// Start records a transfer of a waiting caller.
-func (l *Links) Start(store request.StoreID, bytes int64, now time.Time) TransferID {
+// Start records a transfer of a waiting caller. Only those from a store VM's memory
+// tell the rate of its link; those from disk are paced by the disk.
+func (l *Links) Start(store request.StoreID, tier storeapi.Tier, bytes int64, now time.Time) TransferID {
 	k := l.link(store)
 	l.next++
-	k.transfers = append(k.transfers, transfer{id: l.next, bytes: bytes, ahead: k.outstanding, started: now})
+	k.transfers = append(k.transfers, transfer{id: l.next, bytes: bytes, tier: tier, ahead: k.outstanding, started: now})
 	k.outstanding += bytes
 	return l.next
 }
@@ -110,7 +113,7 @@
 	if k.lastDone.After(began) {
 		began = k.lastDone
 	}
-	if elapsed := now.Sub(began); carried >= minMeasuredBytes && elapsed > 0 {
+	if elapsed := now.Sub(began); t.tier == storeapi.TierMemory && carried >= minMeasuredBytes && elapsed > 0 {
 		k.rate = learn(k.rate, float64(carried)/elapsed.Seconds())
 	}
 	k.lastDone = now
@@ -177,10 +180,10 @@
 // Without this, a link that slows ten times would look fast until the first slow
 // transfer ends, and all callers until then would join its queue.
 func (k *link) presentRate(now time.Time) float64 {
-	if len(k.transfers) == 0 {
+	oldest, ok := k.oldestFromMemory()
+	if !ok {
 		return k.rate
 	}
-	oldest := k.transfers[0]
 	expected := float64(oldest.ahead+oldest.bytes) / k.rate
 	age := now.Sub(oldest.started).Seconds()
 	if age <= overdue*expected+overdueGrace.Seconds() {
@@ -188,3 +191,12 @@
 	}
 	return k.rate * expected / age
 }
+
+func (k *link) oldestFromMemory() (transfer, bool) {
+	for _, t := range k.transfers {
+		if t.tier == storeapi.TierMemory {
+			return t, true
+		}
+	}
+	return transfer{}, false
+}
--- a/internal/policy/placement/links_test.go
+++ b/internal/policy/placement/links_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -17,8 +19,8 @@
 	const rate = 3e9
 	l := NewLinks()
 	l.Configure("s1", rate)
-	l.Start("s1", rate, epoch) // a second's worth
-	naiveRate := rate          // nothing has finished, so nothing was learned
+	l.Start("s1", storeapi.TierMemory, rate, epoch) // a second's worth
+	naiveRate := rate                               // nothing has finished, so nothing was learned
 
 	now := epoch.Add(5 * time.Second)
 	state := l.State("s1", now)
@@ -52,7 +54,7 @@
 	if plan.LinkBytes == 0 || plan.ImportDeadline <= 0 || plan.ImportDeadline > 2500*time.Millisecond {
 		t.Fatalf("the plan would hold its caller for up to %v: %+v", connectionTimeout, plan)
 	}
-	id := l.Start("s1", plan.LinkBytes, epoch)
+	id := l.Start("s1", storeapi.TierMemory, plan.LinkBytes, epoch)
 	gaveUp := epoch.Add(plan.ImportDeadline)
 	l.Finish("s1", id, 0, GivenUp, gaveUp)
 	if next := choose(gaveUp); next.LinkBytes != 0 {
@@ -73,7 +75,7 @@
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			if len(open) == 0 || rapid.Bool().Draw(t, "start") {
 				n := rapid.Int64Range(1, 1<<30).Draw(t, "bytes")
-				open[l.Start("s1", n, epoch)] = n
+				open[l.Start("s1", storeapi.TierMemory, n, epoch)] = n
 				want += n
 			} else {
 				for id, n := range open {
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -38,7 +38,7 @@
 	}
 	plan.Found = true
 	plan.Option = e.describe(best.costs[0], &candidates[best.indexes[0]])
-	plan.ImportDeadline = e.importDeadline(best.costs[0])
+	plan.ImportDeadline = e.importDeadline(best.costs[0], &candidates[best.indexes[0]])
 	plan.Late = e.request.Deadline > 0 && plan.Expected > e.request.Deadline
 	if best.count > 1 {
 		plan.Alternatives = make([]Option, 0, maxOptions-1)
@@ -50,14 +50,15 @@
 }
 
 // importDeadline guards against a store that dies or a link that slows after the
-// choice: the caller would wait on an import that prefilling has long overtaken.
-func (e *estimator) importDeadline(c cost) time.Duration {
+// choice: the caller would wait on an import that prefilling has long overtaken. What
+// waiting on can still save is the prefill of the head; beyond that it is worth nothing.
+func (e *estimator) importDeadline(c cost, target *Candidate) time.Duration {
 	if c.head == 0 {
 		return 0
 	}
-	slack := duration(c.importTime)*importSlack + importGrace
-	worth := max(duration(e.patience), duration(c.importTime)+importGrace)
-	return min(slack, worth)
+	slack := importSlack*c.importTime + importGrace.Seconds()
+	head := float64((c.head-c.reuse)*block.TokensPerBlock) / rate(target)
+	return duration(min(slack, c.importTime+head))
 }
 
 func (e *estimator) describe(c cost, target *Candidate) Option {
--- a/internal/policysim/bench.go
+++ b/internal/policysim/bench.go
@@ -12,8 +12,8 @@
 
 const (
 	mainSpeed   = 1.25 // links, relative to the bytes that returns ask for
-	measureFrom = 1600 * time.Second
-	until       = 2800 * time.Second
+	measureFrom = 1200 * time.Second
+	until       = 2000 * time.Second
 )
 
 // BenchLoad returns the trace's shape: five prompts a second, contexts of about 20,000
--- a/internal/policysim/caller.go
+++ b/internal/policysim/caller.go
@@ -10,8 +10,13 @@
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 )
 
-// promptTail is the tokens of a prompt after its last whole block.
-const promptTail = 32
+const (
+	// promptTail is the tokens of a prompt after its last whole block.
+	promptTail = 32
+	// diskPieces is how many pieces a copy on disk is sent in; while one is on the link
+	// the next is read.
+	diskPieces = 8
+)
 
 // call is one prompt on its way.
 type call struct {
@@ -111,7 +116,7 @@
 	c.importing = true
 	bytes := int64(plan.ImportBlocks-plan.ReuseBlocks) * s.blockBytes()
 	st := s.byStore[plan.Store]
-	id := s.links.Start(plan.Store, bytes, s.clock.time())
+	id := s.links.Start(plan.Store, s.tier(st, c.visit.ctx), bytes, s.clock.time())
 	st.budget.Ask(retention.Caller, bytes, s.blockBytes(), s.clock.time())
 	t := &transfer{bytes: bytes}
 	settle := func(outcome placement.Outcome) {
@@ -144,26 +149,33 @@
 
 // fetch sends a transfer over the link, after the disk if the copy lies there.
 func (s *sim) fetch(st *storeVM, ctx *contextTrace, t *transfer) {
-	if !s.onDisk(st, ctx) {
+	if s.tier(st, ctx) == storeapi.TierMemory {
 		st.link.send(t)
 		return
 	}
-	// The disk is the narrower of the two; the link's share of the time is not waited for
-	// again, but its bytes are counted.
-	read := &transfer{bytes: t.bytes}
-	read.done = func() {
-		st.link.send(t)
+	arrived := 0
+	for range diskPieces {
+		read := &transfer{bytes: t.bytes / diskPieces}
+		read.done = func() {
+			st.link.send(&transfer{bytes: read.bytes, cancelled: t.cancelled, done: func() {
+				arrived++
+				if arrived == diskPieces {
+					t.done()
+				}
+			}})
+		}
+		st.disk.send(read)
 	}
-	st.disk.send(read)
 }
 
-func (s *sim) onDisk(st *storeVM, ctx *contextTrace) bool {
+// tier returns where a context's copy lies.
+func (s *sim) tier(st *storeVM, ctx *contextTrace) storeapi.Tier {
 	for _, c := range s.dir.Lookup(ctx.scope, ctx.chain).Copies {
 		if c.Store == st.id {
-			return c.Tier == storeapi.TierDisk
+			return c.Tier
 		}
 	}
-	return false
+	return storeapi.TierMemory
 }
 
 // answer ends a call: its blocks are in the target's cache now.
--- a/internal/policysim/keeper.go
+++ b/internal/policysim/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
@@ -13,7 +12,7 @@
 
 const (
 	// tendEvery is how often room, promotions and prefetches are looked at.
-	tendEvery = 2 * time.Second
+	tendEvery = 4 * time.Second
 	// budgetRetry is how soon a refused background transfer asks again.
 	budgetRetry = 20 * time.Millisecond
 )
@@ -56,9 +55,7 @@
 		if s.owners[order.Extends] == nil {
 			return // freed meanwhile; the new blocks alone are of no use
 		}
-		if s.onDisk(st, ctx) {
-			tier = storeapi.TierDisk
-		}
+		tier = s.tier(st, ctx)
 	}
 	s.names++
 	name := fmt.Sprint("manifest-", s.names)
@@ -108,15 +105,16 @@
 func (s *sim) tend() {
 	s.clock.after(tendEvery, s.tend)
 	now := s.clock.time()
-	var kept []contextdir.Kept
+	kept := s.kept[:0]
 	s.dir.EachKept(func(k contextdir.Kept) bool {
 		if s.config.Off.ReturnTime {
 			k.Gaps = contextdir.Gaps{}
 		}
-		k.Copies = slices.Clone(k.Copies)
+		k.Copies = append([]contextdir.Copy(nil), k.Copies...)
 		kept = append(kept, k)
 		return true
 	})
+	s.kept = kept
 	for _, st := range s.stores {
 		s.links.Reported(st.id, st.link.queued(), now)
 		for _, m := range retention.MakeRoom(s.config.Retention, st.room, kept, now) {
@@ -125,9 +123,8 @@
 		if s.config.Off.Promotion {
 			continue
 		}
-		for _, m := range retention.Promotions(s.config.Retention, st.room, kept, now) {
-			s.promote(st, m.Copy)
-		}
+		st.promotions = retention.Promotions(s.config.Retention, st.room, kept, now)
+		s.promote(st)
 	}
 	if !s.config.Off.Prefetch {
 		for _, k := range kept {
@@ -150,20 +147,20 @@
 	s.dir.Moved(m.Copy.Manifest, storeapi.TierDisk)
 }
 
-// promote reads a copy from disk while nothing else does.
-func (s *sim) promote(st *storeVM, c contextdir.Copy) {
-	if st.disk.busy || st.promoted[c.Manifest] {
+// promote reads the next copy from disk, if nothing else is being read.
+func (s *sim) promote(st *storeVM) {
+	if st.disk.busy || len(st.promotions) == 0 {
 		return
 	}
-	st.promoted[c.Manifest] = true
+	c := st.promotions[0].Copy
+	st.promotions = st.promotions[1:]
 	st.disk.send(&transfer{bytes: c.Bytes, done: func() {
-		delete(st.promoted, c.Manifest)
-		if s.owners[c.Manifest] == nil {
-			return
+		if s.owners[c.Manifest] != nil {
+			st.use(storeapi.TierDisk, -c.Bytes)
+			st.use(storeapi.TierMemory, c.Bytes)
+			s.dir.Moved(c.Manifest, storeapi.TierMemory)
 		}
-		st.use(storeapi.TierDisk, -c.Bytes)
-		st.use(storeapi.TierMemory, c.Bytes)
-		s.dir.Moved(c.Manifest, storeapi.TierMemory)
+		s.promote(st)
 	}})
 }
 
@@ -171,11 +168,11 @@
 func (s *sim) prefetch(k contextdir.Kept) {
 	now := s.clock.time()
 	ctx := s.owners[k.Copies[0].Manifest]
-	if ctx == nil || s.fetching[ctx] || k.Copies[0].Tier == storeapi.TierDisk {
+	if ctx == nil || k.Resident || s.fetching[ctx] || k.Copies[0].Tier == storeapi.TierDisk {
 		return
 	}
 	e := leastLoaded(s.engines)
-	if s.residentAnywhere(ctx) || !retention.ShouldPrefetch(s.config.Retention, k, s.residence[e.id].Estimate(now), now) {
+	if !retention.ShouldPrefetch(s.config.Retention, k, s.residence[e.id].Estimate(now), now) {
 		return
 	}
 	st := s.byStore[k.Copies[0].Store]
@@ -198,15 +195,6 @@
 	})
 }
 
-func (s *sim) residentAnywhere(ctx *contextTrace) bool {
-	for _, r := range s.dir.Lookup(ctx.scope, ctx.chain).Resident {
-		if r.Blocks > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // enqueue starts a background transfer.
 func (s *sim) enqueue(st *storeVM, b *background) {
 	if s.config.Off.Budget {
--- a/internal/policysim/sim.go
+++ b/internal/policysim/sim.go
@@ -77,6 +77,7 @@
 	owners    map[string]*contextTrace // by manifest
 	fetching  map[*contextTrace]bool
 	exporting map[*contextTrace]bool
+	kept      []contextdir.Kept // reused by tend
 	result    Result
 }
 
@@ -142,11 +143,10 @@
 
 func (s *sim) addStore(id request.StoreID, rate, shareBytes float64) {
 	st := &storeVM{
-		id:       id,
-		link:     channel{clock: &s.clock, rate: rate},
-		disk:     channel{clock: &s.clock, rate: rate * s.config.DiskSpeed},
-		budget:   retention.NewBudget(s.config.Retention, rate),
-		promoted: map[string]bool{},
+		id:     id,
+		link:   channel{clock: &s.clock, rate: rate},
+		disk:   channel{clock: &s.clock, rate: rate * s.config.DiskSpeed},
+		budget: retention.NewBudget(s.config.Retention, rate),
 	}
 	st.room = retention.Room{
 		Store:       id,
--- a/internal/policysim/store.go
+++ b/internal/policysim/store.go
@@ -63,14 +63,14 @@
 
 // storeVM is a store VM with its link and disk.
 type storeVM struct {
-	id       request.StoreID
-	link     channel
-	disk     channel
-	room     retention.Room
-	budget   *retention.Budget
-	waiting  [2][]*background // prefetches, exports
-	retrying bool             // the budget will be asked again
-	promoted map[string]bool  // promotions under way
+	id         request.StoreID
+	link       channel
+	disk       channel
+	room       retention.Room
+	budget     *retention.Budget
+	waiting    [2][]*background // prefetches, exports
+	retrying   bool             // the budget will be asked again
+	promotions []retention.Move // still to do
 }
 
 // background is a transfer in chunks that gives way to callers.
