--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -11,9 +11,9 @@
 	// defaultPrefillRate, in tokens a second, stands in for a target never measured.
 	defaultPrefillRate = 8000
 	// importSlack is how far an import may exceed its expected time before it is given up.
-	importSlack = 2
+	importSlack = 1.5
 	// importGrace keeps tiny imports from being given up because of a short pause.
-	importGrace = 50 * time.Millisecond
+	importGrace = 250 * time.Millisecond
 )
 
 // Choose returns the best plan for a prompt. Candidates that are down, leaving or hold
@@ -21,7 +21,9 @@
 func Choose(p Params, r Request, candidates []Candidate, copies []Copy) Plan {
 	e := newEstimator(p, r, candidates, copies)
 	var best ranking
-	for i := range candidates {
+	first := firstCandidate(r, candidates)
+	for n := range candidates {
+		i := (first + n) % len(candidates)
 		if !usable(r, &candidates[i]) {
 			continue
 		}
@@ -30,6 +32,14 @@
 	return e.plan(&best, candidates)
 }
 
+// firstCandidate returns the candidate that wins ties.
+func firstCandidate(r Request, candidates []Candidate) int {
+	if len(candidates) == 0 {
+		return 0
+	}
+	return int(r.Spread % uint64(len(candidates)))
+}
+
 func usable(r Request, c *Candidate) bool {
 	if c.Down || c.Leaving {
 		return false
