--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -64,6 +64,7 @@
 		&cli.DurationFlag{Name: "max-backoff", Usage: "longest wait before a retry; 0: as the answer says"},
 		&cli.IntFlag{Name: "mark-after", Usage: "write the mark file once so many requests are settled"},
 		&cli.StringFlag{Name: "mark-file", Usage: "file that tells a script how far the run is"},
+		&cli.StringFlag{Name: "endings-file", Usage: "file that gets a line a request: unix_ms took_ms tries outcome"},
 		&cli.StringFlag{Name: "log-level", Value: "warn"},
 	}
 }
@@ -73,6 +74,11 @@
 	if err != nil {
 		return err
 	}
+	endings, err := newEndings(c.String("endings-file"))
+	if err != nil {
+		return err
+	}
+	defer endings.close()
 	report, err := loadgen.Run(c.Context, loadgen.Config{
 		Daemons:       c.StringSlice("daemon"),
 		Services:      c.StringSlice("service-standin"),
@@ -96,6 +102,7 @@
 		MaxBackoff:    c.Duration("max-backoff"),
 		Logger:        hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(c.String("log-level")), Output: os.Stderr}),
 		OnSettled:     marker(c.Int("mark-after"), c.String("mark-file")),
+		OnEnd:         endings.write,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/standin/ask.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+)
+
+// askTimeout bounds one question, whatever the daemon or stand-in does.
+const askTimeout = 30 * time.Second
+
+// askCommand sends one HTTP request, for scripts: to the fault switches of a stand-in,
+// to its counts, or to a daemon as a caller.
+func askCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "ask",
+		Usage:     "send one HTTP request and print the answer's body",
+		ArgsUsage: "IP:PORT/PATH [BODY]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bearer", Usage: "key of the organisation that asks"},
+		},
+		Action: ask,
+	}
+}
+
+// ask posts the body if there is one, else gets. An answer with an error status is
+// printed too.
+func ask(c *cli.Context) error {
+	method, body := http.MethodGet, c.Args().Get(1)
+	if body != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(c.Context, method, "http://"+c.Args().First(), strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key := c.String("bearer"); key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	client := &http.Client{Timeout: askTimeout}
+	resp, err := client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "ask")
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(c.App.Writer, resp.Body)
+	fmt.Fprintln(c.App.Writer)
+	if err != nil {
+		return errors.Wrap(err, "ask")
+	}
+	if resp.StatusCode/100 != 2 {
+		return errors.Newf("ask: status %d", resp.StatusCode)
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,6 +27,7 @@
 			storeCommand(),
 			vmlistCommand(),
 			kvCommand(),
+			askCommand(),
 		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/loadgen/config.go
+++ b/internal/loadgen/config.go
@@ -50,6 +50,17 @@
 	Logger hclog.Logger
 	// OnSettled, if set, is told after each request how many have their final outcome.
 	OnSettled func(settled int)
+	// OnEnd, if set, is told of each request when it has its final outcome. It is called
+	// from many goroutines.
+	OnEnd func(Ending)
+}
+
+// Ending is how and when one request ended.
+type Ending struct {
+	At      time.Time
+	Took    time.Duration // from the first try on
+	Tries   int
+	Outcome string
 }
 
 // Defaults of Config.
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -22,6 +22,11 @@
 	outcomes
 )
 
+var outcomeNames = [outcomes]string{"answered", "wrong", "unanswered", "in_doubt", "given_up", "not_kept"}
+
+// String implements fmt.Stringer.
+func (o outcome) String() string { return outcomeNames[o] }
+
 const (
 	shortestTTFT  = int64(time.Microsecond)
 	longestTTFT   = int64(time.Hour)
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -130,7 +130,7 @@
 	body := completionBody{Model: d.c.Model, Prompt: prompt, MaxTokens: d.c.MaxTokens, Stream: true}
 	start := time.Now()
 	var answer completion
-	o := d.retry(ctx, route, func(ctx context.Context, address string) error {
+	o, tries := d.retry(ctx, route, func(ctx context.Context, address string) error {
 		var err error
 		answer, err = d.caller.complete(ctx, address, org.Key, body)
 		return err
@@ -144,6 +144,7 @@
 			u = *answer.usage
 		}
 	}
+	d.ended(start, tries, o)
 	d.tally.settleCompletion(o, returning, answer.firstAt.Sub(start), u)
 }
 
@@ -171,7 +172,8 @@
 func (d *driver) callService(ctx context.Context, org Org, key string, body []byte) {
 	path := service.PathServices + d.c.Service + "/run"
 	var answer []byte
-	o := d.retry(ctx, routeQuestion{key: org.Key, service: d.c.Service}, func(ctx context.Context, address string) error {
+	start := time.Now()
+	o, tries := d.retry(ctx, routeQuestion{key: org.Key, service: d.c.Service}, func(ctx context.Context, address string) error {
 		var err error
 		answer, err = d.caller.callService(ctx, address, org.Key, path, key, body)
 		return d.finalForCall(err)
@@ -184,9 +186,19 @@
 		d.log.Error("wrong result", "key", key, "got", string(answer))
 		o = outcomeWrong
 	}
+	d.ended(start, tries, o)
 	d.tally.settleCall(key, o)
 }
 
+// ended tells who asked for it how a request ended.
+func (d *driver) ended(start time.Time, tries int, o outcome) {
+	if d.c.OnEnd == nil {
+		return
+	}
+	now := time.Now()
+	d.c.OnEnd(Ending{At: now, Took: now.Sub(start), Tries: tries, Outcome: o.String()})
+}
+
 // errFinal marks a refusal after which no try may follow.
 var errFinal = errors.New("loadgen: final")
 
@@ -201,20 +213,21 @@
 }
 
 // retry makes tries until one is answered, a refusal is final, or patience ends. It
-// turns to another address when one gives no answer.
-func (d *driver) retry(ctx context.Context, route routeQuestion, try func(context.Context, string) error) outcome {
+// turns to another address when one gives no answer. It returns how many tries it made.
+func (d *driver) retry(ctx context.Context, route routeQuestion, try func(context.Context, string) error) (o outcome, tries int) {
 	ctx, cancel := context.WithTimeout(ctx, d.c.Patience)
 	defer cancel()
 	last := outcomeUnanswered
 	for {
 		address := d.router.address(ctx, route)
+		tries++
 		err := try(ctx, address)
 		if err == nil {
-			return outcomeAnswered
+			return outcomeAnswered, tries
 		}
 		if ctx.Err() != nil {
 			d.log.Warn("patience ended", "address", address, "error", err)
-			return last
+			return last, tries
 		}
 		wait := DefaultBackoff
 		var r *refusal
@@ -223,7 +236,7 @@
 			last = outcomeOf(r)
 			if isFinal(err, r) {
 				d.log.Debug("final refusal", "address", address, "error", err)
-				return last
+				return last, tries
 			}
 			wait = d.backoff(r)
 		} else {
@@ -233,7 +246,7 @@
 			last = outcomeUnanswered
 		}
 		if !sleep(ctx, wait) {
-			return last
+			return last, tries
 		}
 	}
 }
--- /dev/null
+++ b/scripts/cases/targets.sh
@@ -0,0 +1,130 @@
+# Faults of model engines and of plain services.
+
+# An engine dies with streams open. They go on elsewhere.
+case_engine_killed() {
+	start_cluster
+	load 30
+	at_fault
+	end_process KILL e2
+	end_load
+}
+
+# The open connections to an engine go silent for good while new ones work: something in
+# between has lost track of them. Streams go on over fresh connections.
+case_engine_silent() {
+	start_cluster
+	load 30
+	at_fault
+	fault e1 '{"silent":true}'
+	fault e2 '{"silent":true}'
+	end_load
+	check "callers come through within 15 s" "$RECOVERED" -lt 15000
+}
+
+LEAVING_WITHIN=5000 # ms until a leaving target gets nothing new
+
+# leaves TARGET ENGINE checks that every daemon knows in time, and that the engine gets
+# no new work from then on. Call it after the engine began to leave.
+leaves() {
+	local target=$1 engine=$2 accepted took
+	wait_until "the daemons know that $target leaves" known_leaving "$target"
+	took=$(($(now_ms) - FAULT_AT))
+	check "the daemons know in time" "$took" -lt "$LEAVING_WITHIN"
+	accepted=$(stat "$engine" accepted)
+	check "the engine had work before" "$accepted" -gt 0
+	end_load
+	check "a leaving engine gets no new work" "$(stat "$engine" accepted)" -eq "$accepted"
+	RECOVERED=$took
+}
+
+# known_leaving TARGET tells whether the target's steward marks it as leaving.
+known_leaving() {
+	local name
+	for name in d1 d2 d3; do
+		state "$name" targets | tr -d ' \n' | grep -o "{\"target\":\"$1\"[^}]*\"here\":true[^}]*}" |
+			grep '"leaving":true' >/dev/null && return 0
+	done
+	return 1
+}
+
+# An engine says that it leaves. recovered_ms is the time until the daemons know.
+case_engine_leaving() {
+	start_cluster
+	load 30
+	at_fault
+	fault e3 '{"leaving":true}'
+	leaves engine-3 e3
+}
+
+# The VM list says that an engine's VM leaves; the engine itself does not know.
+case_vm_leaving() {
+	start_cluster
+	load 30
+	at_fault
+	"$BIN/standin" ask "$ADDR_vmlist/v1/vms" '[
+		{"id":"vm-1","address":"127.0.0.1","role":"target"},
+		{"id":"vm-2","address":"127.0.0.2","role":"target"},
+		{"id":"vm-3","address":"127.0.0.3","role":"target","leaving":true}]'
+	leaves engine-3 e3
+}
+
+# Frames of answers come swapped and late. Every caller still gets its own, whole.
+case_answers_swapped_and_late() {
+	local engine
+	start_cluster
+	for engine in e1 e2 e3; do
+		fault "$engine" '{"swap_answers":200,"delay_ms":20}'
+	done
+	load 30
+	at_fault
+	end_load
+}
+
+# A store dies while contexts that met eviction come back from it. The prompt is computed
+# again, nothing waits for the store past its worth.
+case_store_killed() {
+	BLOCKS=96 start_cluster
+	load 40
+	at_fault
+	end_process KILL st1
+	end_load
+	check "callers come through within 10 s" "$RECOVERED" -lt 10000
+}
+
+# A service executes calls and its answers are lost. Such a call is in doubt and never
+# runs again.
+case_service_answers_lost() {
+	start_cluster
+	load 30
+	at_fault
+	fault s1 '{"lose_answers":3}'
+	fault s2 '{"lose_answers":3}'
+	end_load
+	check "exactly the lost answers are in doubt" "$R_in_doubt" -eq 6
+}
+
+# One request crashes every engine that runs it, and its caller sends it again and again
+# to all daemons. At most two engines fall; it is then refused, and the others' requests
+# are answered.
+case_poison_request() {
+	local engine try daemon alive=0
+	start_cluster
+	for engine in e1 e2 e3; do
+		fault "$engine" '{"crash_marker":"curdled"}'
+	done
+	load 30
+	at_fault
+	for ((try = 0; try < 9; try++)); do
+		daemon=CALLERS_d$((try % 3 + 1))
+		"$BIN/standin" ask --bearer atlas-key "${!daemon}/v1/completions" \
+			'{"model":"verdict","prompt":"curdled","max_tokens":4}' >"$WORK/poison.$try" 2>&1 || true
+	done
+	check "the request is refused as quarantined" "$(grep -c quarantined "$WORK/poison.8")" -ge 1
+	for engine in e1 e2 e3; do
+		if is_alive "$engine"; then
+			alive=$((alive + 1))
+		fi
+	done
+	check "at most two engines fell" "$alive" -ge 1
+	end_load
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -121,13 +121,15 @@
 	} >"$dir/stores.csv"
 }
 
-# start_cluster starts all stand-ins, writes the table and starts three daemons.
+# start_cluster starts all stand-ins, writes the table and starts three daemons. Each
+# engine has an IP number of its own, as VMs have, so that the VM list can tell them apart.
 start_cluster() {
 	local i
 	start_standin kv kv
 	start_standin vmlist vmlist
 	for i in 1 2 3; do
-		start_standin "e$i" engine --model verdict --version v1 --time-scale "${TIME_SCALE:-0.1}" \
+		start_standin "e$i" engine --listen "127.0.0.$i:0" --seed "${SEED:-1}" \
+			--model verdict --version v1 --time-scale "${TIME_SCALE:-0.1}" \
 			--blocks "${BLOCKS:-400}" --kv-per-token "${BYTES_PER_TOKEN:-1024}" --checks-epoch
 	done
 	start_standin s1 service
