Find exports of contexts whose daemon is gone; make room in stores

What the directory knew was lost with the daemon, so the export lay unused and the whole context was computed again; nobody ever freed it either. Exports of a context now begin with the hash of its first block, and a daemon that does not know a context searches the stores once. One daemon for each store VM demotes and frees the longest unused exports when it is nearly full, by what the store lists. Ruled out: the directory in the key-value service (210,000 contexts would need more writes than it takes).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,6 +215,7 @@
 		Tables:   d.table,
 		Looker:   d.stewards,
 		Targets:  d.targets,
+		Keeps:    func(id request.StoreID) bool { return d.isPlace("store/" + string(id)) },
 		Instance: d.instance(),
 		Seed:     d.incarnation,
 		Logger:   d.log,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +12,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
 	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
+	"github.com/bluebellscale/bluebellscale/internal/store"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
 
@@ -138,3 +142,47 @@
 	}
 	c.daemons[1].done <- nil
 }
+
+// A context returns after every daemon has been replaced and its blocks have been
+// evicted from accelerator memory. The daemons kept nothing, so a new one knows
+// neither the context nor the export in the store, and would compute all of it again.
+func TestContextSurvivesTheReplacementOfAllDaemons(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	prompts := make([]string, 16)
+	for i := range prompts {
+		prompts[i] = strings.Repeat(fmt.Sprintf("recipe %d of the batch. ", i), 400)
+		if status, body := c.complete(c.daemons[0], prompts[i]); status != http.StatusOK {
+			t.Fatalf("got %d %s", status, body)
+		}
+	}
+	c.await("exports to be committed", func() bool { return c.exports() >= len(prompts) })
+	for _, d := range c.daemons {
+		d.stop()
+	}
+	for _, d := range c.daemons {
+		d.done <- <-d.done
+	}
+	c.daemons = nil
+	c.startDaemon("d3")
+	c.startDaemon("d4")
+	for _, d := range c.daemons {
+		c.await("the new daemons", func() bool { return c.ready(d, 2) })
+	}
+	_, body := c.complete(c.daemons[0], prompts[0])
+	var answer struct {
+		Usage struct{ Prompt_tokens, Cached_tokens int }
+	}
+	if err := json.Unmarshal([]byte(body), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if u := answer.Usage; 10*u.Cached_tokens < 9*u.Prompt_tokens {
+		t.Fatalf("%d of %d tokens were brought back: %s", u.Cached_tokens, u.Prompt_tokens, body)
+	}
+}
+
+// exports counts the manifests in the store.
+func (c *cluster) exports() int {
+	var list storeapi.ListResponse
+	c.get("http://"+c.store.Address()+storeapi.PathList+"?contains="+store.ManifestMark+"&limit=1000", &list)
+	return len(list.Objects)
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -46,6 +46,7 @@
 		d.loadFindings,
 		d.stewards.Run,
 		d.limiter.Run,
+		d.planner.Run,
 		d.fleet.Run,
 	}
 	for _, duty := range duties {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
@@ -86,6 +87,7 @@
 	Store    request.StoreID
 	Address  string // host:port
 	Manifest string
+	Tier     storeapi.Tier
 }
 
 // Context identifies the context of a prompt.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,10 +24,15 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/steward"
+	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
+// diskShare is a disk's assumed speed as a part of its store VM's link, until the
+// table has a column for it.
+const diskShare = 0.3
+
 // maxLooked bounds how many targets are considered for one prompt. Beyond it, those
 // that hold the context and a random sample of the rest are.
 const maxLooked = 24
@@ -53,6 +58,8 @@
 	Tables  Tables
 	Looker  Looker
 	Targets Targets
+	// Keeps tells whether the care of a store VM has its soft place here.
+	Keeps func(id request.StoreID) bool
 	// Instance differs for every start of every daemon. Names of exports carry it.
 	Instance string
 	Seed     uint64
@@ -76,8 +83,9 @@
 	costs      *placement.Costs
 	random     *rand.Rand
 	generation uint64
+	weighed    map[request.StoreID]time.Time // when an import from it was last weighed
 
-	imports, failedImports                 tally.Counter
+	imports, failedImports, recovered      tally.Counter
 	exports, failedExports, droppedExports tally.Counter
 }
 
@@ -97,10 +105,12 @@
 		cancel:         cancel,
 		directory:      contextdir.New(contextdir.Params{}),
 		links:          placement.NewLinks(),
+		weighed:        map[request.StoreID]time.Time{},
 		costs:          placement.NewCosts(0),
 		random:         rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		imports:        opts.Metrics.Counter("imports"),
 		failedImports:  opts.Metrics.Counter("imports_failed"),
+		recovered:      opts.Metrics.Counter("exports_recovered"),
 		exports:        opts.Metrics.Counter("exports"),
 		failedExports:  opts.Metrics.Counter("exports_failed"),
 		droppedExports: opts.Metrics.Counter("exports_dropped"),
@@ -122,6 +132,9 @@
 		return nil
 	}
 	located := p.locate(c)
+	if located.Known == 0 {
+		located = p.recover(ctx, sheet, c)
+	}
 	rows = p.sample(sheet, c.Scope.Version, rows, located)
 	views := p.opts.Looker.Look(ctx, targetIDs(rows), c.Chain)
 	plan := p.plan(sheet, c, rows, located, views)
@@ -264,7 +277,13 @@
 func (p *Planner) copies(l contextdir.Located, now time.Time) []placement.Copy {
 	out := make([]placement.Copy, 0, len(l.Copies))
 	for _, c := range l.Copies {
-		out = append(out, placement.Copy{Store: c.Store, Blocks: c.Blocks, Link: p.links.State(c.Store, now)})
+		p.weighed[c.Store] = now
+		link := p.links.State(c.Store, now)
+		copied := placement.Copy{Store: c.Store, Blocks: c.Blocks, Link: link}
+		if c.Tier == storeapi.TierDisk {
+			copied.TierBytesPerSec = link.BytesPerSec * diskShare
+		}
+		out = append(out, copied)
 	}
 	return out
 }
@@ -296,7 +315,7 @@
 		for _, c := range l.Copies {
 			if c.Store == o.Store {
 				return &gateway.Import{
-					Copy:     gateway.Copy{Store: s.ID, Address: s.Address, Manifest: c.Manifest},
+					Copy:     gateway.Copy{Store: s.ID, Address: s.Address, Manifest: c.Manifest, Tier: c.Tier},
 					Blocks:   o.ImportBlocks,
 					Deadline: deadline,
 				}
--- a/internal/planner/reference.go
+++ b/internal/planner/reference.go
@@ -59,11 +59,15 @@
 	return r, nil
 }
 
+// generationStart is what the generations of all exports of a context begin with: the
+// hash of its first block, by which a daemon that never saw the context finds them.
+func generationStart(chain []block.Hash) string { return chain[0].String() + "." }
+
 // nextGeneration returns a generation that no export has had: the instance differs
 // for every start of every daemon.
-func (p *Planner) nextGeneration() store.Generation {
+func (p *Planner) nextGeneration(chain []block.Hash) store.Generation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.generation++
-	return store.Generation(fmt.Sprintf("%s-%d", p.opts.Instance, p.generation))
+	return store.Generation(fmt.Sprintf("%s%s-%d", generationStart(chain), p.opts.Instance, p.generation))
 }
--- a/internal/planner/transfer.go
+++ b/internal/planner/transfer.go
@@ -40,9 +40,9 @@
 	ctx, cancel := context.WithTimeout(ctx, im.Deadline)
 	defer cancel()
 	bytes := p.bytesOf(c.Scope.Model, im.Blocks)
-	id := p.startTransfer(im.Copy.Store, bytes)
+	id := p.startTransfer(im.Copy, bytes)
 	imported, err := p.bring(ctx, c, choice)
-	p.endTransfer(im.Copy.Store, id, imported, err)
+	p.endTransfer(im.Copy.Store, id, imported, err, ctx.Err() != nil)
 	if err == nil {
 		p.imports.Inc(1)
 		return
@@ -115,17 +115,26 @@
 	return int64(blocks) * block.TokensPerBlock * row.BytesPerToken
 }
 
-func (p *Planner) startTransfer(id request.StoreID, bytes int64) placement.TransferID {
+func (p *Planner) startTransfer(c gateway.Copy, bytes int64) placement.TransferID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.links.Start(id, bytes, time.Now())
+	return p.links.Start(c.Store, c.Tier, bytes, time.Now())
 }
 
-func (p *Planner) endTransfer(id request.StoreID, transfer placement.TransferID, carried int64, err error) {
-	failed := err != nil && !errors.Is(err, store.ErrMiss) && !errors.Is(err, errTorn)
+// endTransfer teaches the link. Content that is not there or is torn says nothing
+// about the link.
+func (p *Planner) endTransfer(id request.StoreID, transfer placement.TransferID, carried int64, err error, late bool) {
+	outcome := placement.Carried
+	switch {
+	case err == nil, errors.Is(err, store.ErrMiss), errors.Is(err, errTorn):
+	case late:
+		outcome = placement.GivenUp
+	default:
+		outcome = placement.Failed
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.links.Finish(id, transfer, carried, failed, time.Now())
+	p.links.Finish(id, transfer, carried, outcome, time.Now())
 }
 
 // keep frees what was forgotten and exports a context after its answer if that is
@@ -165,7 +174,7 @@
 	if !ok {
 		return nil
 	}
-	generation := p.nextGeneration()
+	generation := p.nextGeneration(c.Chain)
 	answer, err := p.opts.Targets.Client(*row).Export(ctx, engineapi.ExportRequest{
 		StoreAddress: address,
 		Prefix:       store.Prefix(c.Scope, generation),
--- a/internal/standin/store/handler.go
+++ b/internal/standin/store/handler.go
@@ -28,6 +28,7 @@
 	mux.HandleFunc("POST "+storeapi.PathTier, s.serveTier)
 	mux.HandleFunc("POST "+storeapi.PathPin, s.servePin)
 	mux.HandleFunc("GET "+storeapi.PathStatus, s.serveStatus)
+	mux.HandleFunc("GET "+storeapi.PathList, s.serveList)
 	return mux
 }
 
@@ -88,7 +89,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	o, err := s.get(name)
+	o, err := s.get(name, r.URL.Query().Get("peek") != "")
 	if err != nil {
 		refuse(w, err)
 		return
@@ -171,6 +172,17 @@
 	json.NewEncoder(w).Encode(s.Status())
 }
 
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 {
+		http.Error(w, "bad limit", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(storeapi.ListResponse{Objects: s.list(q.Get("prefix"), q.Get("contains"), limit)})
+}
+
 func refuse(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -3,7 +3,10 @@
 package store
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +45,7 @@
 	length  int64 // bytes charged
 	tier    storeapi.Tier
 	pinned  time.Time // until then
+	used    time.Time // last read or write
 	place   *list.Element
 }
 
@@ -110,26 +114,46 @@
 	if err := s.makeRoomLocked(storeapi.TierMemory, length, time.Now()); err != nil {
 		return err
 	}
-	o := &object{name: name, content: content, digest: digest, length: length}
+	o := &object{name: name, content: content, digest: digest, length: length, used: time.Now()}
 	s.objects[name] = o
 	s.enterLocked(o, storeapi.TierMemory)
 	s.bytesIn += length
 	return nil
 }
 
-// get returns an object and counts a use of it.
-func (s *Store) get(name string) (object, error) {
+// get returns an object and, unless it only peeks, counts a use of it.
+func (s *Store) get(name string, peek bool) (object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, err := s.findLocked(name)
 	if err != nil {
 		return object{}, err
 	}
-	s.tiers[o.tier].order.MoveToFront(o.place)
+	if !peek {
+		s.tiers[o.tier].order.MoveToFront(o.place)
+		o.used = time.Now()
+	}
 	s.bytesOut += o.length
 	return *o, nil
 }
 
+// list returns objects by name, the longest unused first.
+func (s *Store) list(prefix, contains string, limit int) []storeapi.Listed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []storeapi.Listed{}
+	now := time.Now()
+	for name, o := range s.objects {
+		if strings.HasPrefix(name, prefix) && strings.Contains(name, contains) {
+			out = append(out, storeapi.Listed{Name: name, Tier: o.tier, IdleMillis: now.Sub(o.used).Milliseconds()})
+		}
+	}
+	slices.SortFunc(out, func(a, b storeapi.Listed) int {
+		return cmp.Or(cmp.Compare(b.IdleMillis, a.IdleMillis), cmp.Compare(a.Name, b.Name))
+	})
+	return out[:min(limit, len(out))]
+}
+
 func (s *Store) findLocked(name string) (*object, error) {
 	if o, ok := s.objects[name]; ok {
 		return o, nil
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -137,6 +137,21 @@
 	return out, nil
 }
 
+// List returns objects whose names begin with prefix and contain a text, the longest
+// unused first.
+func (c *Client) List(ctx context.Context, prefix, contains string, limit int) ([]storeapi.Listed, error) {
+	q := url.Values{"prefix": {prefix}, "contains": {contains}, "limit": {strconv.Itoa(limit)}}
+	answer, err := c.do(ctx, call{method: http.MethodGet, path: storeapi.PathList + "?" + q.Encode()})
+	if err != nil {
+		return nil, err
+	}
+	var out storeapi.ListResponse
+	if err := json.Unmarshal(answer.content, &out); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "list"), ErrUnavailable)
+	}
+	return out.Objects, nil
+}
+
 func (c *Client) put(ctx context.Context, name string, content []byte) error {
 	header := http.Header{storeapi.HeaderDigest: {digestOf(content)}}
 	_, err := c.do(ctx, call{
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -85,6 +86,18 @@
 func (c *Client) GetManifest(ctx context.Context, scope block.Scope, generation Generation, tail block.Hash) (Manifest, error) {
 	name := ManifestName(scope, generation, tail)
 	content, _, err := c.get(ctx, name)
+	return openManifest(name, content, err)
+}
+
+// PeekManifest is GetManifest without counting as a use of the export.
+func (c *Client) PeekManifest(ctx context.Context, scope block.Scope, generation Generation, tail block.Hash) (Manifest, error) {
+	name := ManifestName(scope, generation, tail)
+	a, err := c.do(ctx, call{method: http.MethodGet, path: objectPath(name) + "?peek=1", name: name})
+	return openManifest(name, a.content, err)
+}
+
+// openManifest checks what was read under a name.
+func openManifest(name string, content []byte, err error) (Manifest, error) {
 	if err != nil {
 		return Manifest{}, err
 	}
--- a/internal/store/name.go
+++ b/internal/store/name.go
@@ -29,6 +29,15 @@
 	return b.String()
 }
 
+// ManifestMark is what names of manifests contain and names of blocks do not.
+const ManifestMark = "/manifest-"
+
+// PrefixOfGenerations returns the start of the names of all exports whose generation
+// begins with start.
+func PrefixOfGenerations(scope block.Scope, start string) string {
+	return strings.TrimSuffix(Prefix(scope, Generation(start)), "/")
+}
+
 // BlockName returns the name of one block of an export.
 func BlockName(scope block.Scope, generation Generation, h block.Hash) string {
 	return Prefix(scope, generation) + h.String()
--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -2,10 +2,11 @@
 // keeps named immutable objects in memory or on disk behind a limited link.
 //
 //	PUT    /v1/objects/{name}   body; header X-Digest; X-Simulated-Length paces the link
-//	GET    /v1/objects/{name}   body with X-Digest
+//	GET    /v1/objects/{name}   body with X-Digest; ?peek=1 does not count as a use
 //	DELETE /v1/objects/{name}   409 while pinned
 //	POST   /v1/tier             TierRequest
 //	POST   /v1/pin              PinRequest
+//	GET    /v1/list?prefix=P&contains=S&limit=N   ListResponse, the longest unused first
 //	GET    /v1/status           Status
 //
 // A name, once deleted, is refused for ever (410 Gone), so that no reader can meet
@@ -18,6 +19,7 @@
 	PathTier    = "/v1/tier"
 	PathPin     = "/v1/pin"
 	PathStatus  = "/v1/status"
+	PathList    = "/v1/list"
 )
 
 // Headers of the interface.
@@ -50,6 +52,18 @@
 	TTLMillis int64    `json:"ttl_ms"`
 }
 
+// ListResponse lists objects, the longest unused first.
+type ListResponse struct {
+	Objects []Listed `json:"objects"`
+}
+
+// Listed is one object of a list.
+type Listed struct {
+	Name       string `json:"name"`
+	Tier       Tier   `json:"tier"`
+	IdleMillis int64  `json:"idle_ms"` // since the last read or write
+}
+
 // Status reports room and link use.
 type Status struct {
 	MemoryUsed      int64 `json:"memory_used"` // bytes
