--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/pipeline"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
@@ -69,6 +70,24 @@
 	})
 }
 
+// engines ranks the targets that have the wanted weight version. While a new default
+// version is rolled out, targets change one after the other; until the first has it,
+// an organisation that names no version of its own is served with the one that is
+// loaded, under that version's own cache names.
+func (f *place) engines(ctx context.Context, j *Job) []Choice {
+	choices := f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+	if len(choices) > 0 || j.org.Models[j.model] != "" {
+		return choices
+	}
+	version, ok := f.g.opts.Contexts.Serving(ctx, j.model)
+	if !ok || version == j.context.Scope.Version {
+		return choices
+	}
+	j.context.Scope.Version = version
+	j.context.Chain = block.Chain(j.context.Scope.Salt(), []byte(j.completion.Prompt))
+	return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+}
+
 // gateRefusal answers a request that the quarantine does not let run now.
 func gateRefusal(v quarantine.Verdict) *request.Error {
 	switch v.Mode {
@@ -92,7 +111,7 @@
 
 func (f *place) choices(ctx context.Context, j *Job) []Choice {
 	if j.kind == kindCompletion {
-		return f.g.opts.Contexts.Choose(ctx, j.context, j.exclude)
+		return f.engines(ctx, j)
 	}
 	var out []Choice
 	for _, t := range f.g.opts.Stewards.Calls(ctx, j.call.service, j.exclude) {
@@ -127,6 +146,7 @@
 			j.choice = c
 			j.grant = &grant
 			j.incarnation = grant.Incarnation
+			j.priority = grant.Priority
 			return pipeline.Pass()
 		}
 	}
@@ -138,7 +158,7 @@
 		Request:  j.id,
 		Target:   c.Target.ID,
 		Org:      j.org.ID,
-		Tokens:   int64(j.context.Tokens),
+		Tokens:   int64(c.Recompute),
 		Deadline: j.deadline,
 		Suspect:  j.suspect,
 
@@ -166,6 +186,8 @@
 		Service: j.call.service,
 		Key:     j.call.key,
 		Digest:  callDigest(j),
+
+		FirstSent: j.call.firstSent,
 	}
 	ticket, result, err := f.g.opts.Journal.Begin(ctx, call)
 	if err != nil {
@@ -185,7 +207,14 @@
 
 // journalRefusal turns the journal's errors into answers.
 func journalRefusal(err error) *request.Error {
+	var full *journal.FullError
 	switch {
+	case errors.As(err, &full):
+		return request.Refuse(request.CodeJournalDown, http.StatusServiceUnavailable, full.RetryAfter,
+			"the journal has no room for new keys")
+	case errors.Is(err, journal.ErrKeyTooOld):
+		return &request.Error{Code: request.CodeInDoubt, Status: http.StatusConflict, Ran: request.InDoubt,
+			Message: "this key was first sent longer ago than keys are kept", Field: HeaderFirstSent}
 	case errors.Is(err, journal.ErrInDoubt):
 		return &request.Error{Code: request.CodeInDoubt, Status: http.StatusConflict, Ran: request.InDoubt,
 			Message: "an earlier try with this key may have run and will not be run again"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 // Choice is one target that a request may go to, best first.
 type Choice struct {
 	Target table.Target
+	// Recompute is how many prompt tokens the target is expected to compute.
+	Recompute int
 	// Import names what to bring from a store before dispatch; nil for nothing.
 	Import *Import
 }
@@ -106,6 +108,8 @@
 type Contexts interface {
 	// Choose ranks the targets that may serve the prompt.
 	Choose(ctx context.Context, c Context, exclude map[request.TargetID]bool) []Choice
+	// Serving returns the weight version that most of a model's targets have loaded.
+	Serving(ctx context.Context, model request.Model) (request.Version, bool)
 	// Bring carries out an import; a failure only means that the target prefills.
 	Bring(ctx context.Context, c Context, choice Choice)
 	// Learn takes the truth from an answer and decides what to keep.
@@ -129,6 +133,7 @@
 	ID          string
 	Target      request.TargetID
 	Incarnation uint64 // of the target, as its steward knows it; 0: unknown
+	Priority    int    // for the engine; lower runs first
 }
 
 // Release ends a grant.
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -70,6 +70,9 @@
 	if j.call.key != "" {
 		req.Header.Set(HeaderIdempotencyKey, j.call.key)
 	}
+	if !j.call.firstSent.IsZero() {
+		req.Header.Set(HeaderFirstSent, j.call.firstSent.Format(time.RFC3339))
+	}
 	answer, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "gateway: hop to %s", to.Id)
@@ -102,7 +105,7 @@
 		g.fail(out, cancelled(request.InDoubt))
 		return
 	}
-	g.log.Warn("Home did not serve a request. It is served here.", "home", j.forward.Id, "request", j.id, "error", err)
+	g.log.Warn("Home did not serve a request; it is served here", "home", j.forward.Id, "request", j.id, "error", err)
 	g.serveHere(out, j)
 }
 
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -49,6 +48,7 @@
 	downMsg   struct{}
 	upMsg     struct{}
 	leaveMsg  struct{}
+	resignMsg struct{}
 	tickMsg   struct{}
 	lookMsg   struct {
 		probe  probe
@@ -158,6 +158,8 @@
 		k.apply(k.core.OnTargetUp(now))
 	case *leaveMsg:
 		k.apply(k.core.OnTargetLeaving(now))
+	case *resignMsg:
+		k.apply(k.core.Resign(now))
 	case *tickMsg:
 		k.apply(k.core.Tick(now))
 	case *lookMsg:
@@ -234,7 +236,4 @@
 	}
 }
 
-func (k *keeper) vmLeaving() bool {
-	host, _, err := net.SplitHostPort(k.row.Address)
-	return err == nil && k.service.isLeaving(host)
-}
+func (k *keeper) vmLeaving() bool { return k.service.VMLeaving(&k.row) }
