policy/rollout: keep what an unreachable target was doing

The load cap was exceeded in two cases, found once the test's failed reads gave no state, as real ones do: a target that loaded and could not be read counted as idle; and a lost order was sent again when its target came back after LoadTimeout, when its place had been given away. The last good read is kept, and an order that old is forgotten and weighed anew. A target that loads what was ordered settles the order even if it does not name it.

--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -55,12 +55,12 @@
 	Role    string
 }
 
-// Observed is a target's state as it was read last.
+// Observed is the outcome of reading a target's state.
 type Observed struct {
 	Target    request.TargetID
-	State     engineapi.State
-	ReadAt    time.Time // when the request for it was sent; zero: never read
-	Reachable bool      // the last read succeeded
+	State     engineapi.State // if Reachable
+	ReadAt    time.Time       // when the request for it was sent
+	Reachable bool            // the read succeeded
 	Leaving   bool
 }
 
@@ -115,6 +115,7 @@
 	epoch   uint64
 	since   time.Time // start of the epoch here
 	pending map[request.TargetID]pending
+	last    map[request.TargetID]Observed // by the last read that succeeded
 	seq     uint64
 }
 
@@ -135,7 +136,11 @@
 	if p.TakeoverWait <= 0 {
 		p.TakeoverWait = p.OrderTimeout
 	}
-	return &Rollout{params: p, pending: make(map[request.TargetID]pending)}
+	return &Rollout{
+		params:  p,
+		pending: make(map[request.TargetID]pending),
+		last:    make(map[request.TargetID]Observed),
+	}
 }
 
 // Step returns what to do now under an epoch. wanted and observed must cover all the
@@ -212,13 +217,14 @@
 
 // stepPending waits for the effect of an order. If the state that was read after it
 // should have taken effect shows nothing of it, it is sent again, or forgotten if the
-// table wants something else by now.
+// table wants something else by now. One that was out of reach for so long that it no
+// longer counted as loading has lost its place under the cap and is ordered anew.
 func (r *Rollout) stepPending(now time.Time, p pending, w Wanted, o Observed) Action {
 	until := p.sentAt.Add(r.params.OrderTimeout)
 	if o.ReadAt.Before(until) {
 		return Wait{Target: o.Target, Reason: ReasonPending, Until: until}
 	}
-	if !p.wanted(w) {
+	if !p.wanted(w) || now.Sub(p.sentAt) >= r.params.LoadTimeout {
 		delete(r.pending, w.Target)
 		return Wait{Target: o.Target, Reason: ReasonPending, Until: now}
 	}
@@ -255,7 +261,7 @@
 	}
 	switch p.order.Kind {
 	case engineapi.OrderLoadVersion:
-		return s.Version == p.order.Version && s.Loading == ""
+		return s.Loading == p.order.Version || (s.Version == p.order.Version && s.Loading == "")
 	case engineapi.OrderLoadAdapter:
 		return slices.Contains(s.Adapters, p.order.Adapter)
 	case engineapi.OrderSetRole:
--- a/internal/policy/rollout/rollout_test.go
+++ b/internal/policy/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -95,7 +96,11 @@
 	now := epoch.Add(time.Duration(step) * simStep)
 	var out []Observed
 	for i, e := range f.engines {
-		out = append(out, Observed{Target: simTarget(i), State: e.state, ReadAt: now, Reachable: step >= e.down})
+		o := Observed{Target: simTarget(i), ReadAt: now, Reachable: step >= e.down}
+		if o.Reachable {
+			o.State = e.state
+		}
+		out = append(out, o)
 	}
 	return out
 }
@@ -240,3 +245,43 @@
 		t.Errorf("got %v, want to step down", actions)
 	}
 }
+
+// Weight loads get slow: more replicas load than may. One that loads can't be reached
+// for a while, and its place is given to another; or an order to one that was out of
+// reach is sent again when it is back, after its place was given away.
+func TestUnreachableTargetKeepsItsPlaceForATime(t *testing.T) {
+	p := Params{LoadCap: 1, MaxOutShare: 1, OrderTimeout: time.Second, LoadTimeout: time.Minute}
+	wanted := []Wanted{{Target: "t1", Model: model, Version: "v2"}, {Target: "t2", Model: model, Version: "v2"}}
+	idle, loads := engineapi.State{Version: "v1"}, engineapi.State{Version: "v1", Loading: "v2"}
+	for _, accepted := range []bool{true, false} {
+		r := New(p)
+		check := func(second int, reachable bool, first, other engineapi.State, want ...request.TargetID) {
+			t.Helper()
+			now := epoch.Add(time.Duration(second) * time.Second)
+			observed := []Observed{
+				{Target: "t1", ReadAt: now, Reachable: reachable, State: first},
+				{Target: "t2", ReadAt: now, Reachable: true, State: other},
+			}
+			var ordered []request.TargetID
+			for _, action := range r.Step(now, 1, wanted, observed) {
+				if o, ok := action.(Order); ok {
+					ordered = append(ordered, o.Target)
+				}
+			}
+			if !slices.Equal(ordered, want) {
+				t.Errorf("accepted %t, at %d s: ordered %v, want %v", accepted, second, ordered, want)
+			}
+		}
+		check(0, true, idle, idle)
+		check(1, true, idle, idle, "t1")
+		if accepted {
+			state := loads
+			state.LastOrder = "t1/1.1"
+			check(2, true, state, idle)
+		}
+		check(30, false, engineapi.State{}, idle)
+		check(63, false, engineapi.State{}, idle, "t2")
+		check(64, true, idle, loads)
+		check(65, true, idle, loads)
+	}
+}
--- a/internal/policy/rollout/view.go
+++ b/internal/policy/rollout/view.go
@@ -25,6 +25,7 @@
 		replicas: make(map[request.Model]int),
 	}
 	for _, o := range observed {
+		o = r.remember(o)
 		v.observed[o.Target] = o
 		v.highest = max(v.highest, o.State.HighestEpoch)
 	}
@@ -43,6 +44,18 @@
 	return v
 }
 
+// remember keeps what was read last. A target that can't be read now counts as it was
+// then: a failed read says nothing, and one that loads goes on loading.
+func (r *Rollout) remember(o Observed) Observed {
+	if o.Reachable {
+		r.last[o.Target] = o
+		return o
+	}
+	last := r.last[o.Target]
+	o.State, o.ReadAt = last.State, last.ReadAt
+	return o
+}
+
 // settle forgets the orders whose effect shows. A state that was read before the order
 // was sent shows nothing about it.
 func (r *Rollout) settle(v *view) {
