Answer forwarded and repeated requests truthfully; survive silent peers

Cause: after a home failed in the middle, a refusal of this daemon's own try said not run although the home may have run it. Questions to a steward lasted until the request's deadline, and over a pooled connection that went silent they would have waited that long. They are now cut into short ones, known by their request. Forwarded calls use a connection each.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -97,6 +97,10 @@
 	return c
 }
 
+// Reset closes idle connections to peers. One that has gone silent shows as a question
+// without an answer; the others in the pool may have gone with it.
+func (p *peerPool) Reset() { p.http.CloseIdleConnections() }
+
 // vmListKept is how long one answer of the VM list serves all parts of a daemon. The
 // list lags anyway, and its calls must not grow with the number of readers.
 const vmListKept = 2 * time.Second
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -76,7 +76,15 @@
 }
 
 // fail ends an answer: with a status if nothing has been written, else with an event.
+//
+// A refusal of a later try must not say "not run" of a request whose earlier try may
+// have run: what is known of those goes first.
 func (g *Gateway) fail(out *sink, e *request.Error) {
+	if e.Ran == request.NotRun && out.j.ran != "" && out.j.ran != request.NotRun {
+		copied := *e
+		copied.Ran = out.j.ran
+		e = &copied
+	}
 	if !out.started {
 		g.writeError(out.w, e)
 		return
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -25,6 +25,8 @@
 	maxEvent = 1 << 20
 	// hopIdle closes pooled connections to peers that are not used.
 	hopIdle = 30 * time.Second
+	// maxIdlePerHop bounds the pooled connections to one peer.
+	maxIdlePerHop = 64
 )
 
 // hopFailure ends a forwarded stream that could not be completed.
@@ -35,21 +37,36 @@
 
 // hopClient forwards requests to peers, at most one hop.
 type hopClient struct {
-	http      *http.Client
-	transport *http.Transport
+	pooled *http.Transport
+	// fresh carries calls of plain services over a connection each: over a pooled one
+	// that has gone silent a call would wait until its deadline and be in doubt.
+	fresh *http.Transport
 }
 
 func newHopClient() *hopClient {
-	t := &http.Transport{
+	c := &hopClient{pooled: newHopTransport(), fresh: newHopTransport()}
+	c.fresh.DisableKeepAlives = true
+	return c
+}
+
+func newHopTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 64,
+		MaxIdleConnsPerHost: maxIdlePerHop,
 		IdleConnTimeout:     hopIdle,
 		DisableCompression:  true,
 	}
-	return &hopClient{http: &http.Client{Transport: t}, transport: t}
 }
 
-func (c *hopClient) close() { c.transport.CloseIdleConnections() }
+// close drops idle connections.
+func (c *hopClient) close() { c.pooled.CloseIdleConnections() }
+
+func (c *hopClient) transport(j *Job) *http.Transport {
+	if j.kind == kindService {
+		return c.fresh
+	}
+	return c.pooled
+}
 
 // send forwards a request. The body can not be rewound, so the HTTP library never
 // repeats the request by itself on a connection that died: a call that must run at
@@ -73,7 +90,7 @@
 	if !j.call.firstSent.IsZero() {
 		req.Header.Set(HeaderFirstSent, j.call.firstSent.Format(time.RFC3339))
 	}
-	answer, err := c.http.Do(req)
+	answer, err := c.transport(j).RoundTrip(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "gateway: hop to %s", to.Id)
 	}
@@ -105,6 +122,10 @@
 		g.fail(out, cancelled(request.InDoubt))
 		return
 	}
+	if !dialFailed(err) {
+		j.noteRan(request.InDoubt)
+		g.hops.close()
+	}
 	g.log.Warn("Home did not serve a request; it is served here", "home", j.forward.Id, "request", j.id, "error", err)
 	g.serveHere(out, j)
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -57,9 +57,10 @@
 	sent        bool // the present try of a call may have reached its target
 	replay      *journal.Result
 	tries       int
-	output      int64 // tokens relayed, for the limiter
-	prefilled   int64 // tokens recomputed, for the steward
-	failed      bool  // the target failed with this request
+	ran         request.Ran // what is known of earlier tries; empty: none was made
+	output      int64       // tokens relayed, for the limiter
+	prefilled   int64       // tokens recomputed, for the steward
+	failed      bool        // the target failed with this request
 }
 
 // serviceCall is a call of a plain service.
@@ -79,6 +80,14 @@
 // Decided implements pipeline.Job.
 func (j *Job) Decided(err error) { j.decided <- err }
 
+// noteRan remembers how an earlier try ended. That one ran outweighs that one may have.
+func (j *Job) noteRan(ran request.Ran) {
+	if j.ran == request.DidRun || j.ran == request.InDoubt && ran == request.NotRun {
+		return
+	}
+	j.ran = ran
+}
+
 func newJob(r *http.Request, k kind, body []byte) *Job {
 	return &Job{
 		ctx:     r.Context(),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -43,6 +43,7 @@
 // endTry gives back what the failed try held.
 func (g *Gateway) endTry(j *Job, failure *tryError) {
 	j.failed = failure.targetFailed
+	j.noteRan(failure.answer.Ran)
 	g.endFlight(j, failure.targetDied)
 	g.releaseGrant(j)
 	if !failure.sameTarget {
@@ -78,22 +79,11 @@
 	g.stats.retried.Inc(1)
 	g.line.Resubmit(j, filterPlace)
 	if err := <-j.decided; err != nil {
-		return worse(g.refusalOf(j, err), failure.answer.Ran)
+		return g.refusalOf(j, err)
 	}
 	return nil
 }
 
-// worse returns e with what is known about earlier tries: a refusal of the second
-// try must not say "not run" of a request whose first try may have run.
-func worse(e *request.Error, earlier request.Ran) *request.Error {
-	if earlier == request.NotRun {
-		return e
-	}
-	copied := *e
-	copied.Ran = earlier
-	return &copied
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/admission"
@@ -12,8 +14,13 @@
 )
 
 const (
-	// stewardSlack is how much longer than the deadline a peer's answer is waited for.
-	stewardSlack = time.Second
+	// acquireLeg is how long a steward holds one question of a peer before it says that
+	// the request still waits.
+	acquireLeg = time.Second
+	// legSlack is how much longer than that a peer's answer is waited for.
+	legSlack = time.Second
+	// maxSilentLegs is how many questions in a row may stay unanswered.
+	maxSilentLegs = 2
 	// releaseTimeout bounds the message that ends a grant; a lost one lapses by itself.
 	releaseTimeout = 2 * time.Second
 )
@@ -67,8 +74,34 @@
 	return request.Refuse(request.CodeCancelled, http.StatusServiceUnavailable, 0, "the caller left")
 }
 
+// acquireAt asks a peer until it grants or refuses. The question is cut into short
+// ones: over a connection that has gone silent a long one would hold the request until
+// its deadline. Asking again is harmless, since an ask is known by its request.
 func (s *Service) acquireAt(ctx context.Context, m *peer.Member, ask gateway.Ask) (gateway.Grant, *request.Error, error) {
-	ctx, cancel := context.WithDeadline(ctx, ask.Deadline.Add(stewardSlack))
+	silent := 0
+	for {
+		answer, err := s.acquireLegAt(ctx, m, ask)
+		switch {
+		case err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) && silent+1 < maxSilentLegs:
+			silent++
+			s.opts.Peers.Reset()
+		case err != nil:
+			return gateway.Grant{}, nil, err
+		case answer.Granted:
+			grant := gateway.Grant{
+				ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation, Priority: int(answer.Priority),
+			}
+			return grant, nil, nil
+		case !answer.Waiting:
+			return gateway.Grant{}, refusalOf(answer), nil
+		default:
+			silent = 0
+		}
+	}
+}
+
+func (s *Service) acquireLegAt(ctx context.Context, m *peer.Member, ask gateway.Ask) (*peer.AcquireResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, acquireLeg+legSlack)
 	defer cancel()
 	answer, err := s.opts.Peers.Steward(m).Acquire(ctx, &peer.AcquireRequest{
 		From:         s.opts.Members.Self().Id,
@@ -80,13 +113,10 @@
 		Suspect:      ask.Suspect,
 		Fingerprint:  string(ask.Fingerprint),
 	})
-	if err != nil {
-		return gateway.Grant{}, nil, err
-	}
-	if !answer.Granted {
-		return gateway.Grant{}, refusalOf(answer), nil
+	if err != nil && ctx.Err() != nil {
+		return nil, ctx.Err()
 	}
-	return gateway.Grant{ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation, Priority: int(answer.Priority)}, nil, nil
+	return answer, err
 }
 
 func refusalOf(a *peer.AcquireResponse) *request.Error {
@@ -96,21 +126,32 @@
 
 // acquireHere enters an ask into the queue of this daemon's keeper and waits.
 func (s *Service) acquireHere(ctx context.Context, ask gateway.Ask, from string) (gateway.Grant, *request.Error) {
+	grant, refusal, _ := s.acquireWithin(ctx, ask, from, nil)
+	return grant, refusal
+}
+
+// acquireWithin is acquireHere, but says that the ask still waits when leg fires.
+func (s *Service) acquireWithin(
+	ctx context.Context, ask gateway.Ask, from string, leg <-chan time.Time,
+) (g gateway.Grant, refusal *request.Error, waiting bool) {
 	row, ok := s.opts.Tables.Current().Target(ask.Target)
 	if !ok {
-		return gateway.Grant{}, errMoved()
+		return gateway.Grant{}, errMoved(), false
 	}
 	k := s.keeper(ctx, *row)
 	answer := make(answerTo, 1)
 	k.send(&submitMsg{ask: s.coreAsk(ask, from), answer: answer})
 	select {
 	case a := <-answer:
-		return grantOf(a, k)
+		g, refusal = grantOf(a, k)
+		return g, refusal, false
+	case <-leg:
+		return gateway.Grant{}, nil, true
 	case <-ctx.Done():
 		k.send(&cancelMsg{id: ask.Request})
-		return gateway.Grant{}, gaveUp()
+		return gateway.Grant{}, gaveUp(), false
 	case <-k.quit:
-		return gateway.Grant{}, errMoved()
+		return gateway.Grant{}, errMoved(), false
 	}
 }
 
--- a/internal/steward/poll.go
+++ b/internal/steward/poll.go
@@ -89,6 +89,7 @@
 	if err != nil {
 		return err
 	}
+	load.Leaving = load.Leaving || k.vmLeaving()
 	k.send(&loadMsg{load: load})
 	return k.pollEvents(ctx, client, after)
 }
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -26,7 +26,9 @@
 	if r.Target == "" || r.RequestId == "" {
 		return nil, twirp.RequiredArgumentError("target and request_id")
 	}
-	grant, refusal := v.service.acquireHere(ctx, gateway.Ask{
+	leg := time.NewTimer(acquireLeg)
+	defer leg.Stop()
+	grant, refusal, waiting := v.service.acquireWithin(ctx, gateway.Ask{
 		Request:  request.ID(r.RequestId),
 		Target:   request.TargetID(r.Target),
 		Org:      request.OrgID(r.Organisation),
@@ -35,7 +37,10 @@
 		Suspect:  r.Suspect,
 
 		Fingerprint: quarantine.Fingerprint(r.Fingerprint),
-	}, r.From)
+	}, r.From, leg.C)
+	if waiting {
+		return &peer.AcquireResponse{Waiting: true}, nil
+	}
 	if refusal != nil {
 		return &peer.AcquireResponse{Refusal: string(refusal.Code), RetryAfterMs: refusal.RetryAfter.Milliseconds()}, nil
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -63,6 +63,8 @@
 // PeerDialer gives the twirp client of a peer.
 type PeerDialer interface {
 	Steward(m *peer.Member) peer.Steward
+	// Reset throws pooled connections away, after one has gone silent.
+	Reset()
 }
 
 // Service runs stewards and asks those of peers.
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -25,6 +25,7 @@
 func (m fakeMembers) Self() *peer.Member                { return m.self }
 func (m fakeMembers) Rank(string, int) []*peer.Member   { return []*peer.Member{m.place} }
 func (m fakeMembers) Steward(*peer.Member) peer.Steward { return deadSteward{} }
+func (m fakeMembers) Reset()                            {}
 func (m fakeMembers) Client(t table.Target) *target.Client {
 	return target.New(target.Options{ID: t.ID, Address: t.Address})
 }
