--- a/cmd/schedules/main.go
+++ b/cmd/schedules/main.go
@@ -3,49 +3,54 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"runtime"
 	"strings"
 	"time"
 
+	"github.com/urfave/cli/v2"
+
 	"github.com/bluebellscale/bluebellscale/internal/schedules"
 )
 
 func main() {
-	first := flag.Uint64("seed", 1, "first seed")
-	count := flag.Int("count", 3000, "schedules of each scenario")
-	workers := flag.Int("workers", max(1, runtime.NumCPU()/2), "schedules at a time")
-	flag.Parse()
-	os.Exit(run(schedules.NewRegistry(), *first, *count, *workers))
+	app := &cli.App{
+		Name:  "schedules",
+		Usage: "run randomised fault schedules",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "count", Value: 3000, Usage: "schedules of each scenario"},
+			&cli.IntFlag{Name: "workers", Value: max(1, runtime.NumCPU()/2), Usage: "schedules at a time"},
+		},
+		Action: func(c *cli.Context) error {
+			return run(schedules.NewRegistry(), c.Uint64("seed"), c.Int("count"), c.Int("workers"))
+		},
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 }
 
-func run(registry *schedules.Registry, first uint64, count, workers int) int {
+func run(registry *schedules.Registry, first uint64, count, workers int) error {
 	start := time.Now()
-	var total schedules.Outcome
-	schedulesRun := 0
+	var total schedules.Result
 	for _, name := range registry.Names() {
 		r := registry.Run(name, first, count, workers)
-		report(r, first)
-		schedulesRun += r.Schedules
-		total.Doubled += r.Sum.Doubled
-		total.Lost += r.Sum.Lost
-		total.Reverted += r.Sum.Reverted
+		report(r)
+		total.Merge(r)
 	}
-	fmt.Printf("schedules=%d\n", schedulesRun)
-	fmt.Printf("doubled=%d\n", total.Doubled)
-	fmt.Printf("lost=%d\n", total.Lost)
-	fmt.Printf("reverted=%d\n", total.Reverted)
-	fmt.Printf("seeds=%d..%d\n", first, first+uint64(count)-1)
-	fmt.Printf("seconds=%.1f\n", time.Since(start).Seconds())
-	if total.Failed() {
-		return 1
+	s := total.Sum
+	fmt.Printf("schedules=%d\ndoubled=%d\nlost=%d\nreverted=%d\n", total.Schedules, s.Doubled, s.Lost, s.Reverted)
+	fmt.Printf("seeds=%d..%d\nseconds=%.1f\n", first, first+uint64(count)-1, time.Since(start).Seconds())
+	if s.Failed() {
+		return cli.Exit("schedules: something was doubled, lost or reverted", 1)
 	}
-	return 0
+	return nil
 }
 
-func report(r schedules.Result, first uint64) {
+func report(r schedules.Result) {
 	s := r.Sum
 	fmt.Printf("%s: schedules=%d doubled=%d lost=%d reverted=%d calls=%d faults=%d in_doubt=%d in_doubt_not_run=%d\n",
 		r.Name, r.Schedules, s.Doubled, s.Lost, s.Reverted, s.Calls, s.Faults, s.InDoubt, s.Wasted)
--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -82,12 +82,24 @@
 		if w.validLocked() && errors.Is(err, ErrNotHolder) {
 			err = ErrUnavailable // held, but not read yet
 		}
+		j.countAnswer(err)
 		return nil, result, err
 	}
 	w.signal()
 	return p, nil, nil
 }
 
+func (j *Journal) countAnswer(err error) {
+	switch {
+	case err == nil:
+		j.metrics.Counter("repeats_answered").Inc(1)
+	case errors.Is(err, ErrInDoubt):
+		j.metrics.Counter("repeats_in_doubt").Inc(1)
+	case errors.Is(err, ErrUnavailable):
+		j.metrics.Counter("refused").Inc(1)
+	}
+}
+
 func (w *worker) validLocked() bool { return w.lease != nil && w.lease.Valid() }
 
 func (w *worker) expectLocked(id keyID) *Pending {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -143,7 +143,8 @@
 	j.preferred = preferred
 }
 
-// Run takes, keeps and yields partitions until ctx ends.
+// Run takes, keeps and yields partitions until ctx ends. The lease manager's Run must
+// go on beside it.
 func (j *Journal) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for _, w := range j.workers {
@@ -178,7 +179,8 @@
 }
 
 // Shutdown writes what waits to be written and releases the partitions, so that
-// others take them at once. New keys are refused from now on.
+// others take them at once. New keys are refused from now on. It waits for tickets to
+// be concluded until ctx ends; close the lease manager after it.
 func (j *Journal) Shutdown(ctx context.Context) error {
 	j.mu.Lock()
 	j.stopping = true
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,12 +1,15 @@
 package journal_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
@@ -26,7 +29,11 @@
 	stop   func()
 }
 
-func run(t *testing.T, service platform.KV, id string, partitions int) *running {
+func runB(b *testing.B, fake *kv.Fake, id string, partitions int) *running {
+	return run(b, fake.Client(id), id, partitions)
+}
+
+func run(t testing.TB, service platform.KV, id string, partitions int) *running {
 	leases := lease.NewManager(lease.Options{KV: service, Self: request.DaemonID(id), Address: id + ":1"})
 	j := journal.New(journal.Options{
 		KV: service, Leases: leases, Self: request.DaemonID(id), Address: id + ":1", Partitions: partitions,
@@ -149,30 +156,160 @@
 	}
 }
 
-// Many callers at once share few writes.
+// Many callers at once share one write for their intents and one for their results.
 func TestGroupCommit(t *testing.T) {
 	ctx := testContext(t)
 	fake := kv.NewFake(nil)
-	a := run(t, fake.Client("a"), "a", 1)
-	if _, _, err := a.begin(ctx, call("first")); err != nil {
+	leases := lease.NewManager(lease.Options{KV: fake.Client("a"), Self: "a"})
+	j := journal.New(journal.Options{KV: fake.Client("a"), Leases: leases, Self: "a", Partitions: 1})
+	if err := j.Scan(ctx); err != nil {
 		t.Fatal(err)
 	}
+	j.Step(ctx) // load
+	j.Step(ctx) // claim
 	before := fake.Counts().Writes
-	var wg sync.WaitGroup
+	var pending []*journal.Pending
 	for i := range 200 {
+		p, _, err := j.Start(call(fmt.Sprint(i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pending = append(pending, p)
+	}
+	j.Step(ctx)
+	for _, p := range pending {
+		ticket, ok, err := p.Poll()
+		if !ok || err != nil {
+			t.Fatalf("no ticket after one step: %v", err)
+		}
+		if _, err := j.StartFinish(ticket, journal.Result{Body: []byte("x")}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j.Step(ctx)
+	if n := fake.Counts().Writes - before; n != 2 {
+		t.Errorf("%d writes for 200 calls, want 2", n)
+	}
+}
+
+// Over the wire, with answers of writes lost all the time: each key gets one ticket,
+// and another daemon answers every result after a planned stop.
+func TestOverHTTP(t *testing.T) {
+	ctx := testContext(t)
+	server := kv.NewServer(kv.Options{})
+	srv := httptest.NewServer(server)
+	defer srv.Close()
+	client := func(id string) *platform.Client {
+		c := platform.NewClient(platform.Options{Addresses: []string{srv.Listener.Addr().String()}, ClientID: id})
+		t.Cleanup(c.Close)
+		return c
+	}
+	a := run(t, client("a"), "a", 2)
+	var wg sync.WaitGroup
+	for i := range 40 {
 		wg.Go(func() {
-			ticket, _, err := a.Begin(ctx, call(fmt.Sprint(i)))
+			server.LoseWrites(1)
+			ticket, _, err := a.begin(ctx, call(fmt.Sprint(i)))
 			if err != nil {
 				t.Error(err)
 				return
 			}
-			if err := a.Finish(ctx, ticket, journal.Result{Body: []byte("x")}); err != nil {
+			server.LoseWrites(1)
+			body := make([]byte, 4000)
+			copy(body, fmt.Sprint(i))
+			if err := a.Finish(ctx, ticket, journal.Result{Body: body}); err != nil {
 				t.Error(err)
 			}
 		})
 	}
 	wg.Wait()
-	if n := fake.Counts().Writes - before; n > 40 {
-		t.Errorf("%d writes for 200 calls", n)
+	if err := errors.CombineErrors(a.Shutdown(ctx), a.leases.Close(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	b := run(t, client("b"), "b", 2)
+	for i := range 40 {
+		_, result, err := b.begin(ctx, call(fmt.Sprint(i)))
+		if err != nil || result == nil || !bytes.HasPrefix(result.Body, []byte(fmt.Sprint(i))) {
+			t.Errorf("key %d: %v, %v", i, result != nil, err)
+		}
+	}
+}
+
+// BenchmarkWriteRate measures the service's calls for a rate of journalled calls, with
+// results of 300 bytes, over 5 seconds. Run it with -benchtime=1x.
+func BenchmarkWriteRate(b *testing.B) {
+	for _, perSecond := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(perSecond), func(b *testing.B) {
+			for b.Loop() {
+				measureWriteRate(b, perSecond)
+			}
+		})
+	}
+}
+
+func measureWriteRate(b *testing.B, perSecond int) {
+	const length = 5 * time.Second
+	ctx := context.Background()
+	fake := kv.NewFake(nil)
+	a := runB(b, fake, "a", 16)
+	for i := range 200 {
+		if ticket, _, err := a.begin(ctx, call(fmt.Sprint("warm", i))); err == nil {
+			_ = a.Finish(ctx, ticket, journal.Result{})
+		}
+	}
+	before, start := fake.Counts(), time.Now()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	hist := hdrhistogram.New(1, 10_000_000, 3)
+	for i := range perSecond * int(length/time.Second) {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))))
+		wg.Go(func() {
+			sent := time.Now()
+			ticket, _, err := a.Begin(ctx, call(fmt.Sprint(i)))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			mu.Lock()
+			_ = hist.RecordValue(time.Since(sent).Microseconds())
+			mu.Unlock()
+			_ = a.Finish(ctx, ticket, journal.Result{Status: 200, Body: make([]byte, 300)})
+		})
+	}
+	wg.Wait()
+	seconds := time.Since(start).Seconds()
+	after := fake.Counts()
+	b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
+	b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
+	b.ReportMetric(float64(after.Bytes-before.Bytes)/seconds/1024, "KiB/s")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "begin-p50-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "begin-p99-ms")
+	a.stop()
+}
+
+// BenchmarkIdle measures the service's calls of daemons without work, over 12 seconds.
+func BenchmarkIdle(b *testing.B) {
+	for _, daemons := range []int{1, 4, 8} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			for b.Loop() {
+				fake := kv.NewFake(nil)
+				var all []*running
+				for i := range daemons {
+					d := runB(b, fake, fmt.Sprint("d", i), 16)
+					d.SetPreferred(func(partition int) bool { return partition%daemons == i })
+					all = append(all, d)
+				}
+				time.Sleep(5 * time.Second)
+				before, start := fake.Counts(), time.Now()
+				time.Sleep(12 * time.Second)
+				seconds := time.Since(start).Seconds()
+				after := fake.Counts()
+				b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
+				b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
+				for _, d := range all {
+					d.stop()
+				}
+			}
+		})
 	}
 }
--- a/internal/journal/partition_test.go
+++ b/internal/journal/partition_test.go
@@ -304,3 +304,27 @@
 		})
 	})
 }
+
+// Story: a key ran, was forgotten after its time, and ran again under the same name.
+// Its old result and its new one lie in two pages. When the old page is merged, the
+// new result must stay the one known, or the key looks forgotten and runs once more.
+func TestKeyInTwoPages(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	at := func(age time.Duration) int64 { return now.Add(-age).UnixMilli() }
+	done := func(id keyID, seq uint64, age time.Duration) entry {
+		return entry{ID: id, Digest: "d", Attempt: attempt{Epoch: 1, Seq: seq}, At: at(age), Done: true, Kept: true}
+	}
+	older := heldPage{entries: []entry{done("k", 1, 3*time.Hour), done("other", 2, time.Minute)}}
+	newer := heldPage{entries: []entry{done("k", 3, time.Minute)}}
+	for name, pages := range map[string][]heldPage{
+		"loaded": {older, newer},
+		"merged": {newer, older}, // a merge indexes the older page last
+	} {
+		p := newPartition("p", smallLimits)
+		p.load(2, 1, head{}, pages, nil)
+		result, waiting, err := p.begin(now, true, 1, "k", "d")
+		if waiting || err != nil || result == nil {
+			t.Errorf("%s: waiting %v, error %v; want the result", name, waiting, err)
+		}
+	}
+}
--- a/internal/schedules/schedules.go
+++ b/internal/schedules/schedules.go
@@ -17,7 +17,7 @@
 	InDoubt int      // callers told "in doubt", the cost of safety
 	Wasted  int      // of those, calls that did not run
 	Faults  int      // faults injected
-	Story   []string // of the first violation, last events first to fade
+	Story   []string // the last events before the first violation; nil without one
 	Trace   uint64   // hash of all events, equal for equal seeds
 }
 
@@ -80,18 +80,27 @@
 }
 
 func (r *Result) add(seed uint64, o Outcome) {
-	r.Sum.Doubled += o.Doubled
-	r.Sum.Lost += o.Lost
-	r.Sum.Reverted += o.Reverted
-	r.Sum.Calls += o.Calls
-	r.Sum.InDoubt += o.InDoubt
-	r.Sum.Wasted += o.Wasted
-	r.Sum.Faults += o.Faults
-	if !o.Failed() {
-		return
+	r.Sum.plus(o)
+	if o.Failed() {
+		r.Failed = append(r.Failed, seed)
 	}
-	r.Failed = append(r.Failed, seed)
-	if r.Sum.Story == nil {
-		r.Sum.Story = o.Story
+}
+
+// Merge adds the counts of another scenario's result.
+func (r *Result) Merge(other Result) {
+	r.Schedules += other.Schedules
+	r.Sum.plus(other.Sum)
+}
+
+func (o *Outcome) plus(other Outcome) {
+	o.Doubled += other.Doubled
+	o.Lost += other.Lost
+	o.Reverted += other.Reverted
+	o.Calls += other.Calls
+	o.InDoubt += other.InDoubt
+	o.Wasted += other.Wasted
+	o.Faults += other.Faults
+	if o.Story == nil {
+		o.Story = other.Story
 	}
 }
