membership: simulate fleets; tell news less often, keep members sorted

The simulation of 390 daemons spent most of its time sorting news; a queue and a sorted list of members take that away.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -22,13 +22,13 @@
 // Core decides who is live and which exchanges to make. It is pure: it holds no clock and
 // no connection, and its seed determines its choices. It is not safe for concurrent use.
 type Core struct {
-	self      *peer.Member
+	self      *peer.Member // replaced, never changed in place, as all records
 	params    Params
 	rng       *rand.Rand
-	entries   map[string]*entry
+	entries   entries
 	order     []string // members in the order of the next exchanges
 	retry     []string // members whose last exchange failed, oldest first
-	rumours   map[string]int
+	rumours   rumours
 	seeds     []string
 	ticks     uint64
 	exchanges uint64
@@ -43,20 +43,20 @@
 func NewCore(self *peer.Member, seeds []string, params Params) *Core {
 	params = params.withDefaults()
 	c := &Core{
-		self:    proto.CloneOf(self),
 		params:  params,
 		rng:     rand.New(rand.NewPCG(params.Seed, 0x9e3779b97f4a7c15)),
-		entries: make(map[string]*entry),
-		rumours: make(map[string]int),
+		entries: newEntries(),
+		rumours: newRumours(),
 		seeds:   slices.Clone(seeds),
 	}
+	c.self = proto.CloneOf(self)
 	c.self.State = alive
 	c.spread(c.self.Id)
 	return c
 }
 
-// Self returns this daemon's own record.
-func (c *Core) Self() *peer.Member { return proto.CloneOf(c.self) }
+// Self returns this daemon's own record. The caller must not change it.
+func (c *Core) Self() *peer.Member { return c.self }
 
 // Replaced tells that another process runs under this daemon's id with a higher
 // incarnation and another address; this one no longer counts as a member.
@@ -66,10 +66,10 @@
 func (c *Core) Changes() uint64 { return c.changes }
 
 // Members returns all known members and this daemon, ordered by id, with their states as
-// they count here.
+// they count here. The caller must not change them.
 func (c *Core) Members() []*peer.Member {
 	members := []*peer.Member{c.Self()}
-	for _, e := range c.entries {
+	for _, e := range c.entries.sorted {
 		members = append(members, e.view())
 	}
 	slices.SortFunc(members, func(a, b *peer.Member) int { return strings.Compare(a.Id, b.Id) })
@@ -81,6 +81,7 @@
 	if c.self.State == leaving {
 		return
 	}
+	c.self = proto.CloneOf(c.self)
 	c.self.State = leaving
 	c.spread(c.self.Id)
 	c.urgent = true
@@ -113,7 +114,7 @@
 
 // expire turns suspects dead and forgets the dead.
 func (c *Core) expire(now time.Time) {
-	for _, e := range sortedEntries(c.entries) {
+	for _, e := range slices.Clone(c.entries.sorted) {
 		c.expireEntry(now, e)
 	}
 }
@@ -133,8 +134,8 @@
 		return
 	}
 	if gone || now.Sub(e.deadSince) >= c.params.ForgetAfter {
-		delete(c.entries, e.record.Id)
-		delete(c.rumours, e.record.Id)
+		c.entries.remove(e.record.Id)
+		c.rumours.remove(e.record.Id)
 		c.changes++
 	}
 }
@@ -152,7 +153,7 @@
 	if isolated || held || e.record.State != alive {
 		return
 	}
-	e.record.State = suspect
+	e.record = suspectCopy(e.record)
 	e.rumouredAt = now
 	c.spread(e.record.Id)
 }
@@ -161,7 +162,7 @@
 // twice, so that the time until some member notices a failure is bounded.
 func (c *Core) pick(n int) []Peer {
 	var peers []Peer
-	for range len(c.order) + len(c.entries) {
+	for range len(c.order) + c.entries.len() {
 		if len(peers) == n {
 			break
 		}
@@ -173,7 +174,7 @@
 		}
 		id := c.order[0]
 		c.order = c.order[1:]
-		e, ok := c.entries[id]
+		e, ok := c.entries.get(id)
 		if ok && e.deadSince.IsZero() {
 			peers = addPeer(peers, peerOf(e))
 		}
@@ -182,7 +183,7 @@
 }
 
 func (c *Core) shuffle() {
-	for _, e := range sortedEntries(c.entries) {
+	for _, e := range c.entries.sorted {
 		c.order = append(c.order, e.record.Id)
 	}
 	c.rng.Shuffle(len(c.order), func(i, j int) { c.order[i], c.order[j] = c.order[j], c.order[i] })
@@ -193,7 +194,7 @@
 	for len(c.retry) > 0 {
 		id := c.retry[0]
 		c.retry = c.retry[1:]
-		e, ok := c.entries[id]
+		e, ok := c.entries.get(id)
 		if ok && !e.failedSince.IsZero() && e.deadSince.IsZero() {
 			return addPeer(peers, peerOf(e))
 		}
@@ -206,7 +207,7 @@
 func (c *Core) addLost(peers []Peer) []Peer {
 	var lost []Peer
 	known := map[string]bool{c.self.PeerAddress: true}
-	for _, e := range sortedEntries(c.entries) {
+	for _, e := range c.entries.sorted {
 		known[e.record.PeerAddress] = true
 		if !e.deadSince.IsZero() {
 			lost = append(lost, peerOf(e))
@@ -232,9 +233,10 @@
 
 func peerOf(e *entry) Peer { return Peer{ID: e.record.Id, Address: e.record.PeerAddress} }
 
-// spread makes a member's record news.
+// spread makes a member's record news. News told by each daemon a little more often than
+// the logarithm of the fleet reaches nearly all; the digests bring it to the rest.
 func (c *Core) spread(id string) {
-	c.rumours[id] = 3 * bits.Len(uint(len(c.entries)+1))
+	c.rumours.add(id, bits.Len(uint(c.entries.len()+1))+2)
 }
 
 // SetVMs takes the platform's VM list as the peer addresses of entry VMs. The list lags,
@@ -246,7 +248,7 @@
 	for _, address := range addresses {
 		hosts[hostOf(address)] = true
 	}
-	for _, e := range c.entries {
+	for _, e := range c.entries.sorted {
 		if hosts[hostOf(e.record.PeerAddress)] {
 			e.goneSince = time.Time{}
 		} else if e.goneSince.IsZero() {
@@ -275,12 +277,3 @@
 	}
 	return host
 }
-
-func sortedEntries(entries map[string]*entry) []*entry {
-	sorted := make([]*entry, 0, len(entries))
-	for _, e := range entries {
-		sorted = append(sorted, e)
-	}
-	slices.SortFunc(sorted, func(a, b *entry) int { return strings.Compare(a.record.Id, b.record.Id) })
-	return sorted
-}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -15,10 +14,10 @@
 	c.exchanges++
 	r := &peer.ExchangeRequest{From: c.self.Id, Updates: c.takeRumours()}
 	// A suspect or dead member must hear of it to answer.
-	if e, ok := c.entries[to.ID]; ok && e.state() != alive && e.record.State != leaving {
+	if e, ok := c.entries.get(to.ID); ok && e.state() != alive && e.record.State != leaving {
 		r.Updates = append(r.Updates, suspectCopy(e.record))
 	}
-	period := uint64(len(c.entries)/digestBudget + 1)
+	period := uint64(c.entries.len()/digestBudget + 1)
 	if c.exchanges%period == 0 {
 		r.Digest = c.digest()
 	}
@@ -34,7 +33,7 @@
 // digest covers this daemon and all members that are not dead here.
 func (c *Core) digest() []*peer.MemberDigest {
 	digest := []*peer.MemberDigest{toDigest(c.self)}
-	for _, e := range sortedEntries(c.entries) {
+	for _, e := range c.entries.sorted {
 		if e.deadSince.IsZero() {
 			digest = append(digest, toDigest(e.record))
 		}
@@ -42,38 +41,27 @@
 	return digest
 }
 
-// takeRumours returns the news told least often so far.
+// takeRumours returns the news for one message.
 func (c *Core) takeRumours() []*peer.Member {
-	ids := make([]string, 0, len(c.rumours))
-	for id := range c.rumours {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(cmp.Compare(c.rumours[b], c.rumours[a]), cmp.Compare(a, b))
-	})
 	var news []*peer.Member
-	for _, id := range ids[:min(len(ids), maxRumours)] {
+	for _, id := range c.rumours.take(maxRumours) {
 		if m := c.record(id); m != nil {
 			news = append(news, m)
 		}
-		c.rumours[id]--
-		if c.rumours[id] <= 0 {
-			delete(c.rumours, id)
-		}
 	}
 	return news
 }
 
-// record returns a copy of a member's record, nil if it is not known.
+// record returns a member's record, nil if it is not known.
 func (c *Core) record(id string) *peer.Member {
 	if id == c.self.Id {
 		return c.Self()
 	}
-	e, ok := c.entries[id]
+	e, ok := c.entries.get(id)
 	if !ok {
 		return nil
 	}
-	return proto.CloneOf(e.record)
+	return e.record
 }
 
 // OnExchange takes a peer's request and returns the answer.
@@ -86,7 +74,7 @@
 		response.Updates, response.Wanted = c.compare(now, r.Digest)
 	}
 	response.Updates = c.addUpdates(response.Updates, c.takeRumours())
-	if _, known := c.entries[r.From]; !known && r.From != c.self.Id && !slices.Contains(response.Wanted, r.From) {
+	if _, known := c.entries.get(r.From); !known && r.From != c.self.Id && !slices.Contains(response.Wanted, r.From) {
 		response.Wanted = append(response.Wanted, r.From)
 	}
 	return response
@@ -127,9 +115,9 @@
 	if !named[c.self.Id] {
 		updates = append(updates, c.Self())
 	}
-	for _, e := range sortedEntries(c.entries) {
+	for _, e := range c.entries.sorted {
 		if !named[e.record.Id] && e.deadSince.IsZero() {
-			updates = append(updates, proto.CloneOf(e.record))
+			updates = append(updates, e.record)
 		}
 	}
 	return updates, wanted
@@ -145,7 +133,7 @@
 	for _, m := range r.Updates {
 		c.merge(now, m)
 	}
-	if e, ok := c.entries[r.From]; ok && e.record.PeerAddress == to.Address {
+	if e, ok := c.entries.get(r.From); ok && e.record.PeerAddress == to.Address {
 		before := e.state()
 		e.answered()
 		c.noteState(before, e)
@@ -161,7 +149,7 @@
 
 // OnFailure notes that a peer did not answer an exchange.
 func (c *Core) OnFailure(now time.Time, to Peer) {
-	e, ok := c.entries[to.ID]
+	e, ok := c.entries.get(to.ID)
 	if !ok || e.record.PeerAddress != to.Address {
 		return
 	}
@@ -180,7 +168,7 @@
 		c.answerSuspicion(versionOfMember(m), m.PeerAddress)
 		return
 	}
-	e, known := c.entries[m.Id]
+	e, known := c.entries.get(m.Id)
 	if !known {
 		// A suspect that is unknown here was forgotten or is about to be.
 		if m.State != suspect {
@@ -198,7 +186,7 @@
 }
 
 func (c *Core) join(m *peer.Member) {
-	c.entries[m.Id] = &entry{record: proto.CloneOf(m)}
+	c.entries.add(&entry{record: m})
 	c.spread(m.Id)
 	// Anywhere in the order, so that not all daemons turn to the new one at once.
 	c.order = slices.Insert(c.order, c.rng.IntN(len(c.order)+1), m.Id)
@@ -224,15 +212,17 @@
 	if !theirs.after(ours) {
 		return
 	}
+	replacing := proto.CloneOf(c.self)
 	if theirs.incarnation > ours.incarnation || theirs.leaving != ours.leaving {
 		if address != c.self.PeerAddress && !theirs.suspect && !theirs.leaving {
 			c.replaced = true
 			return
 		}
-		c.self.Incarnation = theirs.incarnation + 1
+		replacing.Incarnation = theirs.incarnation + 1
 	} else {
-		c.self.Heartbeat = max(ours.heartbeat, theirs.heartbeat) + 1
+		replacing.Heartbeat = max(ours.heartbeat, theirs.heartbeat) + 1
 	}
+	c.self = replacing
 	c.replaced = false
 	c.changes++
 	c.spread(c.self.Id)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -107,7 +107,7 @@
 }
 
 func (n *node) pullFrom(id string, pages []*peer.PageDigest) *pull {
-	e, known := n.core.entries[id]
+	e, known := n.core.entries.get(id)
 	if !known || !n.table.Lacks(pages) {
 		return nil
 	}
--- a/internal/membership/params.go
+++ b/internal/membership/params.go
@@ -35,7 +35,7 @@
 	// a fleet of N sends its whole digest with every N/digestBudget-th exchange.
 	digestBudget = 32
 	// maxRumours bounds the news in one message.
-	maxRumours = 24
+	maxRumours = 12
 	// reconnectTicks is how often a tick tries a dead member or a seed besides.
 	reconnectTicks = 5
 	// rumourHold is how long a daemon that was suspected is not suspected aloud again by
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -61,7 +61,7 @@
 // daemon waits for the answer to the suspicion itself, so that a daemon that was cut off
 // and declared all others dead does not spread this when it comes back.
 type entry struct {
-	record       *peer.Member // state alive, suspect or leaving
+	record       *peer.Member // state alive, suspect or leaving; replaced, never changed in place
 	failedSince  time.Time    // first of the exchanges failed since the last that worked; zero: none
 	failures     int          // exchanges failed since the last that worked
 	suspectSince time.Time    // zero: not suspect
@@ -86,6 +86,9 @@
 
 // view returns the record with the state as it counts here.
 func (e *entry) view() *peer.Member {
+	if e.state() == e.record.State {
+		return e.record
+	}
 	m := proto.CloneOf(e.record)
 	m.State = e.state()
 	return m
@@ -94,7 +97,7 @@
 // replace takes a newer record.
 func (e *entry) replace(m *peer.Member, now time.Time) {
 	restarted := m.Incarnation > e.record.Incarnation
-	e.record = proto.CloneOf(m)
+	e.record = m
 	if restarted {
 		e.clearFailures()
 		e.rumouredAt = time.Time{}
