--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -66,9 +66,7 @@
 
 // OnExchange takes a peer's request and returns the answer.
 func (c *Core) OnExchange(now time.Time, r *peer.ExchangeRequest) *peer.ExchangeResponse {
-	for _, m := range r.Updates {
-		c.merge(now, m)
-	}
+	c.mergeAll(now, r.Updates)
 	response := &peer.ExchangeResponse{From: c.self.Id}
 	if len(r.Digest) > 0 {
 		response.Updates, response.Wanted = c.compare(now, r.Digest)
@@ -129,10 +127,8 @@
 	if r.From == c.self.Id {
 		return nil
 	}
-	c.contactAt = now
-	for _, m := range r.Updates {
-		c.merge(now, m)
-	}
+	c.noteContact(now)
+	c.mergeAll(now, r.Updates)
 	if e, ok := c.entries.get(r.From); ok && e.record.PeerAddress == to.Address {
 		before := e.state()
 		e.answered()
@@ -147,6 +143,27 @@
 	return wanted
 }
 
+// noteContact notes that somebody answered.
+//
+// The failure: this daemon was cut off from everybody and found all others dead. When
+// the cut ends it would find them alive one by one, as it tries one of the dead now and
+// then. If nobody at all answered for some time, the fault was on this side, so the first
+// answer takes back the suspicions of its own; whoever is really gone is found again.
+func (c *Core) noteContact(now time.Time) {
+	silence := now.Sub(c.contactAt)
+	c.contactAt = now
+	if silence < c.params.SuspectAfter {
+		return
+	}
+	for _, e := range c.entries.sorted {
+		before := e.state()
+		if !e.failedSince.IsZero() {
+			e.answered()
+			c.noteState(before, e)
+		}
+	}
+}
+
 // OnFailure notes that a peer did not answer an exchange.
 func (c *Core) OnFailure(now time.Time, to Peer) {
 	e, ok := c.entries.get(to.ID)
@@ -159,35 +176,47 @@
 	}
 }
 
-// merge takes a record if it is newer than the one held.
-func (c *Core) merge(now time.Time, m *peer.Member) {
+// mergeAll takes the records of one message. More of them than news in a message come
+// from the comparison with a digest: what is new here is old elsewhere, and a fleet that
+// starts at once would tell all of it again.
+func (c *Core) mergeAll(now time.Time, records []*peer.Member) {
+	news := len(records) <= maxRumours
+	for _, m := range records {
+		if c.merge(now, m) && news {
+			c.spread(m.Id)
+		}
+	}
+}
+
+// merge takes a record if it is newer than the one held, and tells whether it did.
+func (c *Core) merge(now time.Time, m *peer.Member) bool {
 	if m.State == dead {
 		m = suspectCopy(m)
 	}
 	if m.Id == c.self.Id {
 		c.answerSuspicion(versionOfMember(m), m.PeerAddress)
-		return
+		return false
 	}
 	e, known := c.entries.get(m.Id)
 	if !known {
 		// A suspect that is unknown here was forgotten or is about to be.
-		if m.State != suspect {
-			c.join(m)
+		if m.State == suspect {
+			return false
 		}
-		return
+		c.join(m)
+		return true
 	}
 	if !versionOfMember(m).after(versionOfMember(e.record)) {
-		return
+		return false
 	}
 	before := e.state()
 	e.replace(m, now)
-	c.spread(m.Id)
 	c.noteState(before, e)
+	return true
 }
 
 func (c *Core) join(m *peer.Member) {
 	c.entries.add(&entry{record: m})
-	c.spread(m.Id)
 	// Anywhere in the order, so that not all daemons turn to the new one at once.
 	c.order = slices.Insert(c.order, c.rng.IntN(len(c.order)+1), m.Id)
 	c.changes++
