--- a/internal/policy/admission/grants.go
+++ b/internal/policy/admission/grants.go
@@ -10,13 +10,19 @@
 	ask     Ask
 	id      string
 	alone   bool
+	cost    int64
+	over    bool // its organisation was over its share
 	granted time.Time
 	expires time.Time
 	ended   time.Time // zero while live
 }
 
 func (g *grant) action() Grant {
-	return Grant{Ask: g.ask, ID: g.id, Expires: g.expires, Alone: g.alone}
+	out := Grant{Ask: g.ask, ID: g.id, Expires: g.expires, Alone: g.alone, Priority: PriorityWithinShare}
+	if g.over {
+		out.Priority = PriorityOverShare
+	}
+	return out
 }
 
 // liveAt reports whether the grant was held at t.
@@ -33,9 +39,12 @@
 		ask:     ask,
 		id:      s.params.Instance + "." + strconv.FormatUint(s.seq, 10),
 		alone:   alone,
+		cost:    s.cost(ask),
+		over:    s.usage.over(now, ask.Org, ask.Weight),
 		granted: now,
 		expires: now.Add(s.params.GrantTTL),
 	}
+	s.usage.add(now, ask.Org, ask.Weight, g.cost)
 	s.grants[ask.ID] = g
 	s.order = append(s.order, g)
 	s.alone = s.alone || alone
@@ -49,7 +58,8 @@
 	actions := s.advance(now)
 	for _, g := range s.order {
 		if g.id == grantID {
-			s.meter.served(g.ask.Tokens)
+			s.meter.served(g.cost)
+			s.usage.held(g.ask.Org, now.Sub(g.granted))
 			s.end(now, g)
 			break
 		}
@@ -97,15 +107,33 @@
 	s.ended = s.ended[i:]
 }
 
-// fits reports whether one more request of the given size may go to the target.
-func (s *Steward) fits(now time.Time, tokens int64) bool {
-	if s.running(now) >= s.params.MaxRunning {
+// cost returns what a request takes of the target, in tokens: its prompt, or its place
+// for as long as one of its organisation is held, whichever is the larger part of the
+// target. Without the second, an organisation with short prompts and long answers
+// could hold most places within its share.
+func (s *Steward) cost(ask Ask) int64 {
+	hold := s.usage.hold(ask.Org).Seconds()
+	place := hold * s.params.PrefillRate / float64(s.params.MaxRunning)
+	return max(ask.Tokens, int64(place))
+}
+
+// fits reports whether one more request of the given size may go to the target. over
+// says that its organisation is over its share.
+func (s *Steward) fits(now time.Time, tokens int64, over bool) bool {
+	places := s.params.MaxRunning
+	if over {
+		places -= s.params.Reserve
+	}
+	if s.running(now) >= places {
 		return false
 	}
 	if s.params.MaxPrefillTokens <= 0 {
 		return true
 	}
 	backlog := s.prefillBacklog(now)
+	if !over {
+		backlog = min(backlog, s.withinShareBacklog(now))
+	}
 	return backlog < 1 || backlog+float64(tokens) <= float64(s.params.MaxPrefillTokens)
 }
 
--- a/internal/policy/admission/submit.go
+++ b/internal/policy/admission/submit.go
@@ -37,7 +37,7 @@
 	}
 	s.waiting[ask.ID] = ask
 	dropped := s.queue.Push(fairqueue.Item{
-		ID: ask.ID, Org: ask.Org, Weight: ask.Weight, Cost: ask.Tokens, LatestStart: s.latestStart(ask),
+		ID: ask.ID, Org: ask.Org, Weight: ask.Weight, Cost: s.cost(ask), LatestStart: s.latestStart(ask),
 	})
 	actions = append(actions, s.refuseDropped(now, dropped)...)
 	return append(actions, s.pump(now)...)
@@ -68,7 +68,7 @@
 	actions := s.advance(now)
 	var next int64
 	if item, ok := s.queue.Peek(); ok {
-		next = item.Cost
+		next = s.waiting[item.ID].Tokens
 	}
 	dropped := s.queue.Expire(now, s.meter.rate, s.untilPlace(now, next))
 	actions = append(actions, s.refuseDropped(now, dropped)...)
@@ -86,12 +86,12 @@
 func (s *Steward) pump(now time.Time) []Action {
 	actions := s.pumpSuspects(now)
 	for s.status == statusUp && !s.alone && !s.emptying(now) {
-		item, ok := s.queue.Peek()
-		if !ok || !s.fits(now, item.Cost) {
+		item, ok := s.nextFitting(now)
+		if !ok {
 			break
 		}
-		s.queue.Pop()
 		ask := s.waiting[item.ID]
+		s.queue.PopOrg(item.Org, s.cost(ask))
 		delete(s.waiting, item.ID)
 		actions = append(actions, s.grant(now, ask, false))
 	}
@@ -99,6 +99,23 @@
 	return actions
 }
 
+// nextFitting returns the next item in fair order if it fits. One of an organisation
+// over its share that does not fit yet is passed by those within theirs, for which
+// room is kept; nothing else is passed, so that a large prompt is not kept out by
+// small ones.
+func (s *Steward) nextFitting(now time.Time) (fairqueue.Item, bool) {
+	for _, item := range s.queue.Heads() {
+		over := s.usage.over(now, item.Org, item.Weight)
+		if s.fits(now, s.waiting[item.ID].Tokens, over) {
+			return item, true
+		}
+		if !over {
+			break
+		}
+	}
+	return fairqueue.Item{}, false
+}
+
 func (s *Steward) isWaiting(id request.ID) bool {
 	if _, ok := s.waiting[id]; ok {
 		return true
@@ -123,12 +140,24 @@
 // expectedWait estimates how long a new ask would wait for its grant.
 func (s *Steward) expectedWait(now time.Time, ask Ask) time.Duration {
 	ahead := s.queue.Ahead(ask.Org, ask.Weight)
-	if ahead == 0 && !s.alone && s.fits(now, ask.Tokens) {
+	over := s.usage.over(now, ask.Org, ask.Weight)
+	if ahead == 0 && !s.alone && s.fits(now, ask.Tokens, over) {
 		return 0
 	}
 	return s.untilPlace(now, ask.Tokens) + fairqueue.Duration(float64(ahead), s.meter.rate)
 }
 
+// ExpectedWait estimates how long after now the target would begin to compute an ask
+// that is submitted now: its wait for a grant and for the prefill that comes first at
+// the target. It serves the choice between targets.
+func (s *Steward) ExpectedWait(now time.Time, ask Ask) time.Duration {
+	backlog := s.prefillBacklog(now)
+	if !s.usage.over(now, ask.Org, max(ask.Weight, 1)) {
+		backlog = min(backlog, s.withinShareBacklog(now))
+	}
+	return s.expectedWait(now, ask) + fairqueue.Duration(backlog, s.params.PrefillRate)
+}
+
 // untilPlace estimates when the next in line may start, if it has the given tokens.
 func (s *Steward) untilPlace(now time.Time, tokens int64) time.Duration {
 	if s.running(now) >= s.params.MaxRunning || s.alone {
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -10,6 +10,8 @@
 package fairqueue
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -129,15 +131,50 @@
 	return o.items[0], true
 }
 
+// Heads returns the first item of each organisation, in fair order.
+func (q *Queue) Heads() []Item {
+	var waiting []*orgState
+	for _, o := range q.order {
+		if len(o.items) > 0 {
+			waiting = append(waiting, o)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *orgState) int {
+		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.since, b.since))
+	})
+	items := make([]Item, len(waiting))
+	for i, o := range waiting {
+		items[i] = o.items[0]
+	}
+	return items
+}
+
 // Pop removes and returns the next item in fair order.
 func (q *Queue) Pop() (Item, bool) {
 	o := q.head()
 	if o == nil {
 		return Item{}, false
 	}
+	return q.pop(o, o.items[0].Cost), true
+}
+
+// PopOrg removes and returns the first item of one organisation, also out of turn.
+// The organisation is charged the given cost, which may be better known by now than
+// when the item was pushed.
+func (q *Queue) PopOrg(org request.OrgID, cost int64) (Item, bool) {
+	o := q.orgs[org]
+	if o == nil || len(o.items) == 0 {
+		return Item{}, false
+	}
+	return q.pop(o, max(cost, 1)), true
+}
+
+func (q *Queue) pop(o *orgState, cost int64) Item {
 	item := o.items[0]
-	q.virtual = o.start
-	finish := o.start + float64(item.Cost)/float64(item.Weight)
+	if o == q.head() { // out of turn, virtual time stays behind those that wait
+		q.virtual = o.start
+	}
+	finish := o.start + float64(cost)/float64(item.Weight)
 	q.newest = max(q.newest, finish)
 	q.removeAt(o, 0)
 	o.start = finish
@@ -145,7 +182,7 @@
 	o.since = q.seq
 	q.sweep()
 	q.settle()
-	return item, true
+	return item
 }
 
 // Remove takes an item out, for example when its caller has left.
--- /dev/null
+++ b/internal/steward/acquire.go
@@ -0,0 +1,180 @@
+package steward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/admission"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	// stewardSlack is how much longer than the deadline a peer's answer is waited for.
+	stewardSlack = time.Second
+	// releaseTimeout bounds the message that ends a grant; a lost one lapses by itself.
+	releaseTimeout = 2 * time.Second
+)
+
+// maxMoves is how many times an ask follows a queue that moves to another daemon.
+const maxMoves = 2
+
+// Acquire implements gateway.Stewards.
+func (s *Service) Acquire(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
+	grant, refusal := s.acquireOnce(ctx, ask)
+	for range maxMoves {
+		if refusal == nil || refusal.Code != request.CodeNotHolder {
+			break
+		}
+		grant, refusal = s.acquireOnce(ctx, ask)
+	}
+	return grant, refusal
+}
+
+// acquireOnce asks the present steward. If it can not be asked, this daemon decides by
+// itself: the queue's place is soft.
+func (s *Service) acquireOnce(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
+	m := s.steward(ask.Target)
+	if s.isSelf(m) {
+		return s.acquireSelf(ctx, ask)
+	}
+	grant, refusal, err := s.acquireAt(ctx, m, ask)
+	if err == nil {
+		if refusal == nil {
+			s.granted.add(ask.Request, grant, m)
+		}
+		return grant, refusal
+	}
+	if ctx.Err() != nil {
+		return gateway.Grant{}, gaveUp()
+	}
+	s.log.Warn("Steward was not reached; this daemon decides", "steward", m.Id, "target", ask.Target, "error", err)
+	return s.acquireSelf(ctx, ask)
+}
+
+func (s *Service) acquireSelf(ctx context.Context, ask gateway.Ask) (gateway.Grant, *request.Error) {
+	self := s.opts.Members.Self()
+	grant, refusal := s.acquireHere(ctx, ask, self.Id)
+	if refusal == nil {
+		s.granted.add(ask.Request, grant, self)
+	}
+	return grant, refusal
+}
+
+func gaveUp() *request.Error {
+	return request.Refuse(request.CodeCancelled, http.StatusServiceUnavailable, 0, "the caller left")
+}
+
+func (s *Service) acquireAt(ctx context.Context, m *peer.Member, ask gateway.Ask) (gateway.Grant, *request.Error, error) {
+	ctx, cancel := context.WithDeadline(ctx, ask.Deadline.Add(stewardSlack))
+	defer cancel()
+	answer, err := s.opts.Peers.Steward(m).Acquire(ctx, &peer.AcquireRequest{
+		From:         s.opts.Members.Self().Id,
+		RequestId:    string(ask.Request),
+		Target:       string(ask.Target),
+		Organisation: string(ask.Org),
+		PromptTokens: ask.Tokens,
+		DeadlineMs:   max(1, time.Until(ask.Deadline).Milliseconds()),
+		Suspect:      ask.Suspect,
+		Fingerprint:  string(ask.Fingerprint),
+	})
+	if err != nil {
+		return gateway.Grant{}, nil, err
+	}
+	if !answer.Granted {
+		return gateway.Grant{}, refusalOf(answer), nil
+	}
+	return gateway.Grant{ID: answer.GrantId, Target: ask.Target, Incarnation: answer.Incarnation, Priority: int(answer.Priority)}, nil, nil
+}
+
+func refusalOf(a *peer.AcquireResponse) *request.Error {
+	return request.Refuse(request.Code(a.Refusal), http.StatusServiceUnavailable,
+		time.Duration(a.RetryAfterMs)*time.Millisecond, "the target has no room for this request in time")
+}
+
+// acquireHere enters an ask into the queue of this daemon's keeper and waits.
+func (s *Service) acquireHere(ctx context.Context, ask gateway.Ask, from string) (gateway.Grant, *request.Error) {
+	row, ok := s.opts.Tables.Current().Target(ask.Target)
+	if !ok {
+		return gateway.Grant{}, errMoved()
+	}
+	k := s.keeper(ctx, *row)
+	answer := make(answerTo, 1)
+	k.send(&submitMsg{ask: s.coreAsk(ask, from), answer: answer})
+	select {
+	case a := <-answer:
+		return grantOf(a, k)
+	case <-ctx.Done():
+		k.send(&cancelMsg{id: ask.Request})
+		return gateway.Grant{}, gaveUp()
+	case <-k.quit:
+		return gateway.Grant{}, errMoved()
+	}
+}
+
+func (s *Service) coreAsk(ask gateway.Ask, from string) admission.Ask {
+	weight := 1
+	if org, ok := s.opts.Tables.Current().Organisation(ask.Org); ok {
+		weight = org.Weight
+	}
+	return admission.Ask{
+		ID:       ask.Request,
+		From:     request.DaemonID(from),
+		Org:      ask.Org,
+		Weight:   weight,
+		Tokens:   ask.Tokens,
+		Deadline: ask.Deadline,
+		Suspect:  ask.Suspect,
+
+		Fingerprint: string(ask.Fingerprint),
+	}
+}
+
+func grantOf(a admission.Action, k *keeper) (gateway.Grant, *request.Error) {
+	switch a := a.(type) {
+	case admission.Grant:
+		return gateway.Grant{ID: a.ID, Target: k.row.ID, Incarnation: k.incarnation.Load(), Priority: a.Priority}, nil
+	case admission.Refuse:
+		return gateway.Grant{}, a.Err
+	default:
+		return gateway.Grant{}, errMoved()
+	}
+}
+
+// Release implements gateway.Stewards. It does not wait for a peer.
+//
+// The grant goes back to the steward that gave it, not to the one that has the place
+// now. While a dead daemon is still taken for the steward, this daemon decides in its
+// stead: grants given back to the dead one would keep their places here until they
+// lapse, and new requests would wait that long.
+func (s *Service) Release(g gateway.Grant, r gateway.Release) {
+	giver, ok := s.granted.remove(g.ID)
+	if !ok || s.isSelf(giver) {
+		s.releaseHere(g, r)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_, err := s.opts.Peers.Steward(giver).Release(ctx, &peer.ReleaseRequest{
+			GrantId:       g.ID,
+			Target:        string(g.Target),
+			PrefillTokens: r.PrefillTokens,
+			TargetFailed:  r.TargetFailed,
+		})
+		if err != nil {
+			s.log.Debug("Release was not taken; the grant lapses", "target", g.Target, "error", err)
+		}
+	}()
+}
+
+func (s *Service) releaseHere(g gateway.Grant, r gateway.Release) {
+	s.mu.Lock()
+	k, ok := s.keepers[g.Target]
+	s.mu.Unlock()
+	if ok {
+		k.send(&releaseMsg{grant: g.ID, outcome: admission.Outcome{PrefillTokens: r.PrefillTokens}, failed: r.TargetFailed})
+	}
+}
