--- a/internal/contextdir/gaps.go
+++ b/internal/contextdir/gaps.go
@@ -1,9 +1,6 @@
 package contextdir
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // gapHistory is the number of gaps kept for each context.
 const gapHistory = 4
@@ -34,7 +31,11 @@
 		return 0, 0, false
 	}
 	sorted := g.seconds
-	slices.Sort(sorted[:n])
+	for i := 1; i < n; i++ {
+		for j := i; j > 0 && sorted[j] < sorted[j-1]; j-- {
+			sorted[j], sorted[j-1] = sorted[j-1], sorted[j]
+		}
+	}
 	return seconds(sorted[n/2]), seconds(sorted[n-1] - sorted[0]), true
 }
 
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -149,7 +149,7 @@
 //
 // The end of the import grows linearly with the head, and the end of the prefill
 // shrinks linearly with it, so the score is convex and piecewise linear. Its minimum
-// lies at an end, at the crossing or at the limit of patience; only these are tried.
+// lies at an end, at the crossing or at a limit of patience; only these are tried.
 func (e *estimator) bestImport(c *Candidate, index, reuse int, wait float64) (cost, bool) {
 	copied := &e.copies[index]
 	whole := min(copied.Blocks, e.request.Tokens/block.TokensPerBlock)
@@ -167,10 +167,14 @@
 		limit = min(whole, reuse+int(max(0, (e.patience-start)/perBlock)))
 	}
 	best := cost{score: math.Inf(1)}
+	found := func() (cost, bool) { return best, best.head > 0 }
 	try := func(head int) {
 		importEnd := start + float64(head-reuse)*perBlock
 		way := cost{reuse: reuse, head: head, copy: index, importTime: importEnd}
 		way.expected = e.finish(wait, importEnd, e.prefill(c, head))
+		if e.serialPastWorth(c, &way, wait) {
+			return
+		}
 		way.score = e.score(way.expected, reuse, head)
 		if way.score < best.score {
 			best = way
@@ -181,19 +185,39 @@
 			return cost{}, false
 		}
 		try(whole)
-		return best, true
+		return found()
 	}
 	if limit <= reuse {
 		return cost{}, false
 	}
 	try(limit)
 	crossing := reuse + e.crossing(c, reuse, wait, start, perBlock)
-	for _, head := range [...]int{crossing, crossing + 1} {
+	worth := reuse + e.serialWorth(c, reuse, start, perBlock)
+	for _, head := range [...]int{crossing, crossing + 1, worth} {
 		if head > reuse && head < limit {
 			try(head)
 		}
 	}
-	return best, true
+	return found()
+}
+
+// serialPastWorth tells that a target that can't overlap would begin a prefill later
+// than it otherwise could, only to finish past the limit of patience.
+func (e *estimator) serialPastWorth(c *Candidate, way *cost, wait float64) bool {
+	if e.params.Overlap || e.params.Ways.NoQueue {
+		return false
+	}
+	return way.importTime > wait && way.expected > e.patience
+}
+
+// serialWorth returns the most blocks that a target that can't overlap may import
+// without finishing past the limit of patience.
+func (e *estimator) serialWorth(c *Candidate, reuse int, start, perBlock float64) int {
+	slower := perBlock - block.TokensPerBlock/rate(c)
+	if e.params.Overlap || slower <= 0 {
+		return 0
+	}
+	return int(max(0, (e.patience-start-e.prefill(c, reuse))/slower))
 }
 
 // crossing returns how many blocks to import so that the import ends when the target
--- a/internal/policy/retention/tiers.go
+++ b/internal/policy/retention/tiers.go
@@ -115,11 +115,9 @@
 func Promotions(p Params, room Room, kept []contextdir.Kept, now time.Time) []Move {
 	var due []ranked
 	for _, k := range kept {
-		if !dueSoon(p, k.LastUse, k.Gaps, p.PromoteLead, now) {
-			continue
-		}
 		for _, c := range k.Copies {
-			if c.Store == room.Store && c.Tier == storeapi.TierDisk && !c.Shared {
+			onDisk := c.Store == room.Store && c.Tier == storeapi.TierDisk && !c.Shared
+			if onDisk && dueSoon(p, k.LastUse, k.Gaps, p.PromoteLead, now) {
 				due = append(due, ranked{copy: c, next: NextReturn(p, k.LastUse, k.Gaps, now)})
 			}
 		}
--- a/internal/policysim/caller.go
+++ b/internal/policysim/caller.go
@@ -25,6 +25,7 @@
 	cached     int // leading blocks that need no prefill
 	prefillEnd time.Duration
 	importing  bool
+	tail       int // tokens to queue after the import, if the target can't overlap
 }
 
 // arrive places a prompt and starts it.
@@ -101,8 +102,12 @@
 		s.startImport(c, plan)
 	}
 	tokens := (v.blocks-c.cached)*block.TokensPerBlock + promptTail
-	c.prefillEnd = e.prefill(tokens, s.clock.now)
 	s.costs.ObservePrefill(e.id, tokens, time.Duration(float64(tokens)/e.rate*float64(time.Second)))
+	if c.importing && !s.config.Placement.Overlap {
+		c.tail = tokens
+		return
+	}
+	c.prefillEnd = e.prefill(tokens, s.clock.now)
 	if !c.importing {
 		s.clock.at(c.prefillEnd, func() { s.answer(c) })
 	}
@@ -124,6 +129,9 @@
 		s.links.Finish(plan.Store, id, bytes, outcome, s.clock.time())
 		st.budget.Done(retention.Caller, bytes, s.clock.time())
 		s.pump(st)
+		if c.tail > 0 {
+			c.prefillEnd = max(c.prefillEnd, c.engine.prefill(c.tail, s.clock.now))
+		}
 		s.clock.at(c.prefillEnd, func() { s.answer(c) })
 	}
 	t.done = func() {
