Weigh an organisation's own wait; one cap on weight loads for all models

Cause: placement took everyone's queue at a target for the wait, so a loud organisation's queue drove a quiet one away from where its context lies. Stewards now say how long this organisation's prompt would wait. The cap on loads is the deployment's, so one duty covers all models. Findings are read, and limit stewards told, when the live daemons change.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -251,7 +251,7 @@
 		Tables:       d.table,
 		Targets:      d.targets,
 		Leases:       d.leases,
-		Mine:         func(m request.Model) bool { return d.isPlace("fleet/" + string(m)) },
+		Mine:         func() bool { return d.isPlace("fleet") },
 		Leaving:      d.stewards.VMLeaving,
 		OrderTimeout: d.config.Fleet.OrderTimeout,
 		Interval:     d.config.Fleet.PollInterval,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
 // Run serves until ctx ends or a drain was asked for, then stops as planned: no
@@ -43,7 +47,7 @@
 		},
 		func(ctx context.Context) { _ = d.leases.Run(ctx) },
 		func(ctx context.Context) { _ = d.journal.Run(ctx) },
-		d.loadFindings,
+		d.followMembers,
 		d.stewards.Run,
 		d.limiter.Run,
 		d.planner.Run,
@@ -54,19 +58,36 @@
 	}
 }
 
-// loadFindings reads the stored quarantine findings, again and again until it works.
-func (d *Daemon) loadFindings(ctx context.Context) {
-	for d.suspects.Load(ctx) != nil {
+// followMembers acts on changes of the live daemons. Places have then moved, so the
+// stored quarantine findings are read: this daemon may be the new home of a request
+// whose former home has died with it.
+func (d *Daemon) followMembers(ctx context.Context) {
+	tick := time.NewTicker(d.config.Membership.Interval)
+	defer tick.Stop()
+	var acted uint64
+	for {
+		if seen := liveHash(d.members.Live()); seen != acted {
+			d.limiter.PlacesMoved()
+			if err := d.suspects.Load(ctx); err == nil {
+				acted = seen
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(findingsRetry):
+		case <-tick.C:
 		}
 	}
 }
 
-// findingsRetry is the pause between tries to read the findings at the start.
-const findingsRetry = time.Second
+// liveHash covers the ids and incarnations of the live daemons.
+func liveHash(live []*peer.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range live {
+		_, _ = fmt.Fprintf(h, "%s/%d;", m.Id, m.Incarnation) // never fails
+	}
+	return h.Sum64()
+}
 
 // server is one HTTP listener being served.
 type server struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,8 +1,8 @@
-// Package fleet carries out the duties on targets: it brings a model's engines to the
-// weight version that the table wants, with few loading at once, while requests go on.
+// Package fleet carries out the duty on targets: it brings engines to the weight
+// version that the table wants, with few loading at once, while requests go on.
 //
-// A model's duty is done by the holder of a lease, which gives orders under the
-// lease's epoch. Which daemon tries for the lease is a soft place; that no two give
+// The duty is done by the holder of a lease, which gives orders under the lease's
+// epoch. Which daemon tries for the lease is a soft place; that no two give
 // orders at once is not: engines that check epochs refuse an old one, and for the
 // others no order starts unless the lease outlasts it, and a new holder waits until
 // the former one's orders have ended. What remains is an order that the network holds
@@ -21,15 +21,14 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/policy/rollout"
-	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
 const (
-	leasePrefix = "fleet/"
+	leaseName = "fleet"
 	// restFactor is how much less often engines are read when none lacks anything.
-	restFactor = 8
+	restFactor = 20
 	// outShare is the part of a model's replicas that may be out for loading at once.
 	outShare = 0.34
 )
@@ -37,6 +36,7 @@
 // Tables gives the operators' table in force.
 type Tables interface {
 	Current() *table.Snapshot
+	Changed() <-chan struct{}
 }
 
 // Targets gives the client of a target.
@@ -49,8 +49,8 @@
 	Tables  Tables
 	Targets Targets
 	Leases  *lease.Manager
-	// Mine tells whether a model's duty has its soft place here.
-	Mine         func(model request.Model) bool
+	// Mine tells whether the duty has its soft place here.
+	Mine         func() bool
 	Leaving      func(t *table.Target) bool
 	OrderTimeout time.Duration
 	Interval     time.Duration
@@ -58,23 +58,19 @@
 	Metrics      tally.Scope
 }
 
-// Fleet runs the duties that have their place on this daemon.
+// Fleet runs the duty if it has its place on this daemon. There is one duty for all
+// models, since the cap on loads at once is the deployment's: the weight store slows
+// every load once there are more.
 type Fleet struct {
 	opts   Options
 	log    hclog.Logger
 	orders tally.Counter
 
-	mu     sync.Mutex
-	duties map[request.Model]*duty
-}
-
-// duty is the state of one model's duty.
-type duty struct {
-	model   request.Model
+	// Owned by Run's goroutine; mu guards them for State.
+	mu      sync.Mutex
 	rollout *rollout.Rollout
 	cap     int
 	lease   *lease.Lease
-	next    time.Time // of the next step
 	waits   []rollout.Wait
 }
 
@@ -87,108 +83,93 @@
 		opts:   opts,
 		log:    opts.Logger.Named("fleet"),
 		orders: opts.Metrics.Counter("orders"),
-		duties: map[request.Model]*duty{},
 	}
 }
 
-// Run steps the duties until ctx ends.
+// Run steps the duty until ctx ends: often while an engine lacks something or the
+// table has changed, else rarely.
 func (f *Fleet) Run(ctx context.Context) {
-	tick := time.NewTicker(f.opts.Interval)
-	defer tick.Stop()
-	for {
+	for ctx.Err() == nil {
+		changed := f.opts.Tables.Changed()
+		pause := f.opts.Interval
+		if f.opts.Mine() {
+			pause = f.step(ctx)
+		} else {
+			f.giveUp(ctx)
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.stepAll(ctx)
+		case <-changed:
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (f *Fleet) stepAll(ctx context.Context) {
-	var tasks sync.WaitGroup
-	for _, m := range f.opts.Tables.Current().Models() {
-		d := f.duty(m)
-		if !f.opts.Mine(m.ID) {
-			f.giveUp(ctx, d)
-			continue
-		}
-		if time.Now().Before(d.next) {
-			continue
+// limit follows the lowest cap of the table's models. A new one starts the rollout's
+// state afresh: it is read from the engines anyway.
+func (f *Fleet) limit(models []*table.ModelRow) {
+	lowest := 0
+	for _, m := range models {
+		if lowest == 0 || m.LoadCap < lowest {
+			lowest = m.LoadCap
 		}
-		tasks.Go(func() { f.step(ctx, d) })
 	}
-	tasks.Wait()
-}
-
-// duty returns a model's duty. A new cap starts it afresh: its state is read from the
-// engines anyway.
-func (f *Fleet) duty(m *table.ModelRow) *duty {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	d, ok := f.duties[m.ID]
-	if !ok {
-		d = &duty{model: m.ID}
-		f.duties[m.ID] = d
-	}
-	if d.rollout == nil || d.cap != m.LoadCap {
-		d.cap = m.LoadCap
-		d.rollout = rollout.New(rollout.Params{
-			LoadCap:      m.LoadCap,
-			MaxOutShare:  outShare,
-			OrderTimeout: f.opts.OrderTimeout,
-		})
+	if f.rollout != nil && lowest == f.cap {
+		return
 	}
-	return d
+	f.cap = lowest
+	f.rollout = rollout.New(rollout.Params{
+		LoadCap:      lowest,
+		MaxOutShare:  outShare,
+		OrderTimeout: f.opts.OrderTimeout,
+	})
 }
 
-// giveUp releases the lease of a duty whose place has moved.
-func (f *Fleet) giveUp(ctx context.Context, d *duty) {
-	if d.lease == nil {
+// giveUp releases the lease of the duty.
+func (f *Fleet) giveUp(ctx context.Context) {
+	if f.lease == nil {
 		return
 	}
-	if err := d.lease.Release(ctx); err != nil {
-		f.log.Warn("Lease was not released; it lapses", "model", d.model, "error", err)
+	if err := f.lease.Release(ctx); err != nil {
+		f.log.Warn("Lease was not released; it lapses", "error", err)
 	}
-	f.setLease(d, nil)
-}
-
-// setLease and setWaits are called by the goroutine that steps the duty; the lock is
-// for State.
-func (f *Fleet) setLease(d *duty, l *lease.Lease) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	d.lease = l
+	f.set(nil, nil)
 }
 
-func (f *Fleet) setWaits(d *duty, waits []rollout.Wait) {
+// set changes what State reads.
+func (f *Fleet) set(l *lease.Lease, waits []rollout.Wait) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.waits = waits
+	f.lease = l
+	f.waits = waits
 }
 
-// step reads the model's engines and, if any lacks something, orders it.
-func (f *Fleet) step(ctx context.Context, d *duty) {
+// step reads the engines and, if any lacks something, orders it. It returns the pause
+// until the next step.
+func (f *Fleet) step(ctx context.Context) time.Duration {
 	sheet := f.opts.Tables.Current()
-	wanted, rows := f.wanted(sheet, d.model)
+	f.limit(sheet.Models())
+	wanted, rows := f.wanted(sheet)
 	observed := f.observe(ctx, rows)
 	if asWanted(wanted, observed) {
-		d.next = time.Now().Add(restFactor * f.opts.Interval)
-		f.setWaits(d, nil)
-		f.giveUp(ctx, d)
-		return
+		f.giveUp(ctx)
+		return restFactor * f.opts.Interval
 	}
-	if !f.hold(ctx, d) {
-		return
+	if f.hold(ctx) {
+		f.carryOut(ctx, rows, f.rollout.Step(time.Now(), f.lease.Epoch(), wanted, observed))
 	}
-	f.carryOut(ctx, d, rows, d.rollout.Step(time.Now(), d.lease.Epoch(), wanted, observed))
+	return f.opts.Interval
 }
 
-func (f *Fleet) wanted(sheet *table.Snapshot, model request.Model) ([]rollout.Wanted, []*table.Target) {
-	rows := sheet.EnginesFor(model)
-	wanted := make([]rollout.Wanted, 0, len(rows))
-	for _, t := range rows {
-		wanted = append(wanted, rollout.Wanted{Target: t.ID, Model: model, Version: sheet.TargetVersion(t)})
+func (f *Fleet) wanted(sheet *table.Snapshot) ([]rollout.Wanted, []*table.Target) {
+	var rows []*table.Target
+	var wanted []rollout.Wanted
+	for _, t := range sheet.Targets() {
+		if t.Kind != table.KindEngine {
+			continue
+		}
+		rows = append(rows, t)
+		wanted = append(wanted, rollout.Wanted{Target: t.ID, Model: t.Model, Version: sheet.TargetVersion(t)})
 	}
 	return wanted, rows
 }
@@ -229,45 +210,42 @@
 }
 
 // hold acquires the duty's lease, or finds it still valid.
-func (f *Fleet) hold(ctx context.Context, d *duty) bool {
-	if d.lease != nil && d.lease.Valid() {
+func (f *Fleet) hold(ctx context.Context) bool {
+	if f.lease != nil && f.lease.Valid() {
 		return true
 	}
-	l, err := f.opts.Leases.Acquire(ctx, leasePrefix+string(d.model))
-	if err != nil {
-		f.setLease(d, nil)
-		if !errors.Is(err, lease.ErrHeld) {
-			f.log.Warn("Duty is not held; no orders are given", "model", d.model, "error", err)
-		}
-		return false
+	l, err := f.opts.Leases.Acquire(ctx, leaseName)
+	f.set(l, nil)
+	if err != nil && !errors.Is(err, lease.ErrHeld) {
+		f.log.Warn("Duty is not held; no orders are given", "error", err)
 	}
-	f.setLease(d, l)
-	return true
+	return err == nil
 }
 
-func (f *Fleet) carryOut(ctx context.Context, d *duty, rows []*table.Target, actions []rollout.Action) {
+func (f *Fleet) carryOut(ctx context.Context, rows []*table.Target, actions []rollout.Action) {
 	var waits []rollout.Wait
 	var sends sync.WaitGroup
 	for _, a := range actions {
 		switch a := a.(type) {
 		case rollout.Order:
-			sends.Go(func() { f.send(ctx, d, rows, a) })
+			sends.Go(func() { f.send(ctx, rows, a) })
 		case rollout.Wait:
 			waits = append(waits, a)
 		case rollout.StepDown:
-			f.log.Warn("A target has seen a higher epoch; the duty is given up", "model", d.model, "epoch", a.Epoch)
-			f.giveUp(ctx, d)
+			f.log.Warn("A target has seen a higher epoch; the duty is given up", "epoch", a.Epoch)
+			f.giveUp(ctx)
+			return
 		}
 	}
 	sends.Wait()
-	f.setWaits(d, waits)
+	f.set(f.lease, waits)
 }
 
 // send gives one order, if the lease outlasts it. A holder that was paused past its
 // lease finds that out here, by its own clock. An answer that is lost is settled by
 // the next step, which reads the engine's state.
-func (f *Fleet) send(ctx context.Context, d *duty, rows []*table.Target, o rollout.Order) {
-	if !d.lease.MayAct(f.opts.OrderTimeout) {
+func (f *Fleet) send(ctx context.Context, rows []*table.Target, o rollout.Order) {
+	if !f.lease.MayAct(f.opts.OrderTimeout) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.opts.OrderTimeout)
@@ -284,27 +262,20 @@
 	}
 }
 
-// DutyState is a duty in the dump of a daemon.
-type DutyState struct {
-	Model request.Model  `json:"model"`
+// State is the duty in the dump of a daemon.
+type State struct {
+	Here  bool           `json:"here"`  // the duty has its place on this daemon
 	Epoch uint64         `json:"epoch"` // 0: no lease is held
 	Waits []rollout.Wait `json:"waits,omitempty"`
 }
 
-// State returns the duties that have their place here.
-func (f *Fleet) State() []DutyState {
+// State returns the dump.
+func (f *Fleet) State() State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := []DutyState{}
-	for _, d := range f.duties {
-		if !f.opts.Mine(d.model) {
-			continue
-		}
-		s := DutyState{Model: d.model, Waits: d.waits}
-		if d.lease != nil && d.lease.Valid() {
-			s.Epoch = d.lease.Epoch()
-		}
-		out = append(out, s)
+	s := State{Here: f.opts.Mine(), Waits: f.waits}
+	if f.lease != nil && f.lease.Valid() {
+		s.Epoch = f.lease.Epoch()
 	}
-	return out
+	return s
 }
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -120,7 +121,7 @@
 	if err := json.Unmarshal(j.body, &j.completion); err != nil {
 		var wrongType *json.UnmarshalTypeError
 		if errors.As(err, &wrongType) {
-			return badField(wrongType.Field, "want %s, got %s", wrongType.Type, wrongType.Value)
+			return badField(cmp.Or(wrongType.Field, "body"), "want %s, got %s", wrongType.Type, wrongType.Value)
 		}
 		return badField("body", "not JSON: %v", err)
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// PlacesMoved is told that organisations may have another steward than before.
+func (l *Limiter) PlacesMoved() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.steward.OnPlacesMoved(time.Now())
+}
+
 func (l *Limiter) tick() {
 	live := len(l.opts.Members.Live())
 	known := len(l.opts.Members.Members())
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,7 +18,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/contextdir"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
@@ -39,7 +38,7 @@
 
 // Looker gives the stewards' views of targets.
 type Looker interface {
-	Look(ctx context.Context, ids []request.TargetID, chain []block.Hash) map[request.TargetID]steward.View
+	Look(ctx context.Context, ids []request.TargetID, p steward.Prompt) map[request.TargetID]steward.View
 }
 
 // Tables gives the operators' table in force.
@@ -136,7 +135,7 @@
 		located = p.recover(ctx, sheet, c)
 	}
 	rows = p.sample(sheet, c.Scope.Version, rows, located)
-	views := p.opts.Looker.Look(ctx, targetIDs(rows), c.Chain)
+	views := p.opts.Looker.Look(ctx, targetIDs(rows), steward.Prompt{Org: c.Scope.Org, Chain: c.Chain, Tokens: c.Tokens})
 	plan := p.plan(sheet, c, rows, located, views)
 	return choicesOf(sheet, plan, located)
 }
@@ -162,7 +161,7 @@
 	}
 	count := map[request.Version]int{}
 	var best request.Version
-	for _, v := range p.opts.Looker.Look(ctx, targetIDs(rows), nil) {
+	for _, v := range p.opts.Looker.Look(ctx, targetIDs(rows), steward.Prompt{}) {
 		if v.Down || v.Leaving || v.Version == "" {
 			continue
 		}
@@ -249,19 +248,19 @@
 	if seen && !v.Unsure {
 		resident, unsure = v.ResidentBlocks, false
 	}
+	rate := p.costs.PrefillRate(t.ID)
 	return placement.Candidate{
 		ID:                  t.ID,
 		FailureDomain:       t.FailureDomain,
 		Version:             v.Version,
-		QueuedPrefillTokens: int(v.QueuedPrefill),
+		QueuedPrefillTokens: int(v.Wait.Seconds() * rate),
 		Running:             v.Running,
 		Waiting:             v.Waiting,
-		MaxRunning:          t.Capacity,
 		ResidentBlocks:      resident,
 		Unsure:              unsure,
 		Down:                v.Down,
 		Leaving:             v.Leaving,
-		PrefillRate:         p.costs.PrefillRate(t.ID),
+		PrefillRate:         rate,
 	}
 }
 
--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -155,16 +155,20 @@
 	}
 }
 
-func (s *Service) coreAsk(ask gateway.Ask, from string) admission.Ask {
-	weight := 1
-	if org, ok := s.opts.Tables.Current().Organisation(ask.Org); ok {
-		weight = org.Weight
+// weightOf returns an organisation's share of a contended target.
+func (s *Service) weightOf(id request.OrgID) int {
+	if org, ok := s.opts.Tables.Current().Organisation(id); ok {
+		return org.Weight
 	}
+	return 1
+}
+
+func (s *Service) coreAsk(ask gateway.Ask, from string) admission.Ask {
 	return admission.Ask{
 		ID:       ask.Request,
 		From:     request.DaemonID(from),
 		Org:      ask.Org,
-		Weight:   weight,
+		Weight:   s.weightOf(ask.Org),
 		Tokens:   ask.Tokens,
 		Deadline: ask.Deadline,
 		Suspect:  ask.Suspect,
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -22,6 +22,9 @@
 	// failuresUntilDown is how many polls in a row must fail before a target is down.
 	failuresUntilDown = 2
 	defaultCapacity   = 8
+	// maxPrefill bounds the prompt tokens granted and not yet computed: two pieces, so
+	// that the target never idles and the queue, which is fair, stays here.
+	maxPrefill = 4000
 	// grantTTL is how long a grant lives unless renewed.
 	grantTTL = 15 * time.Second
 )
@@ -52,6 +55,8 @@
 	tickMsg   struct{}
 	lookMsg   struct {
 		probe  probe
+		org    request.OrgID
+		tokens int64
 		answer chan view
 	}
 )
@@ -92,7 +97,9 @@
 			Instance:   s.opts.Instance,
 			MaxRunning: capacity,
 			MaxQueue:   s.opts.QueueLimit,
-			GrantTTL:   grantTTL,
+
+			MaxPrefillTokens: maxPrefill,
+			GrantTTL:         grantTTL,
 		}),
 	}
 	k.pid = s.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return k }))
@@ -163,7 +170,7 @@
 	case *tickMsg:
 		k.apply(k.core.Tick(now))
 	case *lookMsg:
-		m.answer <- k.view(now, m.probe)
+		m.answer <- k.view(now, m)
 	case *actor.Stopped:
 		k.refuseAll()
 	}
@@ -220,19 +227,23 @@
 	return request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, tickInterval, "the target's queue has moved")
 }
 
-func (k *keeper) view(now time.Time, p probe) view {
+// view is what an organisation's prompt would meet here. The wait is its own: a loud
+// organisation's queue is not in the way of one within its share.
+func (k *keeper) view(now time.Time, m *lookMsg) view {
 	v := k.core.View(now)
+	ask := admission.Ask{Org: m.org, Weight: k.service.weightOf(m.org), Tokens: m.tokens}
 	return view{
-		target:        k.row.ID,
-		queuedPrefill: v.QueuedPrefillTokens + v.WaitingTokens,
-		running:       v.Running,
-		waiting:       v.Waiting,
-		resident:      k.residency.leading(p),
-		unsure:        k.residency.unsure,
-		down:          v.Down,
-		leaving:       v.Leaving || k.vmLeaving(),
-		version:       k.load.Version,
-		age:           v.ReportAge,
+		target:   k.row.ID,
+		wait:     k.core.ExpectedWait(now, ask),
+		running:  v.Running,
+		waiting:  v.Waiting,
+		resident: k.residency.leading(m.probe),
+		unsure:   k.residency.unsure,
+		down:     v.Down,
+		leaving:  v.Leaving || k.vmLeaving(),
+		version:  k.load.Version,
+		age:      v.ReportAge,
+		prefill:  v.QueuedPrefillTokens,
 	}
 }
 
--- a/internal/steward/look.go
+++ b/internal/steward/look.go
@@ -19,22 +19,30 @@
 
 // view is what a steward knows about a target and one chain of blocks.
 type view struct {
-	target        request.TargetID
-	queuedPrefill int64
-	running       int
-	waiting       int
-	resident      int
-	unsure        bool
-	down          bool
-	leaving       bool
-	version       request.Version
-	age           time.Duration
+	target   request.TargetID
+	wait     time.Duration
+	prefill  int64
+	running  int
+	waiting  int
+	resident int
+	unsure   bool
+	down     bool
+	leaving  bool
+	version  request.Version
+	age      time.Duration
+}
+
+// Prompt is what targets are looked at for.
+type Prompt struct {
+	Org    request.OrgID
+	Chain  []block.Hash
+	Tokens int
 }
 
 // View is what is known about a target for placement.
 type View struct {
 	Target         request.TargetID
-	QueuedPrefill  int64 // tokens, at the target and in its steward's queue
+	Wait           time.Duration // until the target would begin to compute the prompt
 	Running        int
 	Waiting        int
 	ResidentBlocks int // leading blocks of the chain in accelerator memory
@@ -44,10 +52,10 @@
 	Version        request.Version // empty: not reported yet
 }
 
-// Look returns the stewards' views of targets and of one chain. Targets whose steward
+// Look returns the stewards' views of targets for one prompt. Targets whose steward
 // did not answer are missing.
-func (s *Service) Look(ctx context.Context, ids []request.TargetID, chain []block.Hash) map[request.TargetID]View {
-	p := probeOf(chain)
+func (s *Service) Look(ctx context.Context, ids []request.TargetID, p Prompt) map[request.TargetID]View {
+	probed := probeOf(p.Chain)
 	bySteward := map[string][]request.TargetID{}
 	members := map[string]*peer.Member{}
 	for _, id := range ids {
@@ -60,7 +68,7 @@
 	var wait sync.WaitGroup
 	for name, group := range bySteward {
 		wait.Go(func() {
-			views := s.lookAt(ctx, members[name], group, p)
+			views := s.lookAt(ctx, members[name], group, p, probed)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, v := range views {
@@ -72,13 +80,13 @@
 	return out
 }
 
-func (s *Service) lookAt(ctx context.Context, m *peer.Member, ids []request.TargetID, p probe) []View {
+func (s *Service) lookAt(ctx context.Context, m *peer.Member, ids []request.TargetID, p Prompt, probed probe) []View {
 	if s.isSelf(m) {
-		return s.lookHere(ctx, ids, p)
+		return s.lookHere(ctx, ids, p, probed)
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	answer, err := s.opts.Peers.Steward(m).Look(ctx, lookRequest(ids, p))
+	answer, err := s.opts.Peers.Steward(m).Look(ctx, lookRequest(ids, p, probed))
 	if err != nil {
 		s.log.Debug("Steward did not answer", "steward", m.Id, "error", err)
 		return nil
@@ -87,7 +95,7 @@
 	for _, v := range answer.Views {
 		out = append(out, View{
 			Target:         request.TargetID(v.Target),
-			QueuedPrefill:  v.QueuedPrefillTokens,
+			Wait:           time.Duration(v.ExpectedWaitMs) * time.Millisecond,
 			Running:        int(v.Running),
 			Waiting:        int(v.Waiting),
 			ResidentBlocks: int(v.ResidentBlocks),
@@ -100,32 +108,32 @@
 	return out
 }
 
-func lookRequest(ids []request.TargetID, p probe) *peer.LookRequest {
-	r := &peer.LookRequest{}
+func lookRequest(ids []request.TargetID, p Prompt, probed probe) *peer.LookRequest {
+	r := &peer.LookRequest{Organisation: string(p.Org), PromptTokens: int64(p.Tokens)}
 	for _, id := range ids {
 		r.Targets = append(r.Targets, string(id))
 	}
-	for i, h := range p.hashes {
-		r.Positions = append(r.Positions, int32(p.positions[i]))
+	for i, h := range probed.hashes {
+		r.Positions = append(r.Positions, int32(probed.positions[i]))
 		r.Hashes = append(r.Hashes, h[:])
 	}
 	return r
 }
 
-func (s *Service) lookHere(ctx context.Context, ids []request.TargetID, p probe) []View {
+func (s *Service) lookHere(ctx context.Context, ids []request.TargetID, p Prompt, probed probe) []View {
 	var out []View
 	for _, id := range ids {
 		row, ok := s.opts.Tables.Current().Target(id)
 		if !ok {
 			continue
 		}
-		v, ok := s.keeper(ctx, *row).look(ctx, p)
+		v, ok := s.keeper(ctx, *row).look(ctx, p, probed)
 		if !ok {
 			continue
 		}
 		out = append(out, View{
 			Target:         id,
-			QueuedPrefill:  v.queuedPrefill,
+			Wait:           v.wait,
 			Running:        v.running,
 			Waiting:        v.waiting,
 			ResidentBlocks: v.resident,
@@ -138,9 +146,9 @@
 	return out
 }
 
-func (k *keeper) look(ctx context.Context, p probe) (view, bool) {
+func (k *keeper) look(ctx context.Context, p Prompt, probed probe) (view, bool) {
 	answer := make(chan view, 1)
-	k.send(&lookMsg{probe: p, answer: answer})
+	k.send(&lookMsg{probe: probed, org: p.Org, tokens: int64(p.Tokens), answer: answer})
 	select {
 	case v := <-answer:
 		return v, true
@@ -161,7 +169,7 @@
 			ids = append(ids, t.ID)
 		}
 	}
-	views := s.Look(ctx, ids, nil)
+	views := s.Look(ctx, ids, Prompt{})
 	rows = slices.DeleteFunc(rows, func(t table.Target) bool {
 		v := views[t.ID]
 		return v.Down || v.Leaving
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -73,17 +73,18 @@
 		ids = append(ids, request.TargetID(id))
 	}
 	out := &peer.LookResponse{}
-	for _, w := range v.service.lookHere(ctx, ids, p) {
+	prompt := Prompt{Org: request.OrgID(r.Organisation), Tokens: int(r.PromptTokens)}
+	for _, w := range v.service.lookHere(ctx, ids, prompt, p) {
 		out.Views = append(out.Views, &peer.TargetView{
-			Target:              string(w.Target),
-			QueuedPrefillTokens: w.QueuedPrefill,
-			Running:             int32(w.Running),
-			Waiting:             int32(w.Waiting),
-			ResidentBlocks:      int32(w.ResidentBlocks),
-			Unsure:              w.Unsure,
-			Down:                w.Down,
-			Leaving:             w.Leaving,
-			Version:             string(w.Version),
+			Target:         string(w.Target),
+			ExpectedWaitMs: w.Wait.Milliseconds(),
+			Running:        int32(w.Running),
+			Waiting:        int32(w.Waiting),
+			ResidentBlocks: int32(w.ResidentBlocks),
+			Unsure:         w.Unsure,
+			Down:           w.Down,
+			Leaving:        w.Leaving,
+			Version:        string(w.Version),
 		})
 	}
 	return out, nil
--- a/internal/steward/state.go
+++ b/internal/steward/state.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	out := []TargetState{}
 	for _, k := range s.all() {
-		v, ok := k.look(ctx, probe{})
+		v, ok := k.look(ctx, Prompt{}, probe{})
 		if !ok {
 			continue
 		}
@@ -47,7 +47,7 @@
 			Version:       v.version,
 			Running:       v.running,
 			Waiting:       v.waiting,
-			PrefillTokens: v.queuedPrefill,
+			PrefillTokens: v.prefill,
 			Down:          v.down,
 			Leaving:       v.leaving,
 			CacheUnsure:   v.unsure,
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -97,7 +97,7 @@
 	}()
 	k := s.all()[0]
 	for {
-		if v, _ := k.look(context.Background(), probe{}); v.waiting == 1 {
+		if v, _ := k.look(context.Background(), Prompt{}, probe{}); v.waiting == 1 {
 			break
 		}
 	}
