--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 	"github.com/bluebellscale/bluebellscale/internal/standin/service"
 	"github.com/bluebellscale/bluebellscale/internal/standin/store"
+	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/tabletest"
 )
@@ -41,9 +43,32 @@
 	servers  []*fault.Server // of the engines
 	services []string
 	store    *fault.Server
+	weights  weightCount
 	daemons  []*runningDaemon
 }
 
+// weightCount counts the engines that load weights at once.
+type weightCount struct {
+	mu      sync.Mutex
+	loading map[string]bool
+	most    int
+}
+
+// Report implements engine.WeightStore.
+func (w *weightCount) Report(r vmlist.LoadReport) vmlist.LoadAnswer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.loading == nil {
+		w.loading = map[string]bool{}
+	}
+	delete(w.loading, r.Replica)
+	if r.Loading {
+		w.loading[r.Replica] = true
+	}
+	w.most = max(w.most, len(w.loading))
+	return vmlist.LoadAnswer{Loading: len(w.loading), Cap: 2, Peak: w.most}
+}
+
 type runningDaemon struct {
 	*daemon.Daemon
 	stop context.CancelFunc
@@ -85,7 +110,7 @@
 func (c *cluster) startEngine() {
 	e, server, err := engine.Start("127.0.0.1:0", engine.Options{
 		Model: "verdict", Version: "v1", TimeScale: 0.05, TotalBlocks: 400, KVPerToken: 64, ChecksEpoch: true,
-		LoadTime: 4 * time.Second, Incarnation: uint64(1000 + len(c.engines)),
+		LoadTime: 4 * time.Second, Name: fmt.Sprint(len(c.engines)), Weights: &c.weights, Incarnation: uint64(1000 + len(c.engines)),
 	})
 	c.check(err)
 	c.engines = append(c.engines, e)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -78,7 +78,7 @@
 // An operator sets a new default version while requests run. Loading takes each
 // target away for a while; were all told at once, every caller would be refused.
 func TestVersionIsRolledOutWhileRequestsRun(t *testing.T) {
-	c := newCluster(t, 3, 2)
+	c := newCluster(t, 6, 2)
 	set := false
 	c.load(func(l *loadgen.Config) {
 		l.Turns = 12
@@ -97,6 +97,9 @@
 		}
 		return true
 	})
+	if c.weights.most == 0 || c.weights.most > 2 {
+		t.Fatalf("%d engines loaded weights at once, the cap is 2", c.weights.most)
+	}
 	c.load(nil)
 }
 
