--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -59,7 +59,7 @@
 	clock := func() time.Time { return now }
 	read := func() *Replica {
 		r := NewReplica(ReplicaOptions{KV: kv, Now: clock})
-		if err := (&runLoop{replica: r}).read(t.Context(), 0); err != nil {
+		if err := r.Read(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 		return r
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -62,6 +62,13 @@
 	return ctx.Err()
 }
 
+// Read reads all pages from the service once. Run does so by itself; it is for callers that
+// hold the clock, such as fault schedules.
+func (r *Replica) Read(ctx context.Context) error {
+	loop := &runLoop{replica: r, started: r.now()}
+	return loop.read(ctx, 0)
+}
+
 // runLoop is the state of one Run.
 type runLoop struct {
 	replica  *Replica
--- /dev/null
+++ b/internal/table/tableschedule/operator.go
@@ -0,0 +1,52 @@
+package tableschedule
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+)
+
+// errNotSeen reports an edit of a row that the operator never read.
+var errNotSeen = errors.New("tableschedule: row not seen")
+
+// EditorOperator edits with a table.Editor at the revisions that it saw.
+type EditorOperator struct {
+	editor *table.Editor
+	seen   map[string]uint64
+}
+
+// NewEditorOperator returns an operator.
+func NewEditorOperator(service platform.KV, now func() time.Time, name string) Operator {
+	editor := table.NewEditor(table.EditorOptions{KV: service, Who: name, Now: now})
+	return &EditorOperator{editor: editor, seen: make(map[string]uint64)}
+}
+
+// See implements Operator.
+func (o *EditorOperator) See(ctx context.Context, id string) error {
+	row, err := o.editor.Get(ctx, table.SheetOrganisations, id)
+	if err != nil {
+		return err
+	}
+	o.seen[id] = row.Revision
+	return nil
+}
+
+// Set implements Operator.
+func (o *EditorOperator) Set(ctx context.Context, id, column, value string) error {
+	seen, ok := o.seen[id]
+	if !ok {
+		return errNotSeen
+	}
+	_, err := o.editor.Set(ctx, table.SetRequest{
+		Sheet: table.SheetOrganisations, ID: id, Seen: seen,
+		Cells: []table.CellValue{{Column: column, Value: value}},
+	})
+	return err
+}
+
+func organisationID(i int) request.OrgID { return request.OrgID(rowID(i)) }
