Let a few writes of a quiet partition follow at once

Cause: a Begin waited for the pause after the write of the last result. Also: after giving a partition up, Holder named nobody for half a second because the last scan was recent; a test failed on that. A drop now makes the next Holder read.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -25,9 +25,10 @@
 	defaultPartitions = 16
 	defaultKeep       = 24 * time.Hour
 
-	// commitInterval is the least time between two writes of a partition: it bounds
-	// the write rate. A call that comes after a quiet time is written at once.
+	// commitInterval is the mean time between two writes of a busy partition: it bounds
+	// the write rate. After a quiet time commitBurst writes may follow at once.
 	commitInterval = 100 * time.Millisecond
+	commitBurst    = 4
 	retryInterval  = 250 * time.Millisecond // after a failed step
 	idleInterval   = time.Second            // looks at the lease and old keys
 	stepTimeout    = 5 * time.Second
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// expireHolders makes the next Holder read the holders again: the last scan names this
+// daemon for a partition that it gave up.
+func (j *Journal) expireHolders() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.scanned = time.Time{}
+}
+
 func (j *Journal) holderOf(w *worker) (lease.Holder, time.Time, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
@@ -87,6 +88,7 @@
 	if err := l.Release(ctx); err != nil {
 		w.j.logger.Warn("Lease not released.", "partition", w.index, "error", err)
 	}
+	w.j.expireHolders()
 }
 
 // answerLocked hands replies to those who wait for them.
@@ -328,10 +330,12 @@
 	return r, nil
 }
 
-// run steps the partition whenever something is due, until ctx ends.
+// run steps the partition whenever something is due, until ctx ends. The pace bounds
+// the writes of a busy partition and lets a few follow one another in a quiet one.
 func (w *worker) run(ctx context.Context) {
 	tick := time.NewTicker(idleInterval)
 	defer tick.Stop()
+	pace := rate.NewLimiter(rate.Every(commitInterval), commitBurst)
 	for {
 		select {
 		case <-w.wake:
@@ -339,18 +343,21 @@
 		case <-ctx.Done():
 			return
 		}
-		start := time.Now()
-		pause := pauseAfter[w.timedStep(ctx)]
-		if !sleep(ctx, pause-time.Since(start)) {
+		if !sleep(ctx, pauseAfter(w.timedStep(ctx), pace)) {
 			return
 		}
 	}
 }
 
-// pauseAfter is the least time from the start of a step to that of the next one.
-var pauseAfter = map[progress]time.Duration{
-	progressWrite:  commitInterval,
-	progressFailed: retryInterval,
+func pauseAfter(p progress, pace *rate.Limiter) time.Duration {
+	switch p {
+	case progressWrite:
+		pace.Reserve()
+		return time.Duration((1 - pace.Tokens()) * float64(commitInterval))
+	case progressFailed:
+		return retryInterval
+	}
+	return 0
 }
 
 func (w *worker) timedStep(ctx context.Context) progress {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -300,3 +300,28 @@
 		t.Errorf("over budget: %v", err)
 	}
 }
+
+// A write refused for the service's rate surely did not happen, and the VM list is read
+// as it is.
+func TestRefusedRateAndVMList(t *testing.T) {
+	ctx := testContext(t)
+	limited := httptest.NewServer(kv.NewServer(kv.Options{WritesPerSecond: 0.001}))
+	defer limited.Close()
+	c := newClient(t, "one", limited.Listener.Addr().String())
+	if _, err := c.CompareAndSwap(ctx, "k", 0, nil, ""); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.CompareAndSwap(ctx, "k2", 0, nil, "")
+	if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
+		t.Errorf("over the service's rate: %v", err)
+	}
+
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`[{"id":"vm1","address":"127.0.0.1","role":"entry","leaving":true}]`))
+	}))
+	defer list.Close()
+	vms, err := platform.NewVMListClient(list.Listener.Addr().String()).VMs(ctx)
+	if err != nil || len(vms) != 1 || vms[0].ID != "vm1" || !vms[0].Leaving {
+		t.Errorf("VM list %+v, %v", vms, err)
+	}
+}
