--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -25,9 +25,10 @@
 	defaultPartitions = 16
 	defaultKeep       = 24 * time.Hour
 
-	// commitInterval is the least time between two writes of a partition: it bounds
-	// the write rate. A call that comes after a quiet time is written at once.
+	// commitInterval is the mean time between two writes of a busy partition: it bounds
+	// the write rate. After a quiet time commitBurst writes may follow at once.
 	commitInterval = 100 * time.Millisecond
+	commitBurst    = 4
 	retryInterval  = 250 * time.Millisecond // after a failed step
 	idleInterval   = time.Second            // looks at the lease and old keys
 	stepTimeout    = 5 * time.Second
@@ -143,7 +144,8 @@
 	j.preferred = preferred
 }
 
-// Run takes, keeps and yields partitions until ctx ends.
+// Run takes, keeps and yields partitions until ctx ends. The lease manager's Run must
+// go on beside it.
 func (j *Journal) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for _, w := range j.workers {
@@ -178,7 +180,8 @@
 }
 
 // Shutdown writes what waits to be written and releases the partitions, so that
-// others take them at once. New keys are refused from now on.
+// others take them at once. New keys are refused from now on. It waits for tickets to
+// be concluded until ctx ends; close the lease manager after it.
 func (j *Journal) Shutdown(ctx context.Context) error {
 	j.mu.Lock()
 	j.stopping = true
