--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -62,7 +62,9 @@
 	if !sleep(r.Context(), time.Duration(status.DelayMillis)*time.Millisecond) {
 		panic(http.ErrAbortHandler)
 	}
-	if s.TakeLostAnswer() {
+	// A read takes no effect, so a lost answer is always that of a request that does:
+	// else the daemons' probes would use the switch up.
+	if r.Method != http.MethodGet && s.TakeLostAnswer() {
 		next.ServeHTTP(newDiscard(), r)
 		panic(http.ErrAbortHandler)
 	}
--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -94,43 +94,44 @@
 	check "contexts came back from stores" "$(metric imports)" -gt 0
 }
 
-# A service executes calls and its answers are lost. Such a call is in doubt and never
-# runs again. Some of the answers that are lost are those to the daemons' probes.
+# A service executes calls and its answers are lost. Each of these calls is in doubt and
+# never runs again.
 case_service_answers_lost() {
-	local round
 	start_cluster
 	load 30
 	at_fault
-	for ((round = 0; round < 12; round++)); do
-		fault s1 '{"lose_answers":1}'
-		wait_until "the answer is lost" switched s1 lose_answers 0
-	done
+	fault s1 '{"lose_answers":3}'
+	fault s2 '{"lose_answers":3}'
 	end_load
-	check "lost answers are in doubt" "$R_in_doubt" -gt 0
+	check "exactly the lost answers are in doubt" "$R_in_doubt" -eq 6
 }
 
 # One request crashes every engine that runs it, and its caller sends it again and again
-# to all daemons. At most two engines fall; it is then refused, and the others' requests
-# are answered.
+# to all daemons. At most two engines fall; it is then refused everywhere as not run, and
+# the others' requests are answered.
 case_poison_request() {
-	local engine try daemon alive=0
+	local engine daemon fell=0
 	start_cluster
 	for engine in e1 e2 e3; do
 		fault "$engine" '{"crash_marker":"curdled"}'
 	done
 	load 30 --patience 20s
 	at_fault
-	for ((try = 0; try < 9; try++)); do
-		daemon=CALLERS_d$((try % 3 + 1))
-		"$BIN/standin" ask --bearer atlas-key "${!daemon}/v1/completions" \
-			'{"model":"verdict","prompt":"curdled","max_tokens":4}' >"$WORK/poison.$try" 2>&1 || true
+	for daemon in d1 d2 d3 d1; do
+		wait_until "$daemon refuses the request as quarantined" refuses_poison "$daemon"
 	done
-	check "the request is refused as quarantined" "$(grep -c quarantined "$WORK/poison.8")" -ge 1
 	for engine in e1 e2 e3; do
-		if is_alive "$engine"; then
-			alive=$((alive + 1))
-		fi
+		is_alive "$engine" || fell=$((fell + 1))
 	done
-	check "at most two engines fell" "$alive" -ge 1
+	check "at most two engines fell" "$fell" -le 2
+	check "the request did crash engines" "$fell" -ge 1
 	end_load
 }
+
+# refuses_poison DAEMON sends the request there.
+refuses_poison() {
+	local address=CALLERS_$1
+	"$BIN/standin" ask --bearer atlas-key "${!address}/v1/completions" \
+		'{"model":"verdict","prompt":"curdled","max_tokens":4}' >"$WORK/refusal" 2>&1 || true
+	grep '"code":"quarantined".*"ran":"not_run"' "$WORK/refusal"
+}
