--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -146,7 +146,8 @@
 	}
 }
 
-// minRetryAfter is told when room can come soon, by results moving into pages.
+// minRetryAfter is told when room can come soon: calls under way end, or results move
+// into pages.
 const minRetryAfter = time.Second
 
 // room refuses a new key rather than forget an old one.
@@ -158,7 +159,9 @@
 }
 
 func (p *partition) untilRoom(now time.Time) time.Duration {
-	if len(p.pages) < p.limits.pages && p.doneBytes() >= p.limits.seal {
+	underWay := len(p.live) > 0 || len(p.pending) > 0 || p.inFlight != nil
+	canSeal := len(p.pages) < p.limits.pages && p.doneBytes() >= p.limits.seal
+	if underWay || canSeal {
 		return minRetryAfter
 	}
 	oldest := now.UnixMilli()
--- a/internal/journal/partition_test.go
+++ b/internal/journal/partition_test.go
@@ -328,3 +328,40 @@
 		}
 	}
 }
+
+// Story: so many calls end without an answer that a partition is full of keys in doubt.
+// Forgetting one to make room could run it again; new keys are refused instead, and
+// told when the oldest may be forgotten. While calls are under way that may be soon.
+func TestFullPartitionRefuses(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := newPartition("p", smallLimits)
+	p.load(1, 0, head{}, nil, nil)
+	var full *FullError
+	begun := waiter(0)
+	for {
+		_, _, err := p.begin(now, true, begun+1, keyID(fmt.Sprint(begun)), "d")
+		if errors.As(err, &full) {
+			break
+		}
+		begun++
+	}
+	if full.RetryAfter != minRetryAfter {
+		t.Errorf("while calls are under way: come back after %v", full.RetryAfter)
+	}
+	p.nextWrite(0, now)
+	for _, r := range p.wrote(1) {
+		p.doubt(&Ticket{attempt: r.attempt})
+	}
+	later := now.Add(20 * time.Minute)
+	_, _, err := p.begin(later, true, 0, "new", "d")
+	if want := smallLimits.keep + smallLimits.skew - 20*time.Minute; !errors.As(err, &full) || full.RetryAfter != want {
+		t.Errorf("full of doubts: %v, %v; want %v", err, full.RetryAfter, want)
+	}
+	if _, _, err := p.begin(later, true, 0, "0", "d"); !errors.Is(err, ErrInDoubt) {
+		t.Errorf("oldest key: %v", err)
+	}
+	p.nextWrite(0, now.Add(smallLimits.keep+smallLimits.skew+time.Second))
+	if _, waiting, err := p.begin(later.Add(time.Hour), true, 0, "new", "d"); !waiting {
+		t.Errorf("after the stated time: %v", err)
+	}
+}
