Keep a partition longer after it was yielded in vain

A daemon that lives but does not reach the service stays preferred; the holder yielded to it every few seconds, and each yield left the partition without holder for three scans. Without the longer keeping the new test finds such gaps.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -156,6 +156,81 @@
 	}
 }
 
+// stepped is a journal in virtual time.
+type stepped struct {
+	*journal.Journal
+	leases *lease.Manager
+}
+
+func newStepped(fake *kv.Fake, now func() time.Time, id string) *stepped {
+	leases := lease.NewManager(lease.Options{KV: fake.Client(id), Self: request.DaemonID(id), Now: now})
+	return &stepped{leases: leases, Journal: journal.New(journal.Options{
+		KV: fake.Client(id), Leases: leases, Self: request.DaemonID(id), Partitions: 4, Now: now,
+	})}
+}
+
+func (s *stepped) round(ctx context.Context) {
+	_ = s.leases.Beat(ctx)
+	_ = s.Scan(ctx)
+	s.Step(ctx)
+	s.Step(ctx)
+}
+
+func (s *stepped) holds() int {
+	n := 0
+	for _, p := range s.State().(journal.State).Partitions {
+		if p.Held {
+			n++
+		}
+	}
+	return n
+}
+
+// Story: a second daemon comes and is preferred for half of the partitions; it gets
+// them. Then it is cut off from the service but not from its peers, which still prefer
+// it. The first one takes its half back, and does not yield it again every few seconds.
+func TestPreferenceMovesPartitions(t *testing.T) {
+	ctx := context.Background()
+	now := time.Unix(1_700_000_000, 0)
+	clock := func() time.Time { return now }
+	fake := kv.NewFake(clock)
+	a, b := newStepped(fake, clock, "a"), newStepped(fake, clock, "b")
+	round := func(n int) {
+		for range n {
+			now = now.Add(2 * time.Second)
+			a.round(ctx)
+			b.round(ctx)
+		}
+	}
+	a.round(ctx)
+	if a.holds() != 4 {
+		t.Fatalf("alone, a holds %d of 4", a.holds())
+	}
+	a.SetPreferred(func(p int) bool { return p < 2 })
+	b.SetPreferred(func(p int) bool { return p >= 2 })
+	round(5)
+	if a.holds() != 2 || b.holds() != 2 {
+		t.Fatalf("a holds %d and b %d, want 2 and 2", a.holds(), b.holds())
+	}
+	fake.Cut("b", true)
+	round(10) // the session lapses, then three scans
+	gaps := 0
+	for range 25 {
+		round(1)
+		if a.holds() != 4 {
+			gaps++
+		}
+	}
+	if b.holds() != 0 || gaps > 0 {
+		t.Errorf("b holds %d; a lacked partitions at %d of 25 scans", b.holds(), gaps)
+	}
+	fake.Cut("b", false)
+	round(60)
+	if a.holds() != 2 || b.holds() != 2 {
+		t.Errorf("joined again: a holds %d and b %d, want 2 and 2", a.holds(), b.holds())
+	}
+}
+
 // Many callers at once share one write for their intents and one for their results.
 func TestGroupCommit(t *testing.T) {
 	ctx := testContext(t)
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -14,6 +14,14 @@
 // for a while.
 const patience = 3
 
+// A daemon that yielded a partition in vain, because the preferred one lives but does
+// not reach the service, takes it back. It keeps it for minKeep then, and twice as long
+// each further time, since each yield leaves the partition without holder for a while.
+const (
+	minKeep = time.Minute
+	maxKeep = 16 * time.Minute
+)
+
 // Scan looks who holds which partition, takes those that are free and preferred
 // here, and yields idle ones that are not. It costs two reads, however many
 // partitions there are, and a few calls for each that changes hands.
@@ -97,20 +105,33 @@
 	w.count(preferred, taken)
 	switch {
 	case w.held() != nil:
-		if w.unwanted >= patience && w.isIdle() {
-			w.unwanted = 0
-			w.drop(ctx, "Partition yielded.")
-		}
+		j.mayYield(ctx, w)
 	case taken:
-	case preferred || w.unheld >= patience:
+	case preferred:
+		w.tryTake(ctx)
+	case w.unheld >= patience:
 		w.tryTake(ctx)
+		w.keepLonger(j.opts.Now())
 	}
 }
 
+func (j *Journal) mayYield(ctx context.Context, w *worker) {
+	if w.unwanted < patience || j.opts.Now().Before(w.keepUntil) || !w.isIdle() {
+		return
+	}
+	w.unwanted = 0
+	w.drop(ctx, "Partition yielded.")
+}
+
+func (w *worker) keepLonger(now time.Time) {
+	w.keep = min(max(minKeep, 2*w.keep), maxKeep)
+	w.keepUntil = now.Add(w.keep)
+}
+
 func (w *worker) count(preferred, taken bool) {
 	w.unwanted++
 	if preferred {
-		w.unwanted = 0
+		w.unwanted, w.keep, w.keepUntil = 0, 0, time.Time{}
 	}
 	w.unheld++
 	if taken {
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -31,8 +31,10 @@
 	unsure     bool // the outcome of the write under way must be read
 
 	// For the scan only.
-	unwanted int // scans in a row at which the partition was preferred elsewhere
-	unheld   int // scans in a row at which nobody held it
+	unwanted  int // scans in a row at which the partition was preferred elsewhere
+	unheld    int // scans in a row at which nobody held it
+	keep      time.Duration
+	keepUntil time.Time // not yielded before
 }
 
 func newWorker(j *Journal, index int) *worker {
