--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -76,7 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.expectLocked(id)
-	result, waiting, err := w.core.begin(now, w.validLocked(), p.waiter, id, newDigest(c))
+	result, waiting, err := w.core.begin(now, w.validLocked(), p.waiter, ask{org: newOrgID(c.Org), id: id, digest: newDigest(c)})
 	if !waiting {
 		delete(w.waiting, p.waiter)
 		if w.validLocked() && errors.Is(err, ErrNotHolder) {
--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -114,6 +114,7 @@
 	pages = append(pages, s.page)
 	p.pages = append(pages, p.pages[s.until:]...)
 	p.index(&s.page)
+	p.recount()
 	p.dirty = true
 }
 
@@ -134,7 +135,10 @@
 		p.unindex(page)
 		p.retired = append(p.retired, page)
 	}
-	p.pages = kept
+	if len(kept) < len(p.pages) {
+		p.pages = kept
+		p.recount()
+	}
 }
 
 func (p *partition) unindex(page heldPage) {
@@ -150,14 +154,34 @@
 // into pages.
 const minRetryAfter = time.Second
 
-// room refuses a new key rather than forget an old one.
-func (p *partition) room(now time.Time) error {
-	if p.headBytes+entryOverhead <= p.limits.head {
+// room refuses a new key rather than forget an old one. An organisation may have at
+// most as many keys as are still free for all: one that sends very many gets half of
+// the partition, two get a third each, and there is always room for the others.
+func (p *partition) room(now time.Time, org orgID) error {
+	fits := p.headBytes+entryOverhead <= p.limits.head
+	free := p.capacity() - len(p.headEntries) - len(p.paged)
+	if fits && p.keysOf[org] < max(free, 1) {
 		return nil
 	}
 	return &FullError{RetryAfter: p.untilRoom(now)}
 }
 
+// capacity is the number of keys that are known for sure, without their results.
+func (p *partition) capacity() int {
+	return (p.limits.pages*p.limits.page + p.limits.head) / entryOverhead
+}
+
+// recount counts the keys of each organisation anew, after pages changed.
+func (p *partition) recount() {
+	clear(p.keysOf)
+	for _, e := range p.headEntries {
+		p.keysOf[e.Org]++
+	}
+	for _, e := range p.paged {
+		p.keysOf[e.Org]++
+	}
+}
+
 func (p *partition) untilRoom(now time.Time) time.Duration {
 	underWay := len(p.live) > 0 || len(p.pending) > 0 || p.inFlight != nil
 	canSeal := len(p.pages) < p.limits.pages && p.doneBytes() >= p.limits.seal
--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -22,6 +22,13 @@
 // waiter names a call that waits for a write.
 type waiter uint64
 
+// ask is a call as the core knows it.
+type ask struct {
+	org    orgID
+	id     keyID
+	digest string
+}
+
 // reply answers a waiter. A nil error to a Begin gives its ticket.
 type reply struct {
 	waiter  waiter
@@ -63,6 +70,7 @@
 	headEntries map[keyID]*entry
 	headBytes   int
 	paged       map[keyID]*entry
+	keysOf      map[orgID]int // keys of an organisation, in the head and in pages
 	pages       []heldPage
 	retired     []heldPage // no longer named in memory, still named by the written head
 	obsolete    []heldPage // no longer named by the written head: to be deleted
@@ -99,7 +107,7 @@
 	p.epoch, p.revision = epoch, revision
 	p.claimed = false
 	p.headEntries, p.headBytes = map[keyID]*entry{}, 0
-	p.paged = map[keyID]*entry{}
+	p.paged, p.keysOf = map[keyID]*entry{}, map[orgID]int{}
 	p.pages, p.obsolete = pages, orphans
 	p.retired, p.inFlight, p.pending = nil, nil, nil
 	p.dirty = true
@@ -110,6 +118,7 @@
 		p.index(&pages[i])
 	}
 	p.applyOutcomes()
+	p.recount()
 }
 
 // index makes the keys of a page known. A key that was forgotten and ran again may
@@ -151,11 +160,13 @@
 func (p *partition) put(e *entry) {
 	p.headEntries[e.ID] = e
 	p.headBytes += e.size()
+	p.keysOf[e.Org]++
 }
 
 func (p *partition) remove(e *entry) {
 	delete(p.headEntries, e.ID)
 	p.headBytes -= e.size()
+	p.keysOf[e.Org]--
 }
 
 // lose ends the epoch: the record may be another holder's. Those who wait are told
@@ -198,26 +209,26 @@
 // begin answers a call from the record, or enters its intent and lets it wait: then
 // waiting is true, and a reply to w follows. Without a valid lease another daemon may
 // know better: then only results, which are final, are answered.
-func (p *partition) begin(now time.Time, valid bool, w waiter, id keyID, digest string) (found *Result, waiting bool, err error) {
-	e := p.find(id)
+func (p *partition) begin(now time.Time, valid bool, w waiter, a ask) (found *Result, waiting bool, err error) {
+	e := p.find(a.id)
 	known := e != nil && !p.expired(e, now)
 	if !(p.loaded && valid) && !(known && e.Done) {
 		return nil, false, ErrNotHolder
 	}
 	if known {
-		found, err = p.answer(e, digest)
+		found, err = p.answer(e, a.digest)
 		return found, false, err
 	}
-	if err := p.room(now); err != nil {
+	if err := p.room(now, a.org); err != nil {
 		return nil, false, err
 	}
 	p.seq++
-	e = &entry{ID: id, Digest: digest, Attempt: attempt{Epoch: p.epoch, Seq: p.seq}, At: now.UnixMilli()}
-	if old := p.headEntries[id]; old != nil {
+	e = &entry{ID: a.id, Org: a.org, Digest: a.digest, Attempt: attempt{Epoch: p.epoch, Seq: p.seq}, At: now.UnixMilli()}
+	if old := p.headEntries[a.id]; old != nil {
 		p.remove(old)
 	}
 	p.put(e)
-	p.pending = append(p.pending, pendingWait{waiter: w, id: id, attempt: e.Attempt, begin: true})
+	p.pending = append(p.pending, pendingWait{waiter: w, id: a.id, attempt: e.Attempt, begin: true})
 	p.dirty = true
 	return nil, true, nil
 }
--- a/internal/journal/partition_test.go
+++ b/internal/journal/partition_test.go
@@ -107,7 +107,7 @@
 	id := keyID(fmt.Sprint("key", rapid.IntRange(0, 30).Draw(t, "key")))
 	digest := rapid.SampledFrom([]string{"d", "d", "d", "other"}).Draw(t, "digest")
 	m.waiters++
-	result, waiting, err := m.procs[i].begin(m.now, true, m.waiters, id, digest)
+	result, waiting, err := m.procs[i].begin(m.now, true, m.waiters, ask{id: id, digest: digest})
 	if waiting {
 		m.begins[i][m.waiters] = id
 		m.asked[m.waiters] = &known{digest: digest, at: m.now, mayRun: true}
@@ -280,7 +280,7 @@
 		if !m.fresh(k) {
 			continue
 		}
-		result, waiting, err := p.begin(m.now, true, 0, id, k.digest)
+		result, waiting, err := p.begin(m.now, true, 0, ask{id: id, digest: k.digest})
 		if waiting || errors.Is(err, ErrKeyReused) {
 			t.Fatalf("%s: may have run, and would run again", id)
 		}
@@ -322,13 +322,50 @@
 	} {
 		p := newPartition("p", smallLimits)
 		p.load(2, 1, head{}, pages, nil)
-		result, waiting, err := p.begin(now, true, 1, "k", "d")
+		result, waiting, err := p.begin(now, true, 1, ask{id: "k", digest: "d"})
 		if waiting || err != nil || result == nil {
 			t.Errorf("%s: waiting %v, error %v; want the result", name, waiting, err)
 		}
 	}
 }
 
+// Story: one organisation sends keys without end. Without a share it would fill the
+// partition, and another one's first batch card would be refused for a day.
+func TestLoudOrganisationLeavesRoom(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := newPartition("p", smallLimits)
+	p.load(1, 0, head{}, nil, nil)
+	p.nextWrite(0, now)
+	p.wrote(1)
+	const loud, quiet = orgID(1), orgID(2)
+	revision := platform.Revision(1)
+	accepted := 0
+	for i := range 2 * p.capacity() {
+		_, waiting, err := p.begin(now, true, 1, ask{org: loud, id: keyID(fmt.Sprint(i)), digest: "d"})
+		if err != nil {
+			break
+		}
+		accepted++
+		if !waiting {
+			t.Fatal("a new key was answered")
+		}
+		for w := p.nextWrite(0, now); w != nil; w = p.nextWrite(0, now) {
+			revision++
+			for _, r := range p.wrote(revision) {
+				if r.attempt.Seq == p.seq && r.waiter == 1 {
+					_, _ = p.finish(now, 2, &Ticket{id: keyID(fmt.Sprint(i)), attempt: r.attempt}, Result{})
+				}
+			}
+		}
+	}
+	if half := p.capacity() / 2; accepted < half-2 || accepted > half+2 {
+		t.Errorf("loud organisation has %d keys of %d, want half", accepted, p.capacity())
+	}
+	if _, waiting, err := p.begin(now, true, 1, ask{org: quiet, id: "quiet", digest: "d"}); !waiting {
+		t.Errorf("quiet organisation: %v", err)
+	}
+}
+
 // Story: so many calls end without an answer that a partition is full of keys in doubt.
 // Forgetting one to make room could run it again; new keys are refused instead, and
 // told when the oldest may be forgotten. While calls are under way that may be soon.
@@ -339,7 +376,7 @@
 	var full *FullError
 	begun := waiter(0)
 	for {
-		_, _, err := p.begin(now, true, begun+1, keyID(fmt.Sprint(begun)), "d")
+		_, _, err := p.begin(now, true, begun+1, ask{id: keyID(fmt.Sprint(begun)), digest: "d"})
 		if errors.As(err, &full) {
 			break
 		}
@@ -353,15 +390,15 @@
 		p.doubt(&Ticket{attempt: r.attempt})
 	}
 	later := now.Add(20 * time.Minute)
-	_, _, err := p.begin(later, true, 0, "new", "d")
+	_, _, err := p.begin(later, true, 0, ask{id: "new", digest: "d"})
 	if want := smallLimits.keep + smallLimits.skew - 20*time.Minute; !errors.As(err, &full) || full.RetryAfter != want {
 		t.Errorf("full of doubts: %v, %v; want %v", err, full.RetryAfter, want)
 	}
-	if _, _, err := p.begin(later, true, 0, "0", "d"); !errors.Is(err, ErrInDoubt) {
+	if _, _, err := p.begin(later, true, 0, ask{id: "0", digest: "d"}); !errors.Is(err, ErrInDoubt) {
 		t.Errorf("oldest key: %v", err)
 	}
 	p.nextWrite(0, now.Add(smallLimits.keep+smallLimits.skew+time.Second))
-	if _, waiting, err := p.begin(later.Add(time.Hour), true, 0, "new", "d"); !waiting {
+	if _, waiting, err := p.begin(later.Add(time.Hour), true, 0, ask{id: "new", digest: "d"}); !waiting {
 		t.Errorf("after the stated time: %v", err)
 	}
 }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -29,6 +30,11 @@
 	return keyID(h.Sum(nil)[:keyIDSize])
 }
 
+// orgID stands for an organisation when keys are counted; a collision lets two share.
+type orgID uint32
+
+func newOrgID(org request.OrgID) orgID { return orgID(xxhash.Sum64String(string(org))) }
+
 func newDigest(c Call) string {
 	h := sha256.New()
 	fmt.Fprintf(h, "%d:%s", len(c.Service), c.Service)
@@ -50,6 +56,7 @@
 // entry is one key of a partition: an intent, or with Done a result.
 type entry struct {
 	ID      keyID
+	Org     orgID
 	Digest  string
 	Attempt attempt
 	At      int64 // Unix milliseconds of the result, or of the intent if there is none
