--- a/scripts/case.sh
+++ b/scripts/case.sh
@@ -19,10 +19,10 @@
 		[ -n "$PRINTED" ] || echo "case=$NAME verdict=FAIL"
 		printf '  %s\n' "${WHY[@]:-the script stopped at an error}" >&2
 		tail -n 3 "$WORK/loadgen.log" 2>/dev/null >&2 || true
-		if [ -n "${KEEP:-}" ]; then
-			mkdir -p "$KEEP/$NAME"
-			cp "$WORK"/* "$KEEP/$NAME/" 2>/dev/null || true
-		fi
+	fi
+	if [ -n "${KEEP:-}" ]; then
+		mkdir -p "$KEEP/$NAME"
+		cp "$WORK"/* "$KEEP/$NAME/" 2>/dev/null || true
 	fi
 	rm -rf "$WORK"
 	exit "$status"
--- a/scripts/cases/daemons.sh
+++ b/scripts/cases/daemons.sh
@@ -1,9 +1,16 @@
 # Faults of the system's own processes.
 
+# slow_services makes a call run for 200 ms, so that a fault meets calls under way.
+slow_services() {
+	fault s1 '{"slow":40}'
+	fault s2 '{"slow":40}'
+}
+
 # A VM is gone at once, with requests in flight, and with it the leases of the journal.
 # Callers turn to other addresses and ask again with the same key.
 case_daemon_killed() {
 	start_cluster
+	slow_services
 	wait_until "the journal is held" all_held d1 d2 d3
 	load 30
 	at_fault
@@ -13,13 +20,15 @@
 }
 
 # A VM is paused past its lease and wakes up believing that it still holds it. Meanwhile
-# another daemon holds the journal; what the woken one writes must not count.
+# another daemon holds the journal; what the woken one writes must not count. Callers turn
+# elsewhere after a second, so the same keys are asked for on both sides.
 case_daemon_paused() {
 	local paused survivors
 	start_cluster
+	slow_services
 	wait_until "the journal is held" all_held d1 d2 d3
 	paused=$(holder)
-	load 30
+	load 30 --silent-after 1s
 	at_fault
 	kill -STOP "$(pid_of "$paused")"
 	survivors=$(others "$paused")
--- a/scripts/cases/platform.sh
+++ b/scripts/cases/platform.sh
@@ -56,6 +56,7 @@
 # so nobody can take its partitions over before the service is back.
 case_kv_down_daemon_killed() {
 	start_cluster
+	slow_services
 	wait_until "the journal is held" all_held d1 d2 d3
 	long_load 30
 	outage_begins
--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -65,7 +65,7 @@
 	"$BIN/standin" ask "$ADDR_vmlist/v1/vms" '[
 		{"id":"vm-1","address":"127.0.0.1","role":"target"},
 		{"id":"vm-2","address":"127.0.0.2","role":"target"},
-		{"id":"vm-3","address":"127.0.0.3","role":"target","leaving":true}]'
+		{"id":"vm-3","address":"127.0.0.3","role":"target","leaving":true}]' >/dev/null
 	leaves engine-3 e3
 }
 
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,7 +4,7 @@
 #
 #   scripts/faults.sh [NAME...]    only these cases
 #   SEED=7 scripts/faults.sh       another load
-#   KEEP=DIR scripts/faults.sh     keeps the logs of failed cases in DIR
+#   KEEP=DIR scripts/faults.sh     keeps the logs of the cases in DIR
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
