--- a/scripts/cases/daemons.sh
+++ b/scripts/cases/daemons.sh
@@ -47,8 +47,9 @@
 # ends without its answer, nothing is in doubt, and the process exits with 0.
 case_daemon_stopped() {
 	start_cluster
+	slow_services
 	wait_until "the journal is held" all_held d1 d2 d3
-	load 30
+	load 30 --max-tokens 200
 	at_fault
 	end_process TERM "$(holder)"
 	check "the exit code is 0" "$ENDED" -eq 0
