--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo faults schedules bench-control bench-policy lint proto clean
+.PHONY: build test demo faults schedules bench-control bench-policy bench-fair lint proto clean
 
 BIN := bin
 
@@ -20,6 +20,14 @@
 schedules: build
 	$(BIN)/schedules
 
+# Placement and retention against the least loaded target without restore.
+bench-policy: build
+	$(BIN)/benchpolicy
+
+# A quiet organisation beside a loud one.
+bench-fair: build
+	$(BIN)/benchfair
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
 proto:
 	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
--- /dev/null
+++ b/internal/planner/import.go
@@ -0,0 +1,126 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
+	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/store"
+)
+
+// pinSlack is how much longer than an import its blocks stay pinned.
+const pinSlack = 5 * time.Second
+
+// Bring implements gateway.Contexts. The caller waits no longer than the import is
+// worth; whatever has not come by then is prefilled by the target.
+func (p *Planner) Bring(ctx context.Context, c gateway.Context, choice gateway.Choice) {
+	im := choice.Import
+	ctx, cancel := context.WithTimeout(ctx, im.Deadline)
+	defer cancel()
+	bytes := p.bytesOf(c.Scope.Model, im.Blocks)
+	id := p.startTransfer(im.Copy, bytes)
+	defer p.done(im.Copy.Store, retention.Caller, bytes)
+	imported, err := p.bring(ctx, c, choice)
+	p.endTransfer(im.Copy.Store, id, imported, err, ctx.Err() != nil)
+	if err == nil {
+		p.imports.Inc(1)
+		return
+	}
+	p.failedImports.Inc(1)
+	p.log.Debug("Import failed", "store", im.Copy.Store, "target", choice.Target.ID, "error", err)
+	if errors.Is(err, store.ErrMiss) || errors.Is(err, errTorn) {
+		p.mu.Lock()
+		p.directory.Freed(im.Copy.Manifest)
+		p.mu.Unlock()
+	}
+}
+
+// errTorn reports blocks whose content did not match the manifest.
+var errTorn = errors.New("planner: torn blocks")
+
+func (p *Planner) bring(ctx context.Context, c gateway.Context, choice gateway.Choice) (int64, error) {
+	im := choice.Import
+	ref, err := parseReference(im.Copy.Manifest)
+	if err != nil {
+		return 0, err
+	}
+	if ref.scope != c.Scope {
+		return 0, errReference
+	}
+	client := p.stores.client(im.Copy.Store, im.Copy.Address)
+	manifest, err := client.GetManifest(ctx, c.Scope, ref.generation, ref.tail)
+	if err != nil {
+		return 0, err
+	}
+	blocks := leadingOf(manifest, c.Chain, im.Blocks)
+	// A pin keeps the blocks from being freed while the engine reads them. If they are
+	// freed all the same, the engine meets a missing or foreign block and stops there.
+	if err := client.Pin(ctx, manifest.BlockNames()[:len(blocks)], im.Deadline+pinSlack); err != nil {
+		return 0, err
+	}
+	answer, err := p.opts.Targets.Client(choice.Target).Import(ctx, engineapi.ImportRequest{
+		StoreAddress: im.Copy.Address,
+		Prefix:       store.Prefix(c.Scope, ref.generation),
+		CacheSalt:    c.Scope.Salt(),
+		Version:      c.Scope.Version,
+		Blocks:       blocks,
+	})
+	if err != nil {
+		return 0, err
+	}
+	if answer.Torn > 0 {
+		return answer.Bytes, errTorn
+	}
+	return answer.Bytes, nil
+}
+
+// leadingOf returns the blocks of a manifest that are the chain's, n at most. A
+// manifest of another context yields none.
+func leadingOf(m store.Manifest, chain []block.Hash, n int) []engineapi.ExportedBlock {
+	n = min(n, len(m.Blocks), len(chain))
+	for i := range n {
+		if m.Blocks[i].Hash != chain[i] {
+			return m.Blocks[:i]
+		}
+	}
+	return m.Blocks[:n]
+}
+
+func (p *Planner) bytesOf(model request.Model, blocks int) int64 {
+	row, ok := p.opts.Tables.Current().Model(model)
+	if !ok {
+		return 0
+	}
+	return int64(blocks) * block.TokensPerBlock * row.BytesPerToken
+}
+
+func (p *Planner) startTransfer(c gateway.Copy, bytes int64) placement.TransferID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.budget(c.Store).Ask(retention.Caller, bytes, bytes, now)
+	return p.links.Start(c.Store, c.Tier, bytes, now)
+}
+
+// endTransfer teaches the link. Content that is not there or is torn says nothing
+// about the link.
+func (p *Planner) endTransfer(id request.StoreID, transfer placement.TransferID, carried int64, err error, late bool) {
+	outcome := placement.Carried
+	switch {
+	case err == nil, errors.Is(err, store.ErrMiss), errors.Is(err, errTorn):
+	case late:
+		outcome = placement.GivenUp
+	default:
+		outcome = placement.Failed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links.Finish(id, transfer, carried, outcome, time.Now())
+}
--- a/internal/planner/janitor.go
+++ b/internal/planner/janitor.go
@@ -67,6 +67,41 @@
 	if p.opts.Keeps(s.ID) && nearlyFull(status) {
 		p.makeRoom(ctx, s, status)
 	}
+	p.promote(ctx, s, status)
+}
+
+// promote brings contexts of this daemon that are expected back soon from a store VM's
+// disk to its memory: from disk they would come at a third of the speed.
+func (p *Planner) promote(ctx context.Context, s *table.Store, status storeapi.Status) {
+	client := p.stores.client(s.ID, s.Address)
+	for _, m := range p.promotions(roomOf(s.ID, status)) {
+		manifest, ok := p.readManifest(ctx, client, m.Copy.Manifest)
+		if ok {
+			p.move(ctx, client, m, manifest)
+		}
+	}
+}
+
+func (p *Planner) promotions(room retention.Room) []retention.Move {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var kept []contextdir.Kept
+	p.directory.EachKept(func(k contextdir.Kept) bool {
+		kept = append(kept, k)
+		return true
+	})
+	return retention.Promotions(retention.DefaultParams(), room, kept, time.Now())
+}
+
+func roomOf(id request.StoreID, status storeapi.Status) retention.Room {
+	return retention.Room{
+		Store:       id,
+		MemoryUsed:  status.MemoryUsed,
+		MemoryTotal: status.MemoryTotal,
+		DiskUsed:    status.DiskUsed,
+		DiskTotal:   status.DiskTotal,
+		LinkQueue:   queueTime(status),
+	}
 }
 
 func nearlyFull(s storeapi.Status) bool {
@@ -100,12 +135,7 @@
 			Copies:  []contextdir.Copy{{Manifest: l.Name, Store: s.ID, Tier: l.Tier, Blocks: len(m.Blocks), Bytes: m.Bytes()}},
 		})
 	}
-	room := retention.Room{
-		Store:      s.ID,
-		MemoryUsed: status.MemoryUsed, MemoryTotal: status.MemoryTotal,
-		DiskUsed: status.DiskUsed, DiskTotal: status.DiskTotal,
-	}
-	for _, m := range retention.MakeRoom(retention.DefaultParams(), room, kept, now) {
+	for _, m := range retention.MakeRoom(retention.DefaultParams(), roomOf(s.ID, status), kept, now) {
 		p.move(ctx, client, m, manifests[m.Copy.Manifest])
 	}
 }
@@ -130,8 +160,8 @@
 		err = client.DeleteExport(ctx, manifest)
 	case retention.Demote:
 		err = client.Tier(ctx, append(manifest.BlockNames(), manifest.Name()), storeapi.TierDisk)
-	default:
-		return
+	case retention.Promote:
+		err = client.Tier(ctx, append(manifest.BlockNames(), manifest.Name()), storeapi.TierMemory)
 	}
 	if err != nil {
 		p.log.Debug("Export was not moved", "store", m.Copy.Store, "kind", m.Kind, "error", err)
@@ -139,9 +169,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m.Kind == retention.Free {
+	switch m.Kind {
+	case retention.Free:
 		p.directory.Freed(m.Copy.Manifest)
-		return
+	case retention.Demote:
+		p.directory.Moved(m.Copy.Manifest, storeapi.TierDisk)
+	case retention.Promote:
+		p.directory.Moved(m.Copy.Manifest, storeapi.TierMemory)
 	}
-	p.directory.Moved(m.Copy.Manifest, storeapi.TierDisk)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/contextdir"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
+	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/steward"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
@@ -81,6 +82,7 @@
 	links      *placement.Links
 	costs      *placement.Costs
 	random     *rand.Rand
+	budgets    map[request.StoreID]*retention.Budget
 	generation uint64
 	weighed    map[request.StoreID]time.Time // when an import from it was last weighed
 
@@ -105,6 +107,7 @@
 		directory:      contextdir.New(contextdir.Params{}),
 		links:          placement.NewLinks(),
 		weighed:        map[request.StoreID]time.Time{},
+		budgets:        map[request.StoreID]*retention.Budget{},
 		costs:          placement.NewCosts(0),
 		random:         rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		imports:        opts.Metrics.Counter("imports"),
