--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -2,19 +2,12 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 )
 
-const (
-	// defaultPrefillRate, in tokens a second, stands in for a target never measured.
-	defaultPrefillRate = 8000
-	// importSlack is how far an import may exceed its expected time before it is given up.
-	importSlack = 1.5
-	// importGrace keeps tiny imports from being given up because of a short pause.
-	importGrace = 250 * time.Millisecond
-)
+// defaultPrefillRate, in tokens a second, stands in for a target never measured.
+const defaultPrefillRate = 8000
 
 // Choose returns the best plan for a prompt. Candidates that are down, leaving or hold
 // another weight version are passed over.
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -50,15 +50,15 @@
 }
 
 // importDeadline guards against a store that dies or a link that slows after the
-// choice: the caller would wait on an import that prefilling has long overtaken. What
-// waiting on can still save is the prefill of the head; beyond that it is worth nothing.
+// choice: the caller would wait on an import that prefilling has long overtaken. An
+// overdue import is waited for as long as prefilling its head would take, so a caller
+// loses at most as much by waiting as by giving up too soon.
 func (e *estimator) importDeadline(c cost, target *Candidate) time.Duration {
 	if c.head == 0 {
 		return 0
 	}
-	slack := importSlack*c.importTime + importGrace.Seconds()
 	head := float64((c.head-c.reuse)*block.TokensPerBlock) / rate(target)
-	return duration(min(slack, c.importTime+head))
+	return duration(c.importTime + head)
 }
 
 func (e *estimator) describe(c cost, target *Candidate) Option {
--- a/internal/policy/retention/budget.go
+++ b/internal/policy/retention/budget.go
@@ -26,14 +26,12 @@
 // Budget shares one store VM's link between classes. Callers are always granted; their
 // placement sizes their imports by the link's queue. The others get one short chunk at
 // a time and only while no caller is on the link, so a caller that comes finds at most
-// one chunk before it. Exports save up a small floor while callers keep the link busy;
-// without it new context would never reach a store again under lasting load.
+// one chunk before it. A floor for exports under lasting load was measured to give
+// nothing: the limit of patience on imports leaves pauses in which exports go on.
 type Budget struct {
 	params         Params
 	rate           float64 // bytes a second
 	outstanding    [classes]int64
-	credit         float64 // bytes of the exports' floor
-	creditAt       time.Time
 	prefetchWaited time.Time
 }
 
@@ -54,13 +52,12 @@
 // the smallest piece that can be sent, a block; one is granted even if it is larger
 // than a chunk.
 func (b *Budget) Ask(c Class, bytes, unit int64, now time.Time) int64 {
-	b.accrue(now)
 	if c == Caller {
 		b.outstanding[Caller] += bytes
 		return bytes
 	}
 	granted := min(bytes, max(unit, b.Chunk()/max(1, unit)*unit))
-	if !b.allowed(c, granted, now) {
+	if !b.allowed(c, now) {
 		if c == Prefetch {
 			b.prefetchWaited = now
 		}
@@ -71,35 +68,15 @@
 }
 
 // Done records that granted bytes were carried or given up.
-func (b *Budget) Done(c Class, bytes int64, now time.Time) {
-	b.accrue(now)
+func (b *Budget) Done(c Class, bytes int64) {
 	b.outstanding[c] = max(0, b.outstanding[c]-bytes)
 }
 
-func (b *Budget) allowed(c Class, bytes int64, now time.Time) bool {
-	if b.outstanding[Prefetch]+b.outstanding[Exporting] > 0 {
-		return false
-	}
-	idle := b.outstanding[Caller] == 0
-	if c == Prefetch {
-		return idle
-	}
-	if idle && now.Sub(b.prefetchWaited) > askedRecently {
-		return true
-	}
-	if b.credit < float64(bytes) {
-		return false
-	}
-	b.credit -= float64(bytes)
-	return true
-}
-
-// accrue grows the exports' floor with time, up to a bound.
-func (b *Budget) accrue(now time.Time) {
-	if !b.creditAt.IsZero() {
-		floor := b.rate * b.params.ExportFloor
-		b.credit += floor * now.Sub(b.creditAt).Seconds()
-		b.credit = min(b.credit, floor*b.params.StarvedCredit.Seconds()+float64(b.Chunk()))
+func (b *Budget) allowed(c Class, now time.Time) bool {
+	for _, bytes := range b.outstanding {
+		if bytes > 0 {
+			return false
+		}
 	}
-	b.creditAt = now
+	return c == Prefetch || now.Sub(b.prefetchWaited) > askedRecently
 }
--- a/internal/policy/retention/export.go
+++ b/internal/policy/retention/export.go
@@ -54,10 +54,8 @@
 
 // Answered is a context whose answer has just ended.
 type Answered struct {
-	Blocks    int // resident at the target that answered
-	Gaps      contextdir.Gaps
-	Copies    []contextdir.Copy
-	Residence time.Duration // of the target's memory
+	Blocks int // resident at the target that answered
+	Copies []contextdir.Copy
 }
 
 // Room is what a store VM has left.
@@ -80,12 +78,12 @@
 	Extends string
 }
 
-// Export decides whether a context is exported after its answer. It is if the expected
-// gap outlasts the target's memory and a store lacks enough of it. A live copy is
-// extended in place, so that only new blocks use the link.
+// Export decides whether a context is exported after its answer: it is if a store lacks
+// enough of it. A live copy is extended in place, so that only new blocks use the link.
+// Leaving out contexts that are expected back before eviction was measured to recompute
+// more without saving link time, so their gaps are not asked.
 func Export(p Params, a Answered, rooms []Room, bytesPerBlock int64) (ExportOrder, bool) {
-	gap, spread := expectedGap(p, a.Gaps)
-	if a.Blocks < p.MinBlocks || gap+spread <= a.Residence {
+	if a.Blocks < p.MinBlocks {
 		return ExportOrder{}, false
 	}
 	if c, ok := longestOwn(a.Copies, rooms); ok {
--- a/internal/policysim/caller.go
+++ b/internal/policysim/caller.go
@@ -131,7 +131,7 @@
 	settle := func(outcome placement.Outcome) {
 		c.importing = false
 		s.links.Finish(plan.Store, id, bytes, outcome, s.clock.time())
-		st.budget.Done(retention.Caller, bytes, s.clock.time())
+		st.budget.Done(retention.Caller, bytes)
 		s.pump(st)
 		if c.tail > 0 {
 			c.prefillEnd = max(c.prefillEnd, c.engine.prefill(c.tail, s.clock.now))
@@ -151,7 +151,7 @@
 		if !c.importing {
 			return
 		}
-		t.cancelled = true
+		st.link.cancel(t)
 		s.result.GivenUp++
 		c.cached = had
 		c.prefillEnd = c.engine.prefill((plan.ImportBlocks-had)*block.TokensPerBlock, s.clock.now)
--- a/internal/policysim/store.go
+++ b/internal/policysim/store.go
@@ -30,8 +30,15 @@
 	}
 }
 
-// next starts the first transfer that still counts; one that was given up costs
-// nothing unless it had started.
+// cancel takes a transfer off; the reader has closed its connection.
+func (c *channel) cancel(t *transfer) {
+	t.cancelled = true
+	if len(c.queue) > 0 && c.queue[0] == t {
+		c.next()
+	}
+}
+
+// next starts the first transfer that still counts.
 func (c *channel) next() {
 	c.busy = false
 	for len(c.queue) > 0 && c.queue[0].cancelled {
@@ -43,6 +50,9 @@
 	t := c.queue[0]
 	c.busy = true
 	c.clock.after(time.Duration(float64(t.bytes)/c.rate*float64(time.Second)), func() {
+		if t.cancelled {
+			return
+		}
 		c.carried += t.bytes
 		c.queue = c.queue[1:]
 		c.next()
--- a/internal/policysim/trace.go
+++ b/internal/policysim/trace.go
@@ -101,6 +101,17 @@
 	return chain
 }
 
+// returns counts the returns from a time on.
+func (t *Trace) returns(from time.Duration) int {
+	n := 0
+	for _, v := range t.visits {
+		if v.at >= from && v.before > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // askedPerSecond returns the tokens of earlier prompts that returns ask for, a second.
 func (t *Trace) askedPerSecond(from time.Duration) float64 {
 	asked := 0
