Bound every plan with an import by what prefilling would take, and distrust unsure targets

Only the import's end was bounded, so with the recomputed share weighing much a busy target was chosen because its queue hid the import.

--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -56,7 +56,7 @@
 	request    Request
 	copies     []Copy
 	blockBytes float64
-	patience   float64 // seconds that an import may take
+	patience   float64 // seconds in which a plan with an import must finish
 }
 
 func newEstimator(p Params, r Request, candidates []Candidate, copies []Copy) *estimator {
@@ -95,14 +95,10 @@
 
 // resident returns the leading blocks that can be counted on.
 func (e *estimator) resident(c *Candidate) int {
-	if e.params.Ways.NoReuse {
+	if e.params.Ways.NoReuse || c.Unsure {
 		return 0
 	}
-	blocks := c.ResidentBlocks
-	if c.Unsure {
-		blocks = int(float64(blocks) * e.params.UnsureShare)
-	}
-	return min(blocks, e.request.Tokens/block.TokensPerBlock)
+	return min(c.ResidentBlocks, e.request.Tokens/block.TokensPerBlock)
 }
 
 // option returns the cheapest way to run the prompt on one target.
@@ -165,7 +161,7 @@
 		importEnd := start + float64(head-reuse)*perBlock
 		way := cost{reuse: reuse, head: head, copy: index, importTime: importEnd}
 		way.expected = e.finish(wait, importEnd, e.prefill(c, head))
-		if e.serialPastWorth(c, &way, wait) {
+		if way.expected > e.patience && !e.params.Ways.NoQueue {
 			return
 		}
 		way.score = e.score(way.expected, reuse, head)
@@ -194,15 +190,6 @@
 	return found()
 }
 
-// serialPastWorth tells that a target that can't overlap would begin a prefill later
-// than it otherwise could, only to finish past the limit of patience.
-func (e *estimator) serialPastWorth(c *Candidate, way *cost, wait float64) bool {
-	if e.params.Overlap || e.params.Ways.NoQueue {
-		return false
-	}
-	return way.importTime > wait && way.expected > e.patience
-}
-
 // serialWorth returns the most blocks that a target that can't overlap may import
 // without finishing past the limit of patience.
 func (e *estimator) serialWorth(c *Candidate, reuse int, start, perBlock float64) int {
--- a/internal/policy/placement/choose_test.go
+++ b/internal/policy/placement/choose_test.go
@@ -170,13 +170,16 @@
 		}
 		wait := float64(c.QueuedPrefillTokens) / c.PrefillRate
 		reuse := min(c.ResidentBlocks, r.Tokens/block.TokensPerBlock)
-		score := func(head int, importEnd float64) float64 {
+		finish := func(head int, importEnd float64) float64 {
 			tail := float64(max(1, r.Tokens-head*block.TokensPerBlock))
-			finish := max(wait, importEnd) + tail/c.PrefillRate
 			if p.Overlap {
-				finish = max(wait+tail/c.PrefillRate, importEnd)
+				return max(wait+tail/c.PrefillRate, importEnd)
 			}
-			return finish + p.RecomputeWeight*tail + p.LinkWeight*float64(head-reuse)*block.TokensPerBlock*testBytesPerToken
+			return max(wait, importEnd) + tail/c.PrefillRate
+		}
+		score := func(head int, importEnd float64) float64 {
+			tail := float64(max(1, r.Tokens-head*block.TokensPerBlock))
+			return finish(head, importEnd) + p.RecomputeWeight*tail + p.LinkWeight*float64(head-reuse)*block.TokensPerBlock*testBytesPerToken
 		}
 		best = min(best, score(reuse, 0))
 		for _, s := range copies {
@@ -186,8 +189,7 @@
 			for head := reuse + 1; head <= min(s.Blocks, r.Tokens/block.TokensPerBlock); head++ {
 				bytes := float64(s.Link.QueuedBytes) + float64(head-reuse)*block.TokensPerBlock*testBytesPerToken
 				end := p.ImportLatency.Seconds() + bytes/s.Link.BytesPerSec
-				finish := max(wait, end) + float64(max(1, r.Tokens-head*block.TokensPerBlock))/c.PrefillRate
-				if end <= patience && (p.Overlap || end <= wait || finish <= patience) {
+				if end <= patience && finish(head, end) <= patience {
 					best = min(best, score(head, end))
 				}
 			}
--- a/internal/policy/placement/types.go
+++ b/internal/policy/placement/types.go
@@ -13,13 +13,11 @@
 	RecomputeWeight float64
 	// LinkWeight is the time to first token, in seconds, that one byte not carried is worth.
 	LinkWeight float64
-	// Patience limits how long an import may take, as a multiple of the time that the
-	// best target would need to prefill the whole prompt.
+	// Patience limits the time to first token of a plan with an import, as a multiple of
+	// what the best target would need to prefill the whole prompt.
 	Patience float64
 	// Overlap tells that targets prefill the tail while the head is being imported.
 	Overlap bool
-	// UnsureShare is the share of remembered blocks that is believed of an unsure target.
-	UnsureShare float64
 	// PieceTokens is how many tokens targets prefill at a stretch.
 	PieceTokens int
 	// ImportLatency is the fixed cost of an import.
@@ -45,7 +43,6 @@
 		RecomputeWeight: 2e-5,
 		Patience:        1,
 		Overlap:         true,
-		UnsureShare:     0.5,
 		PieceTokens:     2000,
 		ImportLatency:   5 * time.Millisecond,
 		SlotWait:        100 * time.Millisecond,
@@ -78,9 +75,9 @@
 	QueuedPrefillTokens int             // waiting, plus granted since the load report
 	Running             int
 	Waiting             int
-	MaxRunning          int // zero: unlimited
-	ResidentBlocks      int // leading blocks of the prompt in accelerator memory
-	Unsure              bool
+	MaxRunning          int  // zero: unlimited
+	ResidentBlocks      int  // leading blocks of the prompt in accelerator memory
+	Unsure              bool // its blocks are not counted on
 	Down                bool
 	Leaving             bool
 	PrefillRate         float64 // tokens a second, see Costs
--- a/internal/policysim/bench.go
+++ b/internal/policysim/bench.go
@@ -163,6 +163,11 @@
 		{"no-link-queue", func(c *Config) { c.Placement.Ways.NoQueue = true }},
 		{"no-budget", func(c *Config) { c.Off.Budget = true }},
 		{"no-give-up", func(c *Config) { c.Off.GiveUp = true }},
+		{"import-always", func(c *Config) {
+			c.Placement.Ways = placement.Ways{NoReuse: true, NoSplit: true, NoQueue: true}
+			c.Placement.RecomputeWeight = 1
+			c.Off.GiveUp = true
+		}},
 		{"no-overlap", func(c *Config) { c.Placement.Overlap = false }},
 	}
 }
@@ -176,11 +181,14 @@
 	}
 }
 
-// sweep prints both profiles over link speeds, with the bound that the links allow.
+// sweep prints both profiles over link speeds, with the bound that the links allow, for
+// targets that can prefill the tail during an import and for those that can't (serial).
 func (b *Bench) sweep() {
 	for _, speed := range []float64{0.25, 0.5, 1, 2} {
 		for _, p := range profiles() {
-			b.point(fmt.Sprintf("sweep bound=%.2f", max(0, 1-speed)), p, speed, func(*Config) {})
+			bound := fmt.Sprintf("bound=%.2f", max(0, 1-speed))
+			b.point("sweep "+bound, p, speed, func(*Config) {})
+			b.point("sweep serial "+bound, p, speed, func(c *Config) { c.Placement.Overlap = false })
 		}
 	}
 }
@@ -210,7 +218,6 @@
 	for _, p := range profiles() {
 		b.point("quick all-on", p, mainSpeed, func(*Config) {})
 		b.point("quick no-reuse", p, mainSpeed, func(c *Config) { c.Placement.Ways.NoReuse = true })
-		b.point("quick trust-all", p, mainSpeed, func(c *Config) { c.Placement.UnsureShare = 1 })
 	}
 }
 
