--- a/internal/contextdir/directory_test.go
+++ b/internal/contextdir/directory_test.go
@@ -272,7 +272,7 @@
 		d.Used(scope, chain, epoch)
 		d.Answered("t1", scope, chain, 0, epoch)
 		d.Answered("t2", scope, chain, 0, epoch)
-		d.Stored(scope, chain, Copy{Manifest: fmt.Sprintf("org-%d/m/v1/%032x", i%100, i), Store: "s1", Tier: storeapi.TierMemory, Blocks: 312})
+		d.Stored(scope, chain, Copy{Manifest: fmt.Sprintf("m-%064x-%d", i, i), Store: "s1", Tier: storeapi.TierMemory, Blocks: 312})
 	}
 	perContext := float64(heap()-before) / contexts
 	t.Logf("%.0f bytes a context", perContext)
--- a/internal/contextdir/types.go
+++ b/internal/contextdir/types.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	defaultMaxContexts = 150_000
+	defaultMaxContexts = 120_000
 	defaultMaxTargets  = 8
 	// wrongAnswersBeforeSnapshot is how many answers in a row may show fewer cached
 	// tokens than remembered before the target's whole part is doubted.
