--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"os/user"
 	"syscall"
+	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/ctl"
@@ -30,8 +31,11 @@
 	os.Exit(code)
 }
 
+// callTimeout is long enough for a list of the whole table, which is some megabytes.
+const callTimeout = 10 * time.Second
+
 func newKV(addresses []string) platform.KV {
-	return platform.NewClient(platform.Options{Addresses: addresses, ClientID: "bluebellctl-" + operator()})
+	return platform.NewClient(platform.Options{Addresses: addresses, ClientID: "bluebellctl-" + operator(), Timeout: callTimeout})
 }
 
 func checkConfig(path string) error {
--- a/internal/membership/scale_test.go
+++ b/internal/membership/scale_test.go
@@ -20,6 +20,7 @@
 // TestInForceTime measures how long an edit takes from the watchers' watch to the last
 // daemon, over several edits.
 func TestInForceTime(t *testing.T) {
+	t.Parallel()
 	const edits = 9
 	for _, f := range []fleet{{3, 1}, {8, 1}, {390, 7}} {
 		t.Run(fmt.Sprintf("%d daemons", f.size), func(t *testing.T) {
@@ -70,6 +71,7 @@
 // TestControlBytes measures what membership and the table's digests cost a daemon that
 // is idle, sent and received together, HTTP headers included.
 func TestControlBytes(t *testing.T) {
+	t.Parallel()
 	const budget = 10 << 10 // bytes a second for all control of a daemon
 	rates := make(map[int]float64)
 	for _, f := range []fleet{{8, 1}, {50, 2}, {390, 7}} {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,44 +11,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
-	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
 
-// Defaults of the shell.
-const (
-	defaultExchangeTimeout = time.Second
-	defaultPullTimeout     = 5 * time.Second
-	defaultVMInterval      = 10 * time.Second
-	// urgentGap is the least time between two rounds of urgent exchanges, so that a
-	// large edit of the table does not flood the peers.
-	urgentGap = 20 * time.Millisecond
-	// maxInFlight bounds the exchanges under way; further ones are left out, and later
-	// rounds repair it.
-	maxInFlight = 32
-	// pullRing bounds the pulls that wait.
-	pullRing = 64
-	// entryRole is the role of daemons' VMs in the VM list.
-	entryRole = "entry"
-)
-
-// Options configures a Service.
-type Options struct {
-	Self     *peer.Member // the incarnation is set at the start if it is 0
-	Seeds    []string     // peer addresses, host:port
-	Replica  Table        // may be nil
-	Findings Findings     // may be nil
-	VMs      platform.VMList
-	Client   *http.Client // nil: a client of its own
-	Logger   hclog.Logger
-	Metrics  tally.Scope
-	Now      func() time.Time // nil: time.Now
-	Params   Params
-
-	ExchangeTimeout time.Duration // 0: 1 s
-	PullTimeout     time.Duration // 0: 5 s
-	VMInterval      time.Duration // 0: 10 s
-}
-
 // Service runs the membership of one daemon. It implements peer.Gossip and is safe for
 // concurrent use.
 type Service struct {
@@ -69,14 +32,6 @@
 	tasks sync.WaitGroup
 }
 
-// view is what Members and Live return, made when the Core changes.
-type view struct {
-	changes uint64
-	self    *peer.Member
-	members []*peer.Member
-	live    []*peer.Member
-}
-
 // New returns a Service that does nothing before Run but answer its peers.
 func New(o Options) *Service {
 	s := &Service{options: withDefaults(o)}
@@ -92,37 +47,6 @@
 	return s
 }
 
-func withDefaults(o Options) Options {
-	o.Params = o.Params.withDefaults()
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = tally.NoopScope
-	}
-	if o.Client == nil {
-		o.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
-	}
-	if o.Self.Incarnation == 0 {
-		o.Self.Incarnation = uint64(o.Now().UnixNano())
-	}
-	if o.Params.Seed == 0 {
-		o.Params.Seed = o.Self.Incarnation
-	}
-	set := func(d *time.Duration, fallback time.Duration) {
-		if *d == 0 {
-			*d = fallback
-		}
-	}
-	set(&o.ExchangeTimeout, defaultExchangeTimeout)
-	set(&o.PullTimeout, defaultPullTimeout)
-	set(&o.VMInterval, defaultVMInterval)
-	return o
-}
-
 // Run exchanges with peers until ctx ends, then waits for what is under way.
 func (s *Service) Run(ctx context.Context) error {
 	s.tasks.Go(func() { s.runPulls(ctx) })
@@ -300,49 +224,6 @@
 	}
 }
 
-// runVMs reads the platform's VM list now and then. While it can't be read, the members
-// known so far stay.
-func (s *Service) runVMs(ctx context.Context) {
-	for ctx.Err() == nil {
-		vms, err := s.options.VMs.VMs(ctx)
-		if err == nil {
-			s.takeVMs(vms)
-		} else if ctx.Err() == nil {
-			s.log.Warn("no VM list", "error", err)
-		}
-		pause(ctx, s.options.VMInterval)
-	}
-}
-
-func (s *Service) takeVMs(vms []platform.VM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.node.core.SetVMs(s.now(), peerAddresses(vms, s.options.Self.PeerAddress))
-	s.refresh()
-}
-
-// peerAddresses returns the peer addresses of the entry VMs. The VM list has IP numbers;
-// all daemons of a deployment use the same peer port as this one. An address that brings
-// its own port keeps it.
-func peerAddresses(vms []platform.VM, self string) []string {
-	_, port, err := net.SplitHostPort(self)
-	if err != nil {
-		return nil
-	}
-	var addresses []string
-	for _, vm := range vms {
-		if vm.Role != entryRole {
-			continue
-		}
-		address := vm.Address
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			address = net.JoinHostPort(vm.Address, port)
-		}
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
 // Exchange implements peer.Gossip.
 func (s *Service) Exchange(_ context.Context, r *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
 	s.mu.Lock()
@@ -357,78 +238,3 @@
 func (s *Service) Pages(_ context.Context, r *peer.PagesRequest) (*peer.PagesResponse, error) {
 	return s.node.onPages(r), nil
 }
-
-// refresh publishes the view if it changed and wakes the urgent exchanges. Callers hold
-// mu, but for New.
-func (s *Service) refresh() {
-	core := s.node.core
-	if core.urgent {
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
-	}
-	old := s.view.Load()
-	if old != nil && old.changes == core.Changes() {
-		return
-	}
-	fresh := &view{changes: core.Changes(), self: core.Self(), members: core.Members()}
-	for _, m := range fresh.members {
-		if m.State == alive || m.State == suspect {
-			fresh.live = append(fresh.live, m)
-		}
-	}
-	s.view.Store(fresh)
-	s.metrics.Gauge("members_live").Update(float64(len(fresh.live)))
-	if old != nil && len(old.live) != len(fresh.live) {
-		s.log.Info("members changed", "live", len(fresh.live), "known", len(fresh.members))
-	}
-	if core.Replaced() {
-		s.log.Error("another process runs under this id", "id", core.self.Id)
-	}
-}
-
-// Members returns all known daemons, ordered by id. The caller must not change them.
-func (s *Service) Members() []*peer.Member { return s.view.Load().members }
-
-// Live returns the daemons that may have a place, this one included, ordered by id: those
-// alive, and suspects, which get the benefit of the doubt until they are dead. Leaving
-// daemons are not among them. The caller must not change them.
-func (s *Service) Live() []*peer.Member { return s.view.Load().live }
-
-// Self returns this daemon's own record.
-func (s *Service) Self() *peer.Member { return s.view.Load().self }
-
-// Place returns the live daemon that has a key's place; nil if none is live, which can
-// only be while this daemon leaves.
-func (s *Service) Place(key string) *peer.Member { return Place(s.Live(), key) }
-
-// Rank returns the first n live daemons for a key, the place first.
-func (s *Service) Rank(key string, n int) []*peer.Member { return Rank(s.Live(), key, n) }
-
-// Among tells whether this daemon is one of the first n for a key among the live daemons
-// of its region. It chooses the few that watch the table.
-func (s *Service) Among(key string, n int) bool {
-	self := s.Self()
-	var region []*peer.Member
-	for _, m := range s.Live() {
-		if m.Region == self.Region {
-			region = append(region, m)
-		}
-	}
-	for _, m := range Rank(region, key, n) {
-		if m.Id == self.Id {
-			return true
-		}
-	}
-	return false
-}
-
-// Leave announces that this daemon stops; it holds for the rest of the incarnation. Run
-// must go on for a few intervals, so that the peers hear of it.
-func (s *Service) Leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.node.core.Leave()
-	s.refresh()
-}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -17,7 +17,7 @@
 const (
 	nearLatency  = 2 * time.Millisecond
 	farLatency   = 75 * time.Millisecond
-	httpOverhead = 260
+	httpOverhead = 200
 )
 
 // event is something that happens at a time; seq keeps equal times in order.
--- /dev/null
+++ b/internal/membership/vms.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"context"
+	"net"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+// runVMs reads the platform's VM list now and then. While it can't be read, the members
+// known so far stay.
+func (s *Service) runVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		vms, err := s.options.VMs.VMs(ctx)
+		if err == nil {
+			s.takeVMs(vms)
+		} else if ctx.Err() == nil {
+			s.log.Warn("no VM list", "error", err)
+		}
+		pause(ctx, s.options.VMInterval)
+	}
+}
+
+func (s *Service) takeVMs(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.node.core.SetVMs(s.now(), peerAddresses(vms, s.options.Self.PeerAddress))
+	s.refresh()
+}
+
+// peerAddresses returns the peer addresses of the entry VMs. The VM list has IP numbers;
+// all daemons of a deployment use the same peer port as this one. An address that brings
+// its own port keeps it.
+func peerAddresses(vms []platform.VM, self string) []string {
+	_, port, err := net.SplitHostPort(self)
+	if err != nil {
+		return nil
+	}
+	var addresses []string
+	for _, vm := range vms {
+		if vm.Role != entryRole {
+			continue
+		}
+		address := vm.Address
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			address = net.JoinHostPort(vm.Address, port)
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
--- a/internal/table/replica_test.go
+++ b/internal/table/replica_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -155,3 +157,33 @@
 		t.Fatalf("proof is %v old, want 1m", age)
 	}
 }
+
+// smallListKV fails lists of everything, as a slow link does with some megabytes.
+type smallListKV struct{ *testKV }
+
+func (kv smallListKV) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	if prefix == KeyPrefix {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return kv.testKV.List(ctx, prefix)
+}
+
+// All daemons start while the link to the service is slow: a list of the whole table never
+// comes in time. Without any table they would refuse everybody; they must read it in
+// parts, and go on with watches from there.
+func TestReadsInPartsWhenTheListIsTooSlow(t *testing.T) {
+	kv := newTestKV()
+	editor := applySample(t, kv)
+	replica := NewReplica(ReplicaOptions{KV: smallListKV{kv}, Timing: fastTiming})
+	runReplica(t, replica, true)
+	weight := func() int {
+		o, ok := replica.Current().Organisation("acme")
+		if !ok {
+			return 0
+		}
+		return o.Weight
+	}
+	waitFor(t, replica, func() bool { return weight() == 10 })
+	mustSet(t, editor, "acme", "weight", "55")
+	waitFor(t, replica, func() bool { return weight() == 55 })
+}
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -76,6 +76,7 @@
 	lastRead time.Time
 	reread   time.Duration
 	listed   bool              // after is valid
+	inParts  bool              // list in several calls, since a list of all failed
 	after    platform.Revision // everything up to here was read
 	pause    *backoff.ExponentialBackOff
 }
@@ -123,7 +124,11 @@
 // The failure: a connection to the service gone silent. The call has its own timeout, so
 // the watch ends and the next one is tried; until one answers, the proof grows old.
 func (l *runLoop) read(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+l.replica.timing.CallTimeout)
+	limit := wait + l.replica.timing.CallTimeout
+	if l.inParts {
+		limit *= time.Duration(len(partPrefixes()))
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := l.replica.now()
 	entries, revision, err := l.fetch(ctx, wait)
@@ -148,10 +153,37 @@
 }
 
 func (l *runLoop) fetch(ctx context.Context, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
-	if !l.listed {
-		return l.replica.kv.List(ctx, KeyPrefix)
+	if l.listed {
+		return l.replica.kv.Watch(ctx, KeyPrefix, l.after, wait)
+	}
+	if l.inParts {
+		return l.listParts(ctx)
+	}
+	entries, revision, err := l.replica.kv.List(ctx, KeyPrefix)
+	// The failure: the service or the link to it is slow, and a list of all pages, some
+	// megabytes, does not come within a call's timeout, now or later. The next read asks
+	// for parts of a megabyte.
+	l.inParts = err != nil
+	return entries, revision, err
+}
+
+// listParts lists the pages in several calls. What changes between them shows in a watch
+// after the revision of the first.
+func (l *runLoop) listParts(ctx context.Context) ([]platform.Entry, platform.Revision, error) {
+	var all []platform.Entry
+	var first platform.Revision
+	for i, prefix := range partPrefixes() {
+		entries, revision, err := l.replica.kv.List(ctx, prefix)
+		if err != nil {
+			return nil, 0, err
+		}
+		if i == 0 {
+			first = revision
+		}
+		all = append(all, entries...)
 	}
-	return l.replica.kv.Watch(ctx, KeyPrefix, l.after, wait)
+	l.inParts = false
+	return all, first, nil
 }
 
 // takeEntries merges pages read from the service. A page that can't be decoded leaves the
--- a/internal/table/sheet.go
+++ b/internal/table/sheet.go
@@ -76,6 +76,24 @@
 	return string(s) + "/" + fmt.Sprintf("%03d", n)
 }
 
+// partPrefixes returns prefixes of the service's keys that together cover all pages, each
+// only a few of them.
+func partPrefixes() []string {
+	seen := make(map[string]bool)
+	var prefixes []string
+	for _, sheet := range Sheets() {
+		for n := range sheet.pages() {
+			name := KeyPrefix + pageName(sheet, n)
+			prefix := name[:len(name)-1] // ten pages have one
+			if !seen[prefix] {
+				seen[prefix] = true
+				prefixes = append(prefixes, prefix)
+			}
+		}
+	}
+	return prefixes
+}
+
 // sheetOfPage returns the sheet of a page name, and false if there is no such page.
 func sheetOfPage(name string) (Sheet, bool) {
 	base, number, ok := strings.Cut(name, "/")
