Find the first place among the members without sorting them

Ruled out: keeping the sort and asking less often; a target that moves must be polled by its new steward within an interval.

--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -11,8 +11,12 @@
 
 // Rank returns the first n members in the order of their weight for a key (rendezvous
 // hashing). When a member goes, only keys that it had change their place, and when one
-// comes it only takes keys.
+// comes it only takes keys. The first one alone is found without sorting: each daemon
+// asks for it for every target several times a second.
 func Rank(members []*peer.Member, key string, n int) []*peer.Member {
+	if n == 1 && len(members) > 0 {
+		return []*peer.Member{Place(members, key)}
+	}
 	keyHash := xxhash.Sum64String(key)
 	ranked := make([]weighted, len(members))
 	for i, m := range members {
--- /dev/null
+++ b/internal/membership/rendezvous_test.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/bluebellscale/bluebellscale/internal/peer"
+)
+
+func fleetOf(size int) []*peer.Member {
+	members := make([]*peer.Member, size)
+	for i := range members {
+		members[i] = &peer.Member{Id: fmt.Sprintf("daemon-%03d", i)}
+	}
+	return members
+}
+
+// TestRankOfOneIsPlace checks the short way of Rank against the full order.
+func TestRankOfOneIsPlace(t *testing.T) {
+	for _, size := range []int{0, 1, 2, 390} {
+		members := fleetOf(size)
+		for i := range 100 {
+			key := fmt.Sprint("target/", i)
+			all := Rank(members, key, size)
+			one := Rank(members, key, 1)
+			if size == 0 {
+				if len(one) != 0 {
+					t.Fatalf("rank among nobody: %v", one)
+				}
+				continue
+			}
+			if len(one) != 1 || one[0] != all[0] || one[0] != Place(members, key) {
+				t.Fatalf("%d members, key %s: first of all is %s, rank of one is %v", size, key, all[0].Id, one)
+			}
+		}
+	}
+}
+
+// BenchmarkRankOfOne is what a daemon does for each target to find its steward.
+func BenchmarkRankOfOne(b *testing.B) {
+	for _, size := range []int{8, 50, 150, 390} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			members := fleetOf(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				Rank(members, "target/engine-0001", 1)
+			}
+		})
+	}
+}
