Count the bytes between daemons

Ruled out: counting in each client, which leaves out the HTTP heads. Conclusion: peer_bytes_in and peer_bytes_out count what accepted connections carry; the sum over all daemons counts each byte between them once.

--- /dev/null
+++ b/internal/daemon/peerbytes.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// countingListener counts the bytes of accepted connections. Each connection between
+// two daemons is accepted by one of them, so the sum over all daemons counts every byte
+// between them once. Bytes of operators who read the peer address are among them.
+type countingListener struct {
+	net.Listener
+	in, out tally.Counter
+}
+
+func newCountingListener(l net.Listener, metrics tally.Scope) countingListener {
+	return countingListener{
+		Listener: l,
+		in:       metrics.Counter("peer_bytes_in"),
+		out:      metrics.Counter("peer_bytes_out"),
+	}
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: c, in: l.in, out: l.out}, nil
+}
+
+// countingConn is a connection whose bytes are counted.
+type countingConn struct {
+	net.Conn
+	in, out tally.Counter
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Inc(int64(n))
+	return n, err
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -21,7 +21,7 @@
 	var tasks sync.WaitGroup
 	d.startTasks(background, &tasks)
 	callers := d.serve(d.callers, d.gateway.Handler())
-	peers := d.serve(d.peers, d.peerHandler())
+	peers := d.serve(newCountingListener(d.peers, d.metrics), d.peerHandler())
 	d.log.Info("Daemon started", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
 	var err error
 	select {
