Extend exports by the blocks that are new

Cause: contexts grow a little with each return, and an export wrote all of them anew once they had grown by a quarter; below that the new part was computed again each time. A manifest now begins with the blocks of earlier exports, and freeing the earlier manifest leaves the blocks that its successor lists. Ruled out: one manifest with several names for a block, since names carry the generation that wrote them and are never used again.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -177,6 +177,8 @@
 [streams]
 silent_after = 1s
 header_timeout = 1s
+[placement]
+profile = fonografos
 [drain]
 route_keep = 200ms
 [fleet]
--- a/internal/planner/budget.go
+++ b/internal/planner/budget.go
@@ -45,7 +45,7 @@
 func (p *Planner) done(id request.StoreID, class retention.Class, bytes int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget(id).Done(class, bytes, time.Now())
+	p.budget(id).Done(class, bytes)
 }
 
 // write has a target write blocks to a store VM, a chunk at a time. Written in one go,
--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -23,9 +23,6 @@
 	maxExports = 4
 	// freeTimeout bounds the freeing of one old export.
 	freeTimeout = 10 * time.Second
-	// growthToExport is the part by which a context must have grown beyond its copy
-	// before it is exported again.
-	growthToExport = 4
 )
 
 // keep frees what was forgotten and exports a context after its answer if that is
@@ -65,44 +62,57 @@
 	if !ok {
 		return nil
 	}
+	earlier := p.earlier(ctx, c, order, address)
 	generation := p.nextGeneration(c.Chain)
 	written, err := p.write(ctx, *row, order.Store, engineapi.ExportRequest{
 		StoreAddress: address,
 		Prefix:       store.Prefix(c.Scope, generation),
-		Blocks:       c.Chain[:order.To],
+		Blocks:       c.Chain[len(earlier.Blocks):order.To],
 	}, max(1, p.bytesOf(c.Scope.Model, 1)))
 	if err != nil || len(written) == 0 {
 		return err
 	}
-	return p.commit(ctx, c, generation, order.Store, address, written)
+	return p.commit(ctx, c, order.Store, address, earlier.Extend(generation, written))
+}
+
+// earlier returns the manifest that an export extends, or an empty one if there is none
+// or it no longer fits. Only its own blocks need then not be written again.
+func (p *Planner) earlier(ctx context.Context, c gateway.Context, order retention.ExportOrder, address string) store.Manifest {
+	none := store.Manifest{Org: c.Scope.Org, Model: c.Scope.Model, Version: c.Scope.Version}
+	ref, err := parseReference(order.Extends)
+	if err != nil || ref.scope != c.Scope {
+		return none
+	}
+	m, err := p.stores.client(order.Store, address).GetManifest(ctx, c.Scope, ref.generation, ref.tail)
+	if err != nil || len(leadingOf(m, c.Chain, order.To)) != len(m.Blocks) {
+		return none
+	}
+	return m
 }
 
 // commit writes the manifest, after all blocks, and only then tells the directory.
 // Before the manifest exists no reader can find the blocks, so an export that stops
 // half way leaves garbage but never half a context.
-func (p *Planner) commit(
-	ctx context.Context, c gateway.Context, g store.Generation, id request.StoreID, address string, written []engineapi.ExportedBlock,
-) error {
-	m := store.Manifest{Org: c.Scope.Org, Model: c.Scope.Model, Version: c.Scope.Version, Generation: g, Blocks: written}
+func (p *Planner) commit(ctx context.Context, c gateway.Context, id request.StoreID, address string, m store.Manifest) error {
 	if err := p.stores.client(id, address).PutManifest(ctx, m); err != nil {
 		return err
 	}
 	p.exports.Inc(1)
 	p.mu.Lock()
 	actions := p.directory.Stored(c.Scope, c.Chain, contextdir.Copy{
-		Manifest: reference{scope: c.Scope, generation: g, tail: m.Tail()}.String(),
+		Manifest: m.Name(),
 		Store:    id,
 		Tier:     storeapi.TierMemory,
-		Blocks:   len(written),
+		Blocks:   len(m.Blocks),
 		Bytes:    m.Bytes(),
 	})
 	p.mu.Unlock()
-	p.free(actions)
+	p.free(actions, m)
 	return nil
 }
 
-// free deletes exports that no context uses any more.
-func (p *Planner) free(actions []contextdir.Action) {
+// free deletes exports that no context uses any more, but no block that is in kept.
+func (p *Planner) free(actions []contextdir.Action, kept ...store.Manifest) {
 	for _, a := range actions {
 		if a.Kind != contextdir.FreeManifest {
 			continue
@@ -111,13 +121,13 @@
 		if !ok {
 			continue
 		}
-		if err := p.freeOne(a.Copy, address); err != nil {
+		if err := p.freeOne(a.Copy, address, kept); err != nil {
 			p.log.Debug("Old export was not freed", "store", a.Copy.Store, "error", err)
 		}
 	}
 }
 
-func (p *Planner) freeOne(c contextdir.Copy, address string) error {
+func (p *Planner) freeOne(c contextdir.Copy, address string, kept []store.Manifest) error {
 	ctx, cancel := context.WithTimeout(p.ctx, freeTimeout)
 	defer cancel()
 	ref, err := parseReference(c.Manifest)
@@ -129,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	return client.DeleteExport(ctx, m)
+	return client.DeleteExport(ctx, m, kept...)
 }
 
 func (p *Planner) exportOrder(ctx context.Context, sheet *table.Snapshot, c gateway.Context) (retention.ExportOrder, bool) {
@@ -141,15 +151,10 @@
 	if !ok {
 		return retention.ExportOrder{}, false
 	}
-	order, wanted := retention.Export(retention.DefaultParams(), retention.Answered{
+	return retention.Export(retention.DefaultParams(), retention.Answered{
 		Blocks: len(c.Chain),
-		Gaps:   l.Gaps,
 		Copies: l.Copies,
 	}, rooms, block.TokensPerBlock*model.BytesPerToken)
-	if order.From > 0 && order.To-order.From < order.From/growthToExport {
-		return retention.ExportOrder{}, false
-	}
-	return order, wanted
 }
 
 // rooms asks the store VMs what they have left.
--- a/internal/planner/import.go
+++ b/internal/planner/import.go
@@ -59,26 +59,41 @@
 	if err != nil {
 		return 0, err
 	}
-	blocks := leadingOf(manifest, c.Chain, im.Blocks)
+	n := len(leadingOf(manifest, c.Chain, im.Blocks))
 	// A pin keeps the blocks from being freed while the engine reads them. If they are
 	// freed all the same, the engine meets a missing or foreign block and stops there.
-	if err := client.Pin(ctx, manifest.BlockNames()[:len(blocks)], im.Deadline+pinSlack); err != nil {
+	if err := client.Pin(ctx, manifest.BlockNames()[:n], im.Deadline+pinSlack); err != nil {
 		return 0, err
 	}
-	answer, err := p.opts.Targets.Client(choice.Target).Import(ctx, engineapi.ImportRequest{
-		StoreAddress: im.Copy.Address,
-		Prefix:       store.Prefix(c.Scope, ref.generation),
-		CacheSalt:    c.Scope.Salt(),
-		Version:      c.Scope.Version,
-		Blocks:       blocks,
-	})
-	if err != nil {
-		return 0, err
-	}
-	if answer.Torn > 0 {
-		return answer.Bytes, errTorn
+	return p.importRuns(ctx, c, choice, manifest, n)
+}
+
+// importRuns has the target read the first n blocks, one request for each export that
+// wrote some of them. It ends at the first that does not bring all of its blocks.
+func (p *Planner) importRuns(ctx context.Context, c gateway.Context, choice gateway.Choice, m store.Manifest, n int) (int64, error) {
+	var bytes int64
+	for _, r := range m.Runs() {
+		blocks := r.Blocks[:min(n, len(r.Blocks))]
+		if len(blocks) == 0 {
+			break
+		}
+		n -= len(blocks)
+		answer, err := p.opts.Targets.Client(choice.Target).Import(ctx, engineapi.ImportRequest{
+			StoreAddress: choice.Import.Copy.Address,
+			Prefix:       store.Prefix(c.Scope, r.Generation),
+			CacheSalt:    c.Scope.Salt(),
+			Version:      c.Scope.Version,
+			Blocks:       blocks,
+		})
+		bytes += answer.Bytes
+		if err != nil {
+			return bytes, err
+		}
+		if answer.Torn > 0 || answer.Imported < len(blocks) {
+			return bytes, errTorn
+		}
 	}
-	return answer.Bytes, nil
+	return bytes, nil
 }
 
 // leadingOf returns the blocks of a manifest that are the chain's, n at most. A
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,50 @@
 	Version    request.Version           `json:"version"`
 	Generation Generation                `json:"generation"`
 	Blocks     []engineapi.ExportedBlock `json:"blocks"`
+	// Earlier lists the exports whose blocks this one begins with, in order. Blocks that
+	// follow theirs were written under Generation.
+	Earlier []Segment `json:"earlier,omitempty"`
+}
+
+// Segment is a run of blocks that an earlier export wrote.
+type Segment struct {
+	Generation Generation `json:"generation"`
+	Blocks     int        `json:"blocks"`
+}
+
+// Run is a run of blocks whose names begin with one prefix.
+type Run struct {
+	Generation Generation
+	Blocks     []engineapi.ExportedBlock
+}
+
+// Extend returns the manifest of an export that continues an earlier one of the same
+// context, so that only new blocks cross the link. Once it is committed, the earlier
+// manifest is freed, and none of its blocks.
+func (m Manifest) Extend(generation Generation, written []engineapi.ExportedBlock) Manifest {
+	out := m
+	out.Generation = generation
+	out.Blocks = append(slices.Clone(m.Blocks), written...)
+	out.Earlier = nil
+	for _, r := range m.Runs() {
+		out.Earlier = append(out.Earlier, Segment{Generation: r.Generation, Blocks: len(r.Blocks)})
+	}
+	return out
+}
+
+// Runs returns all blocks in chain order, by the export that wrote them.
+func (m Manifest) Runs() []Run {
+	var out []Run
+	rest := m.Blocks
+	for _, s := range m.Earlier {
+		n := min(max(s.Blocks, 0), len(rest))
+		out = append(out, Run{Generation: s.Generation, Blocks: rest[:n]})
+		rest = rest[n:]
+	}
+	if len(rest) > 0 {
+		out = append(out, Run{Generation: m.Generation, Blocks: rest})
+	}
+	return out
 }
 
 // Scope returns what the context belongs to.
@@ -41,10 +86,12 @@
 
 // BlockNames returns the names of all blocks.
 func (m Manifest) BlockNames() []string {
-	prefix := Prefix(m.Scope(), m.Generation)
-	names := make([]string, len(m.Blocks))
-	for i, b := range m.Blocks {
-		names[i] = prefix + b.Hash.String()
+	names := make([]string, 0, len(m.Blocks))
+	for _, r := range m.Runs() {
+		prefix := Prefix(m.Scope(), r.Generation)
+		for _, b := range r.Blocks {
+			names = append(names, prefix+b.Hash.String())
+		}
 	}
 	return names
 }
@@ -120,10 +167,20 @@
 	return m, json.Unmarshal(e.Manifest, &m) == nil
 }
 
+// nameOf returns a block's name, which carries the generation that wrote it.
+func (m Manifest) nameOf(b engineapi.ExportedBlock) string {
+	for _, r := range m.Runs() {
+		if slices.Contains(r.Blocks, b) {
+			return BlockName(m.Scope(), r.Generation, b.Hash)
+		}
+	}
+	return BlockName(m.Scope(), m.Generation, b.Hash)
+}
+
 // GetBlock reads one block's content. One that is absent, freed, or does not have the
 // manifest's length and digest is a *MissError.
 func (c *Client) GetBlock(ctx context.Context, m Manifest, b engineapi.ExportedBlock) ([]byte, error) {
-	name := BlockName(m.Scope(), m.Generation, b.Hash)
+	name := m.nameOf(b)
 	content, length, err := c.get(ctx, name)
 	if err != nil {
 		return nil, err
@@ -135,10 +192,19 @@
 }
 
 // DeleteExport frees an export: the manifest first, so that no new reader finds its
-// blocks, then the blocks. What is gone already is passed over; a pinned object stops
+// blocks, then the blocks that the manifests in kept do not list. What is gone already is passed over; a pinned object stops
 // it with ErrPinned, and a repeat goes on from there.
-func (c *Client) DeleteExport(ctx context.Context, m Manifest) error {
+func (c *Client) DeleteExport(ctx context.Context, m Manifest, kept ...Manifest) error {
+	stays := map[string]bool{}
+	for _, k := range kept {
+		for _, name := range k.BlockNames() {
+			stays[name] = true
+		}
+	}
 	for _, name := range append([]string{m.Name()}, m.BlockNames()...) {
+		if stays[name] {
+			continue
+		}
 		if err := c.Delete(ctx, name); err != nil && !errors.Is(err, ErrMiss) {
 			return err
 		}
