membership: a restarted daemon asks its peers for the table, not the service

Cause: a daemon that just started counted itself alone, so among the watchers, and listed the whole table (two calls each in TestRestartAsksPeersNotTheService without the change). It now waits for its first contact, at most 2 s, if it has addresses to try. Ruled out: asking whether other members are known; an inbound exchange can bring a part of them first.

--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -16,6 +16,7 @@
 	defaultExchangeTimeout = time.Second
 	defaultPullTimeout     = 5 * time.Second
 	defaultVMInterval      = 10 * time.Second
+	defaultSoloAfter       = 2 * time.Second
 	// urgentGap is the least time between two rounds of urgent exchanges, so that a
 	// large edit of the table does not flood the peers.
 	urgentGap = 20 * time.Millisecond
@@ -44,6 +45,7 @@
 	ExchangeTimeout time.Duration // 0: 1 s
 	PullTimeout     time.Duration // 0: 5 s
 	VMInterval      time.Duration // 0: 10 s
+	SoloAfter       time.Duration // a daemon that met nobody counts itself alone after this; 0: 2 s
 }
 
 func withDefaults(o Options) Options {
@@ -74,5 +76,6 @@
 	set(&o.ExchangeTimeout, defaultExchangeTimeout)
 	set(&o.PullTimeout, defaultPullTimeout)
 	set(&o.VMInterval, defaultVMInterval)
+	set(&o.SoloAfter, defaultSoloAfter)
 	return o
 }
--- a/internal/membership/partition_test.go
+++ b/internal/membership/partition_test.go
@@ -105,3 +105,32 @@
 		eventually(t, "the next edit in force", func() bool { return d.loadCap() == 3 && d.fresh() })
 	}
 }
+
+// All daemons of a fleet restart, one after the other. If each reads the whole table for
+// itself, the service answers some megabytes to each; they must have it from their peers,
+// but for the few that watch.
+func TestRestartAsksPeersNotTheService(t *testing.T) {
+	const size = 5
+	e := newEnvironment()
+	fleet := e.startFleet(t, size)
+	e.timing.FirstRead = time.Hour // would read for itself on a busy machine
+	e.timing.ProofAge = time.Hour
+	e.solo = time.Hour
+	for i, d := range fleet {
+		watching := d.Among("table", 2)
+		d.stop()
+		for _, other := range fleet {
+			if other != d {
+				eventually(t, "the daemon gone", func() bool { return other.stateOf(d.Self().Id) == dead })
+			}
+		}
+		before := e.service.Counts().ByClient[d.Self().Id]
+		seed := fleet[(i+1)%size].Self().PeerAddress
+		fleet[i] = e.start(t, d.Self().Id, seed)
+		eventually(t, "the row in force", func() bool { return fleet[i].loadCap() == 1 && fleet[i].fresh() })
+		calls := e.service.Counts().ByClient[d.Self().Id] - before
+		if !watching && calls > 0 {
+			t.Fatalf("%s watches nothing and called the service %d times", d.Self().Id, calls)
+		}
+	}
+}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -21,6 +21,8 @@
 	metrics tally.Scope
 	client  *http.Client
 	now     func() time.Time
+	started time.Time
+	met     atomic.Bool // a peer answered
 
 	mu   sync.Mutex // guards node
 	node *node
@@ -39,6 +41,7 @@
 	s.metrics = s.options.Metrics
 	s.client = s.options.Client
 	s.now = s.options.Now
+	s.started = s.now()
 	s.wake = make(chan struct{}, 1)
 	s.pulls = make(chan pull, pullRing)
 	s.slots = make(chan struct{}, maxInFlight)
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -93,10 +93,15 @@
 type environment struct {
 	network *network
 	service *kv.Fake
+	timing  table.Timing  // of daemons to start
+	solo    time.Duration // SoloAfter of daemons to start
 }
 
 func newEnvironment() *environment {
-	return &environment{network: &network{cut: make(map[string]bool)}, service: kv.NewFake(nil)}
+	return &environment{
+		network: &network{cut: make(map[string]bool)}, service: kv.NewFake(nil),
+		timing: tableTiming, solo: 20 * time.Millisecond,
+	}
 }
 
 // tableTiming makes a table's daemon look at once where it would take its time.
@@ -112,13 +117,15 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
-	d := &daemon{replica: table.NewReplica(table.ReplicaOptions{KV: e.service.Client(id), Timing: tableTiming})}
+	d := &daemon{replica: table.NewReplica(table.ReplicaOptions{KV: e.service.Client(id), Timing: e.timing})}
 	d.Service = New(Options{
 		Self:    &peer.Member{Id: id, PeerAddress: address, Region: "fes"},
 		Seeds:   seeds,
 		Replica: d.replica,
 		Client:  e.network.client(address),
-		Params:  Params{Interval: 10 * time.Millisecond, SuspectAfter: 200 * time.Millisecond, DeadAfter: 300 * time.Millisecond},
+
+		SoloAfter: e.solo,
+		Params:    Params{Interval: 10 * time.Millisecond, SuspectAfter: 200 * time.Millisecond, DeadAfter: 300 * time.Millisecond},
 	})
 	server := &http.Server{Handler: peer.NewGossipServer(d.Service), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"slices"
+
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
@@ -22,6 +24,11 @@
 		default:
 		}
 	}
+	s.refreshView(core)
+	s.met.Store(!core.contactAt.IsZero()) // after the view that the answer brought
+}
+
+func (s *Service) refreshView(core *Core) {
 	old := s.view.Load()
 	if old != nil && old.changes == core.Changes() {
 		return
@@ -62,7 +69,14 @@
 
 // Among tells whether this daemon is one of the first n for a key among the live daemons
 // of its region. It chooses the few that watch the table.
+//
+// The failure: a fleet starts at once, or a daemon restarts, and each counts itself alone
+// and so among the first, until it meets a peer; all would read the whole table. So a
+// daemon that has addresses to try waits a moment for its first contact.
 func (s *Service) Among(key string, n int) bool {
+	if s.mayMeetPeers() {
+		return false
+	}
 	self := s.Self()
 	var region []*peer.Member
 	for _, m := range s.Live() {
@@ -78,6 +92,16 @@
 	return false
 }
 
+// mayMeetPeers tells whether this daemon has just started and no peer answered yet. The
+// first answer brings all members, as a small digest goes with each exchange.
+func (s *Service) mayMeetPeers() bool {
+	if s.met.Load() || s.now().Sub(s.started) >= s.options.SoloAfter {
+		return false
+	}
+	others := slices.ContainsFunc(s.options.Seeds, func(seed string) bool { return seed != s.options.Self.PeerAddress })
+	return others || s.options.VMs != nil
+}
+
 // Leave announces that this daemon stops; it holds for the rest of the incarnation. Run
 // must go on for a few intervals, so that the peers hear of it.
 func (s *Service) Leave() {
