--- a/internal/policysim/caller.go
+++ b/internal/policysim/caller.go
@@ -109,6 +109,7 @@
 	s.costs.ObservePrefill(e.id, tokens, time.Duration(float64(tokens)/e.rate*float64(time.Second)))
 	if c.importing && !s.config.Placement.Overlap {
 		c.tail = tokens
+		e.promised += tokens
 		return
 	}
 	c.prefillEnd = e.prefill(tokens, s.clock.now)
@@ -131,9 +132,10 @@
 	settle := func(outcome placement.Outcome) {
 		c.importing = false
 		s.links.Finish(plan.Store, id, bytes, outcome, s.clock.time())
-		st.budget.Done(retention.Caller, bytes, s.clock.time())
+		st.budget.Done(retention.Caller, bytes)
 		s.pump(st)
 		if c.tail > 0 {
+			c.engine.promised -= c.tail
 			c.prefillEnd = max(c.prefillEnd, c.engine.prefill(c.tail, s.clock.now))
 		}
 		s.clock.at(c.prefillEnd, func() { s.answer(c) })
@@ -151,7 +153,7 @@
 		if !c.importing {
 			return
 		}
-		t.cancelled = true
+		st.link.cancel(t)
 		s.result.GivenUp++
 		c.cached = had
 		c.prefillEnd = c.engine.prefill((plan.ImportBlocks-had)*block.TokensPerBlock, s.clock.now)
