--- a/internal/schedules/world.go
+++ b/internal/schedules/world.go
@@ -397,7 +397,9 @@
 	}
 	w.outcome.Calls++
 	start, result, err := d.once.Start(k.name)
-	w.note("%s: start %s: %v %v", d.id, k.name, result != nil, err)
+	if !errors.Is(err, journal.ErrNotHolder) {
+		w.note("%s: start %s: %v %v", d.id, k.name, result != nil, err)
+	}
 	if start != nil {
 		w.tries = append(w.tries, &try{key: k, daemon: d, once: d.once, start: start})
 		return
