table: an edit is in force although both watchers freeze

Cause: with a watch of 5 s and own reads only after a proof of 15 s, two frozen watchers held back an edit beyond the 12 s limit. Watches now last 2 s, a proof older than 8 s makes a daemon read for itself, and a pull waits 2 s for at most 1 MiB.

--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -14,7 +14,7 @@
 // Defaults of the shell.
 const (
 	defaultExchangeTimeout = time.Second
-	defaultPullTimeout     = 5 * time.Second
+	defaultPullTimeout     = 2 * time.Second
 	defaultVMInterval      = 10 * time.Second
 	defaultSoloAfter       = 2 * time.Second
 	// urgentGap is the least time between two rounds of urgent exchanges, so that a
@@ -43,7 +43,7 @@
 	Params   Params
 
 	ExchangeTimeout time.Duration // 0: 1 s
-	PullTimeout     time.Duration // 0: 5 s
+	PullTimeout     time.Duration // 0: 2 s
 	VMInterval      time.Duration // 0: 10 s
 	SoloAfter       time.Duration // a daemon that met nobody counts itself alone after this; 0: 2 s
 }
--- a/internal/membership/scale_test.go
+++ b/internal/membership/scale_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
 // fleet is a size of deployment to simulate.
@@ -31,13 +29,10 @@
 			s.runFor(5 * time.Second)
 			var times []time.Duration
 			for edit := range edits {
-				page := &peer.Page{Name: "models/000", Revision: uint64(edit + 1), Value: []byte(`{"name":"models/000"}`)}
-				for _, w := range s.watchers(f.regions) {
-					w.after(nearLatency, func() { w.merge([]*peer.Page{page}) })
+				if err := s.edit(edit + 1); err != nil {
+					t.Fatal(err)
 				}
-				took, ok := s.runUntil(inForceLimit, func() bool {
-					return s.all(func(n *simNode) bool { return n.replica.Current().Revision() == page.Revision })
-				})
+				took, ok := s.runUntil(inForceLimit, func() bool { return s.inForce(edit + 1) })
 				if !ok {
 					t.Fatalf("edit %d not in force after %v", edit, inForceLimit)
 				}
@@ -50,24 +45,6 @@
 	}
 }
 
-// watchers returns the two daemons of each region that watch the table.
-func (s *sim) watchers(regions int) []*simNode {
-	var watchers []*simNode
-	for r := range regions {
-		region := fmt.Sprintf("region-%d", r)
-		var members []*peer.Member
-		for _, n := range s.nodes {
-			if n.region == region {
-				members = append(members, n.core.Self())
-			}
-		}
-		for _, m := range Rank(members, "table/"+region, 2) {
-			watchers = append(watchers, s.at(m.PeerAddress))
-		}
-	}
-	return watchers
-}
-
 // TestControlBytes measures what membership and the table's digests cost a daemon that
 // is idle, sent and received together, HTTP headers included.
 func TestControlBytes(t *testing.T) {
@@ -80,12 +57,20 @@
 			t.Fatalf("%d daemons did not find each other", f.size)
 		}
 		s.runFor(20 * time.Second)
-		before := s.bytes()
+		before, reads := s.bytes(), s.reads
 		const span = 20 * time.Second
-		s.runFor(span)
+		var oldest time.Duration
+		for range int(span / time.Second) {
+			s.runFor(time.Second)
+			oldest = max(oldest, s.oldestProof())
+		}
 		rate := float64(s.bytes()-before) / span.Seconds() / float64(f.size)
 		rates[f.size] = rate
-		t.Logf("daemons=%d bytes_per_daemon_s=%.0f", f.size, rate)
+		calls := float64(s.reads-reads) / span.Seconds()
+		t.Logf("daemons=%d bytes_per_daemon_s=%.0f table_calls_s=%.2f oldest_proof=%v", f.size, rate, calls, oldest)
+		if oldest >= timing.ProofAge {
+			t.Errorf("%d daemons: a proof of %v in a healthy fleet, at most %v", f.size, oldest, timing.ProofAge)
+		}
 		if rate > budget {
 			t.Errorf("%d daemons: %.0f bytes/s a daemon, at most %d", f.size, rate, budget)
 		}
@@ -95,6 +80,15 @@
 	}
 }
 
+// oldestProof returns the age of the oldest proof that a table is current.
+func (s *sim) oldestProof() time.Duration {
+	var oldest time.Duration
+	for _, n := range s.nodes {
+		oldest = max(oldest, n.replica.Confirmed(s.now))
+	}
+	return oldest
+}
+
 func (s *sim) bytes() int64 {
 	var sum int64
 	for _, n := range s.nodes {
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
 
@@ -49,6 +51,8 @@
 	nodes []*simNode
 
 	byAddress map[string]*simNode
+	service   *kv.Fake // holds the table
+	reads     int      // calls of daemons to the service
 	rng       *rand.Rand
 	cut       func(a, b *simNode) bool
 }
@@ -66,11 +70,13 @@
 	bytes   int64
 	urgent  bool // a round of urgent exchanges is scheduled
 	lastU   time.Time
+	readAt  time.Time // last read of the service
 }
 
 func newSim(seed uint64, size, regions int) *sim {
 	s := &sim{now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byAddress: make(map[string]*simNode)}
 	s.cut = func(_, _ *simNode) bool { return false }
+	s.service = kv.NewFake(func() time.Time { return s.now })
 	for i := range size {
 		n := &simNode{sim: s, id: fmt.Sprintf("daemon-%03d", i), region: fmt.Sprintf("region-%d", i%regions)}
 		n.address = fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250+1)
@@ -118,13 +124,81 @@
 	n.life++
 	n.down = false
 	n.urgent = false
-	n.replica = table.NewReplica(table.ReplicaOptions{Now: func() time.Time { return n.sim.now }})
+	n.replica = table.NewReplica(table.ReplicaOptions{KV: n.sim.service.Client(n.id), Now: func() time.Time { return n.sim.now }})
 	seeds := []string{n.sim.nodes[0].address, n.sim.nodes[min(1, len(n.sim.nodes)-1)].address}
 	self := &peer.Member{Id: n.id, PeerAddress: n.address, Region: n.region, FailureDomain: "domain", CallerAddress: n.address}
 	self.Incarnation = uint64(n.sim.now.UnixNano())
 	core := NewCore(self, seeds, Params{Seed: n.sim.rng.Uint64()})
 	n.node = newNode(core, n.replica, nil)
 	n.after(time.Duration(n.sim.rng.Int64N(int64(time.Second))), n.tick)
+	n.after(time.Duration(n.sim.rng.Int64N(int64(time.Second))), n.poll)
+}
+
+// timing holds the periods in which daemons read the table.
+var timing = table.DefaultTiming()
+
+// poll reads the service as the table's Run does: a watcher in each wait, the others if
+// their proof is old.
+func (n *simNode) poll() {
+	watched := n.watching() && n.sim.now.Sub(n.readAt) >= timing.WatchWait
+	if watched || n.replica.Confirmed(n.sim.now) >= timing.ProofAge {
+		n.read()
+	}
+	n.after(timing.Poll, n.poll)
+}
+
+func (n *simNode) read() {
+	n.readAt = n.sim.now
+	n.sim.reads++
+	before := n.replica.Current().Hash()
+	err := n.replica.Read(context.Background())
+	if err == nil && n.replica.Current().Hash() != before {
+		n.core.Urge()
+		n.settle()
+	}
+}
+
+// watching tells whether the daemon is among the two watchers of its region.
+func (n *simNode) watching() bool {
+	region := []*peer.Member{n.core.Self()}
+	for _, e := range n.core.entries.sorted {
+		if state := e.state(); e.record.Region == n.region && (state == alive || state == suspect) {
+			region = append(region, e.record)
+		}
+	}
+	for _, m := range Rank(region, "table/watcher", 2) {
+		if m.Id == n.id {
+			return true
+		}
+	}
+	return false
+}
+
+// edit writes a row of the table; the watches of the watchers that are up return.
+func (s *sim) edit(loadCap int) error {
+	editor := table.NewEditor(table.EditorOptions{KV: s.service.Client("operator"), Who: "ana"})
+	data := fmt.Sprintf("id,default_version,bytes_per_token,load_cap\nverdict,v3,131072,%d\n", loadCap)
+	plan, err := editor.Plan(context.Background(), []table.File{{Name: "models.csv", Data: []byte(data)}})
+	if err != nil {
+		return err
+	}
+	if _, err := editor.Apply(context.Background(), plan); err != nil {
+		return err
+	}
+	for _, n := range s.nodes {
+		if !n.down && n.watching() {
+			n.after(nearLatency, n.read)
+		}
+	}
+	return nil
+}
+
+// inForce tells whether every daemon that is up has the row.
+func (s *sim) inForce(loadCap int) bool {
+	return s.all(func(n *simNode) bool {
+		m, ok := n.replica.Current().Model("verdict")
+		return ok && m.LoadCap == loadCap
+	})
 }
 
 // after schedules an event of this process.
@@ -143,6 +217,7 @@
 func (n *simNode) thaw() {
 	n.down = false
 	n.after(0, n.tick)
+	n.after(0, n.poll)
 }
 
 func (n *simNode) tick() {
--- a/internal/membership/story_test.go
+++ b/internal/membership/story_test.go
@@ -179,3 +179,34 @@
 		t.Logf("daemons=%d leaving_known=%v death_known=%v", size, left, found)
 	}
 }
+
+// Both daemons that watch the table freeze, with their watches open, and right after an
+// operator edits a row. Nobody alive hears of it from the service, and the frozen ones
+// keep their places as watchers until they are dead. The others must notice by their
+// proofs that they may be behind, and read for themselves.
+func TestBothWatchersFreeze(t *testing.T) {
+	const size = 8
+	s := newSim(14, size, 1)
+	if !s.settled(size) {
+		t.Fatal("daemons did not find each other")
+	}
+	if err := s.edit(1); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := s.runUntil(inForceLimit, func() bool { return s.inForce(1) }); !ok {
+		t.Fatal("the first edit is not in force")
+	}
+	for _, n := range s.nodes {
+		if n.watching() {
+			n.freeze()
+		}
+	}
+	if err := s.edit(2); err != nil {
+		t.Fatal(err)
+	}
+	took, ok := s.runUntil(inForceLimit, func() bool { return s.inForce(2) })
+	if !ok {
+		t.Fatalf("not in force on the live daemons after %v", inForceLimit)
+	}
+	t.Logf("in force after %v", took)
+}
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -18,7 +18,7 @@
 const NeverConfirmed = time.Duration(math.MaxInt64)
 
 // maxAnswerBytes bounds the pages in one answer to a peer; the peer asks again.
-const maxAnswerBytes = 4 << 20
+const maxAnswerBytes = 1 << 20
 
 // ReplicaOptions configures a Replica. Zero durations stand for the defaults.
 type ReplicaOptions struct {
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -18,27 +18,30 @@
 
 // Timing holds the periods of Run. Zero values stand for the defaults.
 type Timing struct {
-	WatchWait   time.Duration // longest wait of one watch; 5 s
+	WatchWait   time.Duration // longest wait of one watch; 2 s
 	CallTimeout time.Duration // on top of WatchWait; 3 s
 	Poll        time.Duration // how often a daemon looks whether it is a watcher; 250 ms
 	FirstRead   time.Duration // a daemon that peers told nothing reads for itself after this; 2 s
-	ProofAge    time.Duration // a daemon whose proof is older reads for itself; 15 s
+	ProofAge    time.Duration // a daemon whose proof is older reads for itself; 8 s
 	Reread      time.Duration // every daemon reads for itself once in this time; 10 min
 	BackoffMin  time.Duration // first pause after a failed read; 200 ms
 	BackoffMax  time.Duration // longest pause after a failed read; 10 s
 }
 
+// DefaultTiming returns the periods that Run uses by default.
+func DefaultTiming() Timing { return Timing{}.withDefaults() }
+
 func (t Timing) withDefaults() Timing {
 	set := func(d *time.Duration, fallback time.Duration) {
 		if *d == 0 {
 			*d = fallback
 		}
 	}
-	set(&t.WatchWait, 5*time.Second)
+	set(&t.WatchWait, 2*time.Second)
 	set(&t.CallTimeout, 3*time.Second)
 	set(&t.Poll, 250*time.Millisecond)
 	set(&t.FirstRead, 2*time.Second)
-	set(&t.ProofAge, 15*time.Second)
+	set(&t.ProofAge, 8*time.Second)
 	set(&t.Reread, 10*time.Minute)
 	set(&t.BackoffMin, 200*time.Millisecond)
 	set(&t.BackoffMax, 10*time.Second)
