--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -76,18 +76,30 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.expectLocked(id)
-	result, waiting, err := w.core.begin(now, w.validLocked(), p.waiter, id, newDigest(c))
+	result, waiting, err := w.core.begin(now, w.validLocked(), p.waiter, ask{org: newOrgID(c.Org), id: id, digest: newDigest(c)})
 	if !waiting {
 		delete(w.waiting, p.waiter)
 		if w.validLocked() && errors.Is(err, ErrNotHolder) {
 			err = ErrUnavailable // held, but not read yet
 		}
+		j.countAnswer(err)
 		return nil, result, err
 	}
 	w.signal()
 	return p, nil, nil
 }
 
+func (j *Journal) countAnswer(err error) {
+	switch {
+	case err == nil:
+		j.metrics.Counter("repeats_answered").Inc(1)
+	case errors.Is(err, ErrInDoubt):
+		j.metrics.Counter("repeats_in_doubt").Inc(1)
+	case errors.Is(err, ErrUnavailable):
+		j.metrics.Counter("refused").Inc(1)
+	}
+}
+
 func (w *worker) validLocked() bool { return w.lease != nil && w.lease.Valid() }
 
 func (w *worker) expectLocked(id keyID) *Pending {
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 )
@@ -10,10 +9,8 @@
 const (
 	// defaultPrefillRate, in tokens a second, stands in for a target never measured.
 	defaultPrefillRate = 8000
-	// importSlack is how far an import may exceed its expected time before it is given up.
-	importSlack = 1.5
-	// importGrace keeps tiny imports from being given up because of a short pause.
-	importGrace = 250 * time.Millisecond
+	// importSlack is how far any import may exceed its expected time.
+	importSlack = 2
 )
 
 // Choose returns the best plan for a prompt. Candidates that are down, leaving or hold
@@ -63,7 +60,7 @@
 	request    Request
 	copies     []Copy
 	blockBytes float64
-	patience   float64 // seconds that an import may take
+	patience   float64 // seconds in which a plan with an import must finish
 }
 
 func newEstimator(p Params, r Request, candidates []Candidate, copies []Copy) *estimator {
@@ -102,14 +99,10 @@
 
 // resident returns the leading blocks that can be counted on.
 func (e *estimator) resident(c *Candidate) int {
-	if e.params.Ways.NoReuse {
+	if e.params.Ways.NoReuse || c.Unsure {
 		return 0
 	}
-	blocks := c.ResidentBlocks
-	if c.Unsure {
-		blocks = int(float64(blocks) * e.params.UnsureShare)
-	}
-	return min(blocks, e.request.Tokens/block.TokensPerBlock)
+	return min(c.ResidentBlocks, e.request.Tokens/block.TokensPerBlock)
 }
 
 // option returns the cheapest way to run the prompt on one target.
@@ -149,7 +142,7 @@
 //
 // The end of the import grows linearly with the head, and the end of the prefill
 // shrinks linearly with it, so the score is convex and piecewise linear. Its minimum
-// lies at an end, at the crossing or at the limit of patience; only these are tried.
+// lies at an end, at the crossing or at a limit of patience; only these are tried.
 func (e *estimator) bestImport(c *Candidate, index, reuse int, wait float64) (cost, bool) {
 	copied := &e.copies[index]
 	whole := min(copied.Blocks, e.request.Tokens/block.TokensPerBlock)
@@ -167,10 +160,14 @@
 		limit = min(whole, reuse+int(max(0, (e.patience-start)/perBlock)))
 	}
 	best := cost{score: math.Inf(1)}
+	found := func() (cost, bool) { return best, best.head > 0 }
 	try := func(head int) {
 		importEnd := start + float64(head-reuse)*perBlock
 		way := cost{reuse: reuse, head: head, copy: index, importTime: importEnd}
 		way.expected = e.finish(wait, importEnd, e.prefill(c, head))
+		if way.expected > e.patience && !e.params.Ways.NoQueue {
+			return
+		}
 		way.score = e.score(way.expected, reuse, head)
 		if way.score < best.score {
 			best = way
@@ -181,19 +178,30 @@
 			return cost{}, false
 		}
 		try(whole)
-		return best, true
+		return found()
 	}
 	if limit <= reuse {
 		return cost{}, false
 	}
 	try(limit)
 	crossing := reuse + e.crossing(c, reuse, wait, start, perBlock)
-	for _, head := range [...]int{crossing, crossing + 1} {
+	worth := reuse + e.serialWorth(c, reuse, start, perBlock)
+	for _, head := range [...]int{crossing, crossing + 1, worth} {
 		if head > reuse && head < limit {
 			try(head)
 		}
 	}
-	return best, true
+	return found()
+}
+
+// serialWorth returns the most blocks that a target that can't overlap may import
+// without finishing past the limit of patience.
+func (e *estimator) serialWorth(c *Candidate, reuse int, start, perBlock float64) int {
+	slower := perBlock - block.TokensPerBlock/rate(c)
+	if e.params.Overlap || slower <= 0 {
+		return 0
+	}
+	return int(max(0, (e.patience-start-e.prefill(c, reuse))/slower))
 }
 
 // crossing returns how many blocks to import so that the import ends when the target
--- a/internal/policysim/caller.go
+++ b/internal/policysim/caller.go
@@ -25,6 +25,7 @@
 	cached     int // leading blocks that need no prefill
 	prefillEnd time.Duration
 	importing  bool
+	tail       int // tokens to queue after the import, if the target can't overlap
 }
 
 // arrive places a prompt and starts it.
@@ -33,6 +34,7 @@
 		s.start(v, leastLoaded(s.engines), placement.Plan{})
 		return
 	}
+	s.stopPrefetch(v.ctx)
 	now := s.clock.time()
 	chain := v.ctx.chain[:v.blocks]
 	located := s.dir.Lookup(v.ctx.scope, chain)
@@ -82,6 +84,9 @@
 	for _, c := range located.Copies {
 		st := s.byStore[c.Store]
 		state := s.links.State(c.Store, s.clock.time())
+		if s.config.Off.Overdue {
+			state.BytesPerSec = max(state.BytesPerSec, s.links.LearnedRate(c.Store))
+		}
 		p := placement.Copy{Store: c.Store, Blocks: c.Blocks, Link: state}
 		if c.Tier == storeapi.TierDisk {
 			p.TierBytesPerSec = st.disk.rate
@@ -101,8 +106,13 @@
 		s.startImport(c, plan)
 	}
 	tokens := (v.blocks-c.cached)*block.TokensPerBlock + promptTail
-	c.prefillEnd = e.prefill(tokens, s.clock.now)
 	s.costs.ObservePrefill(e.id, tokens, time.Duration(float64(tokens)/e.rate*float64(time.Second)))
+	if c.importing && !s.config.Placement.Overlap {
+		c.tail = tokens
+		e.promised += tokens
+		return
+	}
+	c.prefillEnd = e.prefill(tokens, s.clock.now)
 	if !c.importing {
 		s.clock.at(c.prefillEnd, func() { s.answer(c) })
 	}
@@ -122,8 +132,12 @@
 	settle := func(outcome placement.Outcome) {
 		c.importing = false
 		s.links.Finish(plan.Store, id, bytes, outcome, s.clock.time())
-		st.budget.Done(retention.Caller, bytes, s.clock.time())
+		st.budget.Done(retention.Caller, bytes)
 		s.pump(st)
+		if c.tail > 0 {
+			c.engine.promised -= c.tail
+			c.prefillEnd = max(c.prefillEnd, c.engine.prefill(c.tail, s.clock.now))
+		}
 		s.clock.at(c.prefillEnd, func() { s.answer(c) })
 	}
 	t.done = func() {
@@ -139,7 +153,7 @@
 		if !c.importing {
 			return
 		}
-		t.cancelled = true
+		st.link.cancel(t)
 		s.result.GivenUp++
 		c.cached = had
 		c.prefillEnd = c.engine.prefill((plan.ImportBlocks-had)*block.TokensPerBlock, s.clock.now)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -36,7 +36,9 @@
 // Members gives the soft places among the live daemons.
 type Members interface {
 	Self() *peer.Member
-	Rank(key string, n int) []*peer.Member
+	// Live returns the same slice until the live daemons change.
+	Live() []*peer.Member
+	Place(key string) *peer.Member
 }
 
 // Targets gives the client of a target.
@@ -63,6 +65,8 @@
 // PeerDialer gives the twirp client of a peer.
 type PeerDialer interface {
 	Steward(m *peer.Member) peer.Steward
+	// Reset throws pooled connections away, after one has gone silent.
+	Reset()
 }
 
 // Service runs stewards and asks those of peers.
@@ -71,6 +75,7 @@
 	log     hclog.Logger
 	system  *actor.ActorSystem
 	granted *grantBook
+	places  places
 
 	mu      sync.Mutex
 	keepers map[request.TargetID]*keeper
@@ -97,11 +102,7 @@
 
 // steward returns the daemon that should hold a target's queue.
 func (s *Service) steward(id request.TargetID) *peer.Member {
-	ranked := s.opts.Members.Rank(placeKey(id), 1)
-	if len(ranked) == 0 {
-		return s.opts.Members.Self()
-	}
-	return ranked[0]
+	return s.places.find(s.opts.Members, id)
 }
 
 func (s *Service) isSelf(m *peer.Member) bool { return m.Id == s.opts.Members.Self().Id }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -23,8 +23,10 @@
 type fakeMembers struct{ self, place *peer.Member }
 
 func (m fakeMembers) Self() *peer.Member                { return m.self }
-func (m fakeMembers) Rank(string, int) []*peer.Member   { return []*peer.Member{m.place} }
+func (m fakeMembers) Live() []*peer.Member              { return nil }
+func (m fakeMembers) Place(string) *peer.Member         { return m.place }
 func (m fakeMembers) Steward(*peer.Member) peer.Steward { return deadSteward{} }
+func (m fakeMembers) Reset()                            {}
 func (m fakeMembers) Client(t table.Target) *target.Client {
 	return target.New(target.Options{ID: t.ID, Address: t.Address})
 }
@@ -96,7 +98,7 @@
 	}()
 	k := s.all()[0]
 	for {
-		if v, _ := k.look(context.Background(), probe{}); v.waiting == 1 {
+		if v, _ := k.look(context.Background(), Prompt{}, probe{}); v.waiting == 1 {
 			break
 		}
 	}
