--- a/scripts/case.sh
+++ b/scripts/case.sh
@@ -18,7 +18,7 @@
 	if [ "$status" -ne 0 ]; then
 		[ -n "$PRINTED" ] || echo "case=$NAME verdict=FAIL"
 		printf '  %s\n' "${WHY[@]:-the script stopped at an error}" >&2
-		tail -n 3 "$WORK/loadgen.log" 2>/dev/null >&2 || true
+		grep -v DEBUG "$WORK/loadgen.log" 2>/dev/null | tail -n 3 >&2 || true
 	fi
 	if [ -n "${KEEP:-}" ]; then
 		mkdir -p "$KEEP/$NAME"
--- a/scripts/caselib.sh
+++ b/scripts/caselib.sh
@@ -38,7 +38,7 @@
 		--service-standin "$ADDR_s1" --service-standin "$ADDR_s2" \
 		--org atlas=atlas-key --org fonografos=fonografos-key \
 		--model verdict --seed "${SEED:-1}" --contexts 4 --turns 6 --context-tokens 4000 --gap 600ms \
-		--service cards --calls 60 --callers 4 --call-gap 300ms --silent-after 15s --max-backoff 500ms \
+		--service cards --calls 60 --callers 4 --call-gap 300ms --silent-after 15s --max-backoff 500ms --log-level debug \
 		"$@" --endings-file "$WORK/endings" --mark-after "$mark" --mark-file "$WORK/mark" \
 		>"$WORK/report" 2>"$WORK/loadgen.log" &
 	track load $!
@@ -63,6 +63,9 @@
 	check "every request is answered or in doubt" "$((R_answered + R_in_doubt))" -eq "$R_requests"
 }
 
+# unnoticed checks that no connection of a caller ended without an answer.
+unnoticed() { check "no caller's connection is cut" "$R_cut" -eq 0; }
+
 # recovered prints the milliseconds from FAULT_AT until the last request that the fault
 # disturbed had its final outcome: one that took over DISTURBED milliseconds. Without a
 # fault none takes so long; a refusal for a moment, as when a partition moves to another
--- a/scripts/cases/platform.sh
+++ b/scripts/cases/platform.sh
@@ -28,6 +28,7 @@
 	outage_begins
 	outage_ends
 	end_load
+	unnoticed
 	check "callers come through within 15 s of its end" "$RECOVERED" -lt 15000
 }
 
@@ -41,6 +42,7 @@
 	fault kv '{"slow_ms":0}'
 	at_fault
 	end_load
+	unnoticed
 	check "no request is in doubt" "$R_in_doubt" -eq 0
 	check "callers come through within 10 s of its end" "$RECOVERED" -lt 10000
 }
@@ -90,6 +92,7 @@
 	at_fault
 	fault kv '{"lose_writes":40}'
 	end_load
+	unnoticed
 	check "no request is in doubt" "$R_in_doubt" -eq 0
 	check "answers were lost" "$(lost_answers)" -eq 40
 }
--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -7,6 +7,7 @@
 	at_fault
 	end_process KILL e2
 	end_load
+	unnoticed
 }
 
 # The open connections to an engine go silent for good while new ones work: something in
@@ -18,6 +19,7 @@
 	fault e1 '{"silent":true}'
 	fault e2 '{"silent":true}'
 	end_load
+	unnoticed
 	check "callers come through within 10 s" "$RECOVERED" -lt 10000
 	check "old connections were thrown away" "$(metric target_connection_resets)" -gt 0
 }
@@ -34,6 +36,7 @@
 	accepted=$(stat "$engine" accepted)
 	check "the engine had work before" "$accepted" -gt 0
 	end_load
+	unnoticed
 	check "a leaving engine gets no new work" "$(stat "$engine" accepted)" -eq "$accepted"
 	RECOVERED=$took
 }
@@ -79,6 +82,7 @@
 	load 30
 	at_fault
 	end_load
+	unnoticed
 	check "answers were swapped" "$(switched e1 swap_answers 200 || echo yes)" = yes
 }
 
@@ -90,6 +94,7 @@
 	at_fault
 	end_process KILL st1
 	end_load
+	unnoticed
 	check "callers come through within 10 s" "$RECOVERED" -lt 10000
 	check "contexts came back from stores" "$(metric imports)" -gt 0
 }
@@ -103,6 +108,7 @@
 	fault st1 '{"full":true}'
 	fault st2 '{"slow":100}'
 	end_load
+	unnoticed
 	check "callers come through within 10 s" "$RECOVERED" -lt 10000
 }
 
@@ -115,6 +121,7 @@
 	fault s1 '{"lose_answers":3}'
 	fault s2 '{"lose_answers":3}'
 	end_load
+	unnoticed
 	check "exactly the lost answers are in doubt" "$R_in_doubt" -eq 6
 }
 
@@ -138,6 +145,7 @@
 	check "at most two engines fell" "$fell" -le 2
 	check "the request did crash engines" "$fell" -ge 1
 	end_load
+	unnoticed
 }
 
 # refuses_poison DAEMON sends the request there.
