--- a/scripts/caselib.sh
+++ b/scripts/caselib.sh
@@ -99,16 +99,19 @@
 	"$BIN/standin" ask "${!address}/fault" "$2" >/dev/null
 }
 
-# switched NAME SWITCH VALUE tells whether a switch of a stand-in stands at a value.
-switched() {
+# switch NAME SWITCH prints where a switch of a stand-in stands.
+switch() {
 	local address=ADDR_$1
-	"$BIN/standin" ask "${!address}/fault" | tr '{,}' '\n\n\n' | grep -Fx "\"$2\":$3" >/dev/null
+	"$BIN/standin" ask "${!address}/fault" | number "$2"
 }
 
+# number FIELD prints a number out of a flat JSON object.
+number() { tr '{,}' '\n\n\n' | awk -F: -v field="\"$1\"" '$1 == field { print $2 + 0 }'; }
+
 # stat NAME FIELD prints a count of an engine.
 stat() {
 	local address=ADDR_$1
-	"$BIN/standin" ask "${!address}/debug/stats" | tr '{,' '\n\n' | awk -F: -v f="\"$2\"" '$1 == f { print $2 + 0 }'
+	"$BIN/standin" ask "${!address}/debug/stats" | number "$2"
 }
 
 # metric NAME prints a counter's sum over the daemons that live.
