--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -1,13 +1,15 @@
 # Faults of model engines and of plain services.
 
-# An engine dies with streams open. They go on elsewhere.
+# An engine dies with streams open. They go on elsewhere, and no caller is told.
 case_engine_killed() {
 	start_cluster
-	load 30
+	load 30 --max-tokens 200
 	at_fault
 	end_process KILL e2
 	end_load
 	unnoticed
+	check "no caller is told that a target failed" "$(grep -cE 'target_failed|truncated_stream' "$WORK/loadgen.log")" -eq 0
+	check "streams went on elsewhere" "$(metric requests_retried)" -gt 0
 }
 
 # The open connections to an engine go silent for good while new ones work: something in
