Order roles and adapters from the targets sheet

Cause: the rollout can change role and adapter, but the table had no column for either. Both columns may be left out of a file, so files in version control stay valid.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/loadgen"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
@@ -85,7 +87,7 @@
 		l.OnSettled = func(settled int) {
 			if settled == 10 && !set {
 				set = true
-				c.setDefaultVersion("v2")
+				c.set(table.SheetModels, "verdict", "default_version", "v2")
 			}
 		}
 	})
@@ -103,10 +105,24 @@
 	c.load(nil)
 }
 
-func (c *cluster) setDefaultVersion(version string) {
+// An operator gives one engine another role and an adapter.
+func TestRoleAndAdapterAreOrdered(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	c.set(table.SheetTargets, "engine-1", "role", "prefill")
+	c.set(table.SheetTargets, "engine-1", "adapter", "fes-dialect")
+	c.await("role and adapter", func() bool {
+		var state engineapi.State
+		c.get("http://"+c.servers[0].Address()+engineapi.PathState, &state)
+		return state.Role == "prefill" && slices.Contains(state.Adapters, "fes-dialect")
+	})
+}
+
+// set edits one cell as an operator does.
+func (c *cluster) set(sheet table.Sheet, id, column, value string) {
+	c.t.Helper()
 	editor := table.NewEditor(table.EditorOptions{KV: c.client(), Who: "operator"})
 	_, err := editor.Set(context.Background(), table.SetRequest{
-		Sheet: table.SheetModels, ID: "verdict", Cells: []table.CellValue{{Column: "default_version", Value: version}},
+		Sheet: sheet, ID: id, Cells: []table.CellValue{{Column: column, Value: value}},
 	})
 	if err != nil {
 		c.t.Error(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/policy/rollout"
 	"github.com/bluebellscale/bluebellscale/internal/table"
@@ -169,7 +171,9 @@
 			continue
 		}
 		rows = append(rows, t)
-		wanted = append(wanted, rollout.Wanted{Target: t.ID, Model: t.Model, Version: sheet.TargetVersion(t)})
+		wanted = append(wanted, rollout.Wanted{
+			Target: t.ID, Model: t.Model, Version: sheet.TargetVersion(t), Adapter: t.Adapter, Role: t.Role,
+		})
 	}
 	return wanted, rows
 }
@@ -202,13 +206,20 @@
 func asWanted(wanted []rollout.Wanted, observed []rollout.Observed) bool {
 	for i, w := range wanted {
 		o := observed[i]
-		if o.Reachable && !o.Leaving && (o.State.Version != w.Version || o.State.Loading != "") {
+		if o.Reachable && !o.Leaving && lacks(o.State, w) {
 			return false
 		}
 	}
 	return true
 }
 
+func lacks(s engineapi.State, w rollout.Wanted) bool {
+	return s.Version != w.Version ||
+		s.Loading != "" ||
+		w.Role != "" && s.Role != w.Role ||
+		w.Adapter != "" && !slices.Contains(s.Adapters, w.Adapter)
+}
+
 // hold acquires the duty's lease, or finds it still valid.
 func (f *Fleet) hold(ctx context.Context) bool {
 	if f.lease != nil && f.lease.Valid() {
--- a/internal/table/csv.go
+++ b/internal/table/csv.go
@@ -108,6 +108,9 @@
 	p.add(0, Problem{Reason: err.Error()})
 }
 
+// leftOut is the place of a column that the file does not have.
+const leftOut = -1
+
 // header finds each column's place and reports columns that are unknown, missing or twice.
 func (p *fileParser) header(names []string) bool {
 	columns := Columns(p.sheet)
@@ -127,7 +130,9 @@
 	p.order = make([]int, len(columns))
 	for i, name := range columns {
 		place, ok := places[name]
-		if !ok {
+		if !ok && mayBeLeftOut(name) {
+			place = leftOut
+		} else if !ok {
 			p.add(1, Problem{Reason: "column " + name + " is missing", Allowed: allowed})
 		}
 		p.order[i] = place
@@ -142,7 +147,9 @@
 	}
 	cells := make([]string, len(p.order))
 	for i, place := range p.order {
-		cells[i] = strings.TrimSpace(record[place])
+		if place != leftOut {
+			cells[i] = strings.TrimSpace(record[place])
+		}
 	}
 	id := cells[0]
 	canonical, wrong := schemaOf(p.sheet).canonical(cells)
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -41,6 +41,8 @@
 	FailureDomain string
 	Model         request.Model   // engines
 	Version       request.Version // engines: the weight version wanted there; empty: the model's default
+	Adapter       string          // engines: the adapter wanted there; empty: any
+	Role          string          // engines: the role wanted there; empty: any
 	Service       string          // plain services: the service's name
 	ChecksFencing bool            // refuses orders with an old epoch
 	Repeatable    bool            // plain services: a call may be sent twice
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -82,8 +82,18 @@
 	boolColumn("checks_fencing", func(t *Target) *bool { return &t.ChecksFencing }),
 	boolColumn("repeatable", func(t *Target) *bool { return &t.Repeatable }),
 	intColumn("capacity", 1, maxCount, func(t *Target) *int { return &t.Capacity }),
+	nameColumn(columnAdapter, true, func(t *Target) *string { return &t.Adapter }),
+	nameColumn(columnRole, true, func(t *Target) *string { return &t.Role }),
 }
 
+// Columns that a file may leave out; their cells are then empty.
+const (
+	columnAdapter = "adapter"
+	columnRole    = "role"
+)
+
+func mayBeLeftOut(column string) bool { return column == columnAdapter || column == columnRole }
+
 var storeSchema = schema[Store]{
 	nameColumn(idColumn, false, func(s *Store) *request.StoreID { return &s.ID }),
 	addressColumn("address", func(s *Store) *string { return &s.Address }),
