--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,7 @@
 	Partitions int
 	Keep       time.Duration // how long a key and its result are kept
 	LeaseTTL   time.Duration
+	Holders    int // daemons that may hold partitions; the others ask the service nothing
 }
 
 // Streams sets the deadlines of target connections.
@@ -206,6 +207,7 @@
 		Partitions: r.integer(s, "partitions", 16, 1, 256),
 		Keep:       r.duration(s, "keep", 24*time.Hour, time.Minute, 30*24*time.Hour),
 		LeaseTTL:   r.duration(s, "lease_ttl", 9*time.Second, 300*time.Millisecond, 10*time.Minute),
+		Holders:    r.integer(s, "holders", 8, 1, 256),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -163,6 +164,7 @@
 		Self:       request.DaemonID(c.Daemon.ID),
 		Address:    d.CallerAddress(),
 		Partitions: c.Journal.Partitions,
+		Standby:    journal.Standby{On: d.onStandby, Likely: d.likelyHolder},
 		Keep:       c.Journal.Keep,
 		Logger:     d.log,
 		Metrics:    d.metrics,
@@ -184,9 +186,35 @@
 	}
 }
 
-// prefersPartition spreads the journal's partitions over the live daemons.
+// journalHolders returns the live daemons that may hold partitions of the journal. The
+// same few do so for as long as they live, however large the fleet is.
+func (d *Daemon) journalHolders() []*peer.Member {
+	return d.members.Rank("journal", d.config.Journal.Holders)
+}
+
+// onStandby tells whether this daemon is none of them.
+func (d *Daemon) onStandby() bool {
+	return !slices.ContainsFunc(d.journalHolders(), d.isSelf)
+}
+
+func (d *Daemon) isSelf(m *peer.Member) bool { return m.Id == d.config.Daemon.ID }
+
+// placeOf spreads the journal's partitions over those daemons.
+func (d *Daemon) placeOf(partition int) *peer.Member {
+	return membership.Place(d.journalHolders(), fmt.Sprintf("journal/%d", partition))
+}
+
 func (d *Daemon) prefersPartition(partition int) bool {
-	return d.isPlace(fmt.Sprintf("journal/%d", partition))
+	place := d.placeOf(partition)
+	return place != nil && d.isSelf(place)
+}
+
+func (d *Daemon) likelyHolder(partition int) (journal.Holder, bool) {
+	place := d.placeOf(partition)
+	if place == nil {
+		return journal.Holder{}, false
+	}
+	return journal.Holder{ID: request.DaemonID(place.Id), Address: place.CallerAddress}, true
 }
 
 // buildPath builds the parts on the way of a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 type Journal interface {
 	Partition(org request.OrgID, key string) int
 	Holder(ctx context.Context, partition int) (journal.Holder, error)
+	// Misplaced is told that the daemon that Holder named refused a call.
+	Misplaced(partition int)
 	Begin(ctx context.Context, call journal.Call) (*journal.Ticket, *journal.Result, error)
 	Finish(ctx context.Context, t *journal.Ticket, r journal.Result) error
 	Abort(ctx context.Context, t *journal.Ticket) error
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -266,6 +266,9 @@
 		g.writeError(w, hopRefusal(err))
 		return
 	}
+	if refusedAs(request.CodeNotHolder, answer.StatusCode, body) {
+		g.opts.Journal.Misplaced(j.partition)
+	}
 	for _, name := range []string{"Content-Type", "Retry-After", headerReplayed} {
 		if v := answer.Header.Get(name); v != "" {
 			w.Header().Set(name, v)
@@ -275,6 +278,15 @@
 	_, _ = w.Write(body)
 }
 
+// refusedAs tells whether a peer's answer is a refusal with a code.
+func refusedAs(code request.Code, status int, body []byte) bool {
+	if status != http.StatusServiceUnavailable {
+		return false
+	}
+	var refusal errorBody
+	return json.Unmarshal(body, &refusal) == nil && refusal.Error.Code == code
+}
+
 // hopRefusal answers a call whose holder could not be asked. If the holder may have
 // got the call it is in doubt here, but the journal knows: the same key asked again
 // gets the answer.
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -117,7 +117,8 @@
 // holder sends a call that must run at most once to the daemon that holds its
 // partition of the journal.
 func (f *identify) holder(ctx context.Context, j *Job) pipeline.Verdict {
-	h, err := f.g.opts.Journal.Holder(ctx, f.g.opts.Journal.Partition(j.org.ID, j.call.key))
+	j.partition = f.g.opts.Journal.Partition(j.org.ID, j.call.key)
+	h, err := f.g.opts.Journal.Holder(ctx, j.partition)
 	if errors.Is(err, journal.ErrNoHolder) {
 		return pipeline.Finish(request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
 			"the journal partition of this key has no holder now"))
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -47,6 +47,7 @@
 	suspect     bool
 	limited     bool // admitted by the limiter
 	forward     *peer.Member
+	partition   int // of the journal, for a call that must run at most once
 	choices     []Choice
 	choice      Choice
 	exclude     map[request.TargetID]bool
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -57,6 +57,7 @@
 	Address    string        // caller address of this daemon
 	Partitions int           // the same for all daemons, for good; zero: 16
 	Keep       time.Duration // for which a key is known after its result, or its try if in doubt; zero: 24 h
+	Standby    Standby       // zero: this daemon always takes part
 	Logger     hclog.Logger
 	Metrics    tally.Scope
 	Now        func() time.Time // nil: time.Now
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -34,6 +34,9 @@
 	if err := j.ensureChecked(ctx); err != nil {
 		return err
 	}
+	if j.onStandby() && !j.holdsAny() {
+		return nil
+	}
 	if err := j.refresh(ctx); err != nil {
 		return err
 	}
@@ -158,6 +161,11 @@
 	if l := w.held(); l != nil && l.Valid() {
 		return Holder{ID: j.opts.Self, Address: j.opts.Address, Epoch: l.Epoch()}, nil
 	}
+	if h, ok := j.likely(w); ok {
+		return h, nil
+	}
+	_, scanned, _ := j.holderOf(w)
+	j.refreshStandby(ctx, scanned)
 	h, scanned, ok := j.holderOf(w)
 	if (!ok || h.ID == j.opts.Self) && j.opts.Now().Sub(scanned) > holderAge {
 		j.rescan(ctx)
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -28,7 +28,8 @@
 	lease      *lease.Lease // nil: not held
 	nextWaiter waiter
 	waiting    map[waiter]chan reply
-	unsure     bool // the outcome of the write under way must be read
+	unsure     bool      // the outcome of the write under way must be read
+	askUntil   time.Time // until then the service is asked for the holder; see Standby
 
 	// For the scan only.
 	unwanted  int // scans in a row at which the partition was preferred elsewhere
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -185,6 +185,35 @@
 	}
 }
 
+// Story: each daemon that gave an order or held a partition once renews its session
+// for ever, and the service's writes grow with the fleet. A session under which nothing
+// is held must end by itself, and one that is in use must not.
+func TestIdleSessionEnds(t *testing.T) {
+	f := kv.NewFake(time.Now)
+	m := lease.NewManager(lease.Options{
+		KV: f.Client("d1"), Self: "d1", TTL: 600 * time.Millisecond, Margin: 50 * time.Millisecond,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	var runs sync.WaitGroup
+	runs.Go(func() { _ = m.Run(ctx) })
+	defer runs.Wait()
+	defer stop()
+	l, err := m.Acquire(ctx, "fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for m.State().(lease.State).Session != "" {
+		time.Sleep(time.Millisecond)
+	}
+	again, err := m.Acquire(ctx, "fleet")
+	if err != nil || again.Epoch() <= l.Epoch() {
+		t.Fatalf("after the rest: %+v, %v", again, err)
+	}
+}
+
 // In real time the manager keeps its session, and ends its leases when the service
 // goes away.
 func TestRunKeepsAndLoses(t *testing.T) {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -48,6 +48,7 @@
 	held      map[string]*Lease
 	unsettled map[string]platform.Revision  // names whose record may wrongly name this session, with the revision that the write in question expected
 	former    map[platform.LeaseID]struct{} // sessions of this process that it gave up
+	idle      int                           // beats in a row at which nothing was held
 }
 
 // NewManager returns a manager without a session; the first Beat or Acquire starts one.
@@ -94,11 +95,46 @@
 func (m *Manager) beatOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.TTL)
 	defer cancel()
+	if m.rest(ctx) {
+		return
+	}
 	if err := m.Beat(ctx); err != nil {
 		m.opts.Logger.Warn("Session not renewed.", "error", err)
 	}
 }
 
+// idleBeats is how many beats in a row a session is kept although nothing is held.
+const idleBeats = 2 * beatsPerTTL
+
+// rest ends a session under which nothing has been held for a while, and reports that
+// there is none to renew. The service's calls so grow with the holders of names, not
+// with the processes; the next Acquire starts a session.
+//
+// It does not wait for a claim under way: with a slow service that would hold up the
+// renewal, and leases that are held would lapse.
+func (m *Manager) rest(ctx context.Context) bool {
+	if !m.acquiring.TryLock() {
+		return false
+	}
+	defer m.acquiring.Unlock()
+	m.mu.Lock()
+	used := len(m.held)+len(m.unsettled) > 0
+	none := m.session == nil
+	m.idle++
+	if used {
+		m.idle = 0
+	}
+	idle := m.idle
+	m.mu.Unlock()
+	if used || none || idle < idleBeats {
+		return none && !used
+	}
+	if err := m.Close(ctx); err != nil {
+		m.opts.Logger.Warn("Idle session not closed; it lapses", "error", err)
+	}
+	return true
+}
+
 func every(ctx context.Context, d time.Duration, do func()) {
 	tick := time.NewTicker(d)
 	defer tick.Stop()
