--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -155,7 +155,7 @@
 	for {
 		err := j.timedScan(ctx)
 		if errors.Is(err, ErrPartitions) {
-			j.logger.Error("Journal not run.", "error", err)
+			j.logger.Error("Journal not run", "error", err)
 			<-ctx.Done()
 			return err
 		}
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -148,7 +148,7 @@
 func (w *worker) tryTake(ctx context.Context) {
 	err := w.take(ctx)
 	if err != nil && !errors.Is(err, lease.ErrHeld) {
-		w.j.logger.Warn("Partition not taken.", "partition", w.index, "error", err)
+		w.j.logger.Warn("Partition not taken", "partition", w.index, "error", err)
 	}
 }
 
@@ -183,6 +183,6 @@
 		return
 	}
 	if err := j.refresh(ctx); err != nil {
-		j.logger.Warn("Holders not read.", "error", err)
+		j.logger.Warn("Holders not read", "error", err)
 	}
 }
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -88,7 +88,7 @@
 	}
 	w.j.logger.Info(why, "partition", w.index, "epoch", l.Epoch())
 	if err := l.Release(ctx); err != nil {
-		w.j.logger.Warn("Lease not released.", "partition", w.index, "error", err)
+		w.j.logger.Warn("Lease not released", "partition", w.index, "error", err)
 	}
 	w.j.expireHolders()
 }
@@ -166,12 +166,12 @@
 func (w *worker) load(ctx context.Context, l *lease.Lease) progress {
 	entries, _, err := w.j.opts.KV.List(ctx, partitionPrefix(w.index))
 	if err != nil {
-		w.j.logger.Warn("Partition not read.", "partition", w.index, "error", err)
+		w.j.logger.Warn("Partition not read", "partition", w.index, "error", err)
 		return progressFailed
 	}
 	r, err := parseRecord(w.index, entries)
 	if err != nil {
-		w.j.logger.Error("Partition unreadable.", "partition", w.index, "error", err)
+		w.j.logger.Error("Partition unreadable", "partition", w.index, "error", err)
 		return progressFailed
 	}
 	if r.head.Epoch > l.Epoch() {
@@ -185,7 +185,7 @@
 	}
 	w.core.load(l.Epoch(), r.revision, r.head, r.pages, r.orphans)
 	w.signal()
-	w.j.logger.Info("Partition loaded.", "partition", w.index, "epoch", l.Epoch(), "keys", len(w.core.headEntries)+len(w.core.paged))
+	w.j.logger.Info("Partition loaded", "partition", w.index, "epoch", l.Epoch(), "keys", len(w.core.headEntries)+len(w.core.paged))
 	return progressPrepare
 }
 
@@ -203,7 +203,7 @@
 		w.setUnsure(wr)
 		return w.readBack(ctx, wr)
 	}
-	w.j.logger.Warn("Partition not written.", "partition", w.index, "error", err)
+	w.j.logger.Warn("Partition not written", "partition", w.index, "error", err)
 	return w.retry(wr)
 }
 
@@ -225,7 +225,7 @@
 	w.mu.Unlock()
 	for _, page := range obsolete {
 		if err := w.j.opts.KV.Delete(ctx, pageKey(w.index, page.ref.Name), page.revision); err != nil {
-			w.j.logger.Debug("Page not deleted.", "partition", w.index, "page", page.ref.Name, "error", err)
+			w.j.logger.Debug("Page not deleted", "partition", w.index, "page", page.ref.Name, "error", err)
 		}
 	}
 	if wr.page != nil {
@@ -259,7 +259,7 @@
 	case errors.Is(err, platform.ErrNotFound):
 		return w.retry(wr)
 	case err != nil:
-		w.j.logger.Warn("Write not settled.", "partition", w.index, "error", err)
+		w.j.logger.Warn("Write not settled", "partition", w.index, "error", err)
 		w.signal()
 		return progressFailed
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.opts.TTL)
 	defer cancel()
 	if err := m.Beat(ctx); err != nil {
-		m.opts.Logger.Warn("Session not renewed.", "error", err)
+		m.opts.Logger.Warn("Session not renewed", "error", err)
 	}
 }
 
@@ -233,7 +233,7 @@
 	m.held[l.name] = l
 	delete(m.unsettled, l.name)
 	m.opts.Metrics.Counter("acquired").Inc(1)
-	m.opts.Logger.Info("Lease acquired.", "name", l.name, "epoch", l.epoch)
+	m.opts.Logger.Info("Lease acquired", "name", l.name, "epoch", l.epoch)
 	return nil
 }
 
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -82,7 +82,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.session = s
-	m.opts.Logger.Info("Session started.", "session", id)
+	m.opts.Logger.Info("Session started", "session", id)
 	return nil
 }
 
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -153,7 +153,7 @@
 	if answer.text == want && answer.usage != nil && answer.usage.CompletionTokens == body.MaxTokens {
 		return outcomeAnswered
 	}
-	d.log.Error("wrong answer", "org", org.ID, "got", len(answer.text), "want", len(want), "usage", answer.usage)
+	d.log.Error("Wrong answer", "org", org.ID, "got", len(answer.text), "want", len(want), "usage", answer.usage)
 	return outcomeWrong
 }
 
@@ -183,7 +183,7 @@
 	}
 	var result service.Answer
 	if o == outcomeAnswered && (json.Unmarshal(answer, &result) != nil || result.Key != key || result.Bytes != len(body)) {
-		d.log.Error("wrong result", "key", key, "got", string(answer))
+		d.log.Error("Wrong result", "key", key, "got", string(answer))
 		o = outcomeWrong
 	}
 	d.ended(start, tries, o)
@@ -226,7 +226,7 @@
 			return outcomeAnswered, tries
 		}
 		if ctx.Err() != nil {
-			d.log.Warn("patience ended", "address", address, "error", err)
+			d.log.Warn("Caller gave up", "address", address, "error", err)
 			return last, tries
 		}
 		wait := DefaultBackoff
@@ -235,13 +235,13 @@
 			d.tally.refusal()
 			last = outcomeOf(r)
 			if isFinal(err, r) {
-				d.log.Debug("final refusal", "address", address, "error", err)
+				d.log.Debug("Final refusal", "address", address, "error", err)
 				return last, tries
 			}
-			d.log.Debug("refused, tries again", "address", address, "error", err)
+			d.log.Debug("Refused, tries again", "address", address, "error", err)
 			wait = d.backoff(r)
 		} else {
-			d.log.Debug("no answer", "address", address, "error", err)
+			d.log.Debug("No answer", "address", address, "error", err)
 			d.tally.lostConnection()
 			d.router.fail(address)
 			last = outcomeUnanswered
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -37,7 +37,7 @@
 // New returns a Service that does nothing before Run but answer its peers.
 func New(o Options) *Service {
 	s := &Service{options: withDefaults(o)}
-	s.log = s.options.Logger
+	s.log = s.options.Logger.Named("membership")
 	s.metrics = s.options.Metrics
 	s.client = s.options.Client
 	s.now = s.options.Now
@@ -128,7 +128,7 @@
 	defer s.refresh()
 	if err != nil {
 		s.metrics.Counter("exchanges_failed").Inc(1)
-		s.log.Debug("no answer", "peer", to.ID, "address", to.Address, "error", err)
+		s.log.Debug("Peer did not answer", "peer", to.ID, "address", to.Address, "error", err)
 		s.node.core.OnFailure(s.now(), to)
 		return nil, false
 	}
@@ -173,7 +173,7 @@
 		response, err := s.peer(p.from.Address).Pages(call, s.node.pagesRequest())
 		cancel()
 		if err != nil {
-			s.log.Debug("pages not pulled", "peer", p.from.ID, "error", err)
+			s.log.Debug("Pages not pulled", "peer", p.from.ID, "error", err)
 			return
 		}
 		if s.options.Replica.Merge(response.Pages) == 0 {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -32,7 +32,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(s.infos()); err != nil {
-			s.log.Debug("members not sent", "error", err)
+			s.log.Debug("Members not sent", "error", err)
 		}
 	})
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,10 +42,10 @@
 	s.view.Store(fresh)
 	s.metrics.Gauge("members_live").Update(float64(len(fresh.live)))
 	if old != nil && len(old.live) != len(fresh.live) {
-		s.log.Info("members changed", "live", len(fresh.live), "known", len(fresh.members))
+		s.log.Info("Members changed", "live", len(fresh.live), "known", len(fresh.members))
 	}
 	if core.Replaced() {
-		s.log.Error("another process runs under this id", "id", core.self.Id)
+		s.log.Error("Another process runs under this id", "id", core.self.Id)
 	}
 }
 
--- a/internal/membership/vms.go
+++ b/internal/membership/vms.go
@@ -15,7 +15,7 @@
 		if err == nil {
 			s.takeVMs(vms)
 		} else if ctx.Err() == nil {
-			s.log.Warn("no VM list", "error", err)
+			s.log.Warn("VM list was not read", "error", err)
 		}
 		pause(ctx, s.options.VMInterval)
 	}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -186,7 +186,7 @@
 func (s *stage[J]) guard(f func() Verdict) (v Verdict) {
 	defer func() {
 		if r := recover(); r != nil {
-			s.pipeline.log.Error("filter panicked", "filter", s.filter.Name(), "panic", r, "stack", string(debug.Stack()))
+			s.pipeline.log.Error("Filter panicked", "filter", s.filter.Name(), "panic", r, "stack", string(debug.Stack()))
 			v = Finish(errors.Mark(errors.Newf("filter %s: %v", s.filter.Name(), r), ErrPanic))
 		}
 	}()
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -159,7 +159,7 @@
 	}
 	if w.ambiguous {
 		w.client.metrics.Counter("uncertain").Inc(1)
-		w.client.logger.Warn("Write outcome unknown.", "key", w.body.Key, "error", err)
+		w.client.logger.Warn("Write outcome unknown", "key", w.body.Key, "error", err)
 		return errors.Mark(err, ErrUncertain)
 	}
 	if errors.Is(err, ErrBudget) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -275,7 +275,7 @@
 	}
 	c.mu.Unlock()
 	old.CloseIdleConnections()
-	c.log.Warn("call ran out of time, connections dropped")
+	c.log.Warn("Call ran out of time; connections are dropped")
 }
 
 func objectPath(name string) string { return storeapi.PathObjects + url.PathEscape(name) }
--- a/internal/table/apply.go
+++ b/internal/table/apply.go
@@ -85,7 +85,7 @@
 			return result, err
 		}
 	}
-	e.log.Info("table written", "rows", result.Written, "revision", result.Revision)
+	e.log.Info("Table written", "rows", result.Written, "revision", result.Revision)
 	return result, nil
 }
 
@@ -139,7 +139,7 @@
 		// settles it: an edit of ours carries our stamp in the row's history, and a row
 		// that somebody else edited is at another revision than the one seen.
 		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUncertain) {
-			e.log.Debug("page read again", "page", group.name, "reason", err)
+			e.log.Debug("Page read again", "page", group.name, "reason", err)
 			continue
 		}
 		if err != nil {
--- a/internal/table/replica.go
+++ b/internal/table/replica.go
@@ -96,7 +96,7 @@
 		}
 		live, err := decodeLive(p.Name, p.Revision, p.Value)
 		if err != nil {
-			r.log.Error("page refused", "page", p.Name, "revision", p.Revision, "error", err)
+			r.log.Error("Page refused", "page", p.Name, "revision", p.Revision, "error", err)
 			r.metrics.Counter("table_pages_refused").Inc(1)
 			refused++
 			continue
@@ -115,7 +115,7 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 	r.metrics.Gauge("table_revision").Update(float64(s.revision))
-	r.log.Info("table changed", "revision", s.revision, "hash", s.hash)
+	r.log.Info("Table changed", "revision", s.revision, "hash", s.hash)
 }
 
 // Digest returns the hash over all pages and each page's revision, ordered by name.
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -100,7 +100,7 @@
 	}
 	if err := l.read(ctx, wait); err != nil {
 		if ctx.Err() == nil {
-			l.replica.log.Warn("read failed", "error", err)
+			l.replica.log.Warn("Table was not read", "error", err)
 			l.replica.metrics.Counter("table_read_errors").Inc(1)
 		}
 		return l.pause.NextBackOff()
@@ -196,7 +196,7 @@
 	for _, entry := range entries {
 		name := strings.TrimPrefix(entry.Key, KeyPrefix)
 		if entry.Deleted {
-			r.log.Error("page deleted from the service, kept here", "page", name)
+			r.log.Error("Page was deleted from the service; it is kept here", "page", name)
 			continue
 		}
 		pages = append(pages, &peer.Page{Name: name, Revision: uint64(entry.Revision), Value: entry.Value})
--- a/internal/table/state.go
+++ b/internal/table/state.go
@@ -60,7 +60,7 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(r.State(r.now())); err != nil {
-			r.log.Debug("state not sent", "error", err)
+			r.log.Debug("State not sent", "error", err)
 		}
 	})
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -288,7 +288,7 @@
 func (c *Client) fail(op string, kind error, notStarted bool, cause error) error {
 	c.metrics.Counter("failures").Inc(1)
 	if !errors.Is(kind, ErrCanceled) {
-		c.log.Debug("call failed", "op", op, "kind", kind, "not_started", notStarted, "cause", cause)
+		c.log.Debug("Call failed", "op", op, "kind", kind, "not_started", notStarted, "cause", cause)
 	}
 	return &Error{Target: c.o.ID, Op: op, Kind: kind, NotStarted: notStarted, Cause: cause}
 }
--- a/internal/target/connections.go
+++ b/internal/target/connections.go
@@ -93,7 +93,7 @@
 func (c *Client) ResetConnections() {
 	c.connections.reset()
 	c.metrics.Counter("connection_resets").Inc(1)
-	c.log.Info("connections reset")
+	c.log.Info("Connections reset")
 }
 
 // Probe makes a fresh connection and asks for any answer. It tells a target that is
