--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if err := m.Beat(ctx); err != nil {
-		m.opts.Logger.Warn("Session not renewed.", "error", err)
+		m.opts.Logger.Warn("Session not renewed", "error", err)
 	}
 }
 
@@ -269,7 +269,7 @@
 	m.held[l.name] = l
 	delete(m.unsettled, l.name)
 	m.opts.Metrics.Counter("acquired").Inc(1)
-	m.opts.Logger.Info("Lease acquired.", "name", l.name, "epoch", l.epoch)
+	m.opts.Logger.Info("Lease acquired", "name", l.name, "epoch", l.epoch)
 	return nil
 }
 
