--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -94,6 +94,9 @@
 // Before the manifest exists no reader can find the blocks, so an export that stops
 // half way leaves garbage but never half a context.
 func (p *Planner) commit(ctx context.Context, c gateway.Context, id request.StoreID, address string, m store.Manifest) error {
+	if err := m.Check(c.Scope, c.Chain); err != nil {
+		return err
+	}
 	if err := p.stores.client(id, address).PutManifest(ctx, m); err != nil {
 		return err
 	}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -10,6 +10,8 @@
 var (
 	// ErrMiss reports content that cannot be used; errors.As to *MissError says why.
 	ErrMiss = errors.New("store: miss")
+	// ErrBadManifest reports a manifest that must not be committed.
+	ErrBadManifest = errors.New("store: bad manifest")
 	// ErrFull reports that the store VM has no room.
 	ErrFull = errors.New("store: full")
 	// ErrPinned reports an object that cannot be freed yet.
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -68,6 +68,38 @@
 	return out
 }
 
+// Check returns ErrBadManifest unless the manifest belongs to the scope and its blocks
+// are leading blocks of the chain, each with a length and a digest.
+//
+// The failure: an engine answers an export with a gap or with blocks of another
+// context, or the earlier manifest is of another chain. Committed, they would be put
+// under a wrong prefix for every later caller. Why the guard holds: nothing is
+// committed without it, and a block's hash covers its whole prefix.
+func (m Manifest) Check(scope block.Scope, chain []block.Hash) error {
+	if m.Scope() != scope {
+		return errors.Wrap(ErrBadManifest, "other scope")
+	}
+	if len(m.Blocks) == 0 || len(m.Blocks) > len(chain) {
+		return errors.Wrapf(ErrBadManifest, "%d blocks for a chain of %d", len(m.Blocks), len(chain))
+	}
+	for i, b := range m.Blocks {
+		if b.Hash != chain[i] {
+			return errors.Wrapf(ErrBadManifest, "block %d is not the context's", i)
+		}
+	}
+	return m.checkBlocks()
+}
+
+// checkBlocks refuses blocks whose content could not be checked when it is read.
+func (m Manifest) checkBlocks() error {
+	for i, b := range m.Blocks {
+		if b.Length <= 0 || b.Digest == "" {
+			return errors.Wrapf(ErrBadManifest, "block %d has no length or digest", i)
+		}
+	}
+	return nil
+}
+
 // Scope returns what the context belongs to.
 func (m Manifest) Scope() block.Scope {
 	return block.Scope{Org: m.Org, Model: m.Model, Version: m.Version}
@@ -115,7 +147,10 @@
 // PutManifest commits an export. The caller has seen every block's write succeed.
 func (c *Client) PutManifest(ctx context.Context, m Manifest) error {
 	if len(m.Blocks) == 0 {
-		return errors.New("store: manifest without blocks")
+		return errors.Wrap(ErrBadManifest, "no blocks")
+	}
+	if err := m.checkBlocks(); err != nil {
+		return err
 	}
 	inner, err := json.Marshal(m)
 	if err != nil {
@@ -164,7 +199,7 @@
 		return Manifest{}, false
 	}
 	var m Manifest
-	return m, json.Unmarshal(e.Manifest, &m) == nil
+	return m, json.Unmarshal(e.Manifest, &m) == nil && m.checkBlocks() == nil
 }
 
 // nameOf returns a block's name, which carries the generation that wrote it.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -47,7 +47,7 @@
 }
 
 // exportContext has an engine compute and export a context of some blocks.
-func exportContext(t *testing.T, client *store.Client, blocks int) store.Manifest {
+func exportContext(t *testing.T, client *store.Client, blocks int, generation store.Generation) store.Manifest {
 	t.Helper()
 	ctx := testContext(t)
 	scope := block.Scope{Org: "a/b", Model: "verdict", Version: "v1"}
@@ -80,13 +80,13 @@
 	}
 	out, err := target.Export(ctx, engineapi.ExportRequest{
 		StoreAddress: client.Address(),
-		Prefix:       store.Prefix(scope, "g1"),
+		Prefix:       store.Prefix(scope, generation),
 		Blocks:       block.Chain(scope.Salt(), prompt),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return store.Manifest{Org: scope.Org, Model: scope.Model, Version: scope.Version, Generation: "g1", Blocks: out.Written}
+	return store.Manifest{Org: scope.Org, Model: scope.Model, Version: scope.Version, Generation: generation, Blocks: out.Written}
 }
 
 func wantMiss(t *testing.T, err error, reason store.MissReason) {
@@ -102,7 +102,7 @@
 func TestTornAndFreedContentIsAMiss(t *testing.T) {
 	ctx := testContext(t)
 	switches, client := start(t, standin.Options{MemoryBytes: 1 << 20, DiskBytes: 1 << 20}, 0)
-	m := exportContext(t, client, 4)
+	m := exportContext(t, client, 4, "g1")
 	if len(m.Blocks) != 4 {
 		t.Fatalf("exported %d blocks", len(m.Blocks))
 	}
@@ -159,14 +159,14 @@
 	ctx := testContext(t)
 	room := standin.Options{MemoryBytes: 3 * block.TokensPerBlock}
 	_, client := start(t, room, 0)
-	partial := exportContext(t, client, 6)
+	partial := exportContext(t, client, 6, "g1")
 	status, err := client.Status(ctx)
 	if err != nil || len(partial.Blocks) > 3 || status.MemoryUsed != partial.Bytes() {
 		t.Fatalf("listed %d blocks, status %+v: %v", len(partial.Blocks), status, err)
 	}
 
 	_, client = start(t, room, 0)
-	whole := exportContext(t, client, 3)
+	whole := exportContext(t, client, 3, "g1")
 	if len(whole.Blocks) != 3 {
 		t.Fatalf("exported %d blocks into room for 3", len(whole.Blocks))
 	}
