planner: find a context's export by depth where many share a head

Cause: a search listed exports by the first block's hash, 64 at most, the longest unused first. Where an organisation's prompts share a long text, the context that returns soon is never among them.

Only when the list is cut are exports asked for depth by depth, so a context whose head is its own costs one list as before. What remains: a context less than a quarter longer than the text that it shares with more than 64 others may still be missed.

--- a/internal/planner/recover.go
+++ b/internal/planner/recover.go
@@ -17,7 +17,7 @@
 const (
 	// recoverTimeout bounds the search for a context's exports.
 	recoverTimeout = 200 * time.Millisecond
-	// maxRecovered is how many exports of contexts with one head are looked at.
+	// maxRecovered is how many exports one list may hold.
 	maxRecovered = 64
 )
 
@@ -60,15 +60,50 @@
 }
 
 // search returns the longest export in one store VM that is a head of the prompt.
+//
+// The failure: an organisation's prompts all begin with one long text, so that the
+// exports of all its contexts have the same first block. A list of these is cut, the
+// longest unused come first, and a context that returns soon is never among them: it is
+// computed again although its export lies there. Why the guard holds: if the list was
+// cut, exports are asked for by the deepest block that they can share with the prompt,
+// then by the next depth above. Contexts that share a depth are few unless the common
+// text is longer than four fifths of them.
 func (p *Planner) search(ctx context.Context, s *table.Store, c gateway.Context, positions map[block.Hash]int) (found, bool) {
-	client := p.stores.client(s.ID, s.Address)
-	prefix := store.PrefixOfGenerations(c.Scope, generationStart(c.Chain))
-	listed, err := client.List(ctx, prefix, store.ManifestMark, maxRecovered)
+	best, all, err := p.list(ctx, s, c, store.ManifestMark, positions)
 	if err != nil {
 		p.log.Debug("Store was not searched", "store", s.ID, "error", err)
 		return found{}, false
 	}
-	var best found
+	if all {
+		return best, best.copy.Blocks > 0
+	}
+	for depth := depthOf(len(c.Chain)); depth > 1; depth = depthOf(depth - 1) {
+		deeper, _, err := p.list(ctx, s, c, depthMark(c.Chain[:depth])+store.ManifestMark, positions)
+		if err != nil {
+			p.log.Debug("Store was not searched to the end", "store", s.ID, "depth", depth, "error", err)
+			break
+		}
+		if deeper.copy.Blocks > best.copy.Blocks {
+			best = deeper
+		}
+		if best.copy.Blocks >= depth {
+			break // those of lesser depth are shorter
+		}
+	}
+	return best, best.copy.Blocks > 0
+}
+
+// list returns the longest export whose name contains a mark and that is a head of the
+// prompt, and whether the store VM listed all that have it.
+func (p *Planner) list(
+	ctx context.Context, s *table.Store, c gateway.Context, mark string, positions map[block.Hash]int,
+) (best found, all bool, err error) {
+	client := p.stores.client(s.ID, s.Address)
+	prefix := store.PrefixOfGenerations(c.Scope, generationStart(c.Chain))
+	listed, err := client.List(ctx, prefix, mark, maxRecovered)
+	if err != nil {
+		return found{}, false, err
+	}
 	for _, l := range listed {
 		ref, err := parseReference(l.Name)
 		if err != nil || ref.scope != c.Scope {
@@ -78,7 +113,7 @@
 			best = p.foundOf(s.ID, c.Scope.Model, l, blocks)
 		}
 	}
-	return best, best.copy.Blocks > 0
+	return best, len(listed) < maxRecovered, nil
 }
 
 func (p *Planner) foundOf(id request.StoreID, model request.Model, l storeapi.Listed, blocks int) found {
