Take forwarded requests on the peers' address only

Cause: a caller could send the header that marks a forwarded request and choose its identity, so that a target would know two organisations' requests by one name and one caller could resume or cancel the other's stream. Found by reading. Ruled out: a secret in the header, spread by gossip; the peers' address exists and callers must not reach it anyway. A planned stop now also lets forwarded requests finish. TestCallerCanNotPoseAsAPeer took the caller's word before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -151,7 +151,7 @@
 	d.leases = lease.NewManager(lease.Options{
 		KV:                d.kv,
 		Self:              request.DaemonID(c.Daemon.ID),
-		Address:           d.CallerAddress(),
+		Address:           d.PeerAddress(),
 		TTL:               c.Journal.LeaseTTL,
 		Margin:            c.Journal.LeaseTTL / leaseMarginShare,
 		WaitAfterTakeover: c.Fleet.OrderTimeout,
@@ -162,7 +162,7 @@
 		KV:         d.kv,
 		Leases:     d.leases,
 		Self:       request.DaemonID(c.Daemon.ID),
-		Address:    d.CallerAddress(),
+		Address:    d.PeerAddress(),
 		Partitions: c.Journal.Partitions,
 		Standby:    journal.Standby{On: d.onStandby, Likely: d.likelyHolder},
 		Keep:       c.Journal.Keep,
@@ -214,7 +214,7 @@
 	if place == nil {
 		return journal.Holder{}, false
 	}
-	return journal.Holder{ID: request.DaemonID(place.Id), Address: place.CallerAddress}, true
+	return journal.Holder{ID: request.DaemonID(place.Id), Address: place.PeerAddress}, true
 }
 
 // buildPath builds the parts on the way of a request.
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -46,6 +46,7 @@
 	mux.Handle(gossip.PathPrefix(), gossip)
 	stewards := peer.NewStewardServer(stewardServer{Server: d.stewards.Server(), slices: d.limiter})
 	mux.Handle(stewards.PathPrefix(), stewards)
+	mux.Handle("/v1/", d.gateway.HopHandler())
 	mux.Handle("GET /metrics", d.scrape)
 	mux.Handle(table.StatePath, table.StateHandler(d.table))
 	mux.HandleFunc("GET /debug/state", d.dump(func() any { return d.State() }))
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -130,9 +130,11 @@
 	time.Sleep(keep)
 	ctx, cancel := context.WithTimeout(context.Background(), d.config.Drain.Limit)
 	defer cancel()
-	if err := callers.http.Shutdown(ctx); err != nil {
-		d.log.Error("Requests were cut off at the limit of the planned stop", "in_flight", d.gateway.InFlight(), "error", err)
-		_ = callers.http.Close()
+	for _, s := range []*server{callers, peers} {
+		if err := s.http.Shutdown(ctx); err != nil {
+			d.log.Error("Requests were cut off at the limit of the planned stop", "in_flight", d.gateway.InFlight(), "error", err)
+			_ = s.http.Close()
+		}
 	}
 	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancelRelease()
@@ -142,7 +144,6 @@
 	if err := d.leases.Close(release); err != nil {
 		d.log.Warn("Leases were not released; they lapse", "error", err)
 	}
-	_ = peers.http.Close()
 }
 
 func (d *Daemon) close() {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -26,7 +27,6 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderRequestID carries the id that the accepting daemon gave to a request.
 	HeaderRequestID = "X-Request-Id"
-	headerHop       = "X-Bluebellscale-Hop"
 )
 
 const (
@@ -55,12 +55,38 @@
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/route", g.handleRoute)
-	mux.HandleFunc("POST /v1/completions", g.handleCompletion)
-	mux.HandleFunc("/v1/services/{name}", g.handleService)
-	mux.HandleFunc("/v1/services/{name}/{rest...}", g.handleService)
+	g.handleRequests(mux)
 	return mux
 }
 
+// HopHandler returns the interface for requests that peers forward. It must not be
+// reachable by callers: a forwarded request keeps the identity that the first daemon
+// gave it, and a caller that could choose one might meet another organisation's stream.
+func (g *Gateway) HopHandler() http.Handler {
+	mux := http.NewServeMux()
+	g.handleRequests(mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), hopKey{}, true)))
+	})
+}
+
+// hopKey marks the context of a request that a peer forwarded.
+type hopKey struct{}
+
+func isHop(r *http.Request) bool { return r.Context().Value(hopKey{}) != nil }
+
+func (g *Gateway) handleRequests(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+pathCompletions, g.handleCompletion)
+	mux.HandleFunc(pathServices+"{name}", g.handleService)
+	mux.HandleFunc(pathServices+"{name}/{rest...}", g.handleService)
+}
+
+// Paths of requests, the same for callers and for peers.
+const (
+	pathCompletions = "/v1/completions"
+	pathServices    = "/v1/services/"
+)
+
 func (g *Gateway) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	body, refusal := g.readBody(w, r)
 	if refusal != nil {
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -73,13 +73,12 @@
 // most once would otherwise reach the journal twice without our knowing.
 func (c *hopClient) send(ctx context.Context, to *peer.Member, method, path string, j *Job) (*http.Response, error) {
 	body := io.NopCloser(bytes.NewReader(j.body))
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.CallerAddress+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.PeerAddress+path, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: hop")
 	}
 	req.ContentLength = int64(len(j.body))
 	req.GetBody = nil
-	req.Header.Set(headerHop, "1")
 	req.Header.Set(HeaderRequestID, string(j.id))
 	req.Header.Set("Authorization", "Bearer "+j.bearer)
 	req.Header.Set("Content-Type", j.call.contentType)
@@ -137,7 +136,7 @@
 	defer cancel()
 	watch := time.AfterFunc(g.opts.HopSilentAfter, cancel)
 	defer watch.Stop()
-	answer, err := g.hops.send(ctx, j.forward, http.MethodPost, "/v1/completions", j)
+	answer, err := g.hops.send(ctx, j.forward, http.MethodPost, pathCompletions, j)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -137,7 +137,7 @@
 		return pipeline.Finish(request.Refuse(request.CodeNotHolder, http.StatusServiceUnavailable, retryWhenNoHolder,
 			"the journal partition of this key has moved"))
 	}
-	j.forward = &peer.Member{Id: string(h.ID), CallerAddress: h.Address}
+	j.forward = &peer.Member{Id: string(h.ID), PeerAddress: h.Address}
 	return pipeline.Finish(nil)
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -94,7 +94,7 @@
 		ctx:     r.Context(),
 		decided: make(chan error, 1),
 		arrived: time.Now(),
-		hopped:  r.Header.Get(headerHop) != "",
+		hopped:  isHop(r),
 		bearer:  bearerOf(r),
 		kind:    k,
 		body:    body,
--- a/internal/gateway/sink_test.go
+++ b/internal/gateway/sink_test.go
@@ -146,3 +146,30 @@
 		}
 	})
 }
+
+// A caller names its request after another organisation's, as if a peer had forwarded
+// it. Taken at its word, its target would know two requests by one name, and one
+// caller could resume or cancel the other's stream.
+func TestCallerCanNotPoseAsAPeer(t *testing.T) {
+	g := &Gateway{opts: Options{DefaultDeadline: time.Second}}
+	var hopped *Job
+	for _, peer := range []bool{false, true} {
+		r := httptest.NewRequest(http.MethodPost, pathCompletions, nil)
+		r.Header.Set(HeaderRequestID, "victim")
+		r.Header.Set("X-Bluebellscale-Hop", "1")
+		if peer {
+			r = r.WithContext(context.WithValue(r.Context(), hopKey{}, true))
+		}
+		j := newJob(r, kindCompletion, nil)
+		if refusal := g.bound(r, j); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if !peer && (j.hopped || j.id == "victim") {
+			t.Fatalf("a caller's request is %q, hopped %v", j.id, j.hopped)
+		}
+		hopped = j
+	}
+	if !hopped.hopped || hopped.id != "victim" {
+		t.Fatalf("a peer's request is %q, hopped %v", hopped.id, hopped.hopped)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -54,7 +54,7 @@
 	KV         platform.KV
 	Leases     *lease.Manager
 	Self       request.DaemonID
-	Address    string        // caller address of this daemon
+	Address    string        // peer address of this daemon
 	Partitions int           // the same for all daemons, for good; zero: 16
 	Keep       time.Duration // for which a key is known after its result, or its try if in doubt; zero: 24 h
 	Standby    Standby       // zero: this daemon always takes part
@@ -66,7 +66,7 @@
 // Holder is the daemon that holds a partition.
 type Holder struct {
 	ID      request.DaemonID
-	Address string // caller address
+	Address string // peer address
 	Epoch   uint64
 }
 
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -25,7 +25,7 @@
 type Options struct {
 	KV      platform.KV
 	Self    request.DaemonID
-	Address string        // caller address of this process, told to others
+	Address string        // peer address of this process, told to others
 	TTL     time.Duration // of the session; zero: 10 s
 	Margin  time.Duration // for clock rates and delays, taken off the TTL; zero: 2 s
 	// WaitAfterTakeover is how long the new holder of a name that was not released
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -45,7 +45,7 @@
 // Holder is the process that holds a name.
 type Holder struct {
 	ID      request.DaemonID
-	Address string // caller address
+	Address string // peer address
 	Epoch   uint64
 }
 
