--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -34,6 +34,9 @@
 	if err := j.ensureChecked(ctx); err != nil {
 		return err
 	}
+	if j.onStandby() && !j.holdsAny() {
+		return nil
+	}
 	if err := j.refresh(ctx); err != nil {
 		return err
 	}
@@ -148,7 +151,7 @@
 func (w *worker) tryTake(ctx context.Context) {
 	err := w.take(ctx)
 	if err != nil && !errors.Is(err, lease.ErrHeld) {
-		w.j.logger.Warn("Partition not taken.", "partition", w.index, "error", err)
+		w.j.logger.Warn("Partition not taken", "partition", w.index, "error", err)
 	}
 }
 
@@ -158,6 +161,11 @@
 	if l := w.held(); l != nil && l.Valid() {
 		return Holder{ID: j.opts.Self, Address: j.opts.Address, Epoch: l.Epoch()}, nil
 	}
+	if h, ok := j.likely(w); ok {
+		return h, nil
+	}
+	_, scanned, _ := j.holderOf(w)
+	j.refreshStandby(ctx, scanned)
 	h, scanned, ok := j.holderOf(w)
 	if (!ok || h.ID == j.opts.Self) && j.opts.Now().Sub(scanned) > holderAge {
 		j.rescan(ctx)
@@ -183,6 +191,6 @@
 		return
 	}
 	if err := j.refresh(ctx); err != nil {
-		j.logger.Warn("Holders not read.", "error", err)
+		j.logger.Warn("Holders not read", "error", err)
 	}
 }
