--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 schedules: build
 	$(BIN)/schedules
 
+# What control and relaying cost, with separate processes: about six minutes.
+bench-control: build
+	$(BIN)/benchcontrol --bin $(BIN)
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
 proto:
 	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
--- a/cmd/benchcontrol/main.go
+++ b/cmd/benchcontrol/main.go
@@ -18,7 +18,7 @@
 	app := &cli.App{
 		Name:      "benchcontrol",
 		Usage:     "measure what control costs",
-		ArgsUsage: "[PART...] of fleet, inforce, targets, table, relay; none: all",
+		ArgsUsage: "[PART...] of fleet, inforce, targets, table, looks, relay; none: all",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the programs"},
 		},
--- a/internal/controlbench/cluster.go
+++ b/internal/controlbench/cluster.go
@@ -65,8 +65,10 @@
 	kv      *process
 	vmList  *process
 	daemons []*process
-	editor  *table.Editor
-	client  *http.Client
+	// services are the stand-ins of a plain service.
+	services []*process
+	editor   *table.Editor
+	client   *http.Client
 }
 
 func newCluster(ctx context.Context, bin string) (*cluster, error) {
@@ -196,6 +198,7 @@
 		if err != nil {
 			return "", err
 		}
+		c.services = append(c.services, p)
 		rows.WriteString(serviceRow(name, p.addresses[0]))
 	}
 	return rows.String(), nil
--- a/internal/controlbench/fleet.go
+++ b/internal/controlbench/fleet.go
@@ -63,14 +63,26 @@
 	return nil
 }
 
-// startLoad starts callers that go on until they are stopped.
+// startLoad starts callers of prompts and of a plain service that go on until they are
+// stopped.
 func (c *cluster) startLoad(daemons int) (*process, error) {
 	args := []string{
-		"--org", benchOrg + "=" + benchKey, "--org", "fonografos=other-key", "--model", benchModel,
-		"--contexts", strconv.Itoa(contextsPerDaemon * daemons), "--turns", "100000",
-		"--context-tokens", "2000", "--gap", "500ms",
+		"--org", "fonografos=other-key",
 		"--service", benchService, "--calls", "1000000", "--callers", strconv.Itoa(callersPerDaemon * daemons), "--call-gap", "500ms",
 	}
+	for _, s := range c.services {
+		args = append(args, "--service-standin", s.addresses[0])
+	}
+	return c.startPrompts(daemons, args...)
+}
+
+// startPrompts starts callers of prompts; args are added to their flags.
+func (c *cluster) startPrompts(daemons int, args ...string) (*process, error) {
+	args = append(args,
+		"--org", benchOrg+"="+benchKey, "--model", benchModel,
+		"--contexts", strconv.Itoa(contextsPerDaemon*daemons), "--turns", "100000",
+		"--context-tokens", "2000", "--gap", "500ms",
+	)
 	for _, d := range c.daemons {
 		args = append(args, "--daemon", d.addresses[0])
 	}
