--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 schedules: build
 	$(BIN)/schedules
 
+# What control and relaying cost, with separate processes: about six minutes.
+bench-control: build
+	$(BIN)/benchcontrol --bin $(BIN)
+
 # Placement and retention against the least loaded target without restore.
 bench-policy: build
 	$(BIN)/benchpolicy
