--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -124,7 +124,17 @@
 
 func parse(file *ini.File) (*Config, error) {
 	r := newReader(file)
-	c := &Config{
+	c := readAll(r)
+	r.checkTogether(c)
+	r.reportUnknown()
+	if len(r.problems) > 0 {
+		return nil, &InvalidError{Problems: r.problems}
+	}
+	return c, nil
+}
+
+func readAll(r *reader) *Config {
+	return &Config{
 		Daemon:     readDaemon(r),
 		Platform:   readPlatform(r),
 		Membership: readMembership(r),
@@ -137,12 +147,6 @@
 		Fleet:      readFleet(r),
 		Log:        readLog(r),
 	}
-	r.checkTogether(c)
-	r.reportUnknown()
-	if len(r.problems) > 0 {
-		return nil, &InvalidError{Problems: r.problems}
-	}
-	return c, nil
 }
 
 func readDaemon(r *reader) Daemon {
