--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -47,6 +47,7 @@
 	suspect     bool
 	limited     bool // admitted by the limiter
 	forward     *peer.Member
+	partition   int // of the journal, for a call that must run at most once
 	choices     []Choice
 	choice      Choice
 	exclude     map[request.TargetID]bool
@@ -93,7 +94,7 @@
 		ctx:     r.Context(),
 		decided: make(chan error, 1),
 		arrived: time.Now(),
-		hopped:  r.Header.Get(headerHop) != "",
+		hopped:  isHop(r),
 		bearer:  bearerOf(r),
 		kind:    k,
 		body:    body,
