Refuse an order timeout that does not fit into a lease

Cause: an order to an engine starts only if the lease outlasts it. With a lease of 3 s (scripts/lib.sh) and the default order timeout of 2 s that holds only right after a renewal; an order that was put off counted as pending, and nothing was logged. Ruled out: the engines (no order had reached them) and the caps (the dump said pending). The defaults (9 s, 2 s) are not affected.

--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -193,6 +193,14 @@
 	if m.DeadAfter <= m.SuspectAfter {
 		r.problem("membership", "dead_after", m.DeadAfter.String(), "more than suspect_after")
 	}
+	// The failure: an order to an engine starts only if the lease outlasts it. Of a lease
+	// that is renewed each third of its time, and has a margin taken off, two thirds less
+	// the margin are left at worst. A longer order is mostly put off, and a rollout stands
+	// still without an error.
+	if longest := c.Journal.LeaseTTL * 2 / 5; c.Fleet.OrderTimeout > longest {
+		r.problem("fleet", "order_timeout", c.Fleet.OrderTimeout.String(),
+			"at most two fifths of [journal] lease_ttl, "+longest.String())
+	}
 	if c.Daemon.Listen != "" && c.Daemon.Listen == c.Daemon.Peer && !strings.HasSuffix(c.Daemon.Peer, ":0") {
 		r.problem("daemon", "peer", c.Daemon.Peer, "another address than listen")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -257,6 +257,7 @@
 // the next step, which reads the engine's state.
 func (f *Fleet) send(ctx context.Context, rows []*table.Target, o rollout.Order) {
 	if !f.lease.MayAct(f.opts.OrderTimeout) {
+		f.log.Warn("Order was put off; the lease does not outlast it", "target", o.Target, "epoch", o.Order.Epoch)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.opts.OrderTimeout)
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -59,6 +59,7 @@
 [drain]
 route_keep = 1s
 [fleet]
+order_timeout = 1s
 poll_interval = 100ms
 [placement]
 profile = ${PROFILE:-atlas}
