--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -147,10 +147,23 @@
 	return &cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "give up after this"}
 }
 
+// checkedFile is the JSON output of check.
+type checkedFile struct {
+	File  string `json:"file"`
+	Valid bool   `json:"valid"`
+}
+
+// toolVersion is the JSON output of version.
+type toolVersion struct {
+	Version string `json:"version"`
+}
+
 func (t *tool) checkCommand() *cli.Command {
 	return &cli.Command{
 		Name: "check", Usage: "check a daemon's settings file", ArgsUsage: "FILE",
-		Description: "Example:\n  bluebellctl check /etc/bluebellscale.ini",
+		Description: "Lists all wrong settings; exit code 1 if there are any.\n\n" +
+			"Example:\n  bluebellctl check /etc/bluebellscale.ini",
+		Flags: []cli.Flag{outputFlag()},
 		Action: func(c *cli.Context) error {
 			path, err := oneArg(c, "FILE")
 			if err != nil {
@@ -159,8 +172,7 @@
 			if err := t.deps.CheckConfig(path); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(t.deps.Stdout, "%s: fine\n", path)
-			return err
+			return t.printLine(c, checkedFile{File: path, Valid: true}, path+": fine")
 		},
 	}
 }
@@ -168,9 +180,10 @@
 func (t *tool) versionCommand() *cli.Command {
 	return &cli.Command{
 		Name: "version", Usage: "print the tool's version",
-		Action: func(*cli.Context) error {
-			_, err := fmt.Fprintln(t.deps.Stdout, t.deps.Version)
-			return err
+		Description: "Example:\n  bluebellctl version -o json",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(c *cli.Context) error {
+			return t.printLine(c, toolVersion{Version: t.deps.Version}, t.deps.Version)
 		},
 	}
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// printLine writes value as JSON or a line of text, as the output flag says.
+func (t *tool) printLine(c *cli.Context, value any, line string) error {
+	return t.print(c, value, grid{header: []string{line}})
+}
+
 func writeJSON(w io.Writer, value any) error {
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
