planner: freeing leaves what another export shares and goes on after a pin

Two faults, each shown by a test against the bare DeleteExport or by its rest: after a crash between commit and freeing, or after two daemons extended one export, freeing either took blocks that the other lists, and nothing of it came back (0 of 16 blocks; now 16). And blocks that a reader had pinned stayed for ever, since only the manifest is listed and it went first; they are now tried again each second.

--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	return client.DeleteExport(ctx, m, kept...)
+	return p.deleteExport(ctx, client, m, kept...)
 }
 
 func (p *Planner) exportOrder(ctx context.Context, sheet *table.Snapshot, c gateway.Context) (retention.ExportOrder, bool) {
--- a/internal/planner/import_test.go
+++ b/internal/planner/import_test.go
@@ -133,24 +133,27 @@
 // longer one whole: it shares the earlier one's blocks.
 func TestCrashBetweenCommitAndFreeing(t *testing.T) {
 	w := newWorld(t, standin.Options{MemoryBytes: 1 << 30})
-	former := w.planner()
-	c := w.exported(former, text("context", 10))
-	earlier := former.locate(c).Copies[0].Manifest
-	stopped, crash := context.WithCancel(context.Background())
-	former.ctx = stopped // no freeing is carried out after the crash
-	crash()
-	longer := w.exported(former, text("context", 16))
-
-	listed, err := w.client.List(w.ctx, "", store.ManifestMark, 10)
-	w.check(err)
-	if len(listed) != 2 {
-		t.Fatalf("exports after the crash: %+v", listed)
+	earlier, longer := w.crashBeforeFreeing()
+	if left := w.exportsLeft(); left != 2 {
+		t.Fatalf("%d exports after the crash", left)
 	}
 	next := w.planner()
 	if n := w.brought(next, longer); n != 16 {
 		t.Fatalf("%d blocks of 16 were brought", n)
 	}
-	if used := next.locate(longer).Copies[0].Manifest; used == earlier {
+	if next.locate(longer).Copies[0].Manifest == earlier.Name() {
 		t.Fatal("the earlier export was used")
 	}
 }
+
+// crashBeforeFreeing exports a context of 10 blocks and then one of 16 that extends it,
+// and frees nothing. It returns the earlier export and the longer context.
+func (w *world) crashBeforeFreeing() (store.Manifest, gateway.Context) {
+	w.t.Helper()
+	p := w.planner()
+	earlier := w.manifestOf(p, w.exported(p, text("context", 10)))
+	stopped, crash := context.WithCancel(context.Background())
+	p.ctx = stopped
+	crash()
+	return earlier, w.exported(p, text("context", 16))
+}
--- a/internal/planner/janitor.go
+++ b/internal/planner/janitor.go
@@ -32,7 +32,7 @@
 			return
 		case <-tick.C:
 			for _, s := range p.opts.Tables.Current().Stores() {
-				if p.opts.Keeps(s.ID) || p.inUse(s.ID) {
+				if p.opts.Keeps(s.ID) || p.inUse(s.ID) || p.hasUnfreed(s.ID) {
 					p.care(ctx, s)
 				}
 			}
@@ -64,6 +64,7 @@
 	p.links.Configure(s.ID, float64(s.LinkBytesPerSec))
 	p.links.Reported(s.ID, status.LinkQueueBytes, time.Now())
 	p.mu.Unlock()
+	p.freeAgain(ctx, p.stores.client(s.ID, s.Address))
 	if p.opts.Keeps(s.ID) && nearlyFull(status) {
 		p.makeRoom(ctx, s, status)
 	}
@@ -157,7 +158,7 @@
 	var err error
 	switch m.Kind {
 	case retention.Free:
-		err = client.DeleteExport(ctx, manifest)
+		err = p.deleteExport(ctx, client, manifest)
 	case retention.Demote:
 		err = client.Tier(ctx, append(manifest.BlockNames(), manifest.Name()), storeapi.TierDisk)
 	case retention.Promote:
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,6 +84,7 @@
 	random     *rand.Rand
 	budgets    map[request.StoreID]*retention.Budget
 	generation uint64
+	unfreed    []unfreed                     // oldest first
 	weighed    map[request.StoreID]time.Time // when an import from it was last weighed
 
 	imports, failedImports, recovered      tally.Counter
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -159,7 +159,7 @@
 	client := clients{}.Client(w.row(1))
 	defer client.Close()
 	s, err := client.Complete(w.ctx, engineapi.CompletionRequest{
-		RequestID: request.ID(prompt[:8] + fmt.Sprint(len(prompt))),
+		RequestID: request.ID(c.Chain[len(c.Chain)-1].String()),
 		Model:     c.Scope.Model,
 		Version:   c.Scope.Version,
 		CacheSalt: c.Scope.Salt(),
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -226,20 +226,23 @@
 	return content, nil
 }
 
-// DeleteExport frees an export: the manifest first, so that no new reader finds its
-// blocks, then the blocks that the manifests in kept do not list. What is gone already is passed over; a pinned object stops
-// it with ErrPinned, and a repeat goes on from there.
-func (c *Client) DeleteExport(ctx context.Context, m Manifest, kept ...Manifest) error {
+// Garbage returns the names of the blocks that none of kept lists.
+func (m Manifest) Garbage(kept ...Manifest) []string {
 	stays := map[string]bool{}
 	for _, k := range kept {
 		for _, name := range k.BlockNames() {
 			stays[name] = true
 		}
 	}
-	for _, name := range append([]string{m.Name()}, m.BlockNames()...) {
-		if stays[name] {
-			continue
-		}
+	return slices.DeleteFunc(m.BlockNames(), func(name string) bool { return stays[name] })
+}
+
+// DeleteExport frees an export: the manifest first, so that no new reader finds its
+// blocks, then the blocks that the manifests in kept do not list. What is gone already
+// is passed over; a pinned object stops it with ErrPinned, and a repeat goes on from
+// there.
+func (c *Client) DeleteExport(ctx context.Context, m Manifest, kept ...Manifest) error {
+	for _, name := range append([]string{m.Name()}, m.Garbage(kept...)...) {
 		if err := c.Delete(ctx, name); err != nil && !errors.Is(err, ErrMiss) {
 			return err
 		}
