planner: make room by last use where no gaps are known

Cause: exports that a store VM lists have no history, so each was expected back an hour after its last use, and what is expected last goes first: until two hours had passed the most recently used of those listed was freed or demoted. Found by the test of the janitor: of four exports the one read last went (0 of its 10 blocks came back, and all 10 of the one unused longest). Now the longest unused goes.

--- a/internal/planner/janitor.go
+++ b/internal/planner/janitor.go
@@ -136,11 +136,20 @@
 			Copies:  []contextdir.Copy{{Manifest: l.Name, Store: s.ID, Tier: l.Tier, Blocks: len(m.Blocks), Bytes: m.Bytes()}},
 		})
 	}
-	for _, m := range retention.MakeRoom(retention.DefaultParams(), roomOf(s.ID, status), kept, now) {
+	for _, m := range retention.MakeRoom(withoutHistory(), roomOf(s.ID, status), kept, now) {
 		p.move(ctx, client, m, manifests[m.Copy.Manifest])
 	}
 }
 
+// withoutHistory returns the settings for exports of which only the last use is known.
+// With an expected gap, what was used last would be expected back last and go first;
+// without one, a context is expected after as long again as it has been away.
+func withoutHistory() retention.Params {
+	params := retention.DefaultParams()
+	params.DefaultGap = 0
+	return params
+}
+
 func (p *Planner) readManifest(ctx context.Context, client *store.Client, name string) (store.Manifest, bool) {
 	ref, err := parseReference(name)
 	if err != nil {
