--- a/internal/planner/budget.go
+++ b/internal/planner/budget.go
@@ -59,6 +59,7 @@
 	for len(left) > 0 {
 		granted := p.allow(id, int64(len(left))*unit, unit)
 		if granted == 0 {
+			p.deferredChunks.Inc(1)
 			if !pause(ctx) {
 				return nil, ctx.Err()
 			}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,6 +89,7 @@
 
 	imports, failedImports, recovered      tally.Counter
 	exports, failedExports, droppedExports tally.Counter
+	deferredChunks                         tally.Counter // the link was another's
 }
 
 // New returns a planner.
@@ -117,6 +118,7 @@
 		exports:        opts.Metrics.Counter("exports"),
 		failedExports:  opts.Metrics.Counter("exports_failed"),
 		droppedExports: opts.Metrics.Counter("exports_dropped"),
+		deferredChunks: opts.Metrics.Counter("export_chunks_deferred"),
 	}
 }
 
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
@@ -41,6 +42,7 @@
 	store    *fault.Server
 	switches *fault.Switches // of the store
 	client   *store.Client
+	metrics  tally.TestScope // of all planners
 	planners int
 }
 
@@ -48,7 +50,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	w := &world{t: t, ctx: ctx, switches: fault.New(fault.Options{})}
+	w := &world{t: t, ctx: ctx, switches: fault.New(fault.Options{}), metrics: tally.NewTestScope("", nil)}
 	var rows strings.Builder
 	for i := range 2 {
 		e, server, err := engine.Start("127.0.0.1:0", engine.Options{
@@ -125,6 +127,7 @@
 		Keeps:    func(request.StoreID) bool { return true },
 		Instance: fmt.Sprintf("d%d.1", w.planners),
 		Logger:   hclog.NewNullLogger(),
+		Metrics:  w.metrics,
 	})
 	w.t.Cleanup(p.Shutdown)
 	return p
