planner: an import that found no room is not a torn copy

Cause: a target whose memory running prompts hold takes only part of an import. That was taken for torn content: the copy was forgotten and the context computed again at each later return. The blocks are pinned in the store VM before the import, so fewer blocks without a torn one mean the target, not the copy.

--- a/internal/planner/import.go
+++ b/internal/planner/import.go
@@ -42,8 +42,14 @@
 	}
 }
 
-// errTorn reports blocks whose content did not match the manifest.
-var errTorn = errors.New("planner: torn blocks")
+var (
+	// errTorn reports blocks whose content did not match the manifest.
+	errTorn = errors.New("planner: torn blocks")
+	// errNoRoom reports blocks that the target did not take although they are pinned in
+	// the store VM: running prompts hold all its memory. The copy is as good as before;
+	// were it forgotten, the context would be computed again at each later return.
+	errNoRoom = errors.New("planner: target took not all blocks")
+)
 
 func (p *Planner) bring(ctx context.Context, c gateway.Context, choice gateway.Choice) (int64, error) {
 	im := choice.Import
@@ -89,9 +95,12 @@
 		if err != nil {
 			return bytes, err
 		}
-		if answer.Torn > 0 || answer.Imported < len(blocks) {
+		if answer.Torn > 0 {
 			return bytes, errTorn
 		}
+		if answer.Imported < len(blocks) {
+			return bytes, errNoRoom
+		}
 	}
 	return bytes, nil
 }
@@ -129,7 +138,7 @@
 func (p *Planner) endTransfer(id request.StoreID, transfer placement.TransferID, carried int64, err error, late bool) {
 	outcome := placement.Carried
 	switch {
-	case err == nil, errors.Is(err, store.ErrMiss), errors.Is(err, errTorn):
+	case err == nil, errors.Is(err, store.ErrMiss), errors.Is(err, errTorn), errors.Is(err, errNoRoom):
 	case late:
 		outcome = placement.GivenUp
 	default:
--- a/internal/planner/import_test.go
+++ b/internal/planner/import_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -128,6 +131,29 @@
 	}
 }
 
+// A context comes back to a target whose memory running prompts hold, and only part of
+// it finds room. The export is whole; taken for torn and forgotten, it would never be
+// brought back by this daemon again.
+func TestImportWithoutRoomKeepsTheCopy(t *testing.T) {
+	w := newWorld(t, standin.Options{MemoryBytes: 1 << 30})
+	p := w.planner()
+	c := w.exported(p, text("context", 20))
+	full := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(out).Encode(engineapi.ImportResponse{Imported: 2, Bytes: 2 * blockLength})
+	}))
+	defer full.Close()
+	choice := w.choice(p, c)
+	choice.Target.Address = full.Listener.Addr().String()
+	choice.Import.Deadline = testTimeout
+	p.Bring(w.ctx, c, *choice)
+	if copies := p.locate(c).Copies; len(copies) != 1 {
+		t.Fatal("the copy was forgotten")
+	}
+	if p.links.State("store-1", time.Now()).Down {
+		t.Fatal("the link was blamed")
+	}
+}
+
 // The process that exports dies after it has written the manifest of a longer export
 // and before it has freed the earlier one. A new daemon finds both, and must bring the
 // longer one whole: it shares the earlier one's blocks.
