--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -74,7 +74,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		if usable(r, c) {
-			best = min(best, e.wait(c)+float64(r.Tokens)/rate(c))
+			best = min(best, e.wait(c)+e.crowd(c)+float64(r.Tokens)/rate(c))
 		}
 	}
 	e.patience = p.Patience * best
@@ -88,6 +88,18 @@
 	return defaultPrefillRate
 }
 
+// crowd returns the seconds that the requests at the target add to a new one.
+//
+// The failure: a prompt whose blocks are imported adds next to nothing to the queue, so
+// that the target whose learned rate is best by a hair looks best to each prompt that
+// follows. All are brought there, the blocks push each other out before their prompts
+// are run, and each is computed after all, one behind the other, while other targets
+// idle. Why the guard holds: a prompt counts as running at its target from the grant on,
+// which is before its import, and the next one goes elsewhere.
+func (e *estimator) crowd(c *Candidate) float64 {
+	return e.params.CrowdWait.Seconds() * float64(c.Running+c.Waiting)
+}
+
 // wait returns the seconds until the target begins to prefill a new prompt.
 func (e *estimator) wait(c *Candidate) float64 {
 	queue := float64(c.QueuedPrefillTokens) / rate(c)
@@ -109,7 +121,7 @@
 func (e *estimator) option(c *Candidate) cost {
 	reuse := e.resident(c)
 	wait := e.wait(c)
-	best := cost{reuse: reuse, expected: wait + e.prefill(c, reuse)}
+	best := cost{reuse: reuse, expected: wait + e.crowd(c) + e.prefill(c, reuse)}
 	best.score = e.score(best.expected, reuse, reuse)
 	if e.params.Ways.NoImport {
 		return best
@@ -164,7 +176,7 @@
 	try := func(head int) {
 		importEnd := start + float64(head-reuse)*perBlock
 		way := cost{reuse: reuse, head: head, copy: index, importTime: importEnd}
-		way.expected = e.finish(wait, importEnd, e.prefill(c, head))
+		way.expected = e.finish(wait, importEnd, e.prefill(c, head)) + e.crowd(c)
 		if way.expected > e.patience && !e.params.Ways.NoQueue {
 			return
 		}
--- a/internal/policy/placement/types.go
+++ b/internal/policy/placement/types.go
@@ -26,6 +26,9 @@
 	// SlotWait is the expected wait for one of a target's running requests to end,
 	// for each request ahead, when the target runs as many as it can.
 	SlotWait time.Duration
+	// CrowdWait is what each request that a target runs already, or brings the blocks
+	// for, adds to a new one's expected time: its steps are taken turn by turn.
+	CrowdWait time.Duration
 	// Ways switches ways off; the zero value allows all.
 	Ways Ways
 }
@@ -46,6 +49,7 @@
 		PieceTokens:     2000,
 		ImportLatency:   5 * time.Millisecond,
 		SlotWait:        100 * time.Millisecond,
+		CrowdWait:       20 * time.Millisecond,
 	}
 }
 
