lease: a session given up by plan is not a lost one

Operators watch that counter for holders that were paused or cut off. Messages passed as arguments also lose their full stops.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -191,7 +191,7 @@
 	defer j.scanning.Unlock()
 	for _, w := range j.workers {
 		w.flush(ctx)
-		w.drop(ctx, "Partition released.")
+		w.drop(ctx, "Partition released")
 	}
 	return ctx.Err()
 }
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -123,7 +123,7 @@
 		return
 	}
 	w.unwanted = 0
-	w.drop(ctx, "Partition yielded.")
+	w.drop(ctx, "Partition yielded")
 }
 
 func (w *worker) keepLonger(now time.Time) {
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -123,7 +123,7 @@
 		return progressNone
 	}
 	if !l.Valid() {
-		w.drop(ctx, "Lease ended.")
+		w.drop(ctx, "Lease ended")
 		return progressNone
 	}
 	if !w.loaded() {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -154,7 +154,9 @@
 	if s == nil {
 		return nil
 	}
-	m.drop(s, "Session closed.")
+	if m.drop(s) {
+		m.opts.Logger.Info("Session closed", "session", s.id)
+	}
 	return errors.Wrap(m.opts.KV.RevokeLease(ctx, s.id), "revoke session")
 }
 
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -55,7 +55,7 @@
 	err := m.opts.KV.KeepAlive(ctx, s.id)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		m.drop(s, "Session lapsed.")
+		m.lose(s, "Session lapsed")
 		return m.start(ctx)
 	case err != nil:
 		m.CheckDeadline()
@@ -92,7 +92,7 @@
 func (m *Manager) CheckDeadline() {
 	s := m.current()
 	if s != nil && s.left(m.opts.Now()) <= 0 {
-		m.drop(s, "Session not renewed in time.")
+		m.lose(s, "Session was not renewed in time")
 	}
 }
 
@@ -103,12 +103,20 @@
 	return m.session
 }
 
-// drop ends a session and all its leases.
-func (m *Manager) drop(s *session, why string) {
+// lose drops a session that ended before it was given up.
+func (m *Manager) lose(s *session, why string) {
+	if m.drop(s) {
+		m.opts.Metrics.Counter("sessions_lost").Inc(1)
+		m.opts.Logger.Warn(why, "session", s.id)
+	}
+}
+
+// drop ends a session and all its leases. It reports false if that was done before.
+func (m *Manager) drop(s *session) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.session != s {
-		return
+		return false
 	}
 	m.session = nil
 	m.former[s.id] = struct{}{}
@@ -117,6 +125,5 @@
 		l.end()
 		delete(m.held, name)
 	}
-	m.opts.Metrics.Counter("sessions_lost").Inc(1)
-	m.opts.Logger.Warn(why, "session", s.id)
+	return true
 }
