--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -103,38 +103,6 @@
 	}
 }
 
-// idleBeats is how many beats in a row a session is kept although nothing is held.
-const idleBeats = 2 * beatsPerTTL
-
-// rest ends a session under which nothing has been held for a while, and reports that
-// there is none to renew. The service's calls so grow with the holders of names, not
-// with the processes; the next Acquire starts a session.
-//
-// It does not wait for a claim under way: with a slow service that would hold up the
-// renewal, and leases that are held would lapse.
-func (m *Manager) rest(ctx context.Context) bool {
-	if !m.acquiring.TryLock() {
-		return false
-	}
-	defer m.acquiring.Unlock()
-	m.mu.Lock()
-	used := len(m.held)+len(m.unsettled) > 0
-	none := m.session == nil
-	m.idle++
-	if used {
-		m.idle = 0
-	}
-	idle := m.idle
-	m.mu.Unlock()
-	if used || none || idle < idleBeats {
-		return none && !used
-	}
-	if err := m.Close(ctx); err != nil {
-		m.opts.Logger.Warn("Idle session not closed; it lapses", "error", err)
-	}
-	return true
-}
-
 func every(ctx context.Context, d time.Duration, do func()) {
 	tick := time.NewTicker(d)
 	defer tick.Stop()
