steward: grant ids of two targets differ

The steward counted one or two requests at an engine that reported none, so a request that must run alone never got it empty.

Cause: each keeper counted its grants from one under the daemon's prefix, so two targets of one steward gave out equal ids. A peer that held both noted one giver, and could not give the second back; the place lapsed after 15 s.

Ruled out: lost releases (all 120 grants of a traced run were released by id), asks that went on waiting in cut questions, load reports that came late (46 to 90 ms old).

Test: TestGrantsOfTwoTargetsAreBothGivenBack; fails without the prefix (equal ids, no place at the second target for 7.5 s).

--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -94,7 +95,7 @@
 		waiting:   map[request.ID][]answerTo{},
 		core: admission.New(admission.Params{
 			Target:     row.ID,
-			Instance:   s.opts.Instance,
+			Instance:   s.grantPrefix(row.ID),
 			MaxRunning: capacity,
 			MaxQueue:   s.opts.QueueLimit,
 
@@ -107,6 +108,17 @@
 	return k
 }
 
+// grantPrefix begins the ids of one keeper's grants.
+//
+// The failure: keepers count their grants each from one, so two targets of one daemon
+// gave out the same ids. A peer that held one of each kept a single note of who gave
+// them, could not give the second back, and its place stayed taken until it lapsed.
+// A prefix that names the target and the keeper's turn is never given twice by a
+// daemon, and Instance tells daemons and their starts apart.
+func (s *Service) grantPrefix(id request.TargetID) string {
+	return fmt.Sprintf("%s.%s.%d", s.opts.Instance, id, s.keeperTurn.Add(1))
+}
+
 // ticker drives deadlines until the keeper stops.
 func (k *keeper) ticker() {
 	tick := time.NewTicker(tickInterval)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -75,7 +76,9 @@
 	log     hclog.Logger
 	system  *actor.ActorSystem
 	granted *grantBook
-	places  places
+
+	keeperTurn atomic.Uint64 // keepers started so far
+	places     places
 
 	mu      sync.Mutex
 	keepers map[request.TargetID]*keeper
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -20,12 +20,15 @@
 )
 
 // fakeMembers gives every place to one daemon.
-type fakeMembers struct{ self, place *peer.Member }
+type fakeMembers struct {
+	self, place *peer.Member
+	steward     peer.Steward // how that daemon is reached
+}
 
 func (m fakeMembers) Self() *peer.Member                { return m.self }
 func (m fakeMembers) Live() []*peer.Member              { return nil }
 func (m fakeMembers) Place(string) *peer.Member         { return m.place }
-func (m fakeMembers) Steward(*peer.Member) peer.Steward { return deadSteward{} }
+func (m fakeMembers) Steward(*peer.Member) peer.Steward { return m.steward }
 func (m fakeMembers) Reset()                            {}
 func (m fakeMembers) Client(t table.Target) *target.Client {
 	return target.New(target.Options{ID: t.ID, Address: t.Address})
@@ -42,19 +45,27 @@
 	return nil, errors.New("connection refused")
 }
 
-func newService(t *testing.T, place string) *Service {
+// liveSteward is a peer that is reached without a network.
+type liveSteward struct{ *Server }
+
+func (liveSteward) Slice(context.Context, *peer.SliceRequest) (*peer.SliceResponse, error) {
+	return nil, errors.New("not asked for")
+}
+
+func newService(t *testing.T, self, place string, steward peer.Steward) *Service {
 	t.Helper()
 	replica := tabletest.Load(t, kv.NewFake(time.Now).Client("d1"), tabletest.Rows{
-		Models:  "verdict,v1,1024,3\n",
-		Targets: "engine-1,engine,127.0.0.1:1,conche,verdict,,,true,false,1\n",
+		Models: "verdict,v1,1024,3\n",
+		Targets: "engine-1,engine,127.0.0.1:1,conche,verdict,,,true,false,1\n" +
+			"engine-2,engine,127.0.0.1:2,conche,verdict,,,true,false,1\n",
 	})
-	members := fakeMembers{self: &peer.Member{Id: "d1"}, place: &peer.Member{Id: place}}
+	members := fakeMembers{self: &peer.Member{Id: self}, place: &peer.Member{Id: place}, steward: steward}
 	s := New(Options{
 		Tables:       replica,
 		Members:      members,
 		Targets:      members,
 		Peers:        members,
-		Instance:     "d1.1",
+		Instance:     self + ".1",
 		PollInterval: time.Hour,
 		QueueLimit:   4,
 		Logger:       hclog.NewNullLogger(),
@@ -71,7 +82,7 @@
 // that asks still takes the dead one for the target's steward, grants in its stead,
 // and sends the grant back to the dead one: the place stays taken here until it lapses.
 func TestGrantGoesBackToTheStewardThatGaveIt(t *testing.T) {
-	s := newService(t, "d2-which-is-dead")
+	s := newService(t, "d1", "d2-which-is-dead", deadSteward{})
 	first, refusal := s.Acquire(context.Background(), ask("r1"))
 	if refusal != nil {
 		t.Fatal(refusal)
@@ -84,10 +95,46 @@
 	}
 }
 
+// A prompt waits for 10 s and more at an idle target, most often after another target
+// died, since a request that was in flight there waits to run alone. One peer is steward
+// of two targets and this daemon has a request at each. Both targets gave the grant the
+// same id, so when both requests ended only one place was given back.
+func TestGrantsOfTwoTargetsAreBothGivenBack(t *testing.T) {
+	steward := newService(t, "d2", "d2", deadSteward{})
+	s := newService(t, "d1", "d2", liveSteward{steward.Server()})
+	targets := []request.TargetID{"engine-1", "engine-2"}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTTL/2)
+	defer cancel()
+	var grants []gateway.Grant
+	for _, id := range targets {
+		grants = append(grants, acquire(ctx, t, s, "first-at-"+request.ID(id), id))
+	}
+	if grants[0].ID == grants[1].ID {
+		t.Errorf("two targets gave out grant %s", grants[0].ID)
+	}
+	for _, g := range grants {
+		s.Release(g, gateway.Release{})
+	}
+	for _, id := range targets {
+		acquire(ctx, t, s, "second-at-"+request.ID(id), id)
+	}
+}
+
+func acquire(ctx context.Context, t *testing.T, s *Service, id request.ID, target request.TargetID) gateway.Grant {
+	t.Helper()
+	a := ask(id)
+	a.Target = target
+	g, refusal := s.Acquire(ctx, a)
+	if refusal != nil {
+		t.Fatalf("no place at %s: %v", target, refusal)
+	}
+	return g
+}
+
 // A target whose queue moves to another daemon, or whose row goes, must not leave its
 // callers waiting: they are told at once that they did not run.
 func TestWaitingAsksAreRefusedWhenTheQueueStops(t *testing.T) {
-	s := newService(t, "d1")
+	s := newService(t, "d1", "d1", deadSteward{})
 	if _, refusal := s.Acquire(context.Background(), ask("r1")); refusal != nil {
 		t.Fatal(refusal)
 	}
