--- a/scripts/caselib.sh
+++ b/scripts/caselib.sh
@@ -63,8 +63,24 @@
 	check "every request is answered or in doubt" "$((R_answered + R_in_doubt))" -eq "$R_requests"
 }
 
-# unnoticed checks that no connection of a caller ended without an answer.
-unnoticed() { check "no caller's connection is cut" "$R_cut" -eq 0; }
+# unnoticed checks that no connection of a caller ended without an answer, and that no
+# place at a target stays taken when all are answered. It would lapse after 15 s.
+unnoticed() {
+	local i
+	check "no caller's connection is cut" "$R_cut" -eq 0
+	for ((i = 0; i < 60 && $(places_taken) > 0; i++)); do
+		sleep 0.05
+	done
+	check "places at targets are given back" "$(places_taken)" -eq 0
+}
+
+# places_taken prints how many requests the stewards take to be at their targets.
+places_taken() {
+	local name
+	for name in d1 d2 d3; do
+		state "$name" targets
+	done | awk -F'[:,]' '$1 ~ /"running"/ { sum += $2 } END { print sum + 0 }'
+}
 
 # recovered prints the milliseconds from FAULT_AT until the last request that the fault
 # disturbed had its final outcome: one that took over DISTURBED milliseconds. Without a
