--- a/internal/planner/janitor.go
+++ b/internal/planner/janitor.go
@@ -32,7 +32,7 @@
 			return
 		case <-tick.C:
 			for _, s := range p.opts.Tables.Current().Stores() {
-				if p.opts.Keeps(s.ID) || p.inUse(s.ID) {
+				if p.opts.Keeps(s.ID) || p.inUse(s.ID) || p.hasUnfreed(s.ID) {
 					p.care(ctx, s)
 				}
 			}
@@ -64,6 +64,7 @@
 	p.links.Configure(s.ID, float64(s.LinkBytesPerSec))
 	p.links.Reported(s.ID, status.LinkQueueBytes, time.Now())
 	p.mu.Unlock()
+	p.freeAgain(ctx, p.stores.client(s.ID, s.Address))
 	if p.opts.Keeps(s.ID) && nearlyFull(status) {
 		p.makeRoom(ctx, s, status)
 	}
@@ -135,11 +136,20 @@
 			Copies:  []contextdir.Copy{{Manifest: l.Name, Store: s.ID, Tier: l.Tier, Blocks: len(m.Blocks), Bytes: m.Bytes()}},
 		})
 	}
-	for _, m := range retention.MakeRoom(retention.DefaultParams(), roomOf(s.ID, status), kept, now) {
+	for _, m := range retention.MakeRoom(withoutHistory(), roomOf(s.ID, status), kept, now) {
 		p.move(ctx, client, m, manifests[m.Copy.Manifest])
 	}
 }
 
+// withoutHistory returns the settings for exports of which only the last use is known.
+// With an expected gap, what was used last would be expected back last and go first;
+// without one, a context is expected after as long again as it has been away.
+func withoutHistory() retention.Params {
+	params := retention.DefaultParams()
+	params.DefaultGap = 0
+	return params
+}
+
 func (p *Planner) readManifest(ctx context.Context, client *store.Client, name string) (store.Manifest, bool) {
 	ref, err := parseReference(name)
 	if err != nil {
@@ -157,7 +167,7 @@
 	var err error
 	switch m.Kind {
 	case retention.Free:
-		err = client.DeleteExport(ctx, manifest)
+		err = p.deleteExport(ctx, client, manifest)
 	case retention.Demote:
 		err = client.Tier(ctx, append(manifest.BlockNames(), manifest.Name()), storeapi.TierDisk)
 	case retention.Promote:
