--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -3,7 +3,8 @@
 # An engine dies with streams open. They go on elsewhere, and no caller is told.
 case_engine_killed() {
 	start_cluster
-	load 30 --max-tokens 200
+	load 30 --max-tokens 400
+	wait_until "the engine runs requests" runs_requests e2
 	at_fault
 	end_process KILL e2
 	end_load
@@ -26,6 +27,12 @@
 	check "old connections were thrown away" "$(metric target_connection_resets)" -gt 0
 }
 
+# runs_requests ENGINE tells whether it says so; its report lags.
+runs_requests() {
+	local address=ADDR_$1
+	[ "$("$BIN/standin" ask "${!address}/v1/load" | number running)" -gt 0 ]
+}
+
 LEAVING_WITHIN=5000 # ms until a leaving target gets nothing new
 
 # leaves TARGET ENGINE checks that every daemon knows in time, and that the engine gets
