--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -2,6 +2,7 @@
 
 # An engine dies with streams open. They go on elsewhere, and no caller is told.
 case_engine_killed() {
+	DISTURBED=3000 # long answers take over a second without a fault
 	start_cluster
 	load 30 --max-tokens 400
 	wait_until "the engine runs requests" runs_requests e2
