--- a/internal/membership/scale_test.go
+++ b/internal/membership/scale_test.go
@@ -51,7 +51,7 @@
 	t.Parallel()
 	const budget = 10 << 10 // bytes a second for all control of a daemon
 	rates := make(map[int]float64)
-	for _, f := range []fleet{{8, 1}, {50, 2}, {390, 7}} {
+	for _, f := range []fleet{{8, 1}, {50, 2}, {150, 4}, {390, 7}} {
 		s := newSim(uint64(f.size), f.size, f.regions)
 		if !s.settled(f.size) {
 			t.Fatalf("%d daemons did not find each other", f.size)
