placement: a link's rate over its busy time, and the settings' until measured

Two causes found in the log of running daemons. A link that carries several imports turn by turn was measured import by import: the rate swung between 1.0 and 4.6 GB/s at 3.28 GB/s (the test's naive tracker swings too). And a daemon that weighed an import before it first configured the link kept the default of 1 GB/s, at which it never imported and so never learned.

--- a/internal/policy/placement/links.go
+++ b/internal/policy/placement/links.go
@@ -35,6 +35,7 @@
 
 type link struct {
 	rate        float64
+	learned     bool       // the rate was measured
 	transfers   []transfer // oldest first
 	outstanding int64
 	reported    int64 // queue of all daemons at the last report, less what has drained since
@@ -42,8 +43,27 @@
 	failures    int
 	downUntil   time.Time
 	lastDone    time.Time
+	busy        busyTime
 }
 
+// busyTime measures the rate of a link over a time in which it was never idle.
+//
+// The failure: a link carries several transfers at once, turn by turn. Taken one by
+// one, the first to end seems to have had a fraction of the rate, and the next, which
+// ends just after it, many times the rate. The learned rate then swings, and callers
+// are sent to wait for a fast link that is not there, or compute what an idle link
+// would have brought. Why the guard holds: all bytes over all of the time do not depend
+// on how the transfers shared the link.
+type busyTime struct {
+	since   time.Time
+	bytes   int64
+	spoiled bool // by a transfer from disk or one that did not end well
+}
+
+// maxBusyTime is when a link that is never idle is measured all the same. What is
+// then on its way counts for the next measurement.
+const maxBusyTime = 5 * time.Second
+
 type transfer struct {
 	id      TransferID
 	bytes   int64
@@ -56,9 +76,14 @@
 func NewLinks() *Links { return &Links{links: map[request.StoreID]*link{}} }
 
 // Configure sets a link's rate as the settings give it, if nothing was learned yet.
+//
+// The failure: a daemon weighs an import before it first configures the link. It then
+// keeps the default rate, at which no import is worth while, and without one it never
+// learns better. Why the guard holds: only a measurement ends the settings' say.
 func (l *Links) Configure(store request.StoreID, bytesPerSec float64) {
-	if _, ok := l.links[store]; !ok && bytesPerSec > 0 {
-		l.links[store] = &link{rate: bytesPerSec}
+	k := l.link(store)
+	if !k.learned && bytesPerSec > 0 {
+		k.rate = bytesPerSec
 	}
 }
 
@@ -73,6 +98,12 @@
 // tell the rate of its link; those from disk are paced by the disk.
 func (l *Links) Start(store request.StoreID, tier storeapi.Tier, bytes int64, now time.Time) TransferID {
 	k := l.link(store)
+	if len(k.transfers) == 0 {
+		k.busy = busyTime{since: now}
+	}
+	if tier != storeapi.TierMemory {
+		k.busy.spoiled = true
+	}
 	l.next++
 	k.transfers = append(k.transfers, transfer{id: l.next, bytes: bytes, tier: tier, ahead: k.outstanding, started: now})
 	k.outstanding += bytes
@@ -100,6 +131,9 @@
 	if !ok {
 		return
 	}
+	if outcome != Carried || carried < t.bytes {
+		k.busy.spoiled = true
+	}
 	if outcome == GivenUp && k.lastDone.After(t.started) {
 		return
 	}
@@ -109,14 +143,22 @@
 	}
 	k.failures = 0
 	k.downUntil = time.Time{}
-	began := t.started
-	if k.lastDone.After(began) {
-		began = k.lastDone
+	k.measure(carried, now)
+	k.lastDone = now
+}
+
+// measure learns the rate when the link falls idle, or has been busy for long.
+func (k *link) measure(carried int64, now time.Time) {
+	k.busy.bytes += carried
+	elapsed := now.Sub(k.busy.since)
+	if len(k.transfers) > 0 && elapsed < maxBusyTime {
+		return
 	}
-	if elapsed := now.Sub(began); t.tier == storeapi.TierMemory && carried >= minMeasuredBytes && elapsed > 0 {
-		k.rate = learn(k.rate, float64(carried)/elapsed.Seconds())
+	if !k.busy.spoiled && k.busy.bytes >= minMeasuredBytes && elapsed > 0 {
+		k.rate = learn(k.rate, float64(k.busy.bytes)/elapsed.Seconds())
+		k.learned = true
 	}
-	k.lastDone = now
+	k.busy = busyTime{since: now}
 }
 
 // State returns what a link can do for a new import of a waiting caller.
--- a/internal/policy/placement/links_test.go
+++ b/internal/policy/placement/links_test.go
@@ -105,3 +105,50 @@
 		t.Fatalf("a new target starts at %f", got)
 	}
 }
+
+// Two callers' imports share a link turn by turn and end one just after the other. The
+// first seems to have had half the rate, the second many times the rate, so that a
+// tracker that takes them one by one swings between both. Ours keeps the rate.
+func TestSharedLinkKeepsItsRate(t *testing.T) {
+	const rate, bytes = 3e9, 3e9
+	l := NewLinks()
+	l.Configure("s1", rate)
+	naive, lowest, highest := float64(rate), float64(rate), float64(rate)
+	now := epoch
+	for range 20 {
+		first := l.Start("s1", storeapi.TierMemory, bytes, now)
+		second := l.Start("s1", storeapi.TierMemory, bytes, now)
+		firstTime, secondTime := 1990*time.Millisecond, 2*time.Second
+		l.Finish("s1", first, bytes, Carried, now.Add(firstTime))
+		l.Finish("s1", second, bytes, Carried, now.Add(secondTime))
+		now = now.Add(secondTime)
+		for _, elapsed := range []time.Duration{firstTime, secondTime - firstTime} {
+			naive = learn(naive, bytes/elapsed.Seconds())
+			lowest, highest = min(lowest, naive), max(highest, naive)
+		}
+		if got := l.LearnedRate("s1"); got < 0.99*rate || got > 1.01*rate {
+			t.Fatalf("learned %g bytes a second of %g", got, float64(rate))
+		}
+	}
+	if highest < 1.5*lowest {
+		t.Fatalf("the naive rate was expected to swing, stayed from %g to %g", lowest, highest)
+	}
+}
+
+// A daemon weighs an import from a store VM before it first reads the VM's row, and then
+// takes a fast link for a slow one for ever.
+func TestLinkIsConfiguredAfterItWasWeighed(t *testing.T) {
+	l := NewLinks()
+	l.State("s1", epoch)
+	l.Configure("s1", 3e9)
+	if got := l.State("s1", epoch).BytesPerSec; got != 3e9 {
+		t.Fatalf("rate %g", got)
+	}
+	id := l.Start("s1", storeapi.TierMemory, 1e9, epoch)
+	l.Finish("s1", id, 1e9, Carried, epoch.Add(time.Second))
+	learned := l.LearnedRate("s1")
+	l.Configure("s1", 3e9)
+	if got := l.LearnedRate("s1"); got != learned || got >= 3e9 {
+		t.Fatalf("the settings undid what was learned: %g, then %g", learned, got)
+	}
+}
