planner: tests wait for their table by its rows

tabletest.Load asks for the channel of changes after it has looked at the revision; a change between the two is missed, and 2 of some 30 runs of these tests ended with 'the table did not come into force'.

--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -67,7 +67,7 @@
 	w.check(err)
 	w.client = store.New(store.Options{ID: "store-1", Address: w.store.Address()})
 	t.Cleanup(func() { w.client.Close(); _ = w.store.Close() })
-	w.tables = tabletest.Load(t, kv.NewFake(time.Now).Client("test"), tabletest.Rows{
+	w.loadTable(tabletest.Rows{
 		Models:  "verdict,v1,1024,2\n",
 		Targets: rows.String(),
 		Stores:  fmt.Sprintf("store-1,%s,pack,1000000000\n", w.store.Address()),
@@ -75,6 +75,22 @@
 	return w
 }
 
+// loadTable puts rows in force.
+func (w *world) loadTable(rows tabletest.Rows) {
+	w.t.Helper()
+	client := kv.NewFake(time.Now).Client("test")
+	tabletest.Write(w.t, client, rows)
+	w.tables = table.NewReplica(table.ReplicaOptions{KV: client})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.tables.Run(ctx, func() bool { return true })
+	}()
+	w.t.Cleanup(func() { stop(); <-done })
+	w.await("the table to be in force", func() bool { return len(w.tables.Current().Stores()) > 0 })
+}
+
 func (w *world) check(err error) {
 	w.t.Helper()
 	if err != nil {
