placement: Atlas sends a prompt while its last blocks are imported

A plan that imports in part now has the target compute the leading blocks at once and brings the last ones, which the target reaches last; the caller waits for no import then, and a store that dies or slows costs it nothing. A block is used only with its whole prefix, and one that comes too late is computed. Whole imports stay serial: an idle target would begin to compute what is on its way. An import also counts only the bytes that the target lacks: blocks it had were counted as carried in no time and raised the link's rate.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,8 +77,12 @@
 
 // Import is a copy of leading blocks in a store.
 type Import struct {
-	Copy     Copy
-	Blocks   int           // leading blocks to bring
+	Copy   Copy
+	Blocks int // leading blocks that the copy is to provide
+	// From is the first of them that is brought. If it is not 0, the target computes the
+	// blocks before it meanwhile, and Bring returns at once.
+	From     int
+	Bytes    int64         // of those that the target does not seem to have
 	Deadline time.Duration // after this long the target prefills instead
 }
 
--- a/internal/planner/import.go
+++ b/internal/planner/import.go
@@ -18,17 +18,41 @@
 // pinSlack is how much longer than an import its blocks stay pinned.
 const pinSlack = 5 * time.Second
 
+// importSpan returns the first block to bring of a copy and the one after the last.
+//
+// What a plan imports in part, the target computes meanwhile. In a causal model a
+// block needs all that come before it, so the target computes the leading blocks and
+// the last ones are brought: the target reaches them last. It looks for blocks before
+// each piece that it computes, and uses a block only if it has its whole prefix, so
+// one that comes too late is computed, and none is ever used under another prefix.
+func importSpan(o placement.Option, copied int) (from, to int) {
+	if o.Kind != placement.ImportHead || !o.Overlapped {
+		return 0, o.ImportBlocks
+	}
+	to = min(copied, o.PromptBlocks)
+	return to - (o.ImportBlocks - o.ReuseBlocks), to
+}
+
 // Bring implements gateway.Contexts. The caller waits no longer than the import is
-// worth; whatever has not come by then is prefilled by the target.
+// worth; whatever has not come by then is prefilled by the target. It does not wait at
+// all if the target is to compute the blocks before those that are brought.
 func (p *Planner) Bring(ctx context.Context, c gateway.Context, choice gateway.Choice) {
+	if choice.Import.From == 0 {
+		p.bringNow(ctx, c, choice)
+		return
+	}
+	p.background.Go(func() { p.bringNow(p.ctx, c, choice) })
+}
+
+func (p *Planner) bringNow(ctx context.Context, c gateway.Context, choice gateway.Choice) {
 	im := choice.Import
 	ctx, cancel := context.WithTimeout(ctx, im.Deadline)
 	defer cancel()
-	bytes := p.bytesOf(c.Scope.Model, im.Blocks)
-	id := p.startTransfer(im.Copy, bytes)
-	defer p.done(im.Copy.Store, retention.Caller, bytes)
+	id := p.startTransfer(im.Copy, im.Bytes)
+	defer p.done(im.Copy.Store, retention.Caller, im.Bytes)
 	imported, err := p.bring(ctx, c, choice)
-	p.endTransfer(im.Copy.Store, id, imported, err, ctx.Err() != nil)
+	// Blocks that the target had count as imported, and did not use the link.
+	p.endTransfer(im.Copy.Store, id, min(imported, im.Bytes), err, ctx.Err() != nil)
 	if err == nil {
 		p.imports.Inc(1)
 		return
@@ -68,22 +92,30 @@
 	n := len(leadingOf(manifest, c.Chain, im.Blocks))
 	// A pin keeps the blocks from being freed while the engine reads them. If they are
 	// freed all the same, the engine meets a missing or foreign block and stops there.
-	if err := client.Pin(ctx, manifest.BlockNames()[:n], im.Deadline+pinSlack); err != nil {
+	if n <= im.From {
+		return 0, nil
+	}
+	if err := client.Pin(ctx, manifest.BlockNames()[im.From:n], im.Deadline+pinSlack); err != nil {
 		return 0, err
 	}
 	return p.importRuns(ctx, c, choice, manifest, n)
 }
 
-// importRuns has the target read the first n blocks, one request for each export that
-// wrote some of them. It ends at the first that does not bring all of its blocks.
+// importRuns has the target read the first n blocks but those before the import's
+// first, one request for each export that wrote some of them. It ends at the first that
+// does not bring all of its blocks.
 func (p *Planner) importRuns(ctx context.Context, c gateway.Context, choice gateway.Choice, m store.Manifest, n int) (int64, error) {
 	var bytes int64
+	skip := choice.Import.From
 	for _, r := range m.Runs() {
 		blocks := r.Blocks[:min(n, len(r.Blocks))]
+		n -= len(blocks)
+		skipped := min(skip, len(blocks))
+		skip -= skipped
+		blocks = blocks[skipped:]
 		if len(blocks) == 0 {
-			break
+			continue
 		}
-		n -= len(blocks)
 		answer, err := p.opts.Targets.Client(choice.Target).Import(ctx, engineapi.ImportRequest{
 			StoreAddress: choice.Import.Copy.Address,
 			Prefix:       store.Prefix(c.Scope, r.Generation),
--- a/internal/planner/import_test.go
+++ b/internal/planner/import_test.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/policy/placement"
 	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
 	standin "github.com/bluebellscale/bluebellscale/internal/standin/store"
 	"github.com/bluebellscale/bluebellscale/internal/store"
@@ -183,3 +184,38 @@
 	crash()
 	return earlier, w.exported(p, text("context", 16))
 }
+
+// A target computes the first blocks of a prompt while the rest is brought. Were the
+// leading blocks brought, it would compute them too; were the caller to wait for the
+// import, a dead store would hold it although nothing is needed from there yet.
+func TestOverlappedImportBringsTheLastBlocks(t *testing.T) {
+	option := placement.Option{Kind: placement.ImportHead, Overlapped: true, ReuseBlocks: 4, ImportBlocks: 10, PromptBlocks: 20}
+	if from, to := importSpan(option, 16); from != 10 || to != 16 {
+		t.Fatalf("blocks %d to %d of a copy of 16", from, to)
+	}
+	if from, to := importSpan(option, 30); from != 14 || to != 20 {
+		t.Fatalf("blocks %d to %d for a prompt of 20", from, to)
+	}
+	option.Kind = placement.ImportWhole
+	if from, to := importSpan(option, 10); from != 0 || to != 10 {
+		t.Fatalf("blocks %d to %d of a whole copy", from, to)
+	}
+
+	w := newWorld(t, standin.Options{MemoryBytes: 1 << 30})
+	p := w.planner()
+	w.exported(p, text("context", 10))
+	c := w.exported(p, text("context", 16)) // two runs
+	choice := w.choice(p, c)
+	choice.Import.From = 7
+	choice.Import.Deadline = testTimeout
+	p.Bring(w.ctx, c, *choice)
+	w.await("the last blocks", func() bool { return w.engines[1].Stats().ImportedBlocks == 9 })
+
+	frozen := true
+	w.switches.Apply(fault.Command{Freeze: &frozen})
+	began := time.Now()
+	p.Bring(w.ctx, c, *choice)
+	if time.Since(began) > testTimeout/2 {
+		t.Fatal("the caller waited for a store that does not answer")
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -319,9 +319,12 @@
 		}
 		for _, c := range l.Copies {
 			if c.Store == o.Store {
+				from, to := importSpan(o, c.Blocks)
 				return &gateway.Import{
 					Copy:     gateway.Copy{Store: s.ID, Address: s.Address, Manifest: c.Manifest, Tier: c.Tier},
-					Blocks:   o.ImportBlocks,
+					From:     from,
+					Blocks:   to,
+					Bytes:    o.LinkBytes,
 					Deadline: deadline,
 				}
 			}
--- a/internal/policy/placement/plan.go
+++ b/internal/policy/placement/plan.go
@@ -65,13 +65,15 @@
 func (e *estimator) describe(c cost, target *Candidate) Option {
 	have := max(c.reuse, c.head)
 	o := Option{
-		Target:      target.ID,
-		Kind:        e.kind(c),
-		ReuseBlocks: c.reuse,
-		Recomputed:  e.tail(have),
-		Expected:    duration(c.expected),
-		ImportTime:  duration(c.importTime),
-		Score:       c.score,
+		Target:       target.ID,
+		Kind:         e.kind(c),
+		ReuseBlocks:  c.reuse,
+		PromptBlocks: e.request.Tokens / block.TokensPerBlock,
+		Overlapped:   e.params.Overlap,
+		Recomputed:   e.tail(have),
+		Expected:     duration(c.expected),
+		ImportTime:   duration(c.importTime),
+		Score:        c.score,
 	}
 	if c.head > 0 {
 		o.ImportBlocks = c.head
--- a/internal/policy/placement/types.go
+++ b/internal/policy/placement/types.go
@@ -50,6 +50,7 @@
 		ImportLatency:   5 * time.Millisecond,
 		SlotWait:        100 * time.Millisecond,
 		CrowdWait:       20 * time.Millisecond,
+		Overlap:         true,
 	}
 }
 
@@ -58,6 +59,7 @@
 	p := Atlas()
 	p.RecomputeWeight = 1e-3
 	p.Patience = 1.15
+	p.Overlap = false
 	return p
 }
 
@@ -130,6 +132,8 @@
 	ReuseBlocks  int             // leading blocks already there
 	ImportBlocks int             // leading blocks to have after the import; zero: no import
 	Store        request.StoreID // to import from
+	PromptBlocks int             // whole blocks of the prompt
+	Overlapped   bool            // the target computes while the import runs
 	LinkBytes    int64           // bytes that the import carries
 	Recomputed   int             // tokens to prefill
 	Expected     time.Duration   // time to first token
