--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -39,6 +39,7 @@
 type cluster struct {
 	t        *testing.T
 	kv       string
+	kvServer *kv.Server
 	engines  []*engine.Engine
 	servers  []*fault.Server // of the engines
 	services []string
@@ -97,11 +98,12 @@
 func (c *cluster) startKV() {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.check(err)
+	c.kvServer = kv.NewServer(kv.Options{})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = kv.Serve(ctx, l, kv.Options{})
+		_ = c.kvServer.Serve(ctx, l)
 	}()
 	c.kv = l.Addr().String()
 	c.t.Cleanup(func() { stop(); <-done })
@@ -254,6 +256,11 @@
 	body, _ := json.Marshal(map[string]any{"model": "verdict", "prompt": prompt, "max_tokens": 4})
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+"/v1/completions", bytes.NewReader(body))
 	c.check(err)
+	return c.send(req)
+}
+
+func (c *cluster) send(req *http.Request) (int, string) {
+	c.t.Helper()
 	req.Header.Set("Authorization", "Bearer "+atlasKey)
 	resp, err := http.DefaultClient.Do(req)
 	c.check(err)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -256,6 +256,60 @@
 	return answer.Usage
 }
 
+// The key-value service goes away for longer than leases last. A caller that repeats
+// a finished call was refused although a daemon knew the result, and each refusal came
+// only after seconds of asking the silent service.
+func TestOutageAnswersWhatIsKnownAndRefusesAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	if status, body := c.call(c.daemons[0], "known"); status != http.StatusOK {
+		t.Fatalf("got %d %s", status, body)
+	}
+	c.kvServer.SetDown(true)
+	c.await("the partitions to lapse", func() bool { return c.heldPartitions(c.daemons[0]) == 0 })
+	status, body := c.call(c.daemons[0], "known")
+	if status != http.StatusOK {
+		t.Fatalf("the repeat of a finished call got %d %s", status, body)
+	}
+	if status, body = c.call(c.daemons[0], "new"); status != http.StatusServiceUnavailable || !strings.Contains(body, string(request.NotRun)) {
+		t.Fatalf("a new call got %d %s", status, body)
+	}
+	if prompt, _ := c.complete(c.daemons[0], "prompts go on"); prompt != http.StatusOK {
+		t.Fatalf("a prompt got %d", prompt)
+	}
+	c.kvServer.SetDown(false)
+	c.await("new calls to be taken", func() bool {
+		status, _ := c.call(c.daemons[0], "new")
+		return status == http.StatusOK
+	})
+}
+
+// call sends one call of the plain service.
+func (c *cluster) call(d *runningDaemon, key string) (int, string) {
+	c.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+"/v1/services/cards/print", strings.NewReader("card"))
+	c.check(err)
+	req.Header.Set("Idempotency-Key", key)
+	return c.send(req)
+}
+
+func (c *cluster) heldPartitions(d *runningDaemon) int {
+	var state struct {
+		Journal struct {
+			Partitions []struct{ Held bool }
+		}
+	}
+	if !c.get("http://"+d.PeerAddress()+"/debug/state", &state) {
+		return -1
+	}
+	held := 0
+	for _, p := range state.Journal.Partitions {
+		if p.Held {
+			held++
+		}
+	}
+	return held
+}
+
 // exports counts the manifests in the store.
 func (c *cluster) exports() int {
 	var list storeapi.ListResponse
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -84,7 +84,8 @@
 	preferred func(partition int) bool
 	holders   map[string]lease.Holder // by lease name, as of scanned
 	scanned   time.Time
-	checked   bool // the number of partitions is that of the service
+	failed    time.Time // when a scan last failed
+	checked   bool      // the number of partitions is that of the service
 	stopping  bool
 }
 
--- a/internal/journal/scan.go
+++ b/internal/journal/scan.go
@@ -58,6 +58,9 @@
 func (j *Journal) refresh(ctx context.Context) error {
 	holders, err := j.opts.Leases.Holders(ctx, leasePrefix)
 	if err != nil {
+		j.mu.Lock()
+		j.failed = j.opts.Now()
+		j.mu.Unlock()
 		return err
 	}
 	j.mu.Lock()
@@ -171,15 +174,35 @@
 		j.rescan(ctx)
 		h, _, ok = j.holderOf(w)
 	}
-	if !ok || h.ID == j.opts.Self {
-		return Holder{}, ErrNoHolder
+	if ok && h.ID != j.opts.Self {
+		return Holder{ID: h.ID, Address: h.Address, Epoch: h.Epoch}, nil
 	}
-	return Holder{ID: h.ID, Address: h.Address, Epoch: h.Epoch}, nil
+	if j.scanFailedLately() {
+		return Holder{}, ErrUnavailable
+	}
+	return Holder{}, ErrNoHolder
 }
 
 // holderAge bounds how often calls for a partition without holder ask the service.
 const holderAge = 500 * time.Millisecond
 
+const (
+	// rescanTimeout bounds the wait of one call for the service.
+	rescanTimeout = 300 * time.Millisecond
+	// failureKept is how long after a scan failed no call waits for another: the scans
+	// of Run come as often while the service is away.
+	failureKept = 8 * time.Second
+)
+
+// scanFailedLately tells whether the last try to read the holders failed. In an outage
+// every call would otherwise wait out the tries at the service, seconds each, to be
+// refused all the same, and results that are known here would not be answered.
+func (j *Journal) scanFailedLately() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed.After(j.scanned) && j.opts.Now().Sub(j.failed) <= failureKept
+}
+
 // rescan reads the holders again, unless another call just did.
 func (j *Journal) rescan(ctx context.Context) {
 	j.scanning.Lock()
@@ -187,9 +210,11 @@
 	j.mu.Lock()
 	recent := j.opts.Now().Sub(j.scanned) <= holderAge
 	j.mu.Unlock()
-	if recent {
+	if recent || j.scanFailedLately() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, rescanTimeout)
+	defer cancel()
 	if err := j.refresh(ctx); err != nil {
 		j.logger.Warn("Holders not read", "error", err)
 	}
