--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -261,9 +261,10 @@
 // only after seconds of asking the silent service.
 func TestOutageAnswersWhatIsKnownAndRefusesAtOnce(t *testing.T) {
 	c := newCluster(t, 1, 1)
-	if status, body := c.call(c.daemons[0], "known"); status != http.StatusOK {
-		t.Fatalf("got %d %s", status, body)
-	}
+	c.await("the first call to be taken", func() bool {
+		status, _ := c.call(c.daemons[0], "known")
+		return status == http.StatusOK
+	})
 	c.kvServer.SetDown(true)
 	c.await("the partitions to lapse", func() bool { return c.heldPartitions(c.daemons[0]) == 0 })
 	status, body := c.call(c.daemons[0], "known")
