limiter: leave organisations alone whose steward stays

Places are compared before and after the change now; only organisations that may have had another steward are settled. Ruled out: a shorter settling time, which would let a burst be given twice. TestChangeElsewhereDoesNotThrottle: 1 place of 10 without, 10 with.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -67,7 +67,6 @@
 	var acted uint64
 	for {
 		if seen := liveHash(d.members.Live()); seen != acted {
-			d.limiter.PlacesMoved()
 			if err := d.suspects.Load(ctx); err == nil {
 				acted = seen
 			}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/membership"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/limit"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -62,6 +64,8 @@
 	home    *limit.Home
 	steward *limit.Steward
 	changed map[request.OrgID]chan struct{} // closed when a slice has come or failed
+	live    []*peer.Member                  // as of the last tick
+	known   int
 }
 
 // New returns a limiter.
@@ -146,7 +150,7 @@
 }
 
 func (l *Limiter) slice(ctx context.Context, want limit.Want) (limit.Slice, error) {
-	place := l.opts.Members.Place("limit/" + string(want.Org))
+	place := l.opts.Members.Place(placeKey(want.Org))
 	if place == nil || place.Id == l.opts.Members.Self().Id {
 		return l.sliceHere(l.opts.Members.Self().Id, want), nil
 	}
@@ -220,23 +224,46 @@
 	}
 }
 
-// PlacesMoved is told that organisations may have another steward than before.
-func (l *Limiter) PlacesMoved() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.steward.OnPlacesMoved(time.Now())
-}
-
 func (l *Limiter) tick() {
-	live := len(l.opts.Members.Live())
+	live := l.opts.Members.Live()
 	known := len(l.opts.Members.Members())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.home.OnMembers(known)
-	l.steward.OnMembers(now, live, known)
+	l.followMembers(now, live, known)
 	l.steward.Tick(now)
 	for _, want := range l.home.Tick(now) {
 		go l.fetch(want)
 	}
 }
+
+// followMembers tells both halves of a change of the fleet. The caller holds l.mu.
+func (l *Limiter) followMembers(now time.Time, live []*peer.Member, known int) {
+	before := l.live
+	if known == l.known && sameDaemons(before, live) {
+		return
+	}
+	l.live, l.known = live, known
+	l.home.OnMembers(known)
+	l.steward.OnMembers(now, len(live), known)
+	l.steward.OnPlacesMoved(now)
+	self := l.opts.Members.Self().Id
+	l.steward.Keep(now, func(org request.OrgID) bool {
+		return isPlace(before, org, self) && isPlace(live, org, self)
+	})
+}
+
+func isPlace(live []*peer.Member, org request.OrgID, self string) bool {
+	place := membership.Place(live, placeKey(org))
+	return place != nil && place.Id == self
+}
+
+// placeKey is the soft place of an organisation's limit steward.
+func placeKey(org request.OrgID) string { return "limit/" + string(org) }
+
+// sameDaemons tells whether two lists, ordered by id, name the same starts of daemons.
+func sameDaemons(a, b []*peer.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y *peer.Member) bool {
+		return x.Id == y.Id && x.Incarnation == y.Incarnation
+	})
+}
--- /dev/null
+++ b/internal/policy/limit/keep_test.go
@@ -0,0 +1,38 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+// A daemon somewhere in the fleet is replaced, and for seconds organisations far below
+// their limits are told that they are over them: each steward takes every organisation
+// for one that has just come to it, and gives out one place at a time. One that had
+// this steward before and has it still needs no such care.
+func TestChangeElsewhereDoesNotThrottle(t *testing.T) {
+	limits := Limits{RequestsPerSecond: 100, Burst: 50, Concurrency: 40}
+	want := Want{Org: "a", Requests: 20, Concurrency: 10}
+	granted := func(kept bool) int64 {
+		now := time.Unix(1_700_000_000, 0)
+		s := NewSteward(now, Params{})
+		s.OnMembers(now, 8, 8)
+		now = now.Add(time.Minute)
+		s.Slice(now, "d1", "a", limits, want)
+		now = now.Add(time.Minute)
+		s.Tick(now.Add(-time.Second))
+		s.Slice(now, "d1", "a", limits, want)
+		now = now.Add(10 * time.Millisecond)
+		s.OnMembers(now, 7, 8)
+		s.OnPlacesMoved(now)
+		s.Keep(now, func(request.OrgID) bool { return kept })
+		return s.Slice(now, "d2", "a", limits, want).Concurrency
+	}
+	if got := granted(false); got > 1 {
+		t.Fatalf("an organisation that may have moved was given %d places", got)
+	}
+	if got := granted(true); got < 10 {
+		t.Fatalf("an organisation that stayed was given %d places of 10", got)
+	}
+}
--- a/internal/policy/limit/steward.go
+++ b/internal/policy/limit/steward.go
@@ -59,6 +59,18 @@
 // although as many daemons live: one left while another came.
 func (s *Steward) OnPlacesMoved(now time.Time) { s.changed = now }
 
+// Keep is told, after a change, which organisations had this steward before it and have
+// it still. Nobody else can have given out anything of theirs. Without this every change
+// of membership, several an hour in a large fleet, would hold all organisations to one
+// place at a time for SettleTTL.
+func (s *Steward) Keep(now time.Time, kept func(request.OrgID) bool) {
+	for org, l := range s.ledgers {
+		if kept(org) && !l.asked.Before(l.cautious) {
+			l.asked = now
+		}
+	}
+}
+
 // Resign forgets an organisation that another daemon is now the steward of. It only
 // saves memory: an organisation that comes back is treated as a new one.
 func (s *Steward) Resign(org request.OrgID) { delete(s.ledgers, org) }
