--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
@@ -41,6 +42,7 @@
 	store    *fault.Server
 	switches *fault.Switches // of the store
 	client   *store.Client
+	metrics  tally.TestScope // of all planners
 	planners int
 }
 
@@ -48,7 +50,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	w := &world{t: t, ctx: ctx, switches: fault.New(fault.Options{})}
+	w := &world{t: t, ctx: ctx, switches: fault.New(fault.Options{}), metrics: tally.NewTestScope("", nil)}
 	var rows strings.Builder
 	for i := range 2 {
 		e, server, err := engine.Start("127.0.0.1:0", engine.Options{
@@ -65,7 +67,7 @@
 	w.check(err)
 	w.client = store.New(store.Options{ID: "store-1", Address: w.store.Address()})
 	t.Cleanup(func() { w.client.Close(); _ = w.store.Close() })
-	w.tables = tabletest.Load(t, kv.NewFake(time.Now).Client("test"), tabletest.Rows{
+	w.loadTable(tabletest.Rows{
 		Models:  "verdict,v1,1024,2\n",
 		Targets: rows.String(),
 		Stores:  fmt.Sprintf("store-1,%s,pack,1000000000\n", w.store.Address()),
@@ -73,6 +75,22 @@
 	return w
 }
 
+// loadTable puts rows in force.
+func (w *world) loadTable(rows tabletest.Rows) {
+	w.t.Helper()
+	client := kv.NewFake(time.Now).Client("test")
+	tabletest.Write(w.t, client, rows)
+	w.tables = table.NewReplica(table.ReplicaOptions{KV: client})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.tables.Run(ctx, func() bool { return true })
+	}()
+	w.t.Cleanup(func() { stop(); <-done })
+	w.await("the table to be in force", func() bool { return len(w.tables.Current().Stores()) > 0 })
+}
+
 func (w *world) check(err error) {
 	w.t.Helper()
 	if err != nil {
@@ -125,6 +143,7 @@
 		Keeps:    func(request.StoreID) bool { return true },
 		Instance: fmt.Sprintf("d%d.1", w.planners),
 		Logger:   hclog.NewNullLogger(),
+		Metrics:  w.metrics,
 	})
 	w.t.Cleanup(p.Shutdown)
 	return p
@@ -159,7 +178,7 @@
 	client := clients{}.Client(w.row(1))
 	defer client.Close()
 	s, err := client.Complete(w.ctx, engineapi.CompletionRequest{
-		RequestID: request.ID(prompt[:8] + fmt.Sprint(len(prompt))),
+		RequestID: request.ID(c.Chain[len(c.Chain)-1].String()),
 		Model:     c.Scope.Model,
 		Version:   c.Scope.Version,
 		CacheSalt: c.Scope.Salt(),
--- a/internal/policy/placement/types.go
+++ b/internal/policy/placement/types.go
@@ -26,6 +26,9 @@
 	// SlotWait is the expected wait for one of a target's running requests to end,
 	// for each request ahead, when the target runs as many as it can.
 	SlotWait time.Duration
+	// CrowdWait is what each request that a target runs already, or brings the blocks
+	// for, adds to a new one's expected time: its steps are taken turn by turn.
+	CrowdWait time.Duration
 	// Ways switches ways off; the zero value allows all.
 	Ways Ways
 }
@@ -46,6 +49,8 @@
 		PieceTokens:     2000,
 		ImportLatency:   5 * time.Millisecond,
 		SlotWait:        100 * time.Millisecond,
+		CrowdWait:       20 * time.Millisecond,
+		Overlap:         true,
 	}
 }
 
@@ -54,6 +59,7 @@
 	p := Atlas()
 	p.RecomputeWeight = 1e-3
 	p.Patience = 1.15
+	p.Overlap = false
 	return p
 }
 
@@ -126,6 +132,8 @@
 	ReuseBlocks  int             // leading blocks already there
 	ImportBlocks int             // leading blocks to have after the import; zero: no import
 	Store        request.StoreID // to import from
+	PromptBlocks int             // whole blocks of the prompt
+	Overlapped   bool            // the target computes while the import runs
 	LinkBytes    int64           // bytes that the import carries
 	Recomputed   int             // tokens to prefill
 	Expected     time.Duration   // time to first token
