--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -18,9 +18,10 @@
 const (
 	// exportTimeout bounds one export.
 	exportTimeout = 2 * time.Minute
-	// maxExports is how many exports this daemon runs at once. More are dropped: an
-	// export that waits long would write blocks that have been evicted.
-	maxExports = 4
+	// maxExports is how many exports this daemon runs at once. Each writes a chunk only
+	// when its link is free, so most of them wait. More are dropped: an export that waits
+	// long would write blocks that have been evicted.
+	maxExports = 32
 	// freeTimeout bounds the freeing of one old export.
 	freeTimeout = 10 * time.Second
 )
