--- a/internal/policysim/bench.go
+++ b/internal/policysim/bench.go
@@ -167,6 +167,7 @@
 			c.Off.GiveUp = true
 		}},
 		{"overlap", func(c *Config) { c.Placement.Overlap = true }},
+		{"serial", func(c *Config) { c.Placement.Overlap = false }},
 		{"overlap no-split", func(c *Config) { c.Placement.Overlap, c.Placement.Ways.NoSplit = true, true }},
 	}
 }
