--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -200,7 +200,7 @@
 		s.releaseHere(g, r)
 		return
 	}
-	go func() {
+	s.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		_, err := s.opts.Peers.Steward(giver).Release(ctx, &peer.ReleaseRequest{
@@ -212,7 +212,7 @@
 		if err != nil {
 			s.log.Debug("Release was not taken; the grant lapses", "target", g.Target, "error", err)
 		}
-	}()
+	})
 }
 
 func (s *Service) releaseHere(g gateway.Grant, r gateway.Release) {
--- a/internal/steward/grants.go
+++ b/internal/steward/grants.go
@@ -74,7 +74,7 @@
 			s.renewHere(key.target, requests)
 			continue
 		}
-		go s.renewAt(ctx, giver, key.target, requests)
+		s.tasks.Go(func() { s.renewAt(ctx, giver, key.target, requests) })
 	}
 }
 
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -103,7 +103,7 @@
 		}),
 	}
 	k.pid = s.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return k }))
-	go k.ticker()
+	s.tasks.Go(k.ticker)
 	return k
 }
 
@@ -205,7 +205,7 @@
 		}
 	}
 	if k.service.opts.OnDied != nil && len(fingerprints) > 0 {
-		go k.service.opts.OnDied(k.row.ID, d.Incarnation, fingerprints)
+		k.service.tasks.Go(func() { k.service.opts.OnDied(k.row.ID, d.Incarnation, fingerprints) })
 	}
 }
 
--- a/internal/steward/poll.go
+++ b/internal/steward/poll.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
@@ -20,7 +21,7 @@
 		return
 	}
 	ctx, k.cancel = context.WithCancel(ctx)
-	go k.poll(ctx)
+	k.service.tasks.Go(func() { k.poll(ctx) })
 }
 
 func (k *keeper) stopPolling() {
@@ -33,18 +34,37 @@
 	}
 }
 
+// cursor is how far a target's cache events have been read.
+type cursor struct {
+	incarnation uint64
+	after       uint64 // newest sequence read
+	// lost says that events are missing and no snapshot has been read since. It stays set
+	// until one has: a target whose snapshot is asked for once only, and whose answer to
+	// that is lost, would be taken to hold nothing for as long as it lives.
+	lost bool
+}
+
+// take moves on by a page.
+func (c *cursor) take(page engineapi.EventPage) {
+	next := c.after + 1
+	for _, e := range page.Events {
+		c.lost = c.lost || e.Seq != next
+		next = e.Seq + 1
+	}
+	// A restarted target counts anew and may by chance go on with the number that is due.
+	c.lost = c.lost || page.Next+1 != next || page.Incarnation != c.incarnation
+	c.incarnation = page.Incarnation
+	c.after = page.Next
+}
+
 // poll asks the target for load and cache events until ctx ends.
 func (k *keeper) poll(ctx context.Context) {
 	tick := time.NewTicker(k.service.opts.PollInterval)
 	defer tick.Stop()
 	failures := 0
-	var after uint64
+	at := cursor{lost: true}
 	for {
-		err := k.pollOnce(ctx, &after)
-		if ctx.Err() != nil {
-			return
-		}
-		failures = k.judge(failures, err)
+		failures = k.pollAndJudge(ctx, failures, &at)
 		select {
 		case <-ctx.Done():
 			return
@@ -53,6 +73,19 @@
 	}
 }
 
+// pollAndJudge polls once and returns how many polls in a row have failed.
+func (k *keeper) pollAndJudge(ctx context.Context, failures int, at *cursor) int {
+	err := k.pollOnce(ctx, at)
+	if ctx.Err() != nil {
+		return failures
+	}
+	failures = k.judge(failures, err)
+	if failures >= failuresUntilDown {
+		at.lost = true // what was known of the target has been cleared
+	}
+	return failures
+}
+
 // judge counts failed polls. A target is down only after several: one lost answer
 // must not empty its queue.
 func (k *keeper) judge(failures int, err error) int {
@@ -78,7 +111,7 @@
 	}
 }
 
-func (k *keeper) pollOnce(ctx context.Context, after *uint64) error {
+func (k *keeper) pollOnce(ctx context.Context, at *cursor) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	client := k.service.opts.Targets.Client(k.row)
@@ -91,7 +124,7 @@
 	}
 	load.Leaving = load.Leaving || k.vmLeaving()
 	k.send(&loadMsg{load: load})
-	return k.pollEvents(ctx, client, after)
+	return k.pollEvents(ctx, client, at)
 }
 
 func (k *keeper) pollService(ctx context.Context, client *target.Client) error {
@@ -106,29 +139,22 @@
 	return nil
 }
 
-func (k *keeper) pollEvents(ctx context.Context, client *target.Client, after *uint64) error {
-	page, err := client.Events(ctx, *after)
+func (k *keeper) pollEvents(ctx context.Context, client *target.Client, at *cursor) error {
+	page, err := client.Events(ctx, at.after)
 	if err != nil {
 		return err
 	}
-	gap := page.Next > *after && (len(page.Events) == 0 || page.Events[0].Seq != *after+1)
-	for i := 1; i < len(page.Events); i++ {
-		gap = gap || page.Events[i].Seq != page.Events[i-1].Seq+1
-	}
-	first := *after == 0
-	if page.Next < *after {
-		gap = true
-	}
-	*after = page.Next
+	at.take(page)
 	k.send(&eventsMsg{page: page})
-	if !gap && !first {
+	if !at.lost {
 		return nil
 	}
 	snapshot, err := client.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
-	*after = max(*after, snapshot.Seq)
+	at.lost = snapshot.Incarnation != at.incarnation || snapshot.Seq < at.after
+	at.after = max(at.after, snapshot.Seq)
 	k.send(&snapMsg{snapshot: snapshot})
 	return nil
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -76,6 +76,7 @@
 	system  *actor.ActorSystem
 	granted *grantBook
 	places  places
+	tasks   sync.WaitGroup // everything that runs beside the actors
 
 	mu      sync.Mutex
 	keepers map[request.TargetID]*keeper
@@ -180,8 +181,10 @@
 	}
 }
 
-// Shutdown stops all actors. Asks that wait are refused.
+// Shutdown stops all actors and waits for what runs beside them; each of it has a
+// timeout. Asks that wait are refused. Nothing may be asked of the service any more.
 func (s *Service) Shutdown() {
 	s.stopAll()
+	s.tasks.Wait()
 	s.system.Shutdown()
 }
