suspect: read stored findings before any request on a fresh daemon

Cause: a daemon serves as soon as it has the table, which peers give it too. Until Load had succeeded it knew no findings and took a request that had killed two targets for a free one. Gate now reads the page of the fingerprint as long as Load has never succeeded.

If the read fails the request runs by what peers have told: refusing all requests of a daemon as long as the service is away would cost every caller. After a failed read none waits for another one for 1 s.

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -29,6 +29,8 @@
 	writeTries = 5
 	// ioTimeout bounds reading or writing one page. A suspect waits that long at most.
 	ioTimeout = 2 * time.Second
+	// readPause is how long no request waits for stored findings after a failed read.
+	readPause = time.Second
 )
 
 // Options configures a Keeper.
@@ -48,6 +50,8 @@
 
 	mu       sync.Mutex
 	register *quarantine.Register
+	loaded   bool      // all stored findings were read once
+	failed   time.Time // when a page could not be read last
 }
 
 // New returns a keeper that knows nothing until Load.
@@ -73,15 +77,36 @@
 // findings were read: another daemon may know of a second death.
 func (k *Keeper) Gate(ctx context.Context, fp quarantine.Fingerprint) quarantine.Verdict {
 	v := k.gate(fp)
-	if v.Mode != quarantine.Alone {
+	if v.Mode != quarantine.Alone && !k.mustRead() {
 		return v
 	}
 	if err := k.read(ctx, pageOf(fp)); err != nil {
-		k.log.Warn("Findings were not read before a suspect runs", "error", err)
+		k.log.Warn("Findings were not read before a request runs", "error", err)
+		k.readFailed()
 	}
 	return k.gate(fp)
 }
 
+// mustRead tells whether the stored findings were never loaded. Callers can be served
+// before Load has succeeded, since the table comes from peers too. A request that killed
+// two targets would then run like any other on each daemon that has just started.
+//
+// If the page can not be read, the request runs by what peers have told: refusing all
+// requests of a daemon for as long as the service is away would cost every caller, and
+// findings are lost only if all daemons stop within the outage. After a failed read no
+// request waits for another one for a while.
+func (k *Keeper) mustRead() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.loaded && k.opts.Now().Sub(k.failed) >= readPause
+}
+
+func (k *Keeper) readFailed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failed = k.opts.Now()
+}
+
 func (k *Keeper) gate(fp quarantine.Fingerprint) quarantine.Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -145,6 +170,9 @@
 	for _, e := range entries {
 		k.mergeValue(e.Value)
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loaded = true
 	return nil
 }
 
