gateway: give back everything, answer whole, name tries by daemon

Faults found by reading, each with a test seen failing before: - A caller that stops reading the answer of a call, or of a completion in one body, held its credit and the target's place for ever: only streamed events had a write deadline. Before: the answer is still being written after 5 s. Now each 64 KiB has a deadline, and the place at the target is given back before the answer is written. - A forwarded answer above max_prompt_bytes (4 MiB; a target's answer may have 8) was cut there and passed on with its status. Before: 4194304 of 5242880 bytes with 200. - When a home froze, this daemon's try had the name of the home's try; the home, once awake, cancels that name at the target. Grants were asked for under one name as well, and a forged hop header could reach another organisation's tries. Tries and grants now carry an id of this daemon's own. - A body that never comes held its connection, and a planned stop up to its limit. Now 30 s. - Keep-alives and frames wrote one flag without order: data race under -race. - A panic while a ticket was settled kept grant and credit. Each part is given back now. - An internal error that did not run said nothing of when to come back. - A caller that reads slowly made its home look frozen: the watch is paused while a frame is written. By reading only, no test. - Cancels of streams outlived Shutdown.

Ruled out by test: more than one hop with contradicting views; a call that is not repeatable received twice under any of dial refused, cut before and after bytes, 5xx, timeout (100 random runs of steps and tries with panics and refusals, the answer's 'not run' checked against what the target received). Mutants seen failing: 'not run' for a cut call, key freed after a panic, hop without bound, grant not released.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -34,6 +34,8 @@
 	maxMaxTokens     = 32768
 	maxKeyLength     = 256
 	retryWhenFull    = time.Second
+	// defaultBodyTimeout bounds reading a body.
+	defaultBodyTimeout = 30 * time.Second
 )
 
 // completionBody is the body of POST /v1/completions.
@@ -105,7 +107,15 @@
 }
 
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Error) {
+	// A body that never ends holds a connection and its memory, takes no credit, and
+	// keeps a planned stop waiting to its limit.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(g.opts.MaxBody)))
+	if err == nil {
+		// Else it stays: the server reads what is left of the body before it answers.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, request.Refuse(request.CodePayloadTooLarge, http.StatusRequestEntityTooLarge, 0,
@@ -186,6 +196,7 @@
 	}
 	j.deadline = j.arrived.Add(wait)
 	j.id = request.ID(uuid.NewString())
+	j.work = j.id
 	if given := r.Header.Get(HeaderRequestID); j.hopped && given != "" {
 		j.id = request.ID(given)
 	}
@@ -197,7 +208,7 @@
 func (g *Gateway) answer(out *sink, r *http.Request, j *Job) {
 	switch {
 	case j.replay != nil:
-		writeResult(out.w, *j.replay, true)
+		g.writeResult(out.w, *j.replay, true)
 	case j.forward != nil && j.kind == kindCompletion:
 		g.relayHop(out, j)
 	case j.forward != nil:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,7 +32,7 @@
 			return
 		}
 		if j.replay != nil {
-			writeResult(w, *j.replay, true)
+			g.writeResult(w, *j.replay, true)
 			return
 		}
 	}
@@ -62,7 +62,10 @@
 		Body:        answer.Body,
 	}
 	g.finishTicket(j, result)
-	writeResult(w, result, false)
+	// The target is done: a caller that reads slowly must not hold its place there.
+	g.endFlight(j, false)
+	g.releaseGrant(j)
+	g.writeResult(w, result, false)
 	return nil
 }
 
@@ -125,7 +128,7 @@
 	}
 }
 
-func writeResult(w http.ResponseWriter, r journal.Result, replayed bool) {
+func (g *Gateway) writeResult(w http.ResponseWriter, r journal.Result, replayed bool) {
 	if r.ContentType != "" {
 		w.Header().Set("Content-Type", r.ContentType)
 	}
@@ -133,5 +136,23 @@
 		w.Header().Set(headerReplayed, "true")
 	}
 	w.WriteHeader(r.Status)
-	_, _ = w.Write(r.Body)
+	writeBounded(w, r.Body, g.opts.WriteTimeout)
+}
+
+// maxWrite is how much is written to a caller under one deadline.
+const maxWrite = 64 << 10
+
+// writeBounded writes a body as far as the caller takes it. A caller that stops reading
+// without closing its connection would hold a credit for ever; the deadline of each
+// write ends it, and a slow reader of a large body is not cut.
+func writeBounded(w http.ResponseWriter, body []byte, timeout time.Duration) {
+	control := http.NewResponseController(w)
+	for len(body) > 0 {
+		_ = control.SetWriteDeadline(time.Now().Add(timeout))
+		n := min(len(body), maxWrite)
+		if _, err := w.Write(body[:n]); err != nil {
+			return
+		}
+		body = body[n:]
+	}
 }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -72,7 +72,7 @@
 		return &request.Error{Code: request.CodeCancelled, Status: statusClientGone, Message: "the caller left", Ran: ran}
 	}
 	g.log.Error("Filter failed", "request", j.id, "error", err)
-	return &request.Error{Code: request.CodeInternal, Status: http.StatusInternalServerError, Message: "internal error", Ran: ran}
+	return &request.Error{Code: request.CodeInternal, Status: http.StatusInternalServerError, Message: "internal error", Ran: ran, RetryAfter: retryWhenFull}
 }
 
 // fail ends an answer: with a status if nothing has been written, else with an event.
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -155,7 +155,7 @@
 
 func (g *Gateway) ask(j *Job, c Choice) Ask {
 	return Ask{
-		Request:  j.id,
+		Request:  j.work,
 		Target:   c.Target.ID,
 		Org:      j.org.ID,
 		Tokens:   int64(c.Recompute),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -192,6 +193,7 @@
 	FirstSilentAfter  time.Duration // the same for the first frame, which waits for the prefill
 	HopSilentAfter    time.Duration // no sign of life from a peer for this long fails the hop
 	WriteTimeout      time.Duration // of one write to a caller
+	BodyTimeout       time.Duration // of reading a request's body; 0: 30 s
 }
 
 // Gateway serves callers.
@@ -202,6 +204,7 @@
 	hops    *hopClient
 	stats   stats
 	budgets *budgets
+	cancels sync.WaitGroup // orders to targets to stop a stream
 }
 
 // New starts a gateway.
@@ -209,6 +212,9 @@
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = defaultBodyTimeout
+	}
 	g := &Gateway{
 		opts:    opts,
 		log:     opts.Logger.Named("gateway"),
@@ -241,6 +247,7 @@
 
 // Shutdown stops the filters. No request may be in flight.
 func (g *Gateway) Shutdown() {
+	g.cancels.Wait()
 	g.line.Shutdown()
 	g.hops.close()
 }
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
 const (
@@ -146,6 +147,7 @@
 		return hopRefused(answer)
 	}
 	source := newHopStream(answer.Body, func() { watch.Reset(g.opts.HopSilentAfter) })
+	source.pause = func() { watch.Stop() }
 	return pumpHop(ctx, out, j, source)
 }
 
@@ -207,13 +209,16 @@
 type hopStream struct {
 	lines *bufio.Scanner
 	alive func()
+	// pause is called when no sign of life is waited for, since a frame is being written
+	// to the caller: a caller that reads slowly must not make its home look frozen.
+	pause func()
 }
 
 // newHopStream reads from body and calls alive at each sign of life.
 func newHopStream(body io.Reader, alive func()) *hopStream {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), maxEvent)
-	return &hopStream{lines: lines, alive: alive}
+	return &hopStream{lines: lines, alive: alive, pause: func() {}}
 }
 
 // hopEvent is a frame or the failure that ends the stream.
@@ -225,6 +230,8 @@
 
 // Next returns the next frame. A failure that the peer reports is a *request.Error.
 func (s *hopStream) Next(context.Context) (engineapi.Frame, error) {
+	s.alive()
+	defer s.pause()
 	for s.lines.Scan() {
 		s.alive()
 		data, ok := strings.CutPrefix(s.lines.Text(), "data: ")
@@ -261,7 +268,7 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(g.opts.MaxBody)))
+	body, err := readWhole(answer.Body)
 	if err != nil {
 		g.writeError(w, hopRefusal(err))
 		return
@@ -272,7 +279,17 @@
 		}
 	}
 	w.WriteHeader(answer.StatusCode)
-	_, _ = w.Write(body)
+	writeBounded(w, body, g.opts.WriteTimeout)
+}
+
+// readWhole reads an answer to its end. One that is too long is an error: cut at the
+// limit it would reach the caller as if it were whole.
+func readWhole(body io.Reader) ([]byte, error) {
+	whole, err := io.ReadAll(io.LimitReader(body, target.DefaultMaxBody+1))
+	if err == nil && len(whole) > target.DefaultMaxBody {
+		err = errors.Newf("gateway: answer of a peer above %d bytes", target.DefaultMaxBody)
+	}
+	return whole, err
 }
 
 // hopRefusal answers a call whose holder could not be asked. If the holder may have
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -31,7 +31,13 @@
 	stay     bool // its home failed; it is served here
 	bearer   string
 
-	id   request.ID
+	id request.ID // as the caller and peers know it
+	// work names the job at targets, stewards and the quarantine of this daemon. It is
+	// not id: a home that froze and this daemon, which serves in its stead, would else
+	// send tries of one name to one target. The home, once awake, cancels its try there,
+	// and the caller's answer is cut. A forged id could in the same way reach the tries
+	// of another organisation.
+	work request.ID
 	kind kind
 	body []byte // as received, for forwarding
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -133,7 +133,7 @@
 // attemptID names one try of a request. Each try has its own, so that late frames of
 // an earlier try at another target can not enter a later one.
 func attemptID(j *Job) request.ID {
-	return j.id + request.ID("-"+string(rune('a'+j.tries%26)))
+	return j.work + request.ID("-"+string(rune('a'+j.tries%26)))
 }
 
 // openFailed classifies a try whose stream never opened.
@@ -192,11 +192,11 @@
 }
 
 func (g *Gateway) stopStream(client *target.Client, id request.ID) {
-	go func() {
+	g.cancels.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := client.Cancel(ctx, id); err != nil {
 			g.log.Debug("Cancel was not taken", "request", id, "error", err)
 		}
-	}()
+	})
 }
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -11,15 +11,20 @@
 // quarantineTimeout bounds the write of a finding to the key-value service.
 const quarantineTimeout = 3 * time.Second
 
-// settle gives back all that a job still holds. It runs once, after the answer.
+// settle gives back all that a job still holds. It runs once, after the answer. Each
+// part is given back although another panics: a credit that is lost is lost for good.
 func (g *Gateway) settle(j *Job) {
+	defer g.line.Settled()
+	defer g.leaveLimits(j)
+	defer g.endFlight(j, false)
+	defer g.releaseGrant(j)
 	g.settleTicket(j, g.leftOver(j))
-	g.releaseGrant(j)
-	g.endFlight(j, false)
+}
+
+func (g *Gateway) leaveLimits(j *Job) {
 	if j.limited {
 		g.opts.Limiter.Done(j.org.ID, j.output)
 	}
-	g.line.Settled()
 }
 
 // leftOver is what becomes of a ticket that nobody has settled. A call that was never
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -47,7 +47,6 @@
 	flush   *http.ResponseController
 	j       *Job
 	started bool            // the head of the answer is written
-	gone    bool            // the caller does not read any more
 	have    strings.Builder // the answer as far as the caller has it
 	skip    int             // bytes of the answer that the caller already has and that are compared
 	seq     int             // frames written to a peer
@@ -158,10 +157,18 @@
 		s.raw("data: [DONE]\n\n")
 	default:
 		s.head("application/json")
-		_ = json.NewEncoder(s.w).Encode(s.last(s.have.String(), u))
+		s.whole(s.last(s.have.String(), u))
 	}
 }
 
+func (s *sink) whole(answer completionChunk) {
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return // can not be: the types are plain
+	}
+	writeBounded(s.w, append(body, '\n'), s.timeout)
+}
+
 func (s *sink) last(text string, u engineapi.Usage) completionChunk {
 	c := s.chunk(text)
 	c.Choices[0].FinishReason = "length"
@@ -188,8 +195,7 @@
 		return errors.Wrap(err, "gateway: encode event")
 	}
 	s.head("text/event-stream")
-	s.raw("data: " + string(data) + "\n\n")
-	if s.gone {
+	if !s.raw("data: " + string(data) + "\n\n") {
 		return errors.New("gateway: caller left")
 	}
 	return nil
@@ -207,15 +213,12 @@
 
 // raw writes at once. A caller that stops reading without closing its connection
 // would hold a credit and a target's stream for ever; the write deadline ends it.
-func (s *sink) raw(text string) {
+func (s *sink) raw(text string) (read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = s.flush.SetWriteDeadline(time.Now().Add(s.timeout))
 	if _, err := s.w.Write([]byte(text)); err != nil {
-		s.gone = true
-		return
-	}
-	if err := s.flush.Flush(); err != nil {
-		s.gone = true
+		return false
 	}
+	return s.flush.Flush() == nil
 }
