daemon: leave nothing running after a planned stop

Cause: the metrics' reporter, questions for slices, and idle connections to peers were never stopped. Before (goleak after Run): tally's reportLoop is left.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -39,6 +39,7 @@
 type cluster struct {
 	t        *testing.T
 	kv       string
+	stopKV   func()
 	engines  []*engine.Engine
 	servers  []*fault.Server // of the engines
 	services []string
@@ -104,7 +105,8 @@
 		_ = kv.Serve(ctx, l, kv.Options{})
 	}()
 	c.kv = l.Addr().String()
-	c.t.Cleanup(func() { stop(); <-done })
+	c.stopKV = func() { stop(); <-done }
+	c.t.Cleanup(c.stopKV)
 }
 
 func (c *cluster) startEngine() {
@@ -266,11 +268,17 @@
 
 // await waits for a condition.
 func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	c.awaitOr(what, condition, func() string { return "no more is known" })
+}
+
+// awaitOr is await that says on failure how things stand.
+func (c *cluster) awaitOr(what string, condition func() bool, state func() string) {
 	c.t.Helper()
 	deadline := time.Now().Add(patience)
 	for !condition() {
 		if time.Now().After(deadline) {
-			c.t.Fatalf("waited in vain for %s", what)
+			c.t.Fatalf("waited in vain for %s: %s", what, state())
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	log         hclog.Logger
 	metrics     tally.Scope
 	scrape      http.Handler
+	reporter    io.Closer // of metrics
 	incarnation uint64
 	started     time.Time
 
@@ -65,6 +67,7 @@
 	leases   *lease.Manager
 	journal  *journal.Journal
 	targets  *targetPool
+	peerPool *peerPool
 	stewards *steward.Service
 	limiter  *limiter.Limiter
 	planner  *planner.Planner
@@ -97,7 +100,7 @@
 		peers:       peers,
 		drain:       make(chan struct{}),
 	}
-	d.metrics, d.scrape = newMetrics()
+	d.metrics, d.scrape, d.reporter = newMetrics()
 	d.buildShared()
 	d.buildPath()
 	d.buildFleet()
@@ -194,6 +197,7 @@
 	c := d.config
 	d.targets = newTargetPool(c.Streams, d.log, d.metrics)
 	peers := newPeerPool()
+	d.peerPool = peers
 	d.stewards = steward.New(steward.Options{
 		Tables:       d.table,
 		Members:      d.members,
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -19,18 +20,18 @@
 // metricsInterval is how often metrics reach the endpoint.
 const metricsInterval = time.Second
 
-// newMetrics returns the root scope and the handler of its endpoint.
-func newMetrics() (tally.Scope, http.Handler) {
+// newMetrics returns the root scope, the handler of its endpoint, and what stops it.
+func newMetrics() (tally.Scope, http.Handler, io.Closer) {
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "bluebellscale",
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
-	return scope, reporter.HTTPHandler()
+	return scope, reporter.HTTPHandler(), closer
 }
 
 // stewardServer joins the two halves of peer.Steward.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -147,8 +147,11 @@
 
 func (d *Daemon) close() {
 	d.gateway.Shutdown()
+	d.limiter.Shutdown()
 	d.planner.Shutdown()
 	d.stewards.Shutdown()
 	d.kv.Close()
 	d.targets.close()
+	d.peerPool.Reset()
+	_ = d.reporter.Close() // reports the last values; it can not fail
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -58,6 +58,8 @@
 	opts Options
 	log  hclog.Logger
 
+	fetches sync.WaitGroup
+
 	mu      sync.Mutex
 	home    *limit.Home
 	steward *limit.Steward
@@ -117,7 +119,7 @@
 		l.changed[org.ID] = changed
 	}
 	if decision.Ask != nil {
-		go l.fetch(*decision.Ask)
+		l.fetches.Go(func() { l.fetch(*decision.Ask) })
 	}
 	return decision, changed
 }
@@ -220,6 +222,9 @@
 	}
 }
 
+// Shutdown waits for the questions under way. Nothing may be admitted any more.
+func (l *Limiter) Shutdown() { l.fetches.Wait() }
+
 // PlacesMoved is told that organisations may have another steward than before.
 func (l *Limiter) PlacesMoved() {
 	l.mu.Lock()
@@ -237,6 +242,6 @@
 	l.steward.OnMembers(now, live, known)
 	l.steward.Tick(now)
 	for _, want := range l.home.Tick(now) {
-		go l.fetch(want)
+		l.fetches.Go(func() { l.fetch(want) })
 	}
 }
