--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -53,6 +54,7 @@
 	log         hclog.Logger
 	metrics     tally.Scope
 	scrape      http.Handler
+	reporter    io.Closer // of metrics
 	incarnation uint64
 	started     time.Time
 
@@ -66,6 +68,7 @@
 	leases   *lease.Manager
 	journal  *journal.Journal
 	targets  *targetPool
+	peerPool *peerPool
 	stewards *steward.Service
 	limiter  *limiter.Limiter
 	planner  *planner.Planner
@@ -98,7 +101,7 @@
 		peers:       peers,
 		drain:       make(chan struct{}),
 	}
-	d.metrics, d.scrape = newMetrics()
+	d.metrics, d.scrape, d.reporter = newMetrics()
 	d.buildShared()
 	d.buildPath()
 	d.buildFleet()
@@ -222,6 +225,7 @@
 	c := d.config
 	d.targets = newTargetPool(c.Streams, d.log, d.metrics)
 	peers := newPeerPool()
+	d.peerPool = peers
 	d.stewards = steward.New(steward.Options{
 		Tables:       d.table,
 		Members:      d.members,
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -60,6 +60,8 @@
 	opts Options
 	log  hclog.Logger
 
+	fetches sync.WaitGroup
+
 	mu      sync.Mutex
 	home    *limit.Home
 	steward *limit.Steward
@@ -121,7 +123,7 @@
 		l.changed[org.ID] = changed
 	}
 	if decision.Ask != nil {
-		go l.fetch(*decision.Ask)
+		l.fetches.Go(func() { l.fetch(*decision.Ask) })
 	}
 	return decision, changed
 }
@@ -224,6 +226,9 @@
 	}
 }
 
+// Shutdown waits for the questions under way. Nothing may be admitted any more.
+func (l *Limiter) Shutdown() { l.fetches.Wait() }
+
 func (l *Limiter) tick() {
 	live := l.opts.Members.Live()
 	known := len(l.opts.Members.Members())
@@ -233,7 +238,7 @@
 	l.followMembers(now, live, known)
 	l.steward.Tick(now)
 	for _, want := range l.home.Tick(now) {
-		go l.fetch(want)
+		l.fetches.Go(func() { l.fetch(want) })
 	}
 }
 
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -76,9 +76,10 @@
 	log     hclog.Logger
 	system  *actor.ActorSystem
 	granted *grantBook
+	places  places
+	tasks   sync.WaitGroup // everything that runs beside the actors
 
 	keeperTurn atomic.Uint64 // keepers started so far
-	places     places
 
 	mu      sync.Mutex
 	keepers map[request.TargetID]*keeper
@@ -183,8 +184,10 @@
 	}
 }
 
-// Shutdown stops all actors. Asks that wait are refused.
+// Shutdown stops all actors and waits for what runs beside them; each of it has a
+// timeout. Asks that wait are refused. Nothing may be asked of the service any more.
 func (s *Service) Shutdown() {
 	s.stopAll()
+	s.tasks.Wait()
 	s.system.Shutdown()
 }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -52,7 +52,7 @@
 	return nil, errors.New("not asked for")
 }
 
-func newService(t *testing.T, self, place string, steward peer.Steward) *Service {
+func newService(t testing.TB, self, place string, steward peer.Steward) *Service {
 	t.Helper()
 	replica := tabletest.Load(t, kv.NewFake(time.Now).Client("d1"), tabletest.Rows{
 		Models: "verdict,v1,1024,3\n",
