--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,8 +35,9 @@
 	servers []*httptest.Server
 	members []*peer.Member
 	steward atomic.Int32 // index of the daemon that all take for the steward
-	down    atomic.Bool  // no steward can be reached
-	alone   atomic.Bool  // each daemon takes itself for the steward
+	live    atomic.Pointer[[]*peer.Member]
+	down    atomic.Bool // no steward can be reached
+	alone   atomic.Bool // each daemon takes itself for the steward
 	client  *http.Client
 }
 
@@ -46,7 +48,7 @@
 }
 
 func (p place) Self() *peer.Member      { return p.members[p.self] }
-func (p place) Live() []*peer.Member    { return p.members }
+func (p place) Live() []*peer.Member    { return *p.live.Load() }
 func (p place) Members() []*peer.Member { return p.members }
 
 // Place is the steward; each daemon itself in the naive twin, where each counts alone.
@@ -94,6 +96,7 @@
 		d.members[i].PeerAddress = server.Listener.Addr().String()
 		d.list, d.servers = append(d.list, l), append(d.servers, server)
 	}
+	d.live.Store(&d.members)
 	for _, l := range d.list {
 		runs.Go(func() { l.Run(ctx) })
 	}
@@ -166,9 +169,9 @@
 
 	d.down.Store(false)
 	d.steward.Store(1)
-	for _, l := range d.list {
-		l.PlacesMoved()
-	}
+	restarted := slices.Clone(d.members)
+	restarted[0] = &peer.Member{Id: "d0", PeerAddress: d.members[0].PeerAddress, Incarnation: 1}
+	d.live.Store(&restarted)
 	admitted, took = d.flood(org, long)
 	check("another steward", admitted, testBurst+testRate*(took+sliceTTL).Seconds()+1+testRate*sliceTTL.Seconds()+share)
 }
