--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -39,8 +39,8 @@
 type cluster struct {
 	t        *testing.T
 	kv       string
-	kvServer *kv.Server
 	stopKV   func()
+	kvServer *kv.Server
 	engines  []*engine.Engine
 	servers  []*fault.Server // of the engines
 	services []string
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/limit"
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/tabletest"
@@ -23,6 +25,8 @@
 	testRate  = 50.0
 	testBurst = 20.0
 	sliceTTL  = time.Second // limit.Params' default
+	// settleTTL is short, so that rates bound the test and not places.
+	settleTTL = 50 * time.Millisecond
 )
 
 // daemons is limiters that ask each other over twirp.
@@ -31,9 +35,9 @@
 	servers []*httptest.Server
 	members []*peer.Member
 	steward atomic.Int32 // index of the daemon that all take for the steward
-	down    atomic.Bool  // no steward can be reached
-	alone   atomic.Bool  // each daemon takes itself for the steward
-	changed atomic.Bool  // the live daemons are others than at the start
+	live    atomic.Pointer[[]*peer.Member]
+	down    atomic.Bool // no steward can be reached
+	alone   atomic.Bool // each daemon takes itself for the steward
 	client  *http.Client
 }
 
@@ -43,35 +47,16 @@
 	self int
 }
 
-func (p place) Self() *peer.Member        { return p.members[p.self] }
-func (p place) Members() []*peer.Member   { return p.members }
-func (p place) Place(string) *peer.Member { return p.members[p.steward.Load()] }
+func (p place) Self() *peer.Member      { return p.members[p.self] }
+func (p place) Live() []*peer.Member    { return *p.live.Load() }
+func (p place) Members() []*peer.Member { return p.members }
 
-// Live returns the daemons, restarted if they have changed.
-func (p place) Live() []*peer.Member {
-	if !p.changed.Load() {
-		return p.members
-	}
-	var out []*peer.Member
-	for _, m := range p.members {
-		out = append(out, &peer.Member{Id: m.Id, PeerAddress: m.PeerAddress, Incarnation: m.Incarnation + 1})
-	}
-	return out
-}
-
-// seen waits until all limiters act on the present live daemons.
-func (d *daemons) seen() {
-	for _, l := range d.list {
-		for {
-			l.mu.Lock()
-			same := sameDaemons(l.live, l.opts.Members.Live())
-			l.mu.Unlock()
-			if same {
-				break
-			}
-			time.Sleep(time.Millisecond)
-		}
+// Place is the steward; each daemon itself in the naive twin, where each counts alone.
+func (p place) Place(string) *peer.Member {
+	if p.alone.Load() {
+		return p.members[p.self]
 	}
+	return p.members[p.steward.Load()]
 }
 
 func (p place) Steward(m *peer.Member) peer.Steward {
@@ -92,22 +77,26 @@
 	return s.Limiter.Slice(ctx, r)
 }
 
-func startDaemons(t *testing.T, n int) (*daemons, *table.Organisation) {
-	t.Helper()
-	replica := tabletest.Load(t, kv.NewFake(nil).Client("d1"), tabletest.Rows{
+func loadTable(t *testing.T) *table.Replica {
+	return tabletest.Load(t, kv.NewFake(nil).Client("d1"), tabletest.Rows{
 		Models:        "verdict,v1,1024,3\n",
 		Organisations: fmt.Sprintf("atlas,%064x,1,%v,%v,10000,100000000,verdict,\n", 1, testRate, testBurst),
 	})
+}
+
+func startDaemons(t *testing.T, replica *table.Replica, n int) *daemons {
+	t.Helper()
 	d := &daemons{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 	ctx, stop := context.WithCancel(context.Background())
 	var runs sync.WaitGroup
 	for i := range n {
 		d.members = append(d.members, &peer.Member{Id: fmt.Sprintf("d%d", i)})
-		l := New(Options{Tables: replica, Members: place{d, i}, Peers: place{d, i}, Logger: hclog.NewNullLogger()})
+		l := New(Options{Tables: replica, Members: place{d, i}, Peers: place{d, i}, Params: limit.Params{SettleTTL: settleTTL}, Logger: hclog.NewNullLogger()})
 		server := httptest.NewServer(peer.NewStewardServer(sliceServer{Limiter: l}))
 		d.members[i].PeerAddress = server.Listener.Addr().String()
 		d.list, d.servers = append(d.list, l), append(d.servers, server)
 	}
+	d.live.Store(&d.members)
 	for _, l := range d.list {
 		runs.Go(func() { l.Run(ctx) })
 	}
@@ -120,8 +109,7 @@
 		}
 		d.client.CloseIdleConnections()
 	})
-	org, _ := replica.Current().Organisation("atlas")
-	return d, org
+	return d
 }
 
 // flood has callers ask all daemons as fast as they may for so long, and returns how many
@@ -154,13 +142,15 @@
 // or everything if it is open. The bounds are those of docs/design/limits.md.
 func TestLimitHoldsOverDaemons(t *testing.T) {
 	const n, long = 3, 1500 * time.Millisecond
-	naive, org := startDaemons(t, n)
+	replica := loadTable(t)
+	org, _ := replica.Current().Organisation("atlas")
+	naive := startDaemons(t, replica, n)
 	naive.alone.Store(true)
 	admitted, took := naive.flood(org, long)
 	if bound := testBurst + testRate*(took+sliceTTL).Seconds(); float64(admitted) <= bound {
 		t.Fatalf("daemons that count alone admitted %d of %.0f: the test shows nothing", admitted, bound)
 	}
-	d, org := startDaemons(t, n)
+	d := startDaemons(t, replica, n)
 	check := func(what string, admitted int64, bound float64) {
 		t.Helper()
 		if float64(admitted) > bound || admitted == 0 {
@@ -179,8 +169,9 @@
 
 	d.down.Store(false)
 	d.steward.Store(1)
-	d.changed.Store(true)
-	d.seen()
+	restarted := slices.Clone(d.members)
+	restarted[0] = &peer.Member{Id: "d0", PeerAddress: d.members[0].PeerAddress, Incarnation: 1}
+	d.live.Store(&restarted)
 	admitted, took = d.flood(org, long)
 	check("another steward", admitted, testBurst+testRate*(took+sliceTTL).Seconds()+1+testRate*sliceTTL.Seconds()+share)
 }
