Add make bench-returns; tests' tables miss no change

Cause: tabletest looked at the revision before it took the channel that tells of a change, so a change in between was missed (seen twice: the table did not come into force).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo faults schedules bench-control bench-policy bench-fair lint proto clean
+.PHONY: build test demo faults schedules bench-control bench-policy bench-fair bench-returns lint proto clean
 
 BIN := bin
 
@@ -28,6 +28,10 @@
 bench-policy: build
 	$(BIN)/benchpolicy
 
+# Contexts that return after eviction, in running daemons, against no stores.
+bench-returns: build
+	$(BIN)/benchreturns
+
 # A quiet organisation beside a loud one.
 bench-fair: build
 	$(BIN)/benchfair
--- a/internal/tabletest/tabletest.go
+++ b/internal/tabletest/tabletest.go
@@ -68,9 +68,13 @@
 		stop()
 		<-done
 	})
-	for changes > 0 && replica.Current().Revision() == 0 {
+	for changes > 0 {
+		changed := replica.Changed() // taken first, so that no change is missed
+		if replica.Current().Revision() > 0 {
+			break
+		}
 		select {
-		case <-replica.Changed():
+		case <-changed:
 		case <-ctx.Done():
 			t.Fatal("the table did not come into force")
 		}
