--- a/internal/policy/admission/submit.go
+++ b/internal/policy/admission/submit.go
@@ -149,13 +149,14 @@
 
 // ExpectedWait estimates how long after now the target would begin to compute an ask
 // that is submitted now: its wait for a grant and for the prefill that comes first at
-// the target. It serves the choice between targets.
+// the target. It serves the choice between targets. The two waits overlap: while the
+// backlog is computed, places and room in the prefill bound come free.
 func (s *Steward) ExpectedWait(now time.Time, ask Ask) time.Duration {
 	backlog := s.prefillBacklog(now)
 	if !s.usage.over(now, ask.Org, max(ask.Weight, 1)) {
 		backlog = min(backlog, s.withinShareBacklog(now))
 	}
-	return s.expectedWait(now, ask) + fairqueue.Duration(backlog, s.params.PrefillRate)
+	return max(s.expectedWait(now, ask), fairqueue.Duration(backlog, s.params.PrefillRate))
 }
 
 // untilPlace estimates when the next in line may start, if it has the given tokens.
