--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -141,7 +141,10 @@
 		located = p.recover(ctx, sheet, c)
 	}
 	rows = p.sample(sheet, c.Scope.Version, rows, located)
+	var queues sync.WaitGroup
+	queues.Go(func() { p.readQueues(ctx, sheet, located) })
 	views := p.opts.Looker.Look(ctx, targetIDs(rows), steward.Prompt{Org: c.Scope.Org, Chain: c.Chain, Tokens: c.Tokens})
+	queues.Wait()
 	plan := p.plan(sheet, c, rows, located, views)
 	return choicesOf(sheet, plan, located)
 }
@@ -179,6 +182,37 @@
 	return best, best != ""
 }
 
+const (
+	// queueKept is how old a link's queue may be when an import over it is weighed.
+	queueKept = 100 * time.Millisecond
+	// queueTimeout bounds the wait for it.
+	queueTimeout = 50 * time.Millisecond
+)
+
+// readQueues asks the store VMs that hold the context how long their links' queues are.
+// Imports of other daemons show only there; with a queue that is a second old, two
+// daemons plan for the same idle link and both imports take twice as long as planned.
+func (p *Planner) readQueues(ctx context.Context, sheet *table.Snapshot, l contextdir.Located) {
+	ctx, cancel := context.WithTimeout(ctx, queueTimeout)
+	defer cancel()
+	var reads sync.WaitGroup
+	for _, s := range sheet.Stores() {
+		if !slices.ContainsFunc(l.Copies, func(c contextdir.Copy) bool { return c.Store == s.ID }) {
+			continue
+		}
+		reads.Go(func() {
+			status, err := p.stores.statusWithin(ctx, s, queueKept)
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.links.Reported(s.ID, status.LinkQueueBytes, time.Now())
+		})
+	}
+	reads.Wait()
+}
+
 func (p *Planner) locate(c gateway.Context) contextdir.Located {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/planner/stores.go
+++ b/internal/planner/stores.go
@@ -53,10 +53,15 @@
 
 // status returns a store VM's status, at most statusKept old.
 func (s *storePool) status(ctx context.Context, row *table.Store) (storeapi.Status, error) {
+	return s.statusWithin(ctx, row, statusKept)
+}
+
+// statusWithin returns a store VM's status that is at most age old.
+func (s *storePool) statusWithin(ctx context.Context, row *table.Store, age time.Duration) (storeapi.Status, error) {
 	s.mu.Lock()
 	kept, ok := s.kept[row.ID]
 	s.mu.Unlock()
-	if ok && time.Since(kept.read) < statusKept {
+	if ok && time.Since(kept.read) < age {
 		return kept.status, kept.err
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
