steward: guard the test's fake engine against a question that was cut

A poll whose question was cut may come again while the server still handles the first: a data race in the fake, seen once in ten runs under load.

--- a/internal/steward/poll_test.go
+++ b/internal/steward/poll_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,14 +22,17 @@
 
 // fakeEngine shows load, cache events and blocks.
 type fakeEngine struct {
+	mu          sync.Mutex // a question that was cut may still be served when the next comes
 	incarnation uint64
 	seq         uint64
 	blocks      []block.Hash
 	lose        map[string]int // answers to be lost, by path
 }
 
-// ServeHTTP implements http.Handler. One poller asks it, one question after the other.
+// ServeHTTP implements http.Handler.
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.lose[r.URL.Path] > 0 {
 		e.lose[r.URL.Path]--
 		panic(http.ErrAbortHandler)
@@ -91,7 +95,9 @@
 			}
 			failures = k.pollAndJudge(t.Context(), failures, &at)
 			check()
+			e.mu.Lock()
 			fault(e)
+			e.mu.Unlock()
 			for range 2*failuresUntilDown + 2 {
 				failures = k.pollAndJudge(t.Context(), failures, &at)
 			}
