Go on in an outage of the service; stop only where a daemon is cut off

Cause: five minutes into an outage of the key-value service every daemon refused every prompt, since none had a proof that its table is current, although nobody can edit the table then. A daemon goes on now while it sees more than half of the daemons that it saw with its last fresh proof, up to outage_limit (6 h). Ruled out: a long stale_after, which lets a daemon that is cut off serve by old rules for as long; the VM list as the measure, which may be cut off as well.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,7 +56,10 @@
 // Table sets how the operators' table is followed.
 type Table struct {
 	Watchers   int           // daemons that watch the service
-	StaleAfter time.Duration // no proof of currency for this long stops new requests
+	StaleAfter time.Duration // no proof of currency for this long stops new requests of a daemon that is cut off
+	// OutageLimit is StaleAfter while most daemons are in sight, so that it is the
+	// service that is away.
+	OutageLimit time.Duration
 }
 
 // Admission bounds waiting.
@@ -193,6 +196,8 @@
 	return Table{
 		Watchers:   r.integer(s, "watchers", 2, 1, 16),
 		StaleAfter: r.duration(s, "stale_after", 5*time.Minute, minStaleAfter, 24*time.Hour),
+
+		OutageLimit: r.duration(s, "outage_limit", 6*time.Hour, minStaleAfter, 7*24*time.Hour),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,9 @@
 	gateway  *gateway.Gateway
 	fleet    *fleet.Fleet
 
+	quorumMu sync.Mutex
+	quorum   *quorum
+
 	draining atomic.Bool
 	drain    chan struct{}
 }
@@ -100,6 +104,7 @@
 		callers:     callers,
 		peers:       peers,
 		drain:       make(chan struct{}),
+		quorum:      newQuorum(c.Table.StaleAfter),
 	}
 	d.metrics, d.scrape, d.reporter = newMetrics()
 	d.buildShared()
@@ -267,7 +272,7 @@
 		Credits:           c.Daemon.MaxInFlight,
 		MaxBody:           c.Admission.MaxPromptBytes,
 		DefaultDeadline:   c.Admission.DefaultDeadline,
-		StaleAfter:        c.Table.StaleAfter,
+		Stale:             d.tableStale,
 		RouteKeep:         c.Drain.RouteKeep,
 		MaxResumes:        c.Streams.MaxResumes,
 		Seed:              d.incarnation,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -66,6 +66,7 @@
 	defer tick.Stop()
 	var acted uint64
 	for {
+		d.observeQuorum()
 		if seen := liveHash(d.members.Live()); seen != acted {
 			if err := d.suspects.Load(ctx); err == nil {
 				acted = seen
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -95,7 +95,7 @@
 func (w *world) gateway(t testing.TB) *Gateway {
 	g := New(Options{
 		Tables: w.tables, Members: w.members, Limiter: w, Journal: w, Contexts: w, Stewards: w, Targets: w, Quarantine: register{w},
-		Logger: hclog.NewNullLogger(), Credits: 8, MaxBody: 1 << 20, DefaultDeadline: time.Minute, StaleAfter: time.Minute,
+		Logger: hclog.NewNullLogger(), Credits: 8, MaxBody: 1 << 20, DefaultDeadline: time.Minute,
 		MaxResumes: 1, StreamSilentAfter: testSilent, FirstSilentAfter: testSilent, HopSilentAfter: testSilent,
 		WriteTimeout: testSilent,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,6 @@
 // Tables gives the operators' table in force.
 type Tables interface {
 	Current() *table.Snapshot
-	// Confirmed returns the age of the last proof that Current is current.
-	Confirmed(now time.Time) time.Duration
 }
 
 // Members gives the live daemons and the soft places among them.
@@ -191,7 +189,7 @@
 	Credits           int
 	MaxBody           int
 	DefaultDeadline   time.Duration
-	StaleAfter        time.Duration // a table without proof for this long stops new requests
+	Stale             func() bool   // tells whether the table can not be relied on; nil: it always can
 	RouteKeep         time.Duration // how long callers keep a route answer
 	MaxResumes        int
 	Seed              uint64        // of the jitter of retries
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -39,7 +39,7 @@
 	// A daemon cut off from the service and from its peers would go on with rules that
 	// operators have long changed. It shows as two answers to one question, depending on
 	// the daemon asked. Refusing bounds the time for which an old rule can be used.
-	if f.g.opts.Tables.Confirmed(time.Now()) > f.g.opts.StaleAfter {
+	if f.g.opts.Stale != nil && f.g.opts.Stale() {
 		return pipeline.Finish(request.Refuse(request.CodeStale, http.StatusServiceUnavailable, retryWhenStale,
 			"this daemon can not be sure of the table; ask for another address"))
 	}
