steward: one look-up of a target's actor; drop a field nobody reads

The locked look-up stood in three places, and a release carried a flag that the actor never read. Behaviour is unchanged.

--- a/internal/steward/acquire.go
+++ b/internal/steward/acquire.go
@@ -237,19 +237,15 @@
 
 // cancelHere forgets a request that waits or is granted here.
 func (s *Service) cancelHere(t request.TargetID, id request.ID) {
-	s.mu.Lock()
-	k, ok := s.keepers[t]
-	s.mu.Unlock()
+	k, ok := s.existing(t)
 	if ok {
 		k.send(&cancelMsg{id: id})
 	}
 }
 
 func (s *Service) releaseHere(g gateway.Grant, r gateway.Release) {
-	s.mu.Lock()
-	k, ok := s.keepers[g.Target]
-	s.mu.Unlock()
+	k, ok := s.existing(g.Target)
 	if ok {
-		k.send(&releaseMsg{grant: g.ID, outcome: admission.Outcome{PrefillTokens: r.PrefillTokens}, failed: r.TargetFailed})
+		k.send(&releaseMsg{grant: g.ID, outcome: admission.Outcome{PrefillTokens: r.PrefillTokens}})
 	}
 }
--- a/internal/steward/grants.go
+++ b/internal/steward/grants.go
@@ -90,9 +90,7 @@
 }
 
 func (s *Service) renewHere(id request.TargetID, requests []string) {
-	s.mu.Lock()
-	k, ok := s.keepers[id]
-	s.mu.Unlock()
+	k, ok := s.existing(id)
 	if !ok {
 		return
 	}
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -43,7 +43,6 @@
 	releaseMsg struct {
 		grant   string
 		outcome admission.Outcome
-		failed  bool
 	}
 	renewMsg  struct{ ids []request.ID }
 	loadMsg   struct{ load engineapi.Load }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -171,6 +171,14 @@
 	return k
 }
 
+// existing returns the actor of a target if it runs here.
+func (s *Service) existing(id request.TargetID) (*keeper, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.keepers[id]
+	return k, ok
+}
+
 func (s *Service) drop(k *keeper) {
 	s.mu.Lock()
 	delete(s.keepers, k.row.ID)
