--- a/cmd/bluebellscaled/main.go
+++ b/cmd/bluebellscaled/main.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/daemon"
 	"github.com/bluebellscale/bluebellscale/internal/version"
+	"github.com/bluebellscale/bluebellscale/platform"
 )
 
 func main() {
@@ -22,11 +23,16 @@
 		Usage:   "serve prompts that return after long gaps",
 		Version: version.String(),
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings in INI", Required: true},
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings in INI"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 			&cli.StringFlag{Name: "addr-file", Usage: "write the addresses for callers and peers to this file, for ports given by the system"},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name:   "platform",
+			Usage:  "serve on the users' platform, with the settings that it gives",
+			Action: runOnPlatform,
+		}},
 	}
 	if err := app.Run(os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bluebellscaled:", err)
@@ -35,6 +41,9 @@
 }
 
 func run(c *cli.Context) error {
+	if c.String("config") == "" {
+		return cli.Exit("bluebellscaled: --config is not given", 2)
+	}
 	settings, err := config.Load(c.String("config"))
 	if err != nil {
 		return err
@@ -57,6 +66,21 @@
 	return d.Run(ctx)
 }
 
+// runOnPlatform serves until SIGTERM. Logs go to standard output, where the platform
+// collects them.
+func runOnPlatform(c *cli.Context) error {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "bluebellscaled", Level: hclog.Info, JSONFormat: true, Output: os.Stdout,
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.NewDaemon(settings, log).Run(ctx)
+}
+
 func newLogger(l config.Log) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "bluebellscaled",
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,203 @@
+// Package mirror keeps a copy of the keys below one prefix of the platform's key-value
+// service.
+//
+// It lists once and then watches. It survives a service that is down, slow or refuses
+// this process, and one that has dropped the history that a watch would go on from. What
+// was known stays until the service says otherwise: an outage removes nothing.
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+const (
+	// defaultWait bounds one watch. It is short enough for a silent path to show within
+	// a few seconds, and long enough to cost a tenth of a call a second.
+	defaultWait = 8 * time.Second
+	minPause    = 100 * time.Millisecond // between failed calls, at first
+	maxPause    = time.Second
+	// returnGrace is how long after an outage entries that lapsed meanwhile may take to
+	// come back: their owners write them again within two seconds.
+	returnGrace = 2200 * time.Millisecond
+	// outageAfter is how long calls must fail to count as an outage. A watch that is cut
+	// and goes on at once is none.
+	outageAfter = 500 * time.Millisecond
+)
+
+// Update is a change of the copy.
+type Update struct {
+	Entries []platform.Entry // changed; all there are, if Full
+	Full    bool
+	// Lapsing is set in the time after an outage in which a removed entry may be one
+	// that lapsed with its owner alive.
+	Lapsing bool
+}
+
+// Options of New.
+type Options struct {
+	KV     platform.KV
+	Prefix string
+	Wait   time.Duration // of one watch; zero: 8 s
+	Apply  func(Update)  // called from one goroutine
+	Logger hclog.Logger
+}
+
+// Mirror follows one prefix.
+type Mirror struct {
+	o         Options
+	failing   time.Time // since when calls fail; zero: they don't
+	lapseEnds time.Time
+	connected atomic.Bool
+	wake      chan struct{}
+}
+
+// New returns a mirror that has read nothing yet.
+func New(o Options) *Mirror {
+	if o.Wait <= 0 {
+		o.Wait = defaultWait
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	o.Logger = o.Logger.Named("mirror").With("prefix", o.Prefix)
+	return &Mirror{o: o, wake: make(chan struct{}, 1)}
+}
+
+// Connected reports whether the last call succeeded, so that the copy is as new as the
+// service's answers.
+func (m *Mirror) Connected() bool { return m.connected.Load() }
+
+// Refresh asks for a new listing, for a process that stood still and must not trust what
+// it knows.
+func (m *Mirror) Refresh() {
+	m.connected.Store(false)
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the prefix until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		at, err := m.list(ctx)
+		for err == nil {
+			at, err = m.watch(ctx, at)
+		}
+		if errors.Is(err, errRefresh) || errors.Is(err, platform.ErrCompacted) {
+			continue
+		}
+	}
+	return nil
+}
+
+var errRefresh = errors.New("mirror: a new listing is asked for")
+
+func (m *Mirror) list(ctx context.Context) (platform.Revision, error) {
+	var entries []platform.Entry
+	var at platform.Revision
+	err := m.retried(ctx, func() (err error) {
+		entries, at, err = m.o.KV.List(ctx, m.o.Prefix)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	m.o.Apply(Update{Entries: entries, Full: true, Lapsing: m.lapsing()})
+	return at, nil
+}
+
+func (m *Mirror) watch(ctx context.Context, at platform.Revision) (platform.Revision, error) {
+	var entries []platform.Entry
+	next := at
+	err := m.retried(ctx, func() (err error) {
+		cut, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go m.cutOnRefresh(cut, cancel)
+		entries, next, err = m.o.KV.Watch(cut, m.o.Prefix, at, m.o.Wait)
+		if err != nil && cut.Err() != nil && ctx.Err() == nil {
+			return errRefresh
+		}
+		return err
+	})
+	if err != nil {
+		return at, err
+	}
+	if len(entries) > 0 {
+		m.o.Apply(Update{Entries: entries, Lapsing: m.lapsing()})
+	}
+	return next, nil
+}
+
+func (m *Mirror) cutOnRefresh(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-m.wake:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func (m *Mirror) lapsing() bool { return time.Now().Before(m.lapseEnds) }
+
+// retried calls until it succeeds or fails for a reason that repeating does not mend.
+func (m *Mirror) retried(ctx context.Context, call func() error) error {
+	pause := minPause
+	for {
+		err := call()
+		if err == nil {
+			m.succeeded()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if errors.Is(err, errRefresh) {
+			return err
+		}
+		m.connected.Store(false)
+		if errors.Is(err, platform.ErrCompacted) {
+			return err
+		}
+		m.failed(err)
+		wait(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (m *Mirror) succeeded() {
+	m.connected.Store(true)
+	if m.failing.IsZero() {
+		return
+	}
+	lasted := time.Since(m.failing)
+	m.failing = time.Time{}
+	if lasted >= outageAfter {
+		m.lapseEnds = time.Now().Add(returnGrace)
+	}
+	m.o.Logger.Info("The key-value service answers again", "failed_for_ms", lasted.Milliseconds())
+}
+
+func (m *Mirror) failed(err error) {
+	if !m.failing.IsZero() {
+		return
+	}
+	m.failing = time.Now()
+	m.o.Logger.Warn("The key-value service does not answer", "error", err)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/placer/engine.go
@@ -0,0 +1,306 @@
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
+	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+const (
+	// fetchSetup is what a transfer between replicas costs before its first byte.
+	fetchSetup = 5 * time.Millisecond
+	// crossFactor is how much longer a transfer between failure domains takes.
+	crossFactor = 2
+	// maxUrgency is the last of the ranks that replicas know; 5 is what they take a
+	// request without one for.
+	maxUrgency = 9
+	// outputShare is the part of the allowed output that a request is expected to make.
+	outputShare = 0.6
+)
+
+// WeightsWanted returns the version of a model's weights that was named last, and when
+// this daemon learnt of it.
+type WeightsWanted func(request.Model) (version uint64, since time.Time)
+
+// Stored is one part of a prompt that a context store can give or take.
+type Stored struct {
+	Address       string // of the store; empty: none
+	FailureDomain string
+	Fetch         bool          // the part may be fetched from there
+	Save          bool          // it should be saved there
+	Takes         time.Duration // to a replica in the store's failure domain, its queue included
+}
+
+// Stores tells what the context stores can give of a prompt.
+type Stores interface {
+	// Ask returns an entry for each part, and until when fetches may run, on the
+	// replicas' clock.
+	Ask(ctx context.Context, salt string, parts []relay.Part, expectResident []bool) (stored []Stored, until int64)
+}
+
+// Engine places prompts on model replicas.
+type Engine struct {
+	Set     *replicas.Set
+	Domain  string // of this daemon
+	Wanted  WeightsWanted
+	Stores  Stores
+	Placed  func(replica request.TargetID, parts []PlacedPart, other int) // for peers; nil: nobody
+	OldFrom time.Duration                                                 // from when on old weights are never used
+
+	mu     sync.Mutex
+	models map[request.TargetID]*residency.Model
+}
+
+// PlacedPart is a part that now lies in a replica's memory.
+type PlacedPart struct {
+	Key    residency.Key
+	Tokens int
+}
+
+// Place implements relay.Placer.
+func (e *Engine) Place(ctx context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
+	usable := usable(e.Set, j.Service.ID, tried)
+	usable = e.onNamedWeights(usable, j.Model)
+	if len(usable) == 0 {
+		return nil, noReplica()
+	}
+	wanted, _ := e.Wanted(j.Model)
+	salt := cacheSalt(best(usable, j.Model), j.Org)
+	stored, until := e.askStores(ctx, j, salt, usable)
+	n := pick.Best(pick.Default, e.need(j), e.candidates(j, usable, salt, stored, wanted))
+	r := usable[n]
+	version := r.Weights(j.Model)
+	own := cacheSalt(version, j.Org)
+	send := relay.Send{Weights: version, CacheSalt: own, Urgency: min(maxUrgency, j.Priority())}
+	if own == salt {
+		e.fill(&send, j, stored, until, r)
+	}
+	e.record(r.Info().ID, j, own)
+	return &relay.Placement{
+		Replica: r, Send: send, Reason: "context",
+		Flight: r.Load.Begin(j.PromptTokens+e.output(j), j.PromptTokens),
+	}, nil
+}
+
+func (e *Engine) output(j *relay.Job) int { return int(float64(j.OutputTokens) * outputShare) }
+
+func (e *Engine) need(j *relay.Job) pick.Request {
+	fresh := j.PromptTokens
+	for _, p := range j.Parts {
+		fresh -= p.Tokens
+	}
+	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh)}
+}
+
+// onNamedWeights leaves out replicas on weights that were replaced too long ago. Callers
+// are then told to come back rather than answered on them.
+func (e *Engine) onNamedWeights(of []*replicas.Replica, m request.Model) []*replicas.Replica {
+	wanted, since := e.Wanted(m)
+	strict := e.OldFrom > 0 && !since.IsZero() && time.Since(since) > e.OldFrom
+	var fit []*replicas.Replica
+	for _, r := range of {
+		version := r.Weights(m)
+		if version == 0 || strict && version < wanted {
+			continue
+		}
+		fit = append(fit, r)
+	}
+	return fit
+}
+
+// best returns the newest version that any replica serves.
+func best(of []*replicas.Replica, m request.Model) uint64 {
+	var version uint64
+	for _, r := range of {
+		version = max(version, r.Weights(m))
+	}
+	return version
+}
+
+// cacheSalt keeps KV cache of other weights, and of organisations that share with nobody,
+// apart by name.
+func cacheSalt(version uint64, org *routing.Org) string {
+	salt := "w" + strconv.FormatUint(version, 10)
+	if org != nil && org.Isolated {
+		salt += "." + string(org.ID)
+	}
+	return salt
+}
+
+func partKey(salt, id string) residency.Key {
+	return residency.Key(xxhash.Sum64String(salt + "/" + id))
+}
+
+func (e *Engine) askStores(ctx context.Context, j *relay.Job, salt string, usable []*replicas.Replica) ([]Stored, int64) {
+	if e.Stores == nil || len(j.Parts) == 0 {
+		return make([]Stored, len(j.Parts)), 0
+	}
+	return e.Stores.Ask(ctx, salt, j.Parts, e.residentSomewhere(j, salt, usable))
+}
+
+// residentSomewhere says of each part whether some replica that can be used has it.
+func (e *Engine) residentSomewhere(j *relay.Job, salt string, usable []*replicas.Replica) []bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]bool, len(j.Parts))
+	for i, p := range j.Parts {
+		key := partKey(salt, p.ID)
+		for _, r := range usable {
+			if m := e.models[r.Info().ID]; m != nil && m.Has(key) {
+				out[i] = true
+				break
+			}
+		}
+	}
+	return out
+}
+
+func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored, wanted uint64) []pick.Candidate {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]pick.Candidate, len(usable))
+	for i, r := range usable {
+		info := r.Info()
+		load := r.Load.Total(now)
+		version := r.Weights(j.Model)
+		out[i] = pick.Candidate{
+			Running: load.Requests, Slots: j.Service.Engine.Slots,
+			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
+			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
+			OldWeights: version < wanted,
+			Parts:      e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
+		}
+	}
+	return out
+}
+
+func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
+	info := r.Info()
+	m := e.models[info.ID]
+	parts := make([]pick.Part, len(j.Parts))
+	for i, p := range j.Parts {
+		parts[i] = pick.Part{Tokens: p.Tokens, Shared: stored[i].Fetch}
+		if !sameSalt {
+			continue
+		}
+		parts[i].Resident = m != nil && m.Has(partKey(salt, p.ID))
+		if stored[i].Fetch {
+			parts[i].Fetch = stored[i].Takes
+			if stored[i].FailureDomain != info.FailureDomain {
+				parts[i].Fetch *= crossFactor
+			}
+		}
+	}
+	return parts
+}
+
+// fill names where each part comes from and goes to. A source is named also for parts
+// thought to be there: the replica fetches only what it lacks.
+func (e *Engine) fill(send *relay.Send, j *relay.Job, stored []Stored, until int64, to *replicas.Replica) {
+	send.FetchFrom = make([]string, len(j.Parts))
+	send.SaveTo = make([]string, len(j.Parts))
+	for i := range j.Parts {
+		if stored[i].Fetch {
+			send.FetchFrom[i] = stored[i].Address
+			send.FetchUntil = until
+		}
+		if stored[i].Save {
+			send.SaveTo[i] = stored[i].Address
+		}
+	}
+	e.fillFromPeers(send, j, to)
+}
+
+// fillFromPeers names another replica for parts that no store gives.
+func (e *Engine) fillFromPeers(send *relay.Send, j *relay.Job, to *replicas.Replica) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, p := range j.Parts {
+		if send.FetchFrom[i] != "" {
+			continue
+		}
+		key := partKey(send.CacheSalt, p.ID)
+		if m := e.models[to.Info().ID]; m != nil && m.Has(key) {
+			continue
+		}
+		if from := e.holder(key, j, to, send.Weights); from != nil {
+			send.FetchFrom[i] = from.Info().Address
+		}
+	}
+}
+
+// holder returns a replica on the same weights that is thought to hold a part, one in
+// the same failure domain if there is any.
+func (e *Engine) holder(key residency.Key, j *relay.Job, to *replicas.Replica, version uint64) *replicas.Replica {
+	var found *replicas.Replica
+	now := time.Now()
+	for _, r := range e.Set.Of(j.Service.ID) {
+		m := e.models[r.Info().ID]
+		if r == to || m == nil || !m.Has(key) || r.Weights(j.Model) != version || r.Health.Resting(now) {
+			continue
+		}
+		if r.Info().FailureDomain == to.Info().FailureDomain {
+			return r
+		}
+		found = r
+	}
+	return found
+}
+
+// record notes that a replica will have the parts of a prompt.
+func (e *Engine) record(id request.TargetID, j *relay.Job, salt string) {
+	parts := make([]PlacedPart, len(j.Parts))
+	other := j.PromptTokens + e.output(j)
+	for i, p := range j.Parts {
+		parts[i] = PlacedPart{Key: partKey(salt, p.ID), Tokens: p.Tokens}
+		other -= p.Tokens
+	}
+	e.Learn(id, parts, max(0, other), j.Service.Engine.MemoryTokens)
+	if e.Placed != nil {
+		e.Placed(id, parts, max(0, other))
+	}
+}
+
+// Learn notes what a replica's memory takes: parts, and other tokens that nobody asks
+// for again but that take room until they are dropped.
+func (e *Engine) Learn(id request.TargetID, parts []PlacedPart, other, memory int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.models[id]
+	if m == nil {
+		if e.models == nil {
+			e.models = map[request.TargetID]*residency.Model{}
+		}
+		m = residency.New(memory)
+		e.models[id] = m
+	}
+	for _, p := range parts {
+		m.Touch(p.Key, p.Tokens)
+	}
+	if other > 0 {
+		m.Touch(residency.Key(rand.Uint64()), other)
+	}
+}
+
+// Forget drops the models of replicas that are gone.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range e.models {
+		if e.Set.Get(id) == nil {
+			delete(e.models, id)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,6 +38,9 @@
 	ErrUncertain = errors.New("platform: write outcome unknown")
 	// ErrTooLarge reports a value above the service's cap.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrCompacted reports a watch from a revision whose history is gone; the prefix must
+	// be listed anew.
+	ErrCompacted = errors.New("platform: history is gone")
 	// ErrBudget reports that this process's call budget is spent.
 	ErrBudget = errors.New("platform: call budget spent")
 )
--- /dev/null
+++ b/internal/policy/pick/pick.go
@@ -0,0 +1,113 @@
+// Package pick chooses the replica for one request from what is known of each.
+//
+// The package is pure: it holds no clock, I/O, goroutine or randomness.
+package pick
+
+import "time"
+
+// Costs are the prices of what a replica would have to do, as time.
+type Costs struct {
+	PrefillPerToken  time.Duration // to compute one prompt token
+	RecomputePenalty time.Duration // for each token that is computed although it was computed before
+	CrossDomain      time.Duration // for sending a request to another failure domain
+	PerRequest       time.Duration // by which each running request slows the others
+	Replica          time.Duration // of a replica-sized shortage of memory
+	Error            time.Duration // of an error rate of one
+	OldWeights       time.Duration // of an answer on weights that were replaced
+}
+
+// Default are the costs that the daemon uses.
+var Default = Costs{
+	PrefillPerToken:  time.Millisecond / 50, // engines of today compute about 50 tokens a ms
+	RecomputePenalty: time.Millisecond / 25, // computing twice costs others their place, too
+	CrossDomain:      12 * time.Millisecond, // its bytes are dear: as much as 600 tokens
+	PerRequest:       time.Millisecond,
+	Replica:          4 * time.Second, // a request that finds no memory waits for others to end
+	Error:            3 * time.Second,
+	OldWeights:       400 * time.Millisecond,
+}
+
+// Part is a part of the prompt as one replica would get it.
+type Part struct {
+	Tokens   int
+	Resident bool          // it lies in the replica's memory
+	Fetch    time.Duration // to bring it from elsewhere; zero: nowhere to be had
+	Shared   bool          // it was computed before, so that computing it again is waste
+}
+
+// Candidate is one replica.
+type Candidate struct {
+	Running, Slots int
+	Tokens, Memory int // KV cache taken, and all there is
+	Prefill        int // prompt tokens waiting to be computed
+	SameDomain     bool
+	ErrorRate      float64
+	OldWeights     bool
+	Parts          []Part
+}
+
+// Request is what the request asks of a replica, whichever it is.
+type Request struct {
+	Tokens int // KV cache at its end
+	Fresh  int // prompt tokens beyond its parts
+}
+
+// Best returns the index of the cheapest candidate, -1 if there is none.
+func Best(costs Costs, r Request, candidates []Candidate) int {
+	best, least := -1, time.Duration(0)
+	for i := range candidates {
+		cost := costs.of(r, &candidates[i])
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+func (k Costs) of(r Request, c *Candidate) time.Duration {
+	cost := time.Duration(c.Prefill+r.Fresh) * k.PrefillPerToken
+	cost += k.bring(c.Parts)
+	cost += time.Duration(c.Running) * k.PerRequest
+	cost += k.shortage(r, c)
+	cost += time.Duration(c.ErrorRate * float64(k.Error))
+	if !c.SameDomain {
+		cost += k.CrossDomain
+	}
+	if c.OldWeights {
+		cost += k.OldWeights
+	}
+	return cost
+}
+
+// bring returns what it costs to have all parts in the replica's memory. A part counts
+// only if all before it are there, or come: after a gap all is computed.
+func (k Costs) bring(parts []Part) time.Duration {
+	var cost time.Duration
+	gap := false
+	for _, p := range parts {
+		switch {
+		case !gap && p.Resident:
+		case !gap && p.Fetch > 0:
+			cost += p.Fetch
+		default:
+			gap = true
+			cost += time.Duration(p.Tokens) * k.PrefillPerToken
+			if p.Shared {
+				cost += time.Duration(p.Tokens) * k.RecomputePenalty
+			}
+		}
+	}
+	return cost
+}
+
+// shortage returns the price of what does not fit: memory, and places in the batch.
+func (k Costs) shortage(r Request, c *Candidate) time.Duration {
+	var cost time.Duration
+	if over := c.Tokens + r.Tokens - c.Memory; c.Memory > 0 && over > 0 {
+		cost += time.Duration(float64(k.Replica) * float64(over) / float64(c.Memory))
+	}
+	if over := c.Running + 1 - c.Slots; c.Slots > 0 && over > 0 {
+		cost += time.Duration(float64(k.Replica) * float64(over) / float64(c.Slots))
+	}
+	return cost
+}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -97,6 +97,13 @@
 	return true
 }
 
+// TryTake takes one retry from the budget if there is one. It is for callers whose
+// failures say by themselves that the request may go elsewhere.
+func (b *Budget) TryTake(now time.Time) bool {
+	b.fill(now)
+	return b.take()
+}
+
 // untilOne returns when the budget allows a retry at the latest.
 func (b *Budget) untilOne() time.Duration {
 	missing := max(0, 1-b.tokens)
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,31 @@
+package relay
+
+import "time"
+
+func sinceMs(t time.Time) int64 { return time.Since(t).Milliseconds() }
+
+// logTry says how a try ended that gave the caller no answer.
+func (s *Server) logTry(j *Job, t *try, sends int) {
+	status := 0
+	if t.response != nil {
+		status = t.response.Status
+	}
+	s.o.Metrics.Tagged(map[string]string{"outcome": t.outcome.String()}).Counter("tries").Inc(1)
+	s.o.Logger.Info("A try gave no answer", "request", j.ID, "try", sends, "replica", t.placement.Send.Replica,
+		"outcome", t.outcome.String(), "status", status, "weights", t.placement.Send.Weights,
+		"why", t.placement.Reason, "error", t.err, "after_ms", sinceMs(j.Start))
+}
+
+// logEnd says what was delivered.
+func (s *Server) logEnd(j *Job, t *try, k *sink, how string) {
+	s.o.Metrics.Counter("answered").Inc(1)
+	if !s.o.Logger.IsInfo() {
+		return
+	}
+	args := []any{"request", j.ID, "how", how, "status", t.response.Status, "replica", t.placement.Send.Replica,
+		"why", t.placement.Reason, "after_ms", sinceMs(j.Start)}
+	if k != nil {
+		args = append(args, "first_ms", k.firstAt.Sub(j.Start).Milliseconds(), "events", k.count)
+	}
+	s.o.Logger.Info("A request is answered", args...)
+}
--- /dev/null
+++ b/internal/replicas/replicas.go
@@ -0,0 +1,197 @@
+// Package replicas holds what a daemon knows of the replicas behind it: which there are,
+// what they carry now, and how they answered lately.
+//
+// Loads count what this daemon has in flight, and what its peers said they have. Health
+// comes from answers to callers' requests alone; no replica is asked for it.
+package replicas
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/upstream"
+)
+
+const (
+	dialTimeout = 800 * time.Millisecond // a replica that is up accepts within a few ms
+	maxIdle     = 16                     // idle connections to one replica
+	// lapseGrace is how long a replica whose entry lapsed in an outage is still used.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// Info is what the registry tells of a replica.
+type Info struct {
+	ID            request.TargetID
+	Service       routing.ServiceID
+	Address       string
+	FailureDomain string
+	Slots         int
+	Leaving       bool // it takes no new requests
+	Weights       map[request.Model]uint64
+}
+
+// Replica is one start of a replica.
+type Replica struct {
+	Pool   *upstream.Pool
+	Load   Load
+	Health Health
+
+	info    atomic.Pointer[Info]
+	weights sync.Map // request.Model -> uint64, from answers newer than the registry
+}
+
+// Info returns what the registry told last.
+func (r *Replica) Info() *Info { return r.info.Load() }
+
+// Weights returns the version of a model's weights that the replica serves, zero if
+// that is not known.
+func (r *Replica) Weights(m request.Model) uint64 {
+	listed := r.Info().Weights[m]
+	if seen, ok := r.weights.Load(m); ok {
+		return max(listed, seen.(uint64))
+	}
+	return listed
+}
+
+// SawWeights notes the version that an answer named. Versions only grow.
+func (r *Replica) SawWeights(m request.Model, version uint64) {
+	if version > r.Weights(m) {
+		r.weights.Store(m, version)
+	}
+}
+
+// Set is all replicas. It is safe for concurrent use.
+type Set struct {
+	mu      sync.Mutex
+	byID    map[request.TargetID]*Replica
+	lapsing map[request.TargetID]time.Time
+	view    atomic.Pointer[map[routing.ServiceID][]*Replica]
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}}
+	s.publish()
+	return s
+}
+
+// Of returns the replicas of a service that take requests, ordered by id. The slice
+// must not be changed.
+func (s *Set) Of(service routing.ServiceID) []*Replica { return (*s.view.Load())[service] }
+
+// Get returns a replica by its id.
+func (s *Set) Get(id request.TargetID) *Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
+
+// All returns all replicas that take requests.
+func (s *Set) All() []*Replica {
+	var all []*Replica
+	for _, of := range *s.view.Load() {
+		all = append(all, of...)
+	}
+	return all
+}
+
+// Change is an update of the registry.
+type Change struct {
+	Present []Info
+	Gone    []request.TargetID
+	Full    bool // Present is all there are
+	// Lapsing is set if a missing entry may have lapsed in an outage with its replica
+	// alive: the replica is used a while longer.
+	Lapsing bool
+}
+
+// Apply takes an update.
+func (s *Set) Apply(now time.Time, c Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[request.TargetID]bool, len(c.Present))
+	for _, info := range c.Present {
+		present[info.ID] = true
+		s.put(info)
+	}
+	for _, id := range c.Gone {
+		s.remove(now, id, c.Lapsing)
+	}
+	if c.Full {
+		for id := range s.byID {
+			if !present[id] {
+				s.remove(now, id, c.Lapsing)
+			}
+		}
+	}
+	s.publish()
+}
+
+func (s *Set) put(info Info) {
+	delete(s.lapsing, info.ID)
+	r, ok := s.byID[info.ID]
+	if !ok {
+		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle)}
+		s.byID[info.ID] = r
+	}
+	r.info.Store(&info)
+}
+
+func (s *Set) remove(now time.Time, id request.TargetID, lapsing bool) {
+	r, ok := s.byID[id]
+	if !ok {
+		return
+	}
+	if lapsing {
+		if _, waits := s.lapsing[id]; !waits {
+			s.lapsing[id] = now.Add(lapseGrace)
+		}
+		return
+	}
+	delete(s.lapsing, id)
+	delete(s.byID, id)
+	r.Pool.Close()
+}
+
+// Tick forgets replicas whose entries did not come back after an outage.
+func (s *Set) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for id, until := range s.lapsing {
+		if now.After(until) {
+			s.remove(now, id, false)
+			changed = true
+		}
+	}
+	if changed {
+		s.publish()
+	}
+}
+
+// CloseIdle drops idle connections to all replicas.
+func (s *Set) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.byID {
+		r.Pool.CloseIdle()
+	}
+}
+
+func (s *Set) publish() {
+	view := map[routing.ServiceID][]*Replica{}
+	for _, r := range s.byID {
+		if info := r.Info(); !info.Leaving {
+			view[info.Service] = append(view[info.Service], r)
+		}
+	}
+	for _, of := range view {
+		slices.SortFunc(of, func(a, b *Replica) int { return cmp.Compare(a.Info().ID, b.Info().ID) })
+	}
+	s.view.Store(&view)
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,192 @@
+// Package upstream sends HTTP/1.1 requests to replicas so that one try is one arrival.
+//
+// net/http's Transport sends some requests a second time by itself when a kept
+// connection dies before an answer. For a call that must run at most once this would be
+// a second run, and for all others a retry that no budget knows of. Here a connection is
+// taken, written and read in plain steps, with net/http's codec on both sides, and each
+// step's failure says how far the request can have come.
+//
+// Replicas may send a second answer, or one that belongs to an earlier request, on a
+// kept connection. Answers are matched by the caller of Do; a connection that holds
+// bytes nobody asked for is closed and not used again.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	readBufferBytes = 4 << 10 // an answer's headers fit
+	// userTimeout bounds how long bytes may stay unacknowledged, and keepAlive… how long
+	// a connection may be silent with its peer gone. A machine without power answers
+	// nothing, so only these show it.
+	userTimeout       = 2 * time.Second
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveProbes   = 3
+
+	tcpUserTimeout = 0x12 // TCP_USER_TIMEOUT of Linux, absent from package syscall
+)
+
+// conn is a connection to one address.
+type conn struct {
+	net.Conn
+	br     *bufio.Reader
+	used   bool      // carried a request before
+	idleAt time.Time // since when it is idle
+	until  time.Time // when the peer may close it for idleness; zero: unknown
+}
+
+// Dialer opens connections that notice a peer that is gone.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw) },
+	}
+}
+
+// SetUserTimeout bounds the time that sent bytes may stay unacknowledged.
+func SetUserTimeout(raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// quiet reports whether the connection is open with nothing to read. An idle connection
+// that can be read holds the peer's close, or bytes that belong to no request of ours.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Pool keeps idle connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address string
+	dialer  *net.Dialer
+	maxIdle int
+	dials   atomic.Uint64
+
+	mu     sync.Mutex
+	idle   []*conn // the one used last is at the end
+	closed bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(address string, dialTimeout time.Duration, maxIdle int) *Pool {
+	return &Pool{address: address, dialer: Dialer(dialTimeout), maxIdle: maxIdle}
+}
+
+// Dials returns how many connections were opened.
+func (p *Pool) Dials() uint64 { return p.dials.Load() }
+
+// take returns an idle connection that is still good, nil if there is none.
+func (p *Pool) take(now time.Time) *conn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		if (c.until.IsZero() || now.Before(c.until)) && c.quiet() {
+			return c
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	p.dials.Add(1)
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *Pool) put(c *conn, keepFor time.Duration) {
+	if c.br.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	c.used = true
+	c.idleAt = time.Now()
+	c.until = time.Time{}
+	if keepFor > 0 {
+		c.until = c.idleAt.Add(keepFor)
+	}
+	p.mu.Lock()
+	keep := !p.closed && len(p.idle) < p.maxIdle
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
+
+// Close closes the idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// CloseIdle closes the idle connections, after which new ones are opened. It is used
+// after the process stood still: what the peer did meanwhile is not known.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
