--- a/cmd/bluebellscaled/main.go
+++ b/cmd/bluebellscaled/main.go
@@ -78,7 +78,11 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return platform.NewDaemon(settings, log).Run(ctx)
+	d, err := platform.NewDaemon(settings, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
 }
 
 func newLogger(l config.Log) hclog.Logger {
--- /dev/null
+++ b/internal/contextstore/asker.go
@@ -0,0 +1,265 @@
+package contextstore
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+const (
+	// askTimeout is the longest that a request waits for a keeper. A question takes 4 ms
+	// between failure domains; a prompt is computed in 100 to 200.
+	askTimeout = 60 * time.Millisecond
+	// deafFor is how long a keeper that did not answer is not asked.
+	deafFor = 400 * time.Millisecond
+	// fullFor is how long a store counts as full after its keeper said so.
+	fullFor = 3 * time.Second
+	// smallShare is the part of a store's room that one part of a prompt may take for
+	// the store to be chosen by its speed. Larger ones go where the room is.
+	smallShare = 0.01
+)
+
+// AskerOptions are the options of NewAsker.
+type AskerOptions struct {
+	KV     platform.KV
+	Self   request.DaemonID
+	Own    *StoreKeeper // asked without a call
+	Stores func() []*routing.Service
+	Client *http.Client
+	Logger hclog.Logger
+}
+
+// Asker finds the keeper of each part's store and asks it. It implements placer.Stores.
+type Asker struct {
+	o      AskerOptions
+	mirror *mirror.Mirror
+
+	holders atomic.Pointer[map[string]lease.Holder]
+	mu      sync.Mutex
+	keepers map[string]Keeper // by address
+	deaf    map[string]time.Time
+	full    map[string]time.Time // by store
+}
+
+// NewAsker returns an asker that knows no keeper yet.
+func NewAsker(o AskerOptions) *Asker {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	o.Logger = o.Logger.Named("contextstore")
+	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}}
+	a.holders.Store(&map[string]lease.Holder{})
+	a.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: lease.RecordPrefix + LeasePrefix, Apply: a.apply, Gather: followPause, Logger: o.Logger})
+	return a
+}
+
+// Run follows who keeps which store until ctx ends.
+func (a *Asker) Run(ctx context.Context) error { return a.mirror.Run(ctx) }
+
+// Refresh asks for a new listing after this process stood still.
+func (a *Asker) Refresh() { a.mirror.Refresh() }
+
+func (a *Asker) apply(u mirror.Update) {
+	next := map[string]lease.Holder{}
+	if !u.Full {
+		for store, h := range *a.holders.Load() {
+			next[store] = h
+		}
+	}
+	for _, e := range u.Entries {
+		store := strings.TrimPrefix(e.Key, lease.RecordPrefix+LeasePrefix)
+		h, err := lease.HolderIn(e)
+		if err != nil {
+			a.o.Logger.Error("A lease can not be read", "key", e.Key, "error", err)
+			continue
+		}
+		next[store] = h
+	}
+	a.holders.Store(&next)
+}
+
+// question is what one keeper is asked.
+type question struct {
+	holder  lease.Holder
+	request *ClaimRequest
+	at      []int // part of the prompt for each part of the request
+	stores  []*routing.Service
+}
+
+// Ask implements placer.Stores.
+func (a *Asker) Ask(ctx context.Context, salt string, parts []relay.Part, resident []bool) ([]placer.Stored, int64) {
+	out := make([]placer.Stored, len(parts))
+	questions := a.questions(salt, parts, resident)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answers := make([]*ClaimResponse, len(questions))
+	var wg sync.WaitGroup
+	for i, q := range questions {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i] = a.put(ctx, q)
+		}()
+	}
+	wg.Wait()
+	until := int64(0)
+	for i, q := range questions {
+		if answers[i] == nil || len(answers[i].Parts) != len(q.at) {
+			continue
+		}
+		if leave := answers[i].LeaveUntilMs; leave > 0 && (until == 0 || leave < until) {
+			until = leave
+		}
+		a.merge(out, q, answers[i])
+	}
+	return out, until
+}
+
+// merge notes what a keeper answered. A part may be asked for at two stores; what can be
+// fetched goes before what can be saved.
+func (a *Asker) merge(out []placer.Stored, q *question, r *ClaimResponse) {
+	for i, answer := range r.Parts {
+		store := q.stores[i]
+		if answer.Full {
+			a.mu.Lock()
+			a.full[string(store.ID)] = time.Now()
+			a.mu.Unlock()
+		}
+		at := q.at[i]
+		if out[at].Fetch || !answer.Fetch && !answer.Save {
+			continue
+		}
+		out[at] = placer.Stored{
+			Address: store.Store.Address, FailureDomain: store.Store.FailureDomain,
+			Fetch: answer.Fetch, Save: answer.Save && !answer.Fetch,
+			Takes: time.Duration(answer.TakesUs) * time.Microsecond,
+		}
+	}
+}
+
+// questions sorts the parts by the keepers of their stores.
+func (a *Asker) questions(salt string, parts []relay.Part, resident []bool) []*question {
+	byKeeper := map[string]*question{}
+	var order []*question
+	holders := *a.holders.Load()
+	stores := a.o.Stores()
+	for i, p := range parts {
+		for _, store := range a.storesFor(stores, p) {
+			h := holders[string(store.ID)]
+			if h.Address == "" || a.isDeaf(h.Address) {
+				continue
+			}
+			q := byKeeper[h.Address]
+			if q == nil {
+				q = &question{holder: h, request: &ClaimRequest{From: string(a.o.Self), Salt: salt, Weights: weightsOf(salt)}}
+				byKeeper[h.Address] = q
+				order = append(order, q)
+			}
+			q.at = append(q.at, i)
+			q.stores = append(q.stores, store)
+			q.request.Parts = append(q.request.Parts, &PartAsk{
+				Store: string(store.ID), Id: p.ID, Tokens: int32(p.Tokens), Resident: resident[i], Last: i == len(parts)-1,
+			})
+		}
+	}
+	return order
+}
+
+// storesFor returns the store of a part, and a second one while the first is full.
+func (a *Asker) storesFor(stores []*routing.Service, p relay.Part) []*routing.Service {
+	first := choose(stores, p, nil)
+	if first == nil {
+		return nil
+	}
+	a.mu.Lock()
+	full := time.Since(a.full[string(first.ID)]) < fullFor
+	a.mu.Unlock()
+	if !full {
+		return []*routing.Service{first}
+	}
+	if second := choose(stores, p, first); second != nil {
+		return []*routing.Service{first, second}
+	}
+	return []*routing.Service{first}
+}
+
+// choose returns the store of a part by rendezvous hashing among the fastest stores in
+// whose room it is small, or else the roomiest. Stores like the one given are left out.
+func choose(stores []*routing.Service, p relay.Part, but *routing.Service) *routing.Service {
+	var best *routing.Service
+	var bestWeight uint64
+	for _, s := range stores {
+		if !s.Store.Managed || but != nil && alike(s, but) {
+			continue
+		}
+		weight := xxhash.Sum64String(string(s.ID) + "/" + p.ID)
+		if best == nil || better(s, best, p) || alike(s, best) && weight > bestWeight {
+			best, bestWeight = s, weight
+		}
+	}
+	return best
+}
+
+// alike reports whether two stores have the same speed and room.
+func alike(a, b *routing.Service) bool {
+	return a.Store.LinkMbps == b.Store.LinkMbps && a.Store.Tokens == b.Store.Tokens
+}
+
+func better(a, b *routing.Service, p relay.Part) bool {
+	smallA := float64(p.Tokens) <= smallShare*float64(a.Store.Tokens)
+	smallB := float64(p.Tokens) <= smallShare*float64(b.Store.Tokens)
+	if smallA != smallB {
+		return smallA
+	}
+	if smallA && a.Store.LinkMbps != b.Store.LinkMbps {
+		return a.Store.LinkMbps > b.Store.LinkMbps
+	}
+	return a.Store.Tokens > b.Store.Tokens
+}
+
+func (a *Asker) isDeaf(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Now().Before(a.deaf[address])
+}
+
+// put asks one keeper; nil if it does not answer in time.
+func (a *Asker) put(ctx context.Context, q *question) *ClaimResponse {
+	answer, err := a.keeper(q.holder).Claim(ctx, q.request)
+	if err == nil {
+		return answer
+	}
+	a.mu.Lock()
+	a.deaf[q.holder.Address] = time.Now().Add(deafFor)
+	a.mu.Unlock()
+	a.o.Logger.Info("A store's keeper does not answer", "keeper", q.holder.ID, "error", err)
+	return nil
+}
+
+func (a *Asker) keeper(h lease.Holder) Keeper {
+	if h.ID == a.o.Self {
+		return a.o.Own
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k, ok := a.keepers[h.Address]
+	if !ok {
+		k = NewKeeperProtobufClient("http://"+h.Address, a.o.Client)
+		a.keepers[h.Address] = k
+	}
+	return k
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -79,6 +79,19 @@
 	return r, errors.Wrap(err, "decode lease record")
 }
 
+// RecordPrefix begins the keys of the records of names.
+const RecordPrefix = recordPrefix
+
+// HolderIn reads the holder from the entry of a name's record; the zero Holder if it was
+// released. The holder's session may have lapsed since.
+func HolderIn(e platform.Entry) (Holder, error) {
+	r, err := decodeRecord(e.Value)
+	if err != nil || r.Session == "" {
+		return Holder{}, err
+	}
+	return r.holder(), nil
+}
+
 func (r record) holder() Holder {
 	return Holder{ID: r.Holder, Address: r.Address, Epoch: r.Epoch}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
 
@@ -46,7 +47,10 @@
 	KV     platform.KV
 	Prefix string
 	Wait   time.Duration // of one watch; zero: 8 s
-	Apply  func(Update)  // called from one goroutine
+	// Gather is how long to wait after a change for more, so that many changes at once
+	// don't cost a call each.
+	Gather time.Duration
+	Apply  func(Update) // called from one goroutine
 	Logger hclog.Logger
 }
 
@@ -133,6 +137,7 @@
 	}
 	if len(entries) > 0 {
 		m.o.Apply(Update{Entries: entries, Lapsing: m.lapsing()})
+		_ = pause.For(ctx, m.o.Gather) // the loop asks the context itself
 	}
 	return next, nil
 }
@@ -149,7 +154,7 @@
 
 // retried calls until it succeeds or fails for a reason that repeating does not mend.
 func (m *Mirror) retried(ctx context.Context, call func() error) error {
-	pause := minPause
+	next := minPause
 	for {
 		err := call()
 		if err == nil {
@@ -167,8 +172,8 @@
 			return err
 		}
 		m.failed(err)
-		wait(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, maxPause)
+		_ = pause.For(ctx, next/2+rand.N(next/2)) // the loop asks the context itself
+		next = min(2*next, maxPause)
 	}
 }
 
@@ -192,12 +197,3 @@
 	m.failing = time.Now()
 	m.o.Logger.Warn("The key-value service does not answer", "error", err)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits for a time that a context may cut short.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, or until ctx ends and returns its error.
+func For(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,11 +24,20 @@
 	fetchSetup = 5 * time.Millisecond
 	// crossFactor is how much longer a transfer between failure domains takes.
 	crossFactor = 2
+	// oldGrace is how long after new weights were named answers on the old ones are as
+	// good, and oldAll how long after that they are worth nothing. oldAtFirst makes the
+	// new ones win among equals before.
+	oldGrace   = 1200 * time.Millisecond
+	oldAll     = 3 * time.Second
+	oldAtFirst = 0.02
 	// maxUrgency is the last of the ranks that replicas know; 5 is what they take a
 	// request without one for.
 	maxUrgency = 9
 	// outputShare is the part of the allowed output that a request is expected to make.
-	outputShare = 0.6
+	outputShare = 0.35
+	// longOutput is the number of tokens from which a request counts as long: at 5 ms a
+	// token they take half a second.
+	longOutput = 100
 )
 
 // WeightsWanted returns the version of a model's weights that was named last, and when
@@ -59,6 +70,7 @@
 	OldFrom time.Duration                                                 // from when on old weights are never used
 
 	mu     sync.Mutex
+	memory int // tokens of one replica
 	models map[request.TargetID]*residency.Model
 }
 
@@ -72,27 +84,54 @@
 func (e *Engine) Place(ctx context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
 	usable := usable(e.Set, j.Service.ID, tried)
 	usable = e.onNamedWeights(usable, j.Model)
+	usable = e.forLength(usable, j)
 	if len(usable) == 0 {
 		return nil, noReplica()
 	}
-	wanted, _ := e.Wanted(j.Model)
 	salt := cacheSalt(best(usable, j.Model), j.Org)
 	stored, until := e.askStores(ctx, j, salt, usable)
-	n := pick.Best(pick.Default, e.need(j), e.candidates(j, usable, salt, stored, wanted))
-	r := usable[n]
+	candidates := e.candidates(j, usable, salt, stored)
+	n := pick.Best(pick.Default, e.need(j), candidates)
+	r, chosen := usable[n], &candidates[n]
 	version := r.Weights(j.Model)
 	own := cacheSalt(version, j.Org)
 	send := relay.Send{Weights: version, CacheSalt: own, Urgency: min(maxUrgency, j.Priority())}
-	if own == salt {
-		e.fill(&send, j, stored, until, r)
+	if own != salt {
+		// While weights are rolled out the replica may serve others than were asked for.
+		stored, until = e.askStores(ctx, j, own, []*replicas.Replica{r})
 	}
+	e.fill(&send, j, stored, until, r)
 	e.record(r.Info().ID, j, own)
 	return &relay.Placement{
-		Replica: r, Send: send, Reason: "context",
+		Replica: r, Send: send, Reason: reason(chosen, &send, j.OutputTokens),
 		Flight: r.Load.Begin(j.PromptTokens+e.output(j), j.PromptTokens),
 	}, nil
 }
 
+// reason tells for the log, part by part, what is thought to lie in the replica's memory
+// (m), is fetched from a store (s) or another replica (r), or is computed (-), a + for one
+// that is saved, and the replica's load.
+func reason(c *pick.Candidate, send *relay.Send, output int) string {
+	var b strings.Builder
+	for i, p := range c.Parts {
+		switch {
+		case p.Resident:
+			b.WriteByte('m')
+		case p.Fetch > 0:
+			b.WriteByte('s')
+		case i < len(send.FetchFrom) && send.FetchFrom[i] != "":
+			b.WriteByte('r')
+		default:
+			b.WriteByte('-')
+		}
+		if i < len(send.SaveTo) && send.SaveTo[i] != "" {
+			b.WriteByte('+')
+		}
+	}
+	fmt.Fprintf(&b, " out=%d running=%d tokens=%d prefill=%d", output, c.Running, c.Tokens, c.Prefill)
+	return b.String()
+}
+
 func (e *Engine) output(j *relay.Job) int { return int(float64(j.OutputTokens) * outputShare) }
 
 func (e *Engine) need(j *relay.Job) pick.Request {
@@ -103,6 +142,25 @@
 	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh)}
 }
 
+// forLength leaves out replicas that take only short requests for a long one, unless all
+// do.
+func (e *Engine) forLength(of []*replicas.Replica, j *relay.Job) []*replicas.Replica {
+	if e.output(j) <= longOutput {
+		return of
+	}
+	now := time.Now()
+	var fit []*replicas.Replica
+	for _, r := range of {
+		if !r.ShortOnly(now) {
+			fit = append(fit, r)
+		}
+	}
+	if len(fit) == 0 {
+		return of
+	}
+	return fit
+}
+
 // onNamedWeights leaves out replicas on weights that were replaced too long ago. Callers
 // are then told to come back rather than answered on them.
 func (e *Engine) onNamedWeights(of []*replicas.Replica, m request.Model) []*replicas.Replica {
@@ -166,7 +224,8 @@
 	return out
 }
 
-func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored, wanted uint64) []pick.Candidate {
+func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored) []pick.Candidate {
+	wanted, since := e.Wanted(j.Model)
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -179,13 +238,22 @@
 			Running: load.Requests, Slots: j.Service.Engine.Slots,
 			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
 			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
-			OldWeights: version < wanted,
+			OldWeights: oldness(version < wanted, now.Sub(since)),
 			Parts:      e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
 		}
 	}
 	return out
 }
 
+// oldness returns how much an answer on replaced weights has lost, from 0 to 1: nothing
+// while the new ones can hardly be in place, all when none may begin any more.
+func oldness(old bool, age time.Duration) float64 {
+	if !old {
+		return 0
+	}
+	return min(1, max(oldAtFirst, float64(age-oldGrace)/float64(oldAll)))
+}
+
 func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
 	info := r.Info()
 	m := e.models[info.ID]
@@ -267,23 +335,33 @@
 		parts[i] = PlacedPart{Key: partKey(salt, p.ID), Tokens: p.Tokens}
 		other -= p.Tokens
 	}
-	e.Learn(id, parts, max(0, other), j.Service.Engine.MemoryTokens)
+	e.setMemory(j.Service.Engine.MemoryTokens)
+	e.Learn(id, parts, max(0, other))
 	if e.Placed != nil {
 		e.Placed(id, parts, max(0, other))
 	}
 }
 
+func (e *Engine) setMemory(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory = tokens
+}
+
 // Learn notes what a replica's memory takes: parts, and other tokens that nobody asks
 // for again but that take room until they are dropped.
-func (e *Engine) Learn(id request.TargetID, parts []PlacedPart, other, memory int) {
+func (e *Engine) Learn(id request.TargetID, parts []PlacedPart, other int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.memory == 0 {
+		return // no prompt has come here yet
+	}
 	m := e.models[id]
 	if m == nil {
 		if e.models == nil {
 			e.models = map[request.TargetID]*residency.Model{}
 		}
-		m = residency.New(memory)
+		m = residency.New(e.memory)
 		e.models[id] = m
 	}
 	for _, p := range parts {
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -63,7 +63,7 @@
 	for _, r := range set.Of(service) {
 		switch {
 		case slices.Contains(tried, r.Info().ID):
-		case r.Health.Resting(now):
+		case r.Health.Resting(now) || r.Busy(now):
 			resting = append(resting, r)
 		default:
 			fit = append(fit, r)
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -13,7 +13,7 @@
 	PerRequest       time.Duration // by which each running request slows the others
 	Replica          time.Duration // of a replica-sized shortage of memory
 	Error            time.Duration // of an error rate of one
-	OldWeights       time.Duration // of an answer on weights that were replaced
+	OldWeights       time.Duration // of an answer on weights that are worth nothing any more
 }
 
 // Default are the costs that the daemon uses.
@@ -24,7 +24,7 @@
 	PerRequest:       time.Millisecond,
 	Replica:          4 * time.Second, // a request that finds no memory waits for others to end
 	Error:            3 * time.Second,
-	OldWeights:       400 * time.Millisecond,
+	OldWeights:       600 * time.Millisecond,
 }
 
 // Part is a part of the prompt as one replica would get it.
@@ -42,7 +42,7 @@
 	Prefill        int // prompt tokens waiting to be computed
 	SameDomain     bool
 	ErrorRate      float64
-	OldWeights     bool
+	OldWeights     float64 // what an answer on its weights has lost, from 0 to 1
 	Parts          []Part
 }
 
@@ -73,9 +73,7 @@
 	if !c.SameDomain {
 		cost += k.CrossDomain
 	}
-	if c.OldWeights {
-		cost += k.OldWeights
-	}
+	cost += time.Duration(c.OldWeights * float64(k.OldWeights))
 	return cost
 }
 
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -44,6 +44,11 @@
 	// not check epochs would obey such an order; one that does might too, as long as it
 	// has seen none of the new epoch. Zero: OrderTimeout.
 	TakeoverWait time.Duration
+	// DrainFor is how long a replica that serves is kept free of new requests before it
+	// is ordered to load, unless it has none left before. An order makes it refuse new
+	// ones and wait for those that run, so that a replica with long requests is out for
+	// seconds; drained first, it is out for the load alone. Zero: not at all.
+	DrainFor time.Duration
 }
 
 // Wanted is what the table wants of one target. Empty fields are left as they are.
@@ -62,9 +67,10 @@
 	ReadAt    time.Time       // when the request for it was sent
 	Reachable bool            // the read succeeded
 	Leaving   bool
+	Work      int // requests in flight there; the least busy are brought on first
 }
 
-// Action is a decision for the caller to carry out: Order, Wait or StepDown.
+// Action is a decision for the caller to carry out: Order, Drain, Wait or StepDown.
 type Action interface{ isAction() }
 
 // Order is to be sent to a target. A lost answer needs no care: the next steps read
@@ -82,11 +88,20 @@
 	Until  time.Time // zero: until something changes
 }
 
+// Drain says that a target is to get no new requests from now on, or with ShortOnly none
+// that run long: it is drained next, and is then free soon. It is given again until the
+// target is ordered to load.
+type Drain struct {
+	Target    request.TargetID
+	ShortOnly bool
+}
+
 // StepDown says that a target has seen a higher epoch: another daemon holds the lease.
 // No order may be given any more.
 type StepDown struct{ Epoch uint64 }
 
 func (Order) isAction()    {}
+func (Drain) isAction()    {}
 func (Wait) isAction()     {}
 func (StepDown) isAction() {}
 
@@ -115,7 +130,9 @@
 	epoch   uint64
 	since   time.Time // start of the epoch here
 	pending map[request.TargetID]pending
-	last    map[request.TargetID]Observed // by the last read that succeeded
+	last    map[request.TargetID]Observed  // by the last read that succeeded
+	drained map[request.TargetID]time.Time // since when a target gets no new requests
+	next    map[request.TargetID]bool      // targets that get short requests only
 	seq     uint64
 }
 
@@ -140,6 +157,8 @@
 		params:  p,
 		pending: make(map[request.TargetID]pending),
 		last:    make(map[request.TargetID]Observed),
+		drained: make(map[request.TargetID]time.Time),
+		next:    make(map[request.TargetID]bool),
 	}
 }
 
@@ -156,10 +175,10 @@
 		return []Action{StepDown{Epoch: v.highest}}
 	}
 	if until := r.since.Add(r.params.TakeoverWait); now.Before(until) {
-		return []Action{Wait{Reason: ReasonTakeover, Until: until}}
+		return append(r.drainAhead(now, v, wanted), Wait{Reason: ReasonTakeover, Until: until})
 	}
 	var actions []Action
-	for _, w := range v.sorted(wanted) {
+	for _, w := range r.sorted(v, wanted) {
 		if action := r.stepTarget(now, w, v); action != nil {
 			actions = append(actions, action)
 		}
@@ -199,12 +218,24 @@
 	return nil
 }
 
-// load orders a weight version if the cap and the share of replicas out allow it.
+// load orders a weight version if the cap and the share of replicas out allow it. With
+// DrainFor a replica that serves is drained first.
 func (r *Rollout) load(now time.Time, w Wanted, o Observed, v *view) Action {
+	serving := o.State.Version != ""
+	if serving && r.params.DrainFor > 0 {
+		if action := r.drain(now, w, o, v); action != nil {
+			return action
+		}
+		if v.loading >= r.params.LoadCap {
+			return Drain{Target: w.Target}
+		}
+		delete(r.drained, w.Target)
+		v.loading++
+		return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
+	}
 	if v.loading >= r.params.LoadCap {
 		return Wait{Target: w.Target, Reason: ReasonLoadCap}
 	}
-	serving := o.State.Version != ""
 	if serving && v.out[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
 		return Wait{Target: w.Target, Reason: ReasonOutShare}
 	}
@@ -215,6 +246,56 @@
 	return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
 }
 
+// drain returns what a target still waits for before it may load; nil once it is drained.
+func (r *Rollout) drain(now time.Time, w Wanted, o Observed, v *view) Action {
+	since, draining := r.drained[w.Target]
+	if !draining {
+		if v.out[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
+			return r.prepare(w, v)
+		}
+		v.out[w.Model]++
+		delete(r.next, w.Target)
+		since = now
+		r.drained[w.Target] = now
+	}
+	if o.Work > 0 && now.Sub(since) < r.params.DrainFor {
+		return Drain{Target: w.Target}
+	}
+	return nil
+}
+
+// prepare makes as many targets ready to be drained next as may be out at once.
+func (r *Rollout) prepare(w Wanted, v *view) Action {
+	if !r.next[w.Target] && v.next[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
+		return Wait{Target: w.Target, Reason: ReasonOutShare}
+	}
+	if !r.next[w.Target] {
+		r.next[w.Target] = true
+		v.next[w.Model]++
+	}
+	return Drain{Target: w.Target, ShortOnly: true}
+}
+
+// drainAhead drains the targets that come first while no order may be given yet.
+func (r *Rollout) drainAhead(now time.Time, v *view, wanted []Wanted) []Action {
+	if r.params.DrainFor <= 0 {
+		return nil
+	}
+	var actions []Action
+	for _, w := range r.sorted(v, wanted) {
+		o := v.of(w.Target)
+		if !o.Reachable || o.Leaving || w.Version == "" || o.State.Version == w.Version {
+			continue
+		}
+		if action := r.drain(now, w, o, v); action != nil {
+			actions = append(actions, action)
+			continue
+		}
+		actions = append(actions, Drain{Target: w.Target}) // it is free and waits for its order
+	}
+	return actions
+}
+
 // stepPending waits for the effect of an order. If the state that was read after it
 // should have taken effect shows nothing of it, it is sent again, or forgotten if the
 // table wants something else by now. One that was out of reach for so long that it no
--- a/internal/policy/rollout/view.go
+++ b/internal/policy/rollout/view.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	observed map[request.TargetID]Observed
 	loading  int                   // targets that load, or may
 	out      map[request.Model]int // replicas that don't serve
+	next     map[request.Model]int // replicas that are drained next
 	replicas map[request.Model]int
 	highest  uint64 // epoch that any target has seen
 }
@@ -22,6 +24,7 @@
 	v := &view{
 		observed: make(map[request.TargetID]Observed),
 		out:      make(map[request.Model]int),
+		next:     make(map[request.Model]int),
 		replicas: make(map[request.Model]int),
 	}
 	for _, o := range observed {
@@ -33,11 +36,19 @@
 	for _, w := range wanted {
 		o := v.of(w.Target)
 		v.replicas[w.Model]++
+		if o.Reachable && o.State.Version == w.Version {
+			delete(r.drained, w.Target)
+			delete(r.next, w.Target)
+		}
+		if r.next[w.Target] {
+			v.next[w.Model]++
+		}
+		_, drained := r.drained[w.Target]
 		loads := r.mayLoad(now, o)
 		if loads {
 			v.loading++
 		}
-		if loads || !o.Reachable || o.Leaving || o.State.Version == "" {
+		if loads || drained || !o.Reachable || o.Leaving || o.State.Version == "" {
 			v.out[w.Model]++
 		}
 	}
@@ -106,8 +117,9 @@
 }
 
 // sorted returns the targets in the order in which they are brought on: those that
-// serve nothing first, since loading them takes nothing away.
-func (v *view) sorted(wanted []Wanted) []Wanted {
+// serve nothing first, since loading them takes nothing away, then those that were
+// made ready, then those with the least work, whose requests end soonest.
+func (r *Rollout) sorted(v *view, wanted []Wanted) []Wanted {
 	out := slices.Clone(wanted)
 	slices.SortStableFunc(out, func(a, b Wanted) int {
 		emptyA, emptyB := v.of(a.Target).State.Version == "", v.of(b.Target).State.Version == ""
@@ -117,7 +129,16 @@
 			}
 			return 1
 		}
-		return strings.Compare(string(a.Target), string(b.Target))
+		if r.next[a.Target] != r.next[b.Target] {
+			if r.next[a.Target] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(v.of(a.Target).Work, v.of(b.Target).Work),
+			strings.Compare(string(a.Target), string(b.Target)),
+		)
 	})
 	return out
 }
--- /dev/null
+++ b/internal/policy/storeroom/storeroom.go
@@ -0,0 +1,365 @@
+// Package storeroom decides what one context store keeps, who may fetch from it and when
+// parts are freed.
+//
+// A store does not know who reads from it, and frees what it is told to free at once. A
+// request that fetches a part while it is written or freed would run on memory that is
+// not its prompt's. So one daemon at a time keeps the store's room, and three things hold:
+//
+//   - a part may be fetched only once the store has told that it is whole;
+//   - leave to fetch ends at a time that the replica checks, and a part is freed only when
+//     all leave for it has ended;
+//   - a part is written only where nobody can hold leave from before: not until all leave
+//     has ended after the store was found empty or another daemon kept it.
+//
+// The package is pure: it holds no clock, I/O, goroutine or randomness. A Room is not safe
+// for concurrent use.
+package storeroom
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// LeaveFor is how long leave to fetch lasts. A replica does not start a transfer that
+	// would wait for more than two seconds.
+	LeaveFor = 2500 * time.Millisecond
+	// leaveSlack covers what the keeper does not know of the replicas' clock.
+	leaveSlack = 300 * time.Millisecond
+	// saveWithin is how long a save may take before it counts as lost. A large prompt
+	// takes 50 ms on an idle link.
+	saveWithin = 4 * time.Second
+	// keepFor is how long a part is kept for its return at least: sooner than this most
+	// come back, and freeing one for another gains nothing.
+	keepFor = 20 * time.Second
+	// maxQueue is the longest queue of the store's link at which a fetch is worth it.
+	// Callers wait 600 ms at most for first words, and computing a prompt takes 100 to
+	// 200 ms.
+	maxQueue = 250 * time.Millisecond
+	// fullAt and freeTo are the shares of the room at which freeing begins and ends. The
+	// gap takes the saves of the time that freeing needs.
+	fullAt = 0.94
+	freeTo = 0.90
+	// block is the number of tokens by which a store gives room.
+	block = 16
+	// crossShare weighs the link's time for readers in other failure domains, whose
+	// transfers take twice as long: about half of all.
+	crossShare = 1.4
+)
+
+// Key names a part in the store.
+type Key struct{ Salt, ID string }
+
+// Ask is what a request wants of one part.
+type Ask struct {
+	Key
+	Tokens  int
+	Weights uint64 // the version of the weights that made it
+	// Resident is set if the replica has the part, as far as is known. The link's time
+	// is then not counted.
+	Resident bool
+	// Last is set for the last part of a prompt. It may be the request's own and never
+	// come again, so it is saved only when it is asked for a second time.
+	Last bool
+}
+
+// Reason says what decided on a part.
+type Reason string
+
+// The reasons of Answer.
+const (
+	ReasonHeld   Reason = "held"   // it may be fetched
+	ReasonQueue  Reason = "queue"  // it is there, but the link has too much to do
+	ReasonSaving Reason = "saving" // it is being written
+	ReasonUnsure Reason = "unsure" // leave from before may still be used
+	ReasonOnce   Reason = "once"   // a last part that was not asked for before
+	ReasonFull   Reason = "full"   // no room without freeing what is wanted
+	ReasonSave   Reason = "save"   // it is to be saved
+)
+
+// Answer says what may be done with a part.
+type Answer struct {
+	Reason Reason
+	Fetch  bool
+	Save   bool
+	Takes  time.Duration // of a fetch, the queue included
+	// Full says that the store would have to free parts that are still wanted.
+	Full bool
+}
+
+type state int
+
+const (
+	saving  state = iota // leave to save was given; nothing was heard of it
+	held                 // whole
+	freeing              // the store was told to free it, or will be
+)
+
+type part struct {
+	key     Key
+	tokens  int
+	weights uint64
+	state   state
+	since   time.Time // of the state
+	used    time.Time
+	leave   time.Time // until when some replica may fetch it
+}
+
+// Params describe a store.
+type Params struct {
+	Tokens       int // room
+	TokensPerSec float64
+	FirstByte    time.Duration
+}
+
+// Room is what is known of one store.
+type Room struct {
+	p         Params
+	parts     map[Key]*part
+	taken     int
+	newest    uint64            // version of weights seen in asks
+	seen      map[Key]time.Time // last parts that were asked for once
+	seenSwept time.Time
+	linkFree  time.Time
+	lastLeave time.Time
+	saveAfter time.Time
+}
+
+// New returns the room of a store whose content is not known yet. Another daemon may have
+// given leave until now.
+func New(now time.Time, p Params) *Room {
+	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, saveAfter: now.Add(LeaveFor + leaveSlack)}
+}
+
+// Reset is told that the store came back empty.
+func (r *Room) Reset(now time.Time) {
+	clear(r.parts)
+	r.taken = 0
+	r.linkFree = now
+	if after := r.lastLeave.Add(leaveSlack); after.After(r.saveAfter) {
+		r.saveAfter = after
+	}
+}
+
+// Queue returns the link's queue.
+func (r *Room) Queue(now time.Time) time.Duration { return max(0, r.linkFree.Sub(now)) }
+
+// Taken returns the tokens of room that are taken or promised.
+func (r *Room) Taken() int { return r.taken }
+
+// Parts returns the number of parts that are whole.
+func (r *Room) Parts() int {
+	n := 0
+	for _, p := range r.parts {
+		if p.state == held {
+			n++
+		}
+	}
+	return n
+}
+
+// Ask decides on one part. Leave to fetch lasts until now plus LeaveFor.
+func (r *Room) Ask(now time.Time, a Ask) Answer {
+	r.newest = max(r.newest, a.Weights)
+	p, known := r.parts[a.Key]
+	switch {
+	case known && p.state == held:
+		return r.fetch(now, p, a)
+	case known:
+		return Answer{Reason: ReasonSaving}
+	case now.Before(r.saveAfter):
+		return Answer{Reason: ReasonUnsure}
+	case a.Last && !r.seenBefore(now, a.Key):
+		return Answer{Reason: ReasonOnce}
+	case !r.roomFor(now, a.Tokens):
+		return Answer{Reason: ReasonFull, Full: true}
+	}
+	r.add(now, a, saving)
+	r.useLink(now, a.Tokens)
+	return Answer{Reason: ReasonSave, Save: true}
+}
+
+// seenBefore notes a last part and reports whether it was asked for before, within the
+// time in which it is likely to return.
+func (r *Room) seenBefore(now time.Time, key Key) bool {
+	if now.Sub(r.seenSwept) > keepFor {
+		r.seenSwept = now
+		for k, at := range r.seen {
+			if now.Sub(at) > keepFor {
+				delete(r.seen, k)
+			}
+		}
+	}
+	at, known := r.seen[key]
+	r.seen[key] = now
+	return known && now.Sub(at) <= keepFor
+}
+
+func (r *Room) fetch(now time.Time, p *part, a Ask) Answer {
+	queue := max(0, r.linkFree.Sub(now))
+	p.used = now
+	if !a.Resident && queue > maxQueue {
+		return Answer{Reason: ReasonQueue}
+	}
+	p.leave = now.Add(LeaveFor)
+	r.lastLeave = p.leave
+	takes := queue + r.p.FirstByte + r.transfer(p.tokens)
+	if !a.Resident {
+		r.useLink(now, p.tokens)
+	}
+	return Answer{Reason: ReasonHeld, Fetch: true, Takes: takes}
+}
+
+func (r *Room) transfer(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / r.p.TokensPerSec * float64(time.Second))
+}
+
+func (r *Room) useLink(now time.Time, tokens int) {
+	if r.linkFree.Before(now) {
+		r.linkFree = now
+	}
+	r.linkFree = r.linkFree.Add(time.Duration(crossShare * float64(r.transfer(tokens))))
+}
+
+func roundUp(tokens int) int { return (tokens + block - 1) / block * block }
+
+func (r *Room) add(now time.Time, a Ask, s state) *part {
+	p := &part{key: a.Key, tokens: a.Tokens, weights: a.Weights, state: s, since: now, used: now}
+	r.parts[a.Key] = p
+	r.taken += roundUp(a.Tokens)
+	return p
+}
+
+func (r *Room) remove(p *part) {
+	if r.parts[p.key] != p {
+		return
+	}
+	delete(r.parts, p.key)
+	r.taken -= roundUp(p.tokens)
+}
+
+// roomFor reports whether a part fits. While freeing is under way the store's room may be
+// short for a moment; a save is then not tried.
+func (r *Room) roomFor(now time.Time, tokens int) bool {
+	if r.taken+roundUp(tokens) <= int(fullAt*float64(r.p.Tokens)) {
+		return true
+	}
+	return r.taken+roundUp(tokens) <= r.p.Tokens && len(r.unwanted(now)) > 0
+}
+
+// OnStored is told by the store that a part is whole. weights is what the salt says.
+func (r *Room) OnStored(now time.Time, key Key, tokens int, weights uint64) {
+	p, known := r.parts[key]
+	if !known {
+		r.add(now, Ask{Key: key, Tokens: tokens, Weights: weights}, held)
+		return
+	}
+	if p.state == saving {
+		r.taken += roundUp(tokens) - roundUp(p.tokens)
+		p.tokens, p.state, p.since = tokens, held, now
+	}
+}
+
+// OnRemoved is told by the store that a part is gone. A part that is being written now
+// was gone before: the word of it came late.
+func (r *Room) OnRemoved(key Key) {
+	if p, known := r.parts[key]; known && p.state != saving {
+		r.remove(p)
+	}
+}
+
+// OnList takes the store's whole content: what is whole, and what is written or broke off.
+// What was asked to be saved a moment ago may be on neither list yet.
+func (r *Room) OnList(now time.Time, whole, partial []Ask) {
+	listed := map[Key]bool{}
+	for _, a := range whole {
+		listed[a.Key] = true
+		if p, known := r.parts[a.Key]; known && p.state == freeing {
+			continue
+		}
+		r.OnStored(now, a.Key, a.Tokens, a.Weights)
+	}
+	for _, a := range partial {
+		listed[a.Key] = true
+		if _, known := r.parts[a.Key]; !known {
+			r.add(now, a, saving)
+		}
+	}
+	for key, p := range r.parts {
+		if !listed[key] && now.Sub(p.since) > saveWithin {
+			r.remove(p)
+		}
+	}
+}
+
+// Overdue reports whether saves are missing for so long that the store should be listed:
+// their events were lost, or they broke off and keep room.
+func (r *Room) Overdue(now time.Time) bool {
+	for _, p := range r.parts {
+		if p.state == saving && now.Sub(p.since) > saveWithin {
+			return true
+		}
+	}
+	return false
+}
+
+// unwanted returns the parts that may be freed now, those first that are least likely to
+// return: of older weights, then longest unused.
+func (r *Room) unwanted(now time.Time) []*part {
+	var out []*part
+	for _, p := range r.parts {
+		if p.state == held && r.mayFree(now, p) {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *part) int {
+		return cmp.Or(cmp.Compare(a.weights, b.weights), a.used.Compare(b.used), cmp.Compare(a.key.ID, b.key.ID))
+	})
+	return out
+}
+
+func (r *Room) mayFree(now time.Time, p *part) bool {
+	if now.Before(p.leave.Add(leaveSlack)) {
+		return false
+	}
+	return p.weights < r.newest || now.Sub(p.used) > keepFor
+}
+
+// Free returns the parts to be freed now and marks them. The caller tells the outcome with
+// OnRemoved or OnKept.
+func (r *Room) Free(now time.Time) []Key {
+	var out []Key
+	for _, p := range r.parts {
+		if p.state == saving && now.Sub(p.since) > 2*saveWithin {
+			out = append(out, r.mark(now, p)) // it broke off and keeps its room
+		}
+	}
+	if r.taken <= int(fullAt*float64(r.p.Tokens)) {
+		return out
+	}
+	left := r.taken
+	for _, p := range r.unwanted(now) {
+		if left <= int(freeTo*float64(r.p.Tokens)) {
+			break
+		}
+		left -= roundUp(p.tokens)
+		out = append(out, r.mark(now, p))
+	}
+	return out
+}
+
+func (r *Room) mark(now time.Time, p *part) Key {
+	p.state, p.since = freeing, now
+	return p.key
+}
+
+// OnKept is told that parts could not be freed for sure. They are neither fetched nor
+// written until a list tells whether the store still has them.
+func (r *Room) OnKept(now time.Time, keys []Key) {
+	for _, key := range keys {
+		if p, known := r.parts[key]; known {
+			p.state, p.since = saving, now
+		}
+	}
+}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -42,9 +42,17 @@
 	Health Health
 
 	info    atomic.Pointer[Info]
-	weights sync.Map // request.Model -> uint64, from answers newer than the registry
+	weights sync.Map     // request.Model -> uint64, from answers newer than the registry
+	busy    atomic.Int64 // until when it takes no requests, Unix nanoseconds
+	short   atomic.Int64 // until when it takes only short requests, Unix nanoseconds
 }
 
+// SetBusy says that the replica takes no requests until a time: it loads weights.
+func (r *Replica) SetBusy(until time.Time) { r.busy.Store(until.UnixNano()) }
+
+// Busy reports whether the replica takes no requests now.
+func (r *Replica) Busy(now time.Time) bool { return now.UnixNano() < r.busy.Load() }
+
 // Info returns what the registry told last.
 func (r *Replica) Info() *Info { return r.info.Load() }
 
@@ -65,6 +73,13 @@
 	}
 }
 
+// SetShortOnly says that the replica takes only short requests until a time: it loads
+// weights soon.
+func (r *Replica) SetShortOnly(until time.Time) { r.short.Store(until.UnixNano()) }
+
+// ShortOnly reports whether the replica takes only short requests now.
+func (r *Replica) ShortOnly(now time.Time) bool { return now.UnixNano() < r.short.Load() }
+
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
 	mu      sync.Mutex
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -90,6 +90,15 @@
 	return err == nil && quiet
 }
 
+// abort ends a connection at once. Bytes that wait behind a broken path are dropped, so
+// that they don't reach the replica when the path is back: the request was given up.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	c.Close()
+}
+
 // Pool keeps idle connections to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
--- a/internal/upstream/try.go
+++ b/internal/upstream/try.go
@@ -71,11 +71,11 @@
 			return nil, errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent)
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	response, err := p.exchange(c, r)
 	if err != nil {
 		stop()
-		c.Close()
+		c.abort()
 		return nil, err
 	}
 	response.Fresh = fresh
@@ -154,7 +154,11 @@
 			r.pool.put(r.c, keepFor(r.Header))
 			return
 		}
-		r.c.Close()
+		if complete {
+			r.c.Close()
+			return
+		}
+		r.c.abort()
 	})
 }
 
--- /dev/null
+++ b/internal/weights/duty.go
@@ -0,0 +1,436 @@
+// Package weights brings the model replicas to the weight versions that operators name.
+//
+// One daemon at a time holds the duty, under a lease with an epoch. It decides with
+// policy/rollout, gives orders that carry the epoch, and reads a replica's state before
+// each: an order whose answer is lost may be carried out seconds later, and the number of
+// orders that the replica has taken, sent along, then makes it void.
+package weights
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/policy/rollout"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	leaseName = "weights"
+	// stepEvery is how often the duty looks while replicas are behind.
+	stepEvery = 100 * time.Millisecond
+	// restEvery is how often it looks while none is.
+	restEvery = 250 * time.Millisecond
+	// callTimeout bounds one call to a replica; they answer in a few ms.
+	callTimeout = 600 * time.Millisecond
+	// effectAfter is how long an order may take to show in the replica's state, which
+	// lags by some hundred ms.
+	effectAfter = time.Second
+	// backupAfter is how long work must have waited before the daemon of the next rank
+	// asks for the duty.
+	backupAfter = 1500 * time.Millisecond
+	// acquireEvery is how often a daemon asks for the duty, at most.
+	acquireEvery = 700 * time.Millisecond
+	// outShare is the part of a model's replicas that may be out at once, most of them
+	// because their last requests end. New weights find empty memories and stores, so that
+	// prompts cost two to five times as much: two thirds of the replicas bear that.
+	outShare = 0.34
+	// loadShare is the part that may load at once: each load takes under half a second,
+	// but some at once slow each other.
+	loadShare = 0.23
+	// drainFor is how long a replica is kept free of new requests before it is ordered to
+	// load with the last ones still running.
+	drainFor = 2500 * time.Millisecond
+	// busyFor is how long a replica with an order is left alone by all daemons, unless it
+	// is seen to be done before.
+	busyFor = 700 * time.Millisecond
+	// hearFirst is how long before an order peers are told, so that what they have sent
+	// has arrived and nothing more comes: the replica would refuse it.
+	hearFirst = 25 * time.Millisecond
+	// heldPause is how long a daemon without work for it leaves a duty alone that another
+	// holds.
+	heldPause = 5 * time.Second
+)
+
+// Report is a replica's own word on its state.
+type Report struct {
+	Weights map[request.Model]uint64
+	Busy    bool   // it carries out an order
+	Orders  uint64 // accepted since its start
+}
+
+// Order tells a replica to load weights.
+type Order struct {
+	Model    request.Model
+	Version  uint64
+	Holder   request.DaemonID
+	Epoch    uint64
+	Expected uint64 // orders that the replica has accepted; any other number voids this one
+}
+
+// State is what peers are told of a replica. Zero times end what was told before.
+type State struct {
+	Replica   request.TargetID
+	Busy      time.Duration // it takes no requests for so long
+	ShortOnly time.Duration // it takes only short ones for so long
+	Model     request.Model
+	Weights   uint64 // that it serves; zero: not told
+}
+
+// Replicas carries out calls to replicas.
+type Replicas interface {
+	Report(ctx context.Context, r *replicas.Replica) (Report, error)
+	// Load gives an order. An error says nothing about whether it is carried out.
+	Load(ctx context.Context, r *replicas.Replica, o Order) error
+}
+
+// Options of New.
+type Options struct {
+	Leases *lease.Manager
+	Self   request.DaemonID
+	Set    *replicas.Set
+	Calls  Replicas
+	// Named returns the versions that operators named last.
+	Named func() map[request.Model]uint64
+	// Rank returns this daemon's place among those that may take the duty, 0 first.
+	Rank func() int
+	// Announce tells peers of a replica's state; nil: nobody.
+	Announce func(State)
+	Logger   hclog.Logger
+}
+
+// Duty is one daemon's part in the rollout of weights.
+type Duty struct {
+	o       Options
+	rollout *rollout.Rollout
+	lease   *lease.Lease
+	askAt   time.Time // not before
+	since   time.Time // since when replicas are behind; zero: none is
+	ordered map[request.TargetID]ordered
+	told    map[request.TargetID]time.Time // when peers were told last that it is busy
+}
+
+// ordered is an order under way.
+type ordered struct {
+	model request.Model
+	at    time.Time
+}
+
+// New returns a duty that holds nothing.
+func New(o Options) *Duty {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	o.Logger = o.Logger.Named("weights")
+	return &Duty{o: o, ordered: map[request.TargetID]ordered{}, told: map[request.TargetID]time.Time{}}
+}
+
+// Run does the duty while this daemon holds it, until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		next := restEvery
+		if d.step(ctx) {
+			next = stepEvery
+		}
+		_ = pause.For(ctx, next) // the loop asks the context itself
+	}
+	return nil
+}
+
+// behind is a replica that serves other weights than were named.
+type behind struct {
+	replica *replicas.Replica
+	model   request.Model
+	version uint64
+}
+
+// step does what is to be done now and reports whether replicas are behind.
+func (d *Duty) step(ctx context.Context) bool {
+	now := time.Now()
+	late := d.behind()
+	d.settle(late)
+	if len(late) == 0 {
+		d.since = time.Time{}
+	} else if d.since.IsZero() {
+		d.since = now
+	}
+	if held := d.hold(ctx, now, len(late) > 0); !held {
+		return len(late) > 0
+	}
+	if len(late) > 0 {
+		d.act(ctx, late)
+	}
+	return len(late) > 0
+}
+
+// settle takes the replicas back into use that have reached their version.
+func (d *Duty) settle(late []behind) {
+	still := make(map[request.TargetID]bool, len(late))
+	for _, b := range late {
+		still[b.replica.Info().ID] = true
+	}
+	for id, o := range d.ordered {
+		if still[id] {
+			continue
+		}
+		delete(d.ordered, id)
+		delete(d.told, id)
+		r := d.o.Set.Get(id)
+		if r == nil {
+			continue
+		}
+		r.SetBusy(time.Time{})
+		r.SetShortOnly(time.Time{})
+		d.announce(State{Replica: id, Model: o.model, Weights: r.Weights(o.model)})
+		d.o.Logger.Info("A replica serves new weights", "replica", id, "model", o.model,
+			"version", r.Weights(o.model), "after_ms", time.Since(o.at).Milliseconds())
+	}
+}
+
+func (d *Duty) behind() []behind {
+	var late []behind
+	for model, version := range d.o.Named() {
+		for _, r := range d.o.Set.All() {
+			if _, serves := r.Info().Weights[model]; serves && r.Weights(model) < version {
+				late = append(late, behind{replica: r, model: model, version: version})
+			}
+		}
+	}
+	return late
+}
+
+// hold reports whether this daemon holds the duty, and asks for it if it is its turn.
+func (d *Duty) hold(ctx context.Context, now time.Time, work bool) bool {
+	if d.lease != nil && d.lease.Valid() {
+		return true
+	}
+	d.lease = nil
+	clear(d.ordered)
+	rank := d.o.Rank()
+	turn := rank == 0 || work && now.Sub(d.since) > time.Duration(rank)*backupAfter
+	if !turn || now.Before(d.askAt) {
+		return false
+	}
+	d.askAt = now.Add(acquireEvery)
+	l, err := d.o.Leases.Acquire(ctx, leaseName)
+	if err != nil {
+		switch {
+		case !errors.Is(err, lease.ErrHeld):
+			d.o.Logger.Warn("The duty could not be taken", "error", err)
+		case !work:
+			d.askAt = now.Add(heldPause)
+		}
+		return false
+	}
+	d.lease = l
+	d.rollout = nil
+	d.o.Logger.Info("This daemon rolls out weights", "epoch", l.Epoch(), "acts_after", time.Until(l.ActAfter()).String())
+	return true
+}
+
+// act orders what may be ordered now.
+func (d *Duty) act(ctx context.Context, late []behind) {
+	if d.rollout == nil {
+		d.rollout = rollout.New(rollout.Params{
+			LoadCap: d.loadCap(late), MaxOutShare: outShare, OrderTimeout: effectAfter,
+			LoadTimeout: 4 * effectAfter, DrainFor: drainFor,
+			TakeoverWait: max(time.Nanosecond, time.Until(d.lease.ActAfter())),
+		})
+	}
+	wanted, observed, reports := d.view(ctx, late)
+	for _, a := range d.rollout.Step(time.Now(), d.lease.Epoch(), wanted, observed) {
+		switch a := a.(type) {
+		case rollout.Order:
+			d.order(ctx, late, a, reports)
+		case rollout.Drain:
+			d.drain(late, a)
+		}
+	}
+}
+
+// drain keeps new requests from a replica that loads soon. Peers are told anew before
+// they forget it.
+func (d *Duty) drain(late []behind, a rollout.Drain) {
+	for _, b := range late {
+		switch {
+		case b.replica.Info().ID != a.Target:
+		case a.ShortOnly:
+			d.keepShort(b)
+			return
+		default:
+			d.keepBusy(b)
+			return
+		}
+	}
+}
+
+func (d *Duty) loadCap(late []behind) int {
+	all := 0
+	for _, r := range d.o.Set.All() {
+		if _, serves := r.Info().Weights[late[0].model]; serves {
+			all++
+		}
+	}
+	return max(1, int(loadShare*float64(all)))
+}
+
+// view returns what is wanted of all replicas of the models concerned, and what is known
+// of them. Replicas with an order are asked.
+func (d *Duty) view(ctx context.Context, late []behind) ([]rollout.Wanted, []rollout.Observed, map[request.TargetID]Report) {
+	now := time.Now()
+	reports := d.ask(ctx, late)
+	var wanted []rollout.Wanted
+	var observed []rollout.Observed
+	for _, b := range late {
+		id := b.replica.Info().ID
+		wanted = append(wanted, rollout.Wanted{Target: id, Model: b.model, Version: versionOf(b.version)})
+		o := rollout.Observed{Target: id, ReadAt: now, Reachable: !b.replica.Health.Resting(now), Work: b.replica.Load.Total(now).Requests}
+		o.State.Version = versionOf(b.replica.Weights(b.model))
+		if report, asked := reports[id]; asked {
+			o.State.Version = versionOf(report.Weights[b.model])
+			if report.Busy {
+				o.State.Loading = versionOf(b.version)
+			}
+		} else if _, has := d.ordered[id]; has {
+			o.Reachable = false
+		}
+		observed = append(observed, o)
+	}
+	wanted, observed = d.addDone(wanted, observed, late, now)
+	return wanted, observed, reports
+}
+
+// addDone adds the replicas that are not behind: the shares count them.
+func (d *Duty) addDone(wanted []rollout.Wanted, observed []rollout.Observed, late []behind, now time.Time) ([]rollout.Wanted, []rollout.Observed) {
+	model, version := late[0].model, late[0].version
+	for _, r := range d.o.Set.All() {
+		if _, serves := r.Info().Weights[model]; !serves || r.Weights(model) < version {
+			continue
+		}
+		id := r.Info().ID
+		wanted = append(wanted, rollout.Wanted{Target: id, Model: model, Version: versionOf(version)})
+		observed = append(observed, rollout.Observed{
+			Target: id, ReadAt: now, Reachable: true, State: engineapi.State{Version: versionOf(version)},
+		})
+	}
+	return wanted, observed
+}
+
+func versionOf(n uint64) request.Version { return request.Version(strconv.FormatUint(n, 10)) }
+
+// ask reads the state of the replicas that have an order, at once.
+func (d *Duty) ask(ctx context.Context, late []behind) map[request.TargetID]Report {
+	type reply struct {
+		b      behind
+		report Report
+		err    error
+	}
+	replies := make(chan reply, len(late))
+	asked := 0
+	for _, b := range late {
+		if _, has := d.ordered[b.replica.Info().ID]; !has {
+			continue
+		}
+		asked++
+		go func() {
+			report, err := d.report(ctx, b.replica)
+			replies <- reply{b: b, report: report, err: err}
+		}()
+	}
+	out := map[request.TargetID]Report{}
+	for range asked {
+		r := <-replies
+		id := r.b.replica.Info().ID
+		if r.err != nil {
+			d.o.Logger.Info("A replica does not tell its state", "replica", id, "error", r.err)
+			continue
+		}
+		out[id] = r.report
+		if r.report.Weights[r.b.model] >= r.b.version {
+			r.b.replica.SawWeights(r.b.model, r.report.Weights[r.b.model])
+		} else {
+			d.keepBusy(r.b)
+		}
+	}
+	return out
+}
+
+func (d *Duty) report(ctx context.Context, r *replicas.Replica) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.o.Calls.Report(ctx, r)
+}
+
+// keepShort says again that a replica takes short requests only.
+func (d *Duty) keepShort(b behind) {
+	now := time.Now()
+	id := b.replica.Info().ID
+	b.replica.SetShortOnly(now.Add(busyFor))
+	if now.Sub(d.told[id]) > busyFor/3 {
+		d.told[id] = now
+		d.announce(State{Replica: id, ShortOnly: busyFor})
+	}
+}
+
+// keepBusy says again that a replica takes no requests while its order is under way.
+func (d *Duty) keepBusy(b behind) {
+	now := time.Now()
+	id := b.replica.Info().ID
+	b.replica.SetBusy(now.Add(busyFor))
+	if now.Sub(d.told[id]) > busyFor/3 {
+		d.told[id] = now
+		d.announce(State{Replica: id, Busy: busyFor})
+	}
+}
+
+func (d *Duty) announce(s State) {
+	if d.o.Announce != nil {
+		d.o.Announce(s)
+	}
+}
+
+// order gives an order, after reading how many the replica has accepted.
+func (d *Duty) order(ctx context.Context, late []behind, a rollout.Order, reports map[request.TargetID]Report) {
+	i := slices.IndexFunc(late, func(b behind) bool { return b.replica.Info().ID == a.Target })
+	if i < 0 {
+		return
+	}
+	b := late[i]
+	d.ordered[a.Target] = ordered{model: b.model, at: time.Now()}
+	d.keepBusy(b)
+	l := d.lease
+	go func() {
+		if pause.For(ctx, hearFirst) != nil {
+			return
+		}
+		report, known := reports[a.Target]
+		if !known {
+			var err error
+			if report, err = d.report(ctx, b.replica); err != nil {
+				d.o.Logger.Info("A replica gets no order, its state is not known", "replica", a.Target, "error", err)
+				return
+			}
+		}
+		d.send(ctx, l, b, report)
+	}()
+}
+
+func (d *Duty) send(ctx context.Context, l *lease.Lease, b behind, report Report) {
+	if !l.MayAct(callTimeout) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o := Order{Model: b.model, Version: b.version, Holder: d.o.Self, Epoch: l.Epoch(), Expected: report.Orders}
+	err := d.o.Calls.Load(ctx, b.replica, o)
+	d.o.Logger.Info("A replica is ordered to load weights", "replica", b.replica.Info().ID, "model", b.model,
+		"version", b.version, "epoch", o.Epoch, "expected", o.Expected, "error", err)
+}
