Notice a context store's slow link from late first tokens

Cause: while one store's link was four times slower its fetches waited up to two seconds, held their replicas' memory meanwhile, and the load of that time was never worked off.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -53,6 +53,7 @@
 	keepers map[string]Keeper // by address
 	deaf    map[string]time.Time
 	full    map[string]time.Time // by store
+	slow    map[string]bool      // addresses of stores whose keepers are to be told
 }
 
 // NewAsker returns an asker that knows no keeper yet.
@@ -61,7 +62,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("contextstore")
-	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}}
+	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, slow: map[string]bool{}}
 	a.holders.Store(&map[string]lease.Holder{})
 	a.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: lease.RecordPrefix + LeasePrefix, Apply: a.apply, Gather: followPause, Logger: o.Logger})
 	return a
@@ -169,6 +170,9 @@
 				byKeeper[h.Address] = q
 				order = append(order, q)
 			}
+			if a.takeSlow(store.Store.Address) {
+				q.request.SlowStores = append(q.request.SlowStores, string(store.ID))
+			}
 			q.at = append(q.at, i)
 			q.stores = append(q.stores, store)
 			q.request.Parts = append(q.request.Parts, &PartAsk{
@@ -231,6 +235,21 @@
 	return a.Store.Tokens > b.Store.Tokens
 }
 
+// Slow implements placer.Stores. The keeper hears of it with the next question.
+func (a *Asker) Slow(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slow[address] = true
+}
+
+func (a *Asker) takeSlow(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slow := a.slow[address]
+	delete(a.slow, address)
+	return slow
+}
+
 func (a *Asker) isDeaf(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -207,7 +207,7 @@
 	}
 	args := []any{
 		"store", k.id, "parts", k.room.Parts(), "tokens", k.room.Taken(), "room", k.tokens,
-		"queue_ms", k.room.Queue(time.Now()).Milliseconds(),
+		"queue_ms", k.room.Queue(time.Now()).Milliseconds(), "slowness", k.room.Slowness(),
 	}
 	for _, reason := range slices.Sorted(maps.Keys(k.reasons)) {
 		args = append(args, string(reason), k.reasons[reason])
@@ -363,8 +363,23 @@
 	go k.run(ctx)
 }
 
+func (s *StoreKeeper) noteSlow(stores []string) {
+	for _, store := range stores {
+		s.mu.Lock()
+		k := s.stores[routing.ServiceID(store)]
+		s.mu.Unlock()
+		if k == nil {
+			continue
+		}
+		k.mu.Lock()
+		k.room.OnSlow(time.Now())
+		k.mu.Unlock()
+	}
+}
+
 // Claim implements Keeper.
 func (s *StoreKeeper) Claim(_ context.Context, r *ClaimRequest) (*ClaimResponse, error) {
+	s.noteSlow(r.SlowStores)
 	out := &ClaimResponse{Parts: make([]*PartAnswer, len(r.Parts))}
 	byStore := map[string][]int{}
 	for i, p := range r.Parts {
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -25,16 +25,21 @@
 	// crossFactor is how much longer a transfer between failure domains takes.
 	crossFactor = 2
 	// oldGrace is how long after new weights were named answers on the old ones are as
-	// good, and oldAll how long after that they are worth nothing. oldAtFirst makes the
-	// new ones win among equals before.
+	// good. oldShare is what they lose after it, and oldAtFirst makes the new ones win
+	// among equals before.
 	oldGrace   = 1200 * time.Millisecond
-	oldAll     = 3 * time.Second
+	oldShare   = 0.2
 	oldAtFirst = 0.02
 	// maxUrgency is the last of the ranks that replicas know; 5 is what they take a
 	// request without one for.
 	maxUrgency = 9
 	// outputShare is the part of the allowed output that a request is expected to make.
 	outputShare = 0.35
+	// fetchOverdue is how late a first token must be for its fetch to count as slow. On an
+	// idle replica one varies by some 100 ms.
+	fetchOverdue = 250 * time.Millisecond
+	quietPrefill = 4000 // tokens waiting, up to which a replica counts as idle
+	quietMemory  = 0.7  // share of its memory, likewise
 	// longOutput is the number of tokens from which a request counts as long: at 5 ms a
 	// token they take half a second.
 	longOutput = 100
@@ -58,6 +63,8 @@
 	// Ask returns an entry for each part, and until when fetches may run, on the
 	// replicas' clock.
 	Ask(ctx context.Context, salt string, parts []relay.Part, expectResident []bool) (stored []Stored, until int64)
+	// Slow says that a fetch from the store at an address took much longer than told.
+	Slow(address string)
 }
 
 // Engine places prompts on model replicas.
@@ -91,7 +98,8 @@
 	salt := cacheSalt(best(usable, j.Model), j.Org)
 	stored, until := e.askStores(ctx, j, salt, usable)
 	candidates := e.candidates(j, usable, salt, stored)
-	n := pick.Best(pick.Default, e.need(j), candidates)
+	need := e.need(j)
+	n := pick.Best(pick.Default, need, candidates)
 	r, chosen := usable[n], &candidates[n]
 	version := r.Weights(j.Model)
 	own := cacheSalt(version, j.Org)
@@ -100,14 +108,54 @@
 		// While weights are rolled out the replica may serve others than were asked for.
 		stored, until = e.askStores(ctx, j, own, []*replicas.Replica{r})
 	}
+	sources := pick.Default.Sources(chosen.Parts)
 	e.fill(&send, j, stored, until, r)
+	unfetch(&send, chosen.Parts, sources)
 	e.record(r.Info().ID, j, own)
+	stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
-		Replica: r, Send: send, Reason: reason(chosen, &send, j.OutputTokens),
-		Flight: r.Load.Begin(j.PromptTokens+e.output(j), j.PromptTokens),
+		Replica: r, Send: send, First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
+		Flight: r.Load.Begin(need.Tokens, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
 }
 
+// watchFetch reports the store of the largest fetched part if the first token is overdue
+// by so much that the store's link must be slower than thought. A replica with much to do
+// may be the cause itself, so that nothing is concluded then.
+func (e *Engine) watchFetch(c *pick.Candidate, need pick.Request, sources []pick.Source, stored []Stored) (stop func()) {
+	busy := c.Prefill > quietPrefill || float64(c.Tokens+need.Tokens) > quietMemory*float64(c.Memory)
+	largest := -1
+	expected := time.Duration(pick.Default.ToCompute(need, c.Parts)+c.Prefill) * pick.Default.PrefillPerToken
+	for i, source := range sources {
+		if source != pick.Fetched {
+			continue
+		}
+		expected += c.Parts[i].Fetch
+		if stored[i].Fetch && (largest < 0 || c.Parts[i].Tokens > c.Parts[largest].Tokens) {
+			largest = i
+		}
+	}
+	if busy || largest < 0 {
+		return func() {}
+	}
+	address := stored[largest].Address
+	t := time.AfterFunc(expected+fetchOverdue, func() { e.Stores.Slow(address) })
+	return func() { t.Stop() }
+}
+
+// unfetch takes back the sources of parts that are sooner computed than fetched, and of
+// all after them.
+func unfetch(send *relay.Send, parts []pick.Part, sources []pick.Source) {
+	for i, source := range sources {
+		if source == pick.Computed && parts[i].Fetch > 0 {
+			for n := i; n < len(send.FetchFrom); n++ {
+				send.FetchFrom[n] = ""
+			}
+			return
+		}
+	}
+}
+
 // reason tells for the log, part by part, what is thought to lie in the replica's memory
 // (m), is fetched from a store (s) or another replica (r), or is computed (-), a + for one
 // that is saved, and the replica's load.
@@ -246,12 +294,15 @@
 }
 
 // oldness returns how much an answer on replaced weights has lost, from 0 to 1: nothing
-// while the new ones can hardly be in place, all when none may begin any more.
+// while the new ones can hardly be in place.
 func oldness(old bool, age time.Duration) float64 {
 	if !old {
 		return 0
 	}
-	return min(1, max(oldAtFirst, float64(age-oldGrace)/float64(oldAll)))
+	if age < oldGrace {
+		return oldAtFirst
+	}
+	return oldShare
 }
 
 func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -77,27 +77,67 @@
 	return cost
 }
 
-// bring returns what it costs to have all parts in the replica's memory. A part counts
-// only if all before it are there, or come: after a gap all is computed.
-func (k Costs) bring(parts []Part) time.Duration {
-	var cost time.Duration
-	gap := false
-	for _, p := range parts {
+// Source says how a replica comes by a part of a prompt.
+type Source int
+
+// The sources of parts.
+const (
+	Computed Source = iota // prefill
+	Resident               // it lies in the replica's memory
+	Fetched                // it comes over a link
+)
+
+// Sources returns how a replica would best come by each part. A part counts as there only
+// if all before it are there, or come: after a gap all is computed.
+func (k Costs) Sources(parts []Part) []Source {
+	out := make([]Source, len(parts))
+	for i, p := range parts {
 		switch {
-		case !gap && p.Resident:
-		case !gap && p.Fetch > 0:
-			cost += p.Fetch
+		case p.Resident:
+			out[i] = Resident
+		case p.Fetch > 0 && p.Fetch < k.compute(p):
+			out[i] = Fetched
 		default:
-			gap = true
-			cost += time.Duration(p.Tokens) * k.PrefillPerToken
-			if p.Shared {
-				cost += time.Duration(p.Tokens) * k.RecomputePenalty
-			}
+			return out
+		}
+	}
+	return out
+}
+
+// compute returns the cost of computing a part.
+func (k Costs) compute(p Part) time.Duration {
+	cost := time.Duration(p.Tokens) * k.PrefillPerToken
+	if p.Shared {
+		cost += time.Duration(p.Tokens) * k.RecomputePenalty
+	}
+	return cost
+}
+
+// bring returns what it costs to have all parts in the replica's memory.
+func (k Costs) bring(parts []Part) time.Duration {
+	var cost time.Duration
+	for i, source := range k.Sources(parts) {
+		switch source {
+		case Computed:
+			cost += k.compute(parts[i])
+		case Fetched:
+			cost += parts[i].Fetch
 		}
 	}
 	return cost
 }
 
+// ToCompute returns the tokens of a prompt that a replica would have to compute.
+func (k Costs) ToCompute(r Request, parts []Part) int {
+	tokens := r.Fresh
+	for i, source := range k.Sources(parts) {
+		if source == Computed {
+			tokens += parts[i].Tokens
+		}
+	}
+	return tokens
+}
+
 // shortage returns the price of what does not fit: memory, and places in the batch.
 func (k Costs) shortage(r Request, c *Candidate) time.Duration {
 	var cost time.Duration
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -41,6 +41,12 @@
 	// gap takes the saves of the time that freeing needs.
 	fullAt = 0.94
 	freeTo = 0.90
+	// slowOnce is the time in which complaints count as one: they are of fetches that
+	// waited in the same queue. slowFor is how long without one makes a link faster again,
+	// and maxSlowness leaves enough fetches to see it.
+	slowOnce    = 300 * time.Millisecond
+	slowFor     = time.Second
+	maxSlowness = 16.0
 	// block is the number of tokens by which a store gives room.
 	block = 16
 	// crossShare weighs the link's time for readers in other failure domains, whose
@@ -122,6 +128,8 @@
 	seen      map[Key]time.Time // last parts that were asked for once
 	seenSwept time.Time
 	linkFree  time.Time
+	slowness  float64   // by which transfers take longer than the link's speed says
+	slowAt    time.Time // of the newest change of slowness
 	lastLeave time.Time
 	saveAfter time.Time
 }
@@ -129,7 +137,7 @@
 // New returns the room of a store whose content is not known yet. Another daemon may have
 // given leave until now.
 func New(now time.Time, p Params) *Room {
-	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, saveAfter: now.Add(LeaveFor + leaveSlack)}
+	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, saveAfter: now.Add(LeaveFor + leaveSlack)}
 }
 
 // Reset is told that the store came back empty.
@@ -162,6 +170,7 @@
 // Ask decides on one part. Leave to fetch lasts until now plus LeaveFor.
 func (r *Room) Ask(now time.Time, a Ask) Answer {
 	r.newest = max(r.newest, a.Weights)
+	r.recover(now)
 	p, known := r.parts[a.Key]
 	switch {
 	case known && p.state == held:
@@ -212,7 +221,31 @@
 }
 
 func (r *Room) transfer(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / r.p.TokensPerSec * float64(time.Second))
+	return time.Duration(r.slowness * float64(tokens) / r.p.TokensPerSec * float64(time.Second))
+}
+
+// OnSlow is told that a fetch took much longer than Ask said. The link is then taken to be
+// twice as slow as before, until nobody complains.
+func (r *Room) OnSlow(now time.Time) {
+	if now.Sub(r.slowAt) < slowOnce {
+		return
+	}
+	r.slowAt = now
+	r.slowness = min(maxSlowness, 2*r.slowness)
+	if queued := now.Add(maxQueue); r.linkFree.Before(queued) {
+		r.linkFree = queued
+	}
+}
+
+// Slowness returns by how much transfers take longer than the link's speed says.
+func (r *Room) Slowness() float64 { return r.slowness }
+
+// recover takes a link for faster again after a time without complaints.
+func (r *Room) recover(now time.Time) {
+	for r.slowness > 1 && now.Sub(r.slowAt) > slowFor {
+		r.slowness /= 2
+		r.slowAt = r.slowAt.Add(slowFor)
+	}
 }
 
 func (r *Room) useLink(now time.Time, tokens int) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -138,7 +138,7 @@
 			}
 			k.last = id
 		}
-		t.placement.Flight.Computed()
+		t.first()
 		s.start(k, t)
 		k.count++
 		if err := k.write(event, !in.more()); err != nil {
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -35,6 +35,19 @@
 	cancel    context.CancelFunc
 	outcome   outcome
 	err       error
+	begun     bool // the first event came
+}
+
+// first notes that the prompt has been computed.
+func (t *try) first() {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	t.placement.Flight.Computed()
+	if t.placement.First != nil {
+		t.placement.First()
+	}
 }
 
 // done gives back the connection and the place.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -111,6 +111,8 @@
 	Send    Send
 	Flight  *replicas.Flight
 	Reason  string // for the log: what decided
+	// First is told when the first event came; nil: nobody needs it.
+	First func()
 	// Ended is told once how the try ended; nil: nobody needs it.
 	Ended func(ran bool)
 }
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -39,16 +39,17 @@
 	backupAfter = 1500 * time.Millisecond
 	// acquireEvery is how often a daemon asks for the duty, at most.
 	acquireEvery = 700 * time.Millisecond
-	// outShare is the part of a model's replicas that may be out at once, most of them
-	// because their last requests end. New weights find empty memories and stores, so that
-	// prompts cost two to five times as much: two thirds of the replicas bear that.
-	outShare = 0.34
+	// outShare is the part of a model's replicas that may be out at once. New weights find
+	// empty memories and stores, so that prompts cost two to five times as much, and the
+	// others have to bear that. With a fifth out at once all are done within the time
+	// allowed; being sooner costs callers more than answers on the weights before.
+	outShare = 0.22
 	// loadShare is the part that may load at once: each load takes under half a second,
 	// but some at once slow each other.
 	loadShare = 0.23
 	// drainFor is how long a replica is kept free of new requests before it is ordered to
 	// load with the last ones still running.
-	drainFor = 2500 * time.Millisecond
+	drainFor = 1500 * time.Millisecond
 	// busyFor is how long a replica with an order is left alone by all daemons, unless it
 	// is seen to be done before.
 	busyFor = 700 * time.Millisecond
