Daemons learn from peers what the store does not tell them; SIGHUP reads the settings again

Ruled out: refusals of the store, the watch simply hung.

Watches end after a time that differs by chance, daemons tell each other the newest revision they know, and one that stays behind takes a peer's copy.

--- a/cmd/bluebellscaled/main.go
+++ b/cmd/bluebellscaled/main.go
@@ -78,13 +78,24 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	d, err := platform.NewDaemon(settings, log)
 	if err != nil {
 		return err
 	}
+	go reloadOn(reload, d)
 	return d.Run(ctx)
 }
 
+// reloadOn reads the settings again at each signal.
+func reloadOn(signals <-chan os.Signal, d *platform.Daemon) {
+	for range signals {
+		d.Reload(os.Getenv(platform.SettingsVariable))
+	}
+}
+
 func newLogger(l config.Log) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "bluebellscaled",
--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -71,6 +71,9 @@
 // Run follows who keeps which store until ctx ends.
 func (a *Asker) Run(ctx context.Context) error { return a.mirror.Run(ctx) }
 
+// Mirror returns the mirror of the entries, whose copies peers may ask for.
+func (a *Asker) Mirror() *mirror.Mirror { return a.mirror }
+
 // Refresh asks for a new listing after this process stood still.
 func (a *Asker) Refresh() { a.mirror.Refresh() }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +43,11 @@
 	Address string          // to listen on, UDP
 	Peers   func() []string // addresses of the daemons that use the same replicas
 	Set     *replicas.Set
-	Logger  hclog.Logger
+	// Revisions returns the newest changes of the key-value service that are known here,
+	// and Heard is told those of a peer.
+	Revisions func() []uint64
+	Heard     func(peer string, revisions []uint64)
+	Logger    hclog.Logger
 }
 
 // Share is one daemon's part. It is safe for concurrent use.
@@ -56,6 +61,9 @@
 	states   []*State
 	last     []*Work
 	lastTold time.Time
+
+	revisions     []uint64
+	revisionsTold time.Time
 }
 
 // New listens and returns a share.
@@ -154,9 +162,12 @@
 		}
 		s.last, s.lastTold = work, now
 	}
-	if len(r.Work)+len(r.Placed)+len(r.States) == 0 {
+	revisions := s.o.Revisions()
+	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States) == 0 {
 		return nil
 	}
+	r.Revisions, r.Address = revisions, s.o.Address
+	s.revisions, s.revisionsTold = revisions, now
 	return r
 }
 
@@ -207,6 +218,9 @@
 
 // take notes what a peer told.
 func (s *Share) take(now time.Time, r *Report) {
+	if len(r.Revisions) > 0 {
+		s.o.Heard(r.Address, r.Revisions)
+	}
 	byHash := map[uint64]*replicas.Replica{}
 	for _, replica := range s.o.Set.All() {
 		byHash[hash(replica.Info().ID)] = replica
--- /dev/null
+++ b/internal/mirror/group.go
@@ -0,0 +1,193 @@
+package mirror
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+const (
+	// behindFor is how long a peer must know of a newer change before its copy is asked
+	// for: the watch of this daemon is mostly about to tell it.
+	behindFor = 250 * time.Millisecond
+	// readTimeout bounds one question to a peer.
+	readTimeout = 500 * time.Millisecond
+)
+
+// takeAll takes all there is below the prefix.
+func (m *Mirror) takeAll(entries []platform.Entry, at platform.Revision, lapsing bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+		m.keep(e)
+	}
+	for key, e := range m.entries {
+		if !present[key] && !e.Deleted && e.Revision <= at {
+			m.entries[key] = platform.Entry{Key: key, Revision: at, Deleted: true}
+			m.newest = max(m.newest, at)
+		}
+	}
+	m.o.Apply(Update{Entries: m.present(), Full: true, Lapsing: lapsing})
+}
+
+// takeSome takes changes, and leaves out those that are known already.
+func (m *Mirror) takeSome(entries []platform.Entry, lapsing bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var news []platform.Entry
+	for _, e := range entries {
+		if m.keep(e) {
+			news = append(news, e)
+		}
+	}
+	if len(news) > 0 {
+		m.o.Apply(Update{Entries: news, Lapsing: lapsing})
+	}
+}
+
+// keep notes an entry and reports whether it is news. A copy of a peer may have told it
+// before.
+func (m *Mirror) keep(e platform.Entry) bool {
+	if known, ok := m.entries[e.Key]; ok && known.Revision >= e.Revision {
+		return false
+	}
+	m.entries[e.Key] = e
+	m.newest = max(m.newest, e.Revision)
+	return true
+}
+
+func (m *Mirror) present() []platform.Entry {
+	out := make([]platform.Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		if !e.Deleted {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Newest returns the revision of the newest change that is known.
+func (m *Mirror) Newest() platform.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest
+}
+
+// Group shares mirrors among daemons. It implements the service Copies.
+type Group struct {
+	client *http.Client
+	log    hclog.Logger
+	order  []string // prefixes
+	by     map[string]*Mirror
+
+	mu     sync.Mutex
+	behind map[string]time.Time // by prefix: since when some peer knows more
+	busy   map[string]bool      // by prefix: a peer is being asked
+}
+
+// NewGroup returns a group of some mirrors.
+func NewGroup(client *http.Client, log hclog.Logger, mirrors ...*Mirror) *Group {
+	c := &Group{
+		client: client, log: log.Named("copies"), by: map[string]*Mirror{},
+		behind: map[string]time.Time{}, busy: map[string]bool{},
+	}
+	for _, m := range mirrors {
+		c.order = append(c.order, m.o.Prefix)
+		c.by[m.o.Prefix] = m
+	}
+	return c
+}
+
+// Revisions returns the newest change of each mirror, to be told to peers.
+func (c *Group) Revisions() []uint64 {
+	out := make([]uint64, len(c.order))
+	for i, prefix := range c.order {
+		out[i] = uint64(c.by[prefix].Newest())
+	}
+	return out
+}
+
+// Heard is told the newest changes that a peer knows, in the order of Revisions. Where the
+// peer knows more for a while, its copy is asked for.
+func (c *Group) Heard(ctx context.Context, peer string, revisions []uint64) {
+	if len(revisions) != len(c.order) {
+		return // a daemon of another release
+	}
+	for i, prefix := range c.order {
+		if revisions[i] > uint64(c.by[prefix].Newest()) {
+			c.noteBehind(ctx, peer, prefix)
+		}
+	}
+}
+
+func (c *Group) noteBehind(ctx context.Context, peer, prefix string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	since, known := c.behind[prefix]
+	if !known || now.Sub(since) > 4*behindFor {
+		c.behind[prefix] = now // heard first, or after a time in which all was told
+		return
+	}
+	if now.Sub(since) < behindFor || c.busy[prefix] {
+		return
+	}
+	c.busy[prefix] = true
+	go c.pull(ctx, peer, prefix)
+}
+
+// pull takes a peer's copy.
+func (c *Group) pull(ctx context.Context, peer, prefix string) {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.busy, prefix)
+		delete(c.behind, prefix)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	m := c.by[prefix]
+	known := uint64(m.Newest())
+	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: known})
+	if err != nil {
+		c.log.Info("A peer gives no copy", "peer", peer, "prefix", prefix, "error", err)
+		return
+	}
+	if answer.Newest <= known {
+		return
+	}
+	entries := make([]platform.Entry, len(answer.Entries))
+	for i, e := range answer.Entries {
+		entries[i] = platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)}
+	}
+	c.log.Info("A peer's copy is taken", "peer", peer, "prefix", prefix, "revision", answer.Newest, "known", known)
+	m.takeAll(entries, platform.Revision(answer.Newest), answer.Lapsing)
+}
+
+// Read implements Copies.
+func (c *Group) Read(_ context.Context, r *ReadRequest) (*ReadResponse, error) {
+	m := c.by[r.Prefix]
+	if m == nil {
+		return &ReadResponse{}, nil
+	}
+	lapsing := m.lapsing()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := &ReadResponse{Newest: uint64(m.newest), Lapsing: lapsing}
+	if out.Newest <= r.NewerThan {
+		return out, nil
+	}
+	for _, e := range m.present() {
+		out.Entries = append(out.Entries, &CopiedEntry{
+			Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease),
+		})
+	}
+	return out, nil
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,12 +3,14 @@
 //
 // It lists once and then watches. It survives a service that is down, slow or refuses
 // this process, and one that has dropped the history that a watch would go on from. What
-// was known stays until the service says otherwise: an outage removes nothing.
+// was known stays until the service says otherwise: an outage removes nothing. A daemon
+// that the service does not answer takes copies from its peers meanwhile (Copies).
 package mirror
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +22,8 @@
 )
 
 const (
-	// defaultWait bounds one watch. It is short enough for a silent path to show within
-	// a few seconds, and long enough to cost a tenth of a call a second.
+	// defaultWait bounds one watch. A watch can be cut without a word; each then begins
+	// anew after its wait, and tells its peers what it finds.
 	defaultWait = 8 * time.Second
 	minPause    = 100 * time.Millisecond // between failed calls, at first
 	maxPause    = time.Second
@@ -46,7 +48,9 @@
 type Options struct {
 	KV     platform.KV
 	Prefix string
-	Wait   time.Duration // of one watch; zero: 8 s
+	// Wait returns the longest wait of one watch; nil: 8 s. The waits differ by chance, so
+	// that of some daemons one soon finds that all their watches were cut.
+	Wait func() time.Duration
 	// Gather is how long to wait after a change for more, so that many changes at once
 	// don't cost a call each.
 	Gather time.Duration
@@ -58,21 +62,25 @@
 type Mirror struct {
 	o         Options
 	failing   time.Time // since when calls fail; zero: they don't
-	lapseEnds time.Time
 	connected atomic.Bool
 	wake      chan struct{}
+
+	mu        sync.Mutex
+	entries   map[string]platform.Entry // as read; deleted ones are kept as such for a while
+	newest    platform.Revision         // of all changes that are known
+	lapseEnds time.Time
 }
 
 // New returns a mirror that has read nothing yet.
 func New(o Options) *Mirror {
-	if o.Wait <= 0 {
-		o.Wait = defaultWait
+	if o.Wait == nil {
+		o.Wait = func() time.Duration { return defaultWait }
 	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("mirror").With("prefix", o.Prefix)
-	return &Mirror{o: o, wake: make(chan struct{}, 1)}
+	return &Mirror{o: o, wake: make(chan struct{}, 1), entries: map[string]platform.Entry{}}
 }
 
 // Connected reports whether the last call succeeded, so that the copy is as new as the
@@ -115,7 +123,7 @@
 	if err != nil {
 		return 0, err
 	}
-	m.o.Apply(Update{Entries: entries, Full: true, Lapsing: m.lapsing()})
+	m.takeAll(entries, at, m.lapsing())
 	return at, nil
 }
 
@@ -126,7 +134,8 @@
 		cut, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go m.cutOnRefresh(cut, cancel)
-		entries, next, err = m.o.KV.Watch(cut, m.o.Prefix, at, m.o.Wait)
+		longest := m.o.Wait()
+		entries, next, err = m.o.KV.Watch(cut, m.o.Prefix, at, longest/2+rand.N(longest/2))
 		if err != nil && cut.Err() != nil && ctx.Err() == nil {
 			return errRefresh
 		}
@@ -136,7 +145,7 @@
 		return at, err
 	}
 	if len(entries) > 0 {
-		m.o.Apply(Update{Entries: entries, Lapsing: m.lapsing()})
+		m.takeSome(entries, m.lapsing())
 		_ = pause.For(ctx, m.o.Gather) // the loop asks the context itself
 	}
 	return next, nil
@@ -150,7 +159,11 @@
 	}
 }
 
-func (m *Mirror) lapsing() bool { return time.Now().Before(m.lapseEnds) }
+func (m *Mirror) lapsing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.lapseEnds)
+}
 
 // retried calls until it succeeds or fails for a reason that repeating does not mend.
 func (m *Mirror) retried(ctx context.Context, call func() error) error {
@@ -185,7 +198,9 @@
 	lasted := time.Since(m.failing)
 	m.failing = time.Time{}
 	if lasted >= outageAfter {
+		m.mu.Lock()
 		m.lapseEnds = time.Now().Add(returnGrace)
+		m.mu.Unlock()
 	}
 	m.o.Logger.Info("The key-value service answers again", "failed_for_ms", lasted.Milliseconds())
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -80,6 +80,9 @@
 // Live returns the daemons that serve, this one among them unless it leaves.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
 
+// Mirror returns the mirror of the entries, whose copies peers may ask for.
+func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
+
 // Refresh asks for a new listing after this process stood still.
 func (r *Roster) Refresh() { r.mirror.Refresh() }
 
