--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -297,6 +298,8 @@
 	mu     sync.Mutex
 	stores map[routing.ServiceID]*kept
 	asked  map[routing.ServiceID]time.Time
+
+	leaving atomic.Bool
 }
 
 // NewKeeper returns a keeper that keeps nothing yet.
@@ -308,9 +311,23 @@
 	return &StoreKeeper{o: o, stores: map[routing.ServiceID]*kept{}, asked: map[routing.ServiceID]time.Time{}}
 }
 
+// Leave gives all stores back, so that other daemons keep them.
+func (s *StoreKeeper) Leave(ctx context.Context) {
+	s.leaving.Store(true)
+	s.mu.Lock()
+	stores := slices.Collect(maps.Values(s.stores))
+	clear(s.stores)
+	s.mu.Unlock()
+	for _, k := range stores {
+		if err := k.lease.Release(ctx); err != nil {
+			s.o.Logger.Warn("A store could not be given back; its lease lapses", "store", k.id, "error", err)
+		}
+	}
+}
+
 // Run takes stores that nobody keeps until ctx ends.
 func (s *StoreKeeper) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.leaving.Load() {
 		for _, store := range s.o.Stores() {
 			s.consider(ctx, store)
 		}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -45,9 +45,9 @@
 	longOutput = 100
 )
 
-// WeightsWanted returns the version of a model's weights that was named last, and when
-// this daemon learnt of it.
-type WeightsWanted func(request.Model) (version uint64, since time.Time)
+// Outdated returns since when a version of a model's weights is not the newest that was
+// named, and whether that is so.
+type Outdated func(m request.Model, version uint64) (since time.Time, outdated bool)
 
 // Stored is one part of a prompt that a context store can give or take.
 type Stored struct {
@@ -69,12 +69,12 @@
 
 // Engine places prompts on model replicas.
 type Engine struct {
-	Set     *replicas.Set
-	Domain  string // of this daemon
-	Wanted  WeightsWanted
-	Stores  Stores
-	Placed  func(replica request.TargetID, parts []PlacedPart, other int) // for peers; nil: nobody
-	OldFrom time.Duration                                                 // from when on old weights are never used
+	Set      *replicas.Set
+	Domain   string // of this daemon
+	Outdated Outdated
+	Stores   Stores
+	Placed   func(replica request.TargetID, parts []PlacedPart, other int) // for peers; nil: nobody
+	OldFrom  time.Duration                                                 // from when on old weights are never used
 
 	mu     sync.Mutex
 	memory int // tokens of one replica
@@ -212,12 +212,11 @@
 // onNamedWeights leaves out replicas on weights that were replaced too long ago. Callers
 // are then told to come back rather than answered on them.
 func (e *Engine) onNamedWeights(of []*replicas.Replica, m request.Model) []*replicas.Replica {
-	wanted, since := e.Wanted(m)
-	strict := e.OldFrom > 0 && !since.IsZero() && time.Since(since) > e.OldFrom
 	var fit []*replicas.Replica
 	for _, r := range of {
 		version := r.Weights(m)
-		if version == 0 || strict && version < wanted {
+		since, outdated := e.Outdated(m, version)
+		if version == 0 || outdated && e.OldFrom > 0 && time.Since(since) > e.OldFrom {
 			continue
 		}
 		fit = append(fit, r)
@@ -273,7 +272,6 @@
 }
 
 func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored) []pick.Candidate {
-	wanted, since := e.Wanted(j.Model)
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -286,7 +284,7 @@
 			Running: load.Requests, Slots: j.Service.Engine.Slots,
 			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
 			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
-			OldWeights: oldness(version < wanted, now.Sub(since)),
+			OldWeights: e.oldness(j.Model, version, now),
 			Parts:      e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
 		}
 	}
@@ -295,11 +293,12 @@
 
 // oldness returns how much an answer on replaced weights has lost, from 0 to 1: nothing
 // while the new ones can hardly be in place.
-func oldness(old bool, age time.Duration) float64 {
-	if !old {
+func (e *Engine) oldness(m request.Model, version uint64, now time.Time) float64 {
+	since, outdated := e.Outdated(m, version)
+	if !outdated {
 		return 0
 	}
-	if age < oldGrace {
+	if now.Sub(since) < oldGrace {
 		return oldAtFirst
 	}
 	return oldShare
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// SetMaxOutShare changes the share of a model's replicas that may be out at once.
+func (r *Rollout) SetMaxOutShare(share float64) { r.params.MaxOutShare = share }
+
 // Step returns what to do now under an epoch. wanted and observed must cover all the
 // targets that share the cap. The caller makes sure that the lease lasts longer than
 // an order may take.
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -132,12 +132,13 @@
 	slowAt    time.Time // of the newest change of slowness
 	lastLeave time.Time
 	saveAfter time.Time
+	freeAfter time.Time // another keeper's leave may last until then
 }
 
 // New returns the room of a store whose content is not known yet. Another daemon may have
 // given leave until now.
 func New(now time.Time, p Params) *Room {
-	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, saveAfter: now.Add(LeaveFor + leaveSlack)}
+	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, saveAfter: now.Add(LeaveFor + leaveSlack), freeAfter: now.Add(LeaveFor + leaveSlack)}
 }
 
 // Reset is told that the store came back empty.
@@ -353,7 +354,7 @@
 }
 
 func (r *Room) mayFree(now time.Time, p *part) bool {
-	if now.Before(p.leave.Add(leaveSlack)) {
+	if now.Before(r.freeAfter) || now.Before(p.leave.Add(leaveSlack)) {
 		return false
 	}
 	return p.weights < r.newest || now.Sub(p.used) > keepFor
@@ -362,6 +363,9 @@
 // Free returns the parts to be freed now and marks them. The caller tells the outcome with
 // OnRemoved or OnKept.
 func (r *Room) Free(now time.Time) []Key {
+	if now.Before(r.freeAfter) {
+		return nil
+	}
 	var out []Key
 	for _, p := range r.parts {
 		if p.state == saving && now.Sub(p.since) > 2*saveWithin {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -26,6 +26,8 @@
 	// notReadyRetry is when to come back to a daemon that has no desired state yet, or
 	// can't be sure that its own is current.
 	notReadyRetry = 500 * time.Millisecond
+	// stoppingRetry is when to come back to another daemon.
+	stoppingRetry = 20 * time.Millisecond
 	// fullRetry is when to come back after no replica could take a request. Answers take
 	// 20 to 600 ms, so a place is free by then.
 	fullRetry = 300 * time.Millisecond
@@ -53,9 +55,10 @@
 
 // Server is the callers' HTTP handler.
 type Server struct {
-	o        Options
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	o         Options
+	stopping  atomic.Bool
+	noStreams atomic.Int64 // when stopping, from when streams are refused, Unix nanoseconds
+	inFlight  atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[routing.ServiceID]*retry.Budget
@@ -73,8 +76,17 @@
 	return &Server{o: o, budgets: map[routing.ServiceID]*retry.Budget{}}
 }
 
-// Stop makes each answer the last on its connection.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// Stop makes each answer the last on its connection. Streams that come later than
+// lastStream are refused: they could outlast the process.
+func (s *Server) Stop(lastStream time.Duration) {
+	s.noStreams.Store(time.Now().Add(lastStream).UnixNano())
+	s.stopping.Store(true)
+}
+
+// tooLate reports whether a request must not begin any more.
+func (s *Server) tooLate(j *Job) bool {
+	return j.Route.Kind == routing.KindStream && s.stopping.Load() && time.Now().UnixNano() > s.noStreams.Load()
+}
 
 // InFlight returns the number of requests that are not answered yet.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
@@ -111,6 +123,9 @@
 	if j.Route == nil {
 		return j, ifCurrent(current, request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no route for %s%s", r.Host, path))
 	}
+	if s.tooLate(j) {
+		return j, request.Refuse(request.CodeDraining, http.StatusServiceUnavailable, stoppingRetry, "this daemon stops")
+	}
 	if state.NeedsKey(j.Route) {
 		if j.Org = state.OrgOf(s.o.Dialect.Key(r.Header)); j.Org == nil {
 			return j, ifCurrent(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -10,6 +10,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,11 @@
 	// others have to bear that. With a fifth out at once all are done within the time
 	// allowed; being sooner costs callers more than answers on the weights before.
 	outShare = 0.22
+	// hastenShare and hurryShare hold where a rollout is late, mostly since its holder died.
+	hastenAfter = 4500 * time.Millisecond
+	hastenShare = 0.4
+	hurryAfter  = 6 * time.Second
+	hurryShare  = 0.7
 	// loadShare is the part that may load at once: each load takes under half a second,
 	// but some at once slow each other.
 	loadShare = 0.23
@@ -58,7 +64,7 @@
 	hearFirst = 25 * time.Millisecond
 	// heldPause is how long a daemon without work for it leaves a duty alone that another
 	// holds.
-	heldPause = 5 * time.Second
+	heldPause = time.Second
 )
 
 // Report is a replica's own word on its state.
@@ -99,10 +105,14 @@
 	Self   request.DaemonID
 	Set    *replicas.Set
 	Calls  Replicas
+	// OrderLease is the time within which two daemons must not both give orders.
+	OrderLease time.Duration
 	// Named returns the versions that operators named last.
 	Named func() map[request.Model]uint64
 	// Rank returns this daemon's place among those that may take the duty, 0 first.
 	Rank func() int
+	// Outdated returns since when a version is not the newest.
+	Outdated func(m request.Model, version uint64) (since time.Time, outdated bool)
 	// Announce tells peers of a replica's state; nil: nobody.
 	Announce func(State)
 	Logger   hclog.Logger
@@ -117,6 +127,10 @@
 	since   time.Time // since when replicas are behind; zero: none is
 	ordered map[request.TargetID]ordered
 	told    map[request.TargetID]time.Time // when peers were told last that it is busy
+
+	leaving  atomic.Bool
+	left     chan struct{} // closed once the duty is given back
+	lastSent atomic.Int64  // when the last order was sent, Unix nanoseconds
 }
 
 // ordered is an order under way.
@@ -131,12 +145,17 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("weights")
-	return &Duty{o: o, ordered: map[request.TargetID]ordered{}, told: map[request.TargetID]time.Time{}}
+	return &Duty{o: o, ordered: map[request.TargetID]ordered{}, told: map[request.TargetID]time.Time{}, left: make(chan struct{})}
 }
 
 // Run does the duty while this daemon holds it, until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
+	defer close(d.left)
 	for ctx.Err() == nil {
+		if d.leaving.Load() {
+			d.giveBack(ctx)
+			return nil
+		}
 		next := restEvery
 		if d.step(ctx) {
 			next = stepEvery
@@ -146,6 +165,30 @@
 	return nil
 }
 
+// Leave gives the duty back, so that another daemon goes on at once. It returns when that
+// is done: the next holder must not give orders within OrderLease of this one's last.
+func (d *Duty) Leave(ctx context.Context) {
+	d.leaving.Store(true)
+	select {
+	case <-d.left:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Duty) giveBack(ctx context.Context) {
+	if d.lease == nil || !d.lease.Valid() {
+		return
+	}
+	if sent := d.lastSent.Load(); sent != 0 {
+		_ = pause.For(ctx, time.Until(time.Unix(0, sent).Add(d.o.OrderLease))) // released in any case
+	}
+	if err := d.lease.Release(ctx); err != nil {
+		d.o.Logger.Warn("The duty could not be given back; it lapses", "error", err)
+		return
+	}
+	d.o.Logger.Info("The duty is given back", "epoch", d.lease.Epoch())
+}
+
 // behind is a replica that serves other weights than were named.
 type behind struct {
 	replica *replicas.Replica
@@ -246,6 +289,7 @@
 			TakeoverWait: max(time.Nanosecond, time.Until(d.lease.ActAfter())),
 		})
 	}
+	d.rollout.SetMaxOutShare(outShareAt(d.lateFor(late)))
 	wanted, observed, reports := d.view(ctx, late)
 	for _, a := range d.rollout.Step(time.Now(), d.lease.Epoch(), wanted, observed) {
 		switch a := a.(type) {
@@ -257,6 +301,29 @@
 	}
 }
 
+// lateFor returns for how long some replica has served weights that were replaced.
+func (d *Duty) lateFor(late []behind) time.Duration {
+	var longest time.Duration
+	for _, b := range late {
+		if since, outdated := d.o.Outdated(b.model, b.replica.Weights(b.model)); outdated {
+			longest = max(longest, time.Since(since))
+		}
+	}
+	return longest
+}
+
+// outShareAt returns the share of replicas that may be out. It grows while the time runs
+// out in which the old weights may be used at all: replicas on them are then of no use.
+func outShareAt(late time.Duration) float64 {
+	switch {
+	case late > hurryAfter:
+		return hurryShare
+	case late > hastenAfter:
+		return hastenShare
+	}
+	return outShare
+}
+
 // drain keeps new requests from a replica that loads soon. Peers are told anew before
 // they forget it.
 func (d *Duty) drain(late []behind, a rollout.Drain) {
@@ -431,6 +498,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o := Order{Model: b.model, Version: b.version, Holder: d.o.Self, Epoch: l.Epoch(), Expected: report.Orders}
+	d.lastSent.Store(time.Now().UnixNano())
 	err := d.o.Calls.Load(ctx, b.replica, o)
 	d.o.Logger.Info("A replica is ordered to load weights", "replica", b.replica.Info().ID, "model", b.model,
 		"version", b.version, "epoch", o.Epoch, "expected", o.Expected, "error", err)
