Refuse at once what would wait too long; let old and new weights share the load

A request whose best replica has too much to do is refused with when to come back, the most urgent ones last.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,12 +25,10 @@
 	fetchSetup = 5 * time.Millisecond
 	// crossFactor is how much longer a transfer between failure domains takes.
 	crossFactor = 2
-	// oldGrace is how long after new weights were named answers on the old ones are as
-	// good. oldShare is what they lose after it, and oldAtFirst makes the new ones win
-	// among equals before.
-	oldGrace   = 1200 * time.Millisecond
-	oldShare   = 0.2
-	oldAtFirst = 0.02
+	// oldShare weighs answers on weights that were replaced. They are worth a fifth less,
+	// but the caches of the new weights are empty at first: sent there by preference, all
+	// prompts would be computed by the few replicas that have them, and all be late.
+	oldShare = 0.02
 	// maxUrgency is the last of the ranks that replicas know; 5 is what they take a
 	// request without one for.
 	maxUrgency = 9
@@ -40,6 +39,14 @@
 	fetchOverdue = 250 * time.Millisecond
 	quietPrefill = 4000 // tokens waiting, up to which a replica counts as idle
 	quietMemory  = 0.7  // share of its memory, likewise
+	// waitShare and urgentWaitShare are the parts of a route's objective that a request may
+	// wait for its replica.
+	waitShare       = 0.8
+	urgentWaitShare = 1.5
+	// minBack and maxBack bound when a refused caller is told to come back: some prompts
+	// later, and well within the time that callers have.
+	minBack = 200 * time.Millisecond
+	maxBack = time.Second
 	// longOutput is the number of tokens from which a request counts as long: at 5 ms a
 	// token they take half a second.
 	longOutput = 100
@@ -101,6 +108,9 @@
 	need := e.need(j)
 	n := pick.Best(pick.Default, need, candidates)
 	r, chosen := usable[n], &candidates[n]
+	if err := e.admit(j, pick.Default.Wait(need, chosen)); err != nil {
+		return nil, err
+	}
 	version := r.Weights(j.Model)
 	own := cacheSalt(version, j.Org)
 	send := relay.Send{Weights: version, CacheSalt: own, Urgency: min(maxUrgency, j.Priority())}
@@ -119,6 +129,22 @@
 	}, nil
 }
 
+// admit refuses a request that would wait so long that its answer is late. Replicas with
+// too much to do answer nobody in time: each request that waits holds memory, and all take
+// longer. The most urgent ones are let in longer, so that the others give way first.
+func (e *Engine) admit(j *relay.Job, wait time.Duration) error {
+	share := waitShare
+	if j.Priority() == 0 {
+		share = urgentWaitShare
+	}
+	limit := time.Duration(share * float64(j.Route.Objective))
+	if wait <= limit {
+		return nil
+	}
+	back := min(max(wait-limit, minBack), maxBack)
+	return request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, back, "all replicas are full: the wait is %s", wait)
+}
+
 // watchFetch reports the store of the largest fetched part if the first token is overdue
 // by so much that the store's link must be slower than thought. A replica with much to do
 // may be the cause itself, so that nothing is concluded then.
@@ -284,24 +310,19 @@
 			Running: load.Requests, Slots: j.Service.Engine.Slots,
 			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
 			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
-			OldWeights: e.oldness(j.Model, version, now),
+			OldWeights: e.oldness(j.Model, version),
 			Parts:      e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
 		}
 	}
 	return out
 }
 
-// oldness returns how much an answer on replaced weights has lost, from 0 to 1: nothing
-// while the new ones can hardly be in place.
-func (e *Engine) oldness(m request.Model, version uint64, now time.Time) float64 {
-	since, outdated := e.Outdated(m, version)
-	if !outdated {
-		return 0
-	}
-	if now.Sub(since) < oldGrace {
-		return oldAtFirst
+// oldness returns how much an answer on a version of the weights has lost, from 0 to 1.
+func (e *Engine) oldness(m request.Model, version uint64) float64 {
+	if _, outdated := e.Outdated(m, version); outdated {
+		return oldShare
 	}
-	return oldShare
+	return 0
 }
 
 func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -113,6 +113,12 @@
 	return cost
 }
 
+// Wait returns how long a request would wait before the replica begins with it: for the
+// prompts before it, and for memory and a place.
+func (k Costs) Wait(r Request, c *Candidate) time.Duration {
+	return time.Duration(c.Prefill)*k.PrefillPerToken + k.shortage(r, c)
+}
+
 // bring returns what it costs to have all parts in the replica's memory.
 func (k Costs) bring(parts []Part) time.Duration {
 	var cost time.Duration
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -68,6 +68,8 @@
 	Reachable bool            // the read succeeded
 	Leaving   bool
 	Work      int // requests in flight there; the least busy are brought on first
+	// OrderAfter is the time before which it must get no order; zero: any.
+	OrderAfter time.Time
 }
 
 // Action is a decision for the caller to carry out: Order, Drain, Wait or StepDown.
@@ -229,7 +231,7 @@
 		if action := r.drain(now, w, o, v); action != nil {
 			return action
 		}
-		if v.loading >= r.params.LoadCap {
+		if v.loading >= r.params.LoadCap || now.Before(o.OrderAfter) {
 			return Drain{Target: w.Target}
 		}
 		delete(r.drained, w.Target)
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/rollout"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -37,7 +38,7 @@
 	effectAfter = time.Second
 	// backupAfter is how long work must have waited before the daemon of the next rank
 	// asks for the duty.
-	backupAfter = 1500 * time.Millisecond
+	backupAfter = 800 * time.Millisecond
 	// acquireEvery is how often a daemon asks for the duty, at most.
 	acquireEvery = 700 * time.Millisecond
 	// outShare is the part of a model's replicas that may be out at once. New weights find
@@ -47,9 +48,9 @@
 	outShare = 0.22
 	// hastenShare and hurryShare hold where a rollout is late, mostly since its holder died.
 	hastenAfter = 4500 * time.Millisecond
-	hastenShare = 0.4
+	hastenShare = 0.3
 	hurryAfter  = 6 * time.Second
-	hurryShare  = 0.7
+	hurryShare  = 0.5
 	// loadShare is the part that may load at once: each load takes under half a second,
 	// but some at once slow each other.
 	loadShare = 0.23
@@ -101,6 +102,7 @@
 
 // Options of New.
 type Options struct {
+	KV     platform.KV
 	Leases *lease.Manager
 	Self   request.DaemonID
 	Set    *replicas.Set
@@ -126,8 +128,12 @@
 	askAt   time.Time // not before
 	since   time.Time // since when replicas are behind; zero: none is
 	ordered map[request.TargetID]ordered
+	recent  map[request.TargetID]time.Time // when a replica was ordered last
 	told    map[request.TargetID]time.Time // when peers were told last that it is busy
 
+	plan    *plan                          // while the duty is held
+	foreign map[request.TargetID]time.Time // until when the holder before may count as a replica's
+
 	leaving  atomic.Bool
 	left     chan struct{} // closed once the duty is given back
 	lastSent atomic.Int64  // when the last order was sent, Unix nanoseconds
@@ -145,7 +151,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("weights")
-	return &Duty{o: o, ordered: map[request.TargetID]ordered{}, told: map[request.TargetID]time.Time{}, left: make(chan struct{})}
+	return &Duty{o: o, ordered: map[request.TargetID]ordered{}, told: map[request.TargetID]time.Time{}, recent: map[request.TargetID]time.Time{}, left: make(chan struct{})}
 }
 
 // Run does the duty while this daemon holds it, until ctx ends.
@@ -274,9 +280,22 @@
 		}
 		return false
 	}
-	d.lease = l
-	d.rollout = nil
-	d.o.Logger.Info("This daemon rolls out weights", "epoch", l.Epoch(), "acts_after", time.Until(l.ActAfter()).String())
+	return d.take(ctx, now, l)
+}
+
+// take begins a term as the holder.
+func (d *Duty) take(ctx context.Context, now time.Time, l *lease.Lease) bool {
+	p, err := takePlan(ctx, d.o.KV, l.Epoch())
+	if err != nil {
+		d.o.Logger.Warn("The plan of the holder before could not be taken over", "error", err)
+		return false
+	}
+	d.lease, d.plan, d.rollout = l, p, nil
+	d.foreign = map[request.TargetID]time.Time{}
+	for _, id := range p.Ordered {
+		d.foreign[id] = now.Add(d.o.OrderLease)
+	}
+	d.o.Logger.Info("This daemon rolls out weights", "epoch", l.Epoch(), "ordered_before", len(p.Ordered))
 	return true
 }
 
@@ -286,19 +305,55 @@
 		d.rollout = rollout.New(rollout.Params{
 			LoadCap: d.loadCap(late), MaxOutShare: outShare, OrderTimeout: effectAfter,
 			LoadTimeout: 4 * effectAfter, DrainFor: drainFor,
-			TakeoverWait: max(time.Nanosecond, time.Until(d.lease.ActAfter())),
+			TakeoverWait: time.Nanosecond, // OrderAfter says it for each replica
 		})
 	}
 	d.rollout.SetMaxOutShare(outShareAt(d.lateFor(late)))
 	wanted, observed, reports := d.view(ctx, late)
+	var orders []rollout.Order
 	for _, a := range d.rollout.Step(time.Now(), d.lease.Epoch(), wanted, observed) {
 		switch a := a.(type) {
 		case rollout.Order:
-			d.order(ctx, late, a, reports)
+			orders = append(orders, a)
 		case rollout.Drain:
 			d.drain(late, a)
 		}
 	}
+	if len(orders) == 0 {
+		return
+	}
+	if err := d.writeDown(ctx, orders); err != nil {
+		d.o.Logger.Warn("No order is given, the plan could not be written", "error", err)
+		d.lease = nil // asks anew, and learns what the record says
+		return
+	}
+	for _, a := range orders {
+		d.order(ctx, late, a, reports)
+	}
+}
+
+// writeDown adds replicas to the plan before they are ordered, and drops those whose last
+// order, of this holder or the one before, is long past.
+func (d *Duty) writeDown(ctx context.Context, orders []rollout.Order) error {
+	now := time.Now()
+	for _, a := range orders {
+		d.recent[a.Target] = now
+	}
+	var ids []request.TargetID
+	for id, at := range d.recent {
+		if now.Sub(at) > 2*d.o.OrderLease {
+			delete(d.recent, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	for id, until := range d.foreign {
+		if _, mine := d.recent[id]; !mine && now.Before(until) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return d.plan.set(ctx, d.o.KV, ids)
 }
 
 // lateFor returns for how long some replica has served weights that were replaced.
@@ -360,7 +415,7 @@
 	for _, b := range late {
 		id := b.replica.Info().ID
 		wanted = append(wanted, rollout.Wanted{Target: id, Model: b.model, Version: versionOf(b.version)})
-		o := rollout.Observed{Target: id, ReadAt: now, Reachable: !b.replica.Health.Resting(now), Work: b.replica.Load.Total(now).Requests}
+		o := rollout.Observed{Target: id, ReadAt: now, Reachable: !b.replica.Health.Resting(now), Work: b.replica.Load.Total(now).Requests, OrderAfter: d.foreign[id]}
 		o.State.Version = versionOf(b.replica.Weights(b.model))
 		if report, asked := reports[id]; asked {
 			o.State.Version = versionOf(report.Weights[b.model])
@@ -492,7 +547,7 @@
 }
 
 func (d *Duty) send(ctx context.Context, l *lease.Lease, b behind, report Report) {
-	if !l.MayAct(callTimeout) {
+	if l.Left() <= callTimeout {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
