--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -81,7 +81,10 @@
 	Outdated Outdated
 	Stores   Stores
 	Placed   func(replica request.TargetID, parts []PlacedPart, other int) // for peers; nil: nobody
-	OldFrom  time.Duration                                                 // from when on old weights are never used
+	// OldFrom is from when on replaced weights get no requests, and OldBegin until when
+	// an answer on them must have begun; both count from their successor's naming. Zero:
+	// there is no bound.
+	OldFrom, OldBegin time.Duration
 
 	mu     sync.Mutex
 	memory int // tokens of one replica
@@ -124,7 +127,7 @@
 	e.record(r.Info().ID, j, own)
 	stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
-		Replica: r, Send: send, First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
+		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
 		Flight: r.Load.Begin(need.Tokens, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
 }
@@ -317,6 +320,15 @@
 	return out
 }
 
+// beginBy returns when an answer on a version of the weights must have begun.
+func (e *Engine) beginBy(m request.Model, version uint64) time.Time {
+	since, outdated := e.Outdated(m, version)
+	if !outdated || e.OldBegin <= 0 {
+		return time.Time{}
+	}
+	return since.Add(e.OldBegin)
+}
+
 // oldness returns how much an answer on a version of the weights has lost, from 0 to 1.
 func (e *Engine) oldness(m request.Model, version uint64) float64 {
 	if _, outdated := e.Outdated(m, version); outdated {
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,29 +34,47 @@
 	answer    Answer
 	body      []byte // of an answer that is read whole before it is delivered
 	cancel    context.CancelFunc
+	timer     *time.Timer // of giveUpUnbegun, nil if there is none
 	outcome   outcome
 	err       error
-	begun     bool // the first event came
+	begun     atomic.Bool // the first event came, or the whole answer
+	overdue   atomic.Bool // given up since it had not begun by Placement.BeginBy
 }
 
 // first notes that the prompt has been computed.
 func (t *try) first() {
-	if t.begun {
+	if t.begun.Swap(true) {
 		return
 	}
-	t.begun = true
 	t.placement.Flight.Computed()
 	if t.placement.First != nil {
 		t.placement.First()
 	}
 }
 
+// giveUpUnbegun ends the try at BeginBy unless it has begun.
+func (t *try) giveUpUnbegun() {
+	by := t.placement.BeginBy
+	if by.IsZero() {
+		return
+	}
+	t.timer = time.AfterFunc(time.Until(by), func() {
+		if !t.begun.Load() {
+			t.overdue.Store(true)
+			t.cancel()
+		}
+	})
+}
+
 // done gives back the connection and the place.
 func (t *try) done(complete bool) {
 	if t.response != nil {
 		t.response.Done(complete)
 	}
 	t.cancel()
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 	t.placement.Flight.End()
 	if t.placement.Ended != nil {
 		t.placement.Ended(t.outcome != notRun)
@@ -74,6 +93,7 @@
 	p.Send.Replica = p.Replica.Info().ID
 	p.Send.Org = j.OrgID()
 	p.Send.TimeLeft = time.Until(j.Deadline)
+	t.giveUpUnbegun()
 	p.Replica.Health.Try()
 	t.response, t.err = p.Replica.Pool.Do(ctx, &upstream.Request{
 		Method: j.Method, URI: j.URI, Host: j.Host, Body: j.Body,
@@ -82,6 +102,9 @@
 	})
 	if t.err != nil {
 		t.outcome = s.unanswered(ctx, p, t.err)
+		if t.overdue.Load() && t.outcome == callerEnd {
+			t.outcome = mayHave
+		}
 		return t
 	}
 	t.answer = s.o.Dialect.Answer(t.response.Status, t.response.Header)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -111,6 +111,9 @@
 	Send    Send
 	Flight  *replicas.Flight
 	Reason  string // for the log: what decided
+	// BeginBy is when the answer must have begun; zero: no such time. A try that waits
+	// longer is given up: its replica's weights may not be used any more.
+	BeginBy time.Time
 	// First is told when the first event came; nil: nobody needs it.
 	First func()
 	// Ended is told once how the try ended; nil: nobody needs it.
