Tests of the relay, connections, store room, mirrors and roster; two faults they showed

A replica that moved from 'next' to 'drained' still counted as next, so that the following ones were not made ready (TestReplicasAreDrainedBeforeTheyLoad saw no short-only replica); a keep-alive time of zero kept a connection for ever.

--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,236 @@
+package mirror
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+)
+
+// copyOf is what a mirror's owner makes of its updates.
+type copyOf struct {
+	mu      sync.Mutex
+	values  map[string]string
+	lapsing bool
+	changed chan struct{}
+}
+
+func newCopy() *copyOf { return &copyOf{values: map[string]string{}, changed: make(chan struct{}, 100)} }
+
+func (c *copyOf) apply(u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u.Full {
+		clear(c.values)
+	}
+	for _, e := range u.Entries {
+		if e.Deleted {
+			delete(c.values, e.Key)
+			continue
+		}
+		c.values[e.Key] = string(e.Value)
+	}
+	c.lapsing = u.Lapsing
+	c.changed <- struct{}{}
+}
+
+func (c *copyOf) get(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.values[key]
+}
+
+// await waits until a key has a value.
+func (c *copyOf) await(t *testing.T, key, want string) {
+	t.Helper()
+	for deadline := time.After(5 * time.Second); c.get(key) != want; {
+		select {
+		case <-c.changed:
+		case <-deadline:
+			t.Fatalf("%s is %q, want %q", key, c.get(key), want)
+		}
+	}
+}
+
+// faulty is a key-value service that can be told to fail.
+type faulty struct {
+	platform.KV
+	mu        sync.Mutex
+	err       error // of all calls
+	compacted bool  // the next watch finds its history gone
+	deaf      bool  // watches hear nothing and end with their wait
+}
+
+func (f *faulty) set(change func(*faulty)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *faulty) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	f.mu.Lock()
+	err := f.err
+	f.mu.Unlock()
+	if err != nil {
+		return nil, 0, err
+	}
+	return f.KV.List(ctx, prefix)
+}
+
+func (f *faulty) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	f.mu.Lock()
+	err, compacted, deaf := f.err, f.compacted, f.deaf
+	f.compacted = false
+	f.mu.Unlock()
+	if err != nil {
+		return nil, 0, err
+	}
+	if compacted {
+		return nil, 0, platform.ErrCompacted
+	}
+	if deaf {
+		time.Sleep(5 * time.Millisecond)
+		return nil, after, nil
+	}
+	// The fake does not wait.
+	entries, next, err := f.KV.Watch(ctx, prefix, after, wait)
+	if err == nil && len(entries) == 0 {
+		time.Sleep(2 * time.Millisecond)
+	}
+	return entries, next, err
+}
+
+func put(t *testing.T, store platform.KV, key, value string) {
+	t.Helper()
+	e, _ := store.Get(context.Background(), key)
+	if _, err := store.CompareAndSwap(context.Background(), key, e.Revision, []byte(value), ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func start(t *testing.T, store platform.KV) (*Mirror, *copyOf) {
+	t.Helper()
+	c := newCopy()
+	m := New(Options{KV: store, Prefix: "p/", Apply: c.apply, Wait: func() time.Duration { return 50 * time.Millisecond }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx) // ends with ctx
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, c
+}
+
+func TestMirrorFollows(t *testing.T) {
+	store := &faulty{KV: kv.NewFake(time.Now).Client("a")}
+	put(t, store, "p/1", "one")
+	put(t, store, "q/1", "elsewhere")
+	_, c := start(t, store)
+	c.await(t, "p/1", "one")
+	put(t, store, "p/2", "two")
+	c.await(t, "p/2", "two")
+	e, err := store.Get(context.Background(), "p/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Delete(context.Background(), "p/1", e.Revision); err != nil {
+		t.Fatal(err)
+	}
+	c.await(t, "p/1", "")
+	if c.get("q/1") != "" {
+		t.Error("a key of another prefix is in the copy")
+	}
+}
+
+// The service drops its history while a key is removed and another written. A watch that
+// went on from its old revision would never hear of either.
+func TestMirrorListsAnewWhenHistoryIsGone(t *testing.T) {
+	store := &faulty{KV: kv.NewFake(time.Now).Client("a")}
+	put(t, store, "p/1", "one")
+	_, c := start(t, store)
+	c.await(t, "p/1", "one")
+	store.set(func(f *faulty) { f.deaf = true })
+	e, err := store.KV.Get(context.Background(), "p/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.KV.Delete(context.Background(), "p/1", e.Revision); err != nil {
+		t.Fatal(err)
+	}
+	put(t, store, "p/2", "two")
+	store.set(func(f *faulty) { f.compacted, f.deaf = true, false })
+	c.await(t, "p/2", "two")
+	c.await(t, "p/1", "")
+}
+
+// An outage takes nothing away, and what is missing just after it may have lapsed with its
+// owner alive.
+func TestOutageRemovesNothing(t *testing.T) {
+	store := &faulty{KV: kv.NewFake(time.Now).Client("a")}
+	put(t, store, "p/1", "one")
+	m, c := start(t, store)
+	c.await(t, "p/1", "one")
+	store.set(func(f *faulty) { f.err = platform.ErrUnavailable })
+	for deadline := time.Now().Add(5 * time.Second); m.Connected(); {
+		if time.Now().After(deadline) {
+			t.Fatal("the outage is not noticed")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(outageAfter + 100*time.Millisecond)
+	if c.get("p/1") != "one" {
+		t.Error("the outage removed a key")
+	}
+	put(t, store, "p/2", "two")
+	store.set(func(f *faulty) { f.err = nil })
+	c.await(t, "p/2", "two")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lapsing {
+		t.Error("an update just after the outage does not say that entries may have lapsed")
+	}
+}
+
+// The service serves all daemons but one. A key is taken away from a caller, and this
+// daemon goes on serving it for as long as the service refuses to tell. It must learn of
+// the change from a peer that knows more.
+func TestDaemonThatTheServiceRefusesLearnsFromAPeer(t *testing.T) {
+	fake := kv.NewFake(time.Now)
+	fine, refused := &faulty{KV: fake.Client("a")}, &faulty{KV: fake.Client("b")}
+	put(t, fine, "p/1", "old")
+	known, _ := start(t, fine)
+	behind, c := start(t, refused)
+	c.await(t, "p/1", "old")
+	refused.set(func(f *faulty) { f.err = platform.ErrUnavailable })
+	put(t, fine, "p/1", "new")
+
+	peer := httptest.NewServer(NewCopiesServer(NewGroup(http.DefaultClient, hclog.NewNullLogger(), known)))
+	defer peer.Close()
+	group := NewGroup(http.DefaultClient, hclog.NewNullLogger(), behind)
+	told := NewGroup(http.DefaultClient, hclog.NewNullLogger(), known)
+	for deadline := time.Now().Add(5 * time.Second); c.get("p/1") != "new"; {
+		if time.Now().After(deadline) {
+			t.Fatal("the peer's copy was not taken")
+		}
+		group.Heard(context.Background(), strings.TrimPrefix(peer.URL, "http://"), told.Revisions())
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	// What the service tells late is older than the copy, and changes nothing.
+	behind.takeSome([]platform.Entry{{Key: "p/1", Value: []byte("old"), Revision: 1}}, false)
+	if got := c.get("p/1"); got != "new" {
+		t.Errorf("the copy went back to %q", got)
+	}
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// fetchSetup is what a transfer between replicas costs before its first byte.
-	fetchSetup = 5 * time.Millisecond
 	// crossFactor is how much longer a transfer between failure domains takes.
 	crossFactor = 2
 	// oldShare weighs answers on weights that were replaced. They are worth a fifth less,
--- /dev/null
+++ b/internal/policy/pick/pick_test.go
@@ -0,0 +1,99 @@
+package pick
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// shared and session are the parts of a returning prompt: what all sessions of a kind
+// begin with, and the session's own context.
+func parts(sharedThere, sessionThere bool, fetch time.Duration) []Part {
+	return []Part{
+		{Tokens: 2500, Resident: sharedThere, Fetch: fetch, Shared: true},
+		{Tokens: 5000, Resident: sessionThere, Fetch: fetch, Shared: true},
+		{Tokens: 1700},
+	}
+}
+
+var prompt = Request{Tokens: 9300}
+
+// The load: sessions of 5,000 tokens return every 14 s to replicas that hold four each.
+// The replica that has the context wins, unless it has too much to do.
+func TestReplicaWithTheContextWins(t *testing.T) {
+	const fetch = 30 * time.Millisecond
+	with := Candidate{Slots: 48, Memory: 50_000, SameDomain: true, Parts: parts(true, true, fetch)}
+	without := Candidate{Slots: 48, Memory: 50_000, SameDomain: true, Parts: parts(true, false, fetch)}
+	if n := Best(Default, prompt, []Candidate{without, with}); n != 1 {
+		t.Error("the context is fetched although a free replica has it")
+	}
+	busy := with
+	busy.Prefill = 20_000 // 400 ms
+	if n := Best(Default, prompt, []Candidate{without, busy}); n != 0 {
+		t.Error("the prompt waits for a busy replica")
+	}
+	full := with
+	full.Tokens = 48_000
+	if n := Best(Default, prompt, []Candidate{without, full}); n != 0 {
+		t.Error("the prompt waits for memory")
+	}
+}
+
+// A part after one that must be computed can't be used, wherever it lies.
+func TestNothingIsUsedAfterAGap(t *testing.T) {
+	p := parts(false, true, 0)
+	if got := Default.Sources(p); !slices.Equal(got, []Source{Computed, Computed, Computed}) {
+		t.Errorf("got %v", got)
+	}
+	p[0].Fetch = 10 * time.Millisecond
+	if got := Default.Sources(p); !slices.Equal(got, []Source{Fetched, Resident, Computed}) {
+		t.Errorf("got %v", got)
+	}
+}
+
+// A link with a queue brings a part later than the replica computes it.
+func TestPartIsComputedWhenTheLinkIsSlower(t *testing.T) {
+	p := parts(true, false, time.Second)
+	if got := Default.Sources(p); got[1] != Computed {
+		t.Errorf("got %v", got)
+	}
+	if got := Default.ToCompute(prompt, p); got != 6700 {
+		t.Errorf("%d tokens to compute", got)
+	}
+}
+
+// Where replicas differ in nothing else, one that fails half of its requests gets none,
+// and one in the same failure domain is preferred.
+func TestFailingAndFarReplicasComeLast(t *testing.T) {
+	good := Candidate{Slots: 6}
+	failing, near := good, good
+	failing.ErrorRate = 0.5
+	near.SameDomain = true
+	if n := Best(Default, Request{}, []Candidate{failing, good, near}); n != 2 {
+		t.Errorf("chose %d", n)
+	}
+	if n := Best(Default, Request{}, []Candidate{failing, good}); n != 1 {
+		t.Errorf("chose %d", n)
+	}
+	if n := Best(Default, Request{}, nil); n != -1 {
+		t.Errorf("chose %d of none", n)
+	}
+}
+
+// The load: 49 prompts of 9,200 tokens a second before replicas with empty caches. What
+// waits holds memory and makes all others wait, so that a wait must show before a request
+// is sent.
+func TestWaitShowsWhatIsBefore(t *testing.T) {
+	idle := Candidate{Slots: 48, Memory: 50_000}
+	if w := Default.Wait(prompt, &idle); w != 0 {
+		t.Errorf("waits %s at an idle replica", w)
+	}
+	behind := Candidate{Slots: 48, Memory: 50_000, Prefill: 25_000}
+	if w := Default.Wait(prompt, &behind); w < 400*time.Millisecond {
+		t.Errorf("waits %s behind 25,000 tokens", w)
+	}
+	full := Candidate{Slots: 48, Memory: 50_000, Tokens: 50_000}
+	if w := Default.Wait(prompt, &full); w < 500*time.Millisecond {
+		t.Errorf("waits %s for memory", w)
+	}
+}
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -259,7 +259,10 @@
 			return r.prepare(w, v)
 		}
 		v.out[w.Model]++
-		delete(r.next, w.Target)
+		if r.next[w.Target] {
+			delete(r.next, w.Target)
+			v.next[w.Model]--
+		}
 		since = now
 		r.drained[w.Target] = now
 	}
--- /dev/null
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -0,0 +1,233 @@
+package storeroom
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func ask(id string, tokens int) Ask { return Ask{Key: Key{"w1", id}, Tokens: tokens, Weights: 1} }
+
+// open returns a room that has been kept for long enough to save and free.
+func open(tokens int) *Room {
+	return New(at(-10_000), Params{Tokens: tokens, TokensPerSec: 100_000, FirstByte: time.Millisecond})
+}
+
+func save(t *testing.T, r *Room, now time.Time, a Ask) {
+	t.Helper()
+	if got := r.Ask(now, a); !got.Save {
+		t.Fatalf("%s is not to be saved: %+v", a.ID, got)
+	}
+	r.OnStored(now, a.Key, a.Tokens, a.Weights)
+}
+
+// A prompt runs on half a part: one request saves it while another is told to fetch it.
+// Until the store says that it is whole nobody may fetch it, nor save it a second time.
+func TestPartIsFetchedOnlyWhenWhole(t *testing.T) {
+	r := open(1000)
+	if got := r.Ask(at(0), ask("a", 100)); !got.Save || got.Fetch {
+		t.Fatalf("first: %+v", got)
+	}
+	if got := r.Ask(at(10), ask("a", 100)); got.Save || got.Fetch {
+		t.Fatalf("while it is written: %+v", got)
+	}
+	r.OnStored(at(50), Key{"w1", "a"}, 100, 1)
+	if got := r.Ask(at(60), ask("a", 100)); !got.Fetch || got.Save {
+		t.Fatalf("when whole: %+v", got)
+	}
+}
+
+// A request is told to fetch a part, waits at its replica, and fetches it while the store
+// frees it. No part is freed before all leave for it has ended.
+func TestPartIsNotFreedWhileLeaveLasts(t *testing.T) {
+	r := open(1000)
+	for i := range 8 {
+		save(t, r, at(i), ask(fmt.Sprint(i), 100))
+	}
+	later := at(0).Add(keepFor + 10*time.Second)
+	if got := r.Ask(later, ask("0", 100)); !got.Fetch {
+		t.Fatalf("got %+v", got)
+	}
+	for _, id := range []string{"x", "y"} { // more than fullAt of the room
+		r.OnStored(later, Key{"w1", id}, 100, 1)
+	}
+	keys := r.Free(later.Add(LeaveFor))
+	if len(keys) == 0 {
+		t.Error("nothing is freed although the store is full")
+	}
+	for _, key := range keys {
+		if key.ID == "0" {
+			t.Error("freed while a replica may fetch it")
+		}
+		r.OnRemoved(key)
+	}
+	if keys := r.Free(later.Add(LeaveFor)); len(keys) != 0 {
+		t.Errorf("freed %v although there is room", keys)
+	}
+}
+
+// A store restarts empty within the life of a leave. The part is saved again while a
+// request still holds leave from before, and fetches a part that is being written.
+func TestNothingIsSavedWhileLeaveFromBeforeARestartLasts(t *testing.T) {
+	r := open(1000)
+	save(t, r, at(0), ask("a", 100))
+	if got := r.Ask(at(10), ask("a", 100)); !got.Fetch {
+		t.Fatalf("got %+v", got)
+	}
+	r.Reset(at(100))
+	if got := r.Ask(at(200), ask("a", 100)); got.Save || got.Reason != ReasonUnsure {
+		t.Errorf("just after: %+v", got)
+	}
+	if got := r.Ask(at(10).Add(LeaveFor+leaveSlack+time.Millisecond), ask("a", 100)); !got.Save {
+		t.Errorf("later: %+v", got)
+	}
+}
+
+// A daemon takes a store over. What the one before allowed is not known: nothing is saved
+// or freed until that has ended.
+func TestNewKeeperWaitsForLeaveOfTheOneBefore(t *testing.T) {
+	r := New(at(0), Params{Tokens: 100, TokensPerSec: 1000})
+	r.OnList(at(1), []Ask{ask("old", 96)}, nil)
+	if got := r.Ask(at(1000), ask("b", 16)); got.Save {
+		t.Error("saved at once")
+	}
+	r.newest = 2
+	if keys := r.Free(at(1000)); len(keys) > 0 {
+		t.Errorf("freed %v at once", keys)
+	}
+	if keys := r.Free(at(3000)); len(keys) != 1 {
+		t.Errorf("freed %v later", keys)
+	}
+}
+
+// A prompt's last part is mostly the request's own. Saving each of them filled the links
+// of the stores and left no room for what returns.
+func TestLastPartIsSavedWhenItReturns(t *testing.T) {
+	r := open(1000)
+	own := ask("own", 100)
+	own.Last = true
+	if got := r.Ask(at(0), own); got.Save || got.Reason != ReasonOnce {
+		t.Errorf("first: %+v", got)
+	}
+	if got := r.Ask(at(3000), own); !got.Save {
+		t.Errorf("when it returns: %+v", got)
+	}
+}
+
+// A link turns four times slower. Told so by late first tokens, the room gives leave only
+// for what the link still carries, and trusts it again after a quiet second.
+func TestSlowLinkIsUsedLess(t *testing.T) {
+	r := open(10_000)
+	save(t, r, at(0), ask("a", 1000)) // 10 ms at full speed
+	takes := r.Ask(at(1000), ask("a", 1000)).Takes
+	for i := range 2 {
+		r.OnSlow(at(2000 + 400*i))
+	}
+	if got := r.Ask(at(2800), ask("a", 1000)).Takes; got < 3*takes {
+		t.Errorf("takes %s, %s before", got, takes)
+	}
+	refused := 0
+	for range 20 {
+		if got := r.Ask(at(2801), ask("a", 1000)); got.Reason == ReasonQueue {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("a queue of twenty slow fetches was allowed")
+	}
+	r.Ask(at(20_000), ask("a", 1000))
+	if s := r.Slowness(); s != 1 {
+		t.Errorf("slowness %g after a quiet time", s)
+	}
+}
+
+// Parts of weights that were replaced make room for those of the new ones.
+func TestPartsOfOlderWeightsGoFirst(t *testing.T) {
+	r := open(1120)
+	for i := range 8 {
+		save(t, r, at(i), ask(fmt.Sprint(i), 100))
+	}
+	r.OnStored(at(9), Key{"w1", "8"}, 100, 1) // more than fullAt with the next one
+	young := Ask{Key: Key{"w2", "x"}, Tokens: 96, Weights: 2}
+	if got := r.Ask(at(3000), young); got.Full || !got.Save {
+		t.Fatalf("got %+v", got)
+	}
+	if keys := r.Free(at(3500)); len(keys) == 0 || keys[0].Salt != "w1" {
+		t.Errorf("freed %v", keys)
+	}
+}
+
+// Whatever comes in whatever order, the store is never told to free a part that some
+// replica may fetch, and never to write one that it may be fetched from.
+func TestLeaveIsNeverBroken(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := open(2000)
+		now := at(0)
+		leave := map[Key]time.Time{}
+		present := map[Key]bool{} // in the store, whole
+		writing := map[Key]int{}
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
+			key := Key{fmt.Sprint("w", rapid.IntRange(1, 3).Draw(rt, "weights")), fmt.Sprint(rapid.IntRange(0, 20).Draw(rt, "id"))}
+			a := Ask{Key: key, Tokens: 160, Weights: uint64(key.Salt[1] - '0'), Last: rapid.Bool().Draw(rt, "last")}
+			switch rapid.SampledFrom([]string{"ask", "ask", "ask", "stored", "free", "restart", "list", "late removal"}).Draw(rt, "step") {
+			case "ask":
+				got := r.Ask(now, a)
+				if got.Fetch {
+					if !present[key] {
+						rt.Fatalf("leave to fetch %v, which is not there", key)
+					}
+					leave[key] = now.Add(LeaveFor)
+				}
+				if got.Save {
+					if leave[key].After(now) {
+						rt.Fatalf("%v is written while it may be fetched", key)
+					}
+					writing[key] = a.Tokens
+				}
+			case "stored":
+				for k, tokens := range writing {
+					present[k] = true
+					r.OnStored(now, k, tokens, uint64(k.Salt[1]-'0'))
+				}
+				clear(writing)
+			case "free":
+				for _, k := range r.Free(now) {
+					if leave[k].After(now) {
+						rt.Fatalf("%v is freed while it may be fetched", k)
+					}
+					delete(present, k)
+					delete(writing, k)
+					if rapid.Bool().Draw(rt, "sure") {
+						r.OnRemoved(k)
+					} else {
+						r.OnKept(now, []Key{k})
+					}
+				}
+			case "restart":
+				clear(present)
+				clear(writing)
+				r.Reset(now)
+			case "list":
+				var whole, partial []Ask
+				for k := range present {
+					whole = append(whole, Ask{Key: k, Tokens: 160, Weights: uint64(k.Salt[1] - '0')})
+				}
+				for k := range writing {
+					partial = append(partial, Ask{Key: k, Tokens: 160, Weights: uint64(k.Salt[1] - '0')})
+				}
+				r.OnList(now, whole, partial)
+			case "late removal":
+				if !present[key] {
+					r.OnRemoved(key)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,67 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+)
+
+func snapshot() *Snapshot {
+	routes := []*Route{
+		{Name: "root", Host: "a", Prefix: "/"},
+		{Name: "deep", Host: "a", Prefix: "/x/y/"},
+		{Name: "mid", Host: "a", Prefix: "/x/", Anonymous: true},
+		{Name: "other", Host: "b", Prefix: "/x/"},
+	}
+	return NewSnapshot(1, routes, nil, map[string]*Org{"k": {ID: "o"}}, CallerLimits{})
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	s := snapshot()
+	for _, c := range []struct{ host, path, want string }{
+		{"a", "/x/y/z", "deep"},
+		{"A:8080", "/x/y", "mid"},
+		{"a", "/xy", "root"},
+		{"b", "/x/", "other"},
+		{"b", "/", ""},
+		{"c", "/x/", ""},
+		{"a", "/x%2Fy/", "root"},
+	} {
+		got := ""
+		if r := s.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	s := snapshot()
+	if s.OrgOf("k") == nil || s.OrgOf("x") != nil || s.OrgOf("") != nil {
+		t.Error("keys are mixed up")
+	}
+	if !s.NeedsKey(s.Match("a", "/")) || s.NeedsKey(s.Match("a", "/x/")) {
+		t.Error("anonymous routes are mixed up")
+	}
+	if open := NewSnapshot(1, nil, nil, nil, CallerLimits{}); open.NeedsKey(&Route{}) {
+		t.Error("a desired state without organisations asks for keys")
+	}
+}
+
+// Sessions keep their service while the weights stay, and the shares come out.
+func TestSplitFollowsTheWeights(t *testing.T) {
+	r := &Route{Shares: []Share{{"s1", 90}, {"s2", 10}, {"none", 0}}}
+	counts := map[ServiceID]int{}
+	for i := range 10_000 {
+		key := fmt.Sprint("session", i)
+		service := r.ServiceFor(key)
+		if service != r.ServiceFor(key) {
+			t.Fatal("a session moves")
+		}
+		counts[service]++
+	}
+	if counts["s2"] < 850 || counts["s2"] > 1150 || counts["none"] != 0 {
+		t.Errorf("got %v", counts)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,7 +40,7 @@
 	br     *bufio.Reader
 	used   bool      // carried a request before
 	idleAt time.Time // since when it is idle
-	until  time.Time // when the peer may close it for idleness; zero: unknown
+	until  time.Time // before the peer may close it for idleness
 }
 
 // Dialer opens connections that notice a peer that is gone.
@@ -126,7 +126,7 @@
 		if c == nil {
 			return nil
 		}
-		if (c.until.IsZero() || now.Before(c.until)) && c.quiet() {
+		if now.Before(c.until) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -154,18 +154,15 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
-// put keeps a connection whose last answer was read to its end.
+// put keeps a connection whose last answer was read to its end, for a time.
 func (p *Pool) put(c *conn, keepFor time.Duration) {
-	if c.br.Buffered() > 0 {
+	if keepFor <= 0 || c.br.Buffered() > 0 {
 		c.Close()
 		return
 	}
 	c.used = true
 	c.idleAt = time.Now()
-	c.until = time.Time{}
-	if keepFor > 0 {
-		c.until = c.idleAt.Add(keepFor)
-	}
+	c.until = c.idleAt.Add(keepFor)
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle) < p.maxIdle
 	if keep {
