--- /dev/null
+++ b/internal/contextstore/contextstore_test.go
@@ -0,0 +1,236 @@
+package contextstore
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+)
+
+// fakeStore is a context store in memory.
+type fakeStore struct {
+	mu     sync.Mutex
+	epoch  uint64
+	down   bool
+	events []Event
+	parts  map[storeroom.Key]int
+	freed  []storeroom.Key
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{epoch: 1, parts: map[storeroom.Key]int{}} }
+
+func (s *fakeStore) save(salt, id string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := storeroom.Key{Salt: salt, ID: id}
+	s.parts[key] = tokens
+	s.events = append(s.events, Event{Stored: true, Key: key, Tokens: tokens})
+}
+
+func (s *fakeStore) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.events = nil
+	clear(s.parts)
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) Events(_ context.Context, _ string, after uint64, _ time.Duration) (Content, error) {
+	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Content{}, errors.New("down")
+	}
+	c := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + 1_000_000}
+	if after <= c.Next {
+		c.Events = append(c.Events, s.events[after:]...)
+	}
+	return c, nil
+}
+
+func (s *fakeStore) List(context.Context, string) (Content, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Content{}, errors.New("down")
+	}
+	c := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + 1_000_000}
+	for key, tokens := range s.parts {
+		c.Whole = append(c.Whole, storeroom.Ask{Key: key, Tokens: tokens})
+	}
+	return c, nil
+}
+
+func (s *fakeStore) Free(_ context.Context, _ string, keys []storeroom.Key, epoch uint64, _ int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if epoch != s.epoch {
+		return errors.New("another epoch")
+	}
+	for _, key := range keys {
+		delete(s.parts, key)
+	}
+	s.freed = append(s.freed, keys...)
+	return nil
+}
+
+func service(id string, tokens int, mbps float64) *routing.Service {
+	return &routing.Service{ID: routing.ServiceID(id), Store: &routing.ContextStore{
+		Address: id + ":1", Tokens: tokens, LinkMbps: mbps, Managed: true, FailureDomain: "d",
+	}}
+}
+
+// keep returns a daemon that keeps one store, and an asker beside it.
+func keep(t *testing.T, store *fakeStore, services ...*routing.Service) *Asker {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	fake := kv.NewFake(time.Now)
+	client := fake.Client("a")
+	all := func() []*routing.Service { return services }
+	leases := lease.NewManager(lease.Options{KV: client, Self: "a", Address: "a:1"})
+	keeper := NewKeeper(Options{
+		Leases: leases, Calls: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
+		TokenBytes: func() int { return 1000 },
+	})
+	a := NewAsker(AskerOptions{KV: client, Self: "a", Own: keeper, Stores: all, Client: http.DefaultClient})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = keeper.Run(ctx) // ends with ctx
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for deadline := time.Now().Add(5 * time.Second); len(*a.holders.Load()) < len(services); {
+		if time.Now().After(deadline) {
+			t.Fatal("nobody keeps the store")
+		}
+		entries, _, err := client.List(ctx, lease.RecordPrefix+LeasePrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.apply(mirror.Update{Full: true, Entries: entries})
+		time.Sleep(5 * time.Millisecond)
+	}
+	return a
+}
+
+// askFor asks for one part, not the last of its prompt, until the answer is as wanted.
+func askFor(t *testing.T, a *Asker, id string, fetch, save bool) {
+	t.Helper()
+	parts := []relay.Part{{ID: id, Tokens: 100}, {ID: "own", Tokens: 10}}
+	for deadline := time.Now().Add(8 * time.Second); ; {
+		got, _ := a.Ask(context.Background(), "w1", parts, []bool{false, false})
+		if got[0].Fetch == fetch && got[0].Save == save {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: fetch %t, save %t", id, got[0].Fetch, got[0].Save)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A part is saved once, may be fetched when the store has it, and not after the store came
+// back empty.
+func TestPartIsSavedFetchedAndLost(t *testing.T) {
+	store := newFakeStore()
+	a := keep(t, store, service("s", 100_000, 1000))
+	askFor(t, a, "p", false, true)
+	askFor(t, a, "p", false, false) // it is being written
+	store.save("w1", "p", 100)
+	askFor(t, a, "p", true, false)
+	got, until := a.Ask(context.Background(), "w1", []relay.Part{{ID: "p", Tokens: 100}}, []bool{false})
+	if got[0].Address != "s:1" || got[0].FailureDomain != "d" {
+		t.Errorf("got %+v", got[0])
+	}
+	left := until - (time.Now().UnixMilli() + 1_000_000)
+	if left < 1000 || left > storeroom.LeaveFor.Milliseconds() {
+		t.Errorf("leave ends in %d ms on the replicas' clock", left)
+	}
+	store.restart()
+	askFor(t, a, "p", false, true)
+}
+
+// A store falls silent. Each request told to fetch from it would lose some hundred ms, so
+// nothing is within two seconds.
+func TestSilentStoreIsLeftAlone(t *testing.T) {
+	store := newFakeStore()
+	store.save("w1", "p", 100)
+	a := keep(t, store, service("s", 100_000, 1000))
+	askFor(t, a, "p", true, false)
+	store.setDown(true)
+	began := time.Now()
+	askFor(t, a, "p", false, false)
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("left alone after %s", took)
+	}
+	store.setDown(false)
+	askFor(t, a, "p", true, false)
+}
+
+// A keeper that is dead or cut off costs a request its stored parts, not a wait.
+func TestDeadKeeperIsNoWait(t *testing.T) {
+	a := NewAsker(AskerOptions{
+		KV: kv.NewFake(time.Now).Client("a"), Self: "a", Client: http.DefaultClient,
+		Stores: func() []*routing.Service { return []*routing.Service{service("s", 1000, 1000)} },
+	})
+	// An address of the loopback net that nobody listens on.
+	a.holders.Store(&map[string]lease.Holder{"s": {ID: "b", Address: "127.0.0.1:1"}})
+	for range 20 {
+		began := time.Now()
+		got, _ := a.Ask(context.Background(), "w1", []relay.Part{{ID: "p", Tokens: 10}}, []bool{false})
+		if got[0].Fetch || time.Since(began) > 3*askTimeout {
+			t.Fatalf("%+v after %s", got[0], time.Since(began))
+		}
+	}
+}
+
+// Small parts go to fast stores, large ones to those with room, and each to the same
+// store for all daemons.
+func TestPartsAreSpreadByTheirSize(t *testing.T) {
+	var stores []*routing.Service
+	for i := range 3 {
+		stores = append(stores, service(fmt.Sprint("fast", i), 140_000, 1300), service(fmt.Sprint("big", i), 1_600_000, 380))
+	}
+	counts := map[string]int{}
+	for i := range 300 {
+		small := choose(stores, relay.Part{ID: fmt.Sprint(i), Tokens: 500}, nil)
+		large := choose(stores, relay.Part{ID: fmt.Sprint(i), Tokens: 5000}, nil)
+		counts[string(small.ID)]++
+		counts[string(large.ID)]++
+		if small.Store.LinkMbps != 1300 || large.Store.LinkMbps != 380 {
+			t.Fatalf("a small part goes to %s, a large one to %s", small.ID, large.ID)
+		}
+		if second := choose(stores, relay.Part{ID: fmt.Sprint(i), Tokens: 500}, small); second.Store.LinkMbps != 380 {
+			t.Fatalf("the overflow goes to %s", second.ID)
+		}
+	}
+	for id, n := range counts {
+		if n < 50 {
+			t.Errorf("%s has %d of 300 parts", id, n)
+		}
+	}
+	if choose(nil, relay.Part{ID: "x", Tokens: 1}, nil) != nil {
+		t.Error("a store out of none")
+	}
+}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -23,7 +23,9 @@
 	changed chan struct{}
 }
 
-func newCopy() *copyOf { return &copyOf{values: map[string]string{}, changed: make(chan struct{}, 100)} }
+func newCopy() *copyOf {
+	return &copyOf{values: map[string]string{}, changed: make(chan struct{}, 100)}
+}
 
 func (c *copyOf) apply(u Update) {
 	c.mu.Lock()
--- a/internal/policy/rollout/view.go
+++ b/internal/policy/rollout/view.go
@@ -117,8 +117,9 @@
 }
 
 // sorted returns the targets in the order in which they are brought on: those that
-// serve nothing first, since loading them takes nothing away, then those that were
-// made ready, then those with the least work, whose requests end soonest.
+// serve nothing first, since loading them takes nothing away, then those that may be
+// ordered at once, then those that were made ready, then those with the least work, whose
+// requests end soonest.
 func (r *Rollout) sorted(v *view, wanted []Wanted) []Wanted {
 	out := slices.Clone(wanted)
 	slices.SortStableFunc(out, func(a, b Wanted) int {
@@ -129,6 +130,9 @@
 			}
 			return 1
 		}
+		if c := v.of(a.Target).OrderAfter.Compare(v.of(b.Target).OrderAfter); c != 0 {
+			return c
+		}
 		if r.next[a.Target] != r.next[b.Target] {
 			if r.next[a.Target] {
 				return -1
--- /dev/null
+++ b/internal/replicas/replicas_test.go
@@ -0,0 +1,134 @@
+package replicas
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+func info(id string) Info {
+	return Info{ID: request.TargetID(id), Service: "s", Address: "127.0.0.1:1", Weights: map[request.Model]uint64{"m": 1}}
+}
+
+func count(s *Set) int { return len(s.Of("s")) }
+
+// A replica's entry lapses while the key-value service is away, with the replica alive and
+// answering. Dropping it would take all replicas away at once.
+func TestLapsedReplicaIsUsedForAWhile(t *testing.T) {
+	s := NewSet()
+	now := time.Unix(1000, 0)
+	s.Apply(now, Change{Full: true, Present: []Info{info("a"), info("b")}})
+	s.Apply(now, Change{Full: true, Lapsing: true})
+	if count(s) != 2 {
+		t.Fatal("lapsed replicas are gone")
+	}
+	s.Apply(now, Change{Present: []Info{info("b")}, Lapsing: true}) // it wrote its entry again
+	s.Tick(now.Add(lapseGrace + time.Millisecond))
+	if count(s) != 1 || s.Get("b") == nil {
+		t.Error("want the one that came back")
+	}
+}
+
+// A replica that says that it leaves gets no new requests, and is still known.
+func TestLeavingReplicaGetsNothingNew(t *testing.T) {
+	s := NewSet()
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{info("a")}})
+	leaving := info("a")
+	leaving.Leaving = true
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{leaving}})
+	if count(s) != 0 || s.Get("a") == nil {
+		t.Error("a leaving replica is used, or forgotten")
+	}
+	s.Apply(time.Unix(0, 0), Change{Gone: []request.TargetID{"a"}})
+	if s.Get("a") != nil {
+		t.Error("a gone replica is known")
+	}
+}
+
+// The registry tells of new weights later than the replica's own answers; versions never
+// go back.
+func TestWeightsNeverGoBack(t *testing.T) {
+	s := NewSet()
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{info("a")}})
+	r := s.Get("a")
+	r.SawWeights("m", 3)
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{info("a")}}) // still says 1
+	r.SawWeights("m", 2)
+	if got := r.Weights("m"); got != 3 {
+		t.Errorf("version %d", got)
+	}
+}
+
+func TestLoadCountsPeersWhileTheyTell(t *testing.T) {
+	var l Load
+	now := time.Unix(1000, 0)
+	f := l.Begin(100, 60)
+	l.Tell(now, "peer", Work{Requests: 2, Tokens: 50, Prefill: 10})
+	if got := l.Total(now); got != (Work{Requests: 3, Tokens: 150, Prefill: 70}) {
+		t.Errorf("total %+v", got)
+	}
+	f.Computed()
+	f.Computed()
+	if got := l.Own(); got != (Work{Requests: 1, Tokens: 100}) {
+		t.Errorf("own %+v", got)
+	}
+	f.End()
+	f.End()
+	if got := l.Total(now.Add(2 * peerLoadAge)); got != (Work{}) {
+		t.Errorf("total %+v after the peer fell silent", got)
+	}
+}
+
+// A replica that does not answer is left alone, and then tried by one request at a time.
+// A caller who leaves in that trial says nothing about the replica.
+func TestUnreachableReplicaRests(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	h.Unreachable(now)
+	if h.Resting(now) {
+		t.Error("rests after one failure, which may be a closed connection")
+	}
+	h.Unreachable(now)
+	if !h.Resting(now) {
+		t.Error("is used after two failures")
+	}
+	now = now.Add(firstRest)
+	if h.Resting(now) {
+		t.Fatal("is never tried again")
+	}
+	h.Try()
+	if !h.Resting(now) {
+		t.Error("is tried by two at once")
+	}
+	h.Abandoned()
+	if h.Resting(now) {
+		t.Error("an abandoned trial keeps it resting for ever")
+	}
+	h.Answered(false)
+	if h.Resting(now) {
+		t.Error("rests after an answer")
+	}
+}
+
+// A replica that fails half of its requests shows it within a second's requests, and one
+// failure of a new one is not taken for a rate.
+func TestErrorRateFollowsTheAnswers(t *testing.T) {
+	var h Health
+	h.Answered(true)
+	if got := h.ErrorRate(); got > 0.3 {
+		t.Errorf("rate %g after one answer", got)
+	}
+	for i := range 30 {
+		h.Answered(i%2 == 0)
+	}
+	if got := h.ErrorRate(); got < 0.3 || got > 0.7 {
+		t.Errorf("rate %g of half failures", got)
+	}
+	for range 40 {
+		h.Answered(false)
+	}
+	if got := h.ErrorRate(); got > 0.05 {
+		t.Errorf("rate %g long after the failures", got)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,6 +60,8 @@
 	lease  platform.LeaseID
 	self   Daemon // guarded by beatMu
 
+	leaving atomic.Bool
+
 	mu      sync.Mutex
 	known   map[string]Daemon
 	lapsing map[string]time.Time // removed in an outage; kept until then
@@ -153,6 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	r.self.Leaving = true
+	r.leaving.Store(true)
 	r.publish()
 	return r.write(ctx)
 }
@@ -232,7 +235,7 @@
 			live = append(live, d)
 		}
 	}
-	if !r.self.Leaving {
+	if !r.leaving.Load() {
 		live = append(live, r.o.Self)
 	}
 	slices.SortFunc(live, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
