--- a/internal/contextdir/directory_test.go
+++ b/internal/contextdir/directory_test.go
@@ -18,6 +18,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -18,6 +18,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 const testPrompt = `{"model":"verdict","prompt":"a batch","max_tokens":3}`
--- a/internal/journal/partition_test.go
+++ b/internal/journal/partition_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // smallLimits make pages, merges and a full partition come soon.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -14,6 +14,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // naiveCore is the reference: of all records that it was told of a member it holds the
--- a/internal/planner/import_test.go
+++ b/internal/planner/import_test.go
@@ -17,6 +17,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
 	standin "github.com/bluebellscale/bluebellscale/internal/standin/store"
 	"github.com/bluebellscale/bluebellscale/internal/store"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // A caller is answered from blocks of another context. The manifest that is read back
--- a/internal/planner/recover_test.go
+++ b/internal/planner/recover_test.go
@@ -10,6 +10,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	standin "github.com/bluebellscale/bluebellscale/internal/standin/store"
 	"github.com/bluebellscale/bluebellscale/internal/store"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // An organisation's prompts all begin with the same long instructions. Daemons are
--- a/internal/policy/admission/admission_test.go
+++ b/internal/policy/admission/admission_test.go
@@ -9,6 +9,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/fairqueue"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // Over any schedule: grants never exceed the capacity, a suspect never has company,
--- a/internal/policy/fairqueue/fairqueue_test.go
+++ b/internal/policy/fairqueue/fairqueue_test.go
@@ -9,6 +9,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/internal/policy/placement/choose_test.go
+++ b/internal/policy/placement/choose_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 const testBytesPerToken = 128 << 10
--- a/internal/policy/placement/links_test.go
+++ b/internal/policy/placement/links_test.go
@@ -7,6 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/policy/quarantine/finding.go
+++ b/internal/policy/quarantine/finding.go
@@ -31,6 +31,9 @@
 	Fingerprint Fingerprint
 	Deaths      []Death // sorted, without repeats
 	Expires     time.Time
+	// Proven is set once a target died with nothing else in flight. Requests of others
+	// that ran beside the cause have deaths, too, but none of these.
+	Proven bool
 }
 
 // Merge takes findings of peers or of the store, and returns those that changed what
@@ -61,6 +64,10 @@
 	if changed {
 		f.Expires = other.Expires
 	}
+	if other.Proven && !f.Proven {
+		f.Proven = true
+		changed = true
+	}
 	for _, death := range other.Deaths {
 		if i, ok := slices.BinarySearch(f.Deaths, death); !ok {
 			f.Deaths = slices.Insert(f.Deaths, i, death)
@@ -102,6 +109,7 @@
 		for _, death := range f.Deaths {
 			write(string(death))
 		}
+		write(strconv.FormatBool(f.Proven))
 		sum += h.Sum64()
 	}
 	return sum
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -1,7 +1,10 @@
 // Package quarantine keeps a request that crashes targets from crashing many.
 //
 // The requests in flight at a target that died are suspects. A suspect runs alone, so
-// that a second death proves what caused it; at two deaths it is refused for a time.
+// that a second death proves what caused it; at two deaths, one of them alone, it is
+// refused for a time. A request of another caller that ran beside the cause twice, since
+// its daemon died and the next one had not heard of the first death, is no more than a
+// suspect.
 // A request is known by its fingerprint, since its caller sends it again under a new
 // request id. What was found outlives a daemon and reaches its peers as Findings,
 // which merge in any order. docs/design/quarantine.md states the bound.
@@ -87,6 +90,7 @@
 type flight struct {
 	fingerprint Fingerprint
 	target      request.TargetID
+	alone       bool
 }
 
 // Register is one daemon's knowledge of suspects, and of what it has in flight.
@@ -118,7 +122,7 @@
 	finding := r.finding(now, fp)
 	running := r.targets[fp]
 	switch {
-	case finding != nil && len(finding.Deaths) >= MaxDeaths:
+	case finding != nil && finding.Proven && len(finding.Deaths) >= MaxDeaths:
 		return Verdict{Mode: Refuse, Err: refusal(now, finding)}
 	case finding != nil && len(running) > 0:
 		return Verdict{Mode: Wait}
@@ -148,7 +152,7 @@
 		return v, false
 	}
 	r.End(id)
-	r.flights[id] = flight{fingerprint: fp, target: target}
+	r.flights[id] = flight{fingerprint: fp, target: target, alone: alone && v.Mode == Alone}
 	if r.targets[fp] == nil {
 		r.targets[fp] = make(map[request.TargetID]int)
 	}
@@ -178,26 +182,38 @@
 // findings that changed, to be written and sent to peers before any of them is sent to
 // a target again. incarnation tells the deaths of one target apart; zero: unknown.
 func (r *Register) OnTargetDied(now time.Time, target request.TargetID, incarnation uint64) []Finding {
-	suspects := make(map[Fingerprint]bool)
+	suspects := make(map[Fingerprint]bool) // whether it ran alone
 	for id, f := range r.flights {
 		if f.target == target {
-			suspects[f.fingerprint] = true
+			suspects[f.fingerprint] = suspects[f.fingerprint] || f.alone
 			r.End(id)
 		}
 	}
-	return r.OnWitness(now, target, incarnation, keys(suspects))
+	return r.suspect(now, target, incarnation, suspects)
 }
 
 // OnWitness is OnTargetDied for requests that other daemons had in flight, known from
 // the grants of the target's steward. It matters when the daemon that sent the request
 // has died as well.
 func (r *Register) OnWitness(now time.Time, target request.TargetID, incarnation uint64, suspects []Fingerprint) []Finding {
-	var found []Finding
+	distinct := make(map[Fingerprint]bool)
 	for _, fp := range suspects {
+		distinct[fp] = false
+	}
+	if len(distinct) == 1 {
+		distinct[suspects[0]] = true
+	}
+	return r.suspect(now, target, incarnation, distinct)
+}
+
+func (r *Register) suspect(now time.Time, target request.TargetID, incarnation uint64, suspects map[Fingerprint]bool) []Finding {
+	var found []Finding
+	for _, fp := range keys(suspects) {
 		found = append(found, Finding{
 			Fingerprint: fp,
 			Deaths:      []Death{deathOf(now, target, incarnation)},
 			Expires:     now.Add(r.params.KeepFor).Truncate(time.Millisecond),
+			Proven:      suspects[fp],
 		})
 	}
 	return r.Merge(now, found)
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -290,6 +292,10 @@
 // Seed 1943 once cost a third: the home died just after the second death, and the next
 // one had not heard of it yet. Daemons therefore read the stored findings when the
 // places of requests move.
+//
+// Seed -4405549660 once left a harmless request without an answer: its daemon died, the
+// next home had not heard of the first death, and it ran beside the cause a second time.
+// Two deaths refused it. Only a death with nothing else in flight proves a cause.
 func TestTwoTargetsFallToOneFingerprint(t *testing.T) {
 	worst, extra := 0, 0
 	check := func(t rapid.TB, seed int64, faults bool) {
@@ -310,6 +316,7 @@
 		}
 	}
 	check(t, 1943, true)
+	check(t, -4405549660, true)
 	rapid.Check(t, func(rt *rapid.T) {
 		check(rt, rapid.Int64().Draw(rt, "seed"), rapid.Bool().Draw(rt, "faults"))
 	})
--- a/internal/policy/residency/residency_test.go
+++ b/internal/policy/residency/residency_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // A memory drops what was used longest ago.
--- a/internal/policy/retention/budget_test.go
+++ b/internal/policy/retention/budget_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 const (
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/internal/standin/engine/cache_test.go
+++ b/internal/standin/engine/cache_test.go
@@ -7,6 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // naiveCache keeps blocks in a slice, the most recently used first.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,6 +18,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/store"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/target"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 const testTimeout = 30 * time.Second
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -189,7 +189,7 @@
 	defer k.mu.Unlock()
 	var out []*peer.Finding
 	for _, f := range k.register.All(k.opts.Now()) {
-		m := &peer.Finding{Fingerprint: string(f.Fingerprint), ExpiresUnixMs: f.Expires.UnixMilli()}
+		m := &peer.Finding{Fingerprint: string(f.Fingerprint), ExpiresUnixMs: f.Expires.UnixMilli(), Proven: f.Proven}
 		for _, d := range f.Deaths {
 			m.Targets = append(m.Targets, string(d))
 		}
@@ -202,7 +202,7 @@
 func (k *Keeper) Merge(findings []*peer.Finding) int {
 	in := make([]quarantine.Finding, 0, len(findings))
 	for _, m := range findings {
-		f := quarantine.Finding{Fingerprint: quarantine.Fingerprint(m.Fingerprint), Expires: time.UnixMilli(m.ExpiresUnixMs)}
+		f := quarantine.Finding{Fingerprint: quarantine.Fingerprint(m.Fingerprint), Expires: time.UnixMilli(m.ExpiresUnixMs), Proven: m.Proven}
 		for _, d := range m.Targets {
 			f.Deaths = append(f.Deaths, quarantine.Death(d))
 		}
--- a/internal/table/machine_test.go
+++ b/internal/table/machine_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
 )
 
 // naiveTable is the reference: rows in a map, each with a count of its edits. It has one
