Set some replicas apart for long answers; faster takeover of a store whose keeper is silent

A frozen keeper's stores were without one for six seconds, since only the first in rank asked, which was the frozen daemon itself.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -253,6 +253,15 @@
 	return slow
 }
 
+// Deaf reports whether the keeper of a store did not answer the last question, a moment
+// ago.
+func (a *Asker) Deaf(store routing.ServiceID) bool {
+	h := (*a.holders.Load())[string(store)]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.deaf[h.Address]) < deafFor
+}
+
 func (a *Asker) isDeaf(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -31,12 +31,13 @@
 
 	followWait = time.Second
 	// followPause gathers events, so that a busy store is not asked for each one.
-	followPause  = 120 * time.Millisecond
+	followPause  = 60 * time.Millisecond
 	failPause    = 300 * time.Millisecond
 	keepEvery    = 200 * time.Millisecond
 	listAtMost   = 3 * time.Second // between two lists, which stall the store
 	freeTimeout  = 400 * time.Millisecond
 	acquireEvery = time.Second
+	backupRanks  = 2
 	// deafAfter is how long a store may be silent before nothing is fetched from it: it
 	// may be gone, and a dead source costs a request some hundred ms.
 	deafAfter = 1600 * time.Millisecond
@@ -286,6 +287,8 @@
 	Stores func() []*routing.Service
 	// Rank returns this daemon's place among those that may keep a store, 0 first.
 	Rank func(store routing.ServiceID) int
+	// Deaf reports whether a store's keeper has not answered lately; nil: never.
+	Deaf func(store routing.ServiceID) bool
 	// TokenBytes returns the size of a token's KV cache; zero if it is not known yet.
 	TokenBytes func() int
 	Logger     hclog.Logger
@@ -346,7 +349,7 @@
 	due := time.Since(s.asked[store.ID]) > acquireEvery
 	s.mu.Unlock()
 	bytes := s.o.TokenBytes()
-	if mine || !due || bytes == 0 || !store.Store.Managed || s.o.Rank(store.ID) != 0 {
+	if mine || !due || bytes == 0 || !store.Store.Managed || !s.mayTake(store.ID) {
 		return
 	}
 	s.mu.Lock()
@@ -362,6 +365,17 @@
 	s.keep(ctx, store, l, bytes)
 }
 
+// mayTake reports whether it is this daemon's turn to ask for a store. Where its keeper
+// does not answer, the next ones in rank ask, too: the first is mostly that keeper, and is
+// listed for some time after it died.
+func (s *StoreKeeper) mayTake(store routing.ServiceID) bool {
+	rank := s.o.Rank(store)
+	if rank == 0 {
+		return true
+	}
+	return rank <= backupRanks && s.o.Deaf != nil && s.o.Deaf(store)
+}
+
 const bitsPerMegabit = 1e6
 
 func (s *StoreKeeper) keep(ctx context.Context, store *routing.Service, l *lease.Lease, tokenBytes int) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		out = append(out, &Work{
-			Replica: hash(r.Info().ID), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill),
+			Replica: hash(r.Info().ID), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
 		})
 	}
 	return out
@@ -258,7 +258,7 @@
 	for h, replica := range byHash {
 		w := told[h]
 		replica.Load.Tell(now, request.DaemonID(r.From), replicas.Work{
-			Requests: int(w.GetRequests()), Tokens: int(w.GetTokens()), Prefill: int(w.GetPrefill()),
+			Requests: int(w.GetRequests()), Tokens: int(w.GetTokens()), Prefill: int(w.GetPrefill()), Long: int(w.GetLong()),
 		})
 	}
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -1,10 +1,12 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,10 +128,17 @@
 	stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
 		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
-		Flight: r.Load.Begin(need.Tokens, pick.Default.ToCompute(need, chosen.Parts)),
+		Flight: begin(r, need, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
 }
 
+func begin(r *replicas.Replica, need pick.Request, compute int) *replicas.Flight {
+	if need.Long {
+		return r.Load.BeginLong(need.Tokens, compute)
+	}
+	return r.Load.Begin(need.Tokens, compute)
+}
+
 // admit refuses a request that would wait so long that its answer is late. Replicas with
 // too much to do answer nobody in time: each request that waits holds memory, and all take
 // longer. The most urgent ones are let in longer, so that the others give way first.
@@ -214,7 +223,7 @@
 	for _, p := range j.Parts {
 		fresh -= p.Tokens
 	}
-	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh)}
+	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh), Long: e.output(j) > longOutput}
 }
 
 // forLength leaves out replicas that take only short requests for a long one, unless all
@@ -303,6 +312,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := make([]pick.Candidate, len(usable))
+	forLong := e.forLong(j.Service, now)
 	for i, r := range usable {
 		info := r.Info()
 		load := r.Load.Total(now)
@@ -311,13 +321,32 @@
 			Running: load.Requests, Slots: j.Service.Engine.Slots,
 			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
 			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
-			OldWeights: e.oldness(j.Model, version),
-			Parts:      e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
+			OldWeights: e.oldness(j.Model, version), ForLong: forLong[info.ID],
+			Parts: e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
 		}
 	}
 	return out
 }
 
+// forLong returns the replicas of a service that are set apart for long answers: the first
+// ones in an order that all daemons know.
+func (e *Engine) forLong(service *routing.Service, now time.Time) map[request.TargetID]bool {
+	all := slices.Clone(e.Set.Of(service.ID))
+	long := 0
+	for _, r := range all {
+		long += r.Load.Total(now).Long
+	}
+	n := pick.LongReplicas(len(all), long, service.Engine.MemoryTokens)
+	slices.SortFunc(all, func(a, b *replicas.Replica) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.Info().ID)), xxhash.Sum64String(string(b.Info().ID)))
+	})
+	out := make(map[request.TargetID]bool, n)
+	for _, r := range all[:min(n, len(all))] {
+		out[r.Info().ID] = true
+	}
+	return out
+}
+
 // beginBy returns when an answer on a version of the weights must have begun.
 func (e *Engine) beginBy(m request.Model, version uint64) time.Time {
 	since, outdated := e.Outdated(m, version)
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -13,6 +13,8 @@
 	PerRequest       time.Duration // by which each running request slows the others
 	Replica          time.Duration // of a replica-sized shortage of memory
 	Error            time.Duration // of an error rate of one
+	HeavyAmongLong   time.Duration // of a heavy prompt at a replica set apart for long answers
+	LongAmongHeavy   time.Duration // of a long answer at one of the others
 	OldWeights       time.Duration // of an answer on weights that are worth nothing any more
 }
 
@@ -24,6 +26,8 @@
 	PerRequest:       time.Millisecond,
 	Replica:          4 * time.Second, // a request that finds no memory waits for others to end
 	Error:            3 * time.Second,
+	HeavyAmongLong:   80 * time.Millisecond,
+	LongAmongHeavy:   40 * time.Millisecond,
 	OldWeights:       600 * time.Millisecond,
 }
 
@@ -43,13 +47,40 @@
 	SameDomain     bool
 	ErrorRate      float64
 	OldWeights     float64 // what an answer on its weights has lost, from 0 to 1
-	Parts          []Part
+	// ForLong marks the replicas that are set apart for long answers.
+	ForLong bool
+	Parts   []Part
 }
 
 // Request is what the request asks of a replica, whichever it is.
 type Request struct {
-	Tokens int // KV cache at its end
-	Fresh  int // prompt tokens beyond its parts
+	Tokens int  // KV cache at its end
+	Fresh  int  // prompt tokens beyond its parts
+	Long   bool // its answer runs for long
+}
+
+// heavyPrompt is the number of tokens from which computing a prompt makes the streams
+// beside it pause: it is computed in several pieces, with one token of each stream between
+// two of them.
+const heavyPrompt = 2500
+
+// The share of replicas set apart for long answers, and the part of their memory that these
+// are to take.
+const (
+	minLongShare = 0.15
+	maxLongShare = 0.6
+	longFill     = 0.45
+)
+
+// LongReplicas returns how many of some replicas are to be set apart for long answers, by
+// the memory that these take in all. A stream whose replica computes one large prompt
+// after the other has pauses of several hundred ms; apart from them it has none.
+func LongReplicas(replicas, longTokens, memory int) int {
+	if memory <= 0 {
+		return 0
+	}
+	share := float64(longTokens) / (longFill * float64(memory) * float64(replicas))
+	return int(min(max(share, minLongShare), maxLongShare)*float64(replicas) + 0.5)
 }
 
 // Best returns the index of the cheapest candidate, -1 if there is none.
@@ -73,6 +104,12 @@
 	if !c.SameDomain {
 		cost += k.CrossDomain
 	}
+	switch {
+	case r.Long && !c.ForLong:
+		cost += k.LongAmongHeavy
+	case !r.Long && c.ForLong && k.ToCompute(r, c.Parts) > heavyPrompt:
+		cost += k.HeavyAmongLong
+	}
 	cost += time.Duration(c.OldWeights * float64(k.OldWeights))
 	return cost
 }
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -97,3 +97,39 @@
 		t.Errorf("waits %s for memory", w)
 	}
 }
+
+// The load: 72 answers of 290 tokens a second beside 43 prompts of 9,200, on replicas that
+// compute a prompt in pieces with one token of each stream between two. Mixed, a stream
+// pauses for as long as its replica has prompts to compute. Apart, long answers take about
+// a third of 18 replicas.
+func TestLongAnswersAreSetApart(t *testing.T) {
+	const memory = 50_000
+	if n := LongReplicas(18, 135*1100, memory); n < 5 || n > 8 {
+		t.Errorf("%d of 18 replicas", n)
+	}
+	if n := LongReplicas(18, 0, memory); n > 4 {
+		t.Errorf("%d of 18 replicas for no long answers", n)
+	}
+	if n := LongReplicas(18, 10_000_000, memory); n > 12 {
+		t.Errorf("%d of 18 replicas, which leaves too few for prompts", n)
+	}
+	if n := LongReplicas(3, 0, 0); n != 0 {
+		t.Errorf("%d replicas of unknown memory", n)
+	}
+	apart := Candidate{Slots: 48, Memory: memory, ForLong: true}
+	other := Candidate{Slots: 48, Memory: memory}
+	heavy, long := Request{Tokens: 9000, Fresh: 7000}, Request{Tokens: 1100, Fresh: 800, Long: true}
+	if Best(Default, heavy, []Candidate{apart, other}) != 1 || Best(Default, long, []Candidate{other, apart}) != 1 {
+		t.Error("heavy prompts and long answers are mixed")
+	}
+	light := Request{Tokens: 900, Fresh: 800}
+	apart.SameDomain = true
+	if Best(Default, light, []Candidate{other, apart}) != 1 {
+		t.Error("a light prompt is kept from a near replica")
+	}
+	full := apart
+	full.Tokens = memory
+	if Best(Default, long, []Candidate{other, full}) != 0 {
+		t.Error("a long answer waits for its own replicas while others are free")
+	}
+}
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -23,7 +23,8 @@
 
 const (
 	// LeaveFor is how long leave to fetch lasts. A replica does not start a transfer that
-	// would wait for more than two seconds.
+	// would wait for more than two seconds. Shorter leave lets slow fetches go and computes
+	// their prompts, which costs the replicas more than the wait.
 	LeaveFor = 2500 * time.Millisecond
 	// leaveSlack covers what the keeper does not know of the replicas' clock.
 	leaveSlack = 300 * time.Millisecond
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -25,7 +25,8 @@
 	args := []any{"request", j.ID, "how", how, "status", t.response.Status, "replica", t.placement.Send.Replica,
 		"why", t.placement.Reason, "after_ms", sinceMs(j.Start)}
 	if k != nil {
-		args = append(args, "first_ms", k.firstAt.Sub(j.Start).Milliseconds(), "events", k.count)
+		args = append(args, "first_ms", k.firstAt.Sub(j.Start).Milliseconds(), "events", k.count,
+			"pause_ms", k.pause.Milliseconds())
 	}
 	s.o.Logger.Info("A request is answered", args...)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -95,6 +95,17 @@
 	last    string // id of the newest event passed on
 	count   int
 	firstAt time.Time
+	lastAt  time.Time
+	pause   time.Duration // the longest between two events
+}
+
+// note counts an event.
+func (k *sink) note(now time.Time) {
+	k.count++
+	if !k.lastAt.IsZero() {
+		k.pause = max(k.pause, now.Sub(k.lastAt))
+	}
+	k.lastAt = now
 }
 
 func (k *sink) write(event []byte, flush bool) error {
@@ -140,7 +151,7 @@
 		}
 		t.first()
 		s.start(k, t)
-		k.count++
+		k.note(time.Now())
 		if err := k.write(event, !in.more()); err != nil {
 			return errors.Mark(errors.Wrap(err, "relay: caller"), errCallerGone)
 		}
--- a/internal/replicas/load.go
+++ b/internal/replicas/load.go
@@ -16,12 +16,14 @@
 	Requests int
 	Tokens   int // KV cache that they hold or will hold
 	Prefill  int // prompt tokens that are still to be computed
+	Long     int // of Tokens, those of requests with long answers
 }
 
 func (w *Work) add(o Work) {
 	w.Requests += o.Requests
 	w.Tokens += o.Tokens
 	w.Prefill += o.Prefill
+	w.Long += o.Long
 }
 
 type peerWork struct {
@@ -77,7 +79,15 @@
 
 // Begin counts a request until the flight's End.
 func (l *Load) Begin(tokens, prefill int) *Flight {
-	w := Work{Requests: 1, Tokens: tokens, Prefill: prefill}
+	return l.begin(Work{Requests: 1, Tokens: tokens, Prefill: prefill})
+}
+
+// BeginLong is Begin for a request with a long answer.
+func (l *Load) BeginLong(tokens, prefill int) *Flight {
+	return l.begin(Work{Requests: 1, Tokens: tokens, Prefill: prefill, Long: tokens})
+}
+
+func (l *Load) begin(w Work) *Flight {
 	l.mu.Lock()
 	l.own.add(w)
 	l.mu.Unlock()
@@ -103,5 +113,5 @@
 func (l *Load) take(w Work) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.own.add(Work{Requests: -w.Requests, Tokens: -w.Tokens, Prefill: -w.Prefill})
+	l.own.add(Work{Requests: -w.Requests, Tokens: -w.Tokens, Prefill: -w.Prefill, Long: -w.Long})
 }
