Metrics, a state dump, and logs that are bounded and never block

Counters and latency histograms on the metrics address of the settings, a dump of what the daemon believes beside them, and structured lines through a bounded ring: each kind of line is bounded to 200 a second, and what is left out or lost is counted (TestFullPipeHoldsNothingUp, TestEachKindIsBounded).

--- a/cmd/bluebellscaled/main.go
+++ b/cmd/bluebellscaled/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/daemon"
+	"github.com/bluebellscale/bluebellscale/internal/logging"
 	"github.com/bluebellscale/bluebellscale/internal/version"
 	"github.com/bluebellscale/bluebellscale/platform"
 )
@@ -73,9 +74,8 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{
-		Name: "bluebellscaled", Level: hclog.Info, JSONFormat: true, Output: os.Stdout,
-	})
+	log := logging.New(logging.Options{Name: "bluebellscaled", Level: hclog.Info, Output: os.Stdout})
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/pause"
@@ -80,6 +81,7 @@
 	lease   *lease.Lease
 	calls   Calls
 	log     hclog.Logger
+	metrics tally.Scope
 
 	mu       sync.Mutex
 	room     *storeroom.Room
@@ -272,6 +274,7 @@
 			Key: storeroom.Key{Salt: salt, ID: a.Id}, Tokens: int(a.Tokens), Weights: weights, Resident: a.Resident, Last: a.Last,
 		})
 		k.reasons[answer.Reason]++
+		k.metrics.Tagged(map[string]string{"reason": string(answer.Reason)}).Counter("store_asks").Inc(1)
 		answers[i] = &PartAnswer{
 			Fetch: answer.Fetch, Save: answer.Save, Full: answer.Full, TakesUs: int32(answer.Takes.Microseconds()),
 		}
@@ -292,6 +295,7 @@
 	// TokenBytes returns the size of a token's KV cache; zero if it is not known yet.
 	TokenBytes func() int
 	Logger     hclog.Logger
+	Metrics    tally.Scope
 }
 
 // StoreKeeper keeps the stores that fall to this daemon. It implements Keeper.
@@ -310,6 +314,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	o.Logger = o.Logger.Named("contextstore")
 	return &StoreKeeper{o: o, stores: map[routing.ServiceID]*kept{}, asked: map[routing.ServiceID]time.Time{}}
 }
@@ -381,7 +388,7 @@
 func (s *StoreKeeper) keep(ctx context.Context, store *routing.Service, l *lease.Lease, tokenBytes int) {
 	const bitsPerByte = 8
 	k := &kept{
-		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, calls: s.o.Calls, log: s.o.Logger, reasons: map[storeroom.Reason]int{},
+		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, calls: s.o.Calls, log: s.o.Logger, metrics: s.o.Metrics, reasons: map[storeroom.Reason]int{},
 		room: storeroom.New(time.Now(), storeroom.Params{
 			Tokens: store.Store.Tokens, FirstByte: store.Store.FirstByte,
 			TokensPerSec: store.Store.LinkMbps * bitsPerMegabit / bitsPerByte / float64(tokenBytes),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/limiter"
 	"github.com/bluebellscale/bluebellscale/internal/membership"
+	"github.com/bluebellscale/bluebellscale/internal/metrics"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/planner"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
@@ -106,7 +107,7 @@
 		drain:       make(chan struct{}),
 		quorum:      newQuorum(c.Table.StaleAfter),
 	}
-	d.metrics, d.scrape, d.reporter = newMetrics()
+	d.metrics, d.scrape, d.reporter = metrics.New()
 	d.buildShared()
 	d.buildPath()
 	d.buildFleet()
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -3,37 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	client "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-
 	"github.com/bluebellscale/bluebellscale/internal/limiter"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/steward"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 )
 
-// metricsInterval is how often metrics reach the endpoint.
-const metricsInterval = time.Second
-
-// newMetrics returns the root scope, the handler of its endpoint, and what stops it.
-func newMetrics() (tally.Scope, http.Handler, io.Closer) {
-	registry := client.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "bluebellscale",
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	return scope, reporter.HTTPHandler(), closer
-}
-
 // stewardServer joins the two halves of peer.Steward.
 type stewardServer struct {
 	*steward.Server
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,82 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// buffer collects lines.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// pipe is full: writes block until it is opened.
+type pipe struct {
+	buffer
+	open chan struct{}
+}
+
+func (p *pipe) Write(line []byte) (int, error) {
+	<-p.open
+	return p.buffer.Write(line)
+}
+
+// Whatever collects the logs stops reading. A daemon that blocks on its log serves nobody;
+// lines are lost instead, and it says how many.
+func TestFullPipeHoldsNothingUp(t *testing.T) {
+	p := &pipe{open: make(chan struct{})}
+	l := New(Options{Output: p, Level: hclog.Info, PerSecond: 10 * ringLines})
+	began := time.Now()
+	for range 3 * ringLines {
+		l.Info("A line")
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("logging took %s", took)
+	}
+	close(p.open)
+	for deadline := time.Now().Add(5 * time.Second); !strings.Contains(p.String(), "Lines were lost"); {
+		if time.Now().After(deadline) {
+			t.Fatal("the loss is not told")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	l.Close()
+}
+
+// Under load one kind of line would push out all others and cost more than the requests.
+// Each kind is bounded by itself, and what was left out is counted.
+func TestEachKindIsBounded(t *testing.T) {
+	var b buffer
+	l := New(Options{Output: &b, Level: hclog.Info, PerSecond: 5})
+	for range 100 {
+		l.Info("Often")
+	}
+	l.Info("Seldom")
+	l.tellOnce()
+	l.Close()
+	got := b.String()
+	if n := strings.Count(got, `"@message":"Often"`); n < 5 || n > 10 { // two seconds at most
+		t.Errorf("%d lines of one kind", n)
+	}
+	if !strings.Contains(got, "Seldom") || !strings.Contains(got, `"kind":"Often"`) {
+		t.Errorf("got %s", got)
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,36 @@
+// Package metrics gives a process its counters and histograms, and serves them as text.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// interval is how often metrics reach the endpoint.
+const interval = time.Second
+
+// New returns the root scope, the handler of its endpoint, and what stops it.
+func New() (tally.Scope, http.Handler, io.Closer) {
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "bluebellscale",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, interval)
+	return scope, reporter.HTTPHandler(), closer
+}
+
+// Latencies are the buckets of request times: fine around the aims of 150 to 600 ms.
+var Latencies = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	150 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 15 * time.Second,
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -19,6 +19,13 @@
 // logEnd says what was delivered.
 func (s *Server) logEnd(j *Job, t *try, k *sink, how string) {
 	s.o.Metrics.Counter("answered").Inc(1)
+	took := time.Since(j.Start)
+	first := took
+	if k != nil && !k.firstAt.IsZero() {
+		first = k.firstAt.Sub(j.Start)
+	}
+	s.first[j.Route.Kind].RecordDuration(first)
+	s.whole[j.Route.Kind].RecordDuration(took)
 	if !s.o.Logger.IsInfo() {
 		return
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/metrics"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -60,6 +61,9 @@
 	noStreams atomic.Int64 // when stopping, from when streams are refused, Unix nanoseconds
 	inFlight  atomic.Int64
 
+	first map[routing.Kind]tally.Histogram // until the answer, or the first event
+	whole map[routing.Kind]tally.Histogram // until the end of the answer
+
 	mu      sync.Mutex
 	budgets map[routing.ServiceID]*retry.Budget
 }
@@ -73,7 +77,16 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("relay")
-	return &Server{o: o, budgets: map[routing.ServiceID]*retry.Budget{}}
+	s := &Server{
+		o: o, budgets: map[routing.ServiceID]*retry.Budget{},
+		first: map[routing.Kind]tally.Histogram{}, whole: map[routing.Kind]tally.Histogram{},
+	}
+	for _, kind := range []routing.Kind{routing.KindIdempotent, routing.KindOnce, routing.KindStream} {
+		scope := o.Metrics.Tagged(map[string]string{"kind": string(kind)})
+		s.first[kind] = scope.Histogram("first_answer", metrics.Latencies)
+		s.whole[kind] = scope.Histogram("whole_answer", metrics.Latencies)
+	}
+	return s
 }
 
 // Stop makes each answer the last on its connection. Streams that come later than
