Divide daemons and replicas into groups; tell a datagram's news to the group only

Orders and new weights are told to all daemons with the next datagram, 80 ms before an order is given.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,12 +8,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
@@ -40,9 +41,11 @@
 // Options of New.
 type Options struct {
 	Self    request.DaemonID
-	Address string          // to listen on, UDP
-	Peers   func() []string // addresses of the daemons that use the same replicas
-	Set     *replicas.Set
+	Address string // to listen on, UDP
+	// Peers returns the daemons that use the same replicas, Others all others.
+	Peers  func() []netip.AddrPort
+	Others func() []netip.AddrPort
+	Set    *replicas.Set
 	// Revisions returns the newest changes of the key-value service that are known here,
 	// and Heard is told those of a peer.
 	Revisions func() []uint64
@@ -58,10 +61,12 @@
 
 	mu       sync.Mutex
 	placed   []*Placed
-	states   []*State
+	states   []*State // told to all daemons: any may use the replica
 	last     []*Work
 	lastTold time.Time
 
+	told map[request.DaemonID]map[uint64]bool // the replicas that each peer named last
+
 	revisions     []uint64
 	revisionsTold time.Time
 }
@@ -80,14 +85,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: listen")
 	}
-	return &Share{o: o, conn: conn}, nil
+	return &Share{o: o, conn: conn, told: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
-func hash(id request.TargetID) uint64 { return xxhash.Sum64String(string(id)) }
-
 // Placed notes a prompt for the next datagram.
 func (s *Share) Placed(id request.TargetID, parts []placer.PlacedPart, other int) {
-	p := &Placed{Replica: hash(id), Other: int32(other)}
+	p := &Placed{Replica: replicas.Hash(id), Other: int32(other)}
 	for _, part := range parts {
 		p.Parts = append(p.Parts, uint64(part.Key))
 		p.Tokens = append(p.Tokens, int32(part.Tokens))
@@ -97,16 +100,15 @@
 	s.placed = append(s.placed, p)
 }
 
-// Announce tells peers at once of a replica's state.
+// Announce tells all daemons of a replica's state, within one tick.
 func (s *Share) Announce(a weights.State) {
 	state := &State{
-		Replica: hash(a.Replica), BusyMs: int32(a.Busy.Milliseconds()), ShortMs: int32(a.ShortOnly.Milliseconds()),
+		Replica: replicas.Hash(a.Replica), BusyMs: int32(a.Busy.Milliseconds()), ShortMs: int32(a.ShortOnly.Milliseconds()),
 		Model: string(a.Model), Weights: a.Weights,
 	}
 	s.mu.Lock()
 	s.states = append(s.states, state)
 	s.mu.Unlock()
-	s.tell(time.Now())
 }
 
 // Run tells peers until ctx ends.
@@ -130,18 +132,29 @@
 	if r == nil {
 		return
 	}
+	s.send(r, s.o.Peers())
+	others := s.o.Others()
+	if len(others) == 0 {
+		return
+	}
+	if len(r.States) == 0 {
+		// One other daemon hears what is known here of the key-value service, so that
+		// news pass from group to group.
+		n := rand.IntN(len(others))
+		others = others[n : n+1]
+	}
+	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States}, others)
+}
+
+func (s *Share) send(r *Report, to []netip.AddrPort) {
 	raw, err := proto.Marshal(r)
 	if err != nil {
 		s.o.Logger.Error("A report can not be encoded", "error", err)
 		return
 	}
-	for _, peer := range s.o.Peers() {
-		address, err := net.ResolveUDPAddr("udp", peer)
-		if err != nil {
-			continue // the roster checks nothing; a daemon that can't be told places alone
-		}
-		if _, err := s.conn.WriteToUDP(raw, address); err != nil {
-			s.o.Logger.Debug("A peer could not be told", "peer", peer, "error", err)
+	for _, address := range to {
+		if _, err := s.conn.WriteToUDPAddrPort(raw, address); err != nil {
+			s.o.Logger.Debug("A daemon could not be told", "address", address, "error", err)
 		}
 	}
 }
@@ -179,7 +192,7 @@
 			continue
 		}
 		out = append(out, &Work{
-			Replica: hash(r.Info().ID), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
+			Replica: replicas.Hash(r.Info().ID), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
 		})
 	}
 	return out
@@ -221,10 +234,7 @@
 	if len(r.Revisions) > 0 {
 		s.o.Heard(r.Address, r.Revisions)
 	}
-	byHash := map[uint64]*replicas.Replica{}
-	for _, replica := range s.o.Set.All() {
-		byHash[hash(replica.Info().ID)] = replica
-	}
+	byHash := s.o.Set.View().ByHash
 	if len(r.Work) > 0 {
 		s.takeWork(now, r, byHash)
 	}
@@ -250,15 +260,27 @@
 	}
 }
 
+// takeWork notes a peer's work. A replica that it names no more has none of it.
 func (s *Share) takeWork(now time.Time, r *Report, byHash map[uint64]*replicas.Replica) {
-	told := map[uint64]*Work{}
+	peer := request.DaemonID(r.From)
+	s.mu.Lock()
+	before := s.told[peer]
+	told := make(map[uint64]bool, len(r.Work))
+	s.told[peer] = told
+	s.mu.Unlock()
 	for _, w := range r.Work {
-		told[w.Replica] = w
-	}
-	for h, replica := range byHash {
-		w := told[h]
-		replica.Load.Tell(now, request.DaemonID(r.From), replicas.Work{
-			Requests: int(w.GetRequests()), Tokens: int(w.GetTokens()), Prefill: int(w.GetPrefill()), Long: int(w.GetLong()),
+		replica := byHash[w.Replica]
+		if replica == nil {
+			continue
+		}
+		told[w.Replica] = true
+		replica.Load.Tell(now, peer, replicas.Work{
+			Requests: int(w.Requests), Tokens: int(w.Tokens), Prefill: int(w.Prefill), Long: int(w.Long),
 		})
 	}
+	for h := range before {
+		if replica := byHash[h]; replica != nil && !told[h] {
+			replica.Load.Tell(now, peer, replicas.Work{})
+		}
+	}
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -76,7 +76,9 @@
 
 // Engine places prompts on model replicas.
 type Engine struct {
-	Set      *replicas.Set
+	Set *replicas.Set
+	// Mine returns the replicas of a service that this daemon uses.
+	Mine     func(routing.ServiceID) []*replicas.Replica
 	Domain   string // of this daemon
 	Outdated Outdated
 	Stores   Stores
@@ -99,7 +101,7 @@
 
 // Place implements relay.Placer.
 func (e *Engine) Place(ctx context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
-	usable := usable(e.Set, j.Service.ID, tried)
+	usable := usable(e.Mine(j.Service.ID), tried)
 	usable = e.onNamedWeights(usable, j.Model)
 	usable = e.forLength(usable, j)
 	if len(usable) == 0 {
@@ -331,7 +333,7 @@
 // forLong returns the replicas of a service that are set apart for long answers: the first
 // ones in an order that all daemons know.
 func (e *Engine) forLong(service *routing.Service, now time.Time) map[request.TargetID]bool {
-	all := slices.Clone(e.Set.Of(service.ID))
+	all := slices.Clone(e.Mine(service.ID))
 	long := 0
 	for _, r := range all {
 		long += r.Load.Total(now).Long
@@ -424,7 +426,7 @@
 func (e *Engine) holder(key residency.Key, j *relay.Job, to *replicas.Replica, version uint64) *replicas.Replica {
 	var found *replicas.Replica
 	now := time.Now()
-	for _, r := range e.Set.Of(j.Service.ID) {
+	for _, r := range e.Mine(j.Service.ID) {
 		m := e.models[r.Info().ID]
 		if r == to || m == nil || !m.Has(key) || r.Weights(j.Model) != version || r.Health.Resting(now) {
 			continue
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -13,7 +13,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
-	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
 // noReplicaRetry is when to come back if no replica is known or all rest: one that
@@ -37,7 +36,7 @@
 
 // Place implements relay.Placer.
 func (p *Plain) Place(_ context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
-	usable := usable(p.Set, j.Service.ID, tried)
+	usable := usable(p.Set.Of(j.Service.ID), tried)
 	if len(usable) == 0 {
 		return nil, noReplica()
 	}
@@ -54,13 +53,13 @@
 	return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
 }
 
-// usable returns the replicas of a service that may be tried, in random order so that
+// usable returns the replicas that may be tried, in random order so that
 // equal ones share the work. Where all were tried or rest, those that rest are tried
 // rather than none.
-func usable(set *replicas.Set, service routing.ServiceID, tried []request.TargetID) []*replicas.Replica {
+func usable(all []*replicas.Replica, tried []request.TargetID) []*replicas.Replica {
 	now := time.Now()
 	var fit, resting []*replicas.Replica
-	for _, r := range set.Of(service) {
+	for _, r := range all {
 		switch {
 		case slices.Contains(tried, r.Info().ID):
 		case r.Health.Resting(now) || r.Busy(now):
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
@@ -85,9 +87,18 @@
 	mu      sync.Mutex
 	byID    map[request.TargetID]*Replica
 	lapsing map[request.TargetID]time.Time
-	view    atomic.Pointer[map[routing.ServiceID][]*Replica]
+	view    atomic.Pointer[View]
+}
+
+// View is the replicas that take requests at one time. It must not be changed.
+type View struct {
+	ByService map[routing.ServiceID][]*Replica // ordered by id
+	ByHash    map[uint64]*Replica
 }
 
+// Hash is the short name of a replica among daemons.
+func Hash(id request.TargetID) uint64 { return xxhash.Sum64String(string(id)) }
+
 // NewSet returns an empty set.
 func NewSet() *Set {
 	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}}
@@ -97,7 +108,10 @@
 
 // Of returns the replicas of a service that take requests, ordered by id. The slice
 // must not be changed.
-func (s *Set) Of(service routing.ServiceID) []*Replica { return (*s.view.Load())[service] }
+func (s *Set) Of(service routing.ServiceID) []*Replica { return s.View().ByService[service] }
+
+// View returns all replicas that take requests now.
+func (s *Set) View() *View { return s.view.Load() }
 
 // Get returns a replica by its id.
 func (s *Set) Get(id request.TargetID) *Replica {
@@ -109,7 +123,7 @@
 // All returns all replicas that take requests.
 func (s *Set) All() []*Replica {
 	var all []*Replica
-	for _, of := range *s.view.Load() {
+	for _, of := range s.View().ByService {
 		all = append(all, of...)
 	}
 	return all
@@ -199,14 +213,15 @@
 }
 
 func (s *Set) publish() {
-	view := map[routing.ServiceID][]*Replica{}
-	for _, r := range s.byID {
+	v := &View{ByService: map[routing.ServiceID][]*Replica{}, ByHash: map[uint64]*Replica{}}
+	for id, r := range s.byID {
 		if info := r.Info(); !info.Leaving {
-			view[info.Service] = append(view[info.Service], r)
+			v.ByService[info.Service] = append(v.ByService[info.Service], r)
+			v.ByHash[Hash(id)] = r
 		}
 	}
-	for _, of := range view {
+	for _, of := range v.ByService {
 		slices.SortFunc(of, func(a, b *Replica) int { return cmp.Compare(a.Info().ID, b.Info().ID) })
 	}
-	s.view.Store(&view)
+	s.view.Store(v)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,7 +79,8 @@
 	return r
 }
 
-// Live returns the daemons that serve, this one among them unless it leaves.
+// Live returns the daemons that serve, this one among them unless it leaves. The list is
+// another one only after a change.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
 
 // Mirror returns the mirror of the entries, whose copies peers may ask for.
@@ -239,5 +240,7 @@
 		live = append(live, r.o.Self)
 	}
 	slices.SortFunc(live, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
-	r.live.Store(&live)
+	if old := r.live.Load(); old == nil || !slices.Equal(*old, live) {
+		r.live.Store(&live)
+	}
 }
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -62,7 +62,7 @@
 	busyFor = 700 * time.Millisecond
 	// hearFirst is how long before an order peers are told, so that what they have sent
 	// has arrived and nothing more comes: the replica would refuse it.
-	hearFirst = 25 * time.Millisecond
+	hearFirst = 80 * time.Millisecond
 	// heldPause is how long a daemon without work for it leaves a duty alone that another
 	// holds.
 	heldPause = time.Second
