--- a/internal/contextstore/contextstore.twirp.go
+++ b/internal/contextstore/contextstore.twirp.go
@@ -5,23 +5,36 @@
 
 package contextstore
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
--- /dev/null
+++ b/internal/contextstore/kept.go
@@ -0,0 +1,255 @@
+package contextstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// Event is a change of a store's content.
+type Event struct {
+	Stored bool // or removed
+	Key    storeroom.Key
+	Tokens int
+}
+
+// Content is what a store tells of itself.
+type Content struct {
+	Epoch   uint64 // changes at each start
+	Next    uint64
+	Lost    bool // events are missing
+	ClockMs int64
+	Events  []Event
+	Whole   []storeroom.Ask // of a list
+	Partial []storeroom.Ask
+}
+
+// Calls carries out calls to stores.
+type Calls interface {
+	// Events waits for changes after a number.
+	Events(ctx context.Context, address string, after uint64, wait time.Duration) (Content, error)
+	List(ctx context.Context, address string) (Content, error)
+	// Free frees parts, unless the store has restarted or its clock is past a time.
+	Free(ctx context.Context, address string, keys []storeroom.Key, epoch uint64, until int64) error
+}
+
+// kept is a store that this daemon keeps.
+type kept struct {
+	id      routing.ServiceID
+	address string
+	tokens  int // room
+	lease   *lease.Lease
+	calls   Calls
+	log     hclog.Logger
+	metrics tally.Scope
+
+	mu       sync.Mutex
+	room     *storeroom.Room
+	epoch    uint64
+	next     uint64
+	listed   bool
+	listedAt time.Time
+	heardAt  time.Time
+	// clock is the replicas' clock less ours, in ms: a little less than the truth, so
+	// that leave ends too early rather than too late.
+	clock int64
+	// reasons count the answers since the last line of the log.
+	reasons map[storeroom.Reason]int
+}
+
+// weightsOf returns the version that a salt stands for; zero if it is not one of ours.
+func weightsOf(salt string) uint64 {
+	digits, _, _ := strings.Cut(strings.TrimPrefix(salt, "w"), ".")
+	n, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (k *kept) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go k.tend(ctx)
+	for ctx.Err() == nil && k.lease.Valid() {
+		if err := k.follow(ctx); err != nil && ctx.Err() == nil {
+			k.log.Info("A store does not answer", "store", k.id, "error", err)
+			_ = pause.For(ctx, failPause) // the loop asks the context itself
+			continue
+		}
+		_ = pause.For(ctx, followPause) // the loop asks the context itself
+	}
+	k.log.Info("A store is no longer kept here", "store", k.id)
+}
+
+// follow reads the store's changes, or all of it where changes are missing.
+func (k *kept) follow(ctx context.Context) error {
+	k.mu.Lock()
+	must := !k.listed || k.room.Overdue(time.Now()) && time.Since(k.listedAt) > listAtMost
+	after := k.next
+	k.mu.Unlock()
+	if must {
+		return k.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, followWait+time.Second)
+	defer cancel()
+	c, err := k.calls.Events(ctx, k.address, after, followWait)
+	if err != nil {
+		return err
+	}
+	k.take(c)
+	return nil
+}
+
+func (k *kept) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, followWait)
+	defer cancel()
+	c, err := k.calls.List(ctx, k.address)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.heard(now, c)
+	k.listed, k.listedAt, k.next = true, now, c.Next
+	k.room.OnList(now, c.Whole, c.Partial)
+	return nil
+}
+
+func (k *kept) take(c Content) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.heard(now, c)
+	k.next = c.Next
+	if c.Lost {
+		k.listed = false
+	}
+	for _, e := range c.Events {
+		if e.Stored {
+			k.room.OnStored(now, e.Key, e.Tokens, weightsOf(e.Key.Salt))
+		} else {
+			k.room.OnRemoved(e.Key)
+		}
+	}
+}
+
+// heard notes that the store lives, and whether it has restarted.
+func (k *kept) heard(now time.Time, c Content) {
+	k.heardAt = now
+	if c.ClockMs > 0 {
+		k.clock = c.ClockMs - now.UnixMilli()
+	}
+	if k.epoch != 0 && k.epoch != c.Epoch {
+		k.log.Warn("A store has restarted", "store", k.id)
+		k.room.Reset(now)
+		k.listed = false
+	}
+	k.epoch = c.Epoch
+}
+
+// tend frees what the room needs.
+func (k *kept) tend(ctx context.Context) {
+	told := time.Now()
+	for ctx.Err() == nil {
+		_ = pause.For(ctx, keepEvery) // the loop asks the context itself
+		k.free(ctx)
+		if time.Since(told) >= tellEvery {
+			told = time.Now()
+			k.tell()
+		}
+	}
+}
+
+// tell logs what was answered lately.
+func (k *kept) tell() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.reasons) == 0 {
+		return
+	}
+	args := []any{
+		"store", k.id, "parts", k.room.Parts(), "tokens", k.room.Taken(), "room", k.tokens,
+		"queue_ms", k.room.Queue(time.Now()).Milliseconds(), "slowness", k.room.Slowness(),
+	}
+	for _, reason := range slices.Sorted(maps.Keys(k.reasons)) {
+		args = append(args, string(reason), k.reasons[reason])
+	}
+	k.log.Info("A store's keeper answered", args...)
+	clear(k.reasons)
+}
+
+func (k *kept) free(ctx context.Context) {
+	k.mu.Lock()
+	if !k.ready(time.Now()) || !k.lease.MayAct(freeTimeout) {
+		k.mu.Unlock()
+		return
+	}
+	keys := k.room.Free(time.Now())
+	epoch := k.epoch
+	until := k.replicaClock(time.Now().Add(freeTimeout))
+	k.mu.Unlock()
+	for len(keys) > 0 {
+		n := min(len(keys), maxFree)
+		k.freeSome(ctx, keys[:n], epoch, until)
+		keys = keys[n:]
+	}
+}
+
+func (k *kept) freeSome(ctx context.Context, keys []storeroom.Key, epoch uint64, until int64) {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+	defer cancel()
+	err := k.calls.Free(ctx, k.address, keys, epoch, until)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.log.Info("Parts could not be freed", "store", k.id, "parts", len(keys), "error", err)
+		k.room.OnKept(time.Now(), keys)
+		return
+	}
+	for _, key := range keys {
+		k.room.OnRemoved(key)
+	}
+}
+
+// ready reports whether the store's content is known and the store lives.
+func (k *kept) ready(now time.Time) bool {
+	return k.listed && now.Sub(k.heardAt) < deafAfter && k.lease.Valid()
+}
+
+func (k *kept) replicaClock(t time.Time) int64 { return t.UnixMilli() + k.clock }
+
+// claim decides on parts. The second result is false if the store can't be used now.
+func (k *kept) claim(salt string, weights uint64, asks []*PartAsk) ([]*PartAnswer, int64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if !k.ready(now) {
+		return nil, 0, false
+	}
+	answers := make([]*PartAnswer, len(asks))
+	for i, a := range asks {
+		answer := k.room.Ask(now, storeroom.Ask{
+			Key: storeroom.Key{Salt: salt, ID: a.Id}, Tokens: int(a.Tokens), Weights: weights, Resident: a.Resident, Last: a.Last,
+		})
+		k.reasons[answer.Reason]++
+		k.metrics.Tagged(map[string]string{"reason": string(answer.Reason)}).Counter("store_asks").Inc(1)
+		answers[i] = &PartAnswer{
+			Fetch: answer.Fetch, Save: answer.Save, Full: answer.Full, TakesUs: int32(answer.Takes.Microseconds()),
+		}
+	}
+	return answers, k.replicaClock(now.Add(storeroom.LeaveFor)), true
+}
--- /dev/null
+++ b/internal/placer/candidates.go
@@ -0,0 +1,161 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
+	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored) []pick.Candidate {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]pick.Candidate, len(usable))
+	forLong := e.forLong(j.Service, now)
+	for i, r := range usable {
+		info := r.Info()
+		load := r.Load.Total(now)
+		version := r.Weights(j.Model)
+		out[i] = pick.Candidate{
+			Running: load.Requests, Slots: j.Service.Engine.Slots,
+			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
+			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
+			OldWeights: e.oldness(j.Model, version), ForLong: forLong[info.ID],
+			Parts: e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
+		}
+	}
+	return out
+}
+
+func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
+	info := r.Info()
+	m := e.models[info.ID]
+	parts := make([]pick.Part, len(j.Parts))
+	for i, p := range j.Parts {
+		parts[i] = pick.Part{Tokens: p.Tokens, Shared: stored[i].Fetch}
+		if !sameSalt {
+			continue
+		}
+		parts[i].Resident = m != nil && m.Has(partKey(salt, p.ID))
+		if stored[i].Fetch {
+			parts[i].Fetch = stored[i].Takes
+			if stored[i].FailureDomain != info.FailureDomain {
+				parts[i].Fetch *= crossFactor
+			}
+		}
+	}
+	return parts
+}
+
+// forLong returns the replicas of a service that are set apart for long answers: the first
+// ones in an order that all daemons know.
+func (e *Engine) forLong(service *routing.Service, now time.Time) map[request.TargetID]bool {
+	all := slices.Clone(e.Mine(service.ID))
+	long := 0
+	for _, r := range all {
+		long += r.Load.Total(now).Long
+	}
+	n := pick.LongReplicas(len(all), long, service.Engine.MemoryTokens)
+	slices.SortFunc(all, func(a, b *replicas.Replica) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.Info().ID)), xxhash.Sum64String(string(b.Info().ID)))
+	})
+	out := make(map[request.TargetID]bool, n)
+	for _, r := range all[:min(n, len(all))] {
+		out[r.Info().ID] = true
+	}
+	return out
+}
+
+// onNamedWeights leaves out replicas on weights that were replaced too long ago. Callers
+// are then told to come back rather than answered on them.
+func (e *Engine) onNamedWeights(of []*replicas.Replica, m request.Model) []*replicas.Replica {
+	var fit []*replicas.Replica
+	for _, r := range of {
+		version := r.Weights(m)
+		since, outdated := e.Outdated(m, version)
+		if version == 0 || outdated && e.OldFrom > 0 && time.Since(since) > e.OldFrom {
+			continue
+		}
+		fit = append(fit, r)
+	}
+	return fit
+}
+
+// forLength leaves out replicas that take only short requests for a long one, unless all
+// do.
+func (e *Engine) forLength(of []*replicas.Replica, j *relay.Job) []*replicas.Replica {
+	if e.output(j) <= longOutput {
+		return of
+	}
+	now := time.Now()
+	var fit []*replicas.Replica
+	for _, r := range of {
+		if !r.ShortOnly(now) {
+			fit = append(fit, r)
+		}
+	}
+	if len(fit) == 0 {
+		return of
+	}
+	return fit
+}
+
+// best returns the newest version that any replica serves.
+func best(of []*replicas.Replica, m request.Model) uint64 {
+	var version uint64
+	for _, r := range of {
+		version = max(version, r.Weights(m))
+	}
+	return version
+}
+
+// oldness returns how much an answer on a version of the weights has lost, from 0 to 1.
+func (e *Engine) oldness(m request.Model, version uint64) float64 {
+	if _, outdated := e.Outdated(m, version); outdated {
+		return oldShare
+	}
+	return 0
+}
+
+// beginBy returns when an answer on a version of the weights must have begun.
+func (e *Engine) beginBy(m request.Model, version uint64) time.Time {
+	since, outdated := e.Outdated(m, version)
+	if !outdated || e.OldBegin <= 0 {
+		return time.Time{}
+	}
+	return since.Add(e.OldBegin)
+}
+
+// cacheSalt keeps KV cache of other weights, and of organisations that share with nobody,
+// apart by name.
+func cacheSalt(version uint64, org *routing.Org) string {
+	salt := "w" + strconv.FormatUint(version, 10)
+	if org != nil && org.Isolated {
+		salt += "." + string(org.ID)
+	}
+	return salt
+}
+
+func partKey(salt, id string) residency.Key {
+	return residency.Key(xxhash.Sum64String(salt + "/" + id))
+}
+
+func (e *Engine) need(j *relay.Job) pick.Request {
+	fresh := j.PromptTokens
+	for _, p := range j.Parts {
+		fresh -= p.Tokens
+	}
+	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh), Long: e.output(j) > longOutput}
+}
+
+func (e *Engine) output(j *relay.Job) int { return int(float64(j.OutputTokens) * outputShare) }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -1,19 +1,13 @@
 package placer
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
@@ -218,73 +212,6 @@
 	return b.String()
 }
 
-func (e *Engine) output(j *relay.Job) int { return int(float64(j.OutputTokens) * outputShare) }
-
-func (e *Engine) need(j *relay.Job) pick.Request {
-	fresh := j.PromptTokens
-	for _, p := range j.Parts {
-		fresh -= p.Tokens
-	}
-	return pick.Request{Tokens: j.PromptTokens + e.output(j), Fresh: max(0, fresh), Long: e.output(j) > longOutput}
-}
-
-// forLength leaves out replicas that take only short requests for a long one, unless all
-// do.
-func (e *Engine) forLength(of []*replicas.Replica, j *relay.Job) []*replicas.Replica {
-	if e.output(j) <= longOutput {
-		return of
-	}
-	now := time.Now()
-	var fit []*replicas.Replica
-	for _, r := range of {
-		if !r.ShortOnly(now) {
-			fit = append(fit, r)
-		}
-	}
-	if len(fit) == 0 {
-		return of
-	}
-	return fit
-}
-
-// onNamedWeights leaves out replicas on weights that were replaced too long ago. Callers
-// are then told to come back rather than answered on them.
-func (e *Engine) onNamedWeights(of []*replicas.Replica, m request.Model) []*replicas.Replica {
-	var fit []*replicas.Replica
-	for _, r := range of {
-		version := r.Weights(m)
-		since, outdated := e.Outdated(m, version)
-		if version == 0 || outdated && e.OldFrom > 0 && time.Since(since) > e.OldFrom {
-			continue
-		}
-		fit = append(fit, r)
-	}
-	return fit
-}
-
-// best returns the newest version that any replica serves.
-func best(of []*replicas.Replica, m request.Model) uint64 {
-	var version uint64
-	for _, r := range of {
-		version = max(version, r.Weights(m))
-	}
-	return version
-}
-
-// cacheSalt keeps KV cache of other weights, and of organisations that share with nobody,
-// apart by name.
-func cacheSalt(version uint64, org *routing.Org) string {
-	salt := "w" + strconv.FormatUint(version, 10)
-	if org != nil && org.Isolated {
-		salt += "." + string(org.ID)
-	}
-	return salt
-}
-
-func partKey(salt, id string) residency.Key {
-	return residency.Key(xxhash.Sum64String(salt + "/" + id))
-}
-
 func (e *Engine) askStores(ctx context.Context, j *relay.Job, salt string, usable []*replicas.Replica) ([]Stored, int64) {
 	if e.Stores == nil || len(j.Parts) == 0 {
 		return make([]Stored, len(j.Parts)), 0
@@ -292,100 +219,6 @@
 	return e.Stores.Ask(ctx, salt, j.Parts, e.residentSomewhere(j, salt, usable))
 }
 
-// residentSomewhere says of each part whether some replica that can be used has it.
-func (e *Engine) residentSomewhere(j *relay.Job, salt string, usable []*replicas.Replica) []bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := make([]bool, len(j.Parts))
-	for i, p := range j.Parts {
-		key := partKey(salt, p.ID)
-		for _, r := range usable {
-			if m := e.models[r.Info().ID]; m != nil && m.Has(key) {
-				out[i] = true
-				break
-			}
-		}
-	}
-	return out
-}
-
-func (e *Engine) candidates(j *relay.Job, usable []*replicas.Replica, salt string, stored []Stored) []pick.Candidate {
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := make([]pick.Candidate, len(usable))
-	forLong := e.forLong(j.Service, now)
-	for i, r := range usable {
-		info := r.Info()
-		load := r.Load.Total(now)
-		version := r.Weights(j.Model)
-		out[i] = pick.Candidate{
-			Running: load.Requests, Slots: j.Service.Engine.Slots,
-			Tokens: load.Tokens, Memory: j.Service.Engine.MemoryTokens, Prefill: load.Prefill,
-			SameDomain: info.FailureDomain == e.Domain, ErrorRate: r.Health.ErrorRate(),
-			OldWeights: e.oldness(j.Model, version), ForLong: forLong[info.ID],
-			Parts: e.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, stored),
-		}
-	}
-	return out
-}
-
-// forLong returns the replicas of a service that are set apart for long answers: the first
-// ones in an order that all daemons know.
-func (e *Engine) forLong(service *routing.Service, now time.Time) map[request.TargetID]bool {
-	all := slices.Clone(e.Mine(service.ID))
-	long := 0
-	for _, r := range all {
-		long += r.Load.Total(now).Long
-	}
-	n := pick.LongReplicas(len(all), long, service.Engine.MemoryTokens)
-	slices.SortFunc(all, func(a, b *replicas.Replica) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.Info().ID)), xxhash.Sum64String(string(b.Info().ID)))
-	})
-	out := make(map[request.TargetID]bool, n)
-	for _, r := range all[:min(n, len(all))] {
-		out[r.Info().ID] = true
-	}
-	return out
-}
-
-// beginBy returns when an answer on a version of the weights must have begun.
-func (e *Engine) beginBy(m request.Model, version uint64) time.Time {
-	since, outdated := e.Outdated(m, version)
-	if !outdated || e.OldBegin <= 0 {
-		return time.Time{}
-	}
-	return since.Add(e.OldBegin)
-}
-
-// oldness returns how much an answer on a version of the weights has lost, from 0 to 1.
-func (e *Engine) oldness(m request.Model, version uint64) float64 {
-	if _, outdated := e.Outdated(m, version); outdated {
-		return oldShare
-	}
-	return 0
-}
-
-func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
-	info := r.Info()
-	m := e.models[info.ID]
-	parts := make([]pick.Part, len(j.Parts))
-	for i, p := range j.Parts {
-		parts[i] = pick.Part{Tokens: p.Tokens, Shared: stored[i].Fetch}
-		if !sameSalt {
-			continue
-		}
-		parts[i].Resident = m != nil && m.Has(partKey(salt, p.ID))
-		if stored[i].Fetch {
-			parts[i].Fetch = stored[i].Takes
-			if stored[i].FailureDomain != info.FailureDomain {
-				parts[i].Fetch *= crossFactor
-			}
-		}
-	}
-	return parts
-}
-
 // fill names where each part comes from and goes to. A source is named also for parts
 // thought to be there: the replica fetches only what it lacks.
 func (e *Engine) fill(send *relay.Send, j *relay.Job, stored []Stored, until int64, to *replicas.Replica) {
@@ -402,95 +235,3 @@
 	}
 	e.fillFromPeers(send, j, to)
 }
-
-// fillFromPeers names another replica for parts that no store gives.
-func (e *Engine) fillFromPeers(send *relay.Send, j *relay.Job, to *replicas.Replica) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for i, p := range j.Parts {
-		if send.FetchFrom[i] != "" {
-			continue
-		}
-		key := partKey(send.CacheSalt, p.ID)
-		if m := e.models[to.Info().ID]; m != nil && m.Has(key) {
-			continue
-		}
-		if from := e.holder(key, j, to, send.Weights); from != nil {
-			send.FetchFrom[i] = from.Info().Address
-		}
-	}
-}
-
-// holder returns a replica on the same weights that is thought to hold a part, one in
-// the same failure domain if there is any.
-func (e *Engine) holder(key residency.Key, j *relay.Job, to *replicas.Replica, version uint64) *replicas.Replica {
-	var found *replicas.Replica
-	now := time.Now()
-	for _, r := range e.Mine(j.Service.ID) {
-		m := e.models[r.Info().ID]
-		if r == to || m == nil || !m.Has(key) || r.Weights(j.Model) != version || r.Health.Resting(now) {
-			continue
-		}
-		if r.Info().FailureDomain == to.Info().FailureDomain {
-			return r
-		}
-		found = r
-	}
-	return found
-}
-
-// record notes that a replica will have the parts of a prompt.
-func (e *Engine) record(id request.TargetID, j *relay.Job, salt string) {
-	parts := make([]PlacedPart, len(j.Parts))
-	other := j.PromptTokens + e.output(j)
-	for i, p := range j.Parts {
-		parts[i] = PlacedPart{Key: partKey(salt, p.ID), Tokens: p.Tokens}
-		other -= p.Tokens
-	}
-	e.setMemory(j.Service.Engine.MemoryTokens)
-	e.Learn(id, parts, max(0, other))
-	if e.Placed != nil {
-		e.Placed(id, parts, max(0, other))
-	}
-}
-
-func (e *Engine) setMemory(tokens int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.memory = tokens
-}
-
-// Learn notes what a replica's memory takes: parts, and other tokens that nobody asks
-// for again but that take room until they are dropped.
-func (e *Engine) Learn(id request.TargetID, parts []PlacedPart, other int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.memory == 0 {
-		return // no prompt has come here yet
-	}
-	m := e.models[id]
-	if m == nil {
-		if e.models == nil {
-			e.models = map[request.TargetID]*residency.Model{}
-		}
-		m = residency.New(e.memory)
-		e.models[id] = m
-	}
-	for _, p := range parts {
-		m.Touch(p.Key, p.Tokens)
-	}
-	if other > 0 {
-		m.Touch(residency.Key(rand.Uint64()), other)
-	}
-}
-
-// Forget drops the models of replicas that are gone.
-func (e *Engine) Forget() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id := range e.models {
-		if e.Set.Get(id) == nil {
-			delete(e.models, id)
-		}
-	}
-}
