--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,88 @@
+package loadshare
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/weights"
+)
+
+type node struct {
+	*Share
+	set   *replicas.Set
+	heard chan []uint64
+	peers []netip.AddrPort
+}
+
+func start(t *testing.T, id request.DaemonID) *node {
+	t.Helper()
+	n := &node{set: replicas.NewSet(), heard: make(chan []uint64, 100)}
+	n.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: "r", Service: "s", Address: "127.0.0.1:1"}}})
+	share, err := New(Options{
+		Self: id, Address: "127.0.0.1:0", Set: n.set,
+		Peers: func() []netip.AddrPort { return n.peers }, Others: func() []netip.AddrPort { return nil },
+		Revisions: func() []uint64 { return []uint64{7} },
+		Heard:     func(_ string, r []uint64) { n.heard <- r },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Share = share
+	share.Engine = &placer.Engine{Set: n.set, Mine: func(routing.ServiceID) []*replicas.Replica { return nil }}
+	return n
+}
+
+// Two daemons place their requests at one replica as if it were idle, since neither knows
+// of the other's. Each must see the other's work soon, and its end.
+func TestPeersSeeEachOthersWork(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	a.peers = []netip.AddrPort{netip.MustParseAddrPort(b.conn.LocalAddr().String())}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	for _, n := range []*node{a, b} {
+		go func() {
+			_ = n.Run(ctx) // ends with ctx
+			done <- struct{}{}
+		}()
+	}
+	defer func() {
+		cancel()
+		<-done
+		<-done
+	}()
+	seen := func() replicas.Work { return b.set.Get("r").Load.Total(time.Now()) }
+	await := func(what string, is func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: %+v", what, seen())
+			}
+		}
+	}
+	flight := a.set.Get("r").Load.BeginLong(100, 60)
+	await("the work shows", func() bool { return seen() == replicas.Work{Requests: 1, Tokens: 100, Prefill: 60, Long: 100} })
+	flight.End()
+	await("its end shows", func() bool { return seen() == replicas.Work{} })
+
+	a.Announce(weights.State{Replica: "r", Busy: time.Minute, Model: "m", Weights: 3})
+	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
+	if r := <-b.heard; len(r) != 1 || r[0] != 7 {
+		t.Errorf("heard %v", r)
+	}
+}
+
+// What does not decode, or names replicas that are unknown here, changes nothing.
+func TestStrangeDatagramsAreIgnored(t *testing.T) {
+	n := start(t, "a")
+	defer n.conn.Close()
+	n.take(time.Now(), &Report{From: "x", Work: []*Work{{Replica: 1, Requests: 5}}, Placed: []*Placed{{Replica: 1, Parts: []uint64{1}}}, States: []*State{{Replica: 2, BusyMs: 9}}})
+	if got := n.set.Get("r").Load.Total(time.Now()); got != (replicas.Work{}) {
+		t.Errorf("got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,269 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+const model = request.Model("m")
+
+// shelf is a context store that holds some parts under a salt.
+type shelf struct {
+	held map[string]bool // salt/id
+	slow []string
+	asks int
+}
+
+func (s *shelf) Ask(_ context.Context, salt string, parts []relay.Part, _ []bool) ([]Stored, int64) {
+	s.asks++
+	out := make([]Stored, len(parts))
+	for i, p := range parts {
+		out[i] = Stored{Address: "store:1", FailureDomain: "a", Takes: 10 * time.Millisecond}
+		out[i].Fetch = s.held[salt+"/"+p.ID]
+		out[i].Save = !out[i].Fetch && i < len(parts)-1
+	}
+	return out, 777
+}
+
+func (s *shelf) Slow(address string) { s.slow = append(s.slow, address) }
+
+type world struct {
+	set    *replicas.Set
+	engine *Engine
+	shelf  *shelf
+	named  uint64
+	since  time.Time
+}
+
+func newWorld(n int) *world {
+	w := &world{set: replicas.NewSet(), shelf: &shelf{held: map[string]bool{}}, named: 1, since: time.Now()}
+	for i := range n {
+		w.put(i, 1)
+	}
+	w.engine = &Engine{
+		Set: w.set, Mine: w.set.Of, Domain: "a", Stores: w.shelf,
+		OldFrom: time.Second, OldBegin: 2 * time.Second,
+		Outdated: func(_ request.Model, v uint64) (time.Time, bool) { return w.since, v < w.named },
+	}
+	return w
+}
+
+func (w *world) put(i int, weights uint64) {
+	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{
+		ID: id(i), Service: "llm", Address: fmt.Sprintf("127.0.0.1:%d", i+1), FailureDomain: "a",
+		Weights: map[request.Model]uint64{model: weights},
+	}}})
+}
+
+func id(i int) request.TargetID { return request.TargetID(fmt.Sprint("r", i)) }
+
+func job(session string) *relay.Job {
+	return &relay.Job{
+		Meta: relay.Meta{
+			ID: "1", Model: model, PromptTokens: 9000, OutputTokens: 50,
+			Parts: []relay.Part{{ID: "shared", Tokens: 2500}, {ID: session, Tokens: 5000}, {ID: "own" + session, Tokens: 1500}},
+		},
+		Route:   &routing.Route{Kind: routing.KindStream, Objective: 600 * time.Millisecond, Priority: 1},
+		Service: &routing.Service{ID: "llm", Engine: &routing.Engine{Slots: 48, MemoryTokens: 50_000}},
+	}
+}
+
+func place(t *testing.T, w *world, j *relay.Job) *relay.Placement {
+	t.Helper()
+	p, err := w.engine.Place(context.Background(), j, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func done(p *relay.Placement) {
+	p.Flight.End()
+	p.Ended(true)
+}
+
+// A session returns and goes where its context lies, as long as that replica is free.
+func TestSessionReturnsToItsContext(t *testing.T) {
+	w := newWorld(6)
+	first := place(t, w, job("s"))
+	done(first)
+	for range 10 {
+		p := place(t, w, job("s"))
+		done(p)
+		if p.Replica != first.Replica {
+			t.Fatalf("went to %s, its context lies at %s", p.Replica.Info().ID, first.Replica.Info().ID)
+		}
+	}
+	first.Replica.Load.Begin(45_000, 40_000)
+	if p := place(t, w, job("s")); p.Replica == first.Replica {
+		t.Error("waits for a busy replica")
+	}
+}
+
+// Parts come from the store where it has them, and go there where it wants them; leave to
+// fetch has an end on the replicas' clock.
+func TestPartsAreFetchedAndSaved(t *testing.T) {
+	w := newWorld(1)
+	w.shelf.held["w1/shared"] = true
+	p := place(t, w, job("s"))
+	if got := p.Send.FetchFrom; got[0] != "store:1" || got[1] != "" || got[2] != "" {
+		t.Errorf("fetch %q", got)
+	}
+	if got := p.Send.SaveTo; got[0] != "" || got[1] != "store:1" || got[2] != "" {
+		t.Errorf("save %q", got)
+	}
+	if p.Send.FetchUntil != 777 || p.Send.CacheSalt != "w1" || p.Send.Weights != 1 {
+		t.Errorf("sent %+v", p.Send)
+	}
+}
+
+// An organisation that shares with nobody gets a salt of its own, so that no part of
+// another's is found by name, nor its own by others.
+func TestIsolatedOrganisationSharesNothing(t *testing.T) {
+	w := newWorld(1)
+	alone, other := job("s"), job("s")
+	alone.Org = &routing.Org{ID: "o1", Isolated: true}
+	other.Org = &routing.Org{ID: "o2"}
+	a, b := place(t, w, alone).Send.CacheSalt, place(t, w, other).Send.CacheSalt
+	if a == b || b != "w1" {
+		t.Errorf("salts %q and %q", a, b)
+	}
+}
+
+// Weights are named. Replicas on the old ones are used for a while, with a time by which
+// the answer must have begun, and then not at all: the caller is told to come back.
+func TestOldWeightsAreUsedForAWhileOnly(t *testing.T) {
+	w := newWorld(2)
+	w.named = 2
+	p := place(t, w, job("s"))
+	if want := w.since.Add(2 * time.Second); !p.BeginBy.Equal(want) {
+		t.Errorf("must begin by %s, want %s", p.BeginBy, want)
+	}
+	done(p)
+	w.since = time.Now().Add(-1100 * time.Millisecond)
+	_, err := w.engine.Place(context.Background(), job("s"), nil)
+	var refused *request.Error
+	if !errors.As(err, &refused) || refused.Ran != request.NotRun || refused.RetryAfter == 0 {
+		t.Fatalf("got %v", err)
+	}
+	w.put(1, 2)
+	if p := place(t, w, job("s")); p.Replica.Info().ID != "r1" || p.Send.CacheSalt != "w2" || !p.BeginBy.IsZero() {
+		t.Errorf("placed at %s with %+v", p.Replica.Info().ID, p.Send)
+	}
+}
+
+// Parts made under other weights are never named to a replica, whichever it is: the stores
+// are asked for those of the replica's own weights.
+func TestPartsAreThoseOfTheReplicasWeights(t *testing.T) {
+	w := newWorld(2)
+	w.named = 2
+	w.put(1, 2)
+	w.shelf.held["w2/shared"] = true
+	w.set.Get("r1").Load.Begin(49_000, 20_000) // the one on new weights is busy
+	p := place(t, w, job("s"))
+	if p.Replica.Info().ID != "r0" || p.Send.CacheSalt != "w1" || p.Send.FetchFrom[0] != "" {
+		t.Errorf("at %s: %+v", p.Replica.Info().ID, p.Send)
+	}
+}
+
+// Replicas that load weights get nothing, and those that load next no long answers.
+func TestReplicasThatLoadAreLeftAlone(t *testing.T) {
+	w := newWorld(3)
+	soon := time.Now().Add(time.Minute)
+	w.set.Get("r0").SetBusy(soon)
+	w.set.Get("r1").SetShortOnly(soon)
+	long := job("s")
+	long.OutputTokens = 1000
+	for i := range 10 {
+		if p := place(t, w, long); p.Replica.Info().ID != "r2" {
+			t.Fatalf("a long answer went to %s", p.Replica.Info().ID)
+		} else {
+			done(p)
+		}
+		if p := place(t, w, job(fmt.Sprint(i))); p.Replica.Info().ID == "r0" {
+			t.Fatal("a replica that loads got a request")
+		} else {
+			done(p)
+		}
+	}
+}
+
+// The load: prompts arrive faster than the replicas compute them. Those that would be late
+// are refused at once, the less urgent first, with when to come back.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(1)
+	w.set.Get("r0").Load.Begin(1000, 30_000) // 600 ms of prompts
+	normal, urgent := job("s"), job("s")
+	urgent.Route = &routing.Route{Kind: routing.KindStream, Objective: 600 * time.Millisecond, Priority: 0}
+	_, err := w.engine.Place(context.Background(), normal, nil)
+	var refused *request.Error
+	if !errors.As(err, &refused) || refused.Code != request.CodeOverloaded || refused.RetryAfter < minBack {
+		t.Errorf("got %v", err)
+	}
+	if _, err := w.engine.Place(context.Background(), urgent, nil); err != nil {
+		t.Errorf("the urgent one: %v", err)
+	}
+}
+
+// A store's link is slower than its keeper thinks. The first token of a fetch is overdue,
+// and the keeper is told while the fetch still waits.
+func TestOverdueFetchIsReported(t *testing.T) {
+	w := newWorld(1)
+	for _, p := range job("s").Parts {
+		w.shelf.held["w1/"+p.ID] = true
+	}
+	reported := make(chan string, 1)
+	w.engine.Stores = &reporting{shelf: w.shelf, slow: reported}
+	place(t, w, job("s"))
+	select {
+	case address := <-reported:
+		if address != "store:1" {
+			t.Errorf("reported %s", address)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("nothing is reported")
+	}
+	p := place(t, w, job("s"))
+	p.First()
+	select {
+	case <-reported:
+		t.Error("a fetch in time is reported")
+	case <-time.After(2 * fetchOverdue):
+	}
+}
+
+type reporting struct {
+	*shelf
+	slow chan string
+}
+
+func (r *reporting) Slow(address string) { r.slow <- address }
+
+// A plain call goes to the least loaded replica, another one after a failure, and nowhere
+// if there is none.
+func TestPlainCallGoesToTheLeastLoaded(t *testing.T) {
+	w := newWorld(3)
+	p := &Plain{Set: w.set, Domain: "a"}
+	j := &relay.Job{Service: &routing.Service{ID: "llm"}}
+	w.set.Get("r0").Load.Begin(0, 0)
+	w.set.Get("r1").Load.Begin(0, 0)
+	got, err := p.Place(context.Background(), j, nil)
+	if err != nil || got.Replica.Info().ID != "r2" {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	got, err = p.Place(context.Background(), j, []request.TargetID{"r2", "r0"})
+	if err != nil || got.Replica.Info().ID != "r1" {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if _, err := p.Place(context.Background(), j, []request.TargetID{"r0", "r1", "r2"}); err == nil {
+		t.Error("placed although all were tried")
+	}
+}
