--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -216,6 +216,11 @@
 	behind, c := start(t, refused)
 	c.await(t, "p/1", "old")
 	refused.set(func(f *faulty) { f.err = platform.ErrUnavailable })
+	for deadline := time.Now().Add(5 * time.Second); behind.Connected(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the refusal is not noticed")
+		}
+	}
 	put(t, fine, "p/1", "new")
 
 	peer := httptest.NewServer(NewCopiesServer(NewGroup(http.DefaultClient, hclog.NewNullLogger(), known)))
--- a/internal/proofs/proofs_test.go
+++ b/internal/proofs/proofs_test.go
@@ -18,7 +18,7 @@
 
 var (
 	// goTest is a test by package directory and function.
-	goTest = regexp.MustCompile("`((?:internal|cmd)/[a-z0-9/]+)\\.((?:Test|Fuzz|Benchmark)[A-Za-z0-9]+)`")
+	goTest = regexp.MustCompile("`((?:internal|cmd)/[a-z0-9/]+|platform)\\.((?:Test|Fuzz|Benchmark)[A-Za-z0-9]+)`")
 	// faultCase is a case of make faults.
 	faultCase = regexp.MustCompile("`faults/([a-z_]+)`")
 	// target is a goal of the Makefile.
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -14,6 +14,8 @@
 // accept reads a request whole and finds its route and organisation.
 func (s *Server) accept(r *http.Request) (*Job, error) {
 	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header}
+	meta, metaErr := s.o.Dialect.Meta(r.Header)
+	j.Meta = meta // also for the log of a refusal
 	state, current := s.o.State()
 	if state == nil {
 		return j, request.Refuse(request.CodeStale, http.StatusServiceUnavailable, notReadyRetry, "no desired state is known yet")
@@ -31,10 +33,8 @@
 			return j, ifCurrent(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
 		}
 	}
-	meta, err := s.o.Dialect.Meta(r.Header)
-	j.Meta = meta
-	if err != nil {
-		return j, &request.Error{Code: request.CodeBadRequest, Status: http.StatusBadRequest, Message: err.Error(), Ran: request.NotRun}
+	if metaErr != nil {
+		return j, &request.Error{Code: request.CodeBadRequest, Status: http.StatusBadRequest, Message: metaErr.Error(), Ran: request.NotRun}
 	}
 	j.Service = state.Services[j.Route.ServiceFor(splitKey(j))]
 	if j.Service == nil {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -25,7 +25,8 @@
 	orders   map[request.TargetID]uint64
 	given    []Order
 	givenTo  []request.TargetID
-	lose     int // answers of the next orders that are lost, the orders with them
+	sentAt   time.Time // when the last order came
+	lose     int       // answers of the next orders that are lost, the orders with them
 }
 
 func (f *fakeReplicas) Report(_ context.Context, r *replicas.Replica) (Report, error) {
@@ -39,6 +40,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := r.Info().ID
+	f.sentAt = time.Now()
 	f.given, f.givenTo = append(f.given, o), append(f.givenTo, id)
 	if f.lose > 0 {
 		f.lose--
@@ -192,7 +194,7 @@
 	b.named = 2
 	d := b.duty("d1")
 	runUntil(t, b, d, 2)
-	sent := time.Unix(0, d.lastSent.Load())
+	sent := b.calls.sentAt
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = d.Run(ctx) }()
