Fewer calls to the platform's store with many daemons

Daemons that start together each saw themselves alone and asked for every store's lease; later ones asked for stores that others kept; each change of the registry was a call for each daemon.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -25,7 +25,12 @@
 	// between failure domains; a prompt is computed in 100 to 200.
 	askTimeout = 60 * time.Millisecond
 	// deafFor is how long a keeper that did not answer is not asked.
-	deafFor = 400 * time.Millisecond
+	deafFor = 700 * time.Millisecond
+	// lostFor is how long a store counts as kept by nobody after its keeper said so.
+	lostFor = time.Second
+	// gather is how long to wait for more keepers to change: those of a daemon that died
+	// change together.
+	gather = 200 * time.Millisecond
 	// fullFor is how long a store counts as full after its keeper said so.
 	fullFor = 3 * time.Second
 	// smallShare is the part of a store's room that one part of a prompt may take for
@@ -53,6 +58,7 @@
 	keepers map[string]Keeper // by address
 	deaf    map[string]time.Time
 	full    map[string]time.Time // by store
+	lost    map[string]time.Time // by store: when its keeper said that it does not keep it
 	slow    map[string]bool      // addresses of stores whose keepers are to be told
 }
 
@@ -62,9 +68,9 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("contextstore")
-	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, slow: map[string]bool{}}
+	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, lost: map[string]time.Time{}, slow: map[string]bool{}}
 	a.holders.Store(&map[string]lease.Holder{})
-	a.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: lease.RecordPrefix + LeasePrefix, Apply: a.apply, Gather: followPause, Logger: o.Logger})
+	a.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: lease.RecordPrefix + LeasePrefix, Apply: a.apply, Gather: func() time.Duration { return gather }, Logger: o.Logger})
 	return a
 }
 
@@ -138,11 +144,7 @@
 func (a *Asker) merge(out []placer.Stored, q *question, r *ClaimResponse) {
 	for i, answer := range r.Parts {
 		store := q.stores[i]
-		if answer.Full {
-			a.mu.Lock()
-			a.full[string(store.ID)] = time.Now()
-			a.mu.Unlock()
-		}
+		a.note(string(store.ID), answer)
 		at := q.at[i]
 		if out[at].Fetch || !answer.Fetch && !answer.Save {
 			continue
@@ -155,6 +157,18 @@
 	}
 }
 
+// note remembers what an answer says of the store itself.
+func (a *Asker) note(store string, answer *PartAnswer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answer.Full {
+		a.full[store] = time.Now()
+	}
+	if answer.NotKept {
+		a.lost[store] = time.Now()
+	}
+}
+
 // questions sorts the parts by the keepers of their stores.
 func (a *Asker) questions(salt string, parts []relay.Part, resident []bool) []*question {
 	byKeeper := map[string]*question{}
@@ -253,13 +267,14 @@
 	return slow
 }
 
-// Deaf reports whether the keeper of a store did not answer the last question, a moment
-// ago.
-func (a *Asker) Deaf(store routing.ServiceID) bool {
+// Kept reports whether some daemon keeps a store, as far as is known: it holds the lease
+// and has not been silent, or said that it does not keep the store, a moment ago.
+func (a *Asker) Kept(store routing.ServiceID) bool {
 	h := (*a.holders.Load())[string(store)]
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return time.Since(a.deaf[h.Address]) < deafFor
+	now := time.Now()
+	return h.Address != "" && now.After(a.deaf[h.Address]) && now.Sub(a.lost[string(store)]) > lostFor
 }
 
 func (a *Asker) isDeaf(address string) bool {
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -52,8 +52,9 @@
 	Stores func() []*routing.Service
 	// Rank returns this daemon's place among those that may keep a store, 0 first.
 	Rank func(store routing.ServiceID) int
-	// Deaf reports whether a store's keeper has not answered lately; nil: never.
-	Deaf func(store routing.ServiceID) bool
+	// Kept reports whether some daemon is known to keep a store, and has answered when it
+	// was asked last; nil: never.
+	Kept func(store routing.ServiceID) bool
 	// TokenBytes returns the size of a token's KV cache; zero if it is not known yet.
 	TokenBytes func() int
 	Logger     hclog.Logger
@@ -138,11 +139,10 @@
 // does not answer, the next ones in rank ask, too: the first is mostly that keeper, and is
 // listed for some time after it died.
 func (s *StoreKeeper) mayTake(store routing.ServiceID) bool {
-	rank := s.o.Rank(store)
-	if rank == 0 {
-		return true
+	if s.o.Kept != nil && s.o.Kept(store) {
+		return false
 	}
-	return rank <= backupRanks && s.o.Deaf != nil && s.o.Deaf(store)
+	return s.o.Rank(store) <= backupRanks
 }
 
 const bitsPerMegabit = 1e6
@@ -191,6 +191,9 @@
 		k := s.stores[routing.ServiceID(store)]
 		s.mu.Unlock()
 		if k == nil {
+			for _, n := range at {
+				out.Parts[n].NotKept = true
+			}
 			continue
 		}
 		asks := make([]*PartAsk, len(at))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -51,9 +51,9 @@
 	// Wait returns the longest wait of one watch; nil: 8 s. The waits differ by chance, so
 	// that of some daemons one soon finds that all their watches were cut.
 	Wait func() time.Duration
-	// Gather is how long to wait after a change for more, so that many changes at once
-	// don't cost a call each.
-	Gather time.Duration
+	// Gather returns how long to wait after a change for more, so that many changes at
+	// once don't cost a call each; nil: not at all.
+	Gather func() time.Duration
 	Apply  func(Update) // called from one goroutine
 	Logger hclog.Logger
 }
@@ -76,6 +76,9 @@
 	if o.Wait == nil {
 		o.Wait = func() time.Duration { return defaultWait }
 	}
+	if o.Gather == nil {
+		o.Gather = func() time.Duration { return 0 }
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -146,7 +149,7 @@
 	}
 	if len(entries) > 0 {
 		m.takeSome(entries, m.lapsing())
-		_ = pause.For(ctx, m.o.Gather) // the loop asks the context itself
+		_ = pause.For(ctx, m.o.Gather()) // the loop asks the context itself
 	}
 	return next, nil
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,7 +30,7 @@
 	leaseTTL  = 4 * time.Second
 	beatEvery = time.Second
 	callLimit = 2 * time.Second
-	gather    = 100 * time.Millisecond // daemons come and go in groups
+	gather    = 400 * time.Millisecond // daemons come and go in groups
 )
 
 // Daemon is what a daemon tells of itself.
@@ -74,7 +74,7 @@
 	}
 	o.Logger = o.Logger.Named("roster")
 	r := &Roster{o: o, self: o.Self, known: map[string]Daemon{}, lapsing: map[string]time.Time{}}
-	r.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: o.Prefix, Apply: r.apply, Gather: gather, Logger: o.Logger})
+	r.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: o.Prefix, Apply: r.apply, Gather: func() time.Duration { return gather }, Logger: o.Logger})
 	r.publish()
 	return r
 }
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -62,7 +62,7 @@
 	hearFirst = 80 * time.Millisecond
 	// heldPause is how long a daemon without work for it leaves a duty alone that another
 	// holds.
-	heldPause = time.Second
+	heldPause = 2 * time.Second
 )
 
 // Report is a replica's own word on its state.
