--- a/internal/controlbench/processes.go
+++ b/internal/controlbench/processes.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/cockroachdb/errors"
 )
 
@@ -83,20 +84,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for !condition() {
-		if err := pause(ctx, pollStep); err != nil {
+		if err := pause.For(ctx, pollStep); err != nil {
 			return errors.Wrap(err, "waited in vain")
 		}
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/controlbench/relay.go
+++ b/internal/controlbench/relay.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
@@ -55,7 +56,7 @@
 	if err := c.startDaemons(ctx, 1); err != nil {
 		return err
 	}
-	if err := pause(ctx, settle/2); err != nil {
+	if err := pause.For(ctx, settle/2); err != nil {
 		return err
 	}
 	prefix := fmt.Sprintf("relay_%d", streams)
@@ -116,7 +117,7 @@
 	if err != nil {
 		return relayResult{}, errors.Wrapf(err, "%d of %d streams began", r.begun.Load(), streams)
 	}
-	if err := pause(ctx, time.Second); err != nil {
+	if err := pause.For(ctx, time.Second); err != nil {
 		return relayResult{}, err
 	}
 	before, err := c.processorSample()
@@ -124,7 +125,7 @@
 		return relayResult{}, err
 	}
 	r.measuring.Store(true)
-	if err := pause(ctx, relayWindow); err != nil {
+	if err := pause.For(ctx, relayWindow); err != nil {
 		return relayResult{}, err
 	}
 	r.measuring.Store(false)
--- a/internal/controlbench/targets.go
+++ b/internal/controlbench/targets.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"strings"
+
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 )
 
 // targets measures one daemon that is the steward of all targets, at several numbers of
@@ -39,7 +41,7 @@
 	if err := c.startDaemons(ctx, 1); err != nil {
 		return err
 	}
-	if err := pause(ctx, settle); err != nil {
+	if err := pause.For(ctx, settle); err != nil {
 		return err
 	}
 	asked := e.asked.Load()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/target"
@@ -72,7 +73,7 @@
 	case retry.GiveUp:
 		return d.Err
 	case retry.RetryElsewhere:
-		if !sleep(j.ctx, d.After) {
+		if pause.For(j.ctx, d.After) != nil {
 			return cancelled(failure.answer.Ran)
 		}
 	}
@@ -84,17 +85,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tryError is how one try at one target ended without the whole answer.
 type tryError struct {
 	answer       *request.Error // for the caller, if this was the last try
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/kvapi"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
@@ -161,7 +162,7 @@
 			<-ctx.Done()
 			return err
 		}
-		if !sleep(ctx, scanInterval) {
+		if pause.For(ctx, scanInterval) != nil {
 			return nil
 		}
 	}
@@ -207,7 +208,7 @@
 			return
 		}
 		w.step(ctx)
-		sleep(ctx, flushInterval)
+		_ = pause.For(ctx, flushInterval) // the loop asks the context itself
 	}
 }
 
--- a/internal/journal/worker.go
+++ b/internal/journal/worker.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
 
@@ -346,7 +347,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, pauseAfter(w.timedStep(ctx), pace)) {
+		if pause.For(ctx, pauseAfter(w.timedStep(ctx), pace)) != nil {
 			return
 		}
 	}
@@ -368,17 +369,3 @@
 	defer cancel()
 	return w.step(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
@@ -214,16 +215,7 @@
 		peers := s.node.core.TakeUrgent()
 		s.mu.Unlock()
 		s.begin(ctx, peers)
-		pause(ctx, urgentGap)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		_ = pause.For(ctx, urgentGap) // the loop asks the context itself
 	}
 }
 
--- a/internal/membership/vms.go
+++ b/internal/membership/vms.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
 
@@ -17,7 +18,7 @@
 		} else if ctx.Err() == nil {
 			s.log.Warn("VM list was not read", "error", err)
 		}
-		pause(ctx, s.options.VMInterval)
+		_ = pause.For(ctx, s.options.VMInterval) // the loop asks the context itself
 	}
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// For waits for d, or until ctx ends and returns its error.
+// For waits for d, or until ctx ends and returns its error. A d of zero or less is no wait.
 func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/planner/budget.go
+++ b/internal/planner/budget.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
@@ -60,7 +61,7 @@
 		granted := p.allow(id, int64(len(left))*unit, unit)
 		if granted == 0 {
 			p.deferredChunks.Inc(1)
-			if !pause(ctx) {
+			if pause.For(ctx, chunkPause) != nil {
 				return nil, ctx.Err()
 			}
 			continue
@@ -90,14 +91,3 @@
 	}
 	return answer.Written, nil
 }
-
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(chunkPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/fault"
 	"github.com/bluebellscale/bluebellscale/internal/standin/vmlist"
@@ -211,17 +212,7 @@
 
 // pause waits and tells whether the replica goes on.
 func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, d) == nil
 }
 
 func (e *Engine) signal() {
--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 )
 
 // Path is where the switches are read and set.
@@ -59,7 +61,7 @@
 	if status.Cut {
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), time.Duration(status.DelayMillis)*time.Millisecond) {
+	if pause.For(r.Context(), time.Duration(status.DelayMillis)*time.Millisecond) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	// A read takes no effect, so a lost answer is always that of a request that does:
@@ -71,20 +73,6 @@
 	next.ServeHTTP(w, r)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // discard is a response that goes nowhere.
 type discard struct {
 	header http.Header
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bluebellscale/bluebellscale/internal/kvapi"
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 )
 
 // ClientHeader carries the daemon id of the caller, so that one daemon can be cut off.
@@ -125,7 +126,7 @@
 			writeJSON(w, http.StatusTooManyRequests, struct{}{})
 			return
 		}
-		if !sleep(r.Context(), slow) {
+		if pause.For(r.Context(), slow) != nil {
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
@@ -140,20 +141,6 @@
 	return s.reads.Allow()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	e, err := s.core.Get(r.URL.Query().Get("key"))
 	if err != nil {
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
@@ -60,7 +61,7 @@
 	loop.setRereadJitter()
 	for ctx.Err() == nil {
 		wait := loop.step(ctx, watcher())
-		sleep(ctx, wait)
+		_ = pause.For(ctx, wait) // the loop asks the context itself
 	}
 	return ctx.Err()
 }
@@ -210,15 +211,3 @@
 	r.confirm(asked)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/table/wait.go
+++ b/internal/table/wait.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/cockroachdb/errors"
 )
 
@@ -71,7 +72,7 @@
 		if last.InForce {
 			return last
 		}
-		sleep(ctx, waitPoll)
+		_ = pause.For(ctx, waitPoll) // the loop asks the context itself
 	}
 	return last
 }
