The end of an outage is known when it comes; what leaves after it is no lapse

Ruled out: a lost event, the daemon had it within 3 ms.

After a failed watch the prefix is listed, which answers at once; removals count as lapses for one second after the end; a lapsed replica is used for 1.5 s. Seen failing first: TestRemovalLongAfterAnOutageIsNoLapse.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,9 +27,9 @@
 	defaultWait = 8 * time.Second
 	minPause    = 100 * time.Millisecond // between failed calls, at first
 	maxPause    = time.Second
-	// returnGrace is how long after an outage entries that lapsed meanwhile may take to
-	// come back: their owners write them again within two seconds.
-	returnGrace = 2200 * time.Millisecond
+	// returnGrace is how long after an outage a removal may be of a lease that ran out in
+	// it, with its owner alive. What is removed later has left.
+	returnGrace = time.Second
 	// outageAfter is how long calls must fail to count as an outage. A watch that is cut
 	// and goes on at once is none.
 	outageAfter = 500 * time.Millisecond
@@ -107,8 +107,8 @@
 		for err == nil {
 			at, err = m.watch(ctx, at)
 		}
-		if errors.Is(err, errRefresh) || errors.Is(err, platform.ErrCompacted) {
-			continue
+		if err != nil && ctx.Err() == nil {
+			m.o.Logger.Debug("The prefix is listed anew", "cause", err)
 		}
 	}
 	return nil
@@ -130,23 +130,28 @@
 	return at, nil
 }
 
+// watch waits for changes once. After a failure the prefix is listed anew: a list answers
+// at once, so that the end of an outage is known when it comes and not when the next watch
+// has waited its time.
 func (m *Mirror) watch(ctx context.Context, at platform.Revision) (platform.Revision, error) {
-	var entries []platform.Entry
-	next := at
-	err := m.retried(ctx, func() (err error) {
-		cut, cancel := context.WithCancel(ctx)
-		defer cancel()
-		go m.cutOnRefresh(cut, cancel)
-		longest := m.o.Wait()
-		entries, next, err = m.o.KV.Watch(cut, m.o.Prefix, at, longest/2+rand.N(longest/2))
-		if err != nil && cut.Err() != nil && ctx.Err() == nil {
-			return errRefresh
+	cut, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go m.cutOnRefresh(cut, cancel)
+	longest := m.o.Wait()
+	entries, next, err := m.o.KV.Watch(cut, m.o.Prefix, at, longest/2+rand.N(longest/2))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return at, ctx.Err()
+	case err != nil && cut.Err() != nil:
+		return at, errRefresh
+	case err != nil:
+		m.connected.Store(false)
+		if !errors.Is(err, platform.ErrCompacted) {
+			m.failed(err)
 		}
-		return err
-	})
-	if err != nil {
 		return at, err
 	}
+	m.connected.Store(true)
 	if len(entries) > 0 {
 		m.takeSome(entries, m.lapsing())
 		_ = pause.For(ctx, m.o.Gather()) // the loop asks the context itself
@@ -168,7 +173,7 @@
 	return time.Now().Before(m.lapseEnds)
 }
 
-// retried calls until it succeeds or fails for a reason that repeating does not mend.
+// retried calls until it succeeds or ctx ends.
 func (m *Mirror) retried(ctx context.Context, call func() error) error {
 	next := minPause
 	for {
@@ -180,13 +185,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if errors.Is(err, errRefresh) {
-			return err
-		}
 		m.connected.Store(false)
-		if errors.Is(err, platform.ErrCompacted) {
-			return err
-		}
 		m.failed(err)
 		_ = pause.For(ctx, next/2+rand.N(next/2)) // the loop asks the context itself
 		next = min(2*next, maxPause)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -241,3 +241,54 @@
 		t.Errorf("the copy went back to %q", got)
 	}
 }
+
+// slowWatch waits as long as it may, as the service does while nothing changes.
+type slowWatch struct{ *faulty }
+
+func (s slowWatch) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		entries, next, err := s.faulty.Watch(ctx, prefix, after, 0)
+		if err != nil || len(entries) > 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return entries, next, err
+		}
+	}
+}
+
+// The service refuses one daemon for a while. Some seconds after it serves that daemon
+// again a replica leaves without a word: its entry is removed. The daemon's first watch
+// after the refusal is still waiting then, and taken for the end of the outage the entry
+// would count as lapsed, and the replica be used for longer than it may.
+func TestRemovalLongAfterAnOutageIsNoLapse(t *testing.T) {
+	store := &faulty{KV: kv.NewFake(time.Now).Client("a")}
+	put(t, store, "p/1", "one")
+	c := newCopy()
+	m := New(Options{KV: slowWatch{store}, Prefix: "p/", Apply: c.apply, Wait: func() time.Duration { return 6 * time.Second }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx) // ends with ctx
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	c.await(t, "p/1", "one")
+	store.set(func(f *faulty) { f.err = platform.ErrUnavailable })
+	time.Sleep(outageAfter + 300*time.Millisecond)
+	store.set(func(f *faulty) { f.err = nil })
+	time.Sleep(maxPause + returnGrace + 200*time.Millisecond) // it was tried again, and the time for lapses is over
+	e, err := store.Get(ctx, "p/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Delete(ctx, "p/1", e.Revision); err != nil {
+		t.Fatal(err)
+	}
+	c.await(t, "p/1", "")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lapsing {
+		t.Error("the removal counts as lapsed")
+	}
+}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -22,8 +22,10 @@
 const (
 	dialTimeout = 800 * time.Millisecond // a replica that is up accepts within a few ms
 	maxIdle     = 16                     // idle connections to one replica
-	// lapseGrace is how long a replica whose entry lapsed in an outage is still used.
-	lapseGrace = 2200 * time.Millisecond
+	// lapseGrace is how long a replica whose entry lapsed in an outage is still used. Most
+	// write their entries again within two seconds of its end; one that has left instead
+	// may get no requests two seconds after its entry went.
+	lapseGrace = 1500 * time.Millisecond
 )
 
 // Info is what the registry tells of a replica.
