Drop fields that nobody reads; order names once to find a group

Answer.Moved and Replacer, Response.Fresh and two fields of a connection were written and never read. subset.Of sorted all names once for each group; it sorts them once. No behaviour changed.

--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -41,17 +41,21 @@
 	return out
 }
 
+// cut returns one of some even parts of names in their order.
+func cut(ordered []string, group, groups int) []string {
+	return ordered[group*len(ordered)/groups : (group+1)*len(ordered)/groups]
+}
+
 // Part returns the names in one of some groups.
 func Part(names []string, group, groups int) []string {
-	ordered := order(names)
-	from, to := group*len(ordered)/groups, (group+1)*len(ordered)/groups
-	return ordered[from:to]
+	return cut(order(names), group, groups)
 }
 
 // Of returns the group in which a name is, 0 if it is in none.
 func Of(names []string, name string, groups int) int {
+	ordered := order(names)
 	for group := range groups {
-		if slices.Contains(Part(names, group, groups), name) {
+		if slices.Contains(cut(ordered, group, groups), name) {
 			return group
 		}
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -51,12 +51,10 @@
 
 // Answer is what a replica's headers say.
 type Answer struct {
-	ID       string
-	Signed   bool   // the replica vouches for the answer
-	NotRun   bool   // it did not run the request
-	Moved    bool   // another replica, or other weights, than the request expected
-	Weights  uint64 // that it serves; zero: not told
-	Replacer request.TargetID
+	ID      string
+	Signed  bool   // the replica vouches for the answer
+	NotRun  bool   // it did not run the request
+	Weights uint64 // that it serves; zero: not told
 }
 
 // Dialect reads and writes the headers that callers and replicas use.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,10 +37,8 @@
 // conn is a connection to one address.
 type conn struct {
 	net.Conn
-	br     *bufio.Reader
-	used   bool      // carried a request before
-	idleAt time.Time // since when it is idle
-	until  time.Time // before the peer may close it for idleness
+	br    *bufio.Reader
+	until time.Time // before the peer may close it for idleness
 }
 
 // Dialer opens connections that notice a peer that is gone.
@@ -160,9 +158,7 @@
 		c.Close()
 		return
 	}
-	c.used = true
-	c.idleAt = time.Now()
-	c.until = c.idleAt.Add(keepFor)
+	c.until = time.Now().Add(keepFor)
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle) < p.maxIdle
 	if keep {
--- a/internal/upstream/try.go
+++ b/internal/upstream/try.go
@@ -50,7 +50,6 @@
 	Header        http.Header
 	ContentLength int64 // -1: unknown
 	Body          io.Reader
-	Fresh         bool // the connection was new
 
 	pool     *Pool
 	c        *conn
@@ -64,8 +63,7 @@
 // connection is closed, which tells the replica to stop; the caller must call Done.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c := p.take(time.Now())
-	fresh := c == nil
-	if fresh {
+	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent)
@@ -78,7 +76,6 @@
 		c.abort()
 		return nil, err
 	}
-	response.Fresh = fresh
 	response.release = stop
 	return response, nil
 }
