One watch of the platform's store for all that a daemon follows

The store cuts all watches without a word while a desired state changes. A watch waited for up to 20 s with 71 daemons, since all of them together look often enough and tell each other; but a third of them were cut off from the others, and learned of the change 6 s late. Each daemon must find out by itself within the bound.

Ruled out: telling changes to more peers (a daemon cut off hears none of them); stale reads (they are seconds old just then).

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -14,7 +14,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/placer"
-	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -28,9 +27,6 @@
 	deafFor = 700 * time.Millisecond
 	// lostFor is how long a store counts as kept by nobody after its keeper said so.
 	lostFor = time.Second
-	// gather is how long to wait for more keepers to change: those of a daemon that died
-	// change together.
-	gather = 200 * time.Millisecond
 	// fullFor is how long a store counts as full after its keeper said so.
 	fullFor = 3 * time.Second
 	// smallShare is the part of a store's room that one part of a prompt may take for
@@ -40,12 +36,12 @@
 
 // AskerOptions are the options of NewAsker.
 type AskerOptions struct {
-	KV     platform.KV
-	Self   request.DaemonID
-	Own    *StoreKeeper // asked without a call
-	Stores func() []*routing.Service
-	Client *http.Client
-	Logger hclog.Logger
+	Follower *mirror.Follower // of the key-value service; its owner runs it
+	Self     request.DaemonID
+	Own      *StoreKeeper // asked without a call
+	Stores   func() []*routing.Service
+	Client   *http.Client
+	Logger   hclog.Logger
 }
 
 // Asker finds the keeper of each part's store and asks it. It implements placer.Stores.
@@ -70,19 +66,13 @@
 	o.Logger = o.Logger.Named("contextstore")
 	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, lost: map[string]time.Time{}, slow: map[string]bool{}}
 	a.holders.Store(&map[string]lease.Holder{})
-	a.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: lease.RecordPrefix + LeasePrefix, Apply: a.apply, Gather: func() time.Duration { return gather }, Logger: o.Logger})
+	a.mirror = o.Follower.Mirror(lease.RecordPrefix+LeasePrefix, a.apply)
 	return a
 }
 
-// Run follows who keeps which store until ctx ends.
-func (a *Asker) Run(ctx context.Context) error { return a.mirror.Run(ctx) }
-
 // Mirror returns the mirror of the entries, whose copies peers may ask for.
 func (a *Asker) Mirror() *mirror.Mirror { return a.mirror }
 
-// Refresh asks for a new listing after this process stood still.
-func (a *Asker) Refresh() { a.mirror.Refresh() }
-
 func (a *Asker) apply(u mirror.Update) {
 	next := map[string]lease.Holder{}
 	if !u.Full {
--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -110,7 +110,8 @@
 		Leases: leases, Calls: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
 		TokenBytes: func() int { return 1000 },
 	})
-	a := NewAsker(AskerOptions{KV: client, Self: "a", Own: keeper, Stores: all, Client: http.DefaultClient})
+	follower := mirror.New(mirror.Options{KV: client})
+	a := NewAsker(AskerOptions{Follower: follower, Self: "a", Own: keeper, Stores: all, Client: http.DefaultClient})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -191,7 +192,7 @@
 // A keeper that is dead or cut off costs a request its stored parts, not a wait.
 func TestDeadKeeperIsNoWait(t *testing.T) {
 	a := NewAsker(AskerOptions{
-		KV: kv.NewFake(time.Now).Client("a"), Self: "a", Client: http.DefaultClient,
+		Follower: mirror.New(mirror.Options{KV: kv.NewFake(time.Now).Client("a")}), Self: "a", Client: http.DefaultClient,
 		Stores: func() []*routing.Service { return []*routing.Service{service("s", 1000, 1000)} },
 	})
 	// An address of the loopback net that nobody listens on.
--- /dev/null
+++ b/internal/mirror/follow.go
@@ -0,0 +1,219 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+const (
+	// defaultWait bounds one watch. A watch can be cut without a word; each then begins
+	// anew after its wait, and tells its peers what it finds.
+	defaultWait = 8 * time.Second
+	minPause    = 100 * time.Millisecond // between failed calls, at first
+	maxPause    = time.Second
+	// returnGrace is how long after an outage a removal may be of a lease that ran out in
+	// it, with its owner alive. What is removed later has left.
+	returnGrace = time.Second
+	// outageAfter is how long calls must fail to count as an outage. A watch that is cut
+	// and goes on at once is none.
+	outageAfter = 500 * time.Millisecond
+	// spread is the part of a watch's wait that is left to chance, so that the watches of
+	// many daemons don't end together.
+	spread = 0.2
+)
+
+// Options of New.
+type Options struct {
+	KV platform.KV
+	// Prefix is that of all keys that are watched; empty: all there are.
+	Prefix string
+	// Wait returns the longest wait of one watch; nil: 8 s. A watch that was cut without a
+	// word is noticed after it, so that it bounds how late a change may be known.
+	Wait func() time.Duration
+	// Gather returns how long to wait after a change for more, so that many changes at
+	// once don't cost a call each; nil: not at all.
+	Gather func() time.Duration
+	Logger hclog.Logger
+}
+
+// Follower keeps mirrors up to date.
+type Follower struct {
+	o         Options
+	mirrors   []*Mirror
+	failing   time.Time // since when calls fail; zero: they don't
+	connected atomic.Bool
+	wake      chan struct{}
+
+	mu        sync.Mutex
+	lapseEnds time.Time
+}
+
+// New returns a follower that has read nothing yet.
+func New(o Options) *Follower {
+	if o.Wait == nil {
+		o.Wait = func() time.Duration { return defaultWait }
+	}
+	if o.Gather == nil {
+		o.Gather = func() time.Duration { return 0 }
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	o.Logger = o.Logger.Named("mirror")
+	return &Follower{o: o, wake: make(chan struct{}, 1)}
+}
+
+// Mirror adds a copy of the keys below a prefix, which no other mirror may share. apply is
+// called from one goroutine at a time. It must be called before Run.
+func (f *Follower) Mirror(prefix string, apply func(Update)) *Mirror {
+	m := &Mirror{prefix: prefix, apply: apply, lapsing: f.lapsing, entries: map[string]platform.Entry{}}
+	f.mirrors = append(f.mirrors, m)
+	return m
+}
+
+// Connected reports whether the last call succeeded, so that the copies are as new as the
+// service's answers.
+func (f *Follower) Connected() bool { return f.connected.Load() }
+
+// Refresh asks for a new listing, for a process that stood still and must not trust what
+// it knows.
+func (f *Follower) Refresh() {
+	f.connected.Store(false)
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the service until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		at, err := f.list(ctx)
+		for err == nil {
+			at, err = f.watch(ctx, at)
+		}
+		if err != nil && ctx.Err() == nil {
+			f.o.Logger.Debug("All is listed anew", "cause", err)
+		}
+	}
+	return nil
+}
+
+var errRefresh = errors.New("mirror: a new listing is asked for")
+
+func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
+	var entries []platform.Entry
+	var at platform.Revision
+	err := f.retried(ctx, func() (err error) {
+		entries, at, err = f.o.KV.List(ctx, f.o.Prefix)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	for _, m := range f.mirrors {
+		m.takeAll(m.below(entries), at, f.lapsing())
+	}
+	return at, nil
+}
+
+// watch waits for changes once. After a failure all is listed anew: a list answers
+// at once, so that the end of an outage is known when it comes and not when the next watch
+// has waited its time.
+func (f *Follower) watch(ctx context.Context, at platform.Revision) (platform.Revision, error) {
+	cut, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.cutOnRefresh(cut, cancel)
+	entries, next, err := f.o.KV.Watch(cut, f.o.Prefix, at, f.nextWait())
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return at, ctx.Err()
+	case err != nil && cut.Err() != nil:
+		return at, errRefresh
+	case err != nil:
+		f.connected.Store(false)
+		if !errors.Is(err, platform.ErrCompacted) {
+			f.failed(err)
+		}
+		return at, err
+	}
+	f.connected.Store(true)
+	if len(entries) > 0 {
+		for _, m := range f.mirrors {
+			m.takeSome(m.below(entries), f.lapsing())
+		}
+		_ = pause.For(ctx, f.o.Gather()) // the loop asks the context itself
+	}
+	return next, nil
+}
+
+// nextWait returns how long the next watch may wait.
+func (f *Follower) nextWait() time.Duration {
+	longest := f.o.Wait()
+	return longest - time.Duration(spread*rand.Float64()*float64(longest))
+}
+
+func (f *Follower) cutOnRefresh(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-f.wake:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) lapsing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.lapseEnds)
+}
+
+// retried calls until it succeeds or ctx ends.
+func (f *Follower) retried(ctx context.Context, call func() error) error {
+	next := minPause
+	for {
+		err := call()
+		if err == nil {
+			f.succeeded()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f.connected.Store(false)
+		f.failed(err)
+		_ = pause.For(ctx, next/2+rand.N(next/2)) // the loop asks the context itself
+		next = min(2*next, maxPause)
+	}
+}
+
+func (f *Follower) succeeded() {
+	f.connected.Store(true)
+	if f.failing.IsZero() {
+		return
+	}
+	lasted := time.Since(f.failing)
+	f.failing = time.Time{}
+	if lasted >= outageAfter {
+		f.mu.Lock()
+		f.lapseEnds = time.Now().Add(returnGrace)
+		f.mu.Unlock()
+	}
+	f.o.Logger.Info("The key-value service answers again", "failed_for_ms", lasted.Milliseconds())
+}
+
+func (f *Follower) failed(err error) {
+	if !f.failing.IsZero() {
+		return
+	}
+	f.failing = time.Now()
+	f.o.Logger.Warn("The key-value service does not answer", "error", err)
+}
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -19,67 +19,6 @@
 	readTimeout = 500 * time.Millisecond
 )
 
-// takeAll takes all there is below the prefix.
-func (m *Mirror) takeAll(entries []platform.Entry, at platform.Revision, lapsing bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		present[e.Key] = true
-		m.keep(e)
-	}
-	for key, e := range m.entries {
-		if !present[key] && !e.Deleted && e.Revision <= at {
-			m.entries[key] = platform.Entry{Key: key, Revision: at, Deleted: true}
-			m.newest = max(m.newest, at)
-		}
-	}
-	m.o.Apply(Update{Entries: m.present(), Full: true, Lapsing: lapsing})
-}
-
-// takeSome takes changes, and leaves out those that are known already.
-func (m *Mirror) takeSome(entries []platform.Entry, lapsing bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var news []platform.Entry
-	for _, e := range entries {
-		if m.keep(e) {
-			news = append(news, e)
-		}
-	}
-	if len(news) > 0 {
-		m.o.Apply(Update{Entries: news, Lapsing: lapsing})
-	}
-}
-
-// keep notes an entry and reports whether it is news. A copy of a peer may have told it
-// before.
-func (m *Mirror) keep(e platform.Entry) bool {
-	if known, ok := m.entries[e.Key]; ok && known.Revision >= e.Revision {
-		return false
-	}
-	m.entries[e.Key] = e
-	m.newest = max(m.newest, e.Revision)
-	return true
-}
-
-func (m *Mirror) present() []platform.Entry {
-	out := make([]platform.Entry, 0, len(m.entries))
-	for _, e := range m.entries {
-		if !e.Deleted {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// Newest returns the revision of the newest change that is known.
-func (m *Mirror) Newest() platform.Revision {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.newest
-}
-
 // Group shares mirrors among daemons. It implements the service Copies.
 type Group struct {
 	client *http.Client
@@ -99,8 +38,8 @@
 		behind: map[string]time.Time{}, busy: map[string]bool{},
 	}
 	for _, m := range mirrors {
-		c.order = append(c.order, m.o.Prefix)
-		c.by[m.o.Prefix] = m
+		c.order = append(c.order, m.prefix)
+		c.by[m.prefix] = m
 	}
 	return c
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -118,10 +118,17 @@
 	}
 }
 
-func start(t *testing.T, store platform.KV) (*Mirror, *copyOf) {
+// followed is a follower with one mirror.
+type followed struct {
+	*Follower
+	mirror *Mirror
+}
+
+func start(t *testing.T, store platform.KV) (followed, *copyOf) {
 	t.Helper()
 	c := newCopy()
-	m := New(Options{KV: store, Prefix: "p/", Apply: c.apply, Wait: func() time.Duration { return 50 * time.Millisecond }})
+	m := New(Options{KV: store, Wait: func() time.Duration { return 50 * time.Millisecond }})
+	mirror := m.Mirror("p/", c.apply)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -132,7 +139,7 @@
 		cancel()
 		<-done
 	})
-	return m, c
+	return followed{Follower: m, mirror: mirror}, c
 }
 
 func TestMirrorFollows(t *testing.T) {
@@ -223,10 +230,10 @@
 	}
 	put(t, fine, "p/1", "new")
 
-	peer := httptest.NewServer(NewCopiesServer(NewGroup(http.DefaultClient, hclog.NewNullLogger(), known)))
+	peer := httptest.NewServer(NewCopiesServer(NewGroup(http.DefaultClient, hclog.NewNullLogger(), known.mirror)))
 	defer peer.Close()
-	group := NewGroup(http.DefaultClient, hclog.NewNullLogger(), behind)
-	told := NewGroup(http.DefaultClient, hclog.NewNullLogger(), known)
+	group := NewGroup(http.DefaultClient, hclog.NewNullLogger(), behind.mirror)
+	told := NewGroup(http.DefaultClient, hclog.NewNullLogger(), known.mirror)
 	for deadline := time.Now().Add(5 * time.Second); c.get("p/1") != "new"; {
 		if time.Now().After(deadline) {
 			t.Fatal("the peer's copy was not taken")
@@ -236,7 +243,7 @@
 	}
 
 	// What the service tells late is older than the copy, and changes nothing.
-	behind.takeSome([]platform.Entry{{Key: "p/1", Value: []byte("old"), Revision: 1}}, false)
+	behind.mirror.takeSome([]platform.Entry{{Key: "p/1", Value: []byte("old"), Revision: 1}}, false)
 	if got := c.get("p/1"); got != "new" {
 		t.Errorf("the copy went back to %q", got)
 	}
@@ -262,7 +269,8 @@
 	store := &faulty{KV: kv.NewFake(time.Now).Client("a")}
 	put(t, store, "p/1", "one")
 	c := newCopy()
-	m := New(Options{KV: slowWatch{store}, Prefix: "p/", Apply: c.apply, Wait: func() time.Duration { return 6 * time.Second }})
+	m := New(Options{KV: slowWatch{store}, Wait: func() time.Duration { return 6 * time.Second }})
+	m.Mirror("p/", c.apply)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,7 +30,6 @@
 	leaseTTL  = 4 * time.Second
 	beatEvery = time.Second
 	callLimit = 2 * time.Second
-	gather    = 400 * time.Millisecond // daemons come and go in groups
 )
 
 // Daemon is what a daemon tells of itself.
@@ -45,10 +44,11 @@
 
 // Options of New.
 type Options struct {
-	KV     platform.KV
-	Prefix string // of the entries
-	Self   Daemon
-	Logger hclog.Logger
+	KV       platform.KV
+	Follower *mirror.Follower // of the service; its owner runs it
+	Prefix   string           // of the entries
+	Self     Daemon
+	Logger   hclog.Logger
 }
 
 // Roster is the list of daemons. It is safe for concurrent use.
@@ -74,7 +74,7 @@
 	}
 	o.Logger = o.Logger.Named("roster")
 	r := &Roster{o: o, self: o.Self, known: map[string]Daemon{}, lapsing: map[string]time.Time{}}
-	r.mirror = mirror.New(mirror.Options{KV: o.KV, Prefix: o.Prefix, Apply: r.apply, Gather: func() time.Duration { return gather }, Logger: o.Logger})
+	r.mirror = o.Follower.Mirror(o.Prefix, r.apply)
 	r.publish()
 	return r
 }
@@ -86,12 +86,8 @@
 // Mirror returns the mirror of the entries, whose copies peers may ask for.
 func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
 
-// Refresh asks for a new listing after this process stood still.
-func (r *Roster) Refresh() { r.mirror.Refresh() }
-
-// Run keeps this daemon listed and follows the others until ctx ends.
+// Run keeps this daemon listed until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
-	go func() { _ = r.mirror.Run(ctx) }() // ends with ctx, and has no other error
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
 	for {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,7 +24,7 @@
 }
 
 func newRoster(store platform.KV, id string) *Roster {
-	return New(Options{KV: store, Prefix: "d/", Self: Daemon{ID: request.DaemonID(id)}})
+	return New(Options{KV: store, Follower: mirror.New(mirror.Options{KV: store}), Prefix: "d/", Self: Daemon{ID: request.DaemonID(id)}})
 }
 
 // All leases run out while the service is away, and it comes back empty. Callers that ask
