A try that reached no replica costs nothing; unreachable replicas are probed

Cause: where a third of the replicas crash or go dark at once, callers were refused with "no replica took it" after one or two tries, with others idle. A refused connection was charged to the retry budget (1.8 at once on each of 71 daemons), and each daemon found out again every 0.3 to 3 s, with a caller's request that waited 800 ms for a connection, that a replica is dark.

Ruled out: a larger budget; nothing arrives at a replica that accepts no connection, so the rule on retries does not count it.

Change: such a try costs no budget, up to eight of them; connections are waited for 250 ms; a replica that accepts none gets no requests until a background probe got one; peers of the group are told and probe themselves.

TestDeadReplicasCostNoBudget fails on the code before.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -62,6 +62,7 @@
 	mu       sync.Mutex
 	placed   []*Placed
 	states   []*State // told to all daemons: any may use the replica
+	down     []uint64 // replicas found unreachable; told to those that use them
 	last     []*Work
 	lastTold time.Time
 
@@ -111,9 +112,16 @@
 	s.mu.Unlock()
 }
 
+// Unreachable tells peers, within one tick, that no connection to a replica can be opened.
+func (s *Share) Unreachable(id request.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = append(s.down, replicas.Hash(id))
+}
+
 // Run tells peers until ctx ends.
 func (s *Share) Run(ctx context.Context) error {
-	go s.read()
+	go s.read(ctx)
 	defer s.conn.Close()
 	tick := time.NewTicker(tellEvery)
 	defer tick.Stop()
@@ -165,8 +173,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
-	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states}
-	s.placed, s.states = s.placed[n:], nil
+	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down}
+	s.placed, s.states, s.down = s.placed[n:], nil, nil
 	changed := !same(work, s.last)
 	if changed || now.Sub(s.lastTold) >= repeatEvery && len(work) > 0 {
 		r.Work = work
@@ -176,7 +184,7 @@
 		s.last, s.lastTold = work, now
 	}
 	revisions := s.o.Revisions()
-	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States) == 0 {
+	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable) == 0 {
 		return nil
 	}
 	r.Revisions, r.Address = revisions, s.o.Address
@@ -210,7 +218,7 @@
 	return true
 }
 
-func (s *Share) read() {
+func (s *Share) read(ctx context.Context) {
 	buffer := make([]byte, readBuffer)
 	for {
 		n, _, err := s.conn.ReadFromUDP(buffer)
@@ -225,12 +233,12 @@
 			s.o.Logger.Debug("A datagram can not be read", "error", err)
 			continue
 		}
-		s.take(time.Now(), &r)
+		s.take(ctx, time.Now(), &r)
 	}
 }
 
 // take notes what a peer told.
-func (s *Share) take(now time.Time, r *Report) {
+func (s *Share) take(ctx context.Context, now time.Time, r *Report) {
 	if len(r.Revisions) > 0 {
 		s.o.Heard(r.Address, r.Revisions)
 	}
@@ -249,6 +257,11 @@
 		}
 		s.Engine.Learn(replica.Info().ID, parts, int(p.Other))
 	}
+	for _, hash := range r.Unreachable {
+		if replica := byHash[hash]; replica != nil {
+			replica.Suspect(ctx)
+		}
+	}
 	for _, state := range r.States {
 		if replica := byHash[state.Replica]; replica != nil {
 			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -72,6 +72,8 @@
 
 	a.Announce(weights.State{Replica: "r", Busy: time.Minute, Model: "m", Weights: 3})
 	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
+	a.Unreachable("r") // nobody listens at its address
+	await("the peer leaves it alone", func() bool { return b.set.Get("r").Health.Resting(time.Now()) })
 	if r := <-b.heard; len(r) != 1 || r[0] != 7 {
 		t.Errorf("heard %v", r)
 	}
@@ -81,7 +83,7 @@
 func TestStrangeDatagramsAreIgnored(t *testing.T) {
 	n := start(t, "a")
 	defer n.conn.Close()
-	n.take(time.Now(), &Report{From: "x", Work: []*Work{{Replica: 1, Requests: 5}}, Placed: []*Placed{{Replica: 1, Parts: []uint64{1}}}, States: []*State{{Replica: 2, BusyMs: 9}}})
+	n.take(context.Background(), time.Now(), &Report{From: "x", Unreachable: []uint64{3}, Work: []*Work{{Replica: 1, Requests: 5}}, Placed: []*Placed{{Replica: 1, Parts: []uint64{1}}}, States: []*State{{Replica: 2, BusyMs: 9}}})
 	if got := n.set.Get("r").Load.Total(time.Now()); got != (replicas.Work{}) {
 		t.Errorf("got %+v", got)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -137,6 +137,16 @@
 	w.placer.replicas = append(w.placer.replicas, w.set.Get(id))
 }
 
+// deadReplica adds a replica at whose address nobody listens.
+func (w *world) deadReplica() {
+	w.t.Helper()
+	w.replica(func(net.Conn, string) {})
+	id := w.placer.replicas[len(w.placer.replicas)-1].Info().ID
+	w.set.Apply(time.Now(), replicas.Change{Gone: []request.TargetID{id}})
+	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: "s", Address: "127.0.0.1:1"}}})
+	w.placer.replicas[len(w.placer.replicas)-1] = w.set.Get(id)
+}
+
 func (w *world) play(c net.Conn, handle func(c net.Conn, id string)) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
@@ -448,6 +458,26 @@
 	}
 }
 
+// A third of the replicas dies at once. A request meets some of them in a row: nothing
+// listens there, so nothing was sent, and no retry budget may stand between the caller and
+// a replica that is idle. It was refused after two, with "no replica took it".
+func TestDeadReplicasCostNoBudget(t *testing.T) {
+	w := newWorld(t, route(routing.KindOnce))
+	w.server.o.Budget = func() retry.Params { return retry.Params{Burst: 0.1, Share: 0.001, PerSecond: 0.001} }
+	for range maxUnsent - 1 {
+		w.deadReplica()
+	}
+	w.replica(func(c net.Conn, id string) { ok(c, id, "fine") })
+	if _, body, err := w.call(http.MethodPost, "/x", nil); err != nil || body != "fine" {
+		t.Errorf("%q, %v", body, err)
+	}
+	for _, r := range w.placer.replicas[:maxUnsent-1] {
+		if !r.Health.Resting(time.Now()) {
+			t.Errorf("%s gets requests", r.Info().ID)
+		}
+	}
+}
+
 // Retries of all daemons share one budget. Used up, a failed try is the end.
 func TestRetriesKeepToTheBudget(t *testing.T) {
 	w := newWorld(t, route(routing.KindIdempotent))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -32,6 +32,11 @@
 	// maxSends bounds the replicas that a request is offered to. Those that say "not run"
 	// cost a round trip each.
 	maxSends = 4
+	// maxUnsent bounds the replicas to which no connection could be opened. Such a try
+	// reaches nobody, so it costs nothing of the retry budget: where a third of the
+	// replicas died at once, requests that had met two of them were refused with the
+	// others idle.
+	maxUnsent = 8
 )
 
 // Options of New.
@@ -113,12 +118,11 @@
 	s.budget(j.Service.ID, func(b *retry.Budget) bool { b.OnFirstTry(time.Now()); return true })
 	k := &sink{w: w, control: http.NewResponseController(w), last: j.LastEvent}
 	var tried []request.TargetID
-	ran := 0
-	mayRun := false // some try may have run
-	for sends := 1; ; sends++ {
+	var n counts
+	for {
 		p, err := s.placer(j).Place(ctx, j, tried)
 		if err != nil {
-			s.end(ctx, w, j, k, mayRun, err)
+			s.end(ctx, w, j, k, n.mayHaveRun > 0, err)
 			return
 		}
 		if k.last != j.LastEvent {
@@ -130,24 +134,40 @@
 				return
 			}
 		}
-		if t.outcome == failed && !s.again(ctx, j, sends, ran+1, k) {
+		n.note(t.outcome)
+		if t.outcome == failed && !s.again(ctx, j, n) {
 			s.deliverWhole(w, j, t)
 			return
 		}
-		s.logTry(j, t, sends)
+		s.logTry(j, t, n.sent+n.unsent)
 		t.done(t.body != nil)
 		tried = append(tried, p.Send.Replica)
-		if t.outcome != notRun {
-			mayRun = true
-			ran++
-		}
-		if ctx.Err() != nil || t.outcome == callerEnd || !s.mayFollow(ctx, j, t, sends, ran, k) {
-			s.end(ctx, w, j, k, mayRun, t.err)
+		if ctx.Err() != nil || t.outcome == callerEnd || !s.mayFollow(ctx, j, t, n, k) {
+			s.end(ctx, w, j, k, n.mayHaveRun > 0, t.err)
 			return
 		}
 	}
 }
 
+// counts are the tries of a request so far.
+type counts struct {
+	unsent     int // that reached no replica
+	sent       int
+	mayHaveRun int // of those sent
+}
+
+func (n *counts) note(o outcome) {
+	switch o {
+	case notSent:
+		n.unsent++
+	case notRun:
+		n.sent++
+	default:
+		n.sent++
+		n.mayHaveRun++
+	}
+}
+
 func (s *Server) placer(j *Job) Placer {
 	if j.Service.Engine != nil {
 		return s.o.Engines
@@ -157,19 +177,21 @@
 
 // mayFollow reports whether another try may follow a failed one, and takes it from the
 // budget.
-func (s *Server) mayFollow(ctx context.Context, j *Job, t *try, sends, ran int, k *sink) bool {
-	if t.outcome == failed {
+func (s *Server) mayFollow(ctx context.Context, j *Job, t *try, n counts, k *sink) bool {
+	switch {
+	case t.outcome == failed:
 		return true // decided, and paid for, before
+	case t.outcome == notSent:
+		return n.unsent < maxUnsent && time.Until(j.Deadline) > minTimeLeft
+	case t.outcome == notRun && !k.started:
+		return n.sent < maxSends && time.Until(j.Deadline) > minTimeLeft && s.take(j)
 	}
-	if t.outcome == notRun && !k.started {
-		return sends < maxSends && time.Until(j.Deadline) > minTimeLeft && s.take(j)
-	}
-	return s.again(ctx, j, sends, ran, k)
+	return s.again(ctx, j, n)
 }
 
 // again reports whether a request that ran, or may have, may run once more.
-func (s *Server) again(ctx context.Context, j *Job, sends, ran int, k *sink) bool {
-	if !j.Route.Repeatable() || ran >= j.Route.MaxAttempts || sends >= maxSends {
+func (s *Server) again(ctx context.Context, j *Job, n counts) bool {
+	if !j.Route.Repeatable() || n.mayHaveRun >= j.Route.MaxAttempts || n.sent >= maxSends {
 		return false
 	}
 	if ctx.Err() != nil || time.Until(j.Deadline) < minTimeLeft {
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -17,6 +17,7 @@
 
 const (
 	answered  outcome = iota // the replica's answer is there to be delivered
+	notSent                  // nothing of it reached the replica
 	notRun                   // the replica surely did not run it
 	mayHave                  // nobody can tell whether it ran
 	failed                   // it ran, and the replica answered an error of its own
@@ -24,7 +25,7 @@
 )
 
 func (o outcome) String() string {
-	return [...]string{"answered", "not_run", "may_have_run", "failed", "ended"}[o]
+	return [...]string{"answered", "not_sent", "not_run", "may_have_run", "failed", "ended"}[o]
 }
 
 // try is one sending of a job.
@@ -77,7 +78,7 @@
 	}
 	t.placement.Flight.End()
 	if t.placement.Ended != nil {
-		t.placement.Ended(t.outcome != notRun)
+		t.placement.Ended(t.outcome != notRun && t.outcome != notSent)
 	}
 }
 
@@ -121,10 +122,13 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil:
 		p.Replica.Health.Abandoned()
-		return notRun
+		return notSent
+	case errors.Is(err, upstream.ErrUnreachable):
+		p.Replica.Unreachable(time.Now())
+		return notSent
 	case errors.Is(err, upstream.ErrNotSent):
 		p.Replica.Health.Unreachable(time.Now())
-		return notRun
+		return notSent
 	case ctx.Err() != nil:
 		p.Replica.Health.Abandoned()
 		return callerEnd
--- a/internal/replicas/health.go
+++ b/internal/replicas/health.go
@@ -27,13 +27,15 @@
 	row     int // failures in a row to reach it or hear from it
 	until   time.Time
 	trial   bool // the one request after a rest is under way
+	down    bool // it accepts no connection; only a probe that gets one ends that
+	probing bool // a probe is under way
 }
 
 // Answered notes an answer of the replica; failed says that it was an error of its own.
 func (h *Health) Answered(failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.row, h.trial, h.until = 0, false, time.Time{}
+	h.row, h.trial, h.until, h.down = 0, false, time.Time{}, false
 	h.note(failed)
 }
 
@@ -45,11 +47,68 @@
 	h.trial = false
 	h.note(true)
 	if h.row >= restAfter {
-		rest := firstRest << min(h.row-restAfter, 8)
-		h.until = now.Add(min(rest, maxRest))
+		h.rest(now)
 	}
 }
 
+// Down notes that the replica accepts no connection, and reports whether that is news. It
+// gets no requests until a probe got a connection: else each daemon would find out with a
+// caller's request again and again that a replica is still dark.
+func (h *Health) Down(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.note(true)
+	h.trial = false
+	if h.down {
+		return false
+	}
+	h.down, h.row = true, restAfter
+	h.until = now.Add(firstRest)
+	return true
+}
+
+// Suspect notes a peer's word that the replica accepts no connection: it gets no requests
+// until a probe of our own got one. It reports whether that probe is to be made.
+func (h *Health) Suspect() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return false
+	}
+	h.down, h.probing, h.row = true, true, max(h.row, restAfter)
+	return true
+}
+
+// ProbeDue reports whether a probe is to be made now, and takes it for made.
+func (h *Health) ProbeDue(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.down || h.probing || now.Before(h.until) {
+		return false
+	}
+	h.probing = true
+	return true
+}
+
+// Probed notes the outcome of a probe.
+func (h *Health) Probed(now time.Time, connected bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probing = false
+	if connected {
+		h.down, h.row, h.until = false, 0, time.Time{}
+		return
+	}
+	h.row++
+	h.rest(now)
+}
+
+// rest leaves the replica alone for a time that doubles with each failure in a row.
+func (h *Health) rest(now time.Time) {
+	rest := firstRest << min(h.row-restAfter, 8)
+	h.until = now.Add(min(rest, maxRest))
+}
+
 // Abandoned says that a request was given up before the replica showed anything.
 func (h *Health) Abandoned() {
 	h.mu.Lock()
@@ -67,10 +126,13 @@
 }
 
 // Resting reports whether the replica is left alone now. After its rest one request at a
-// time tries it until one is answered.
+// time tries it until one is answered; one that accepted no connection is probed first.
 func (h *Health) Resting(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.down {
+		return true
+	}
 	if h.row < restAfter {
 		return false
 	}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,8 +21,11 @@
 )
 
 const (
-	dialTimeout = 800 * time.Millisecond // a replica that is up accepts within a few ms
-	maxIdle     = 16                     // idle connections to one replica
+	// dialTimeout is how long a request waits for a connection. A replica that is up accepts
+	// within some ms, a lost packet is sent again after a second only, and another replica
+	// is tried at once.
+	dialTimeout = 250 * time.Millisecond
+	maxIdle     = 16 // idle connections to one replica
 	// lapseGrace is how long a replica whose entry lapsed in an outage is still used. Most
 	// write their entries again within two seconds of its end; one that has left instead
 	// may get no requests two seconds after its entry went.
@@ -45,6 +49,7 @@
 	Load   Load
 	Health Health
 
+	onDown  func(request.TargetID) // nil: nobody is told
 	info    atomic.Pointer[Info]
 	weights sync.Map     // request.Model -> uint64, from answers newer than the registry
 	busy    atomic.Int64 // until when it takes no requests, Unix nanoseconds
@@ -84,8 +89,30 @@
 // ShortOnly reports whether the replica takes only short requests now.
 func (r *Replica) ShortOnly(now time.Time) bool { return now.UnixNano() < r.short.Load() }
 
+// Unreachable notes that no connection to the replica could be opened, and tells peers.
+func (r *Replica) Unreachable(now time.Time) {
+	if r.Health.Down(now) && r.onDown != nil {
+		r.onDown(r.Info().ID)
+	}
+}
+
+// Suspect notes a peer's word that no connection to the replica can be opened. Its own
+// connection decides: a peer may be cut off by itself.
+func (r *Replica) Suspect(ctx context.Context) {
+	if r.Health.Suspect() {
+		go r.probe(ctx)
+	}
+}
+
+// probe finds out whether the replica accepts a connection.
+func (r *Replica) probe(ctx context.Context) {
+	err := r.Pool.Probe(ctx)
+	r.Health.Probed(time.Now(), err == nil)
+}
+
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
+	onDown  func(request.TargetID)
 	mu      sync.Mutex
 	byID    map[request.TargetID]*Replica
 	lapsing map[request.TargetID]time.Time
@@ -108,6 +135,19 @@
 	return s
 }
 
+// OnDown has a function called when this daemon finds that a replica accepts no connection.
+// It must be set before the first Apply.
+func (s *Set) OnDown(f func(request.TargetID)) { s.onDown = f }
+
+// Probe looks after replicas that accepted no connection: those whose rest is over.
+func (s *Set) Probe(ctx context.Context, now time.Time) {
+	for _, r := range s.All() {
+		if r.Health.ProbeDue(now) {
+			go r.probe(ctx)
+		}
+	}
+}
+
 // Of returns the replicas of a service that take requests, ordered by id. The slice
 // must not be changed.
 func (s *Set) Of(service routing.ServiceID) []*Replica { return s.View().ByService[service] }
@@ -167,7 +207,7 @@
 	delete(s.lapsing, info.ID)
 	r, ok := s.byID[info.ID]
 	if !ok {
-		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle)}
+		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), onDown: s.onDown}
 		s.byID[info.ID] = r
 	}
 	r.info.Store(&info)
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -1,6 +1,8 @@
 package replicas
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -132,3 +134,65 @@
 		t.Errorf("rate %g long after the failures", got)
 	}
 }
+
+// A quarter of the replicas goes dark for seconds. Each daemon would learn again and again,
+// with a caller's request each time, that a replica is still dark: it waits for a connection
+// that never comes. Only a probe may end the rest.
+func TestDarkReplicaGetsProbesAndNoRequests(t *testing.T) {
+	var h Health
+	now := time.Unix(1000, 0)
+	if !h.Down(now) || h.Down(now) {
+		t.Error("the first word is news, the second is not")
+	}
+	for range 5 {
+		now = now.Add(maxRest)
+		if !h.Resting(now) {
+			t.Fatal("it gets requests")
+		}
+		if !h.ProbeDue(now) || h.ProbeDue(now) {
+			t.Fatal("want one probe after the rest")
+		}
+		h.Probed(now, false)
+		if h.ProbeDue(now) {
+			t.Fatal("probed without a rest")
+		}
+	}
+	now = now.Add(maxRest)
+	h.Probed(now, true)
+	if h.Resting(now) {
+		t.Error("it accepts connections, and gets no requests")
+	}
+}
+
+// A daemon that is cut off says of all replicas that they are unreachable. Its peers look
+// for themselves, and go on using those that answer them.
+func TestPeersWordIsChecked(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := NewSet()
+	alive := info("alive")
+	alive.Address = l.Addr().String()
+	s.Apply(time.Now(), Change{Present: []Info{alive, info("dead")}})
+	for _, r := range s.All() {
+		r.Suspect(context.Background())
+		if !r.Health.Resting(time.Now()) {
+			t.Errorf("%s is used before it was probed", r.Info().ID)
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); s.Get("alive").Health.Resting(time.Now()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the one that answers is not used again")
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); !s.Get("dead").Health.ProbeDue(time.Now()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the dead one is not probed again")
+		}
+	}
+	if !s.Get("dead").Health.Resting(time.Now()) {
+		t.Error("the dead one is used")
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -152,6 +154,15 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
+// Probe finds out whether the address accepts a connection. No request is sent.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "upstream: dial"), ErrUnreachable)
+	}
+	return c.Close()
+}
+
 // put keeps a connection whose last answer was read to its end, for a time.
 func (p *Pool) put(c *conn, keepFor time.Duration) {
 	if keepFor <= 0 || c.br.Buffered() > 0 {
--- a/internal/upstream/try.go
+++ b/internal/upstream/try.go
@@ -19,6 +19,8 @@
 var (
 	// ErrNotSent says that no byte of the request reached the replica.
 	ErrNotSent = errors.New("upstream: not sent")
+	// ErrUnreachable says that no connection could be opened, so that nothing was sent.
+	ErrUnreachable = errors.New("upstream: unreachable")
 	// ErrBroken says that the replica may have the request, and its answer is lost.
 	ErrBroken = errors.New("upstream: connection broke")
 	// ErrMismatched says that only answers to other requests came.
@@ -66,7 +68,7 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent)
+			return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
 		}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
