Context stores stay readable while the key-value service is away

Ruled out: longer leases (a dead keeper would be replaced later).

Change: a keeper whose lease ran out goes on giving leave to fetch what it knows to be whole, for 8 s; it writes and frees nothing. The next keeper frees nothing for as long, and writes nothing after a crash of the store until the one before must have noticed. A keeper that gets its lease back under the next epoch goes on at once.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -267,6 +267,12 @@
 	return h.Address != "" && now.After(a.deaf[h.Address]) && now.Sub(a.lost[string(store)]) > lostFor
 }
 
+// Epoch returns the epoch under which a store is kept, as far as is known; zero if nobody
+// ever kept it.
+func (a *Asker) Epoch(store routing.ServiceID) uint64 {
+	return (*a.holders.Load())[string(store)].Epoch
+}
+
 func (a *Asker) isDeaf(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -100,26 +100,30 @@
 
 // keep returns a daemon that keeps one store, and an asker beside it.
 func keep(t *testing.T, store *fakeStore, services ...*routing.Service) *Asker {
+	t.Helper()
+	return keepUnder(t, kv.NewFake(time.Now), 10*time.Second, store, services...)
+}
+
+// keepUnder is keep with a key-value service and a lease of its own.
+func keepUnder(t *testing.T, fake *kv.Fake, ttl time.Duration, store *fakeStore, services ...*routing.Service) *Asker {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	fake := kv.NewFake(time.Now)
 	client := fake.Client("a")
 	all := func() []*routing.Service { return services }
-	leases := lease.NewManager(lease.Options{KV: client, Self: "a", Address: "a:1"})
+	leases := lease.NewManager(lease.Options{KV: client, Self: "a", Address: "a:1", TTL: ttl, Margin: ttl / 5})
 	keeper := NewKeeper(Options{
 		Leases: leases, Calls: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
 		TokenBytes: func() int { return 1000 },
 	})
 	follower := mirror.New(mirror.Options{KV: client})
 	a := NewAsker(AskerOptions{Follower: follower, Self: "a", Own: keeper, Stores: all, Client: http.DefaultClient})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = keeper.Run(ctx) // ends with ctx
-	}()
+	var runs sync.WaitGroup
+	for _, run := range []func(context.Context) error{leases.Run, keeper.Run} {
+		runs.Go(func() { _ = run(ctx) }) // ends with ctx
+	}
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		runs.Wait()
 	})
 	for deadline := time.Now().Add(5 * time.Second); len(*a.holders.Load()) < len(services); {
 		if time.Now().After(deadline) {
@@ -172,6 +176,34 @@
 	askFor(t, a, "p", false, true)
 }
 
+// The key-value service is away for longer than leases last. What the store has is fetched
+// all the while, nothing new is written; when the service is back the same daemon goes on
+// without the wait that a new keeper needs before it may write.
+func TestOutageOfTheServiceLeavesStoresReadable(t *testing.T) {
+	store := newFakeStore()
+	store.save("w1", "p", 100)
+	fake := kv.NewFake(time.Now)
+	const ttl = 500 * time.Millisecond
+	a := keepUnder(t, fake, ttl, store, service("s", 100_000, 1000))
+	askFor(t, a, "p", true, false)
+	askFor(t, a, "q", false, true)
+	store.save("w1", "q", 100)
+	fake.SetDown(true)
+	for began := time.Now(); time.Since(began) < 3*ttl; time.Sleep(20 * time.Millisecond) {
+		got, _ := a.Ask(context.Background(), "w1", []relay.Part{{ID: "p", Tokens: 100}, {ID: "own", Tokens: 10}}, []bool{false, false})
+		if !got[0].Fetch {
+			t.Fatalf("not fetched %s into the outage", time.Since(began))
+		}
+	}
+	askFor(t, a, "new", false, false)
+	fake.SetDown(false)
+	back := time.Now()
+	askFor(t, a, "newer", false, true)
+	if took := time.Since(back); took > storeroom.LeaveFor {
+		t.Errorf("written again after %s", took)
+	}
+}
+
 // A store falls silent. Each request told to fetch from it would lose some hundred ms, so
 // nothing is within two seconds.
 func TestSilentStoreIsLeftAlone(t *testing.T) {
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -55,6 +55,8 @@
 	// Kept reports whether some daemon is known to keep a store, and has answered when it
 	// was asked last; nil: never.
 	Kept func(store routing.ServiceID) bool
+	// Epoch returns the newest epoch that is known under which a store is kept; nil: never.
+	Epoch func(store routing.ServiceID) uint64
 	// TokenBytes returns the size of a token's KV cache; zero if it is not known yet.
 	TokenBytes func() int
 	Logger     hclog.Logger
@@ -92,7 +94,7 @@
 	clear(s.stores)
 	s.mu.Unlock()
 	for _, k := range stores {
-		if err := k.lease.Release(ctx); err != nil {
+		if err := k.retire().Release(ctx); err != nil {
 			s.o.Logger.Warn("A store could not be given back; its lease lapses", "store", k.id, "error", err)
 		}
 	}
@@ -109,30 +111,61 @@
 	return nil
 }
 
-// consider takes a store if it falls to this daemon and is free.
+// consider takes a store if it falls to this daemon and is free, or takes it again if its
+// lease ran out here.
 func (s *StoreKeeper) consider(ctx context.Context, store *routing.Service) {
-	s.mu.Lock()
-	if k := s.stores[store.ID]; k != nil && !k.lease.Valid() {
-		delete(s.stores, store.ID)
+	before := s.current(store.ID)
+	if before != nil && before.holds() {
+		return
 	}
-	mine := s.stores[store.ID] != nil
+	s.mu.Lock()
 	due := time.Since(s.asked[store.ID]) > acquireEvery
 	s.mu.Unlock()
 	bytes := s.o.TokenBytes()
-	if mine || !due || bytes == 0 || !store.Store.Managed || !s.mayTake(store.ID) {
+	if !due || bytes == 0 || !store.Store.Managed || before == nil && !s.mayTake(store.ID) {
 		return
 	}
 	s.mu.Lock()
 	s.asked[store.ID] = time.Now()
 	s.mu.Unlock()
 	l, err := s.o.Leases.Acquire(ctx, LeasePrefix+string(store.ID))
-	if err != nil {
-		if !errors.Is(err, lease.ErrHeld) {
-			s.o.Logger.Warn("A store could not be taken", "store", store.ID, "error", err)
-		}
-		return
+	switch {
+	case errors.Is(err, lease.ErrHeld):
+		s.drop(store.ID)
+	case err != nil:
+		s.o.Logger.Warn("A store could not be taken", "store", store.ID, "error", err)
+	case before != nil && before.resume(l):
+		s.o.Logger.Info("A store is kept here again", "store", store.ID, "epoch", l.Epoch())
+	default:
+		s.drop(store.ID)
+		s.keep(ctx, store, l, bytes)
+	}
+}
+
+// current returns what is kept here of a store; nil if nothing is, or another daemon is
+// known to keep it.
+func (s *StoreKeeper) current(store routing.ServiceID) *kept {
+	s.mu.Lock()
+	k := s.stores[store]
+	s.mu.Unlock()
+	if k == nil {
+		return nil
+	}
+	if !k.serves(time.Now()) || s.o.Epoch != nil && s.o.Epoch(store) > k.epochOfLease() {
+		s.drop(store)
+		return nil
+	}
+	return k
+}
+
+func (s *StoreKeeper) drop(store routing.ServiceID) {
+	s.mu.Lock()
+	k := s.stores[store]
+	delete(s.stores, store)
+	s.mu.Unlock()
+	if k != nil {
+		k.retire()
 	}
-	s.keep(ctx, store, l, bytes)
 }
 
 // mayTake reports whether it is this daemon's turn to ask for a store. Where its keeper
@@ -150,10 +183,11 @@
 func (s *StoreKeeper) keep(ctx context.Context, store *routing.Service, l *lease.Lease, tokenBytes int) {
 	const bitsPerByte = 8
 	k := &kept{
-		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, calls: s.o.Calls, log: s.o.Logger, metrics: s.o.Metrics, reasons: map[storeroom.Reason]int{},
+		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, heldAt: time.Now(), calls: s.o.Calls, log: s.o.Logger, metrics: s.o.Metrics, reasons: map[storeroom.Reason]int{},
 		room: storeroom.New(time.Now(), storeroom.Params{
 			Tokens: store.Store.Tokens, FirstByte: store.Store.FirstByte,
 			TokensPerSec: store.Store.LinkMbps * bitsPerMegabit / bitsPerByte / float64(tokenBytes),
+			Lapsed:       !l.ActAfter().IsZero(),
 		}),
 	}
 	s.mu.Lock()
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -50,12 +50,14 @@
 	id      routing.ServiceID
 	address string
 	tokens  int // room
-	lease   *lease.Lease
 	calls   Calls
 	log     hclog.Logger
 	metrics tally.Scope
 
 	mu       sync.Mutex
+	lease    *lease.Lease
+	heldAt   time.Time // when the lease was known to be held
+	retired  bool      // given back, or another daemon keeps the store
 	room     *storeroom.Room
 	epoch    uint64
 	next     uint64
@@ -83,7 +85,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go k.tend(ctx)
-	for ctx.Err() == nil && k.lease.Valid() {
+	for ctx.Err() == nil && k.serves(time.Now()) {
 		if err := k.follow(ctx); err != nil && ctx.Err() == nil {
 			k.log.Info("A store does not answer", "store", k.id, "error", err)
 			_ = pause.For(ctx, failPause) // the loop asks the context itself
@@ -227,7 +229,61 @@
 
 // ready reports whether the store's content is known and the store lives.
 func (k *kept) ready(now time.Time) bool {
-	return k.listed && now.Sub(k.heardAt) < deafAfter && k.lease.Valid()
+	return k.listed && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
+}
+
+// serves reports whether leave may be given here: while the lease is held, and for some time
+// after it ran out.
+func (k *kept) serves(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.servesLocked(now)
+}
+
+func (k *kept) servesLocked(now time.Time) bool {
+	if k.retired {
+		return false
+	}
+	if k.lease.Valid() {
+		k.heldAt = now
+		return true
+	}
+	// The clock that timers use stands still while a VM is suspended, the time of day does
+	// not: both must agree.
+	return now.Sub(k.heldAt) < storeroom.ReadOnFor && now.Round(0).Sub(k.heldAt.Round(0)) < storeroom.ReadOnFor
+}
+
+// holds reports whether the store's lease is held.
+func (k *kept) holds() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.retired && k.lease.Valid()
+}
+
+func (k *kept) epochOfLease() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.Epoch()
+}
+
+// retire ends the keeping of the store here, and returns the lease.
+func (k *kept) retire() *lease.Lease {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+	return k.lease
+}
+
+// resume goes on under a new lease if nobody else can have kept the store in between: each
+// holder has the next epoch.
+func (k *kept) resume(l *lease.Lease) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.retired || l.Epoch() != k.lease.Epoch()+1 {
+		return false
+	}
+	k.lease = l
+	return true
 }
 
 func (k *kept) replicaClock(t time.Time) int64 { return t.UnixMilli() + k.clock }
@@ -240,15 +296,17 @@
 	if !k.ready(now) {
 		return nil, 0, false
 	}
+	lapsed := !k.lease.Valid()
 	answers := make([]*PartAnswer, len(asks))
 	for i, a := range asks {
 		answer := k.room.Ask(now, storeroom.Ask{
-			Key: storeroom.Key{Salt: salt, ID: a.Id}, Tokens: int(a.Tokens), Weights: weights, Resident: a.Resident, Last: a.Last,
+			Key: storeroom.Key{Salt: salt, ID: a.Id}, Tokens: int(a.Tokens), Weights: weights, Resident: a.Resident, Last: a.Last, ReadOnly: lapsed,
 		})
 		k.reasons[answer.Reason]++
 		k.metrics.Tagged(map[string]string{"reason": string(answer.Reason)}).Counter("store_asks").Inc(1)
 		answers[i] = &PartAnswer{
 			Fetch: answer.Fetch, Save: answer.Save, Full: answer.Full, TakesUs: int32(answer.Takes.Microseconds()),
+			NotKept: lapsed,
 		}
 	}
 	return answers, k.replicaClock(now.Add(storeroom.LeaveFor)), true
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -7,7 +7,7 @@
 //
 //   - a part may be fetched only once the store has told that it is whole;
 //   - leave to fetch ends at a time that the replica checks, and a part is freed only when
-//     all leave for it has ended;
+//     all leave for it has ended, also that of a keeper whose lease ran out;
 //   - a part is written only where nobody can hold leave from before: not until all leave
 //     has ended after the store was found empty or another daemon kept it.
 //
@@ -26,6 +26,13 @@
 	LeaveFor = 2500 * time.Millisecond
 	// leaveSlack covers what the keeper does not know of the replicas' clock.
 	leaveSlack = 300 * time.Millisecond
+	// ReadOnFor is how long a keeper that lost its lease may go on to give leave to fetch
+	// what it knows to be whole. An outage of the key-value service ends all leases and
+	// lets nobody take one: without this all prompts are computed until it is over. The
+	// next keeper frees nothing for as long. Outages last some seconds.
+	ReadOnFor = 8 * time.Second
+	// readerLag is how late such a keeper may notice that the store came back empty.
+	readerLag = 2 * time.Second
 	// saveWithin is how long a save may take before it counts as lost. A large prompt
 	// takes 50 ms on an idle link.
 	saveWithin = 4 * time.Second
@@ -67,6 +74,8 @@
 	// Last is set for the last part of a prompt. It may be the request's own and never
 	// come again, so it is saved only when it is asked for a second time.
 	Last bool
+	// ReadOnly is set where this keeper holds no lease: nothing may be written.
+	ReadOnly bool
 }
 
 // Reason says what decided on a part.
@@ -116,6 +125,8 @@
 	Tokens       int // room
 	TokensPerSec float64
 	FirstByte    time.Duration
+	// Lapsed is set if another keeper's lease ran out. It may give leave for ReadOnFor.
+	Lapsed bool
 }
 
 // Room is what is known of one store.
@@ -132,12 +143,19 @@
 	lastLeave time.Time
 	saveAfter time.Time
 	freeAfter time.Time // another keeper's leave may last until then
+	readers   time.Time // until when another keeper may give leave
 }
 
 // New returns the room of a store whose content is not known yet. Another daemon may have
-// given leave until now.
+// given leave until now, or goes on to for a while if its lease ran out.
 func New(now time.Time, p Params) *Room {
-	return &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, saveAfter: now.Add(LeaveFor + leaveSlack), freeAfter: now.Add(LeaveFor + leaveSlack)}
+	r := &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, readers: now}
+	if p.Lapsed {
+		r.readers = now.Add(ReadOnFor)
+	}
+	r.saveAfter = now.Add(LeaveFor + leaveSlack)
+	r.freeAfter = r.readers.Add(LeaveFor + leaveSlack)
+	return r
 }
 
 // Reset is told that the store came back empty.
@@ -145,8 +163,15 @@
 	clear(r.parts)
 	r.taken = 0
 	r.linkFree = now
-	if after := r.lastLeave.Add(leaveSlack); after.After(r.saveAfter) {
-		r.saveAfter = after
+	r.noSaveBefore(r.lastLeave.Add(leaveSlack))
+	if now.Before(r.readers) {
+		r.noSaveBefore(now.Add(readerLag + LeaveFor + leaveSlack))
+	}
+}
+
+func (r *Room) noSaveBefore(t time.Time) {
+	if t.After(r.saveAfter) {
+		r.saveAfter = t
 	}
 }
 
@@ -177,7 +202,7 @@
 		return r.fetch(now, p, a)
 	case known:
 		return Answer{Reason: ReasonSaving}
-	case now.Before(r.saveAfter):
+	case now.Before(r.saveAfter) || a.ReadOnly:
 		return Answer{Reason: ReasonUnsure}
 	case a.Last && !r.seenBefore(now, a.Key):
 		return Answer{Reason: ReasonOnce}
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -238,3 +238,51 @@
 		}
 	})
 }
+
+// The key-value service is down, so the keeper's lease ran out and nobody can take the store.
+// Prompts go on fetching what was whole; computing all of them would make all late. Nothing
+// is written, and the next keeper frees nothing while a replica may still fetch.
+func TestKeeperWithoutLeaseReadsOn(t *testing.T) {
+	old := open(1000)
+	save(t, old, at(0), ask("a", 100))
+	lapsed := ask("a", 100)
+	lapsed.ReadOnly = true
+	if got := old.Ask(at(100), lapsed); !got.Fetch {
+		t.Errorf("what is whole: %+v", got)
+	}
+	unknown := ask("b", 100)
+	unknown.ReadOnly = true
+	if got := old.Ask(at(100), unknown); got.Save || got.Fetch {
+		t.Errorf("what is not there: %+v", got)
+	}
+
+	taken := at(0).Add(keepFor + time.Second)
+	next := New(taken, Params{Tokens: 1000, TokensPerSec: 100_000, Lapsed: true})
+	var whole []Ask
+	for i := range 10 {
+		whole = append(whole, ask(fmt.Sprint(i), 100))
+	}
+	next.OnList(taken.Add(-keepFor), whole, nil) // all of it unused for long, and the store is full
+	last := taken.Add(ReadOnFor + LeaveFor)
+	if keys := next.Free(last); len(keys) > 0 {
+		t.Errorf("%d parts are freed while the keeper before may have given leave for them", len(keys))
+	}
+	if keys := next.Free(last.Add(leaveSlack)); len(keys) == 0 {
+		t.Error("nothing is freed although the store is full")
+	}
+}
+
+// A store crashes just after its keeper lost its lease, which goes on giving leave until it
+// notices. The next keeper knows that the store is empty: a part that is written at once
+// could be fetched half.
+func TestNothingIsWrittenWhileAnotherKeeperMayNotKnowOfACrash(t *testing.T) {
+	r := New(at(0), Params{Tokens: 1000, TokensPerSec: 100_000, Lapsed: true})
+	crash := at(3000)
+	r.Reset(crash)
+	if got := r.Ask(crash.Add(readerLag+LeaveFor), ask("a", 100)); got.Save {
+		t.Errorf("got %+v", got)
+	}
+	if got := r.Ask(crash.Add(readerLag+LeaveFor+leaveSlack), ask("a", 100)); !got.Save {
+		t.Errorf("got %+v", got)
+	}
+}
