Quarantine on the users' platform: requests at which three replicas died

Cause: policy/quarantine was not wired on this way, so that a request that crashes each replica that runs it was bounded by its attempts only, and its caller sends it again.

Ruled out: suspects that run alone, as on the own interface: a daemon can't empty a replica there, and a crash of a third of the replicas makes suspects of hundreds of harmless requests.

Change: deaths are counted. A broken connection after which the replica accepts none is a death; all daemons are told; a request with three deaths and no answer is refused until the finding expires. Findings of two deaths lie in the platform's store.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -35,7 +37,11 @@
 	// maxDatagram keeps a datagram in one packet.
 	maxDatagram = 1400
 	maxPlaced   = 12 // prompts in one datagram, 40 to 60 bytes each
+	maxDeaths   = 8  // in one datagram, 50 bytes each
 	readBuffer  = 64 << 10
+	// refusedFor is how long a replica is left alone that would not run a peer's request.
+	// The word of it is up to a tick old.
+	refusedFor = 240 * time.Millisecond
 )
 
 // Options of New.
@@ -50,7 +56,9 @@
 	// and Heard is told those of a peer.
 	Revisions func() []uint64
 	Heard     func(peer string, revisions []uint64)
-	Logger    hclog.Logger
+	// HeardDeath is told of a replica that died while it ran a peer's request; nil: nobody.
+	HeardDeath func(quarantine.Sighting)
+	Logger     hclog.Logger
 }
 
 // Share is one daemon's part. It is safe for concurrent use.
@@ -63,6 +71,8 @@
 	placed   []*Placed
 	states   []*State // told to all daemons: any may use the replica
 	down     []uint64 // replicas found unreachable; told to those that use them
+	refusing []uint64 // replicas that would not run a request; likewise
+	deaths   []*Death // told to all daemons: the request may come again at any
 	last     []*Work
 	lastTold time.Time
 
@@ -78,6 +88,9 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("loadshare")
+	if o.HeardDeath == nil {
+		o.HeardDeath = func(quarantine.Sighting) {}
+	}
 	address, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: address")
@@ -119,6 +132,27 @@
 	s.down = append(s.down, replicas.Hash(id))
 }
 
+// Refusing tells peers, within one tick, that a replica would not run a request.
+func (s *Share) Refusing(id request.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if hash := replicas.Hash(id); !slices.Contains(s.refusing, hash) {
+		s.refusing = append(s.refusing, hash)
+	}
+}
+
+// Died tells all daemons, within one tick, that a replica died while it ran a request.
+func (s *Share) Died(sighting quarantine.Sighting) {
+	fingerprint, err := hex.DecodeString(string(sighting.Fingerprint))
+	if err != nil {
+		s.o.Logger.Error("A fingerprint can not be told", "fingerprint", sighting.Fingerprint, "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaths = append(s.deaths, &Death{Replica: string(sighting.Target), Fingerprint: fingerprint})
+}
+
 // Run tells peers until ctx ends.
 func (s *Share) Run(ctx context.Context) error {
 	go s.read(ctx)
@@ -145,13 +179,13 @@
 	if len(others) == 0 {
 		return
 	}
-	if len(r.States) == 0 {
+	if len(r.States)+len(r.Deaths) == 0 {
 		// One other daemon hears what is known here of the key-value service, so that
 		// news pass from group to group.
 		n := rand.IntN(len(others))
 		others = others[n : n+1]
 	}
-	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States}, others)
+	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths}, others)
 }
 
 func (s *Share) send(r *Report, to []netip.AddrPort) {
@@ -173,8 +207,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
-	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down}
+	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down, Refusing: s.refusing}
 	s.placed, s.states, s.down = s.placed[n:], nil, nil
+	s.refusing = nil
+	deaths := min(len(s.deaths), maxDeaths)
+	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
 	changed := !same(work, s.last)
 	if changed || now.Sub(s.lastTold) >= repeatEvery && len(work) > 0 {
 		r.Work = work
@@ -184,7 +221,7 @@
 		s.last, s.lastTold = work, now
 	}
 	revisions := s.o.Revisions()
-	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable) == 0 {
+	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths) == 0 {
 		return nil
 	}
 	r.Revisions, r.Address = revisions, s.o.Address
@@ -257,11 +294,21 @@
 		}
 		s.Engine.Learn(replica.Info().ID, parts, int(p.Other))
 	}
+	for _, d := range r.Deaths {
+		s.o.HeardDeath(quarantine.Sighting{
+			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: 1,
+		})
+	}
 	for _, hash := range r.Unreachable {
 		if replica := byHash[hash]; replica != nil {
 			replica.Suspect(ctx)
 		}
 	}
+	for _, hash := range r.Refusing {
+		if replica := byHash[hash]; replica != nil {
+			replica.AvoidFor(now, refusedFor)
+		}
+	}
 	for _, state := range r.States {
 		if replica := byHash[state.Replica]; replica != nil {
 			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -17,18 +18,20 @@
 	*Share
 	set   *replicas.Set
 	heard chan []uint64
+	died  chan quarantine.Sighting
 	peers []netip.AddrPort
 }
 
 func start(t *testing.T, id request.DaemonID) *node {
 	t.Helper()
-	n := &node{set: replicas.NewSet(), heard: make(chan []uint64, 100)}
+	n := &node{set: replicas.NewSet(), heard: make(chan []uint64, 100), died: make(chan quarantine.Sighting, 1)}
 	n.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: "r", Service: "s", Address: "127.0.0.1:1"}}})
 	share, err := New(Options{
 		Self: id, Address: "127.0.0.1:0", Set: n.set,
 		Peers: func() []netip.AddrPort { return n.peers }, Others: func() []netip.AddrPort { return nil },
-		Revisions: func() []uint64 { return []uint64{7} },
-		Heard:     func(_ string, r []uint64) { n.heard <- r },
+		Revisions:  func() []uint64 { return []uint64{7} },
+		Heard:      func(_ string, r []uint64) { n.heard <- r },
+		HeardDeath: func(s quarantine.Sighting) { n.died <- s },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -72,6 +75,11 @@
 
 	a.Announce(weights.State{Replica: "r", Busy: time.Minute, Model: "m", Weights: 3})
 	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
+	death := quarantine.Sighting{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
+	a.Died(death)
+	if got := <-b.died; got != death {
+		t.Errorf("heard of %+v", got)
+	}
 	a.Unreachable("r") // nobody listens at its address
 	await("the peer leaves it alone", func() bool { return b.set.Get("r").Health.Resting(time.Now()) })
 	if r := <-b.heard; len(r) != 1 || r[0] != 7 {
--- a/internal/policy/quarantine/finding.go
+++ b/internal/policy/quarantine/finding.go
@@ -34,6 +34,9 @@
 	// Proven is set once a target died with nothing else in flight. Requests of others
 	// that ran beside the cause have deaths, too, but none of these.
 	Proven bool
+	// Answered is set once a target ran the request to its end. It clears findings that
+	// are counted (Params.Counted).
+	Answered bool `json:",omitempty"`
 }
 
 // Merge takes findings of peers or of the store, and returns those that changed what
@@ -68,6 +71,10 @@
 		f.Proven = true
 		changed = true
 	}
+	if other.Answered && !f.Answered {
+		f.Answered = true
+		changed = true
+	}
 	for _, death := range other.Deaths {
 		if i, ok := slices.BinarySearch(f.Deaths, death); !ok {
 			f.Deaths = slices.Insert(f.Deaths, i, death)
@@ -110,6 +117,7 @@
 			write(string(death))
 		}
 		write(strconv.FormatBool(f.Proven))
+		write(strconv.FormatBool(f.Answered))
 		sum += h.Sum64()
 	}
 	return sum
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -38,6 +38,11 @@
 	KeepFor time.Duration
 	// MaxFindings bounds the findings kept; the first to expire go first.
 	MaxFindings int
+	// Counted is the number of deaths at which a request is refused although no death
+	// alone proved that it caused them. It is for targets that can't be emptied for a
+	// suspect: suspects run like any other request, and one that a target answered in
+	// full is cleared by that. Zero: suspects run alone.
+	Counted int
 }
 
 // Fingerprint identifies a request by its organisation and content.
@@ -120,6 +125,9 @@
 // Gate says how a request may run now, before it is placed.
 func (r *Register) Gate(now time.Time, fp Fingerprint) Verdict {
 	finding := r.finding(now, fp)
+	if r.params.Counted > 0 {
+		return r.count(now, finding)
+	}
 	running := r.targets[fp]
 	switch {
 	case finding != nil && finding.Proven && len(finding.Deaths) >= MaxDeaths:
@@ -135,6 +143,38 @@
 	return Verdict{Mode: Free}
 }
 
+// count refuses a request that was in flight at too many deaths, and was never answered.
+func (r *Register) count(now time.Time, f *Finding) Verdict {
+	if f == nil || f.Answered || len(f.Deaths) < r.params.Counted {
+		return Verdict{Mode: Free}
+	}
+	return Verdict{Mode: Refuse, Err: refusal(now, f)}
+}
+
+// Sighting is the death of a target with a request in flight.
+type Sighting struct {
+	Fingerprint Fingerprint
+	Target      request.TargetID
+	Incarnation uint64 // as for OnTargetDied
+}
+
+// OnSighting notes a death with a request that is not in the register, and returns the
+// finding if it changed.
+func (r *Register) OnSighting(now time.Time, s Sighting) []Finding {
+	return r.suspect(now, s.Target, s.Incarnation, map[Fingerprint]bool{s.Fingerprint: false})
+}
+
+// OnAnswered is told that a target ran a request to its end. One that is suspect is cleared:
+// what crashes targets crashes each that runs it. It returns the finding if it changed.
+func (r *Register) OnAnswered(now time.Time, fp Fingerprint) []Finding {
+	f := r.finding(now, fp)
+	if f == nil || f.Answered {
+		return nil
+	}
+	f.Answered = true
+	return []Finding{f.clone()}
+}
+
 // Begin enters a request that is about to be sent to a target. alone says that the
 // target was granted with nothing else in flight. If ok is false the request must not
 // be sent: the verdict has changed since Gate, or never allowed it.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -116,7 +117,7 @@
 }
 
 // replica adds a replica that handles each request on a connection of its own.
-func (w *world) replica(handle func(c net.Conn, id string)) {
+func (w *world) replica(handle func(c net.Conn, id string)) net.Listener {
 	w.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -135,6 +136,7 @@
 	id := request.TargetID(fmt.Sprint("r", len(w.placer.replicas)))
 	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: "s", Address: l.Addr().String()}}})
 	w.placer.replicas = append(w.placer.replicas, w.set.Get(id))
+	return l
 }
 
 // deadReplica adds a replica at whose address nobody listens.
@@ -174,7 +176,17 @@
 // that of reading the body.
 func (w *world) call(method, path string, header http.Header) (*http.Response, string, error) {
 	w.t.Helper()
-	r, err := http.NewRequest(method, w.front.URL+path, strings.NewReader("body"))
+	return w.send(method, path, header, "body")
+}
+
+func (w *world) post(body string) (*http.Response, string, error) {
+	w.t.Helper()
+	return w.send(http.MethodPost, "/x", nil, body)
+}
+
+func (w *world) send(method, path string, header http.Header, content string) (*http.Response, string, error) {
+	w.t.Helper()
+	r, err := http.NewRequest(method, w.front.URL+path, strings.NewReader(content))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -458,6 +470,86 @@
 	}
 }
 
+// crashing is a replica whose process ends when it runs a request with the body "poison".
+func (w *world) crashing() {
+	w.t.Helper()
+	var l net.Listener
+	handle := func(c net.Conn, id string) {
+		w.mu.Lock()
+		body := w.arrivals[len(w.arrivals)-1].body
+		w.mu.Unlock()
+		if body == "poison" {
+			l.Close()
+			reset(c)
+			return
+		}
+		ok(c, id, "fine")
+	}
+	l = w.replica(handle)
+}
+
+// counted stands in for the daemons' shared register.
+type counted struct {
+	mu     sync.Mutex
+	deaths map[quarantine.Fingerprint]int
+}
+
+func (c *counted) Refused(fingerprint func() quarantine.Fingerprint) *request.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deaths[fingerprint()] < 3 {
+		return nil
+	}
+	return request.Refuse(request.CodeQuarantined, http.StatusServiceUnavailable, time.Minute, "replicas died")
+}
+
+func (c *counted) Died(_ context.Context, s quarantine.Sighting) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deaths[s.Fingerprint]++
+}
+
+func (c *counted) Answered(context.Context, func() quarantine.Fingerprint) {}
+
+func (c *counted) all() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, deaths := range c.deaths {
+		n += deaths
+	}
+	return n
+}
+
+// A request crashes each replica that runs it. Its caller sends it again and again with a new
+// id, and would take all replicas down one after the other. After three of them it is refused
+// with when to come back, and requests of others are answered by the rest.
+func TestRequestThatCrashesReplicasIsStopped(t *testing.T) {
+	w := newWorld(t, route(routing.KindOnce))
+	suspects := &counted{deaths: map[quarantine.Fingerprint]int{}}
+	w.server.o.Suspects = suspects
+	for range 6 {
+		w.crashing()
+	}
+	for n := 1; n <= 3; n++ {
+		if answer, _, err := w.post("poison"); err != nil || answer.StatusCode != http.StatusBadGateway {
+			t.Fatalf("try %d: %v, %v", n, answer, err)
+		}
+		for deadline := time.Now().Add(5 * time.Second); suspects.all() < n; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("death %d is not noticed", n)
+			}
+		}
+	}
+	answer, _, err := w.post("poison")
+	if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		t.Fatalf("after three deaths: %v, %v", answer, err)
+	}
+	if _, body, err := w.post("harmless"); err != nil || body != "fine" {
+		t.Errorf("another request: %q, %v", body, err)
+	}
+}
+
 // A third of the replicas dies at once. A request meets some of them in a row: nothing
 // listens there, so nothing was sent, and no retry budget may stand between the caller and
 // a replica that is idle. It was refused after two, with "no replica took it".
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -49,9 +49,11 @@
 	// surely current.
 	State func() (s *routing.Snapshot, current bool)
 	// Budget bounds the retries of one service here; the share of this daemon.
-	Budget  func() retry.Params
-	Logger  hclog.Logger
-	Metrics tally.Scope
+	Budget func() retry.Params
+	// Suspects refuses requests that crash replicas; nil: none is refused.
+	Suspects Suspects
+	Logger   hclog.Logger
+	Metrics  tally.Scope
 }
 
 // Server is the callers' HTTP handler.
@@ -108,6 +110,12 @@
 		s.refuse(w, j, err)
 		return
 	}
+	if s.o.Suspects != nil {
+		if err := s.o.Suspects.Refused(j.fingerprint); err != nil {
+			s.refuse(w, j, err)
+			return
+		}
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.Deadline)
 	defer cancel()
 	s.serve(ctx, w, j)
@@ -131,10 +139,14 @@
 		t := s.send(ctx, j, p)
 		if t.outcome == answered {
 			if s.deliver(ctx, w, j, k, t) {
+				s.ranToItsEnd(ctx, j)
 				return
 			}
 		}
 		n.note(t.outcome)
+		if t.outcome == mayHave && t.err != nil && !t.overdue.Load() {
+			s.broken(j, p.Replica)
+		}
 		if t.outcome == failed && !s.again(ctx, j, n) {
 			s.deliverWhole(w, j, t)
 			return
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -26,6 +26,11 @@
 	// is tried at once.
 	dialTimeout = 250 * time.Millisecond
 	maxIdle     = 16 // idle connections to one replica
+	// lookAgain is how long the outcome of a look at a replica holds.
+	lookAgain = 300 * time.Millisecond
+	// refusedFor is how long a replica is left alone that would not run a request. Loads of
+	// weights and places in a batch take some hundred ms.
+	refusedFor = 300 * time.Millisecond
 	// lapseGrace is how long a replica whose entry lapsed in an outage is still used. Most
 	// write their entries again within two seconds of its end; one that has left instead
 	// may get no requests two seconds after its entry went.
@@ -49,11 +54,15 @@
 	Load   Load
 	Health Health
 
-	onDown  func(request.TargetID) // nil: nobody is told
-	info    atomic.Pointer[Info]
-	weights sync.Map     // request.Model -> uint64, from answers newer than the registry
-	busy    atomic.Int64 // until when it takes no requests, Unix nanoseconds
-	short   atomic.Int64 // until when it takes only short requests, Unix nanoseconds
+	onDown    func(request.TargetID) // nil: nobody is told
+	onRefused func(request.TargetID) // likewise
+	lookMu    sync.Mutex
+	lookedAt  time.Time // by Dead
+	dead      bool
+	info      atomic.Pointer[Info]
+	weights   sync.Map     // request.Model -> uint64, from answers newer than the registry
+	busy      atomic.Int64 // until when it takes no requests, Unix nanoseconds
+	short     atomic.Int64 // until when it takes only short requests, Unix nanoseconds
 }
 
 // SetBusy says that the replica takes no requests until a time: it loads weights.
@@ -62,6 +71,29 @@
 // Busy reports whether the replica takes no requests now.
 func (r *Replica) Busy(now time.Time) bool { return now.UnixNano() < r.busy.Load() }
 
+// Refused notes that the replica would not run a model's request: it is full, or carries out
+// an order and waits for what runs to end, which takes seconds. It looks idle meanwhile. Left
+// to itself each daemon sent it one request after the other, and callers were refused when
+// two replicas had.
+func (r *Replica) Refused(now time.Time) {
+	r.AvoidFor(now, refusedFor)
+	if r.onRefused != nil {
+		r.onRefused(r.Info().ID)
+	}
+}
+
+// AvoidFor says that the replica takes no requests for a time, unless that is known to last
+// longer.
+func (r *Replica) AvoidFor(now time.Time, d time.Duration) {
+	until := now.Add(d).UnixNano()
+	for {
+		known := r.busy.Load()
+		if known >= until || r.busy.CompareAndSwap(known, until) {
+			return
+		}
+	}
+}
+
 // Info returns what the registry told last.
 func (r *Replica) Info() *Info { return r.info.Load() }
 
@@ -104,6 +136,22 @@
 	}
 }
 
+// Dead reports whether the replica accepts no connection just after one to it broke. The
+// many requests that it ran ask at once; one connection answers all of them.
+func (r *Replica) Dead(ctx context.Context) bool {
+	r.lookMu.Lock()
+	defer r.lookMu.Unlock()
+	now := time.Now()
+	if now.Sub(r.lookedAt) < lookAgain {
+		return r.dead
+	}
+	r.dead, r.lookedAt = r.Pool.Probe(ctx) != nil, now
+	if r.dead {
+		r.Unreachable(now)
+	}
+	return r.dead
+}
+
 // probe finds out whether the replica accepts a connection.
 func (r *Replica) probe(ctx context.Context) {
 	err := r.Pool.Probe(ctx)
@@ -112,7 +160,9 @@
 
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
-	onDown  func(request.TargetID)
+	onDown    func(request.TargetID)
+	onRefused func(request.TargetID)
+
 	mu      sync.Mutex
 	byID    map[request.TargetID]*Replica
 	lapsing map[request.TargetID]time.Time
@@ -139,6 +189,10 @@
 // It must be set before the first Apply.
 func (s *Set) OnDown(f func(request.TargetID)) { s.onDown = f }
 
+// OnRefused has a function called when a replica would not run a request of this daemon. It
+// must be set before the first Apply.
+func (s *Set) OnRefused(f func(request.TargetID)) { s.onRefused = f }
+
 // Probe looks after replicas that accepted no connection: those whose rest is over.
 func (s *Set) Probe(ctx context.Context, now time.Time) {
 	for _, r := range s.All() {
@@ -207,7 +261,7 @@
 	delete(s.lapsing, info.ID)
 	r, ok := s.byID[info.ID]
 	if !ok {
-		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), onDown: s.onDown}
+		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), onDown: s.onDown, onRefused: s.onRefused}
 		s.byID[info.ID] = r
 	}
 	r.info.Store(&info)
--- /dev/null
+++ b/internal/suspect/counted.go
@@ -0,0 +1,150 @@
+package suspect
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+)
+
+const (
+	// refuseAt is the number of targets that may fall to one request. Two may die by
+	// chance with the same request in flight, when many crash at once.
+	refuseAt = 3
+	// storeAt is the number of deaths from which a finding is written to the key-value
+	// service. One death makes suspects of all that was in flight; few have two.
+	storeAt = 2
+)
+
+// CountedOptions are the options of NewCounted.
+type CountedOptions struct {
+	KV       platform.KV
+	Follower *mirror.Follower          // of the service; its owner runs it
+	Tell     func(quarantine.Sighting) // tells all daemons soon; nil: nobody
+	Logger   hclog.Logger
+	Now      func() time.Time // nil: time.Now
+}
+
+// Counted refuses requests at which targets died too often, for daemons that can't empty a
+// target for a suspect. Suspects run like all others; one that a target answers is cleared.
+// It is safe for concurrent use.
+//
+// Sightings are told to all daemons at once; findings of two deaths and more lie in the
+// key-value service as well, so that they outlive all daemons.
+type Counted struct {
+	o      CountedOptions
+	pages  *Keeper // reads and writes pages of the key-value service
+	mirror *mirror.Mirror
+	any    atomic.Bool // there are findings
+
+	mu       sync.Mutex
+	register *quarantine.Register
+}
+
+// NewCounted returns a register that knows nothing.
+func NewCounted(o CountedOptions) *Counted {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	c := &Counted{
+		o: o, pages: New(Options{KV: o.KV, Logger: o.Logger, Now: o.Now}),
+		register: quarantine.New(quarantine.Params{Counted: refuseAt}),
+	}
+	c.o.Logger = o.Logger.Named("suspect")
+	c.mirror = o.Follower.Mirror(keyPrefix, c.apply)
+	return c
+}
+
+// Mirror returns the mirror of stored findings, whose copies peers may ask for.
+func (c *Counted) Mirror() *mirror.Mirror { return c.mirror }
+
+func (c *Counted) apply(u mirror.Update) {
+	for _, e := range u.Entries {
+		if e.Deleted || !strings.HasPrefix(e.Key, keyPrefix) {
+			continue
+		}
+		c.merge(c.pages.mergeValue(e.Value))
+	}
+}
+
+func (c *Counted) merge(findings []quarantine.Finding) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.register.Merge(c.o.Now(), findings)
+	c.any.Store(len(c.register.All(c.o.Now())) > 0)
+}
+
+// Refused returns the final answer to a request that has brought down too many targets; nil
+// if it may run. fingerprint is called only where there are findings at all.
+func (c *Counted) Refused(fingerprint func() quarantine.Fingerprint) *request.Error {
+	if !c.any.Load() {
+		return nil
+	}
+	fp := fingerprint()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.register.Gate(c.o.Now(), fp).Err
+}
+
+// Died notes that a target died while it ran a request here, and tells the other daemons. It
+// returns once a finding of several deaths is written, or the write has failed.
+func (c *Counted) Died(ctx context.Context, s quarantine.Sighting) {
+	found := c.note(s)
+	if c.o.Tell != nil {
+		c.o.Tell(s)
+	}
+	c.store(ctx, found)
+}
+
+// Heard notes a sighting of another daemon, which writes it if it must be written.
+func (c *Counted) Heard(s quarantine.Sighting) { c.note(s) }
+
+func (c *Counted) note(s quarantine.Sighting) []quarantine.Finding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.any.Store(true)
+	return c.register.OnSighting(c.o.Now(), s)
+}
+
+// Answered notes that a target ran a request to its end.
+func (c *Counted) Answered(ctx context.Context, fingerprint func() quarantine.Fingerprint) {
+	if !c.any.Load() {
+		return
+	}
+	fp := fingerprint()
+	c.mu.Lock()
+	found := c.register.OnAnswered(c.o.Now(), fp)
+	c.mu.Unlock()
+	c.store(ctx, found)
+}
+
+// store writes the findings that must outlive this daemon.
+func (c *Counted) store(ctx context.Context, found []quarantine.Finding) {
+	for _, f := range found {
+		if len(f.Deaths) < storeAt {
+			continue
+		}
+		c.o.Logger.Warn("Targets died while they ran the same request", "fingerprint", f.Fingerprint, "deaths", f.Deaths, "answered", f.Answered)
+		if err := c.pages.write(ctx, pageOf(f.Fingerprint), []quarantine.Finding{f}); err != nil {
+			c.o.Logger.Warn("Findings were not written; the other daemons were told", "error", err)
+		}
+	}
+}
+
+// State returns the findings for a dump.
+func (c *Counted) State() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.register.All(c.o.Now())
+}
