Leave a replica alone that would not run a request, and tell the group

Cause: while weights are rolled out, a replica that was ordered to load refuses new requests until the long ones it runs have ended.

Ruled out: the registry (it tells of the new version only after the load).

Change: one refusal of a prompt keeps the replica free of requests for 0.3 s, here and in the group.

TestRefusingReplicaIsLeftAlone and the datagram test cover it.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -75,6 +75,10 @@
 
 	a.Announce(weights.State{Replica: "r", Busy: time.Minute, Model: "m", Weights: 3})
 	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
+	a.Announce(weights.State{Replica: "r"})
+	await("the replica takes requests", func() bool { return !b.set.Get("r").Busy(time.Now()) })
+	a.Refusing("r")
+	await("one that refused the peer gets none", func() bool { return b.set.Get("r").Busy(time.Now()) })
 	death := quarantine.Sighting{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
 	a.Died(death)
 	if got := <-b.died; got != death {
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -184,8 +184,13 @@
 		t.placement.Replica.SawWeights(j.Model, t.answer.Weights)
 	}
 	switch t.outcome {
-	case answered, notRun:
+	case answered:
 		h.Answered(false)
+	case notRun:
+		h.Answered(false)
+		if j.Model != "" {
+			t.placement.Replica.Refused(time.Now())
+		}
 	case failed:
 		h.Answered(true)
 	case mayHave:
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -196,3 +196,28 @@
 		t.Error("the dead one is used")
 	}
 }
+
+// A replica takes an order to load weights and waits for long answers to end before it does.
+// It looks idle meanwhile and refuses all requests: 22 in 0.4 s, by daemons that did not
+// learn from one another. One refusal must be enough for all of them, and what the holder of
+// the rollout told, that it is busy for longer, stays.
+func TestRefusingReplicaIsLeftAlone(t *testing.T) {
+	s := NewSet()
+	var told []request.TargetID
+	s.OnRefused(func(id request.TargetID) { told = append(told, id) })
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{info("a")}})
+	r, now := s.Get("a"), time.Unix(1000, 0)
+	r.Refused(now)
+	if len(told) != 1 || !r.Busy(now) || r.Busy(now.Add(refusedFor)) {
+		t.Errorf("told %v, busy %t, after its time %t", told, r.Busy(now), r.Busy(now.Add(refusedFor)))
+	}
+	r.SetBusy(now.Add(time.Minute))
+	r.Refused(now)
+	if !r.Busy(now.Add(30 * time.Second)) {
+		t.Error("a refusal cut short what was known to last longer")
+	}
+	r.SetBusy(time.Time{}) // it serves its new weights
+	if r.Busy(now) {
+		t.Error("still left alone")
+	}
+}
