bluebellctl explain: one request's way from daemons' logs

An on-call engineer collected the lines with a request's id by hand and had to know what each code means. The command puts them in order over all daemons, says in one sentence why the request ended as it did, and names what the daemon depended on (since when the key-value service had not answered).

--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -24,6 +24,7 @@
 		Client:      &http.Client{},
 		Operator:    operator(),
 		Version:     version.String(),
+		Stdin:       os.Stdin,
 		Stdout:      os.Stdout,
 		Stderr:      os.Stderr,
 	})
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -29,6 +29,7 @@
 	Client      *http.Client                         // for daemons' debug endpoints
 	Operator    string                               // name for histories
 	Version     string
+	Stdin       io.Reader // for logs
 	Stdout      io.Writer
 	Stderr      io.Writer
 }
@@ -96,6 +97,7 @@
 			t.debugCommand("targets", "/debug/targets", "list targets as a daemon sees them"),
 			t.debugCommand("contexts", "/debug/contexts", "list contexts that a daemon knows"),
 			t.drainCommand(),
+			t.explainCommand(),
 			t.versionCommand(),
 		},
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -113,7 +113,7 @@
 			}
 			return errors.New("[daemon] id: missing")
 		},
-		Client: e.daemon.Client(), Operator: "ana", Version: "v0", Stdout: &out, Stderr: &out,
+		Client: e.daemon.Client(), Operator: "ana", Version: "v0", Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out,
 	})
 	text := strings.NewReplacer(e.dir, "DIR", address, "ADDR").Replace(out.String())
 	var b strings.Builder
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,54 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+)
+
+// The lines of testdata were written by daemons that met these failures; each begins with the
+// daemon's name.
+func TestExplain(t *testing.T) {
+	datadriven.RunTest(t, "testdata/explain", func(t *testing.T, d *datadriven.TestData) string {
+		var request string
+		d.ScanArgs(t, "request", &request)
+		texts := map[string]string{}
+		var daemons []string
+		for line := range strings.Lines(d.Input) {
+			daemon, _, _ := strings.Cut(line, " ")
+			if texts[daemon] == "" {
+				daemons = append(daemons, daemon)
+			}
+			texts[daemon] += line
+		}
+		var logs []Log
+		for _, daemon := range daemons {
+			logs = append(logs, Log{Daemon: daemon, Text: strings.NewReader(texts[daemon])})
+		}
+		way, err := Explain(request, logs)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		out := way.Verdict + "\n"
+		for _, l := range way.Lines {
+			out += fmt.Sprintf("%s %s after %d ms\n", l.Daemon, l.Message, l.AfterMs)
+		}
+		return out
+	})
+}
+
+// Logs hold lines of others, cut lines and lines of other programs; none of them stops the
+// reader, and a request that no line names is an error that says so.
+func TestStrangeLines(t *testing.T) {
+	text := "panic: x\n{\"@message\":\n{}\n{\"@message\":3}\n\n{\"@message\":\"A request is answered\",\"request\":\"r\",\"replica\":\"i\",\"status\":200}\n"
+	way, err := Explain("r", []Log{{Daemon: "d", Text: strings.NewReader(text)}})
+	if err != nil || len(way.Lines) != 1 {
+		t.Fatalf("%+v, %v", way, err)
+	}
+	if _, err := Explain("other", []Log{{Daemon: "d", Text: strings.NewReader(text)}}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("got %v", err)
+	}
+}
