Learn for how long a replica keeps idle connections

Cause: replicas may forget idle connections sooner than they say, without a word; the next request on one is reset, and a call that must run at most once then fails, since nobody can tell whether it ran. With one of 71 daemons sending a call a second to each of three replicas, every call rests that long.

Change: two idle connections in a row that break when used again bound the rest of the others to a share of theirs, for 20 s; one that was good after a rest ends the count.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,8 +39,10 @@
 // conn is a connection to one address.
 type conn struct {
 	net.Conn
-	br    *bufio.Reader
-	until time.Time // before the peer may close it for idleness
+	br     *bufio.Reader
+	until  time.Time     // before the peer may close it for idleness
+	idleAt time.Time     // since when it rests
+	rested time.Duration // before it was taken; zero for a new one
 }
 
 // Dialer opens connections that notice a peer that is gone.
@@ -108,6 +110,7 @@
 
 	mu     sync.Mutex
 	idle   []*conn // the one used last is at the end
+	rests  rests
 	closed bool
 }
 
@@ -126,13 +129,31 @@
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.until) && c.quiet() {
+		c.rested = now.Sub(c.idleAt)
+		if now.Before(c.until) && p.mayRest(now, c.rested) && c.quiet() {
 			return c
 		}
 		c.Close()
 	}
 }
 
+func (p *Pool) mayRest(now time.Time, rest time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rests.allows(now, rest)
+}
+
+// noteUse learns from how the first exchange on a connection went after its rest.
+func (p *Pool) noteUse(c *conn, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.rests.broke(time.Now(), c.rested)
+		return
+	}
+	p.rests.answered(c.rested)
+}
+
 func (p *Pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,7 +190,8 @@
 		c.Close()
 		return
 	}
-	c.until = time.Now().Add(keepFor)
+	c.idleAt = time.Now()
+	c.until = c.idleAt.Add(keepFor)
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle) < p.maxIdle
 	if keep {
--- a/internal/upstream/try.go
+++ b/internal/upstream/try.go
@@ -73,6 +73,9 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	response, err := p.exchange(c, r)
+	if ctx.Err() == nil {
+		p.noteUse(c, err)
+	}
 	if err != nil {
 		stop()
 		c.abort()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -285,3 +285,60 @@
 		}
 	}
 }
+
+// A replica forgets idle connections after 300 ms and says nothing; what is sent on one is
+// reset, and a call that must run at most once fails. The first two show it; after them idle
+// connections are used for less, and short rests still need no new connection.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	var r rests
+	now := time.Unix(1000, 0)
+	r.broke(now, 400*time.Millisecond)
+	if !r.allows(now, time.Second) {
+		t.Error("one break is taken for a rule")
+	}
+	r.answered(500 * time.Millisecond)
+	r.broke(now, 400*time.Millisecond)
+	if !r.allows(now, time.Second) {
+		t.Error("a longer rest did no harm in between")
+	}
+	r.broke(now, 500*time.Millisecond)
+	if r.allows(now, 400*time.Millisecond) || !r.allows(now, 200*time.Millisecond) {
+		t.Error("want rests of well below 500 ms only")
+	}
+	if !r.allows(now.Add(staleFor+time.Second), time.Second) {
+		t.Error("longer rests are never tried again")
+	}
+}
+
+// The same over connections: of ten calls that rest for 100 ms each, two are lost.
+func TestFewCallsAreLostOnForgottenConnections(t *testing.T) {
+	r := serve(t, func(r *replica, n int, c net.Conn, br *bufio.Reader) {
+		for first := true; ; first = false {
+			request, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if !first {
+				if tcp, ok := c.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0) // reset, without an answer
+				}
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+		}
+	})
+	p := r.pool(t)
+	lost := 0
+	for range 10 {
+		answer, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Id": {"1"}}})
+		if err != nil {
+			lost++
+			continue
+		}
+		answer.Done(true)
+		time.Sleep(2 * leastRest)
+	}
+	if lost != staleBreaks {
+		t.Errorf("%d of 10 calls are lost", lost)
+	}
+}
