--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -22,7 +22,6 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
-	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/weights"
@@ -254,93 +253,3 @@
 	}
 	return true
 }
-
-func (s *Share) read(ctx context.Context) {
-	buffer := make([]byte, readBuffer)
-	for {
-		n, _, err := s.conn.ReadFromUDP(buffer)
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				s.o.Logger.Error("Datagrams can not be read", "error", err)
-			}
-			return
-		}
-		var r Report
-		if err := proto.Unmarshal(buffer[:n], &r); err != nil {
-			s.o.Logger.Debug("A datagram can not be read", "error", err)
-			continue
-		}
-		s.take(ctx, time.Now(), &r)
-	}
-}
-
-// take notes what a peer told.
-func (s *Share) take(ctx context.Context, now time.Time, r *Report) {
-	if len(r.Revisions) > 0 {
-		s.o.Heard(r.Address, r.Revisions)
-	}
-	byHash := s.o.Set.View().ByHash
-	if len(r.Work) > 0 {
-		s.takeWork(now, r, byHash)
-	}
-	for _, p := range r.Placed {
-		replica := byHash[p.Replica]
-		if replica == nil || s.Engine == nil || len(p.Parts) != len(p.Tokens) {
-			continue
-		}
-		parts := make([]placer.PlacedPart, len(p.Parts))
-		for i := range p.Parts {
-			parts[i] = placer.PlacedPart{Key: residency.Key(p.Parts[i]), Tokens: int(p.Tokens[i])}
-		}
-		s.Engine.Learn(replica.Info().ID, parts, int(p.Other))
-	}
-	for _, d := range r.Deaths {
-		s.o.HeardDeath(quarantine.Sighting{
-			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: 1,
-		})
-	}
-	for _, hash := range r.Unreachable {
-		if replica := byHash[hash]; replica != nil {
-			replica.Suspect(ctx)
-		}
-	}
-	for _, hash := range r.Refusing {
-		if replica := byHash[hash]; replica != nil {
-			replica.AvoidFor(now, refusedFor)
-		}
-	}
-	for _, state := range r.States {
-		if replica := byHash[state.Replica]; replica != nil {
-			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
-			replica.SetShortOnly(now.Add(time.Duration(state.ShortMs) * time.Millisecond))
-			if state.Weights > 0 {
-				replica.SawWeights(request.Model(state.Model), state.Weights)
-			}
-		}
-	}
-}
-
-// takeWork notes a peer's work. A replica that it names no more has none of it.
-func (s *Share) takeWork(now time.Time, r *Report, byHash map[uint64]*replicas.Replica) {
-	peer := request.DaemonID(r.From)
-	s.mu.Lock()
-	before := s.told[peer]
-	told := make(map[uint64]bool, len(r.Work))
-	s.told[peer] = told
-	s.mu.Unlock()
-	for _, w := range r.Work {
-		replica := byHash[w.Replica]
-		if replica == nil {
-			continue
-		}
-		told[w.Replica] = true
-		replica.Load.Tell(now, peer, replicas.Work{
-			Requests: int(w.Requests), Tokens: int(w.Tokens), Prefill: int(w.Prefill), Long: int(w.Long),
-		})
-	}
-	for h := range before {
-		if replica := byHash[h]; replica != nil && !told[h] {
-			replica.Load.Tell(now, peer, replicas.Work{})
-		}
-	}
-}
--- /dev/null
+++ b/internal/replicas/reach.go
@@ -0,0 +1,81 @@
+package replicas
+
+import (
+	"context"
+	"time"
+)
+
+// SetBusy says that the replica takes no requests until a time: it loads weights.
+func (r *Replica) SetBusy(until time.Time) { r.busy.Store(until.UnixNano()) }
+
+// Busy reports whether the replica takes no requests now.
+func (r *Replica) Busy(now time.Time) bool { return now.UnixNano() < r.busy.Load() }
+
+// Refused notes that the replica would not run a model's request: it is full, or carries out
+// an order and waits for what runs to end, which takes seconds. It looks idle meanwhile. Left
+// to itself each daemon sent it one request after the other, and callers were refused when
+// two replicas had.
+func (r *Replica) Refused(now time.Time) {
+	r.AvoidFor(now, refusedFor)
+	if r.onRefused != nil {
+		r.onRefused(r.Info().ID)
+	}
+}
+
+// AvoidFor says that the replica takes no requests for a time, unless that is known to last
+// longer.
+func (r *Replica) AvoidFor(now time.Time, d time.Duration) {
+	until := now.Add(d).UnixNano()
+	for {
+		known := r.busy.Load()
+		if known >= until || r.busy.CompareAndSwap(known, until) {
+			return
+		}
+	}
+}
+
+// Unreachable notes that no connection to the replica could be opened, and tells peers.
+func (r *Replica) Unreachable(now time.Time) {
+	if r.Health.Down(now) && r.onDown != nil {
+		r.onDown(r.Info().ID)
+	}
+}
+
+// Suspect notes a peer's word that no connection to the replica can be opened. Its own
+// connection decides: a peer may be cut off by itself.
+func (r *Replica) Suspect(ctx context.Context) {
+	if r.Health.Suspect() {
+		go r.probe(ctx)
+	}
+}
+
+// Dead reports whether the replica accepts no connection just after one to it broke. The
+// many requests that it ran ask at once; one connection answers all of them.
+func (r *Replica) Dead(ctx context.Context) bool {
+	r.lookMu.Lock()
+	defer r.lookMu.Unlock()
+	now := time.Now()
+	if now.Sub(r.lookedAt) < lookAgain {
+		return r.dead
+	}
+	r.dead, r.lookedAt = r.Pool.Probe(ctx) != nil, now
+	if r.dead {
+		r.Unreachable(now)
+	}
+	return r.dead
+}
+
+// probe finds out whether the replica accepts a connection.
+func (r *Replica) probe(ctx context.Context) {
+	err := r.Pool.Probe(ctx)
+	r.Health.Probed(time.Now(), err == nil)
+}
+
+// Probe looks after replicas that accepted no connection: those whose rest is over.
+func (s *Set) Probe(ctx context.Context, now time.Time) {
+	for _, r := range s.All() {
+		if r.Health.ProbeDue(now) {
+			go r.probe(ctx)
+		}
+	}
+}
