--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo faults schedules bench-control bench-policy bench-fair bench-returns lint proto days seeds clean
+.PHONY: soak build test demo faults schedules bench-control bench-policy bench-fair bench-returns lint proto days seeds clean
 
 BIN := bin
 
@@ -56,6 +56,11 @@
 clean:
 	rm -rf $(BIN)
 
+# Daemons as processes under faults from outside: SEEDS seeds from FIRST on, SECONDS each.
+soak:
+	SOAK_SEEDS=$(or $(SEEDS),50) SOAK_FIRST=$(or $(FIRST),1) SOAK_SECONDS=$(or $(SECONDS),6) \
+		go test -run TestSoak -count=1 -timeout 60m -v ./platform
+
 # Random tests with fresh seeds, for some minutes.
 seeds:
 	FRESH_SEEDS=1 go test -count=$(or $(COUNT),20) $$(grep -rl '"pgregory.net/rapid"' --include=*_test.go internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
