A keeper of context stores that was suspended forgets what it knew

Cause, found by reading: since keepers read on after their lease, one that wakes from a standstill takes its lease for held (the clock of timers stood still) and counts the time for which it may read on from then; its successor may free parts before that has ended.

Change: after a standstill of a second or more a keeper starts anew. TestSuspendedKeeperForgetsItsStores fails without it.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -204,6 +204,29 @@
 	}
 }
 
+// The keeper's VM is suspended. Its leases' clock stood still, so they look held when it goes
+// on, and another daemon may have freed parts and written others since. Leave that it gave
+// by what it knew would let a prompt run on half a part.
+func TestSuspendedKeeperForgetsItsStores(t *testing.T) {
+	store := newFakeStore()
+	store.save("w1", "p", 100)
+	a := keep(t, store, service("s", 100_000, 1000))
+	askFor(t, a, "p", true, false)
+	a.o.Own.Stalled(distrustAfter - time.Millisecond)
+	askFor(t, a, "p", true, false)
+	store.mu.Lock()
+	delete(store.parts, storeroom.Key{Salt: "w1", ID: "p"}) // by the keeper meanwhile, and no event tells it
+	store.mu.Unlock()
+	a.o.Own.Stalled(distrustAfter)
+	for range 50 {
+		if got, _ := a.Ask(context.Background(), "w1", []relay.Part{{ID: "p", Tokens: 100}, {ID: "own"}}, []bool{false, false}); got[0].Fetch {
+			t.Fatal("leave to fetch what is gone")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	askFor(t, a, "p", false, true)
+}
+
 // A store falls silent. Each request told to fetch from it would lose some hundred ms, so
 // nothing is within two seconds.
 func TestSilentStoreIsLeftAlone(t *testing.T) {
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -158,6 +158,25 @@
 	return k
 }
 
+// distrustAfter is the shortest standstill in which a lease may have run out and been taken:
+// the time from one renewal to the next is left out of it.
+const distrustAfter = time.Second
+
+// Stalled is told that the process stood still. The clock of the leases may have stood still
+// with it, so that they look held, and another daemon may have kept the stores since: what is
+// known of them counts for nothing any more.
+func (s *StoreKeeper) Stalled(gap time.Duration) {
+	if gap < distrustAfter {
+		return
+	}
+	s.mu.Lock()
+	stores := slices.Collect(maps.Keys(s.stores))
+	s.mu.Unlock()
+	for _, store := range stores {
+		s.drop(store)
+	}
+}
+
 func (s *StoreKeeper) drop(store routing.ServiceID) {
 	s.mu.Lock()
 	k := s.stores[store]
