Roll out weights of several models side by side

Cause: one rollout looked at all models at once, kept one state a replica, and counted the shares for the first model only. Where two models of the same replicas are named at the same moment, replicas counted as behind in the model that they had, and were ordered again.

Change: a rollout for each model; a replica that carries out an order for one model counts as loading for the others.

With one model the decisions are the same.

--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -119,14 +119,14 @@
 
 // Duty is one daemon's part in the rollout of weights.
 type Duty struct {
-	o       Options
-	rollout *rollout.Rollout
-	lease   *lease.Lease
-	askAt   time.Time // not before
-	since   time.Time // since when replicas are behind; zero: none is
-	ordered map[request.TargetID]ordered
-	recent  map[request.TargetID]time.Time // when a replica was ordered last
-	told    map[request.TargetID]time.Time // when peers were told last that it is busy
+	o        Options
+	rollouts map[request.Model]*rollout.Rollout
+	lease    *lease.Lease
+	askAt    time.Time // not before
+	since    time.Time // since when replicas are behind; zero: none is
+	ordered  map[request.TargetID]ordered
+	recent   map[request.TargetID]time.Time // when a replica was ordered last
+	told     map[request.TargetID]time.Time // when peers were told last that it is busy
 
 	plan    *plan                          // while the duty is held
 	foreign map[request.TargetID]time.Time // until when the holder before may count as a replica's
@@ -220,12 +220,16 @@
 
 // settle takes the replicas back into use that have reached their version.
 func (d *Duty) settle(late []behind) {
-	still := make(map[request.TargetID]bool, len(late))
+	type place struct {
+		id    request.TargetID
+		model request.Model
+	}
+	still := make(map[place]bool, len(late))
 	for _, b := range late {
-		still[b.replica.Info().ID] = true
+		still[place{b.replica.Info().ID, b.model}] = true
 	}
 	for id, o := range d.ordered {
-		if still[id] {
+		if still[place{id, o.model}] {
 			continue
 		}
 		delete(d.ordered, id)
@@ -287,7 +291,7 @@
 		d.o.Logger.Warn("The plan of the holder before could not be taken over", "error", err)
 		return false
 	}
-	d.lease, d.plan, d.rollout = l, p, nil
+	d.lease, d.plan, d.rollouts = l, p, map[request.Model]*rollout.Rollout{}
 	d.foreign = map[request.TargetID]time.Time{}
 	for _, id := range p.Ordered {
 		d.foreign[id] = now.Add(d.o.OrderLease)
--- /dev/null
+++ b/internal/weights/models_test.go
@@ -0,0 +1,123 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/lease"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+)
+
+// severalModels are replicas that serve two models and load one at a time.
+type severalModels struct {
+	mu       sync.Mutex
+	versions map[request.TargetID]map[request.Model]uint64
+	orders   map[request.TargetID]uint64
+	loading  map[request.TargetID]bool
+	refused  int // orders that came while another was carried out
+	most     int // replicas that loaded at once
+}
+
+const loadTakes = 30 * time.Millisecond
+
+func (f *severalModels) Report(_ context.Context, r *replicas.Replica) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := r.Info().ID
+	return Report{Weights: maps.Clone(f.versions[id]), Orders: f.orders[id], Busy: f.loading[id]}, nil
+}
+
+func (f *severalModels) Load(_ context.Context, r *replicas.Replica, o Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := r.Info().ID
+	if f.loading[id] || o.Expected != f.orders[id] {
+		f.refused++
+		return errors.New("another order is carried out")
+	}
+	f.orders[id]++
+	f.loading[id] = true
+	n := 0
+	for _, loads := range f.loading {
+		if loads {
+			n++
+		}
+	}
+	f.most = max(f.most, n)
+	time.AfterFunc(loadTakes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.versions[id][o.Model] = o.Version
+		f.loading[id] = false
+	})
+	return nil
+}
+
+func (f *severalModels) behind(named map[request.Model]uint64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, versions := range f.versions {
+		for model, version := range named {
+			if versions[model] < version {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Operators name weights of two models at the same moment, and all replicas serve both. Each
+// replica must take both orders, one after the other, and no more replicas be out at once
+// than with one model. With one view for both, replicas counted as behind in the model that
+// they had, and got orders that they had carried out.
+func TestTwoModelsAreRolledOutTogether(t *testing.T) {
+	named := map[request.Model]uint64{"a": 2, "b": 3}
+	f := &severalModels{versions: map[request.TargetID]map[request.Model]uint64{}, orders: map[request.TargetID]uint64{}, loading: map[request.TargetID]bool{}}
+	set := replicas.NewSet()
+	var present []replicas.Info
+	for i := range 10 {
+		id := request.TargetID(fmt.Sprint("r", i))
+		f.versions[id] = map[request.Model]uint64{"a": 1, "b": 1}
+		present = append(present, replicas.Info{ID: id, Service: "s", Address: "127.0.0.1:1", Weights: map[request.Model]uint64{"a": 1, "b": 1}})
+	}
+	set.Apply(time.Now(), replicas.Change{Full: true, Present: present})
+	store, began := kv.NewFake(time.Now).Client("d"), time.Now()
+	d := New(Options{
+		KV: store, Self: "d", Set: set, Calls: f, OrderLease: 100 * time.Millisecond,
+		Leases:   lease.NewManager(lease.Options{KV: store, Self: "d", TTL: 30 * time.Second, Margin: time.Second}),
+		Named:    func() map[request.Model]uint64 { return named },
+		Outdated: func(m request.Model, v uint64) (time.Time, bool) { return began, v < named[m] },
+		Rank:     func() int { return 0 },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for f.behind(named) > 0 {
+		if ctx.Err() != nil {
+			t.Fatalf("%d weights are behind", f.behind(named))
+		}
+		d.step(ctx)
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.orders {
+		if n != 2 {
+			t.Errorf("%s: %d orders", id, n)
+		}
+	}
+	if f.refused > 0 {
+		t.Errorf("%d orders came while another was carried out", f.refused)
+	}
+	if f.most > 4 { // a fifth of ten for each model
+		t.Errorf("%d of 10 replicas loaded at once", f.most)
+	}
+}
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -14,19 +15,35 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
-// act orders what may be ordered now.
+// act orders what may be ordered now, one model after the other: a replica that serves several
+// takes one order at a time.
 func (d *Duty) act(ctx context.Context, late []behind) {
-	if d.rollout == nil {
-		d.rollout = rollout.New(rollout.Params{
-			LoadCap: d.loadCap(late), MaxOutShare: outShare, OrderTimeout: effectAfter,
+	byModel := map[request.Model][]behind{}
+	for _, b := range late {
+		byModel[b.model] = append(byModel[b.model], b)
+	}
+	for _, model := range slices.Sorted(maps.Keys(byModel)) {
+		if d.lease == nil {
+			return
+		}
+		d.actOn(ctx, model, byModel[model])
+	}
+}
+
+func (d *Duty) actOn(ctx context.Context, model request.Model, late []behind) {
+	r := d.rollouts[model]
+	if r == nil {
+		r = rollout.New(rollout.Params{
+			LoadCap: d.loadCap(model), MaxOutShare: outShare, OrderTimeout: effectAfter,
 			LoadTimeout: 4 * effectAfter, DrainFor: drainFor,
 			TakeoverWait: time.Nanosecond, // OrderAfter says it for each replica
 		})
+		d.rollouts[model] = r
 	}
-	d.rollout.SetMaxOutShare(outShareAt(d.lateFor(late)))
+	r.SetMaxOutShare(outShareAt(d.lateFor(late)))
 	wanted, observed, reports := d.view(ctx, late)
 	var orders []rollout.Order
-	for _, a := range d.rollout.Step(time.Now(), d.lease.Epoch(), wanted, observed) {
+	for _, a := range r.Step(time.Now(), d.lease.Epoch(), wanted, observed) {
 		switch a := a.(type) {
 		case rollout.Order:
 			orders = append(orders, a)
@@ -110,18 +127,18 @@
 	}
 }
 
-func (d *Duty) loadCap(late []behind) int {
+func (d *Duty) loadCap(model request.Model) int {
 	all := 0
 	for _, r := range d.o.Set.All() {
-		if _, serves := r.Info().Weights[late[0].model]; serves {
+		if _, serves := r.Info().Weights[model]; serves {
 			all++
 		}
 	}
 	return max(1, int(loadShare*float64(all)))
 }
 
-// view returns what is wanted of all replicas of the models concerned, and what is known
-// of them. Replicas with an order are asked.
+// view returns what is wanted of all replicas of the model of late, and what is known of
+// them. Replicas with an order are asked.
 func (d *Duty) view(ctx context.Context, late []behind) ([]rollout.Wanted, []rollout.Observed, map[request.TargetID]Report) {
 	now := time.Now()
 	reports := d.ask(ctx, late)
@@ -140,6 +157,9 @@
 		} else if _, has := d.ordered[id]; has {
 			o.Reachable = false
 		}
+		if other, has := d.ordered[id]; has && other.model != b.model {
+			o.State.Loading = versionOf(b.version) // it takes the order for this model later
+		}
 		observed = append(observed, o)
 	}
 	wanted, observed = d.addDone(wanted, observed, late, now)
