--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -66,6 +66,13 @@
 	return n
 }
 
+// count returns how many replicas there are; orders may be on their way.
+func (f *fakeReplicas) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.versions)
+}
+
 type bench struct {
 	calls *fakeReplicas
 	set   *replicas.Set
@@ -105,9 +112,10 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	for b.calls.at(version) < len(b.calls.versions) {
+	all := b.calls.count()
+	for b.calls.at(version) < all {
 		if ctx.Err() != nil {
-			t.Fatalf("%d of %d replicas serve version %d", b.calls.at(version), len(b.calls.versions), version)
+			t.Fatalf("%d of %d replicas serve version %d", b.calls.at(version), all, version)
 		}
 		d.step(ctx)
 		time.Sleep(5 * time.Millisecond)
