One register of suspects a daemon, one place that marks dial errors

Read again: suspect.Counted kept a register beside that of the Keeper which reads and writes its pages, so that each finding was merged twice; it uses the Keeper's now, which takes the parameters. A check of a prefix that the mirror has made, and a default that the Keeper sets, are gone. What a failed dial means is marked where connections are opened, not by each caller.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -207,8 +207,7 @@
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
 	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down, Refusing: s.refusing}
-	s.placed, s.states, s.down = s.placed[n:], nil, nil
-	s.refusing = nil
+	s.placed, s.states, s.down, s.refusing = s.placed[n:], nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
 	changed := !same(work, s.last)
--- a/internal/suspect/counted.go
+++ b/internal/suspect/counted.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,12 +39,9 @@
 // key-value service as well, so that they outlive all daemons.
 type Counted struct {
 	o      CountedOptions
-	pages  *Keeper // reads and writes pages of the key-value service
+	keeper *Keeper // holds the register, and reads and writes its pages
 	mirror *mirror.Mirror
 	any    atomic.Bool // there are findings
-
-	mu       sync.Mutex
-	register *quarantine.Register
 }
 
 // NewCounted returns a register that knows nothing.
@@ -54,12 +49,8 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
 	c := &Counted{
-		o: o, pages: New(Options{KV: o.KV, Logger: o.Logger, Now: o.Now}),
-		register: quarantine.New(quarantine.Params{Counted: refuseAt}),
+		o: o, keeper: New(Options{KV: o.KV, Logger: o.Logger, Now: o.Now, Params: quarantine.Params{Counted: refuseAt}}),
 	}
 	c.o.Logger = o.Logger.Named("suspect")
 	c.mirror = o.Follower.Mirror(keyPrefix, c.apply)
@@ -71,18 +62,11 @@
 
 func (c *Counted) apply(u mirror.Update) {
 	for _, e := range u.Entries {
-		if e.Deleted || !strings.HasPrefix(e.Key, keyPrefix) {
-			continue
+		if !e.Deleted {
+			c.keeper.mergeValue(e.Value)
 		}
-		c.merge(c.pages.mergeValue(e.Value))
 	}
-}
-
-func (c *Counted) merge(findings []quarantine.Finding) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.register.Merge(c.o.Now(), findings)
-	c.any.Store(len(c.register.All(c.o.Now())) > 0)
+	c.any.Store(c.keeper.count() > 0)
 }
 
 // Refused returns the final answer to a request that has brought down too many targets; nil
@@ -91,10 +75,7 @@
 	if !c.any.Load() {
 		return nil
 	}
-	fp := fingerprint()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.register.Gate(c.o.Now(), fp).Err
+	return c.keeper.gate(fingerprint()).Err
 }
 
 // Died notes that a target died while it ran a request here, and tells the other daemons. It
@@ -111,10 +92,10 @@
 func (c *Counted) Heard(s quarantine.Sighting) { c.note(s) }
 
 func (c *Counted) note(s quarantine.Sighting) []quarantine.Finding {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.any.Store(true)
-	return c.register.OnSighting(c.o.Now(), s)
+	c.keeper.mu.Lock()
+	defer c.keeper.mu.Unlock()
+	return c.keeper.register.OnSighting(c.keeper.opts.Now(), s)
 }
 
 // Answered notes that a target ran a request to its end.
@@ -123,9 +104,9 @@
 		return
 	}
 	fp := fingerprint()
-	c.mu.Lock()
-	found := c.register.OnAnswered(c.o.Now(), fp)
-	c.mu.Unlock()
+	c.keeper.mu.Lock()
+	found := c.keeper.register.OnAnswered(c.keeper.opts.Now(), fp)
+	c.keeper.mu.Unlock()
 	c.store(ctx, found)
 }
 
@@ -136,15 +117,11 @@
 			continue
 		}
 		c.o.Logger.Warn("Targets died while they ran the same request", "fingerprint", f.Fingerprint, "deaths", f.Deaths, "answered", f.Answered)
-		if err := c.pages.write(ctx, pageOf(f.Fingerprint), []quarantine.Finding{f}); err != nil {
+		if err := c.keeper.write(ctx, pageOf(f.Fingerprint), []quarantine.Finding{f}); err != nil {
 			c.o.Logger.Warn("Findings were not written; the other daemons were told", "error", err)
 		}
 	}
 }
 
 // State returns the findings for a dump.
-func (c *Counted) State() any {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.register.All(c.o.Now())
-}
+func (c *Counted) State() any { return c.keeper.State() }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -40,6 +40,7 @@
 	Logger  hclog.Logger
 	Metrics tally.Scope
 	Now     func() time.Time // nil: time.Now
+	Params  quarantine.Params
 }
 
 // Keeper holds the register of one daemon. It is safe for concurrent use.
@@ -69,7 +70,7 @@
 		opts:     opts,
 		log:      opts.Logger.Named("suspect"),
 		findings: opts.Metrics.Counter("quarantine_findings"),
-		register: quarantine.New(quarantine.Params{}),
+		register: quarantine.New(opts.Params),
 	}
 }
 
@@ -183,6 +184,13 @@
 	return k.register.Hash(k.opts.Now())
 }
 
+// count returns how many findings count now.
+func (k *Keeper) count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.register.All(k.opts.Now()))
+}
+
 // All returns the findings for peers.
 func (k *Keeper) All() []*peer.Finding {
 	k.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -170,7 +170,7 @@
 	p.dials.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, err
+		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
 	}
 	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
@@ -179,7 +179,7 @@
 func (p *Pool) Probe(ctx context.Context) error {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "upstream: dial"), ErrUnreachable)
+		return err
 	}
 	return c.Close()
 }
--- a/internal/upstream/try.go
+++ b/internal/upstream/try.go
@@ -68,7 +68,7 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
-			return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
+			return nil, err
 		}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
