limit: a place asked for ahead refuses nobody

Cause, found while looking for why TestRequestThatCrashesTargetsIsQuarantined once got 429: for three seconds after a change of membership a steward gives one place at a time. A home that asked for the place of a waiting prompt and one ahead got one, and 'more in 500 ms' for the other, and then refused whatever needed a new slice.

Ruled out: in the steward itself the answer is right (it says when more comes), so the home decides: 'more later' counts only if the slice covers no further request.

Before: the seventh of eight prompts in a row was refused with nothing running; after: none. Whether that was the test's 429 is not shown; it was not reproduced yet.

--- a/internal/policy/limit/home.go
+++ b/internal/policy/limit/home.go
@@ -100,6 +100,10 @@
 
 // OnSlice takes the steward's answer. The slice counts from when it was asked for,
 // so that it has lapsed here before the steward counts it as lapsed.
+//
+// "More later" refuses requests only until a slice covers one. After a change of membership
+// a steward gives one place at a time: a home that asked for one place ahead, and got the
+// one that it needs, would refuse its next requests with nothing running.
 func (h *Home) OnSlice(now time.Time, org request.OrgID, slice Slice) {
 	a, ok := h.accounts[org]
 	if !ok || !a.asking {
@@ -112,7 +116,7 @@
 	a.places, a.placesUntil = slice.Concurrency, expires
 	a.payDebt()
 	a.refusedUntil = time.Time{}
-	if slice.RetryAfter > 0 {
+	if slice.RetryAfter > 0 && !a.covers(now, 1) {
 		a.refusedUntil = now.Add(slice.RetryAfter)
 	}
 }
--- a/internal/policy/limit/keep_test.go
+++ b/internal/policy/limit/keep_test.go
@@ -36,3 +36,35 @@
 		t.Fatalf("an organisation that stayed was given %d places of 10", got)
 	}
 }
+
+// A fleet has just started, and an organisation sends one prompt after the other, far below
+// all its limits; the fourth takes a second, so that its slices lapse. The steward, which
+// still gives one place at a time, is asked for the place of the next prompt and for one
+// ahead. It gave the first, and "come back later" for the other: the prompts after that
+// were refused as over the limit although nothing ran.
+func TestPlaceAskedAheadRefusesNobody(t *testing.T) {
+	limits := Limits{RequestsPerSecond: 1000, Burst: 1000, Concurrency: 500, TokensPerSecond: 100_000_000}
+	now := epoch
+	s := NewSteward(now, Params{})
+	s.OnMembers(now, 2, 2)
+	h := NewHome(Params{}, 2)
+	admit := func() Decision {
+		d := h.Admit(now, "a", limits, 100)
+		if d.Ask != nil {
+			h.OnSlice(now, "a", s.Slice(now, "d1", "a", limits, *d.Ask))
+		}
+		return d
+	}
+	const quick, slow = 5 * time.Millisecond, 1100 * time.Millisecond
+	for n, took := range []time.Duration{quick, quick, quick, slow, quick, quick, quick, quick} {
+		d := admit()
+		for d.Verdict == Pending {
+			d = admit()
+		}
+		if d.Verdict != Admitted {
+			t.Fatalf("prompt %d is %s, come back in %s", n, d.Verdict, d.RetryAfter)
+		}
+		now = now.Add(took)
+		h.Done(now, "a", 4)
+	}
+}
