A replica that starts again under its id is another replica

Cause: the registry may keep an entry over a crash and a start under the same id. What was believed of the dead process (load, orders and their counts, weights, quarantine, suspicion, kept connections, what lies in its memory) was believed of the new one.

Now each start is a Replica of its own, named by its start's time among daemons as well; a late word of an earlier start names nobody. The time names and does not order, since clocks may be set back. An answer may tell of a new start before the registry does. Deaths of one id under different starts each count against a request that causes them.

Tests, each failing with starts ignored: replicas (four), placer, loadshare, weights, relay, suspect.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -102,8 +102,8 @@
 }
 
 // Placed notes a prompt for the next datagram.
-func (s *Share) Placed(id request.TargetID, parts []placer.PlacedPart, other int) {
-	p := &Placed{Replica: replicas.Hash(id), Other: int32(other)}
+func (s *Share) Placed(r *replicas.Replica, parts []placer.PlacedPart, other int) {
+	p := &Placed{Replica: r.Hash(), Other: int32(other)}
 	for _, part := range parts {
 		p.Parts = append(p.Parts, uint64(part.Key))
 		p.Tokens = append(p.Tokens, int32(part.Tokens))
@@ -115,8 +115,12 @@
 
 // Announce tells all daemons of a replica's state, within one tick.
 func (s *Share) Announce(a weights.State) {
+	r := s.o.Set.Get(a.Replica)
+	if r == nil {
+		return // it has left, and daemons learn that from the registry
+	}
 	state := &State{
-		Replica: replicas.Hash(a.Replica), BusyMs: int32(a.Busy.Milliseconds()), ShortMs: int32(a.ShortOnly.Milliseconds()),
+		Replica: r.Hash(), BusyMs: int32(a.Busy.Milliseconds()), ShortMs: int32(a.ShortOnly.Milliseconds()),
 		Model: string(a.Model), Weights: a.Weights,
 	}
 	s.mu.Lock()
@@ -125,18 +129,18 @@
 }
 
 // Unreachable tells peers, within one tick, that no connection to a replica can be opened.
-func (s *Share) Unreachable(id request.TargetID) {
+func (s *Share) Unreachable(r *replicas.Replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down = append(s.down, replicas.Hash(id))
+	s.down = append(s.down, r.Hash())
 }
 
 // Refusing tells peers, within one tick, that a replica would not run a request.
-func (s *Share) Refusing(id request.TargetID) {
+func (s *Share) Refusing(r *replicas.Replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if hash := replicas.Hash(id); !slices.Contains(s.refusing, hash) {
-		s.refusing = append(s.refusing, hash)
+	if !slices.Contains(s.refusing, r.Hash()) {
+		s.refusing = append(s.refusing, r.Hash())
 	}
 }
 
@@ -149,7 +153,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaths = append(s.deaths, &Death{Replica: string(sighting.Target), Fingerprint: fingerprint})
+	s.deaths = append(s.deaths, &Death{Replica: string(sighting.Target), Started: sighting.Incarnation, Fingerprint: fingerprint})
 }
 
 // Run tells peers until ctx ends.
@@ -235,7 +239,7 @@
 			continue
 		}
 		out = append(out, &Work{
-			Replica: replicas.Hash(r.Info().ID), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
+			Replica: r.Hash(), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
 		})
 	}
 	return out
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -77,14 +77,14 @@
 	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
 	a.Announce(weights.State{Replica: "r"})
 	await("the replica takes requests", func() bool { return !b.set.Get("r").Busy(time.Now()) })
-	a.Refusing("r")
+	a.Refusing(a.set.Get("r"))
 	await("one that refused the peer gets none", func() bool { return b.set.Get("r").Busy(time.Now()) })
 	death := quarantine.Sighting{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
 	a.Died(death)
 	if got := <-b.died; got != death {
 		t.Errorf("heard of %+v", got)
 	}
-	a.Unreachable("r") // nobody listens at its address
+	a.Unreachable(a.set.Get("r")) // nobody listens at its address
 	await("the peer leaves it alone", func() bool { return b.set.Get("r").Health.Resting(time.Now()) })
 	if r := <-b.heard; len(r) != 1 || r[0] != 7 {
 		t.Errorf("heard %v", r)
@@ -100,3 +100,21 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// A peer tells of load, weights and refusals of a replica whose process has died meanwhile
+// and is back under its id. The word comes late, and was of the dead process.
+func TestWordOfAnEarlierStartIsIgnored(t *testing.T) {
+	n := start(t, "a")
+	defer n.conn.Close()
+	before := n.set.Get("r")
+	n.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: "r", Service: "s", Address: "127.0.0.1:1", Started: 5}}})
+	old := before.Hash()
+	n.take(context.Background(), time.Now(), &Report{
+		From: "x", Unreachable: []uint64{old}, Refusing: []uint64{old},
+		Work: []*Work{{Replica: old, Requests: 5}}, States: []*State{{Replica: old, BusyMs: 9000, Model: "m", Weights: 4}},
+	})
+	r, now := n.set.Get("r"), time.Now()
+	if r.Load.Total(now) != (replicas.Work{}) || r.Busy(now) || r.Health.Resting(now) || r.Weights("m") != 0 {
+		t.Errorf("believed of the new start: load %+v, busy %t, weights %d", r.Load.Total(now), r.Busy(now), r.Weights("m"))
+	}
+}
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -53,11 +53,11 @@
 		for i := range p.Parts {
 			parts[i] = placer.PlacedPart{Key: residency.Key(p.Parts[i]), Tokens: int(p.Tokens[i])}
 		}
-		s.Engine.Learn(replica.Info().ID, parts, int(p.Other))
+		s.Engine.Learn(replica, parts, int(p.Other))
 	}
 	for _, d := range r.Deaths {
 		s.o.HeardDeath(quarantine.Sighting{
-			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: 1,
+			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: d.Started,
 		})
 	}
 	for _, hash := range r.Unreachable {
--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -39,7 +39,7 @@
 
 func (e *Engine) partsAt(j *relay.Job, r *replicas.Replica, salt string, sameSalt bool, stored []Stored) []pick.Part {
 	info := r.Info()
-	m := e.models[info.ID]
+	m := e.models[r]
 	parts := make([]pick.Part, len(j.Parts))
 	for i, p := range j.Parts {
 		parts[i] = pick.Part{Tokens: p.Tokens, Shared: stored[i].Fetch}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -76,7 +76,7 @@
 	Domain   string // of this daemon
 	Outdated Outdated
 	Stores   Stores
-	Placed   func(replica request.TargetID, parts []PlacedPart, other int) // for peers; nil: nobody
+	Placed   func(replica *replicas.Replica, parts []PlacedPart, other int) // for peers; nil: nobody
 	// OldFrom is from when on replaced weights get no requests, and OldBegin until when
 	// an answer on them must have begun; both count from their successor's naming. Zero:
 	// there is no bound.
@@ -84,7 +84,7 @@
 
 	mu     sync.Mutex
 	memory int // tokens of one replica
-	models map[request.TargetID]*residency.Model
+	models map[*replicas.Replica]*residency.Model
 }
 
 // PlacedPart is a part that now lies in a replica's memory.
@@ -120,7 +120,7 @@
 	sources := pick.Default.Sources(chosen.Parts)
 	e.fill(&send, j, stored, until, r)
 	unfetch(&send, chosen.Parts, sources)
-	e.record(r.Info().ID, j, own)
+	e.record(r, j, own)
 	stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
 		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
--- a/internal/placer/memory.go
+++ b/internal/placer/memory.go
@@ -7,11 +7,10 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
-	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
 // record notes that a replica will have the parts of a prompt.
-func (e *Engine) record(id request.TargetID, j *relay.Job, salt string) {
+func (e *Engine) record(r *replicas.Replica, j *relay.Job, salt string) {
 	parts := make([]PlacedPart, len(j.Parts))
 	other := j.PromptTokens + e.output(j)
 	for i, p := range j.Parts {
@@ -19,9 +18,9 @@
 		other -= p.Tokens
 	}
 	e.setMemory(j.Service.Engine.MemoryTokens)
-	e.Learn(id, parts, max(0, other))
+	e.Learn(r, parts, max(0, other))
 	if e.Placed != nil {
-		e.Placed(id, parts, max(0, other))
+		e.Placed(r, parts, max(0, other))
 	}
 }
 
@@ -33,20 +32,13 @@
 
 // Learn notes what a replica's memory takes: parts, and other tokens that nobody asks
 // for again but that take room until they are dropped.
-func (e *Engine) Learn(id request.TargetID, parts []PlacedPart, other int) {
+func (e *Engine) Learn(r *replicas.Replica, parts []PlacedPart, other int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.memory == 0 {
 		return // no prompt has come here yet
 	}
-	m := e.models[id]
-	if m == nil {
-		if e.models == nil {
-			e.models = map[request.TargetID]*residency.Model{}
-		}
-		m = residency.New(e.memory)
-		e.models[id] = m
-	}
+	m := e.modelOf(r)
 	for _, p := range parts {
 		m.Touch(p.Key, p.Tokens)
 	}
@@ -55,13 +47,27 @@
 	}
 }
 
-// Forget drops the models of replicas that are gone.
+// modelOf returns the model of a replica's memory. The caller holds e.mu.
+func (e *Engine) modelOf(r *replicas.Replica) *residency.Model {
+	m := e.models[r]
+	if m != nil {
+		return m
+	}
+	if e.models == nil {
+		e.models = map[*replicas.Replica]*residency.Model{}
+	}
+	m = residency.New(e.memory)
+	e.models[r] = m
+	return m
+}
+
+// Forget drops the models of replicas that are gone or have started again.
 func (e *Engine) Forget() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id := range e.models {
-		if e.Set.Get(id) == nil {
-			delete(e.models, id)
+	for r := range e.models {
+		if e.Set.Get(r.Info().ID) != r {
+			delete(e.models, r)
 		}
 	}
 }
@@ -72,7 +78,7 @@
 	var found *replicas.Replica
 	now := time.Now()
 	for _, r := range e.Mine(j.Service.ID) {
-		m := e.models[r.Info().ID]
+		m := e.models[r]
 		if r == to || m == nil || !m.Has(key) || r.Weights(j.Model) != version || r.Health.Resting(now) {
 			continue
 		}
@@ -93,7 +99,7 @@
 			continue
 		}
 		key := partKey(send.CacheSalt, p.ID)
-		if m := e.models[to.Info().ID]; m != nil && m.Has(key) {
+		if m := e.models[to]; m != nil && m.Has(key) {
 			continue
 		}
 		if from := e.holder(key, j, to, send.Weights); from != nil {
@@ -110,7 +116,7 @@
 	for i, p := range j.Parts {
 		key := partKey(salt, p.ID)
 		for _, r := range usable {
-			if m := e.models[r.Info().ID]; m != nil && m.Has(key) {
+			if m := e.models[r]; m != nil && m.Has(key) {
 				out[i] = true
 				break
 			}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +109,30 @@
 	}
 }
 
+// A replica crashes and is back under its id within a second, with an empty memory. The
+// session that lay there would be sent to it for its context, or have others fetch from it.
+func TestContextOfAnEarlierStartIsForgotten(t *testing.T) {
+	w := newWorld(2)
+	first := place(t, w, job("s"))
+	done(first)
+	again := *first.Replica.Info()
+	again.Started = 1_772_000_000_000
+	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{again}})
+	p := place(t, w, job("s"))
+	for _, from := range p.Send.FetchFrom {
+		if from != "" {
+			t.Errorf("a part is fetched from %s, which holds nothing", from)
+		}
+	}
+	if parts, _, _ := strings.Cut(p.Reason, " "); strings.Contains(parts, "m") {
+		t.Errorf("parts are thought to be there: %s", p.Reason)
+	}
+	w.engine.Forget()
+	if n := len(w.engine.models); n > 2 {
+		t.Errorf("%d memories are remembered of two replicas", n)
+	}
+}
+
 // Parts come from the store where it has them, and go there where it wants them; leave to
 // fetch has an end on the replicas' clock.
 func TestPartsAreFetchedAndSaved(t *testing.T) {
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -164,6 +164,14 @@
 	}
 }
 
+// Forget drops what is known of a target's order and state: it is gone, or has started again
+// and knows nothing of the order.
+func (r *Rollout) Forget(target request.TargetID) {
+	delete(r.pending, target)
+	delete(r.last, target)
+	delete(r.drained, target)
+}
+
 // SetMaxOutShare changes the share of a model's replicas that may be out at once.
 func (r *Rollout) SetMaxOutShare(share float64) { r.params.MaxOutShare = share }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -134,7 +134,7 @@
 		}
 	}()
 	id := request.TargetID(fmt.Sprint("r", len(w.placer.replicas)))
-	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: "s", Address: l.Addr().String()}}})
+	w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: "s", Address: l.Addr().String(), Started: startedAt}}})
 	w.placer.replicas = append(w.placer.replicas, w.set.Get(id))
 	return l
 }
@@ -470,6 +470,9 @@
 	}
 }
 
+// startedAt names the start of each replica.
+const startedAt = 1_772_000_000_000
+
 // crashing is a replica whose process ends when it runs a request with the body "poison".
 func (w *world) crashing() {
 	w.t.Helper()
@@ -490,8 +493,9 @@
 
 // counted stands in for the daemons' shared register.
 type counted struct {
-	mu     sync.Mutex
-	deaths map[quarantine.Fingerprint]int
+	mu      sync.Mutex
+	deaths  map[quarantine.Fingerprint]int
+	started uint64 // of the replica that died last
 }
 
 func (c *counted) Refused(fingerprint func() quarantine.Fingerprint) *request.Error {
@@ -507,6 +511,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deaths[s.Fingerprint]++
+	c.started = s.Incarnation
 }
 
 func (c *counted) Answered(context.Context, func() quarantine.Fingerprint) {}
@@ -545,6 +550,9 @@
 	if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
 		t.Fatalf("after three deaths: %v, %v", answer, err)
 	}
+	if suspects.started != startedAt {
+		t.Errorf("the death of start %d was noted, want %d", suspects.started, startedAt)
+	}
 	if _, body, err := w.post("harmless"); err != nil || body != "fine" {
 		t.Errorf("another request: %q, %v", body, err)
 	}
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -47,8 +47,8 @@
 		if !r.Dead(ctx) {
 			return
 		}
-		// A replica's id is that of one start of it, so that one death has one name.
-		s.o.Suspects.Died(ctx, quarantine.Sighting{Fingerprint: j.fingerprint(), Target: r.Info().ID, Incarnation: 1})
+		// A replica may start again under its id: each of its starts dies once.
+		s.o.Suspects.Died(ctx, quarantine.Sighting{Fingerprint: j.fingerprint(), Target: r.Info().ID, Incarnation: uint64(r.Info().Started)})
 	}()
 }
 
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -18,7 +18,7 @@
 func (r *Replica) Refused(now time.Time) {
 	r.AvoidFor(now, refusedFor)
 	if r.onRefused != nil {
-		r.onRefused(r.Info().ID)
+		r.onRefused(r)
 	}
 }
 
@@ -37,7 +37,7 @@
 // Unreachable notes that no connection to the replica could be opened, and tells peers.
 func (r *Replica) Unreachable(now time.Time) {
 	if r.Health.Down(now) && r.onDown != nil {
-		r.onDown(r.Info().ID)
+		r.onDown(r)
 	}
 }
 
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -7,7 +7,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,16 +47,24 @@
 	Slots         int
 	Leaving       bool // it takes no new requests
 	Weights       map[request.Model]uint64
+	// Started is when the replica's process started, as its own clock told, in Unix
+	// milliseconds; zero: it does not tell. It names the start and orders nothing: the
+	// clock may have been set back between two of them.
+	Started int64
 }
 
-// Replica is one start of a replica.
+// Replica is one start of a replica. A replica that starts again under its id is another
+// Replica: it holds nothing of what the one before held, and nothing that was believed of
+// that one holds for it.
 type Replica struct {
 	Pool   *upstream.Pool
 	Load   Load
 	Health Health
 
-	onDown    func(request.TargetID) // nil: nobody is told
-	onRefused func(request.TargetID) // likewise
+	hash      uint64         // of id and start
+	earlier   []int64        // starts of this id before, the newest last
+	onDown    func(*Replica) // nil: nobody is told
+	onRefused func(*Replica) // likewise
 	lookMu    sync.Mutex
 	lookedAt  time.Time // by Dead
 	dead      bool
@@ -93,13 +103,14 @@
 
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
-	onDown    func(request.TargetID)
-	onRefused func(request.TargetID)
+	onDown    func(*Replica)
+	onRefused func(*Replica)
 
-	mu      sync.Mutex
-	byID    map[request.TargetID]*Replica
-	lapsing map[request.TargetID]time.Time
-	view    atomic.Pointer[View]
+	mu       sync.Mutex
+	byID     map[request.TargetID]*Replica
+	lapsing  map[request.TargetID]time.Time
+	services map[routing.ServiceID]bool // nil: all
+	view     atomic.Pointer[View]
 }
 
 // View is the replicas that take requests at one time. It must not be changed.
@@ -108,8 +119,17 @@
 	ByHash    map[uint64]*Replica
 }
 
-// Hash is the short name of a replica among daemons.
-func Hash(id request.TargetID) uint64 { return xxhash.Sum64String(string(id)) }
+// Hash is the short name among daemons of one start of a replica. What a peer tells of an
+// earlier start, late, names nobody.
+func (r *Replica) Hash() uint64 { return r.hash }
+
+func hashOf(info Info) uint64 {
+	name := string(info.ID)
+	if info.Started != 0 {
+		name += "@" + strconv.FormatInt(info.Started, 10)
+	}
+	return xxhash.Sum64String(name)
+}
 
 // NewSet returns an empty set.
 func NewSet() *Set {
@@ -120,11 +140,11 @@
 
 // OnDown has a function called when this daemon finds that a replica accepts no connection.
 // It must be set before the first Apply.
-func (s *Set) OnDown(f func(request.TargetID)) { s.onDown = f }
+func (s *Set) OnDown(f func(*Replica)) { s.onDown = f }
 
 // OnRefused has a function called when a replica would not run a request of this daemon. It
 // must be set before the first Apply.
-func (s *Set) OnRefused(f func(request.TargetID)) { s.onRefused = f }
+func (s *Set) OnRefused(f func(*Replica)) { s.onRefused = f }
 
 // Of returns the replicas of a service that take requests, ordered by id. The slice
 // must not be changed.
@@ -149,11 +169,26 @@
 	return all
 }
 
+// SetServices limits the view to replicas of the services that there are: an entry of any
+// other names no replica to use.
+func (s *Set) SetServices(services map[routing.ServiceID]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.services != nil && maps.Equal(s.services, services) {
+		return
+	}
+	s.services = services
+	s.publish()
+}
+
 // Change is an update of the registry.
 type Change struct {
 	Present []Info
 	Gone    []request.TargetID
-	Full    bool // Present is all there are
+	// Unreadable are entries that name no replica to use. They are neither the removal nor
+	// a change of a replica that is known: another writer may have made them.
+	Unreadable []request.TargetID
+	Full       bool // Present and Unreadable are all there are
 	// Lapsing is set if a missing entry may have lapsed in an outage with its replica
 	// alive: the replica is used a while longer.
 	Lapsing bool
@@ -164,6 +199,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := make(map[request.TargetID]bool, len(c.Present))
+	for _, id := range c.Unreadable {
+		present[id] = true
+	}
 	for _, info := range c.Present {
 		present[info.ID] = true
 		s.put(info)
@@ -182,13 +220,68 @@
 }
 
 func (s *Set) put(info Info) {
+	r := s.byID[info.ID]
+	if r != nil && slices.Contains(r.earlier, info.Started) {
+		return // a late word of an earlier start
+	}
 	delete(s.lapsing, info.ID)
-	r, ok := s.byID[info.ID]
-	if !ok {
-		r = &Replica{Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), onDown: s.onDown, onRefused: s.onRefused}
-		s.byID[info.ID] = r
+	switch {
+	case r == nil:
+		s.start(info, nil)
+	case info.Started != 0 && info.Started != r.Info().Started:
+		s.restart(r, info)
+	default:
+		info.Started = r.Info().Started
+		r.info.Store(&info)
+	}
+}
+
+// maxEarlier is the number of starts of one id that are remembered to tell late words of
+// them. What is under way is some seconds old, a replica that crashes starts once in
+// seconds.
+const maxEarlier = 8
+
+// start adds a replica whose id had some earlier starts.
+func (s *Set) start(info Info, earlier []int64) {
+	r := &Replica{
+		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), hash: hashOf(info), earlier: earlier,
+		onDown: s.onDown, onRefused: s.onRefused,
 	}
 	r.info.Store(&info)
+	s.byID[info.ID] = r
+}
+
+// restart puts the new start of a replica in place of the one before.
+//
+// The failure: a replica crashes and is back under its id within a second. Its entry never
+// went, so that daemons send it prompts for a context that it holds no more, have others
+// fetch from it, and leave it alone for what the dead process did. Why the guard holds: the
+// start is another Replica, and whatever is believed is kept with a Replica or by its Hash.
+func (s *Set) restart(r *Replica, info Info) {
+	earlier := slices.Clone(r.earlier)
+	if known := r.Info().Started; known != 0 {
+		earlier = append(earlier, known)
+	}
+	s.start(info, earlier[max(0, len(earlier)-maxEarlier):])
+	r.Pool.Close()
+}
+
+// SawStart notes which start of a replica answered, and reports whether it is the one that
+// was asked. A replica may say that it started again before the registry does.
+func (s *Set) SawStart(r *Replica, started int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info := *r.Info()
+	if started == 0 || started == info.Started {
+		return true
+	}
+	if s.byID[info.ID] != r || slices.Contains(r.earlier, started) {
+		return false
+	}
+	info.Started = started
+	s.restart(r, info)
+	s.publish()
+	return false
 }
 
 func (s *Set) remove(now time.Time, id request.TargetID, lapsing bool) {
@@ -234,10 +327,10 @@
 
 func (s *Set) publish() {
 	v := &View{ByService: map[routing.ServiceID][]*Replica{}, ByHash: map[uint64]*Replica{}}
-	for id, r := range s.byID {
-		if info := r.Info(); !info.Leaving {
+	for _, r := range s.byID {
+		if info := r.Info(); !info.Leaving && (s.services == nil || s.services[info.Service]) {
 			v.ByService[info.Service] = append(v.ByService[info.Service], r)
-			v.ByHash[Hash(id)] = r
+			v.ByHash[r.hash] = r
 		}
 	}
 	for _, of := range v.ByService {
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
 func info(id string) Info {
@@ -204,7 +205,7 @@
 func TestRefusingReplicaIsLeftAlone(t *testing.T) {
 	s := NewSet()
 	var told []request.TargetID
-	s.OnRefused(func(id request.TargetID) { told = append(told, id) })
+	s.OnRefused(func(r *Replica) { told = append(told, r.Info().ID) })
 	s.Apply(time.Unix(0, 0), Change{Present: []Info{info("a")}})
 	r, now := s.Get("a"), time.Unix(1000, 0)
 	r.Refused(now)
@@ -221,3 +222,101 @@
 		t.Error("still left alone")
 	}
 }
+
+func started(id string, at int64) Info {
+	i := info(id)
+	i.Started = at
+	return i
+}
+
+// A replica crashes and is back under its id before its entry lapses. All that was believed
+// of it was of the dead process: that it loads weights, which it had after an order, what is
+// in flight there. Whoever still looks at the old one must not touch the new one.
+func TestRestartUnderTheSameIDIsAnotherReplica(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	s.Apply(now, Change{Full: true, Present: []Info{started("a", 500)}})
+	before := s.Get("a")
+	before.SawWeights("m", 7)
+	before.SetBusy(now.Add(time.Minute))
+	flight := before.Load.Begin(100, 50)
+	before.Health.Down(now)
+	s.Apply(now, Change{Present: []Info{started("a", 400)}}) // its clock was set back
+	after := s.Get("a")
+	if after == before || after.Hash() == before.Hash() || s.View().ByHash[before.Hash()] != nil {
+		t.Fatal("the new start goes by the old one")
+	}
+	if after.Weights("m") != 1 || after.Busy(now) || after.Load.Total(now).Requests != 0 || after.Health.Resting(now) {
+		t.Errorf("believed of the new start: weights %d, busy %t, load %+v", after.Weights("m"), after.Busy(now), after.Load.Total(now))
+	}
+	flight.End()
+	if got := after.Load.Total(now); got != (Work{}) {
+		t.Errorf("the end of an old request took from the new start's load: %+v", got)
+	}
+}
+
+// A copy of the registry from before the crash arrives after the news of the new start, more
+// than once. The dead process must not come back.
+func TestLateWordOfAnEarlierStartRevivesNothing(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	for _, at := range []int64{500, 300, 900} {
+		s.Apply(now, Change{Present: []Info{started("a", at)}})
+	}
+	newest := s.Get("a")
+	for _, late := range []int64{500, 300} {
+		s.Apply(now, Change{Full: true, Present: []Info{started("a", late)}})
+		if s.SawStart(newest, late) || s.Get("a") != newest || newest.Info().Started != 900 {
+			t.Fatalf("start %d is back", late)
+		}
+	}
+}
+
+// A replica says in an answer that it started again, before its entry tells.
+func TestReplicaTellsOfItsRestartFirst(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	s.Apply(now, Change{Present: []Info{started("a", 500)}})
+	before := s.Get("a")
+	if !s.SawStart(before, 500) || !s.SawStart(before, 0) || s.Get("a") != before {
+		t.Fatal("the same start, or none told, is taken for another")
+	}
+	if s.SawStart(before, 600) || s.Get("a") == before {
+		t.Fatal("the new start is taken for the old one")
+	}
+	after := s.Get("a")
+	s.Apply(now, Change{Present: []Info{started("a", 600)}})
+	if s.Get("a") != after || len(s.Of("s")) != 1 {
+		t.Error("its entry makes it a third one")
+	}
+}
+
+// Older replicas don't tell when they started: their entries change like before.
+func TestReplicaThatTellsNoStartIsTheSame(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	s.Apply(now, Change{Present: []Info{info("a")}})
+	r := s.Get("a")
+	s.Apply(now, Change{Present: []Info{info("a")}})
+	if s.Get("a") != r {
+		t.Error("an entry written again is another replica")
+	}
+}
+
+// Another writer overwrites the entry of a replica that serves, and adds one of a service
+// that there is not. Neither may take a replica out or bring one in.
+func TestStrangeEntriesNameNoReplica(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	s.SetServices(map[routing.ServiceID]bool{"s": true})
+	ghost := info("ghost")
+	ghost.Service = "nowhere"
+	s.Apply(now, Change{Full: true, Present: []Info{info("a"), ghost}})
+	if len(s.All()) != 1 || len(s.View().ByHash) != 1 {
+		t.Errorf("%d replicas are used", len(s.All()))
+	}
+	r := s.Get("a")
+	s.Apply(now, Change{Full: true, Present: []Info{ghost}, Unreadable: []request.TargetID{"a", "b"}})
+	if s.Get("a") != r || count(s) != 1 || s.Get("b") != nil {
+		t.Error("unreadable entries changed what is known")
+	}
+	s.SetServices(map[routing.ServiceID]bool{"s": true, "nowhere": true})
+	if len(s.All()) != 2 {
+		t.Error("a service that came later has no replicas")
+	}
+}
--- a/internal/suspect/counted_test.go
+++ b/internal/suspect/counted_test.go
@@ -102,3 +102,19 @@
 		t.Errorf("refused: %v", err)
 	}
 }
+
+// The replica that a request crashes is back under its id each time, and the request finds it
+// again. Counted by ids that was one death, and the request went on crashing it.
+func TestEachStartOfAReplicaCounts(t *testing.T) {
+	c := counting(t, kv.NewFake(time.Now), "d", nil)
+	const poison = quarantine.Fingerprint("ab12")
+	for started := range uint64(3) {
+		if err := c.Refused(fixed(poison)); err != nil {
+			t.Fatalf("refused after %d deaths", started)
+		}
+		c.Died(context.Background(), quarantine.Sighting{Fingerprint: poison, Target: "r", Incarnation: 1000 + started})
+	}
+	if c.Refused(fixed(poison)) == nil {
+		t.Error("still runs after three deaths of one replica")
+	}
+}
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -70,6 +70,7 @@
 	Weights map[request.Model]uint64
 	Busy    bool   // it carries out an order
 	Orders  uint64 // accepted since its start
+	Started int64  // names its start, as replicas.Info does; zero: not told
 }
 
 // Order tells a replica to load weights.
@@ -138,8 +139,9 @@
 
 // ordered is an order under way.
 type ordered struct {
-	model request.Model
-	at    time.Time
+	replica *replicas.Replica
+	model   request.Model
+	at      time.Time
 }
 
 // New returns a duty that holds nothing.
@@ -229,13 +231,14 @@
 		still[place{b.replica.Info().ID, b.model}] = true
 	}
 	for id, o := range d.ordered {
-		if still[place{id, o.model}] {
+		r := d.o.Set.Get(id)
+		if r == o.replica && still[place{id, o.model}] {
 			continue
 		}
 		delete(d.ordered, id)
 		delete(d.told, id)
-		r := d.o.Set.Get(id)
-		if r == nil {
+		if r != o.replica {
+			d.forget(id)
 			continue
 		}
 		r.SetBusy(time.Time{})
@@ -246,6 +249,14 @@
 	}
 }
 
+// forget drops the order to a replica that is gone or has started again: its new start
+// counts orders anew and knows nothing of this one.
+func (d *Duty) forget(id request.TargetID) {
+	for _, r := range d.rollouts {
+		r.Forget(id)
+	}
+}
+
 func (d *Duty) behind() []behind {
 	var late []behind
 	for model, version := range d.o.Named() {
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/pause"
@@ -224,9 +226,16 @@
 func (d *Duty) report(ctx context.Context, r *replicas.Replica) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return d.o.Calls.Report(ctx, r)
+	report, err := d.o.Calls.Report(ctx, r)
+	if err == nil && !d.o.Set.SawStart(r, report.Started) {
+		return Report{}, errStartedAgain
+	}
+	return report, err
 }
 
+// errStartedAgain is the outcome of asking a replica whose process is another one by now.
+var errStartedAgain = errors.New("weights: the replica has started again")
+
 // keepShort says again that a replica takes short requests only.
 func (d *Duty) keepShort(b behind) {
 	now := time.Now()
@@ -262,7 +271,7 @@
 		return
 	}
 	b := late[i]
-	d.ordered[a.Target] = ordered{model: b.model, at: time.Now()}
+	d.ordered[a.Target] = ordered{replica: b.replica, model: b.model, at: time.Now()}
 	d.keepBusy(b)
 	l := d.lease
 	go func() {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -25,6 +25,7 @@
 	orders   map[request.TargetID]uint64
 	given    []Order
 	givenTo  []request.TargetID
+	started  map[request.TargetID]int64
 	sentAt   time.Time // when the last order came
 	lose     int       // answers of the next orders that are lost, the orders with them
 }
@@ -33,7 +34,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := r.Info().ID
-	return Report{Weights: map[request.Model]uint64{model: f.versions[id]}, Orders: f.orders[id]}, nil
+	return Report{Weights: map[request.Model]uint64{model: f.versions[id]}, Orders: f.orders[id], Started: f.started[id]}, nil
 }
 
 func (f *fakeReplicas) Load(_ context.Context, r *replicas.Replica, o Order) error {
@@ -221,3 +222,37 @@
 		t.Error("the shares do not grow")
 	}
 }
+
+// A replica takes an order and crashes before it has loaded; it is back under its id with the
+// weights that it had, and counts its orders anew. The holder of the rollout must not wait
+// for the order of the dead process, nor send the next with its count.
+func TestOrderOfAnEarlierStartIsForgotten(t *testing.T) {
+	b := newBench(3)
+	b.named = 2
+	d := b.duty("d1")
+	ctx := context.Background()
+	for len(d.ordered) == 0 {
+		d.step(ctx)
+		time.Sleep(5 * time.Millisecond)
+	}
+	var id request.TargetID
+	for b.calls.at(2) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.calls.mu.Lock()
+	id = b.calls.givenTo[0]
+	b.calls.versions[id], b.calls.orders[id] = 1, 0
+	b.calls.started = map[request.TargetID]int64{id: 7}
+	b.calls.mu.Unlock()
+	before := b.set.Get(id)
+	runUntil(t, b, d, 2)
+	if b.set.Get(id) == before {
+		t.Error("the replica's own word that it started again is not taken")
+	}
+	b.calls.mu.Lock()
+	defer b.calls.mu.Unlock()
+	last := slices.Index(b.calls.givenTo[1:], id) + 1
+	if last == 0 || b.calls.given[last].Expected != 0 {
+		t.Errorf("orders %+v to %v", b.calls.given, b.calls.givenTo)
+	}
+}
