--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -178,9 +179,9 @@
 			continue
 		}
 		seen[id] = true
-		var d Daemon
-		if err := json.Unmarshal(e.Value, &d); err != nil {
-			r.o.Logger.Error("An entry can not be read", "key", e.Key, "error", err)
+		d, err := decode(id, e.Value)
+		if err != nil {
+			r.o.Logger.Warn("An entry names no daemon", "key", e.Key, "error", err)
 			continue
 		}
 		r.known[id] = d
@@ -196,6 +197,25 @@
 	r.publishLocked()
 }
 
+// decode reads a daemon's entry. One that lacks what callers and peers need would send them
+// nowhere.
+func decode(id string, value []byte) (Daemon, error) {
+	var d Daemon
+	if err := json.Unmarshal(value, &d); err != nil {
+		return Daemon{}, errors.Wrap(err, "roster: entry")
+	}
+	if string(d.ID) != id {
+		return Daemon{}, errors.Newf("roster: entry: id: %q: must be that of the key", d.ID)
+	}
+	if _, err := netip.ParseAddrPort(d.CallerAddress); err != nil {
+		return Daemon{}, errors.Wrap(err, "roster: entry: caller_address")
+	}
+	if _, err := netip.ParseAddrPort(d.PeerAddress); err != nil {
+		return Daemon{}, errors.Wrap(err, "roster: entry: peer_address")
+	}
+	return d, nil
+}
+
 func (r *Roster) remove(id string, lapsing bool) {
 	if !lapsing {
 		delete(r.known, id)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,7 +12,7 @@
 )
 
 func entry(id string) platform.Entry {
-	return platform.Entry{Key: "d/" + id, Value: []byte(`{"id":"` + id + `"}`), Revision: 1}
+	return platform.Entry{Key: "d/" + id, Value: []byte(`{"id":"` + id + `","caller_address":"10.0.0.1:80","peer_address":"10.0.0.1:81"}`), Revision: 1}
 }
 
 func ids(r *Roster) string {
@@ -107,3 +107,21 @@
 		t.Errorf("the other daemon lists %s", got)
 	}
 }
+
+// Another writer puts something below the daemons' keys, or over a daemon's entry. Callers
+// would be sent to no address, or a daemon that serves would be taken for gone.
+func TestEntryThatNamesNoDaemonChangesNothing(t *testing.T) {
+	r := newRoster(kv.NewFake(time.Now).Client("a"), "a")
+	r.apply(mirror.Update{Full: true, Entries: []platform.Entry{entry("b")}})
+	for _, bad := range []string{
+		"", "{", "[]", `{"id":7}`, `{"id":"x"}`, `{"id":"b","caller_address":"10.0.0.1:80"}`,
+		`{"id":"b","caller_address":"","peer_address":"10.0.0.1:81"}`,
+	} {
+		for _, key := range []string{"d/b", "d/x"} {
+			r.apply(mirror.Update{Full: true, Entries: []platform.Entry{entry("b"), {Key: key, Value: []byte(bad), Revision: 2}}})
+			if got := ids(r); got != "ab" {
+				t.Errorf("%s over %s: live: %s", bad, key, got)
+			}
+		}
+	}
+}
