Parts that a new keeper learns from a list keep their weights

Cause: a list of a context store names salt, id and tokens of a part. Its weights were taken as version 0, so that from the first question on all listed parts counted as made by older weights.

Change: the salt tells the version, as for events.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -356,3 +356,24 @@
 		t.Errorf("kept by the other: %t, by the one that kept it: %t", other.current("shelf") != nil, again.current("shelf") != nil)
 	}
 }
+
+// A daemon takes a store over that is nearly full, and learns what it holds from a list. The
+// list does not name the weights that made a part, its salt does: taken for older ones, all
+// the contexts that callers return to were freed first, and computed again at their return.
+func TestWhatANewKeeperListsIsNotTakenForOld(t *testing.T) {
+	store := newFakeStore()
+	for i := range 10 {
+		store.save("w1", fmt.Sprint("context", i), 96)
+	}
+	a := keep(t, store, service("shelf", 1000, 1000))
+	askFor(t, a, "context0", true, false)
+	const untilFreed = storeroom.LeaveFor + time.Second // nothing is freed while leave may last
+	time.Sleep(untilFreed)
+	askFor(t, a, "context1", true, false)
+	time.Sleep(3 * keepEvery)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if len(store.freed) > 0 {
+		t.Errorf("%d parts of the newest weights were freed", len(store.freed))
+	}
+}
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -127,10 +127,21 @@
 	now := time.Now()
 	k.heard(now, c)
 	k.listed, k.listedAt, k.next = true, now, c.Next
-	k.room.OnList(now, c.Whole, c.Partial)
+	k.room.OnList(now, withWeights(c.Whole), withWeights(c.Partial))
 	return nil
 }
 
+// withWeights adds the versions that made the parts of a list; their salts tell. Without them
+// all that a store held when it was listed counted as made by older weights: a new keeper
+// freed it first.
+func withWeights(parts []storeroom.Ask) []storeroom.Ask {
+	out := slices.Clone(parts)
+	for i := range out {
+		out[i].Weights = weightsOf(out[i].Salt)
+	}
+	return out
+}
+
 func (k *kept) take(c Content) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
