Prompts wait no longer than suits the shortest common objective of their service

From 4 to 6 s 76 chart questions and 36 layer checks were refused, and 3 of the long briefings that fill the queues: a briefing has 800 ms, so it waited up to 640 ms, and the short ones, which bear 320 ms, stood behind it.

Change: policy/waits learns the objectives of a service's requests; all wait for as long as suits the shortest that is common.

By rank nothing changes: the organisations' ranks go before the routes'.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
+	"github.com/bluebellscale/bluebellscale/internal/policy/waits"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -33,10 +34,6 @@
 	fetchOverdue = 250 * time.Millisecond
 	quietPrefill = 4000 // tokens waiting, up to which a replica counts as idle
 	quietMemory  = 0.7  // share of its memory, likewise
-	// waitShare and urgentWaitShare are the parts of a route's objective that a request may
-	// wait for its replica.
-	waitShare       = 0.8
-	urgentWaitShare = 1.5
 	// minBack and maxBack bound when a refused caller is told to come back: some prompts
 	// later, and well within the time that callers have.
 	minBack = 200 * time.Millisecond
@@ -85,6 +82,7 @@
 	mu     sync.Mutex
 	memory int // tokens of one replica
 	models map[*replicas.Replica]*residency.Model
+	waits  map[routing.ServiceID]*waits.Waits
 }
 
 // PlacedPart is a part that now lies in a replica's memory.
@@ -107,7 +105,7 @@
 	need := e.need(j)
 	n := pick.Sampled(pick.Default, need, candidates)
 	r, chosen := usable[n], &candidates[n]
-	if err := admit(pick.Default.Wait(need, chosen), longestWait(j)); err != nil {
+	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil {
 		return nil, err
 	}
 	version := r.Weights(j.Model)
@@ -135,14 +133,19 @@
 	return r.Load.Begin(need.Tokens, compute)
 }
 
-// longestWait returns how long a request may wait for its replica. The most urgent ones are
-// let in longer, so that the others give way first.
-func longestWait(j *relay.Job) time.Duration {
-	share := waitShare
-	if j.Priority() == 0 {
-		share = urgentWaitShare
+// longestWait returns how long a request may wait for its replica.
+func (e *Engine) longestWait(j *relay.Job) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.waits[j.Service.ID]
+	if w == nil {
+		if e.waits == nil {
+			e.waits = map[routing.ServiceID]*waits.Waits{}
+		}
+		w = waits.New()
+		e.waits[j.Service.ID] = w
 	}
-	return time.Duration(share * float64(j.Route.Objective))
+	return w.Longest(time.Now(), j.Route.Objective, j.Priority() == 0)
 }
 
 // admit refuses a request that would wait so long that its answer is late. Replicas with
