A complaint of a slow store makes its link slower, and not full as well

Cause, from the answers of keepers: after all daemons lost power, parts of 130 tokens on an idle link were told to take 230 ms. A fetch that is overdue may be so for its replica; each complaint both doubled the link's time and added a queue of 250 ms, at which all fetches are refused.

Change: it doubles the time only; that the link is full shows in its own queue.

--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -259,16 +259,15 @@
 }
 
 // OnSlow is told that a fetch took much longer than Ask said. The link is then taken to be
-// twice as slow as before, until nobody complains.
+// twice as slow as before, until nobody complains. It is not taken to be full besides: some
+// complaints are of replicas with much to do, and parts of a few hundred tokens were then
+// computed again for a quarter of a second.
 func (r *Room) OnSlow(now time.Time) {
 	if now.Sub(r.slowAt) < slowOnce {
 		return
 	}
 	r.slowAt = now
 	r.slowness = min(maxSlowness, 2*r.slowness)
-	if queued := now.Add(maxQueue); r.linkFree.Before(queued) {
-		r.linkFree = queued
-	}
 }
 
 // Slowness returns by how much transfers take longer than the link's speed says.
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -333,3 +333,15 @@
 		t.Errorf("of the newest weights: %+v", got)
 	}
 }
+
+// A replica with much to do answers late, and its daemon takes the store's link for slow. One
+// such complaint refused all fetches for a quarter of a second: parts of 130 tokens that take
+// a ms were computed again by everybody.
+func TestOneComplaintRefusesNoFetch(t *testing.T) {
+	r := open(10_000)
+	save(t, r, at(0), ask("a", 1000))
+	r.OnSlow(at(2000))
+	if got := r.Ask(at(2001), ask("a", 1000)); !got.Fetch || got.Takes > 100*time.Millisecond {
+		t.Errorf("got %+v", got)
+	}
+}
