--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -216,7 +216,7 @@
 	context := func(fetch time.Duration) []Part {
 		return []Part{{Tokens: 500, Resident: true}, {Tokens: 8600, Fetch: fetch, Shared: true}, {Tokens: 2900}}
 	}
-	if got := Default.Sources(context(500 * time.Millisecond)); got[1] != Fetched {
+	if got := Default.Sources(context(800 * time.Millisecond)); got[1] != Fetched {
 		t.Errorf("got %v", got)
 	}
 	if got := Default.Sources(context(1500 * time.Millisecond)); got[1] != Computed {
