Moments by the steady clock, leave for stores on the stores' own clock

Cause, by reading all uses of the time of day: that a replica loads weights, takes short requests only, that a daemon that stops takes streams, and when the last order was sent, were kept as Unix time. Set back by 2.4 s, the clock leaves a replica alone for three seconds instead of half of one; set ahead, it sends requests to replicas that refuse them. Worse, leave to fetch was given as our time of day plus a difference that was up to a second old: set ahead in between, leave outlasts what the keeper knows by as much, and the part may be freed under its reader. And until a store's first events came the difference was taken as zero.

Change: package steady keeps moments by the clock that only runs forward; leave is counted from the store's last word on its clock by the same, and none is given before that is known, which a call right after the list asks for.

Uses that stay: log stamps; names of starts (incarnations, born), which order nothing; findings of the quarantine, kept for half an hour; the check of leases and standstills, which takes the longer of both clocks on purpose: a VM that was suspended has only the time of day to tell. Set ahead, it costs a daemon its duties for a moment, and harms nothing.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -73,7 +73,7 @@
 	if s.down {
 		return Content{}, errors.New("down")
 	}
-	c := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + 1_000_000}
+	c := Content{Epoch: s.epoch, Next: uint64(len(s.events))}
 	for key, tokens := range s.parts {
 		c.Whole = append(c.Whole, storeroom.Ask{Key: key, Tokens: tokens})
 	}
@@ -377,3 +377,24 @@
 		t.Errorf("%d parts of the newest weights were freed", len(store.freed))
 	}
 }
+
+// A daemon's clock is seconds ahead of the replicas', and a list does not tell theirs. Leave
+// that ended by the daemon's clock would let a replica fetch for seconds after the part was
+// freed: none may be given before the store's clock is known, nor end by the daemon's.
+func TestLeaveEndsOnTheStoresClock(t *testing.T) {
+	const ahead = 1_000_000 // ms, of the fake store
+	a := keep(t, newFakeStore(), service("shelf", 10_000, 1000))
+	parts := []relay.Part{{ID: "x", Tokens: 100}, {ID: "own", Tokens: 10}}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		_, until := a.Ask(context.Background(), "w1", parts, []bool{false, false})
+		if until == 0 {
+			continue // nothing is known yet
+		}
+		left := time.Duration(until-time.Now().UnixMilli()-ahead) * time.Millisecond
+		if left > storeroom.LeaveFor || left < storeroom.LeaveFor-time.Second {
+			t.Errorf("leave lasts %s on the store's clock", left)
+		}
+		return
+	}
+	t.Fatal("no leave is given")
+}
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -64,9 +64,12 @@
 	listed   bool
 	listedAt time.Time
 	heardAt  time.Time
-	// clock is the replicas' clock less ours, in ms: a little less than the truth, so
-	// that leave ends too early rather than too late.
-	clock int64
+	// clockMs is the replicas' clock at clockAt, a little less than the truth, so that leave
+	// ends too early rather than too late. It is carried on by the steady clock: were it kept
+	// as the difference to the time of day, leave given after that was set ahead by 2 s would
+	// last 2 s longer than the room knows, and its parts be freed under their readers.
+	clockMs int64
+	clockAt time.Time
 	// reasons count the answers since the last line of the log.
 	reasons map[storeroom.Reason]int
 }
@@ -102,12 +105,23 @@
 	must := !k.listed || k.room.Overdue(time.Now()) && time.Since(k.listedAt) > listAtMost
 	after := k.next
 	k.mu.Unlock()
-	if must {
-		return k.list(ctx)
+	if !must {
+		return k.read(ctx, after, followWait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+time.Second)
+	if err := k.list(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	after = k.next
+	k.mu.Unlock()
+	return k.read(ctx, after, 0) // a list does not tell the clock
+}
+
+// read takes the store's changes after a number, and its clock. It waits for some changes.
+func (k *kept) read(ctx context.Context, after uint64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	c, err := k.calls.Events(ctx, k.address, after, followWait)
+	c, err := k.calls.Events(ctx, k.address, after, wait)
 	if err != nil {
 		return err
 	}
@@ -164,7 +178,7 @@
 func (k *kept) heard(now time.Time, c Content) {
 	k.heardAt = now
 	if c.ClockMs > 0 {
-		k.clock = c.ClockMs - now.UnixMilli()
+		k.clockMs, k.clockAt = c.ClockMs, now
 	}
 	if k.epoch != 0 && k.epoch != c.Epoch {
 		k.log.Warn("A store has restarted", "store", k.id)
@@ -238,9 +252,9 @@
 	}
 }
 
-// ready reports whether the store's content is known and the store lives.
+// ready reports whether the store's content and clock are known and the store lives.
 func (k *kept) ready(now time.Time) bool {
-	return k.listed && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
+	return k.listed && !k.clockAt.IsZero() && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
 }
 
 // serves reports whether leave may be given here: while the lease is held, and for some time
@@ -297,7 +311,9 @@
 	return true
 }
 
-func (k *kept) replicaClock(t time.Time) int64 { return t.UnixMilli() + k.clock }
+func (k *kept) replicaClock(t time.Time) int64 {
+	return k.clockMs + t.Sub(k.clockAt).Milliseconds()
+}
 
 // claim decides on parts. The second result is false if the store can't be used now.
 func (k *kept) claim(salt string, weights uint64, asks []*PartAsk) ([]*PartAnswer, int64, bool) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/steady"
 )
 
 const (
@@ -60,7 +61,7 @@
 type Server struct {
 	o         Options
 	stopping  atomic.Bool
-	noStreams atomic.Int64 // when stopping, from when streams are refused, Unix nanoseconds
+	noStreams steady.Moment // when stopping, from when streams are refused
 	inFlight  atomic.Int64
 
 	first map[routing.Kind]tally.Histogram // until the answer, or the first event
@@ -94,7 +95,7 @@
 // Stop makes each answer the last on its connection. Streams that come later than
 // lastStream are refused: they could outlast the process.
 func (s *Server) Stop(lastStream time.Duration) {
-	s.noStreams.Store(time.Now().Add(lastStream).UnixNano())
+	s.noStreams.Set(time.Now().Add(lastStream))
 	s.stopping.Store(true)
 }
 
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -6,10 +6,10 @@
 )
 
 // SetBusy says that the replica takes no requests until a time: it loads weights.
-func (r *Replica) SetBusy(until time.Time) { r.busy.Store(until.UnixNano()) }
+func (r *Replica) SetBusy(until time.Time) { r.busy.Set(until) }
 
 // Busy reports whether the replica takes no requests now.
-func (r *Replica) Busy(now time.Time) bool { return now.UnixNano() < r.busy.Load() }
+func (r *Replica) Busy(now time.Time) bool { return r.busy.IsAhead(now) }
 
 // Refused notes that the replica would not run a model's request: it is full, or carries out
 // an order and waits for what runs to end, which takes seconds. It looks idle meanwhile. Left
@@ -24,15 +24,7 @@
 
 // AvoidFor says that the replica takes no requests for a time, unless that is known to last
 // longer.
-func (r *Replica) AvoidFor(now time.Time, d time.Duration) {
-	until := now.Add(d).UnixNano()
-	for {
-		known := r.busy.Load()
-		if known >= until || r.busy.CompareAndSwap(known, until) {
-			return
-		}
-	}
-}
+func (r *Replica) AvoidFor(now time.Time, d time.Duration) { r.busy.Extend(now.Add(d)) }
 
 // Unreachable notes that no connection to the replica could be opened, and tells peers.
 func (r *Replica) Unreachable(now time.Time) {
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/steady"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
 
@@ -69,9 +70,9 @@
 	lookedAt  time.Time // by Dead
 	dead      bool
 	info      atomic.Pointer[Info]
-	weights   sync.Map     // request.Model -> uint64, from answers newer than the registry
-	busy      atomic.Int64 // until when it takes no requests, Unix nanoseconds
-	short     atomic.Int64 // until when it takes only short requests, Unix nanoseconds
+	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
+	busy      steady.Moment // until when it takes no requests
+	short     steady.Moment // until when it takes only short requests
 }
 
 // Info returns what the registry told last.
@@ -96,10 +97,10 @@
 
 // SetShortOnly says that the replica takes only short requests until a time: it loads
 // weights soon.
-func (r *Replica) SetShortOnly(until time.Time) { r.short.Store(until.UnixNano()) }
+func (r *Replica) SetShortOnly(until time.Time) { r.short.Set(until) }
 
 // ShortOnly reports whether the replica takes only short requests now.
-func (r *Replica) ShortOnly(now time.Time) bool { return now.UnixNano() < r.short.Load() }
+func (r *Replica) ShortOnly(now time.Time) bool { return r.short.IsAhead(now) }
 
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/rollout"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/steady"
 )
 
 const (
@@ -143,7 +144,7 @@
 
 	leaving  atomic.Bool
 	left     chan struct{} // closed once the duty is given back
-	lastSent atomic.Int64  // when the last order was sent, Unix nanoseconds
+	lastSent steady.Moment // when the last order was sent
 }
 
 // ordered is an order under way.
@@ -193,8 +194,8 @@
 	if d.lease == nil || !d.lease.Valid() {
 		return
 	}
-	if sent := d.lastSent.Load(); sent != 0 {
-		_ = pause.For(ctx, time.Until(time.Unix(0, sent).Add(d.o.OrderLease))) // released in any case
+	if sent, any := d.lastSent.Time(); any {
+		_ = pause.For(ctx, time.Until(sent.Add(d.o.OrderLease))) // released in any case
 	}
 	if err := d.lease.Release(ctx); err != nil {
 		d.o.Logger.Warn("The duty could not be given back; it lapses", "error", err)
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -301,7 +301,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o := Order{Model: b.model, Version: b.version, Holder: d.o.Self, Epoch: l.Epoch(), Expected: report.Orders, RunsGoOn: runsGoOn}
-	d.lastSent.Store(time.Now().UnixNano())
+	d.lastSent.Set(time.Now())
 	err := d.o.Calls.Load(ctx, b.replica, o)
 	d.o.Logger.Info("A replica is ordered to load weights", "replica", b.replica.Info().ID, "model", b.model,
 		"version", b.version, "epoch", o.Epoch, "expected", o.Expected, "runs_go_on", o.RunsGoOn, "error", err)
