Keepers write down a store's process, so that the next ones need not guess

Cause: a new keeper saves nothing for 2.8 s, since the store could have come back empty while leave of the keeper before lasts. Found by reading besides: the keeper after next did not know that a keeper two before, cut off, may give leave for 8 s, and could free parts under its readers.

Change: a keeper writes down the store's epoch, when it was seen first on the store's clock, and until when an earlier keeper may give leave. The next one saves at once if the process has been the same for longer than any leave lasts, and frees nothing before those readers have ended. Two calls each time a store changes hands. A daemon that keeps its stores again at once waits for 150 ms after its start, in which a call of its earlier process to free parts may still be carried out; it was 400 ms, and not waited for.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -113,7 +113,7 @@
 	all := func() []*routing.Service { return services }
 	leases := lease.NewManager(lease.Options{KV: client, Self: "a", Address: "a:1", TTL: ttl, Margin: ttl / 5})
 	keeper := NewKeeper(Options{
-		Self: "a", Leases: leases, Calls: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
+		KV: client, Self: "a", Leases: leases, Calls: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
 		TokenBytes: func() int { return 1000 },
 	})
 	follower := mirror.New(mirror.Options{KV: client})
@@ -335,7 +335,7 @@
 			KV: fake.Client(id), Self: request.DaemonID(id), Address: id + ":1", OwnsAddress: true, TTL: time.Minute, Margin: time.Second,
 		})
 		return NewKeeper(Options{
-			Self: request.DaemonID(id), Leases: leases, Calls: store, TokenBytes: func() int { return 1000 },
+			KV: fake.Client(id), Self: request.DaemonID(id), Leases: leases, Calls: store, TokenBytes: func() int { return 1000 },
 			Stores: func() []*routing.Service { return services },
 			Last:   func(routing.ServiceID) request.DaemonID { return "a" },
 			Rank:   func(routing.ServiceID) int { return backupRanks + 1 },
@@ -398,3 +398,103 @@
 	}
 	t.Fatal("no leave is given")
 }
+
+// clockAhead is how far the fake store's clock is ahead of this process's, in ms.
+const clockAhead = 1_000_000
+
+// writeLife writes what keepers before knew of a store.
+func writeLife(t *testing.T, fake *kv.Fake, store string, known life) {
+	t.Helper()
+	if err := (lives{kv: fake.Client("before")}).write(context.Background(), routing.ServiceID(store), known, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The load: all daemons are stopped in turn, and each keeps a store. For 2.8 s after each stop
+// nothing was saved there, since the store could have come back empty under leave of the
+// keeper before; contexts that were computed then were computed again at their return, an
+// eighth of all that was. A store whose process is known to be the same is no such store.
+func TestNewKeeperSavesAtOnceToAStoreThatHasNotRestarted(t *testing.T) {
+	now := time.Now().UnixMilli() + clockAhead
+	took := func(known life) time.Duration {
+		fake := kv.NewFake(time.Now)
+		writeLife(t, fake, "shelf", known)
+		began := time.Now()
+		a := keepUnder(t, fake, 10*time.Second, newFakeStore(), service("shelf", 10_000, 1000))
+		askFor(t, a, "x", false, true)
+		return time.Since(began)
+	}
+	const wait = storeroom.LeaveFor
+	if got := took(life{Epoch: 1, Seen: now - 60_000}); got > wait/2 {
+		t.Errorf("the same process for a minute: saves after %s", got)
+	}
+	if got := took(life{Epoch: 7, Seen: now - 60_000}); got < wait {
+		t.Errorf("another process: saves after %s", got)
+	}
+	if got := took(life{Epoch: 1, Seen: now - 1000}); got < wait {
+		t.Errorf("the same process for a second: saves after %s", got)
+	}
+}
+
+// Keeper A is cut off and goes on to give leave for 8 s. B takes the store over, knows that,
+// and is stopped as planned; C finds the store given back. It freed parts after 2.8 s, under
+// the readers that A had let in.
+func TestKeeperAfterNextWaitsForReadersOfTheFirst(t *testing.T) {
+	fake, store := kv.NewFake(time.Now), newFakeStore()
+	for i := range 10 {
+		store.save("w1", fmt.Sprint(i), 96)
+	}
+	now := time.Now().UnixMilli() + clockAhead
+	writeLife(t, fake, "shelf", life{Epoch: 1, Seen: now - 60_000, Readers: now + 8000})
+	a := keepUnder(t, fake, 10*time.Second, store, service("shelf", 1000, 1000))
+	parts := []relay.Part{{ID: "new", Tokens: 16}, {ID: "own", Tokens: 16}}
+	a.Ask(context.Background(), "w2", parts, []bool{false, false}) // all others are of old weights
+	time.Sleep(storeroom.LeaveFor + time.Second)
+	a.Ask(context.Background(), "w2", parts, []bool{false, false})
+	time.Sleep(3 * keepEvery)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if len(store.freed) > 0 {
+		t.Errorf("%d parts were freed while a keeper may give leave for them", len(store.freed))
+	}
+}
+
+// A daemon is killed just as it asks a store to free parts, is back within 50 ms and keeps the
+// store at once. The call may still arrive: leave given before that, for a part that the list
+// shows, would be broken.
+func TestKeeperThatStartsAgainWaitsForItsOwnLastCall(t *testing.T) {
+	fake, store := kv.NewFake(time.Now), newFakeStore()
+	store.save("w1", "x", 96)
+	manager := func() *lease.Manager {
+		return lease.NewManager(lease.Options{
+			KV: fake.Client("a"), Self: "a", Address: "a:1", OwnsAddress: true, TTL: time.Minute, Margin: time.Second,
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if _, err := manager().Acquire(ctx, LeasePrefix+"shelf"); err != nil {
+		t.Fatal(err)
+	}
+	shelf := service("shelf", 10_000, 1000)
+	began := time.Now()
+	keeper := NewKeeper(Options{
+		KV: fake.Client("a"), Self: "a", Leases: manager(), Calls: store, TokenBytes: func() int { return 1000 },
+		Stores: func() []*routing.Service { return []*routing.Service{shelf} }, Rank: func(routing.ServiceID) int { return 0 },
+	})
+	keeper.consider(ctx, shelf)
+	ask := &ClaimRequest{Salt: "w1", Weights: 1, Parts: []*PartAsk{{Store: "shelf", Id: "x", Tokens: 96}}}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		answer, err := keeper.Claim(ctx, ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !answer.Parts[0].Fetch {
+			continue
+		}
+		if took := time.Since(began); took < freeTimeout {
+			t.Errorf("leave is given after %s", took)
+		}
+		return
+	}
+	t.Fatal("no leave is given")
+}
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -20,6 +20,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -31,11 +32,13 @@
 
 	followWait = time.Second
 	// followPause gathers events, so that a busy store is not asked for each one.
-	followPause  = 60 * time.Millisecond
-	failPause    = 300 * time.Millisecond
-	keepEvery    = 100 * time.Millisecond
-	listAtMost   = 3 * time.Second // between two lists, which stall the store
-	freeTimeout  = 400 * time.Millisecond
+	followPause = 60 * time.Millisecond
+	failPause   = 300 * time.Millisecond
+	keepEvery   = 100 * time.Millisecond
+	listAtMost  = 3 * time.Second // between two lists, which stall the store
+	// freeTimeout is how long a store may take to carry out that parts are freed; it answers
+	// in some ms.
+	freeTimeout  = 150 * time.Millisecond
 	acquireEvery = time.Second
 	backupRanks  = 2
 	// deafAfter is how long a store may be silent before nothing is fetched from it: it
@@ -47,6 +50,7 @@
 
 // Options of NewKeeper.
 type Options struct {
+	KV platform.KV
 	// Self is this daemon. What it kept before its start, or dropped, nobody reads any more.
 	Self   request.DaemonID
 	Leases *lease.Manager
@@ -72,6 +76,8 @@
 type StoreKeeper struct {
 	o Options
 
+	started time.Time // of this process, or a little later
+
 	mu     sync.Mutex
 	stores map[routing.ServiceID]*kept
 	asked  map[routing.ServiceID]time.Time
@@ -88,7 +94,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("contextstore")
-	return &StoreKeeper{o: o, stores: map[routing.ServiceID]*kept{}, asked: map[routing.ServiceID]time.Time{}}
+	return &StoreKeeper{o: o, started: time.Now(), stores: map[routing.ServiceID]*kept{}, asked: map[routing.ServiceID]time.Time{}}
 }
 
 // Leave gives all stores back, so that other daemons keep them.
@@ -99,7 +105,11 @@
 	clear(s.stores)
 	s.mu.Unlock()
 	for _, k := range stores {
-		if err := k.retire().Release(ctx); err != nil {
+		l := k.retire()
+		if !k.mayRelease() {
+			continue // the next keeper must know that there may be a reader: the lease lapses
+		}
+		if err := l.Release(ctx); err != nil {
 			s.o.Logger.Warn("A store could not be given back; its lease lapses", "store", k.id, "error", err)
 		}
 	}
@@ -215,13 +225,16 @@
 func (s *StoreKeeper) keep(ctx context.Context, store *routing.Service, l *lease.Lease, tokenBytes int) {
 	const bitsPerByte = 8
 	k := &kept{
-		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, heldAt: time.Now(), calls: s.o.Calls, log: s.o.Logger, metrics: s.o.Metrics, reasons: map[storeroom.Reason]int{},
+		id: store.ID, address: store.Store.Address, tokens: store.Store.Tokens, lease: l, heldAt: time.Now(), calls: s.o.Calls, log: s.o.Logger, metrics: s.o.Metrics, lives: lives{kv: s.o.KV}, reasons: map[storeroom.Reason]int{},
 		room: storeroom.New(time.Now(), storeroom.Params{
 			Tokens: store.Store.Tokens, FirstByte: store.Store.FirstByte,
 			TokensPerSec: store.Store.LinkMbps * bitsPerMegabit / bitsPerByte / float64(tokenBytes),
 			Lapsed:       l.Lapsed() != "" && l.Lapsed() != s.o.Self,
 		}),
 	}
+	if l.Lapsed() == s.o.Self {
+		k.readFrom = s.started.Add(freeTimeout)
+	}
 	s.mu.Lock()
 	s.stores[store.ID] = k
 	s.mu.Unlock()
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -53,6 +53,11 @@
 	calls   Calls
 	log     hclog.Logger
 	metrics tally.Scope
+	lives   lives
+	// readFrom is when leave may be given first. A daemon that starts again keeps its stores
+	// at once, without a lease running out before: what its earlier process asked to be freed
+	// just before it ended may be carried out until then.
+	readFrom time.Time
 
 	mu       sync.Mutex
 	lease    *lease.Lease
@@ -64,6 +69,9 @@
 	listed   bool
 	listedAt time.Time
 	heardAt  time.Time
+	// inherited is set once what the keepers before wrote down of the store is known, and
+	// what this one knows is written down.
+	inherited bool
 	// clockMs is the replicas' clock at clockAt, a little less than the truth, so that leave
 	// ends too early rather than too late. It is carried on by the steady clock: were it kept
 	// as the difference to the time of day, leave given after that was set ahead by 2 s would
@@ -94,6 +102,7 @@
 			_ = pause.For(ctx, failPause) // the loop asks the context itself
 			continue
 		}
+		k.learn(ctx)
 		_ = pause.For(ctx, followPause) // the loop asks the context itself
 	}
 	k.log.Info("A store is no longer kept here", "store", k.id)
@@ -117,6 +126,19 @@
 	return k.read(ctx, after, 0) // a list does not tell the clock
 }
 
+// learn takes over from the keepers before, as soon as the store has told its clock.
+func (k *kept) learn(ctx context.Context) {
+	k.mu.Lock()
+	due := k.listed && !k.inherited && !k.clockAt.IsZero()
+	k.mu.Unlock()
+	if !due {
+		return
+	}
+	if err := k.inherit(ctx); err != nil {
+		k.log.Info("What is known of a store could not be taken over", "store", k.id, "error", err)
+	}
+}
+
 // read takes the store's changes after a number, and its clock. It waits for some changes.
 func (k *kept) read(ctx context.Context, after uint64, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
@@ -183,7 +205,7 @@
 	if k.epoch != 0 && k.epoch != c.Epoch {
 		k.log.Warn("A store has restarted", "store", k.id)
 		k.room.Reset(now)
-		k.listed = false
+		k.listed, k.inherited = false, false
 	}
 	k.epoch = c.Epoch
 }
@@ -221,7 +243,7 @@
 
 func (k *kept) free(ctx context.Context) {
 	k.mu.Lock()
-	if !k.ready(time.Now()) || !k.lease.MayAct(freeTimeout) {
+	if !k.ready(time.Now()) || !k.inherited || !k.lease.MayAct(freeTimeout) {
 		k.mu.Unlock()
 		return
 	}
@@ -254,7 +276,7 @@
 
 // ready reports whether the store's content and clock are known and the store lives.
 func (k *kept) ready(now time.Time) bool {
-	return k.listed && !k.clockAt.IsZero() && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
+	return k.listed && !k.clockAt.IsZero() && !now.Before(k.readFrom) && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
 }
 
 // serves reports whether leave may be given here: while the lease is held, and for some time
@@ -311,6 +333,14 @@
 	return true
 }
 
+// mayRelease reports whether the next keeper can know all that this one knew of others that
+// may give leave.
+func (k *kept) mayRelease() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.inherited || !time.Now().Before(k.room.Readers())
+}
+
 func (k *kept) replicaClock(t time.Time) int64 {
 	return k.clockMs + t.Sub(k.clockAt).Milliseconds()
 }
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -58,6 +58,9 @@
 	slowOnce    = 300 * time.Millisecond
 	slowFor     = time.Second
 	maxSlowness = 16.0
+	// LeaveSeenFor is longer than any leave lasts from when a store's process was seen first:
+	// a keeper that was cut off may notice late that the process is another one.
+	LeaveSeenFor = readerLag + LeaveFor + leaveSlack
 	// block is the number of tokens by which a store gives room.
 	block = 16
 	// crossShare weighs the link's time for readers in other failure domains, whose
@@ -176,6 +179,22 @@
 	}
 }
 
+// OnSameProcess is told that the store has not restarted since any leave was given that may
+// still be in use. Nothing that somebody may fetch is missing then, so that saves need not
+// wait.
+func (r *Room) OnSameProcess(now time.Time) { r.saveAfter = now }
+
+// Readers returns until when another keeper may give leave, as far as is known.
+func (r *Room) Readers() time.Time { return r.readers }
+
+// OnReaders is told until when another keeper may give leave.
+func (r *Room) OnReaders(until time.Time) {
+	if until.After(r.readers) {
+		r.readers = until
+		r.freeAfter = until.Add(LeaveFor + leaveSlack)
+	}
+}
+
 func (r *Room) noSaveBefore(t time.Time) {
 	if t.After(r.saveAfter) {
 		r.saveAfter = t
