bluebellctl losses: what was refused, late or broken off, when and why

Lines of answers name the route, and late ones what made them late. Routes' longest pause is decoded for it.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -98,6 +98,7 @@
 			t.debugCommand("contexts", "/debug/contexts", "list contexts that a daemon knows"),
 			t.drainCommand(),
 			t.explainCommand(),
+			t.lossesCommand(),
 			t.versionCommand(),
 		},
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 func sinceMs(t time.Time) int64 { return time.Since(t).Milliseconds() }
 
@@ -29,11 +32,27 @@
 	if !s.o.Logger.IsInfo() {
 		return
 	}
-	args := []any{"request", j.ID, "how", how, "status", t.response.Status, "replica", t.placement.Send.Replica,
+	args := []any{"request", j.ID, "route", j.Route.Name, "how", how, "status", t.response.Status, "replica", t.placement.Send.Replica,
 		"why", t.placement.Reason, "after_ms", sinceMs(j.Start)}
+	if late := lateness(j, t, k, first); late != "" {
+		args = append(args, "late", late)
+	}
 	if k != nil {
 		args = append(args, "first_ms", k.firstAt.Sub(j.Start).Milliseconds(), "events", k.count,
 			"pause_ms", k.pause.Milliseconds())
 	}
 	s.o.Logger.Info("A request is answered", args...)
 }
+
+// lateness says what made an answer late by its route's objectives; empty if it is not. The
+// way by which the parts of the prompt came goes with it, as the placer tells it.
+func lateness(j *Job, t *try, k *sink, first time.Duration) string {
+	switch {
+	case j.Route.Objective > 0 && first > j.Route.Objective:
+		way, _, _ := strings.Cut(t.placement.Reason, " ")
+		return "first words, " + way
+	case k != nil && j.Route.MaxPause > 0 && k.pause > j.Route.MaxPause:
+		return "a pause"
+	}
+	return ""
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -44,6 +44,7 @@
 	Resumable   bool          // a stream may be continued at another replica
 	Timeout     time.Duration // the longest time a caller is kept waiting
 	Objective   time.Duration // until the answer, or the first event of a stream
+	MaxPause    time.Duration // between two events of a stream that is on time; zero: not told
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // replicas to which one request may be sent
 	Anonymous   bool          // no key is asked for
