--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -105,7 +105,7 @@
 	need := e.need(j)
 	n := pick.Sampled(pick.Default, need, candidates)
 	r, chosen := usable[n], &candidates[n]
-	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil {
+	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil && !j.Begun {
 		return nil, err
 	}
 	version := r.Weights(j.Model)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -238,6 +238,18 @@
 	}
 }
 
+// A replica dies with streams on it, and the others have much to do. A stream that can be
+// resumed was refused like a new prompt, and broke off before its caller, who had half of it.
+func TestResumedStreamIsNotRefusedForAWait(t *testing.T) {
+	w := newWorld(1)
+	w.set.Get("r0").Load.Begin(1000, 30_000) // 600 ms of prompts
+	begun := job("s")
+	begun.Begun = true
+	if _, err := w.engine.Place(context.Background(), begun, nil); err != nil {
+		t.Errorf("refused: %v", err)
+	}
+}
+
 // A store's link is slower than its keeper thinks. The first token of a fetch is overdue,
 // and the keeper is told while the fetch still waits.
 func TestOverdueFetchIsReported(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -129,6 +129,7 @@
 	var tried []request.TargetID
 	var n counts
 	for {
+		j.Begun = k.started
 		p, err := s.placer(j).Place(ctx, j, tried)
 		if err != nil {
 			s.end(ctx, w, j, k, n.mayHaveRun > 0, err)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -85,6 +85,9 @@
 	Org      *routing.Org // nil if the route needs none
 	Start    time.Time
 	Deadline time.Time // the earlier of the caller's and the route's
+	// Begun is set once the caller has a part of the answer. A stream that is resumed is not
+	// refused for a wait: its caller would lose what it has.
+	Begun bool
 }
 
 // OrgID returns the organisation's id, empty if there is none.
