--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -402,10 +402,10 @@
 // clockAhead is how far the fake store's clock is ahead of this process's, in ms.
 const clockAhead = 1_000_000
 
-// writeLife writes what keepers before knew of a store.
-func writeLife(t *testing.T, fake *kv.Fake, store string, known life) {
+// writeRecord writes what keepers before knew of a store.
+func writeRecord(t *testing.T, fake *kv.Fake, store string, known record) {
 	t.Helper()
-	if err := (lives{kv: fake.Client("before")}).write(context.Background(), routing.ServiceID(store), known, 0); err != nil {
+	if err := (records{kv: fake.Client("before")}).write(context.Background(), routing.ServiceID(store), known, 0); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -416,22 +416,22 @@
 // eighth of all that was. A store whose process is known to be the same is no such store.
 func TestNewKeeperSavesAtOnceToAStoreThatHasNotRestarted(t *testing.T) {
 	now := time.Now().UnixMilli() + clockAhead
-	took := func(known life) time.Duration {
+	took := func(known record) time.Duration {
 		fake := kv.NewFake(time.Now)
-		writeLife(t, fake, "shelf", known)
+		writeRecord(t, fake, "shelf", known)
 		began := time.Now()
 		a := keepUnder(t, fake, 10*time.Second, newFakeStore(), service("shelf", 10_000, 1000))
 		askFor(t, a, "x", false, true)
 		return time.Since(began)
 	}
 	const wait = storeroom.LeaveFor
-	if got := took(life{Epoch: 1, Seen: now - 60_000}); got > wait/2 {
+	if got := took(record{Epoch: 1, Seen: now - 60_000}); got > wait/2 {
 		t.Errorf("the same process for a minute: saves after %s", got)
 	}
-	if got := took(life{Epoch: 7, Seen: now - 60_000}); got < wait {
+	if got := took(record{Epoch: 7, Seen: now - 60_000}); got < wait {
 		t.Errorf("another process: saves after %s", got)
 	}
-	if got := took(life{Epoch: 1, Seen: now - 1000}); got < wait {
+	if got := took(record{Epoch: 1, Seen: now - 1000}); got < wait {
 		t.Errorf("the same process for a second: saves after %s", got)
 	}
 }
@@ -445,7 +445,7 @@
 		store.save("w1", fmt.Sprint(i), 96)
 	}
 	now := time.Now().UnixMilli() + clockAhead
-	writeLife(t, fake, "shelf", life{Epoch: 1, Seen: now - 60_000, Readers: now + 8000})
+	writeRecord(t, fake, "shelf", record{Epoch: 1, Seen: now - 60_000, Readers: now + 8000})
 	a := keepUnder(t, fake, 10*time.Second, store, service("shelf", 1000, 1000))
 	parts := []relay.Part{{ID: "new", Tokens: 16}, {ID: "own", Tokens: 16}}
 	a.Ask(context.Background(), "w2", parts, []bool{false, false}) // all others are of old weights
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -53,7 +53,7 @@
 	calls   Calls
 	log     hclog.Logger
 	metrics tally.Scope
-	lives   lives
+	records records
 	// readFrom is when leave may be given first. A daemon that starts again keeps its stores
 	// at once, without a lease running out before: what its earlier process asked to be freed
 	// just before it ended may be carried out until then.
@@ -72,6 +72,8 @@
 	// inherited is set once what the keepers before wrote down of the store is known, and
 	// what this one knows is written down.
 	inherited bool
+	// inheritAt is when that is tried again at the soonest.
+	inheritAt time.Time
 	// clockMs is the replicas' clock at clockAt, a little less than the truth, so that leave
 	// ends too early rather than too late. It is carried on by the steady clock: were it kept
 	// as the difference to the time of day, leave given after that was set ahead by 2 s would
@@ -129,7 +131,11 @@
 // learn takes over from the keepers before, as soon as the store has told its clock.
 func (k *kept) learn(ctx context.Context) {
 	k.mu.Lock()
-	due := k.listed && !k.inherited && !k.clockAt.IsZero()
+	now := time.Now()
+	due := k.listed && !k.inherited && !k.clockAt.IsZero() && !now.Before(k.inheritAt)
+	if due {
+		k.inheritAt = now.Add(inheritEvery)
+	}
 	k.mu.Unlock()
 	if !due {
 		return
@@ -196,7 +202,7 @@
 	}
 }
 
-// heard notes that the store lives, and whether it has restarted.
+// heard notes that the store records, and whether it has restarted.
 func (k *kept) heard(now time.Time, c Content) {
 	k.heardAt = now
 	if c.ClockMs > 0 {
@@ -274,7 +280,7 @@
 	}
 }
 
-// ready reports whether the store's content and clock are known and the store lives.
+// ready reports whether the store's content and clock are known and the store records.
 func (k *kept) ready(now time.Time) bool {
 	return k.listed && !k.clockAt.IsZero() && !now.Before(k.readFrom) && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
 }
