--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -120,7 +120,7 @@
 		return // it has left, and daemons learn that from the registry
 	}
 	state := &State{
-		Replica: r.Hash(), BusyMs: int32(a.Busy.Milliseconds()), ShortMs: int32(a.ShortOnly.Milliseconds()),
+		Replica: r.Hash(), BusyMs: int32(a.Busy.Milliseconds()),
 		Model: string(a.Model), Weights: a.Weights,
 	}
 	s.mu.Lock()
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -73,7 +73,6 @@
 	for _, state := range r.States {
 		if replica := byHash[state.Replica]; replica != nil {
 			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
-			replica.SetShortOnly(now.Add(time.Duration(state.ShortMs) * time.Millisecond))
 			if state.Weights > 0 {
 				replica.SawWeights(request.Model(state.Model), state.Weights)
 			}
--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -91,25 +91,6 @@
 	return fit
 }
 
-// forLength leaves out replicas that take only short requests for a long one, unless all
-// do.
-func (e *Engine) forLength(of []*replicas.Replica, j *relay.Job) []*replicas.Replica {
-	if e.output(j) <= longOutput {
-		return of
-	}
-	now := time.Now()
-	var fit []*replicas.Replica
-	for _, r := range of {
-		if !r.ShortOnly(now) {
-			fit = append(fit, r)
-		}
-	}
-	if len(fit) == 0 {
-		return of
-	}
-	return fit
-}
-
 // best returns the newest version that any replica serves.
 func best(of []*replicas.Replica, m request.Model) uint64 {
 	var version uint64
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -95,7 +95,6 @@
 func (e *Engine) Place(ctx context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
 	usable := usable(e.Mine(j.Service.ID), tried)
 	usable = e.onNamedWeights(usable, j.Model)
-	usable = e.forLength(usable, j)
 	if len(usable) == 0 {
 		return nil, noReplica()
 	}
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -97,13 +97,9 @@
 	Until  time.Time // zero: until something changes
 }
 
-// Drain says that a target is to get no new requests from now on, or with ShortOnly none
-// that run long: it is drained next, and is then free soon. It is given again until the
-// target is ordered to load.
-type Drain struct {
-	Target    request.TargetID
-	ShortOnly bool
-}
+// Drain says that a target is to get no new requests from now on. It is given again until
+// the target is ordered to load.
+type Drain struct{ Target request.TargetID }
 
 // StepDown says that a target has seen a higher epoch: another daemon holds the lease.
 // No order may be given any more.
@@ -142,7 +138,6 @@
 	pending map[request.TargetID]pending
 	last    map[request.TargetID]Observed  // by the last read that succeeded
 	drained map[request.TargetID]time.Time // since when a target gets no new requests
-	next    map[request.TargetID]bool      // targets that get short requests only
 	seq     uint64
 }
 
@@ -168,7 +163,6 @@
 		pending: make(map[request.TargetID]pending),
 		last:    make(map[request.TargetID]Observed),
 		drained: make(map[request.TargetID]time.Time),
-		next:    make(map[request.TargetID]bool),
 	}
 }
 
@@ -281,13 +275,9 @@
 	since, draining := r.drained[w.Target]
 	if !draining {
 		if v.out[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
-			return r.prepare(w, v)
+			return Wait{Target: w.Target, Reason: ReasonOutShare}
 		}
 		v.out[w.Model]++
-		if r.next[w.Target] {
-			delete(r.next, w.Target)
-			v.next[w.Model]--
-		}
 		since = now
 		r.drained[w.Target] = now
 	}
@@ -298,18 +288,6 @@
 	return nil
 }
 
-// prepare makes as many targets ready to be drained next as may be out at once.
-func (r *Rollout) prepare(w Wanted, v *view) Action {
-	if !r.next[w.Target] && v.next[w.Model] >= v.mayBeOut(w.Model, r.params.MaxOutShare) {
-		return Wait{Target: w.Target, Reason: ReasonOutShare}
-	}
-	if !r.next[w.Target] {
-		r.next[w.Target] = true
-		v.next[w.Model]++
-	}
-	return Drain{Target: w.Target, ShortOnly: true}
-}
-
 // drainAhead drains the targets that come first while no order may be given yet.
 func (r *Rollout) drainAhead(now time.Time, v *view, wanted []Wanted) []Action {
 	if r.params.DrainFor <= 0 {
--- a/internal/policy/rollout/view.go
+++ b/internal/policy/rollout/view.go
@@ -15,7 +15,6 @@
 	observed map[request.TargetID]Observed
 	loading  int                   // targets that load, or may
 	out      map[request.Model]int // replicas that don't serve
-	next     map[request.Model]int // replicas that are drained next
 	replicas map[request.Model]int
 	highest  uint64 // epoch that any target has seen
 }
@@ -24,7 +23,6 @@
 	v := &view{
 		observed: make(map[request.TargetID]Observed),
 		out:      make(map[request.Model]int),
-		next:     make(map[request.Model]int),
 		replicas: make(map[request.Model]int),
 	}
 	for _, o := range observed {
@@ -38,10 +36,6 @@
 		v.replicas[w.Model]++
 		if o.Reachable && o.State.Version == w.Version {
 			delete(r.drained, w.Target)
-			delete(r.next, w.Target)
-		}
-		if r.next[w.Target] {
-			v.next[w.Model]++
 		}
 		_, drained := r.drained[w.Target]
 		loads := r.mayLoad(now, o)
@@ -118,8 +112,7 @@
 
 // sorted returns the targets in the order in which they are brought on: those that
 // serve nothing first, since loading them takes nothing away, then those that may be
-// ordered at once, then those that were made ready, then those with the least work, whose
-// requests end soonest.
+// ordered at once, then those with the least work, whose requests end soonest.
 func (r *Rollout) sorted(v *view, wanted []Wanted) []Wanted {
 	out := slices.Clone(wanted)
 	slices.SortStableFunc(out, func(a, b Wanted) int {
@@ -133,12 +126,6 @@
 		if c := v.of(a.Target).OrderAfter.Compare(v.of(b.Target).OrderAfter); c != 0 {
 			return c
 		}
-		if r.next[a.Target] != r.next[b.Target] {
-			if r.next[a.Target] {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(
 			cmp.Compare(v.of(a.Target).Work, v.of(b.Target).Work),
 			strings.Compare(string(a.Target), string(b.Target)),
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -72,7 +72,6 @@
 	info      atomic.Pointer[Info]
 	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
 	busy      steady.Moment // until when it takes no requests
-	short     steady.Moment // until when it takes only short requests
 }
 
 // Info returns what the registry told last.
@@ -95,13 +94,6 @@
 	}
 }
 
-// SetShortOnly says that the replica takes only short requests until a time: it loads
-// weights soon.
-func (r *Replica) SetShortOnly(until time.Time) { r.short.Set(until) }
-
-// ShortOnly reports whether the replica takes only short requests now.
-func (r *Replica) ShortOnly(now time.Time) bool { return r.short.IsAhead(now) }
-
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
 	onDown    func(*Replica)
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -94,11 +94,10 @@
 
 // State is what peers are told of a replica. Zero times end what was told before.
 type State struct {
-	Replica   request.TargetID
-	Busy      time.Duration // it takes no requests for so long
-	ShortOnly time.Duration // it takes only short ones for so long
-	Model     request.Model
-	Weights   uint64 // that it serves; zero: not told
+	Replica request.TargetID
+	Busy    time.Duration // it takes no requests for so long
+	Model   request.Model
+	Weights uint64 // that it serves; zero: not told
 }
 
 // Replicas carries out calls to replicas.
@@ -252,7 +251,6 @@
 			continue
 		}
 		r.SetBusy(time.Time{})
-		r.SetShortOnly(time.Time{})
 		d.announce(State{Replica: id, Model: o.model, Weights: r.Weights(o.model)})
 		d.o.Logger.Info("A replica serves new weights", "replica", id, "model", o.model,
 			"version", r.Weights(o.model), "after_ms", time.Since(o.at).Milliseconds())
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -117,12 +117,7 @@
 // they forget it.
 func (d *Duty) drain(late []behind, a rollout.Drain) {
 	for _, b := range late {
-		switch {
-		case b.replica.Info().ID != a.Target:
-		case a.ShortOnly:
-			d.keepShort(b)
-			return
-		default:
+		if b.replica.Info().ID == a.Target {
 			d.keepBusy(b)
 			return
 		}
@@ -240,17 +235,6 @@
 // errStartedAgain is the outcome of asking a replica whose process is another one by now.
 var errStartedAgain = errors.New("weights: the replica has started again")
 
-// keepShort says again that a replica takes short requests only.
-func (d *Duty) keepShort(b behind) {
-	now := time.Now()
-	id := b.replica.Info().ID
-	b.replica.SetShortOnly(now.Add(busyFor))
-	if now.Sub(d.told[id]) > busyFor/3 {
-		d.told[id] = now
-		d.announce(State{Replica: id, ShortOnly: busyFor})
-	}
-}
-
 // keepBusy says again that a replica takes no requests while its order is under way.
 func (d *Duty) keepBusy(b behind) {
 	now := time.Now()
