--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,20 +5,17 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxLine bounds a log line, in bytes. Longer ones are none of ours.
-const maxLine = 1 << 20
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
+)
 
 // Messages of the lines that tell a request's way, and of a daemon's dependency.
 const (
@@ -96,21 +93,13 @@
 }
 
 func scan(log Log, take func(Line)) error {
-	s := bufio.NewScanner(log.Text)
-	s.Buffer(nil, maxLine)
-	for s.Scan() {
-		text := s.Text()
-		begin := strings.IndexByte(text, '{') // collectors put a time or name before it
-		if begin < 0 {
-			continue
-		}
+	err := loglines.Each(log.Text, func(object []byte) {
 		l := Line{Daemon: log.Daemon}
-		if json.Unmarshal([]byte(text[begin:]), &l) != nil || l.Message == "" {
-			continue
+		if json.Unmarshal(object, &l) == nil && l.Message != "" {
+			take(l)
 		}
-		take(l)
-	}
-	return errors.Wrapf(s.Err(), "explain: log of %s", log.Daemon)
+	})
+	return errors.Wrapf(err, "explain: log of %s", log.Daemon)
 }
 
 // verdict says in one sentence why the request ended as it did.
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -5,21 +5,18 @@
 package losses
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"regexp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxLine bounds a log line, in bytes. Longer ones are none of ours.
-const maxLine = 1 << 20
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
+)
 
 // Messages of the lines that tell a request's end.
 const (
@@ -121,23 +118,16 @@
 }
 
 func scan(log io.Reader, take func(line)) error {
-	s := bufio.NewScanner(log)
-	s.Buffer(nil, maxLine)
-	for s.Scan() {
-		text := s.Text()
-		begin := strings.IndexByte(text, '{') // collectors put a time or name before it
-		if begin < 0 {
-			continue
-		}
+	err := loglines.Each(log, func(object []byte) {
 		var l line
-		if json.Unmarshal([]byte(text[begin:]), &l) != nil || l.Route == "" {
-			continue
+		if json.Unmarshal(object, &l) != nil || l.Route == "" {
+			return
 		}
 		if l.Message == msgAnswered || l.Message == msgRefused || l.Message == msgBroken {
 			take(l)
 		}
-	}
-	return errors.Wrap(s.Err(), "losses: log")
+	})
+	return errors.Wrap(err, "losses")
 }
 
 // serverError is the first status by which a replica tells an error of its own.
