Messages of log lines have one place; small pieces of one kind become one

The names of the lines by which explain and losses know a request's way again stood in both tools and, as literals, in the parts that write them. They are constants of loglines now. Two searches for the cheapest candidate, two waits of a test's keeper and two ways to note an order are one each.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -29,6 +29,9 @@
 	freed  []storeroom.Key
 }
 
+// clockAhead is how far the fake store's clock is ahead of this process's, in ms.
+const clockAhead = 1_000_000
+
 func newFakeStore() *fakeStore { return &fakeStore{epoch: 1, parts: map[storeroom.Key]int{}} }
 
 func (s *fakeStore) save(salt, id string, tokens int) {
@@ -53,6 +56,14 @@
 	s.down = down
 }
 
+// freedByNow gives the keeper time to free what it may, and returns the number of parts freed.
+func (s *fakeStore) freedByNow() int {
+	time.Sleep(3 * keepEvery)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.freed)
+}
+
 func (s *fakeStore) Events(_ context.Context, _ string, after uint64, _ time.Duration) (Content, error) {
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
@@ -60,7 +71,7 @@
 	if s.down {
 		return Content{}, errors.New("down")
 	}
-	c := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + 1_000_000}
+	c := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + clockAhead}
 	if after <= c.Next {
 		c.Events = append(c.Events, s.events[after:]...)
 	}
@@ -169,7 +180,7 @@
 	if got[0].Address != "s:1" || got[0].FailureDomain != "d" {
 		t.Errorf("got %+v", got[0])
 	}
-	left := until - (time.Now().UnixMilli() + 1_000_000)
+	left := until - (time.Now().UnixMilli() + clockAhead)
 	if left < 1000 || left > storeroom.LeaveFor.Milliseconds() {
 		t.Errorf("leave ends in %d ms on the replicas' clock", left)
 	}
@@ -370,11 +381,8 @@
 	const untilFreed = storeroom.LeaveFor + time.Second // nothing is freed while leave may last
 	time.Sleep(untilFreed)
 	askFor(t, a, "context1", true, false)
-	time.Sleep(3 * keepEvery)
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	if len(store.freed) > 0 {
-		t.Errorf("%d parts of the newest weights were freed", len(store.freed))
+	if n := store.freedByNow(); n > 0 {
+		t.Errorf("%d parts of the newest weights were freed", n)
 	}
 }
 
@@ -382,7 +390,6 @@
 // that ended by the daemon's clock would let a replica fetch for seconds after the part was
 // freed: none may be given before the store's clock is known, nor end by the daemon's.
 func TestLeaveEndsOnTheStoresClock(t *testing.T) {
-	const ahead = 1_000_000 // ms, of the fake store
 	a := keep(t, newFakeStore(), service("shelf", 10_000, 1000))
 	parts := []relay.Part{{ID: "x", Tokens: 100}, {ID: "own", Tokens: 10}}
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
@@ -390,7 +397,7 @@
 		if until == 0 {
 			continue // nothing is known yet
 		}
-		left := time.Duration(until-time.Now().UnixMilli()-ahead) * time.Millisecond
+		left := time.Duration(until-time.Now().UnixMilli()-clockAhead) * time.Millisecond
 		if left > storeroom.LeaveFor || left < storeroom.LeaveFor-time.Second {
 			t.Errorf("leave lasts %s on the store's clock", left)
 		}
@@ -399,9 +406,6 @@
 	t.Fatal("no leave is given")
 }
 
-// clockAhead is how far the fake store's clock is ahead of this process's, in ms.
-const clockAhead = 1_000_000
-
 // writeRecord writes what keepers before knew of a store.
 func writeRecord(t *testing.T, fake *kv.Fake, store string, known record) {
 	t.Helper()
@@ -451,11 +455,8 @@
 	a.Ask(context.Background(), "w2", parts, []bool{false, false}) // all others are of old weights
 	time.Sleep(storeroom.LeaveFor + time.Second)
 	a.Ask(context.Background(), "w2", parts, []bool{false, false})
-	time.Sleep(3 * keepEvery)
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	if len(store.freed) > 0 {
-		t.Errorf("%d parts were freed while a keeper may give leave for them", len(store.freed))
+	if n := store.freedByNow(); n > 0 {
+		t.Errorf("%d parts were freed while a keeper may give leave for them", n)
 	}
 }
 
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -114,18 +114,14 @@
 func (k *kept) follow(ctx context.Context) error {
 	k.mu.Lock()
 	must := !k.listed || k.room.Overdue(time.Now()) && time.Since(k.listedAt) > listAtMost
-	after := k.next
 	k.mu.Unlock()
 	if !must {
-		return k.read(ctx, after, followWait)
+		return k.read(ctx, followWait)
 	}
 	if err := k.list(ctx); err != nil {
 		return err
 	}
-	k.mu.Lock()
-	after = k.next
-	k.mu.Unlock()
-	return k.read(ctx, after, 0) // a list does not tell the clock
+	return k.read(ctx, 0) // a list does not tell the clock
 }
 
 // learn takes over from the keepers before, as soon as the store has told its clock.
@@ -145,8 +141,12 @@
 	}
 }
 
-// read takes the store's changes after a number, and its clock. It waits for some changes.
-func (k *kept) read(ctx context.Context, after uint64, wait time.Duration) error {
+// read takes the store's changes after the last one known, and its clock. It waits for some
+// changes.
+func (k *kept) read(ctx context.Context, wait time.Duration) error {
+	k.mu.Lock()
+	after := k.next
+	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	c, err := k.calls.Events(ctx, k.address, after, wait)
@@ -202,7 +202,7 @@
 	}
 }
 
-// heard notes that the store records, and whether it has restarted.
+// heard notes that the store lives, and whether it has restarted.
 func (k *kept) heard(now time.Time, c Content) {
 	k.heardAt = now
 	if c.ClockMs > 0 {
@@ -280,7 +280,7 @@
 	}
 }
 
-// ready reports whether the store's content and clock are known and the store records.
+// ready reports whether the store's content and clock are known and the store lives.
 func (k *kept) ready(now time.Time) bool {
 	return k.listed && !k.clockAt.IsZero() && !now.Before(k.readFrom) && now.Sub(k.heardAt) < deafAfter && k.servesLocked(now)
 }
--- a/internal/ctl/explaincmd.go
+++ b/internal/ctl/explaincmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -51,7 +50,7 @@
 		}
 		defer f.Close()
 		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
-		logs = append(logs, explain.Log{Daemon: name, Text: io.Reader(f)})
+		logs = append(logs, explain.Log{Daemon: name, Text: f})
 	}
 	return explain.Explain(request, logs)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,16 +17,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/loglines"
 )
 
-// Messages of the lines that tell a request's way, and of a daemon's dependency.
-const (
-	msgAnswered = "A request is answered"
-	msgTry      = "A try gave no answer"
-	msgRefused  = "A request is refused"
-	msgBroken   = "A stream is broken off"
-	msgLost     = "The key-value service does not answer"
-	msgRegained = "The key-value service answers again"
-)
-
 // outcomeEnded is that of a try which ended with the caller, or with the time it had.
 const outcomeEnded = "ended"
 
@@ -76,7 +66,7 @@
 			switch {
 			case l.Request == request:
 				way.Lines = append(way.Lines, l)
-			case l.Message == msgLost || l.Message == msgRegained:
+			case l.Message == loglines.KVLost || l.Message == loglines.KVRegained:
 				outages[l.Daemon] = append(outages[l.Daemon], l)
 			}
 		})
@@ -106,11 +96,11 @@
 func verdict(lines []Line, outages map[string][]Line) string {
 	last := lines[len(lines)-1]
 	switch last.Message {
-	case msgAnswered:
+	case loglines.Answered:
 		return answered(lines, last)
-	case msgBroken:
+	case loglines.BrokenOff:
 		return fmt.Sprintf("The stream broke off after %d events and %d ms: %s.", last.Events, last.AfterMs, lost(lines, last.Cause))
-	case msgRefused:
+	case loglines.Refused:
 		return refused(lines, last, outages)
 	}
 	return fmt.Sprintf("Its end is in no line; the last one tells of try %d at replica %s: %s.", last.Try, last.Replica, cmp.Or(last.Error, last.Outcome))
@@ -119,7 +109,7 @@
 func answered(lines []Line, last Line) string {
 	tries := 0
 	for _, l := range lines {
-		if l.Message == msgTry {
+		if l.Message == loglines.TryFailed {
 			tries++
 		}
 	}
@@ -157,7 +147,7 @@
 // lost names the try that failed last, if there is one.
 func lost(lines []Line, otherwise string) string {
 	for _, l := range slices.Backward(lines) {
-		if l.Message != msgTry {
+		if l.Message != loglines.TryFailed {
 			continue
 		}
 		if l.Outcome == outcomeEnded {
@@ -176,7 +166,7 @@
 			break
 		}
 		since = ""
-		if l.Message == msgLost {
+		if l.Message == loglines.KVLost {
 			since = fmt.Sprintf("the key-value service had not answered %s since %s (%s)", l.Daemon, l.At.Format(time.TimeOnly), l.Error)
 		}
 	}
--- a/internal/loglines/loglines.go
+++ b/internal/loglines/loglines.go
@@ -1,4 +1,5 @@
-// Package loglines reads the JSON lines of daemons' logs from what collectors made of them.
+// Package loglines reads the JSON lines of daemons' logs from what collectors made of them, and
+// names the messages by which daemons' lines are known again.
 package loglines
 
 import (
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -18,13 +18,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/loglines"
 )
 
-// Messages of the lines that tell a request's end.
-const (
-	msgAnswered = "A request is answered"
-	msgRefused  = "A request is refused"
-	msgBroken   = "A stream is broken off"
-)
-
 // Kind is how a request was served badly.
 type Kind string
 
@@ -40,7 +33,6 @@
 type line struct {
 	At      time.Time `json:"@timestamp"`
 	Message string    `json:"@message"`
-	Request string    `json:"request"`
 	Route   string    `json:"route"`
 	Status  int       `json:"status"`
 	Code    string    `json:"code"`
@@ -123,7 +115,7 @@
 		if json.Unmarshal(object, &l) != nil || l.Route == "" {
 			return
 		}
-		if l.Message == msgAnswered || l.Message == msgRefused || l.Message == msgBroken {
+		if l.Message == loglines.Answered || l.Message == loglines.Refused || l.Message == loglines.BrokenOff {
 			take(l)
 		}
 	})
@@ -135,13 +127,13 @@
 
 func lossOf(l line) (key, bool) {
 	switch {
-	case l.Message == msgBroken:
+	case l.Message == loglines.BrokenOff:
 		return key{Broken, l.Route, plain(l.Cause)}, true
-	case l.Message == msgRefused && l.Code == "deadline":
+	case l.Message == loglines.Refused && l.Code == "deadline":
 		return key{Failed, l.Route, plain(l.Why)}, true
-	case l.Message == msgRefused && (l.Code == "unauthorized" || l.Code == "unknown_service"):
+	case l.Message == loglines.Refused && (l.Code == "unauthorized" || l.Code == "unknown_service"):
 		return key{}, false // it was not allowed
-	case l.Message == msgRefused:
+	case l.Message == loglines.Refused:
 		return key{Refused, l.Route, l.Code + ": " + plain(l.Why)}, true
 	case l.Status >= serverError:
 		return key{Failed, l.Route, fmt.Sprintf("the replica answered %d", l.Status)}, true
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
 	"github.com/bluebellscale/bluebellscale/internal/pause"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
@@ -207,7 +208,7 @@
 		f.lapseEnds = time.Now().Add(returnGrace)
 		f.mu.Unlock()
 	}
-	f.o.Logger.Info("The key-value service answers again", "failed_for_ms", lasted.Milliseconds())
+	f.o.Logger.Info(loglines.KVRegained, "failed_for_ms", lasted.Milliseconds())
 }
 
 func (f *Follower) failed(err error) {
@@ -215,5 +216,5 @@
 		return
 	}
 	f.failing = time.Now()
-	f.o.Logger.Warn("The key-value service does not answer", "error", err)
+	f.o.Logger.Warn(loglines.KVLost, "error", err)
 }
--- a/internal/placer/memory.go
+++ b/internal/placer/memory.go
@@ -38,7 +38,14 @@
 	if e.memory == 0 {
 		return // no prompt has come here yet
 	}
-	m := e.modelOf(r)
+	m := e.models[r]
+	if m == nil {
+		if e.models == nil {
+			e.models = map[*replicas.Replica]*residency.Model{}
+		}
+		m = residency.New(e.memory)
+		e.models[r] = m
+	}
 	for _, p := range parts {
 		m.Touch(p.Key, p.Tokens)
 	}
@@ -47,20 +54,6 @@
 	}
 }
 
-// modelOf returns the model of a replica's memory. The caller holds e.mu.
-func (e *Engine) modelOf(r *replicas.Replica) *residency.Model {
-	m := e.models[r]
-	if m != nil {
-		return m
-	}
-	if e.models == nil {
-		e.models = map[*replicas.Replica]*residency.Model{}
-	}
-	m = residency.New(e.memory)
-	e.models[r] = m
-	return m
-}
-
 // Forget drops the models of replicas that are gone or have started again.
 func (e *Engine) Forget() {
 	e.mu.Lock()
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -91,8 +91,17 @@
 
 // Best returns the index of the cheapest candidate, -1 if there is none.
 func Best(costs Costs, r Request, candidates []Candidate) int {
+	return cheapest(costs, r, candidates, func(int) bool { return true })
+}
+
+// cheapest returns the index of the cheapest candidate of those to be looked at, -1 if there
+// is none.
+func cheapest(costs Costs, r Request, candidates []Candidate, look func(i int) bool) int {
 	best, least := -1, time.Duration(0)
 	for i := range candidates {
+		if !look(i) {
+			continue
+		}
 		cost := costs.of(r, &candidates[i])
 		if best < 0 || cost < least {
 			best, least = i, cost
@@ -112,32 +121,21 @@
 // prompts at once, each of which took 100 ms, with others idle beside it. For the same reason
 // the others are not looked at if all of the sample have much to do.
 func Sampled(costs Costs, r Request, candidates []Candidate) int {
-	usual := usualResident(candidates)
-	best, least := -1, time.Duration(0)
-	for i := range candidates {
-		c := &candidates[i]
-		if i >= sampleSize && c.resident() <= usual {
-			continue
-		}
-		cost := costs.of(r, c)
-		if best < 0 || cost < least {
-			best, least = i, cost
-		}
-	}
-	return best
-}
-
-// usualResident returns the median of how many of the prompt's tokens candidates hold.
-func usualResident(candidates []Candidate) int {
-	if len(candidates) == 0 {
-		return 0
+	if len(candidates) <= sampleSize {
+		return Best(costs, r, candidates)
 	}
 	held := make([]int, len(candidates))
 	for i := range candidates {
 		held[i] = candidates[i].resident()
 	}
-	slices.Sort(held)
-	return held[len(held)/2]
+	usual := median(held)
+	return cheapest(costs, r, candidates, func(i int) bool { return i < sampleSize || held[i] > usual })
+}
+
+// median returns the middle one of some numbers, the upper one of two.
+func median(numbers []int) int {
+	sorted := slices.Sorted(slices.Values(numbers))
+	return sorted[len(sorted)/2]
 }
 
 // resident returns how many of the prompt's first tokens lie in the replica's memory.
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -125,9 +125,8 @@
 
 // pending is an order whose effect has not been seen.
 type pending struct {
-	order    engineapi.Order
-	computed bool
-	sentAt   time.Time
+	order  Order
+	sentAt time.Time
 }
 
 // Rollout is the state of one holder of the duty.
@@ -223,12 +222,13 @@
 	if w.Version != "" && o.State.Version != w.Version {
 		return r.load(now, w, o, v)
 	}
-	order := engineapi.Order{Kind: engineapi.OrderLoadAdapter, Model: w.Model, Adapter: w.Adapter}
 	if w.Adapter != "" && !slices.Contains(o.State.Adapters, w.Adapter) {
-		return r.order(now, w.Target, order)
+		adapter := engineapi.Order{Kind: engineapi.OrderLoadAdapter, Model: w.Model, Adapter: w.Adapter}
+		return r.order(now, Order{Target: w.Target, Order: adapter})
 	}
 	if w.Role != "" && o.State.Role != w.Role {
-		return r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderSetRole, Model: w.Model, Role: w.Role})
+		role := engineapi.Order{Kind: engineapi.OrderSetRole, Model: w.Model, Role: w.Role}
+		return r.order(now, Order{Target: w.Target, Order: role})
 	}
 	return nil
 }
@@ -262,12 +262,8 @@
 }
 
 func (r *Rollout) orderLoad(now time.Time, w Wanted, computed bool) Order {
-	o := r.order(now, w.Target, engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version})
-	o.Computed = computed
-	p := r.pending[w.Target]
-	p.computed = computed
-	r.pending[w.Target] = p
-	return o
+	load := engineapi.Order{Kind: engineapi.OrderLoadVersion, Model: w.Model, Version: w.Version}
+	return r.order(now, Order{Target: w.Target, Order: load, Computed: computed})
 }
 
 // drain returns what a target still waits for before it may load; nil once it is drained.
@@ -323,42 +319,45 @@
 	}
 	p.sentAt = now
 	r.pending[w.Target] = p
-	return Order{Target: o.Target, Order: p.order, Computed: p.computed}
+	return p.order
 }
 
 // wanted reports whether the table still wants what was ordered.
 func (p pending) wanted(w Wanted) bool {
-	switch p.order.Kind {
+	order := p.order.Order
+	switch order.Kind {
 	case engineapi.OrderLoadVersion:
-		return p.order.Version == w.Version
+		return order.Version == w.Version
 	case engineapi.OrderLoadAdapter:
-		return p.order.Adapter == w.Adapter
+		return order.Adapter == w.Adapter
 	case engineapi.OrderSetRole:
-		return p.order.Role == w.Role
+		return order.Role == w.Role
 	}
 	return false
 }
 
-func (r *Rollout) order(now time.Time, target request.TargetID, order engineapi.Order) Order {
+// order gives an order its epoch and id, and notes it as sent.
+func (r *Rollout) order(now time.Time, o Order) Order {
 	r.seq++
-	order.Epoch = r.epoch
-	order.OperationID = fmt.Sprintf("%s/%d.%d", target, r.epoch, r.seq)
-	r.pending[target] = pending{order: order, sentAt: now}
-	return Order{Target: target, Order: order}
+	o.Order.Epoch = r.epoch
+	o.Order.OperationID = fmt.Sprintf("%s/%d.%d", o.Target, r.epoch, r.seq)
+	r.pending[o.Target] = pending{order: o, sentAt: now}
+	return o
 }
 
 // settled reports whether a state shows the effect of an order, or of a newer one.
 func (p pending) settled(s engineapi.State) bool {
-	if s.LastOrder == p.order.OperationID {
+	order := p.order.Order
+	if s.LastOrder == order.OperationID {
 		return true
 	}
-	switch p.order.Kind {
+	switch order.Kind {
 	case engineapi.OrderLoadVersion:
-		return s.Loading == p.order.Version || (s.Version == p.order.Version && s.Loading == "")
+		return s.Loading == order.Version || (s.Version == order.Version && s.Loading == "")
 	case engineapi.OrderLoadAdapter:
-		return slices.Contains(s.Adapters, p.order.Adapter)
+		return slices.Contains(s.Adapters, order.Adapter)
 	case engineapi.OrderSetRole:
-		return s.Role == p.order.Role
+		return s.Role == order.Role
 	}
 	return false
 }
--- a/internal/policy/rollout/view.go
+++ b/internal/policy/rollout/view.go
@@ -80,7 +80,7 @@
 // ordered to, and one that can't be read, might be loading; the latter for LoadTimeout,
 // so that a dead target does not hold up the others for ever.
 func (r *Rollout) mayLoad(now time.Time, o Observed) bool {
-	if p, ok := r.pending[o.Target]; ok && p.order.Kind == engineapi.OrderLoadVersion {
+	if p, ok := r.pending[o.Target]; ok && p.order.Order.Kind == engineapi.OrderLoadVersion {
 		return o.Reachable || now.Sub(p.sentAt) < r.params.LoadTimeout
 	}
 	settled := r.since.Add(r.params.TakeoverWait)
--- a/internal/policy/waits/waits.go
+++ b/internal/policy/waits/waits.go
@@ -49,7 +49,7 @@
 	if mostUrgent {
 		part = urgentShare
 	}
-	return time.Duration(part * float64(min(objective, w.shortest(objective))))
+	return time.Duration(part * float64(w.shortest(objective)))
 }
 
 func (w *Waits) note(now time.Time, objective time.Duration) {
@@ -65,16 +65,17 @@
 	w.seen[objective]++
 }
 
-// shortest returns the shortest common objective; the one given if too little was seen.
-func (w *Waits) shortest(otherwise time.Duration) time.Duration {
+// shortest returns the shortest common objective, at most the one given, which it returns if
+// too little was seen.
+func (w *Waits) shortest(atMost time.Duration) time.Duration {
 	total := 0.0
 	for _, n := range w.seen {
 		total += n
 	}
 	if total < enough {
-		return otherwise
+		return atMost
 	}
-	least := otherwise
+	least := atMost
 	for objective, n := range w.seen {
 		if n >= common*total {
 			least = min(least, objective)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
@@ -72,7 +73,7 @@
 // end gives the final answer to a request that no replica answered.
 func (s *Server) end(ctx context.Context, w http.ResponseWriter, j *Job, k *sink, mayRun bool, cause error) {
 	if k.started {
-		s.o.Logger.Info("A stream is broken off", "request", j.ID, "route", j.Route.Name, "events", k.count, "cause", cause, "after_ms", sinceMs(j.Start))
+		s.o.Logger.Info(loglines.BrokenOff, "request", j.ID, "route", j.Route.Name, "events", k.count, "cause", cause, "after_ms", sinceMs(j.Start))
 		s.o.Metrics.Counter("streams_broken").Inc(1)
 		panic(http.ErrAbortHandler)
 	}
@@ -111,7 +112,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	s.closeIfStopping(w)
 	s.o.Metrics.Tagged(map[string]string{"code": string(e.Code)}).Counter("refused").Inc(1)
-	s.o.Logger.Info("A request is refused", "request", j.ID, "status", e.Status, "code", e.Code, "ran", e.Ran,
+	s.o.Logger.Info(loglines.Refused, "request", j.ID, "status", e.Status, "code", e.Code, "ran", e.Ran,
 		"route", routeName(j), "why", e.Message, "after_ms", sinceMs(j.Start))
 	w.WriteHeader(e.Status)
 	_, _ = io.WriteString(w, e.Message+"\n") // the caller may have left; there is nothing to undo
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
 )
 
 func sinceMs(t time.Time) int64 { return time.Since(t).Milliseconds() }
@@ -14,7 +16,7 @@
 		status = t.response.Status
 	}
 	s.o.Metrics.Tagged(map[string]string{"outcome": t.outcome.String()}).Counter("tries").Inc(1)
-	s.o.Logger.Info("A try gave no answer", "request", j.ID, "try", sends, "replica", t.placement.Send.Replica,
+	s.o.Logger.Info(loglines.TryFailed, "request", j.ID, "try", sends, "replica", t.placement.Send.Replica,
 		"outcome", t.outcome.String(), "status", status, "weights", t.placement.Send.Weights,
 		"why", t.placement.Reason, "error", t.err, "after_ms", sinceMs(j.Start))
 }
@@ -41,7 +43,7 @@
 		args = append(args, "first_ms", k.firstAt.Sub(j.Start).Milliseconds(), "events", k.count,
 			"pause_ms", k.pause.Milliseconds())
 	}
-	s.o.Logger.Info("A request is answered", args...)
+	s.o.Logger.Info(loglines.Answered, args...)
 }
 
 // lateness says what made an answer late by its route's objectives; empty if it is not. The
