What a store allowed and no request uses is given back

Cause: a save that a keeper allowed keeps its part from being saved and fetched until it counts as broken off, for up to 8 s. Three ways made such saves that nobody makes. While weights are rolled out a prompt's parts are claimed under the new weights, and claimed anew under those of the replica that takes it. While a store is full its parts are claimed at a second one too, and one of two allowed saves is dropped. A request that is refused, or that a replica turns away, saves nothing.

Ruled out: saves that are slow (queue under 100 ms), lost events (1 %).

Change: Keeper.Release takes back a claim by its number, and the link's time with it, also that of a fetch that is sooner computed.

The tests fail without the calls of Release.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -23,6 +23,9 @@
 	// askTimeout is the longest that a request waits for a keeper. A question takes 4 ms
 	// between failure domains; a prompt is computed in 100 to 200.
 	askTimeout = 60 * time.Millisecond
+	// releaseTimeout bounds telling a keeper what is not used. One that does not hear of it
+	// takes the save for broken off some seconds later.
+	releaseTimeout = 500 * time.Millisecond
 	// deafFor is how long a keeper that did not answer is not asked.
 	deafFor = 700 * time.Millisecond
 	// lostFor is how long a store counts as kept by nobody after its keeper said so.
@@ -124,27 +127,35 @@
 		if leave := answers[i].LeaveUntilMs; leave > 0 && (until == 0 || leave < until) {
 			until = leave
 		}
-		a.merge(out, q, answers[i])
+		a.Release(salt, parts, a.merge(out, q, answers[i]))
 	}
 	return out, until
 }
 
-// merge notes what a keeper answered. A part may be asked for at two stores; what can be
-// fetched goes before what can be saved.
-func (a *Asker) merge(out []placer.Stored, q *question, r *ClaimResponse) {
+// merge notes what a keeper answered, and returns what is not used of it, part by part. A part
+// may be asked for at two stores; what can be fetched goes before what can be saved.
+func (a *Asker) merge(out []placer.Stored, q *question, r *ClaimResponse) []placer.Stored {
+	unused := make([]placer.Stored, len(out))
 	for i, answer := range r.Parts {
 		store := q.stores[i]
 		a.note(string(store.ID), answer)
-		at := q.at[i]
-		if out[at].Fetch || !answer.Fetch && !answer.Save {
+		if !answer.Fetch && !answer.Save {
 			continue
 		}
-		out[at] = placer.Stored{
-			Address: store.Store.Address, FailureDomain: store.Store.FailureDomain,
+		at := q.at[i]
+		got := placer.Stored{
+			Store: store.ID, Address: store.Store.Address, FailureDomain: store.Store.FailureDomain,
 			Fetch: answer.Fetch, Save: answer.Save && !answer.Fetch,
 			Takes: time.Duration(answer.TakesUs) * time.Microsecond,
+			Claim: answer.Claim, Queued: answer.Fetch && !q.request.Parts[i].Resident,
+		}
+		if out[at].Fetch || out[at].Save && !got.Fetch {
+			unused[at] = got
+			continue
 		}
+		out[at], unused[at] = got, out[at]
 	}
+	return unused
 }
 
 // note remembers what an answer says of the store itself.
@@ -284,6 +295,33 @@
 	return time.Now().Before(a.deaf[address])
 }
 
+// Release implements placer.Stores. Nothing waits for the keepers to hear of it.
+func (a *Asker) Release(salt string, parts []relay.Part, unused []placer.Stored) {
+	requests := map[lease.Holder]*ReleaseRequest{}
+	holders := *a.holders.Load()
+	for i, u := range unused {
+		h := holders[string(u.Store)]
+		if !u.Save && !u.Queued || h.Address == "" || a.isDeaf(h.Address) {
+			continue
+		}
+		if requests[h] == nil {
+			requests[h] = &ReleaseRequest{Salt: salt}
+		}
+		requests[h].Parts = append(requests[h].Parts, &ReleasedPart{Store: string(u.Store), Id: parts[i].ID, Claim: u.Claim})
+	}
+	for h, r := range requests {
+		go a.tellReleased(h, r)
+	}
+}
+
+func (a *Asker) tellReleased(h lease.Holder, r *ReleaseRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if _, err := a.keeper(h).Release(ctx, r); err != nil {
+		a.o.Logger.Info("A store's keeper does not hear what is not used", "keeper", h.ID, "error", err)
+	}
+}
+
 // put asks one keeper; nil if it does not answer in time.
 func (a *Asker) put(ctx context.Context, q *question) *ClaimResponse {
 	answer, err := a.keeper(q.holder).Claim(ctx, q.request)
--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -499,3 +499,33 @@
 	}
 	t.Fatal("no leave is given")
 }
+
+// A store is full, so that its parts are asked for at a second one too, and both allow a save.
+// The request makes one of them. The other store counted the part as being written, gave it
+// room and a place in its link's queue, and for eight seconds nobody could save it there.
+func TestOnlyOneOfTwoStoresWaitsForASave(t *testing.T) {
+	const fast, roomy = "fast", "roomy"
+	a := keep(t, newFakeStore(), service(fast, 100_000, 2000), service(roomy, 200_000, 1000))
+	taken := func(store string) int {
+		k := a.o.Own.current(routing.ServiceID(store))
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.room.Taken()
+	}
+	askFor(t, a, "warm", false, true) // both stores are known by now, and saves are allowed
+	before := taken(fast) + taken(roomy)
+	a.mu.Lock()
+	a.full[fast] = time.Now()
+	a.mu.Unlock()
+	const tokens = 160
+	parts := []relay.Part{{ID: "p", Tokens: tokens}, {ID: "last", Tokens: 16}}
+	got, _ := a.Ask(context.Background(), "w1", parts, []bool{false, false})
+	if !got[0].Save {
+		t.Fatalf("got %+v", got[0])
+	}
+	for deadline := time.Now().Add(2 * time.Second); taken(fast)+taken(roomy) != before+tokens; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d tokens are promised in %s and %d in %s", taken(fast), fast, taken(roomy), roomy)
+		}
+	}
+}
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -292,3 +292,16 @@
 	}
 	return out, nil
 }
+
+// Release implements Keeper.
+func (s *StoreKeeper) Release(_ context.Context, r *ReleaseRequest) (*ReleaseResponse, error) {
+	for _, p := range r.Parts {
+		s.mu.Lock()
+		k := s.stores[routing.ServiceID(p.Store)]
+		s.mu.Unlock()
+		if k != nil {
+			k.release(storeroom.Key{Salt: r.Salt, ID: p.Id}, p.Claim)
+		}
+	}
+	return &ReleaseResponse{}, nil
+}
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -369,8 +369,15 @@
 		k.metrics.Tagged(map[string]string{"reason": string(answer.Reason)}).Counter("store_asks").Inc(1)
 		answers[i] = &PartAnswer{
 			Fetch: answer.Fetch, Save: answer.Save, Full: answer.Full, TakesUs: int32(answer.Takes.Microseconds()),
-			NotKept: lapsed,
+			NotKept: lapsed, Claim: answer.Claim,
 		}
 	}
 	return answers, k.replicaClock(now.Add(storeroom.LeaveFor)), true
 }
+
+// release takes back what claim allowed for a part.
+func (k *kept) release(key storeroom.Key, claim int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.room.Release(time.Now(), key, claim)
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -49,11 +49,14 @@
 
 // Stored is one part of a prompt that a context store can give or take.
 type Stored struct {
+	Store         routing.ServiceID
 	Address       string // of the store; empty: none
 	FailureDomain string
 	Fetch         bool          // the part may be fetched from there
 	Save          bool          // it should be saved there
 	Takes         time.Duration // to a replica in the store's failure domain, its queue included
+	Claim         int64         // names the save, for Release
+	Queued        bool          // the fetch takes a place in the queue of the store's link
 }
 
 // Stores tells what the context stores can give of a prompt.
@@ -61,6 +64,8 @@
 	// Ask returns an entry for each part, and until when fetches may run, on the
 	// replicas' clock.
 	Ask(ctx context.Context, salt string, parts []relay.Part, expectResident []bool) (stored []Stored, until int64)
+	// Release says that some of what Ask allowed under a salt is not used. It does not wait.
+	Release(salt string, parts []relay.Part, unused []Stored)
 	// Slow says that a fetch from the store at an address took much longer than told.
 	Slow(address string)
 }
@@ -105,6 +110,7 @@
 	n := pick.Sampled(pick.Default, need, candidates)
 	r, chosen := usable[n], &candidates[n]
 	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil && !j.Begun {
+		e.release(salt, j, stored)
 		return nil, err
 	}
 	version := r.Weights(j.Model)
@@ -112,19 +118,37 @@
 	send := relay.Send{Weights: version, CacheSalt: own, Urgency: min(maxUrgency, j.Priority())}
 	if own != salt {
 		// While weights are rolled out the replica may serve others than were asked for.
+		e.release(salt, j, stored)
 		stored, until = e.askStores(ctx, j, own, []*replicas.Replica{r})
 	}
 	sources := pick.Default.Sources(chosen.Parts)
 	e.fill(&send, j, stored, until, r)
-	unfetch(&send, chosen.Parts, sources)
+	e.release(own, j, unfetch(&send, chosen.Parts, sources, stored))
 	e.record(r, j, own)
 	stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
-		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: func(bool) { stop() }, Reason: reason(chosen, &send, j.OutputTokens),
+		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: e.ended(stop, own, j, stored), Reason: reason(chosen, &send, j.OutputTokens),
 		Flight: begin(r, need, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
 }
 
+// ended returns what follows a try: one that did not run makes none of the saves that it was
+// allowed.
+func (e *Engine) ended(stop func(), salt string, j *relay.Job, stored []Stored) func(ran bool) {
+	return func(ran bool) {
+		stop()
+		if !ran {
+			e.release(salt, j, stored)
+		}
+	}
+}
+
+func (e *Engine) release(salt string, j *relay.Job, unused []Stored) {
+	if e.Stores != nil {
+		e.Stores.Release(salt, j.Parts, unused)
+	}
+}
+
 func begin(r *replicas.Replica, need pick.Request, compute int) *replicas.Flight {
 	if need.Long {
 		return r.Load.BeginLong(need.Tokens, compute)
@@ -183,16 +207,22 @@
 }
 
 // unfetch takes back the sources of parts that are sooner computed than fetched, and of
-// all after them.
-func unfetch(send *relay.Send, parts []pick.Part, sources []pick.Source) {
+// all after them. It returns what of them the stores count on being fetched.
+func unfetch(send *relay.Send, parts []pick.Part, sources []pick.Source, stored []Stored) []Stored {
+	unused := make([]Stored, len(parts))
 	for i, source := range sources {
-		if source == pick.Computed && parts[i].Fetch > 0 {
-			for n := i; n < len(send.FetchFrom); n++ {
-				send.FetchFrom[n] = ""
+		if source != pick.Computed || parts[i].Fetch == 0 {
+			continue
+		}
+		for n := i; n < len(parts); n++ {
+			send.FetchFrom[n] = ""
+			if stored[n].Fetch {
+				unused[n] = stored[n]
 			}
-			return
 		}
+		break
 	}
+	return unused
 }
 
 // reason tells for the log, part by part, what is thought to lie in the replica's memory
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,9 +1,11 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,19 +23,32 @@
 	held map[string]bool // salt/id
 	slow []string
 	asks int
+	// takes is how long a fetch takes; zero: 10 ms.
+	takes time.Duration
+	// released are the parts, as salt/id, of which it was told that they are not used.
+	released []string
 }
 
 func (s *shelf) Ask(_ context.Context, salt string, parts []relay.Part, _ []bool) ([]Stored, int64) {
 	s.asks++
 	out := make([]Stored, len(parts))
 	for i, p := range parts {
-		out[i] = Stored{Address: "store:1", FailureDomain: "a", Takes: 10 * time.Millisecond}
+		out[i] = Stored{Address: "store:1", FailureDomain: "a", Takes: cmp.Or(s.takes, 10*time.Millisecond)}
 		out[i].Fetch = s.held[salt+"/"+p.ID]
 		out[i].Save = !out[i].Fetch && i < len(parts)-1
+		out[i].Queued = out[i].Fetch
 	}
 	return out, 777
 }
 
+func (s *shelf) Release(salt string, parts []relay.Part, unused []Stored) {
+	for i, u := range unused {
+		if u.Save || u.Queued {
+			s.released = append(s.released, salt+"/"+parts[i].ID)
+		}
+	}
+}
+
 func (s *shelf) Slow(address string) { s.slow = append(s.slow, address) }
 
 type world struct {
@@ -295,3 +310,59 @@
 		t.Error("placed although all were tried")
 	}
 }
+
+// Weights are rolled out, and a prompt goes to a replica on the old ones. What was asked for
+// under the new weights is not used: the stores must hear of it, or they wait for a save that
+// nobody makes, and all prompts with that context are computed meanwhile.
+func TestClaimsUnderOtherWeightsAreGivenBack(t *testing.T) {
+	w := newWorld(2)
+	w.put(1, 2)
+	w.set.Get(id(1)).Load.Begin(50_000, 50_000)
+	p := place(t, w, job("s"))
+	if p.Replica.Info().ID != id(0) {
+		t.Fatalf("went to %s", p.Replica.Info().ID)
+	}
+	if want := []string{"w2/shared", "w2/s"}; !slices.Equal(w.shelf.released, want) {
+		t.Errorf("gave back %v, want %v", w.shelf.released, want)
+	}
+}
+
+// All replicas are full and a caller is refused: none of the saves that it was allowed is made.
+func TestClaimsOfARefusedRequestAreGivenBack(t *testing.T) {
+	w := newWorld(1)
+	w.set.Get(id(0)).Load.Begin(50_000, 50_000)
+	if _, err := w.engine.Place(context.Background(), job("s"), nil); err == nil {
+		t.Fatal("not refused")
+	}
+	if want := []string{"w1/shared", "w1/s"}; !slices.Equal(w.shelf.released, want) {
+		t.Errorf("gave back %v, want %v", w.shelf.released, want)
+	}
+}
+
+// A replica turns a request away. Only then is it sure that it saves nothing: one that may
+// have run may be saving still.
+func TestClaimsOfATryAreGivenBackIfItDidNotRun(t *testing.T) {
+	for _, ran := range []bool{true, false} {
+		w := newWorld(1)
+		p := place(t, w, job("s"))
+		p.Ended(ran)
+		if gaveBack := len(w.shelf.released) > 0; gaveBack == ran {
+			t.Errorf("ran %t: gave back %v", ran, w.shelf.released)
+		}
+	}
+}
+
+// A store is so slow that a prompt is sooner computed than fetched. Its link must not count
+// as busy with a fetch that nobody makes.
+func TestFetchThatIsNotMadeIsGivenBack(t *testing.T) {
+	w := newWorld(1)
+	w.shelf.held["w1/shared"], w.shelf.held["w1/s"] = true, true
+	w.shelf.takes = 10 * time.Second
+	p := place(t, w, job("s"))
+	if p.Send.FetchFrom[0] != "" || p.Send.FetchFrom[1] != "" {
+		t.Fatalf("fetches from %v", p.Send.FetchFrom)
+	}
+	if want := []string{"w1/shared", "w1/s"}; !slices.Equal(w.shelf.released, want) {
+		t.Errorf("gave back %v, want %v", w.shelf.released, want)
+	}
+}
--- a/internal/policy/storeroom/free.go
+++ b/internal/policy/storeroom/free.go
@@ -64,7 +64,7 @@
 func (r *Room) OnKept(now time.Time, keys []Key) {
 	for _, key := range keys {
 		if p, known := r.parts[key]; known {
-			p.state, p.since = saving, now
+			p.state, p.since, p.claim = saving, now, 0
 		}
 	}
 }
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -106,6 +106,7 @@
 	Fetch  bool
 	Save   bool
 	Takes  time.Duration // of a fetch, the queue included
+	Claim  int64         // names the save that is allowed, for Release; zero: none is
 	// Full says that the store would have to free parts that are still wanted.
 	Full bool
 }
@@ -126,6 +127,7 @@
 	since   time.Time // of the state
 	used    time.Time
 	leave   time.Time // until when some replica may fetch it
+	claim   int64     // of the save that was allowed; zero: none was, or nobody may give it back
 	// mixed is set if it became whole when newer weights were known already.
 	mixed bool
 }
@@ -237,9 +239,30 @@
 	case !r.roomFor(now, a.Tokens):
 		return Answer{Reason: ReasonFull, Full: true}
 	}
-	r.add(now, a, saving)
+	p = r.add(now, a, saving)
+	p.claim = now.UnixNano()
 	r.useLink(now, a.Tokens)
-	return Answer{Reason: ReasonSave, Save: true}
+	return Answer{Reason: ReasonSave, Save: true, Claim: p.claim}
+}
+
+// Release is told that what Ask allowed is not used: no request was sent with it. claim is
+// that of a save, zero for a fetch.
+//
+// A save that nobody makes would keep its part from being saved, and so from being fetched,
+// until it counts as broken off. Its claim tells it from a save that another request was
+// allowed since, and from one that broke off: those may write still.
+func (r *Room) Release(now time.Time, key Key, claim int64) {
+	p, known := r.parts[key]
+	if !known {
+		return
+	}
+	switch {
+	case claim == 0 && p.state == held:
+		r.freeLink(now, p.tokens)
+	case claim != 0 && p.state == saving && p.claim == claim:
+		r.freeLink(now, p.tokens)
+		r.remove(p)
+	}
 }
 
 // seenBefore notes a last part and reports whether it was asked for before, within the
@@ -304,7 +327,19 @@
 	if r.linkFree.Before(now) {
 		r.linkFree = now
 	}
-	r.linkFree = r.linkFree.Add(time.Duration(crossShare * float64(r.transfer(tokens))))
+	r.linkFree = r.linkFree.Add(r.linkTime(tokens))
+}
+
+// freeLink takes back what useLink noted of a transfer that is not made.
+func (r *Room) freeLink(now time.Time, tokens int) {
+	r.linkFree = r.linkFree.Add(-r.linkTime(tokens))
+	if r.linkFree.Before(now) {
+		r.linkFree = now
+	}
+}
+
+func (r *Room) linkTime(tokens int) time.Duration {
+	return time.Duration(crossShare * float64(r.transfer(tokens)))
 }
 
 func roundUp(tokens int) int { return (tokens + block - 1) / block * block }
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -345,3 +345,65 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// While weights are rolled out a prompt's parts are asked for under the new weights, and then
+// its replica turns out to be on the old ones: the save that was allowed is made by nobody.
+// All prompts with that part were computed for the eight seconds in which it counted as being
+// written. Given back, the next one that asks may save it at once.
+func TestSaveThatNobodyMakesIsGivenBack(t *testing.T) {
+	r := open(1000)
+	first := r.Ask(at(0), ask("a", 100))
+	if !first.Save || first.Claim == 0 {
+		t.Fatalf("first: %+v", first)
+	}
+	if queue := r.Queue(at(0)); queue == 0 {
+		t.Fatal("a save takes no time of the link")
+	}
+	r.Release(at(10), Key{"w1", "a"}, first.Claim)
+	if r.Taken() != 0 || r.Queue(at(10)) != 0 {
+		t.Errorf("%d tokens are taken, and the queue is %s", r.Taken(), r.Queue(at(10)))
+	}
+	second := r.Ask(at(20), ask("a", 100))
+	if !second.Save {
+		t.Fatalf("second: %+v", second)
+	}
+	r.Release(at(30), Key{"w1", "a"}, first.Claim)
+	if got := r.Ask(at(40), ask("a", 100)); got.Save {
+		t.Error("the claim of the first request gave back the save of the second")
+	}
+}
+
+// A part that broke off, or that could not be freed for sure, may be written still. Nobody who
+// asked for it before can make it free to be saved.
+func TestPartThatMayBeWrittenIsNotGivenBack(t *testing.T) {
+	r := open(1000)
+	r.OnList(at(0), nil, []Ask{ask("partial", 100)})
+	claim := r.Ask(at(0), ask("kept", 100)).Claim
+	r.OnStored(at(10), Key{"w1", "kept"}, 100, 1)
+	r.OnKept(at(20), []Key{{"w1", "kept"}})
+	r.Release(at(30), Key{"w1", "partial"}, claim)
+	r.Release(at(30), Key{"w1", "kept"}, claim)
+	for _, id := range []string{"partial", "kept"} {
+		if got := r.Ask(at(40), ask(id, 100)); got.Save || got.Fetch {
+			t.Errorf("%s: %+v", id, got)
+		}
+	}
+}
+
+// A prompt is sooner computed than fetched, or its caller is refused. The link is as free as
+// if nobody had asked, so that the next one is not told of a queue that is not there.
+func TestFetchThatNobodyMakesLeavesTheLinkFree(t *testing.T) {
+	r := open(10_000)
+	save(t, r, at(0), ask("a", 5000))
+	idle := at(0).Add(r.Queue(at(0)))
+	if got := r.Ask(idle, ask("a", 5000)); !got.Fetch {
+		t.Fatalf("got %+v", got)
+	}
+	r.Release(idle, Key{"w1", "a"}, 0)
+	if queue := r.Queue(idle); queue != 0 {
+		t.Errorf("the queue is %s", queue)
+	}
+	if got := r.Free(idle.Add(LeaveFor)); len(got) > 0 {
+		t.Errorf("%v is freed while leave for it lasts", got)
+	}
+}
