Keepers of stores learn their link's queue and speed from the end of each fetch

Cause: a keeper counted its link's queue from what it had allowed and from the speed that the desired state says, and heard of a slow link with a daemon's next question: two seconds late where 95 daemons ask eleven keepers.

Change: Keeper.Fetched tells the end of each fetch at once, and before that if one is overdue. Transfers run in turn, so that only what was allowed after an ended one is left, and the time between two ends is what the link took for what was allowed between them. An end that overtakes an overdue fetch came over no link and counts for nothing. slow_stores leaves ClaimRequest.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -23,9 +24,9 @@
 	// askTimeout is the longest that a request waits for a keeper. A question takes 4 ms
 	// between failure domains; a prompt is computed in 100 to 200.
 	askTimeout = 60 * time.Millisecond
-	// releaseTimeout bounds telling a keeper what is not used. One that does not hear of it
-	// takes the save for broken off some seconds later.
-	releaseTimeout = 500 * time.Millisecond
+	// tellTimeout bounds telling a keeper what no request waits for. One that does not hear of
+	// a save that is not made takes it for broken off some seconds later.
+	tellTimeout = 500 * time.Millisecond
 	// deafFor is how long a keeper that did not answer is not asked.
 	deafFor = 700 * time.Millisecond
 	// lostFor is how long a store counts as kept by nobody after its keeper said so.
@@ -58,7 +59,6 @@
 	deaf    map[string]time.Time
 	full    map[string]time.Time // by store
 	lost    map[string]time.Time // by store: when its keeper said that it does not keep it
-	slow    map[string]bool      // addresses of stores whose keepers are to be told
 }
 
 // NewAsker returns an asker that knows no keeper yet.
@@ -67,7 +67,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("contextstore")
-	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, lost: map[string]time.Time{}, slow: map[string]bool{}}
+	a := &Asker{o: o, keepers: map[string]Keeper{}, deaf: map[string]time.Time{}, full: map[string]time.Time{}, lost: map[string]time.Time{}}
 	a.holders.Store(&map[string]lease.Holder{})
 	a.mirror = o.Follower.Mirror(lease.RecordPrefix+LeasePrefix, a.apply)
 	return a
@@ -147,7 +147,7 @@
 			Store: store.ID, Address: store.Store.Address, FailureDomain: store.Store.FailureDomain,
 			Fetch: answer.Fetch, Save: answer.Save && !answer.Fetch,
 			Takes: time.Duration(answer.TakesUs) * time.Microsecond,
-			Claim: answer.Claim, Queued: answer.Fetch && !q.request.Parts[i].Resident,
+			Claim: answer.Claim,
 		}
 		if out[at].Fetch || out[at].Save && !got.Fetch {
 			unused[at] = got
@@ -188,9 +188,6 @@
 				byKeeper[h.Address] = q
 				order = append(order, q)
 			}
-			if a.takeSlow(store.Store.Address) {
-				q.request.SlowStores = append(q.request.SlowStores, string(store.ID))
-			}
 			q.at = append(q.at, i)
 			q.stores = append(q.stores, store)
 			q.request.Parts = append(q.request.Parts, &PartAsk{
@@ -253,19 +250,18 @@
 	return a.Store.Tokens > b.Store.Tokens
 }
 
-// Slow implements placer.Stores. The keeper hears of it with the next question.
-func (a *Asker) Slow(address string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.slow[address] = true
-}
-
-func (a *Asker) takeSlow(address string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	slow := a.slow[address]
-	delete(a.slow, address)
-	return slow
+// Fetched implements placer.Stores. The keeper hears of it at once: told with the next question,
+// it heard of a slow link two seconds late.
+func (a *Asker) Fetched(store routing.ServiceID, f storeroom.Fetched) {
+	h := (*a.holders.Load())[string(store)]
+	if h.Address == "" || a.isDeaf(h.Address) {
+		return
+	}
+	r := &FetchedRequest{Store: string(store), Claim: f.Claim, TookUs: f.Took.Microseconds(), Overdue: f.Overdue, Busy: f.Busy}
+	go a.tell(h, func(ctx context.Context, k Keeper) error {
+		_, err := k.Fetched(ctx, r)
+		return err
+	})
 }
 
 // Kept reports whether some daemon keeps a store, as far as is known: it holds the lease
@@ -301,7 +297,7 @@
 	holders := *a.holders.Load()
 	for i, u := range unused {
 		h := holders[string(u.Store)]
-		if !u.Save && !u.Queued || h.Address == "" || a.isDeaf(h.Address) {
+		if u.Claim == 0 || h.Address == "" || a.isDeaf(h.Address) {
 			continue
 		}
 		if requests[h] == nil {
@@ -310,15 +306,19 @@
 		requests[h].Parts = append(requests[h].Parts, &ReleasedPart{Store: string(u.Store), Id: parts[i].ID, Claim: u.Claim})
 	}
 	for h, r := range requests {
-		go a.tellReleased(h, r)
+		go a.tell(h, func(ctx context.Context, k Keeper) error {
+			_, err := k.Release(ctx, r)
+			return err
+		})
 	}
 }
 
-func (a *Asker) tellReleased(h lease.Holder, r *ReleaseRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+// tell tells a keeper something that no request waits for.
+func (a *Asker) tell(h lease.Holder, call func(context.Context, Keeper) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
-	if _, err := a.keeper(h).Release(ctx, r); err != nil {
-		a.o.Logger.Info("A store's keeper does not hear what is not used", "keeper", h.ID, "error", err)
+	if err := call(ctx, a.keeper(h)); err != nil {
+		a.o.Logger.Info("A store's keeper can not be told", "keeper", h.ID, "error", err)
 	}
 }
 
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -242,23 +242,8 @@
 	go k.run(ctx)
 }
 
-func (s *StoreKeeper) noteSlow(stores []string) {
-	for _, store := range stores {
-		s.mu.Lock()
-		k := s.stores[routing.ServiceID(store)]
-		s.mu.Unlock()
-		if k == nil {
-			continue
-		}
-		k.mu.Lock()
-		k.room.OnSlow(time.Now())
-		k.mu.Unlock()
-	}
-}
-
 // Claim implements Keeper.
 func (s *StoreKeeper) Claim(_ context.Context, r *ClaimRequest) (*ClaimResponse, error) {
-	s.noteSlow(r.SlowStores)
 	out := &ClaimResponse{Parts: make([]*PartAnswer, len(r.Parts))}
 	byStore := map[string][]int{}
 	for i, p := range r.Parts {
@@ -266,9 +251,7 @@
 		byStore[p.Store] = append(byStore[p.Store], i)
 	}
 	for store, at := range byStore {
-		s.mu.Lock()
-		k := s.stores[routing.ServiceID(store)]
-		s.mu.Unlock()
+		k := s.keptStore(store)
 		if k == nil {
 			for _, n := range at {
 				out.Parts[n].NotKept = true
@@ -296,12 +279,25 @@
 // Release implements Keeper.
 func (s *StoreKeeper) Release(_ context.Context, r *ReleaseRequest) (*ReleaseResponse, error) {
 	for _, p := range r.Parts {
-		s.mu.Lock()
-		k := s.stores[routing.ServiceID(p.Store)]
-		s.mu.Unlock()
-		if k != nil {
+		if k := s.keptStore(p.Store); k != nil {
 			k.release(storeroom.Key{Salt: r.Salt, ID: p.Id}, p.Claim)
 		}
 	}
 	return &ReleaseResponse{}, nil
 }
+
+// Fetched implements Keeper.
+func (s *StoreKeeper) Fetched(_ context.Context, r *FetchedRequest) (*FetchedResponse, error) {
+	if k := s.keptStore(r.Store); k != nil {
+		took := time.Duration(r.TookUs) * time.Microsecond
+		k.fetched(storeroom.Fetched{Claim: r.Claim, Took: took, Overdue: r.Overdue, Busy: r.Busy})
+	}
+	return &FetchedResponse{}, nil
+}
+
+// keptStore returns what is kept here of a store; nil if nothing is.
+func (s *StoreKeeper) keptStore(store string) *kept {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stores[routing.ServiceID(store)]
+}
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -381,3 +381,10 @@
 	defer k.mu.Unlock()
 	k.room.Release(time.Now(), key, claim)
 }
+
+// fetched notes how a fetch went.
+func (k *kept) fetched(f storeroom.Fetched) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.room.OnFetched(time.Now(), f)
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
+	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
 	"github.com/bluebellscale/bluebellscale/internal/policy/waits"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -55,8 +56,7 @@
 	Fetch         bool          // the part may be fetched from there
 	Save          bool          // it should be saved there
 	Takes         time.Duration // to a replica in the store's failure domain, its queue included
-	Claim         int64         // names the save, for Release
-	Queued        bool          // the fetch takes a place in the queue of the store's link
+	Claim         int64         // names the transfer over the store's link; zero: none is counted
 }
 
 // Stores tells what the context stores can give of a prompt.
@@ -66,8 +66,8 @@
 	Ask(ctx context.Context, salt string, parts []relay.Part, expectResident []bool) (stored []Stored, until int64)
 	// Release says that some of what Ask allowed under a salt is not used. It does not wait.
 	Release(salt string, parts []relay.Part, unused []Stored)
-	// Slow says that a fetch from the store at an address took much longer than told.
-	Slow(address string)
+	// Fetched says how a fetch from a store went. It does not wait.
+	Fetched(store routing.ServiceID, f storeroom.Fetched)
 }
 
 // Engine places prompts on model replicas.
@@ -125,9 +125,9 @@
 	e.fill(&send, j, stored, until, r)
 	e.release(own, j, unfetch(&send, chosen.Parts, sources, stored))
 	e.record(r, j, own)
-	stop := e.watchFetch(chosen, need, sources, stored)
+	first, stop := e.watchFetch(chosen, need, sources, stored)
 	return &relay.Placement{
-		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: stop, Ended: e.ended(stop, own, j, stored), Reason: reason(chosen, &send, j.OutputTokens),
+		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: first, Ended: e.ended(stop, own, j, stored), Reason: reason(chosen, &send, j.OutputTokens),
 		Flight: begin(r, need, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
 }
@@ -182,28 +182,53 @@
 	return request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, back, "all replicas are full: the wait is %s", wait)
 }
 
-// watchFetch reports the store of the largest fetched part if the first token is overdue
-// by so much that the store's link must be slower than thought. A replica with much to do
-// may be the cause itself, so that nothing is concluded then.
-func (e *Engine) watchFetch(c *pick.Candidate, need pick.Request, sources []pick.Source, stored []Stored) (stop func()) {
+// watchFetch tells the keeper of the store that most is fetched from how that went: when the
+// first token has come, and before that if it is overdue. What else a replica does before its
+// first token is taken off; one with much to do is not said to be overdue, since it may be the
+// cause itself.
+func (e *Engine) watchFetch(c *pick.Candidate, need pick.Request, sources []pick.Source, stored []Stored) (first, stop func()) {
+	from, told, all := mostFetched(c, sources, stored)
+	if from.Claim == 0 {
+		return func() {}, func() {}
+	}
+	computing := time.Duration(pick.Default.ToCompute(need, c.Parts)+c.Prefill) * pick.Default.PrefillPerToken
+	others := computing + all - told
 	busy := c.Prefill > quietPrefill || float64(c.Tokens+need.Tokens) > quietMemory*float64(c.Memory)
-	largest := -1
-	expected := time.Duration(pick.Default.ToCompute(need, c.Parts)+c.Prefill) * pick.Default.PrefillPerToken
+	began := time.Now()
+	tell := func(overdue bool) {
+		took := max(0, time.Since(began)-others)
+		e.Stores.Fetched(from.Store, storeroom.Fetched{Claim: from.Claim, Took: took, Overdue: overdue, Busy: busy})
+	}
+	stop = func() {}
+	if !busy {
+		timer := time.AfterFunc(others+told+fetchOverdue, func() { tell(true) })
+		stop = func() { timer.Stop() }
+	}
+	return func() {
+		stop()
+		tell(false)
+	}, stop
+}
+
+// mostFetched returns the part that is fetched last from the store that most is fetched from,
+// how long all parts from there take, and how long all fetches take.
+func mostFetched(c *pick.Candidate, sources []pick.Source, stored []Stored) (last Stored, from, all time.Duration) {
+	takes := map[routing.ServiceID]time.Duration{}
 	for i, source := range sources {
 		if source != pick.Fetched {
 			continue
 		}
-		expected += c.Parts[i].Fetch
-		if stored[i].Fetch && (largest < 0 || c.Parts[i].Tokens > c.Parts[largest].Tokens) {
-			largest = i
+		all += c.Parts[i].Fetch
+		if stored[i].Claim == 0 {
+			continue
+		}
+		store := stored[i].Store
+		takes[store] += c.Parts[i].Fetch
+		if takes[store] >= from {
+			last, from = stored[i], takes[store]
 		}
 	}
-	if busy || largest < 0 {
-		return func() {}
-	}
-	address := stored[largest].Address
-	t := time.AfterFunc(expected+fetchOverdue, func() { e.Stores.Slow(address) })
-	return func() { t.Stop() }
+	return last, from, all
 }
 
 // unfetch takes back the sources of parts that are sooner computed than fetched, and of
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/policy/storeroom"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -21,7 +22,6 @@
 // shelf is a context store that holds some parts under a salt.
 type shelf struct {
 	held map[string]bool // salt/id
-	slow []string
 	asks int
 	// takes is how long a fetch takes; zero: 10 ms.
 	takes time.Duration
@@ -33,23 +33,23 @@
 	s.asks++
 	out := make([]Stored, len(parts))
 	for i, p := range parts {
-		out[i] = Stored{Address: "store:1", FailureDomain: "a", Takes: cmp.Or(s.takes, 10*time.Millisecond)}
+		out[i] = Stored{Store: "store", Address: "store:1", FailureDomain: "a", Takes: cmp.Or(s.takes, 10*time.Millisecond)}
 		out[i].Fetch = s.held[salt+"/"+p.ID]
 		out[i].Save = !out[i].Fetch && i < len(parts)-1
-		out[i].Queued = out[i].Fetch
+		out[i].Claim = int64(i + 1)
 	}
 	return out, 777
 }
 
 func (s *shelf) Release(salt string, parts []relay.Part, unused []Stored) {
 	for i, u := range unused {
-		if u.Save || u.Queued {
+		if u.Save || u.Fetch {
 			s.released = append(s.released, salt+"/"+parts[i].ID)
 		}
 	}
 }
 
-func (s *shelf) Slow(address string) { s.slow = append(s.slow, address) }
+func (s *shelf) Fetched(routing.ServiceID, storeroom.Fetched) {}
 
 type world struct {
 	set    *replicas.Set
@@ -263,13 +263,13 @@
 	for _, p := range job("s").Parts {
 		w.shelf.held["w1/"+p.ID] = true
 	}
-	reported := make(chan string, 1)
-	w.engine.Stores = &reporting{shelf: w.shelf, slow: reported}
+	reported := make(chan storeroom.Fetched, 1)
+	w.engine.Stores = &reporting{shelf: w.shelf, fetched: reported}
 	place(t, w, job("s"))
 	select {
-	case address := <-reported:
-		if address != "store:1" {
-			t.Errorf("reported %s", address)
+	case got := <-reported:
+		if !got.Overdue || got.Claim == 0 {
+			t.Errorf("reported %+v", got)
 		}
 	case <-time.After(3 * time.Second):
 		t.Error("nothing is reported")
@@ -277,18 +277,42 @@
 	p := place(t, w, job("s"))
 	p.First()
 	select {
-	case <-reported:
-		t.Error("a fetch in time is reported")
+	case got := <-reported:
+		if got.Overdue {
+			t.Error("a fetch in time is reported as overdue")
+		}
 	case <-time.After(2 * fetchOverdue):
 	}
 }
 
+// Prompts take different ways, and most of their fetches end in time. The keeper of the store
+// that most was fetched from must hear of each end: it knows by that what its link has still
+// to carry. Of the parts from there the one that was allowed last counts.
+func TestEndOfEachFetchIsReported(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		w := newWorld(1)
+		for _, p := range job("s").Parts {
+			w.shelf.held["w1/"+p.ID] = true
+		}
+		reported := make(chan storeroom.Fetched, 1)
+		w.engine.Stores = &reporting{shelf: w.shelf, fetched: reported}
+		if busy {
+			w.set.Get(id(0)).Load.Begin(100, quietPrefill+1)
+		}
+		place(t, w, job("s")).First()
+		got := <-reported
+		if got.Overdue || got.Busy != busy || got.Claim != int64(len(job("s").Parts)) {
+			t.Errorf("busy %t: reported %+v", busy, got)
+		}
+	}
+}
+
 type reporting struct {
 	*shelf
-	slow chan string
+	fetched chan storeroom.Fetched
 }
 
-func (r *reporting) Slow(address string) { r.slow <- address }
+func (r *reporting) Fetched(_ routing.ServiceID, f storeroom.Fetched) { r.fetched <- f }
 
 // A plain call goes to the least loaded replica, another one after a failure, and nowhere
 // if there is none.
--- /dev/null
+++ b/internal/policy/storeroom/link.go
@@ -0,0 +1,200 @@
+package storeroom
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// crossShare weighs the link's time for readers in other failure domains, whose
+	// transfers take twice as long: about half of all.
+	crossShare = 1.4
+	// waited is the shortest fetch that surely waited for others: the first token of an idle
+	// replica comes some ten ms sooner or later.
+	waited = 100 * time.Millisecond
+	// measureOver is the time over which measured speeds are averaged: some ten fetches of a
+	// busy store, each of which is measured to some ten ms.
+	measureOver = 400 * time.Millisecond
+	// idleGain is the part of its slowness that a link keeps for each fetch that did not wait.
+	idleGain = 0.8
+	// slowOnce is the time in which overdue fetches count as one: they waited in the same
+	// queue. slowFor is how long without news makes a link faster again.
+	slowOnce = 300 * time.Millisecond
+	slowFor  = time.Second
+	// minSlowness is that of a link all of whose readers are near, and maxSlowness leaves
+	// enough fetches to see it.
+	minSlowness = 0.7
+	maxSlowness = 16.0
+	// grantsFor is longer than any transfer takes that is not given up.
+	grantsFor = 2 * LeaveFor
+)
+
+// link estimates how fast a store's link is, and what it has still to carry.
+//
+// Transfers run one after the other, mostly in the order in which they were allowed. So once
+// a fetch has ended, only what was allowed after it is left; and the time between the ends of
+// two fetches that both waited is what the link took for all that was allowed between them.
+// Without this a link that turned four times slower was given more than it carries, and each
+// replica filled up with prompts that waited two seconds for their contexts.
+type link struct {
+	perSec   float64 // tokens, as the desired state says
+	slowness float64 // by which transfers take longer than that
+	newsAt   time.Time
+	free     time.Time // when all that was allowed is thought to be done
+	grants   []grant   // in order
+	last     grant     // of the fetch that ended last, by the order of grants
+	lastEnd  time.Time
+	overdue  []grant // fetches that have not ended, long after they should have
+	claims   int64
+}
+
+// grant is a transfer that was allowed.
+type grant struct {
+	claim  int64
+	at     time.Time
+	tokens int
+}
+
+// newLink returns an idle link. Its claims are no other keeper's: they count from the time.
+func newLink(now time.Time, perSec float64) *link {
+	return &link{perSec: perSec, slowness: 1, claims: now.UnixNano()}
+}
+
+// reset is told that the store came back: what it had to carry is gone.
+func (l *link) reset(now time.Time) {
+	l.free, l.grants, l.overdue, l.last = now, nil, nil, grant{}
+}
+
+// queue returns how long a transfer waits that is allowed now.
+func (l *link) queue(now time.Time) time.Duration { return max(0, l.free.Sub(now)) }
+
+// transfer returns how long some tokens take to a reader in the store's failure domain.
+func (l *link) transfer(tokens int) time.Duration {
+	return time.Duration(l.slowness * float64(tokens) / l.perSec * float64(time.Second))
+}
+
+// busyFor returns how long the link is taken by some tokens, to any reader.
+func (l *link) busyFor(tokens int) time.Duration {
+	return time.Duration(crossShare * float64(l.transfer(tokens)))
+}
+
+// use notes a transfer that is allowed, and returns its claim.
+func (l *link) use(now time.Time, tokens int) int64 {
+	old := 0
+	for old < len(l.grants) && now.Sub(l.grants[old].at) > grantsFor {
+		old++
+	}
+	l.claims++
+	l.grants = append(l.grants[old:], grant{claim: l.claims, at: now, tokens: tokens})
+	l.free = now.Add(l.queue(now) + l.busyFor(tokens))
+	return l.claims
+}
+
+// drop takes back a transfer that is not made.
+func (l *link) drop(now time.Time, claim int64) {
+	i, known := l.find(claim)
+	if !known {
+		return
+	}
+	l.free = now.Add(max(0, l.queue(now)-l.busyFor(l.grants[i].tokens)))
+	l.grants = slices.Delete(l.grants, i, i+1)
+}
+
+func (l *link) find(claim int64) (int, bool) {
+	return slices.BinarySearchFunc(l.grants, claim, func(g grant, claim int64) int { return cmp.Compare(g.claim, claim) })
+}
+
+// after returns the tokens that were allowed after a claim.
+func (l *link) after(claim int64) int {
+	i, known := l.find(claim)
+	if known {
+		i++
+	}
+	tokens := 0
+	for _, g := range l.grants[i:] {
+		tokens += g.tokens
+	}
+	return tokens
+}
+
+// overtakes notes that a fetch has ended, and reports whether one that was allowed before it is
+// still under way. Then it did not come over this link: the replica had the part, or found the
+// wait too long and computed it. Taken for an end it would make a link look idle that has more
+// to carry than anybody waits for, and so make it fuller still.
+func (l *link) overtakes(now time.Time, claim int64) bool {
+	l.overdue = slices.DeleteFunc(l.overdue, func(g grant) bool {
+		return g.claim == claim || now.Sub(g.at) > LeaveFor
+	})
+	return slices.ContainsFunc(l.overdue, func(g grant) bool { return g.claim < claim })
+}
+
+// onEnded is told that a fetch has ended, and how long it took.
+func (l *link) onEnded(now time.Time, claim int64, took time.Duration) {
+	i, known := l.find(claim)
+	if l.overtakes(now, claim) || !known {
+		return
+	}
+	g := l.grants[i]
+	end := g.at.Add(took) // the first token comes later: more has been computed
+	switch {
+	case took < waited:
+		l.slowness = max(min(1, l.slowness), idleGain*l.slowness)
+		l.newsAt = now
+	case g.claim > l.last.claim && g.at.Before(l.lastEnd):
+		l.measure(now, end.Sub(l.lastEnd), l.after(l.last.claim)-l.after(g.claim))
+	}
+	if g.claim > l.last.claim {
+		l.last, l.lastEnd = g, end
+	}
+	l.free = end.Add(l.busyFor(l.after(claim)))
+}
+
+// onEndedLate is told that a fetch has ended some time ago: its replica had much to do.
+func (l *link) onEndedLate(now time.Time, claim int64) {
+	_, known := l.find(claim)
+	if l.overtakes(now, claim) || !known {
+		return
+	}
+	if free := now.Add(l.busyFor(l.after(claim))); free.Before(l.free) {
+		l.free = free
+	}
+}
+
+// measure takes in how long the link took for some tokens.
+func (l *link) measure(now time.Time, took time.Duration, tokens int) {
+	nominal := crossShare * float64(tokens) / l.perSec
+	if took <= 0 || nominal <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-took.Seconds()/measureOver.Seconds())
+	measured := l.slowness + weight*(took.Seconds()/nominal-l.slowness)
+	l.slowness = min(max(measured, minSlowness), maxSlowness)
+	l.newsAt = now
+}
+
+// onOverdue is told that a fetch takes much longer than told and has not ended. The link is
+// then taken to be twice as slow, and to have all before it whose transfer was allowed later.
+func (l *link) onOverdue(now time.Time, claim int64) {
+	i, known := l.find(claim)
+	if !known {
+		return
+	}
+	l.overdue = append(l.overdue, l.grants[i])
+	if now.Sub(l.newsAt) >= slowOnce {
+		l.slowness = min(maxSlowness, 2*l.slowness)
+		l.newsAt = now
+	}
+	if free := now.Add(l.busyFor(l.after(claim))); free.After(l.free) {
+		l.free = free
+	}
+}
+
+// recover takes a link for faster again after a time without news.
+func (l *link) recover(now time.Time) {
+	for l.slowness > 1 && now.Sub(l.newsAt) > slowFor {
+		l.slowness = max(1, l.slowness/2)
+		l.newsAt = l.newsAt.Add(slowFor)
+	}
+}
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -52,20 +52,11 @@
 	// gap takes the saves of the time that freeing needs.
 	fullAt = 0.94
 	freeTo = 0.90
-	// slowOnce is the time in which complaints count as one: they are of fetches that
-	// waited in the same queue. slowFor is how long without one makes a link faster again,
-	// and maxSlowness leaves enough fetches to see it.
-	slowOnce    = 300 * time.Millisecond
-	slowFor     = time.Second
-	maxSlowness = 16.0
 	// LeaveSeenFor is longer than any leave lasts from when a store's process was seen first:
 	// a keeper that was cut off may notice late that the process is another one.
 	LeaveSeenFor = readerLag + LeaveFor + leaveSlack
 	// block is the number of tokens by which a store gives room.
 	block = 16
-	// crossShare weighs the link's time for readers in other failure domains, whose
-	// transfers take twice as long: about half of all.
-	crossShare = 1.4
 )
 
 // Key names a part in the store.
@@ -106,7 +97,7 @@
 	Fetch  bool
 	Save   bool
 	Takes  time.Duration // of a fetch, the queue included
-	Claim  int64         // names the save that is allowed, for Release; zero: none is
+	Claim  int64         // names the transfer that is allowed; zero: none is
 	// Full says that the store would have to free parts that are still wanted.
 	Full bool
 }
@@ -127,7 +118,7 @@
 	since   time.Time // of the state
 	used    time.Time
 	leave   time.Time // until when some replica may fetch it
-	claim   int64     // of the save that was allowed; zero: none was, or nobody may give it back
+	claim   int64     // of the save that was allowed; zero: nobody may give it back
 	// mixed is set if it became whole when newer weights were known already.
 	mixed bool
 }
@@ -149,9 +140,7 @@
 	newest    uint64            // version of weights seen in asks
 	seen      map[Key]time.Time // last parts that were asked for once
 	seenSwept time.Time
-	linkFree  time.Time
-	slowness  float64   // by which transfers take longer than the link's speed says
-	slowAt    time.Time // of the newest change of slowness
+	link      *link
 	lastLeave time.Time
 	saveAfter time.Time
 	freeAfter time.Time // another keeper's leave may last until then
@@ -161,7 +150,7 @@
 // New returns the room of a store whose content is not known yet. Another daemon may have
 // given leave until now, or goes on to for a while if its lease ran out.
 func New(now time.Time, p Params) *Room {
-	r := &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, slowness: 1, readers: now}
+	r := &Room{p: p, parts: map[Key]*part{}, seen: map[Key]time.Time{}, seenSwept: now, link: newLink(now, p.TokensPerSec), readers: now}
 	if p.Lapsed {
 		r.readers = now.Add(ReadOnFor)
 	}
@@ -174,7 +163,7 @@
 func (r *Room) Reset(now time.Time) {
 	clear(r.parts)
 	r.taken = 0
-	r.linkFree = now
+	r.link.reset(now)
 	r.noSaveBefore(r.lastLeave.Add(leaveSlack))
 	if now.Before(r.readers) {
 		r.noSaveBefore(now.Add(readerLag + LeaveFor + leaveSlack))
@@ -204,7 +193,7 @@
 }
 
 // Queue returns the link's queue.
-func (r *Room) Queue(now time.Time) time.Duration { return max(0, r.linkFree.Sub(now)) }
+func (r *Room) Queue(now time.Time) time.Duration { return r.link.queue(now) }
 
 // Taken returns the tokens of room that are taken or promised.
 func (r *Room) Taken() int { return r.taken }
@@ -223,7 +212,7 @@
 // Ask decides on one part. Leave to fetch lasts until now plus LeaveFor.
 func (r *Room) Ask(now time.Time, a Ask) Answer {
 	r.newest = max(r.newest, a.Weights)
-	r.recover(now)
+	r.link.recover(now)
 	p, known := r.parts[a.Key]
 	switch {
 	case known && p.state == held && !p.mixed:
@@ -240,27 +229,18 @@
 		return Answer{Reason: ReasonFull, Full: true}
 	}
 	p = r.add(now, a, saving)
-	p.claim = now.UnixNano()
-	r.useLink(now, a.Tokens)
+	p.claim = r.link.use(now, a.Tokens)
 	return Answer{Reason: ReasonSave, Save: true, Claim: p.claim}
 }
 
-// Release is told that what Ask allowed is not used: no request was sent with it. claim is
-// that of a save, zero for a fetch.
+// Release is told that what Ask allowed is not used: no request was sent with it.
 //
 // A save that nobody makes would keep its part from being saved, and so from being fetched,
 // until it counts as broken off. Its claim tells it from a save that another request was
 // allowed since, and from one that broke off: those may write still.
 func (r *Room) Release(now time.Time, key Key, claim int64) {
-	p, known := r.parts[key]
-	if !known {
-		return
-	}
-	switch {
-	case claim == 0 && p.state == held:
-		r.freeLink(now, p.tokens)
-	case claim != 0 && p.state == saving && p.claim == claim:
-		r.freeLink(now, p.tokens)
+	r.link.drop(now, claim)
+	if p, known := r.parts[key]; known && claim != 0 && p.state == saving && p.claim == claim {
 		r.remove(p)
 	}
 }
@@ -282,65 +262,44 @@
 }
 
 func (r *Room) fetch(now time.Time, p *part, a Ask) Answer {
-	queue := max(0, r.linkFree.Sub(now))
+	queue := r.Queue(now)
 	p.used = now
 	if !a.Resident && queue > maxQueue {
 		return Answer{Reason: ReasonQueue}
 	}
 	p.leave = now.Add(LeaveFor)
 	r.lastLeave = p.leave
-	takes := queue + r.p.FirstByte + r.transfer(p.tokens)
+	out := Answer{Reason: ReasonHeld, Fetch: true, Takes: queue + r.p.FirstByte + r.link.transfer(p.tokens)}
 	if !a.Resident {
-		r.useLink(now, p.tokens)
+		out.Claim = r.link.use(now, p.tokens)
 	}
-	return Answer{Reason: ReasonHeld, Fetch: true, Takes: takes}
+	return out
 }
 
-func (r *Room) transfer(tokens int) time.Duration {
-	return time.Duration(r.slowness * float64(tokens) / r.p.TokensPerSec * float64(time.Second))
+// Fetched is how a fetch went.
+type Fetched struct {
+	Claim int64
+	Took  time.Duration // so far, if it is overdue
+	// Overdue is set if it has not ended, long after it should have.
+	Overdue bool
+	// Busy is set if the replica had much to do, which may be why it took so long.
+	Busy bool
 }
 
-// OnSlow is told that a fetch took much longer than Ask said. The link is then taken to be
-// twice as slow as before, until nobody complains. It is not taken to be full besides: some
-// complaints are of replicas with much to do, and parts of a few hundred tokens were then
-// computed again for a quarter of a second.
-func (r *Room) OnSlow(now time.Time) {
-	if now.Sub(r.slowAt) < slowOnce {
-		return
+// OnFetched is told how a fetch went.
+func (r *Room) OnFetched(now time.Time, f Fetched) {
+	switch {
+	case f.Overdue:
+		r.link.onOverdue(now, f.Claim)
+	case f.Busy:
+		r.link.onEndedLate(now, f.Claim)
+	default:
+		r.link.onEnded(now, f.Claim, f.Took)
 	}
-	r.slowAt = now
-	r.slowness = min(maxSlowness, 2*r.slowness)
 }
 
 // Slowness returns by how much transfers take longer than the link's speed says.
-func (r *Room) Slowness() float64 { return r.slowness }
-
-// recover takes a link for faster again after a time without complaints.
-func (r *Room) recover(now time.Time) {
-	for r.slowness > 1 && now.Sub(r.slowAt) > slowFor {
-		r.slowness /= 2
-		r.slowAt = r.slowAt.Add(slowFor)
-	}
-}
-
-func (r *Room) useLink(now time.Time, tokens int) {
-	if r.linkFree.Before(now) {
-		r.linkFree = now
-	}
-	r.linkFree = r.linkFree.Add(r.linkTime(tokens))
-}
-
-// freeLink takes back what useLink noted of a transfer that is not made.
-func (r *Room) freeLink(now time.Time, tokens int) {
-	r.linkFree = r.linkFree.Add(-r.linkTime(tokens))
-	if r.linkFree.Before(now) {
-		r.linkFree = now
-	}
-}
-
-func (r *Room) linkTime(tokens int) time.Duration {
-	return time.Duration(crossShare * float64(r.transfer(tokens)))
-}
+func (r *Room) Slowness() float64 { return r.link.slowness }
 
 func roundUp(tokens int) int { return (tokens + block - 1) / block * block }
 
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -21,6 +21,10 @@
 	return New(at(-10_000), Params{Tokens: tokens, TokensPerSec: 100_000, FirstByte: time.Millisecond})
 }
 
+func overdue(r *Room, now time.Time, claim int64) {
+	r.OnFetched(now, Fetched{Claim: claim, Took: time.Second, Overdue: true})
+}
+
 func save(t *testing.T, r *Room, now time.Time, a Ask) {
 	t.Helper()
 	if got := r.Ask(now, a); !got.Save {
@@ -129,7 +133,7 @@
 	save(t, r, at(0), ask("a", 1000)) // 10 ms at full speed
 	takes := r.Ask(at(1000), ask("a", 1000)).Takes
 	for i := range 2 {
-		r.OnSlow(at(2000 + 400*i))
+		overdue(r, at(2000+400*i), r.Ask(at(1900+400*i), ask("a", 1000)).Claim)
 	}
 	if got := r.Ask(at(2800), ask("a", 1000)).Takes; got < 3*takes {
 		t.Errorf("takes %s, %s before", got, takes)
@@ -340,7 +344,7 @@
 func TestOneComplaintRefusesNoFetch(t *testing.T) {
 	r := open(10_000)
 	save(t, r, at(0), ask("a", 1000))
-	r.OnSlow(at(2000))
+	overdue(r, at(2000), r.Ask(at(1900), ask("a", 1000)).Claim)
 	if got := r.Ask(at(2001), ask("a", 1000)); !got.Fetch || got.Takes > 100*time.Millisecond {
 		t.Errorf("got %+v", got)
 	}
@@ -396,10 +400,11 @@
 	r := open(10_000)
 	save(t, r, at(0), ask("a", 5000))
 	idle := at(0).Add(r.Queue(at(0)))
-	if got := r.Ask(idle, ask("a", 5000)); !got.Fetch {
+	got := r.Ask(idle, ask("a", 5000))
+	if !got.Fetch {
 		t.Fatalf("got %+v", got)
 	}
-	r.Release(idle, Key{"w1", "a"}, 0)
+	r.Release(idle, Key{"w1", "a"}, got.Claim)
 	if queue := r.Queue(idle); queue != 0 {
 		t.Errorf("the queue is %s", queue)
 	}
