Parts of replaced weights are not saved

Cause: a part that becomes whole when newer weights are known is never given out, since a run may go on while its replica changes weights. Those that were asked for under replaced weights were allowed to be saved all the same, took the links' time and room, and nobody could use them.

The test fails without the case.

--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -86,6 +86,7 @@
 	ReasonQueue  Reason = "queue"  // the link has too much to do
 	ReasonSaving Reason = "saving" // it is being written
 	ReasonUnsure Reason = "unsure" // leave from before may still be used
+	ReasonOld    Reason = "old"    // of weights that were replaced: it would be mixed when whole
 	ReasonOnce   Reason = "once"   // a last part that was not asked for before
 	ReasonFull   Reason = "full"   // no room without freeing what is wanted
 	ReasonSave   Reason = "save"   // it is to be saved
@@ -221,6 +222,8 @@
 		return Answer{Reason: ReasonSaving}
 	case now.Before(r.saveAfter) || a.ReadOnly:
 		return Answer{Reason: ReasonUnsure}
+	case a.Weights < r.newest:
+		return Answer{Reason: ReasonOld}
 	case a.Last && !r.seenBefore(now, a.Key):
 		return Answer{Reason: ReasonOnce}
 	case r.Queue(now) > maxSaveQueue:
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -412,3 +412,18 @@
 		t.Errorf("%v is freed while leave for it lasts", got)
 	}
 }
+
+// Weights are rolled out, and half of the replicas still answer on the old ones. What they save
+// is whole when newer weights are known, so that nobody is given it: it took a third of the
+// links' time, and room, from what the new weights had to save.
+func TestPartsOfReplacedWeightsAreNotSaved(t *testing.T) {
+	r := open(1000)
+	r.Ask(at(0), Ask{Key: Key{"w2", "x"}, Tokens: 100, Weights: 2})
+	queue := r.Queue(at(10))
+	if got := r.Ask(at(10), ask("a", 100)); got.Save || got.Reason != ReasonOld {
+		t.Errorf("got %+v", got)
+	}
+	if got := r.Queue(at(10)); got != queue {
+		t.Errorf("the queue grew from %s to %s", queue, got)
+	}
+}
