A fetch is given up while its prompt can still be computed in time

Cause: a replica begins its prompts in turn, and leave to fetch lasts 2.5 s. In the log of one replica of the large site five prompts that are computed begin within 0.1 s of each other, up to two seconds after they were sent, behind one whose fetch took 2.2 s.

Ruled out: too much to compute (one prompt was running there, and 5,000 tokens waited).

Change: the end of leave that a request names is such that the prompt, computed then, is still within its route's time limit for the first token, and never sooner than 0.1 s after it should have come.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -33,6 +33,8 @@
 	// fetchOverdue is how late a first token must be for its fetch to count as slow. On an
 	// idle replica one varies by some 100 ms.
 	fetchOverdue = 250 * time.Millisecond
+	// fetchSlack is how much longer than told a fetch may take in any case.
+	fetchSlack   = 100 * time.Millisecond
 	quietPrefill = 4000 // tokens waiting, up to which a replica counts as idle
 	quietMemory  = 0.7  // share of its memory, likewise
 	// minBack and maxBack bound when a refused caller is told to come back: some prompts
@@ -123,6 +125,7 @@
 	}
 	sources := pick.Default.Sources(chosen.Parts)
 	e.fill(&send, j, stored, until, r)
+	send.FetchUntil = fetchUntil(send.FetchUntil, j, chosen.Parts, sources)
 	e.release(own, j, unfetch(&send, chosen.Parts, sources, stored))
 	e.record(r, j, own)
 	first, stop := e.watchFetch(chosen, need, sources, stored)
@@ -149,6 +152,27 @@
 	}
 }
 
+// fetchUntil returns until when parts may be fetched, on the replicas' clock: as long as the
+// prompt, computed then, is still in time, and in any case for longer than they should take.
+//
+// A replica begins its prompts in turn. One that waited two seconds for its context at a slow
+// link held up all behind it, so that nobody was answered in time for as long; computing it
+// holds them up for a tenth of a second.
+func fetchUntil(leave int64, j *relay.Job, parts []pick.Part, sources []pick.Source) int64 {
+	if leave == 0 {
+		return 0
+	}
+	var told, compute time.Duration
+	for i, source := range sources {
+		if source == pick.Fetched {
+			told += parts[i].Fetch
+			compute += time.Duration(parts[i].Tokens) * pick.Default.PrefillPerToken
+		}
+	}
+	longest := max(j.Route.Objective-time.Since(j.Start)-compute, told+fetchSlack)
+	return leave - max(0, storeroom.LeaveFor-longest).Milliseconds()
+}
+
 func begin(r *replicas.Replica, need pick.Request, compute int) *replicas.Flight {
 	if need.Long {
 		return r.Load.BeginLong(need.Tokens, compute)
