Each group has its share of every failure domain

Cause: daemons and replicas were cut into groups by the hash of their names alone. Of eight groups of 53 replicas in five domains, named as in the test, seven have none in some domain: fetches from a store there take its link twice as long. Four have three of their six or seven in one domain, which they would lose at once.

Change: within a domain members are ordered by their hashes, and the domains are merged so that each is spread evenly over the groups.

Kept for the loss of a domain and for the choice of near replicas, which needs one in each group.

The test fails with the order by hash: groups with none and with three of a domain.

--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -5,6 +5,10 @@
 // Both are put in an order by a hash of their names and cut into as many even parts. One
 // that comes or goes moves the cuts by one place, so that few change their group.
 //
+// Each group has its share of every failure domain. Left to chance, some groups had no
+// replica near their context stores, so that each fetch took their links for twice as long,
+// and some bore the loss of a failure domain with half of their replicas.
+//
 // The package is pure.
 package subset
 
@@ -32,13 +36,41 @@
 	return groups
 }
 
-// order puts names in the order of their hashes.
-func order(names []string) []string {
-	out := slices.Clone(names)
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
-	return out
+// Member is a daemon or a replica.
+type Member struct{ Name, FailureDomain string }
+
+// placed is a member at its place in the order, from 0 to 1.
+type placed struct {
+	name string
+	hash uint64
+	at   float64
+}
+
+// order puts members in the order of their hashes within their failure domain, and merges the
+// domains so that each is spread evenly over the whole.
+func order(members []Member) []string {
+	domains := map[string][]placed{}
+	for _, m := range members {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], placed{name: m.Name, hash: xxhash.Sum64String(m.Name)})
+	}
+	merged := make([]placed, 0, len(members))
+	for _, domain := range domains {
+		slices.SortFunc(domain, byHash)
+		for i := range domain {
+			domain[i].at = (float64(i) + 0.5) / float64(len(domain))
+		}
+		merged = append(merged, domain...)
+	}
+	slices.SortFunc(merged, func(a, b placed) int { return cmp.Or(cmp.Compare(a.at, b.at), byHash(a, b)) })
+	names := make([]string, len(merged))
+	for i, p := range merged {
+		names[i] = p.name
+	}
+	return names
+}
+
+func byHash(a, b placed) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
 }
 
 // cut returns one of some even parts of names in their order.
@@ -46,14 +78,14 @@
 	return ordered[group*len(ordered)/groups : (group+1)*len(ordered)/groups]
 }
 
-// Part returns the names in one of some groups.
-func Part(names []string, group, groups int) []string {
-	return cut(order(names), group, groups)
+// Part returns the names of the members in one of some groups.
+func Part(members []Member, group, groups int) []string {
+	return cut(order(members), group, groups)
 }
 
 // Of returns the group in which a name is, 0 if it is in none.
-func Of(names []string, name string, groups int) int {
-	ordered := order(names)
+func Of(members []Member, name string, groups int) int {
+	ordered := order(members)
 	for group := range groups {
 		if slices.Contains(cut(ordered, group, groups), name) {
 			return group
--- a/internal/policy/subset/subset_test.go
+++ b/internal/policy/subset/subset_test.go
@@ -6,10 +6,11 @@
 	"testing"
 )
 
-func names(prefix string, n int) []string {
-	out := make([]string, n)
+// members returns some members, spread over the failure domains in turn.
+func members(prefix string, n, domains int) []Member {
+	out := make([]Member, n)
 	for i := range out {
-		out[i] = fmt.Sprint(prefix, i)
+		out[i] = Member{Name: fmt.Sprint(prefix, i), FailureDomain: fmt.Sprint("fd", i%domains)}
 	}
 	return out
 }
@@ -30,7 +31,7 @@
 // Every daemon and replica is in one group, the groups are even, and the loss of one
 // changes the group of few.
 func TestGroupsAreEvenAndStable(t *testing.T) {
-	all := names("d", 87)
+	all := members("d", 87, 1)
 	const groups = 4
 	seen := map[string]int{}
 	for g := range groups {
@@ -49,9 +50,9 @@
 		t.Errorf("%d of 87 are in a group", len(seen))
 	}
 	moved := 0
-	fewer := slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == "d40" })
-	for _, name := range fewer {
-		if Of(all, name, groups) != Of(fewer, name, groups) {
+	fewer := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Name == "d40" })
+	for _, m := range fewer {
+		if Of(all, m.Name, groups) != Of(fewer, m.Name, groups) {
 			moved++
 		}
 	}
@@ -59,3 +60,47 @@
 		t.Errorf("%d changed their group", moved)
 	}
 }
+
+// The load: 53 replicas in five failure domains and in eight groups, whose contexts lie in
+// stores of one domain. A fetch from another domain takes the store's link twice as long. By
+// their hashes alone two of the groups had no replica near the stores, and fetched all that
+// they needed from afar.
+func TestEachGroupHasItsShareOfEachFailureDomain(t *testing.T) {
+	const replicas, domains = 53, 5
+	groups := Groups(95, replicas)
+	all := members("i-", replicas, domains)
+	domainOf := map[string]string{}
+	for _, m := range all {
+		domainOf[m.Name] = m.FailureDomain
+	}
+	for g := range groups {
+		count := map[string]int{}
+		for _, name := range Part(all, g, groups) {
+			count[domainOf[name]]++
+		}
+		for d := range domains {
+			if n := count[fmt.Sprint("fd", d)]; n < 1 || n > 2 {
+				t.Errorf("group %d has %d replicas of domain %d", g, n, d)
+			}
+		}
+	}
+}
+
+// A daemon of one failure domain goes. At each cut between two groups one of its domain may
+// change sides, and one or two of others that keep the groups even.
+func TestFewChangeTheirGroupAcrossFailureDomains(t *testing.T) {
+	const groups, atEachCut = 8, 3
+	all := members("d", 95, 5)
+	for _, gone := range all {
+		fewer := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m == gone })
+		moved := 0
+		for _, m := range fewer {
+			if Of(all, m.Name, groups) != Of(fewer, m.Name, groups) {
+				moved++
+			}
+		}
+		if moved > atEachCut*(groups-1) {
+			t.Errorf("without %s %d changed their group", gone.Name, moved)
+		}
+	}
+}
