Prompts that fetch go to replicas near the store

A daemon compared four replicas drawn by lot and those that hold more of the prompt; of the near ones, a fifth of all, mostly none was among them, and a far one was charged its own longer fetch, not what others wait for it.

Change: near replicas are always looked at; the link's time counts three times more on top of the fetch itself, as that of a queue nine tenths full; keepers tell the queue apart from the transfer, so that a far replica is not charged the queue twice.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -147,7 +147,7 @@
 			Store: store.ID, Address: store.Store.Address, FailureDomain: store.Store.FailureDomain,
 			Fetch: answer.Fetch, Save: answer.Save && !answer.Fetch,
 			Takes: time.Duration(answer.TakesUs) * time.Microsecond,
-			Claim: answer.Claim,
+			Queue: time.Duration(answer.QueueUs) * time.Microsecond, Claim: answer.Claim,
 		}
 		if out[at].Fetch || out[at].Save && !got.Fetch {
 			unused[at] = got
--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -369,7 +369,7 @@
 		k.metrics.Tagged(map[string]string{"reason": string(answer.Reason)}).Counter("store_asks").Inc(1)
 		answers[i] = &PartAnswer{
 			Fetch: answer.Fetch, Save: answer.Save, Full: answer.Full, TakesUs: int32(answer.Takes.Microseconds()),
-			NotKept: lapsed, Claim: answer.Claim,
+			NotKept: lapsed, Claim: answer.Claim, QueueUs: int32(answer.Queue.Microseconds()),
 		}
 	}
 	return answers, k.replicaClock(now.Add(storeroom.LeaveFor)), true
--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -48,10 +48,11 @@
 		}
 		parts[i].Resident = m != nil && m.Has(partKey(salt, p.ID))
 		if stored[i].Fetch {
-			parts[i].Fetch = stored[i].Takes
+			parts[i].Link = stored[i].Takes - stored[i].Queue
 			if stored[i].FailureDomain != info.FailureDomain {
-				parts[i].Fetch *= crossFactor
+				parts[i].Link *= crossFactor
 			}
+			parts[i].Fetch = stored[i].Queue + parts[i].Link
 		}
 	}
 	return parts
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// crossFactor is how much longer a transfer between failure domains takes.
+	// crossFactor is how much longer a transfer between failure domains takes; the wait before
+	// it is the same.
 	crossFactor = 2
 	// oldShare weighs answers on weights that were replaced. They are worth a fifth less,
 	// but the caches of the new weights are empty at first: sent there by preference, all
@@ -58,6 +59,7 @@
 	Fetch         bool          // the part may be fetched from there
 	Save          bool          // it should be saved there
 	Takes         time.Duration // to a replica in the store's failure domain, its queue included
+	Queue         time.Duration // of the store's link, before the fetch
 	Claim         int64         // names the transfer over the store's link; zero: none is counted
 }
 
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -4,6 +4,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -18,6 +19,7 @@
 	Error            time.Duration // of an error rate of one
 	HeavyAmongLong   time.Duration // of a heavy prompt at a replica set apart for long answers
 	LongAmongHeavy   time.Duration // of a long answer at one of the others
+	Link             float64       // of the time that a fetch takes of a link, which others wait for
 	OldWeights       time.Duration // of an answer on weights that are worth nothing any more
 }
 
@@ -34,7 +36,10 @@
 	Error:            3 * time.Second,
 	HeavyAmongLong:   80 * time.Millisecond,
 	LongAmongHeavy:   40 * time.Millisecond,
-	OldWeights:       600 * time.Millisecond,
+	// A link that is nine tenths full makes all behind a fetch wait, for several times as long
+	// as it takes. Replicas near a store take its link for half as long.
+	Link:       3,
+	OldWeights: 600 * time.Millisecond,
 }
 
 // Part is a part of the prompt as one replica would get it.
@@ -42,6 +47,7 @@
 	Tokens   int
 	Resident bool          // it lies in the replica's memory
 	Fetch    time.Duration // to bring it from elsewhere; zero: nowhere to be had
+	Link     time.Duration // of it, that the link from there is taken
 	Shared   bool          // it was computed before, so that computing it again is waste
 }
 
@@ -114,7 +120,8 @@
 const sampleSize = 4
 
 // Sampled returns the index of the cheapest of a few candidates: the first ones, which the
-// caller has put in random order, and those that hold more of the prompt than most.
+// caller has put in random order, those that hold more of the prompt than most, and those that
+// are nearer to what they would fetch.
 //
 // Daemons know of each other's requests some 60 ms late. Were each to take the cheapest of
 // all, they would all take the same replica in that time: nine of them sent it up to eleven
@@ -125,19 +132,34 @@
 		return Best(costs, r, candidates)
 	}
 	held := make([]int, len(candidates))
+	link := make([]time.Duration, len(candidates))
 	for i := range candidates {
 		held[i] = candidates[i].resident()
+		link[i] = candidates[i].link()
 	}
-	usual := median(held)
-	return cheapest(costs, r, candidates, func(i int) bool { return i < sampleSize || held[i] > usual })
+	usualHeld, usualLink := median(held), median(link)
+	return cheapest(costs, r, candidates, func(i int) bool {
+		return i < sampleSize || held[i] > usualHeld || link[i] < usualLink
+	})
 }
 
 // median returns the middle one of some numbers, the upper one of two.
-func median(numbers []int) int {
+func median[N cmp.Ordered](numbers []N) N {
 	sorted := slices.Sorted(slices.Values(numbers))
 	return sorted[len(sorted)/2]
 }
 
+// link returns how long the candidate's fetches take of links.
+func (c *Candidate) link() time.Duration {
+	var sum time.Duration
+	for _, p := range c.Parts {
+		if !p.Resident {
+			sum += p.Link
+		}
+	}
+	return sum
+}
+
 // resident returns how many of the prompt's first tokens lie in the replica's memory.
 func (c *Candidate) resident() int {
 	n := 0
@@ -219,7 +241,7 @@
 		case Computed:
 			cost += k.compute(parts[i])
 		case Fetched:
-			cost += parts[i].Fetch
+			cost += parts[i].Fetch + time.Duration(k.Link*float64(parts[i].Link))
 		}
 	}
 	return cost
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -223,3 +223,28 @@
 		t.Errorf("waits 1.5 s for what takes 0.17 s: %v", got)
 	}
 }
+
+// The load: contexts in stores of one failure domain, whose links are nine tenths full, before
+// replicas in five. A fetch to another domain takes the link for twice as long. The prompt goes
+// to a replica near the store, also where none is among those drawn, until that one has more to
+// do than what it spares those behind it.
+func TestReplicaNearTheStoreIsTaken(t *testing.T) {
+	const near, transfer = 17, 30 * time.Millisecond
+	candidates := make([]Candidate, 18)
+	for i := range candidates {
+		link := 2 * transfer
+		if i == near {
+			link = transfer
+		}
+		candidates[i] = Candidate{Slots: 48, Memory: 50_000, SameDomain: i != near, Parts: []Part{
+			{Tokens: 2500, Resident: true}, {Tokens: 5000, Fetch: link, Link: link, Shared: true},
+		}}
+	}
+	if n := Sampled(Default, prompt, candidates); n != near {
+		t.Errorf("placed on %d", n)
+	}
+	candidates[near].Prefill = 10_000
+	if n := Sampled(Default, prompt, candidates); n == near {
+		t.Error("waits 200 ms to spare the link 30")
+	}
+}
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -98,6 +98,7 @@
 	Fetch  bool
 	Save   bool
 	Takes  time.Duration // of a fetch, the queue included
+	Queue  time.Duration // of the link, before the fetch
 	Claim  int64         // names the transfer that is allowed; zero: none is
 	// Full says that the store would have to free parts that are still wanted.
 	Full bool
@@ -272,7 +273,7 @@
 	}
 	p.leave = now.Add(LeaveFor)
 	r.lastLeave = p.leave
-	out := Answer{Reason: ReasonHeld, Fetch: true, Takes: queue + r.p.FirstByte + r.link.transfer(p.tokens)}
+	out := Answer{Reason: ReasonHeld, Fetch: true, Queue: queue, Takes: queue + r.p.FirstByte + r.link.transfer(p.tokens)}
 	if !a.Resident {
 		out.Claim = r.link.use(now, p.tokens)
 	}
