One odd fetch, or one that never ends, does not make a link slow

A replica that first waited for half a second for a dead store told of it as of this store's link, and one such measure counted for nine tenths; and the fetch of a replica that crashed stayed overdue for 2.5 s, so that all later ends counted for nothing.

Change: a measure counts as at most twice the others; a fetch beside one from elsewhere only shortens the queue; one whose try ended before its first token is given back; and overdue ones count for 0.7 s.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
@@ -137,15 +138,30 @@
 	}, nil
 }
 
-// ended returns what follows a try: one that did not run makes none of the saves that it was
-// allowed.
-func (e *Engine) ended(stop func(), salt string, j *relay.Job, stored []Stored) func(ran bool) {
+// ended returns what follows a try. One that did not run makes none of the transfers that it
+// was allowed; one that ended before its first token, as its replica crashed or its caller left,
+// is of no use to the link's estimate, and may have saved something.
+func (e *Engine) ended(stop func() (told bool), salt string, j *relay.Job, stored []Stored) func(ran bool) {
 	return func(ran bool) {
-		stop()
-		if !ran {
+		told := stop()
+		switch {
+		case !ran:
 			e.release(salt, j, stored)
+		case !told:
+			e.release(salt, j, fetches(stored))
+		}
+	}
+}
+
+// fetches returns those of some parts that are fetched.
+func fetches(stored []Stored) []Stored {
+	out := make([]Stored, len(stored))
+	for i, s := range stored {
+		if s.Fetch {
+			out[i] = s
 		}
 	}
+	return out
 }
 
 func (e *Engine) release(salt string, j *relay.Job, unused []Stored) {
@@ -210,30 +226,36 @@
 
 // watchFetch tells the keeper of the store that most is fetched from how that went: when the
 // first token has come, and before that if it is overdue. What else a replica does before its
-// first token is taken off; one with much to do is not said to be overdue, since it may be the
-// cause itself.
-func (e *Engine) watchFetch(c *pick.Candidate, need pick.Request, sources []pick.Source, stored []Stored) (first, stop func()) {
+// first token is taken off. One with much to do, or that fetches from elsewhere as well, is not
+// said to be overdue, since that may be the cause: a dead store holds it up for half a second.
+func (e *Engine) watchFetch(c *pick.Candidate, need pick.Request, sources []pick.Source, stored []Stored) (first func(), stop func() (told bool)) {
 	from, told, all := mostFetched(c, sources, stored)
 	if from.Claim == 0 {
-		return func() {}, func() {}
+		return func() {}, func() bool { return true }
 	}
 	computing := time.Duration(pick.Default.ToCompute(need, c.Parts)+c.Prefill) * pick.Default.PrefillPerToken
 	others := computing + all - told
-	busy := c.Prefill > quietPrefill || float64(c.Tokens+need.Tokens) > quietMemory*float64(c.Memory)
+	busy := c.Prefill > quietPrefill || float64(c.Tokens+need.Tokens) > quietMemory*float64(c.Memory) || all > told
 	began := time.Now()
 	tell := func(overdue bool) {
 		took := max(0, time.Since(began)-others)
 		e.Stores.Fetched(from.Store, storeroom.Fetched{Claim: from.Claim, Took: took, Overdue: overdue, Busy: busy})
 	}
-	stop = func() {}
-	if !busy {
-		timer := time.AfterFunc(others+told+fetchOverdue, func() { tell(true) })
-		stop = func() { timer.Stop() }
-	}
-	return func() {
-		stop()
+	timer := time.AfterFunc(others+told+fetchOverdue, func() {
+		if !busy {
+			tell(true)
+		}
+	})
+	var ended atomic.Bool
+	first = func() {
+		timer.Stop()
+		ended.Store(true)
 		tell(false)
-	}, stop
+	}
+	return first, func() bool {
+		timer.Stop()
+		return ended.Load()
+	}
 }
 
 // mostFetched returns the part that is fetched last from the store that most is fetched from,
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -425,3 +425,22 @@
 		}
 	}
 }
+
+// A replica crashes while it fetches. Its fetch never ends, and the keeper must not wait for
+// it; what the replica was to save it may be saving still.
+func TestFetchOfACrashedReplicaIsGivenBack(t *testing.T) {
+	w := newWorld(1)
+	w.shelf.held["w1/shared"] = true
+	p := place(t, w, job("s"))
+	p.Ended(true)
+	if want := []string{"w1/shared"}; !slices.Equal(w.shelf.released, want) {
+		t.Errorf("gave back %v, want %v", w.shelf.released, want)
+	}
+	p = place(t, w, job("t"))
+	w.shelf.released = nil
+	p.First()
+	p.Ended(true)
+	if len(w.shelf.released) > 0 {
+		t.Errorf("gave back %v after the first token", w.shelf.released)
+	}
+}
--- a/internal/policy/storeroom/link.go
+++ b/internal/policy/storeroom/link.go
@@ -17,8 +17,15 @@
 	// measureOver is the time over which measured speeds are averaged: some ten fetches of a
 	// busy store, each of which is measured to some ten ms.
 	measureOver = 400 * time.Millisecond
+	// maxStep bounds what one measured speed may differ from the others: a replica that first
+	// waited for another store, which is dead, tells of half a second that this link did not
+	// take.
+	maxStep = 2.0
 	// idleGain is the part of its slowness that a link keeps for each fetch that did not wait.
 	idleGain = 0.8
+	// overdueFor is how long an overdue fetch counts as under way. One of a replica that hangs
+	// never ends; a slow link has others to tell of.
+	overdueFor = 700 * time.Millisecond
 	// slowOnce is the time in which overdue fetches count as one: they waited in the same
 	// queue. slowFor is how long without news makes a link faster again.
 	slowOnce = 300 * time.Millisecond
@@ -46,7 +53,7 @@
 	grants   []grant   // in order
 	last     grant     // of the fetch that ended last, by the order of grants
 	lastEnd  time.Time
-	overdue  []grant // fetches that have not ended, long after they should have
+	overdue  []overdue
 	claims   int64
 }
 
@@ -57,6 +64,12 @@
 	tokens int
 }
 
+// overdue is a fetch that had not ended at a moment, long after it should have.
+type overdue struct {
+	claim int64
+	at    time.Time
+}
+
 // newLink returns an idle link. Its claims are no other keeper's: they count from the time.
 func newLink(now time.Time, perSec float64) *link {
 	return &link{perSec: perSec, slowness: 1, claims: now.UnixNano()}
@@ -98,6 +111,7 @@
 	if !known {
 		return
 	}
+	l.forget(claim)
 	l.free = now.Add(max(0, l.queue(now)-l.busyFor(l.grants[i].tokens)))
 	l.grants = slices.Delete(l.grants, i, i+1)
 }
@@ -124,10 +138,15 @@
 // wait too long and computed it. Taken for an end it would make a link look idle that has more
 // to carry than anybody waits for, and so make it fuller still.
 func (l *link) overtakes(now time.Time, claim int64) bool {
-	l.overdue = slices.DeleteFunc(l.overdue, func(g grant) bool {
-		return g.claim == claim || now.Sub(g.at) > LeaveFor
+	l.forget(claim)
+	return slices.ContainsFunc(l.overdue, func(o overdue) bool {
+		return o.claim < claim && now.Sub(o.at) < overdueFor
 	})
-	return slices.ContainsFunc(l.overdue, func(g grant) bool { return g.claim < claim })
+}
+
+// forget notes that a fetch is not under way any more.
+func (l *link) forget(claim int64) {
+	l.overdue = slices.DeleteFunc(l.overdue, func(o overdue) bool { return o.claim == claim })
 }
 
 // onEnded is told that a fetch has ended, and how long it took.
@@ -169,19 +188,20 @@
 		return
 	}
 	weight := 1 - math.Exp(-took.Seconds()/measureOver.Seconds())
-	measured := l.slowness + weight*(took.Seconds()/nominal-l.slowness)
-	l.slowness = min(max(measured, minSlowness), maxSlowness)
+	measured := min(max(took.Seconds()/nominal, l.slowness/maxStep), l.slowness*maxStep)
+	l.slowness += weight * (measured - l.slowness)
+	l.slowness = min(max(l.slowness, minSlowness), maxSlowness)
 	l.newsAt = now
 }
 
 // onOverdue is told that a fetch takes much longer than told and has not ended. The link is
 // then taken to be twice as slow, and to have all before it whose transfer was allowed later.
 func (l *link) onOverdue(now time.Time, claim int64) {
-	i, known := l.find(claim)
-	if !known {
+	if _, known := l.find(claim); !known {
 		return
 	}
-	l.overdue = append(l.overdue, l.grants[i])
+	l.overdue = slices.DeleteFunc(l.overdue, func(o overdue) bool { return now.Sub(o.at) >= overdueFor })
+	l.overdue = append(l.overdue, overdue{claim: claim, at: now})
 	if now.Sub(l.newsAt) >= slowOnce {
 		l.slowness = min(maxSlowness, 2*l.slowness)
 		l.newsAt = now
--- a/internal/policy/storeroom/link_test.go
+++ b/internal/policy/storeroom/link_test.go
@@ -207,3 +207,46 @@
 		t.Errorf("the queue is %s after its last fetch", got)
 	}
 }
+
+// A replica waits for half a second for another store, which is dead, and then fetches from
+// this one. Its word made the link sixteen times slower at once, and prompts were computed for
+// a second.
+func TestOneOddFetchDoesNotMakeALinkSlow(t *testing.T) {
+	r := open(100_000)
+	save(t, r, at(0), ask("a", 1000)) // 10 ms
+	first := r.Ask(at(1000), ask("a", 1000))
+	odd := r.Ask(at(1010), ask("a", 1000))
+	r.OnFetched(at(1020), Fetched{Claim: first.Claim, Took: 20 * time.Millisecond})
+	r.OnFetched(at(1610), Fetched{Claim: odd.Claim, Took: 600 * time.Millisecond})
+	if got := r.Slowness(); got > 2 {
+		t.Errorf("slowness %g", got)
+	}
+	if got := r.Ask(at(1611), ask("a", 1000)); !got.Fetch || got.Takes > 100*time.Millisecond {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A replica crashes, or hangs, while it fetches: the fetch is overdue and never ends. All later
+// ones overtake it and were taken for nothing, so that a well link stayed slow for seconds.
+func TestFetchThatNeverEndsIsForgotten(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		r := open(100_000)
+		save(t, r, at(0), ask("a", 1000))
+		dead := r.Ask(at(1000), ask("a", 1000))
+		r.OnFetched(at(1300), Fetched{Claim: dead.Claim, Took: 300 * time.Millisecond, Overdue: true})
+		if gone {
+			r.Release(at(1310), Key{"w1", "a"}, dead.Claim)
+		}
+		for i := range 12 { // 10 a second
+			now := at(1400 + 100*i)
+			got := r.Ask(now, ask("a", 1000))
+			r.OnFetched(now.Add(20*time.Millisecond), Fetched{Claim: got.Claim, Took: 20 * time.Millisecond})
+			if gone && r.Slowness() > 2 {
+				t.Fatalf("slowness %g after the fetch was given up", r.Slowness())
+			}
+		}
+		if got := r.Slowness(); got > 1.3 {
+			t.Errorf("given up %t: slowness %g a second later", gone, got)
+		}
+	}
+}
--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -21,7 +21,7 @@
 	return New(at(-10_000), Params{Tokens: tokens, TokensPerSec: 100_000, FirstByte: time.Millisecond})
 }
 
-func overdue(r *Room, now time.Time, claim int64) {
+func tellOverdue(r *Room, now time.Time, claim int64) {
 	r.OnFetched(now, Fetched{Claim: claim, Took: time.Second, Overdue: true})
 }
 
@@ -133,7 +133,7 @@
 	save(t, r, at(0), ask("a", 1000)) // 10 ms at full speed
 	takes := r.Ask(at(1000), ask("a", 1000)).Takes
 	for i := range 2 {
-		overdue(r, at(2000+400*i), r.Ask(at(1900+400*i), ask("a", 1000)).Claim)
+		tellOverdue(r, at(2000+400*i), r.Ask(at(1900+400*i), ask("a", 1000)).Claim)
 	}
 	if got := r.Ask(at(2800), ask("a", 1000)).Takes; got < 3*takes {
 		t.Errorf("takes %s, %s before", got, takes)
@@ -344,7 +344,7 @@
 func TestOneComplaintRefusesNoFetch(t *testing.T) {
 	r := open(10_000)
 	save(t, r, at(0), ask("a", 1000))
-	overdue(r, at(2000), r.Ask(at(1900), ask("a", 1000)).Claim)
+	tellOverdue(r, at(2000), r.Ask(at(1900), ask("a", 1000)).Claim)
 	if got := r.Ask(at(2001), ask("a", 1000)); !got.Fetch || got.Takes > 100*time.Millisecond {
 		t.Errorf("got %+v", got)
 	}
