--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -164,6 +164,7 @@
 	return out
 }
 
+// release gives back what the stores allowed under a salt.
 func (e *Engine) release(salt string, j *relay.Job, unused []Stored) {
 	if e.Stores != nil {
 		e.Stores.Release(salt, j.Parts, unused)
--- a/internal/policy/storeroom/link.go
+++ b/internal/policy/storeroom/link.go
@@ -116,6 +116,7 @@
 	l.grants = slices.Delete(l.grants, i, i+1)
 }
 
+// find returns the index of a claim's grant, or where it would be, and whether it is known.
 func (l *link) find(claim int64) (int, bool) {
 	return slices.BinarySearchFunc(l.grants, claim, func(g grant, claim int64) int { return cmp.Compare(g.claim, claim) })
 }
@@ -170,7 +171,8 @@
 	l.free = end.Add(l.busyFor(l.after(claim)))
 }
 
-// onEndedLate is told that a fetch has ended some time ago: its replica had much to do.
+// onEndedLate is told that a fetch has ended, maybe some time ago: its replica had much else to
+// do. That can only mean that less is left than thought.
 func (l *link) onEndedLate(now time.Time, claim int64) {
 	_, known := l.find(claim)
 	if l.overtakes(now, claim) || !known {
--- a/internal/policy/storeroom/storeroom.go
+++ b/internal/policy/storeroom/storeroom.go
@@ -99,7 +99,7 @@
 	Save   bool
 	Takes  time.Duration // of a fetch, the queue included
 	Queue  time.Duration // of the link, before the fetch
-	Claim  int64         // names the transfer that is allowed; zero: none is
+	Claim  int64         // names the transfer that is counted on the link; zero: none is
 	// Full says that the store would have to free parts that are still wanted.
 	Full bool
 }
@@ -286,7 +286,8 @@
 	Took  time.Duration // so far, if it is overdue
 	// Overdue is set if it has not ended, long after it should have.
 	Overdue bool
-	// Busy is set if the replica had much to do, which may be why it took so long.
+	// Busy is set if the replica had much to do, or fetched from elsewhere as well, which may be
+	// why it took so long.
 	Busy bool
 }
 
