A part thought resident is fetched only where that is worth it

Cause: for a part that is thought to lie in a replica's memory a source is named all the same, in case it does not, and nobody counts it on the source's link. In the log of one replica each verdict then takes 700 ms, those that fetch nothing as well: as long as fetches may take, and the computing after it. Prompts that wait take the memory, the beginnings that prompts share are dropped, and all are fetched anew over the slow links.

Ruled out: too much to compute (5,000 to 15,000 tokens wait at a replica, 0.1 to 0.3 s); one prompt that holds up those behind it alone (short prompts pass them in 50 ms); how long overdue fetches count (not one figure differs).

The test fails without the change.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -280,21 +280,25 @@
 	return last, from, all
 }
 
-// unfetch takes back the sources of parts that are sooner computed than fetched, and of
-// all after them. It returns what of them the stores count on being fetched.
+// unfetch takes back the sources of parts that are sooner computed than fetched, and of all after
+// them. It returns what of them the stores count on being fetched.
+//
+// Also of a part that is thought to lie in the replica's memory: often it does not, and then it
+// comes over a link that nobody counted it on. A link that had turned slow was held full by the
+// beginnings that prompts share, which all replicas fetched anew while waiting prompts took their
+// memory; each prompt waited for as long as fetches may take, for seconds after the link was well.
 func unfetch(send *relay.Send, parts []pick.Part, sources []pick.Source, stored []Stored) []Stored {
 	unused := make([]Stored, len(parts))
+	computed := false
 	for i, source := range sources {
-		if source != pick.Computed || parts[i].Fetch == 0 {
+		computed = computed || source == pick.Computed && parts[i].Fetch > 0
+		if !computed && (source != pick.Resident || pick.Default.WorthFetching(parts[i])) {
 			continue
 		}
-		for n := i; n < len(parts); n++ {
-			send.FetchFrom[n] = ""
-			if stored[n].Fetch {
-				unused[n] = stored[n]
-			}
+		send.FetchFrom[i] = ""
+		if stored[i].Fetch {
+			unused[i] = stored[i]
 		}
-		break
 	}
 	return unused
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -444,3 +444,23 @@
 		t.Errorf("gave back %v after the first token", w.shelf.released)
 	}
 }
+
+// The load: a store's link has turned slow, and replicas' memories are full of prompts that wait
+// for it, so that the beginnings that prompts share are dropped there, which nobody notices. A
+// source is named for a part that is thought to be there, in case it is not: were it named now,
+// each prompt would fetch the beginning over the slow link, and none would be in time.
+func TestResidentPartIsNotFetchedOverASlowLink(t *testing.T) {
+	for _, c := range []struct {
+		takes time.Duration
+		named bool
+	}{{20 * time.Millisecond, true}, {500 * time.Millisecond, false}} {
+		w := newWorld(1)
+		done(place(t, w, job("s"))) // its parts are thought to lie there from now on
+		w.shelf.held["w1/shared"] = true
+		w.shelf.takes = c.takes
+		p := place(t, w, job("s"))
+		if named := p.Send.FetchFrom[0] != ""; named != c.named {
+			t.Errorf("%s: fetch from %q", c.takes, p.Send.FetchFrom)
+		}
+	}
+}
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -209,7 +209,7 @@
 		switch {
 		case p.Resident:
 			out[i] = Resident
-		case p.Fetch > 0 && p.Fetch < k.compute(p):
+		case k.WorthFetching(p):
 			out[i] = Fetched
 		default:
 			return out
@@ -218,6 +218,10 @@
 	return out
 }
 
+// WorthFetching reports whether a part can be had from elsewhere at less than what it costs to
+// compute it.
+func (k Costs) WorthFetching(p Part) bool { return p.Fetch > 0 && p.Fetch < k.compute(p) }
+
 // compute returns the cost of computing a part.
 func (k Costs) compute(p Part) time.Duration {
 	cost := time.Duration(p.Tokens) * k.PrefillPerToken
