--- a/internal/policy/storeroom/storeroom_test.go
+++ b/internal/policy/storeroom/storeroom_test.go
@@ -170,12 +170,13 @@
 }
 
 // Whatever comes in whatever order, the store is never told to free a part that some
-// replica may fetch, and never to write one that it may be fetched from.
+// replica may fetch, and never to write one that it may be fetched from, or that is being
+// written. Claims are given back late, twice, and after the store has restarted.
 func TestLeaveIsNeverBroken(t *testing.T) {
 	// Restarts are seldom, so that the room fills and must be freed.
 	steps := []string{"restart", "list", "list", "late removal", "late removal"}
 	for range 30 {
-		steps = append(steps, "ask", "ask", "ask", "ask", "stored", "free")
+		steps = append(steps, "ask", "ask", "ask", "ask", "stored", "free", "release", "fetched")
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		r := open(2000)
@@ -183,6 +184,12 @@
 		leave := map[Key]time.Time{}
 		present := map[Key]bool{} // in the store, whole
 		writing := map[Key]int{}
+		writer := map[Key]int64{} // the claim under which a part is written
+		type claim struct {
+			key Key
+			id  int64
+		}
+		var claims []claim
 		for range rapid.IntRange(100, 400).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 1, 5, 5, 20, 20, 100, 100, 2000}).Draw(rt, "ms")) * time.Millisecond)
 			key := Key{fmt.Sprint("w", rapid.IntRange(1, 3).Draw(rt, "weights")), fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "id"))}
@@ -200,8 +207,31 @@
 					if leave[key].After(now) {
 						rt.Fatalf("%v is written while it may be fetched", key)
 					}
-					writing[key] = a.Tokens
+					if writing[key] > 0 {
+						rt.Fatalf("%v is written twice at once", key)
+					}
+					writing[key], writer[key] = a.Tokens, got.Claim
+				}
+				if got.Claim != 0 {
+					claims = append(claims, claim{key, got.Claim})
+				}
+			case "release":
+				if len(claims) == 0 {
+					continue
+				}
+				c := rapid.SampledFrom(claims).Draw(rt, "claim")
+				if writer[c.key] == c.id {
+					delete(writing, c.key) // what is given back is not written
+				}
+				r.Release(now, c.key, c.id)
+			case "fetched":
+				if len(claims) == 0 {
+					continue
 				}
+				r.OnFetched(now, Fetched{
+					Claim: rapid.SampledFrom(claims).Draw(rt, "claim").id, Took: time.Duration(rapid.IntRange(0, 3000).Draw(rt, "took")) * time.Millisecond,
+					Overdue: rapid.Bool().Draw(rt, "overdue"), Busy: rapid.Bool().Draw(rt, "busy"),
+				})
 			case "stored":
 				for k, tokens := range writing {
 					present[k] = true
