Two tests of links fail without what they guard

Of ten mutations two passed: an overdue fetch that counts for ever, hidden by the recovery after a second without news, and a busy replica's word that lengthens the queue. Both fail now, and so does a fetch that is given back but not forgotten.

--- a/internal/policy/storeroom/link_test.go
+++ b/internal/policy/storeroom/link_test.go
@@ -196,6 +196,7 @@
 	r := open(100_000)
 	save(t, r, at(0), ask("a", 10_000))
 	first := r.Ask(at(1000), ask("a", 10_000))
+	r.Ask(at(1001), ask("a", 10_000))
 	queue := r.Queue(at(1500))
 	r.OnFetched(at(1500), Fetched{Claim: first.Claim, Took: 500 * time.Millisecond, Busy: true})
 	if got := r.Queue(at(1500)); got > queue || r.Slowness() != 1 {
@@ -237,16 +238,16 @@
 		if gone {
 			r.Release(at(1310), Key{"w1", "a"}, dead.Claim)
 		}
-		for i := range 12 { // 10 a second
+		for i := range 9 { // 10 a second
 			now := at(1400 + 100*i)
 			got := r.Ask(now, ask("a", 1000))
 			r.OnFetched(now.Add(20*time.Millisecond), Fetched{Claim: got.Claim, Took: 20 * time.Millisecond})
-			if gone && r.Slowness() > 2 {
-				t.Fatalf("slowness %g after the fetch was given up", r.Slowness())
+			if gone && i >= 2 && r.Slowness() > 1.3 {
+				t.Fatalf("slowness %g after the fetch was given up and %d others ended", r.Slowness(), i+1)
 			}
 		}
 		if got := r.Slowness(); got > 1.3 {
-			t.Errorf("given up %t: slowness %g a second later", gone, got)
+			t.Errorf("given up %t: slowness %g 0.9 s later", gone, got)
 		}
 	}
 }
