Claims are given back once, and keepers looked up in one place

What several keepers allowed and a prompt does not use goes back in one message a keeper, not one an answer, and what was given back before a try is not given back again when it did not run. Whether a store's keeper can be asked stood three times in the asker, the look-up of a kept store twice in the keeper: one function each. A link remembers the claim that ended last, not its whole grant, and adds up what is left once. No decision changes.

--- a/internal/contextstore/asker.go
+++ b/internal/contextstore/asker.go
@@ -120,6 +120,7 @@
 	}
 	wg.Wait()
 	until := int64(0)
+	unused := make([]placer.Stored, len(parts))
 	for i, q := range questions {
 		if answers[i] == nil || len(answers[i].Parts) != len(q.at) {
 			continue
@@ -127,15 +128,15 @@
 		if leave := answers[i].LeaveUntilMs; leave > 0 && (until == 0 || leave < until) {
 			until = leave
 		}
-		a.Release(salt, parts, a.merge(out, q, answers[i]))
+		a.merge(out, unused, q, answers[i])
 	}
+	a.Release(salt, parts, unused)
 	return out, until
 }
 
-// merge notes what a keeper answered, and returns what is not used of it, part by part. A part
-// may be asked for at two stores; what can be fetched goes before what can be saved.
-func (a *Asker) merge(out []placer.Stored, q *question, r *ClaimResponse) []placer.Stored {
-	unused := make([]placer.Stored, len(out))
+// merge notes what a keeper answered, part by part, and what is not used of it. A part may be
+// asked for at two stores; what can be fetched goes before what can be saved.
+func (a *Asker) merge(out, unused []placer.Stored, q *question, r *ClaimResponse) {
 	for i, answer := range r.Parts {
 		store := q.stores[i]
 		a.note(string(store.ID), answer)
@@ -153,9 +154,11 @@
 			unused[at] = got
 			continue
 		}
-		out[at], unused[at] = got, out[at]
+		if out[at].Save {
+			unused[at] = out[at]
+		}
+		out[at] = got
 	}
-	return unused
 }
 
 // note remembers what an answer says of the store itself.
@@ -174,12 +177,11 @@
 func (a *Asker) questions(salt string, parts []relay.Part, resident []bool) []*question {
 	byKeeper := map[string]*question{}
 	var order []*question
-	holders := *a.holders.Load()
 	stores := a.o.Stores()
 	for i, p := range parts {
 		for _, store := range a.storesFor(stores, p) {
-			h := holders[string(store.ID)]
-			if h.Address == "" || a.isDeaf(h.Address) {
+			h, listens := a.holder(store.ID)
+			if !listens {
 				continue
 			}
 			q := byKeeper[h.Address]
@@ -253,8 +255,8 @@
 // Fetched implements placer.Stores. The keeper hears of it at once: told with the next question,
 // it heard of a slow link two seconds late.
 func (a *Asker) Fetched(store routing.ServiceID, f storeroom.Fetched) {
-	h := (*a.holders.Load())[string(store)]
-	if h.Address == "" || a.isDeaf(h.Address) {
+	h, listens := a.holder(store)
+	if !listens {
 		return
 	}
 	r := &FetchedRequest{Store: string(store), Claim: f.Claim, TookUs: f.Took.Microseconds(), Overdue: f.Overdue, Busy: f.Busy}
@@ -285,6 +287,12 @@
 	return (*a.holders.Load())[string(store)].Epoch
 }
 
+// holder returns the keeper of a store, and whether it can be asked now.
+func (a *Asker) holder(store routing.ServiceID) (h lease.Holder, listens bool) {
+	h = (*a.holders.Load())[string(store)]
+	return h, h.Address != "" && !a.isDeaf(h.Address)
+}
+
 func (a *Asker) isDeaf(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -294,10 +302,12 @@
 // Release implements placer.Stores. Nothing waits for the keepers to hear of it.
 func (a *Asker) Release(salt string, parts []relay.Part, unused []placer.Stored) {
 	requests := map[lease.Holder]*ReleaseRequest{}
-	holders := *a.holders.Load()
 	for i, u := range unused {
-		h := holders[string(u.Store)]
-		if u.Claim == 0 || h.Address == "" || a.isDeaf(h.Address) {
+		if u.Claim == 0 {
+			continue
+		}
+		h, listens := a.holder(u.Store)
+		if !listens {
 			continue
 		}
 		if requests[h] == nil {
--- a/internal/contextstore/keeper.go
+++ b/internal/contextstore/keeper.go
@@ -160,9 +160,7 @@
 // current returns what is kept here of a store; nil if nothing is, or another daemon is
 // known to keep it.
 func (s *StoreKeeper) current(store routing.ServiceID) *kept {
-	s.mu.Lock()
-	k := s.stores[store]
-	s.mu.Unlock()
+	k := s.keptStore(store)
 	if k == nil {
 		return nil
 	}
@@ -251,7 +249,7 @@
 		byStore[p.Store] = append(byStore[p.Store], i)
 	}
 	for store, at := range byStore {
-		k := s.keptStore(store)
+		k := s.keptStore(routing.ServiceID(store))
 		if k == nil {
 			for _, n := range at {
 				out.Parts[n].NotKept = true
@@ -279,7 +277,7 @@
 // Release implements Keeper.
 func (s *StoreKeeper) Release(_ context.Context, r *ReleaseRequest) (*ReleaseResponse, error) {
 	for _, p := range r.Parts {
-		if k := s.keptStore(p.Store); k != nil {
+		if k := s.keptStore(routing.ServiceID(p.Store)); k != nil {
 			k.release(storeroom.Key{Salt: r.Salt, ID: p.Id}, p.Claim)
 		}
 	}
@@ -288,16 +286,16 @@
 
 // Fetched implements Keeper.
 func (s *StoreKeeper) Fetched(_ context.Context, r *FetchedRequest) (*FetchedResponse, error) {
-	if k := s.keptStore(r.Store); k != nil {
+	if k := s.keptStore(routing.ServiceID(r.Store)); k != nil {
 		took := time.Duration(r.TookUs) * time.Microsecond
 		k.fetched(storeroom.Fetched{Claim: r.Claim, Took: took, Overdue: r.Overdue, Busy: r.Busy})
 	}
 	return &FetchedResponse{}, nil
 }
 
-// keptStore returns what is kept here of a store; nil if nothing is.
-func (s *StoreKeeper) keptStore(store string) *kept {
+// keptStore returns what is kept here of a store, whether it serves or not; nil if nothing is.
+func (s *StoreKeeper) keptStore(store routing.ServiceID) *kept {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stores[routing.ServiceID(store)]
+	return s.stores[store]
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -281,7 +281,8 @@
 }
 
 // unfetch takes back the sources of parts that are sooner computed than fetched, and of all after
-// them. It returns what of them the stores count on being fetched.
+// them. It returns what of them the stores count on being fetched, and takes their claims out of
+// stored: what is given back now is not given back again when the try ends.
 //
 // Also of a part that is thought to lie in the replica's memory: often it does not, and then it
 // comes over a link that nobody counted it on. A link that had turned slow was held full by the
@@ -298,6 +299,7 @@
 		send.FetchFrom[i] = ""
 		if stored[i].Fetch {
 			unused[i] = stored[i]
+			stored[i].Claim = 0
 		}
 	}
 	return unused
--- a/internal/policy/storeroom/link.go
+++ b/internal/policy/storeroom/link.go
@@ -51,7 +51,7 @@
 	newsAt   time.Time
 	free     time.Time // when all that was allowed is thought to be done
 	grants   []grant   // in order
-	last     grant     // of the fetch that ended last, by the order of grants
+	last     int64     // claim of the fetch that ended last, by the order of grants
 	lastEnd  time.Time
 	overdue  []overdue
 	claims   int64
@@ -77,7 +77,7 @@
 
 // reset is told that the store came back: what it had to carry is gone.
 func (l *link) reset(now time.Time) {
-	l.free, l.grants, l.overdue, l.last = now, nil, nil, grant{}
+	l.free, l.grants, l.overdue, l.last = now, nil, nil, 0
 }
 
 // queue returns how long a transfer waits that is allowed now.
@@ -156,19 +156,19 @@
 	if l.overtakes(now, claim) || !known {
 		return
 	}
-	g := l.grants[i]
-	end := g.at.Add(took) // the first token comes later: more has been computed
+	granted, left := l.grants[i].at, l.after(claim)
+	end := granted.Add(took) // the first token comes later: more has been computed
 	switch {
 	case took < waited:
 		l.slowness = max(min(1, l.slowness), idleGain*l.slowness)
 		l.newsAt = now
-	case g.claim > l.last.claim && g.at.Before(l.lastEnd):
-		l.measure(now, end.Sub(l.lastEnd), l.after(l.last.claim)-l.after(g.claim))
+	case claim > l.last && granted.Before(l.lastEnd):
+		l.measure(now, end.Sub(l.lastEnd), l.after(l.last)-left)
 	}
-	if g.claim > l.last.claim {
-		l.last, l.lastEnd = g, end
+	if claim > l.last {
+		l.last, l.lastEnd = claim, end
 	}
-	l.free = end.Add(l.busyFor(l.after(claim)))
+	l.free = end.Add(l.busyFor(left))
 }
 
 // onEndedLate is told that a fetch has ended, maybe some time ago: its replica had much else to
