--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -50,12 +50,20 @@
 type Follower struct {
 	o         Options
 	mirrors   []*Mirror
-	failing   time.Time // since when calls fail; zero: they don't
 	connected atomic.Bool
 	wake      chan struct{}
 
 	mu        sync.Mutex
 	lapseEnds time.Time
+	failing   time.Time // since when calls fail; zero: they don't
+	listing   time.Time // since when a listing runs; zero: none does
+}
+
+// State tells how a follower stands with the service.
+type State struct {
+	Connected  bool  `json:"connected"`            // the last call succeeded
+	FailingFor int64 `json:"failing_ms,omitempty"` // milliseconds in which no call succeeded
+	ListingFor int64 `json:"listing_ms,omitempty"` // milliseconds since a listing began that is not complete
 }
 
 // New returns a follower that has read nothing yet.
@@ -85,6 +93,21 @@
 // service's answers.
 func (f *Follower) Connected() bool { return f.connected.Load() }
 
+// State returns how the follower stands with the service.
+func (f *Follower) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return State{Connected: f.Connected(), FailingFor: msSince(f.failing), ListingFor: msSince(f.listing)}
+}
+
+// msSince returns the milliseconds since a moment, zero for the zero moment.
+func msSince(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t).Milliseconds()
+}
+
 // Refresh asks for a new listing, for a process that stood still and must not trust what
 // it knows.
 func (f *Follower) Refresh() {
@@ -103,7 +126,7 @@
 			at, err = f.watch(ctx, at)
 		}
 		if err != nil && ctx.Err() == nil {
-			f.o.Logger.Debug("All is listed anew", "cause", err)
+			f.o.Logger.Info("All is listed anew", "cause", err)
 		}
 	}
 	return nil
@@ -114,19 +137,33 @@
 func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
 	var entries []platform.Entry
 	var at platform.Revision
+	begun, tries := time.Now(), 0
+	f.setListing(begun)
+	defer f.setListing(time.Time{})
 	err := f.retried(ctx, func() (err error) {
+		tries++
 		entries, at, err = f.o.KV.List(ctx, f.o.Prefix)
+		if err != nil {
+			f.o.Logger.Debug("A listing fails", "try", tries, "after_ms", time.Since(begun).Milliseconds(), "error", err)
+		}
 		return err
 	})
 	if err != nil {
 		return 0, err
 	}
+	f.o.Logger.Info("All was listed", "entries", len(entries), "revision", at, "tries", tries, "after_ms", time.Since(begun).Milliseconds())
 	for _, m := range f.mirrors {
 		m.takeAll(m.below(entries), at, f.lapsing())
 	}
 	return at, nil
 }
 
+func (f *Follower) setListing(since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listing = since
+}
+
 // watch waits for changes once. After a failure all is listed anew: a list answers
 // at once, so that the end of an outage is known when it comes and not when the next watch
 // has waited its time.
@@ -198,20 +235,22 @@
 
 func (f *Follower) succeeded() {
 	f.connected.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.failing.IsZero() {
 		return
 	}
 	lasted := time.Since(f.failing)
 	f.failing = time.Time{}
 	if lasted >= outageAfter {
-		f.mu.Lock()
 		f.lapseEnds = time.Now().Add(returnGrace)
-		f.mu.Unlock()
 	}
 	f.o.Logger.Info(loglines.KVRegained, "failed_for_ms", lasted.Milliseconds())
 }
 
 func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !f.failing.IsZero() {
 		return
 	}
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 const (
@@ -19,12 +22,21 @@
 	readTimeout = 500 * time.Millisecond
 )
 
+// GroupOptions are the options of NewGroup.
+type GroupOptions struct {
+	Client  *http.Client // to peers
+	Mirrors []*Mirror    // the same on all daemons, in the same order
+	Logger  hclog.Logger
+	Metrics tally.Scope
+}
+
 // Group shares mirrors among daemons. It implements the service Copies.
 type Group struct {
-	client *http.Client
-	log    hclog.Logger
-	order  []string // prefixes
-	by     map[string]*Mirror
+	client  *transfer.Client
+	log     hclog.Logger
+	metrics tally.Scope
+	order   []string // prefixes
+	by      map[string]*Mirror
 
 	mu     sync.Mutex
 	behind map[string]time.Time // by prefix: since when some peer knows more
@@ -32,12 +44,19 @@
 }
 
 // NewGroup returns a group of some mirrors.
-func NewGroup(client *http.Client, log hclog.Logger, mirrors ...*Mirror) *Group {
+func NewGroup(o GroupOptions) *Group {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	c := &Group{
-		client: client, log: log.Named("copies"), by: map[string]*Mirror{},
+		client: &transfer.Client{HTTP: o.Client}, log: o.Logger.Named("copies"), metrics: o.Metrics, by: map[string]*Mirror{},
 		behind: map[string]time.Time{}, busy: map[string]bool{},
 	}
-	for _, m := range mirrors {
+	c.client.Done = c.countReceived
+	for _, m := range o.Mirrors {
 		c.order = append(c.order, m.prefix)
 		c.by[m.prefix] = m
 	}
@@ -93,23 +112,34 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	m := c.by[prefix]
-	known := uint64(m.Newest())
+	known, begun := uint64(m.Newest()), time.Now()
 	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: known})
 	if err != nil {
-		c.log.Info("A peer gives no copy", "peer", peer, "prefix", prefix, "error", err)
+		c.countAsked("failed")
+		c.log.Info("A peer gives no copy", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(begun).Milliseconds(), "error", err)
 		return
 	}
 	if answer.Newest <= known {
+		c.countAsked("nothing_new")
 		return
 	}
+	c.countAsked("taken")
 	entries := make([]platform.Entry, len(answer.Entries))
 	for i, e := range answer.Entries {
 		entries[i] = platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)}
 	}
-	c.log.Info("A peer's copy is taken", "peer", peer, "prefix", prefix, "revision", answer.Newest, "known", known)
+	c.log.Info("A peer's copy is taken", "peer", peer, "prefix", prefix, "revision", answer.Newest, "known", known, "entries", len(answer.Entries), "after_ms", time.Since(begun).Milliseconds())
 	m.takeAll(entries, platform.Revision(answer.Newest), answer.Lapsing)
 }
 
+func (c *Group) countAsked(outcome string) {
+	c.metrics.Tagged(map[string]string{"outcome": outcome}).Counter("copies_asked").Inc(1)
+}
+
+func (c *Group) countReceived(_ *http.Request, result transfer.Result) {
+	c.metrics.Tagged(map[string]string{"whole": strconv.FormatBool(result.Whole)}).Counter("copies_received_bytes").Inc(result.Received)
+}
+
 // Read implements Copies.
 func (c *Group) Read(_ context.Context, r *ReadRequest) (*ReadResponse, error) {
 	m := c.by[r.Prefix]
@@ -128,5 +158,6 @@
 			Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease),
 		})
 	}
+	c.metrics.Counter("copies_given").Inc(1)
 	return out, nil
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 )
@@ -212,6 +210,10 @@
 	}
 }
 
+func newGroup(mirrors ...*Mirror) *Group {
+	return NewGroup(GroupOptions{Client: http.DefaultClient, Mirrors: mirrors})
+}
+
 // The service serves all daemons but one. A key is taken away from a caller, and this
 // daemon goes on serving it for as long as the service refuses to tell. It must learn of
 // the change from a peer that knows more.
@@ -230,10 +232,10 @@
 	}
 	put(t, fine, "p/1", "new")
 
-	peer := httptest.NewServer(NewCopiesServer(NewGroup(http.DefaultClient, hclog.NewNullLogger(), known.mirror)))
+	peer := httptest.NewServer(NewCopiesServer(newGroup(known.mirror)))
 	defer peer.Close()
-	group := NewGroup(http.DefaultClient, hclog.NewNullLogger(), behind.mirror)
-	told := NewGroup(http.DefaultClient, hclog.NewNullLogger(), known.mirror)
+	group := newGroup(behind.mirror)
+	told := newGroup(known.mirror)
 	for deadline := time.Now().Add(5 * time.Second); c.get("p/1") != "new"; {
 		if time.Now().After(deadline) {
 			t.Fatal("the peer's copy was not taken")
