Answers are bounded by their progress and no longer as a whole

Callers saw routes and keys decided by a version that had been replaced for up to nine seconds, and answers late in the seconds after each large change. Cause: every call had a time limit for the whole answer. A desired state of 1.1 MB takes a link of 10 Mbit/s 0.9 s; a watch had half a second beyond its wait, a page 1.5 s while peers' copies took their part of the link, a copy half a second. What was cut shortly before its end was asked for again, so the link stayed full and nothing came of it. Class: a fixed limit on work whose size grows, and work thrown away.

The mend: package transfer bounds the time until an answer begins, and then the time in which its next bytes must come. A cut is noticed as soon as before, and what makes progress always ends.

Ruled out: the service (renewals in milliseconds), processor, memory, dropped history.

--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -18,7 +18,8 @@
 	// behindFor is how long a peer must know of a newer change before its copy is asked
 	// for: the watch of this daemon is mostly about to tell it.
 	behindFor = 250 * time.Millisecond
-	// readTimeout bounds one question to a peer.
+	// readTimeout bounds the time until a peer's answer begins. How long it lasts depends on its
+	// size.
 	readTimeout = 500 * time.Millisecond
 )
 
@@ -52,7 +53,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	c := &Group{
-		client: &transfer.Client{HTTP: o.Client}, log: o.Logger.Named("copies"), metrics: o.Metrics, by: map[string]*Mirror{},
+		client: &transfer.Client{HTTP: o.Client, Head: readTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics, by: map[string]*Mirror{},
 		behind: map[string]time.Time{}, busy: map[string]bool{},
 	}
 	c.client.Done = c.countReceived
@@ -109,8 +110,6 @@
 		delete(c.busy, prefix)
 		delete(c.behind, prefix)
 	}()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	m := c.by[prefix]
 	known, begun := uint64(m.Newest()), time.Now()
 	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: known})
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -1,13 +1,39 @@
-// Package transfer reads answers over HTTP whose size nobody knows beforehand, and tells of
-// one that is cut how much of it had come, and in which time. A link that is too small for an
-// answer shows as many bytes, a connection that went silent as none.
+// Package transfer reads answers over HTTP whose size nobody knows beforehand.
+//
+// A time limit on a whole answer fails for each one that is larger than the link brings in that
+// time. What had come is thrown away and asked for again, so that the link is full for as long as
+// somebody wants the answer, and nobody gets it. A Client therefore bounds the time until an
+// answer begins, and then the time in which its next bytes must come: an answer that makes
+// progress is read to its end however large it is, and a connection that went silent, or brings
+// next to nothing, is given up within a second.
+//
+// An answer that is cut tells how much of it had come, and in which time. A link that is too
+// small shows as many bytes, a path that is gone as none.
 package transfer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// stallTimeout is the time in which the next minProgress bytes of an answer must come. Lost
+	// packets are repeated within a few hundred milliseconds, also when some are lost in a row.
+	stallTimeout = time.Second
+	// minProgress in a stallTimeout is 130 kbit/s: a connection that brings less is of no use
+	// beside another one.
+	minProgress = 16 << 10
+)
+
+// Errors of calls that are given up. Test for them with errors.Is.
+var (
+	ErrNoAnswer = errors.New("transfer: no answer in time")
+	ErrStalled  = errors.New("transfer: the answer makes no progress")
 )
 
 // CutError says that an answer ended early.
@@ -34,34 +60,64 @@
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	HTTP *http.Client
+	// Head bounds the time until an answer begins.
+	Head time.Duration
 	// Done is told of each body when it is closed; nil: nobody is.
 	Done func(r *http.Request, result Result)
 }
 
 // Do sends a request. The answer's body must be closed.
-func (c *Client) Do(r *http.Request) (*http.Response, error) {
+func (c *Client) Do(r *http.Request) (*http.Response, error) { return c.DoWithin(r, c.Head) }
+
+// DoWithin is Do with another bound on the time until the answer begins.
+func (c *Client) DoWithin(r *http.Request, head time.Duration) (*http.Response, error) {
 	begun := time.Now()
-	answer, err := c.HTTP.Do(r)
+	ctx, giveUp := context.WithCancelCause(r.Context())
+	limit := time.AfterFunc(head, func() { giveUp(ErrNoAnswer) })
+	answer, err := c.HTTP.Do(r.WithContext(ctx))
+	limit.Stop()
 	if err != nil {
+		err = because(ctx, err)
+		giveUp(nil)
 		return nil, err
 	}
-	answer.Body = &body{ReadCloser: answer.Body, client: c, request: r, begun: begun}
+	answer.Body = &body{
+		ReadCloser: answer.Body, client: c, request: r, begun: begun, ctx: ctx, giveUp: giveUp,
+		limit: time.AfterFunc(stallTimeout, func() { giveUp(ErrStalled) }),
+	}
 	return answer, nil
 }
 
-// body counts what is read.
+// because returns why a call was given up, or the call's own error if it was not.
+func because(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// body counts what is read, and gives up where nothing comes.
 type body struct {
 	io.ReadCloser
 	client  *Client
 	request *http.Request
 	begun   time.Time
 	result  Result
+
+	ctx    context.Context
+	giveUp context.CancelCauseFunc
+	limit  *time.Timer
+	fresh  int // bytes since the limit was set
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.result.Received += int64(n)
+	if b.fresh += n; b.fresh >= minProgress {
+		b.limit.Reset(stallTimeout)
+		b.fresh = 0
+	}
 	switch err {
 	case nil:
 		return n, nil
@@ -69,14 +125,17 @@
 		b.result.Whole = true
 		return n, io.EOF
 	default:
-		return n, &CutError{Received: b.result.Received, After: time.Since(b.begun), Cause: err}
+		return n, &CutError{Received: b.result.Received, After: time.Since(b.begun), Cause: because(b.ctx, err)}
 	}
 }
 
 // Close implements io.Closer.
 func (b *body) Close() error {
+	b.limit.Stop()
 	if b.client.Done != nil {
 		b.client.Done(b.request, b.result)
 	}
-	return b.ReadCloser.Close()
+	err := b.ReadCloser.Close()
+	b.giveUp(nil)
+	return err
 }
