Copies of peers are compressed, and a slow peer does not hold back what others have

Cause, beside the time limits: copies of the desired state went uncompressed over the links on which the store's answers came, and over those of the daemons that gave them, several at once. A daemon that waited for one peer asked no other, and forgot after a second that it was behind, so that it waited a quarter of a second anew.

Copies are compressed; a second peer is asked after a second; the time behind runs on for as long as peers tell of it.

--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -1,13 +1,16 @@
 package mirror
 
 import (
+	"compress/gzip"
 	"context"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/klauspost/compress/gzhttp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
@@ -18,6 +21,13 @@
 	// behindFor is how long a peer must know of a newer change before its copy is asked
 	// for: the watch of this daemon is mostly about to tell it.
 	behindFor = 250 * time.Millisecond
+	// forgetAfter is how long nobody must have told of a newer change for it to be forgotten.
+	// Daemons repeat what they know several times in it.
+	forgetAfter = time.Second
+	// maxAsks is how many peers are asked for one copy at once, and askAgainAfter how long the
+	// first has for it: a peer whose link is full must not hold back what others have.
+	maxAsks       = 2
+	askAgainAfter = time.Second
 	// readTimeout bounds the time until a peer's answer begins. How long it lasts depends on its
 	// size.
 	readTimeout = 500 * time.Millisecond
@@ -39,9 +49,37 @@
 	order   []string // prefixes
 	by      map[string]*Mirror
 
-	mu     sync.Mutex
-	behind map[string]time.Time // by prefix: since when some peer knows more
-	busy   map[string]bool      // by prefix: a peer is being asked
+	mu   sync.Mutex
+	lags map[string]*lag // by prefix
+}
+
+// lag is what a daemon knows of changes that peers know and it does not.
+type lag struct {
+	told  platform.Revision // newest change that a peer told of
+	since time.Time         // when one was first told that is not known yet; zero: all are
+	heard time.Time         // when one was told last
+	asks  int               // peers that are being asked
+	asked time.Time         // when the last was
+}
+
+// tell notes that a peer knows of a change that this daemon does not, and reports whether to
+// ask for its copy.
+func (l *lag) tell(now time.Time, revision platform.Revision) bool {
+	if l.since.IsZero() || now.Sub(l.heard) > forgetAfter {
+		l.since = now
+	}
+	l.told, l.heard = max(l.told, revision), now
+	if now.Sub(l.since) < behindFor {
+		return false
+	}
+	return l.asks == 0 || l.asks < maxAsks && now.Sub(l.asked) > askAgainAfter
+}
+
+// caughtUp notes what is known by now.
+func (l *lag) caughtUp(known platform.Revision) {
+	if l.told <= known {
+		l.since = time.Time{}
+	}
 }
 
 // NewGroup returns a group of some mirrors.
@@ -53,17 +91,28 @@
 		o.Metrics = tally.NoopScope
 	}
 	c := &Group{
-		client: &transfer.Client{HTTP: o.Client, Head: readTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics, by: map[string]*Mirror{},
-		behind: map[string]time.Time{}, busy: map[string]bool{},
+		client: &transfer.Client{HTTP: o.Client, Head: readTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
+		by: map[string]*Mirror{}, lags: map[string]*lag{},
 	}
 	c.client.Done = c.countReceived
 	for _, m := range o.Mirrors {
 		c.order = append(c.order, m.prefix)
 		c.by[m.prefix] = m
+		c.lags[m.prefix] = &lag{}
 	}
 	return c
 }
 
+// Handler serves Copies. Copies are compressed: a desired state is text in which little is new,
+// and what goes over the links of the daemons that ask and are asked comes down to a tenth.
+func (c *Group) Handler() (http.Handler, error) {
+	compressed, err := gzhttp.NewWrapper(gzhttp.CompressionLevel(gzip.BestSpeed))
+	if err != nil {
+		return nil, errors.Wrap(err, "mirror: compression")
+	}
+	return compressed(NewCopiesServer(c)), nil
+}
+
 // Revisions returns the newest change of each mirror, to be told to peers.
 func (c *Group) Revisions() []uint64 {
 	out := make([]uint64, len(c.order))
@@ -79,36 +128,39 @@
 	if len(revisions) != len(c.order) {
 		return // a daemon of another release
 	}
+	now := time.Now()
 	for i, prefix := range c.order {
-		if revisions[i] > uint64(c.by[prefix].Newest()) {
-			c.noteBehind(ctx, peer, prefix)
+		if c.shouldAsk(now, prefix, platform.Revision(revisions[i])) {
+			go c.ask(ctx, peer, prefix)
 		}
 	}
 }
 
-func (c *Group) noteBehind(ctx context.Context, peer, prefix string) {
+func (c *Group) shouldAsk(now time.Time, prefix string, told platform.Revision) bool {
+	known := c.by[prefix].Newest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	since, known := c.behind[prefix]
-	if !known || now.Sub(since) > 4*behindFor {
-		c.behind[prefix] = now // heard first, or after a time in which all was told
-		return
+	l := c.lags[prefix]
+	if told <= known {
+		l.caughtUp(known)
+		return false
 	}
-	if now.Sub(since) < behindFor || c.busy[prefix] {
-		return
+	if !l.tell(now, told) {
+		return false
 	}
-	c.busy[prefix] = true
-	go c.pull(ctx, peer, prefix)
+	l.asks++
+	l.asked = now
+	return true
 }
 
-// pull takes a peer's copy.
-func (c *Group) pull(ctx context.Context, peer, prefix string) {
+// ask takes a peer's copy.
+func (c *Group) ask(ctx context.Context, peer, prefix string) {
 	defer func() {
+		known := c.by[prefix].Newest()
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		delete(c.busy, prefix)
-		delete(c.behind, prefix)
+		c.lags[prefix].asks--
+		c.lags[prefix].caughtUp(known)
 	}()
 	m := c.by[prefix]
 	known, begun := uint64(m.Newest()), time.Now()
--- /dev/null
+++ b/internal/mirror/group_test.go
@@ -0,0 +1,160 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
+)
+
+// servePeer serves a group's copies and returns its address.
+func servePeer(t *testing.T, g *Group) string {
+	t.Helper()
+	h, err := g.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// filled returns a mirror that nobody keeps up, with some entries at revision at.
+func filled(at platform.Revision, values map[string]string) (*Mirror, *copyOf) {
+	c := newCopy()
+	m := New(Options{KV: kv.NewFake(time.Now).Client("a")}).Mirror("p/", c.apply)
+	var entries []platform.Entry
+	for key, value := range values {
+		entries = append(entries, platform.Entry{Key: key, Value: []byte(value), Revision: at})
+	}
+	m.takeAll(entries, at, false)
+	return m, c
+}
+
+// tellUntil has a group hear of a newer change from some peers, as they tell it many times a
+// second, until a copy has a value.
+func tellUntil(t *testing.T, g *Group, c *copyOf, at uint64, key, want string, peers ...string) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); c.get(key) != want; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s is %q, want %q", key, c.get(key), want)
+		}
+		for _, peer := range peers {
+			g.Heard(context.Background(), peer, []uint64{at})
+		}
+	}
+}
+
+// A daemon is behind and asks a peer, whose link is full: the copy trickles in. Another peer has
+// the change too, and must be asked before the first is given up, or the change comes late.
+func TestAnotherPeerIsAskedWhereTheFirstIsSlow(t *testing.T) {
+	knows, _ := filled(5, map[string]string{"p/1": "new"})
+	behind, c := filled(1, map[string]string{"p/1": "old"})
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		piece := make([]byte, 8<<10) // every tenth of a second: enough to count as progress
+		w.Header().Set("Content-Type", "application/protobuf")
+		for r.Context().Err() == nil {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}))
+	defer slow.Close()
+	defer slow.CloseClientConnections()
+	g := newGroup(behind)
+	slowAddress := strings.TrimPrefix(slow.URL, "http://")
+	for deadline := time.Now().Add(5 * time.Second); !asking(g, "p/"); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the first peer is not asked")
+		}
+		g.Heard(context.Background(), slowAddress, []uint64{5})
+	}
+	begun := time.Now()
+	tellUntil(t, g, c, 5, "p/1", "new", servePeer(t, newGroup(knows)))
+	if took := time.Since(begun); took > askAgainAfter+time.Second {
+		t.Errorf("the change was known after %s", took)
+	}
+}
+
+func asking(g *Group, prefix string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lags[prefix].asks > 0
+}
+
+// Peers tell of a newer change all the while, and the copy of the first that is asked takes
+// seconds. The time since which this daemon is behind must not begin anew meanwhile: no other
+// peer would ever be asked.
+func TestTimeBehindRunsOnWhileACopyComes(t *testing.T) {
+	var l lag
+	start := time.Now()
+	asked := time.Duration(0)
+	for at := time.Duration(0); at < 3*time.Second; at += 60 * time.Millisecond {
+		if !l.tell(start.Add(at), 5) {
+			continue
+		}
+		l.asks++
+		l.asked = start.Add(at)
+		if l.asks == 1 && (at < behindFor || at > 2*behindFor) {
+			t.Errorf("asked first after %s", at)
+		}
+		asked = at
+	}
+	if l.asks != maxAsks || asked > behindFor+askAgainAfter+200*time.Millisecond {
+		t.Errorf("%d peers asked, the last after %s", l.asks, asked)
+	}
+	l.caughtUp(5)
+	if l.tell(start.Add(4*time.Second), 6); !l.since.Equal(start.Add(4 * time.Second)) {
+		t.Error("the time behind runs on from a change that is known by now")
+	}
+}
+
+// A peer knew of a change and was gone before it could give its copy. Another change comes much
+// later: the watch has its time to tell of it before peers are asked.
+func TestWhatNobodyTellsAnyMoreIsForgotten(t *testing.T) {
+	var l lag
+	start := time.Now()
+	l.tell(start, 5)
+	if l.tell(start.Add(forgetAfter+time.Millisecond), 6) {
+		t.Error("a peer is asked at once")
+	}
+}
+
+// Operators write some thousand routes, and a VM with a small link gives its copy to many. What
+// goes over the link must be a small part of it, or their copies come late and callers wait.
+func TestCopiesAreCompressed(t *testing.T) {
+	var routes strings.Builder
+	for i := range 4000 {
+		fmt.Fprintf(&routes, `{"name":"r-%x","host":"h%x.example","kind":"safe","timeout_ms":800,"target_latency_ms":300},`, i*7919, i*104729)
+	}
+	knows, _ := filled(5, map[string]string{"p/1": routes.String()})
+	r, err := http.NewRequest(http.MethodPost, "http://"+servePeer(t, newGroup(knows))+CopiesPathPrefix+"Read", strings.NewReader(`{"prefix":"p/"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Accept-Encoding", "gzip") // as net/http does by itself, but then it hides the size
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	size, err := io.Copy(io.Discard, answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size == 0 || size > int64(routes.Len()/4) {
+		t.Errorf("%d bytes for a copy of %d", size, routes.Len())
+	}
+}
