--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -101,7 +101,11 @@
 	start := time.Now()
 	asked := time.Duration(0)
 	for at := time.Duration(0); at < 3*time.Second; at += 60 * time.Millisecond {
-		if !l.tell(start.Add(at), 5) {
+		ask := l.tell(start.Add(at), 5)
+		if !l.since.Equal(start) {
+			t.Fatalf("after %s the time behind begins anew", at)
+		}
+		if !ask {
 			continue
 		}
 		l.asks++
