A peer's copy takes nothing away that the peer has not heard of yet, and carries only what changed

A copy was marked by its newest change. While a peer lists page by page that one may be above a change that it lacks: the copy then removed a live entry, here a replica's, and no watch told of it again. A key found gone by a listing raised the newest change above that of the removal, so that daemons that had heard of the removal asked for copies without end. And a copy carried the whole desired state for a changed version of weights.

Each mirror now knows up to which revision it is complete. A key is removed only if the source is complete up to its last change; what a peer tells is news only above what is complete here; and the copy carries the entries that changed since, the others by key. A daemon of an older release asks for and gets whole copies, and one's copy removes nothing.

Seen failing before: the first on each run. The second passed by chance on the code before, as it looked between two asks; it was rewritten to look for any.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -153,7 +153,7 @@
 	}
 	f.o.Logger.Info("All was listed", "entries", len(entries), "revision", at, "tries", tries, "after_ms", time.Since(begun).Milliseconds())
 	for _, m := range f.mirrors {
-		m.takeAll(m.below(entries), at, f.lapsing())
+		m.takeAll(content{entries: m.below(entries), complete: at, lapsing: f.lapsing()})
 	}
 	return at, nil
 }
@@ -185,10 +185,10 @@
 		return at, err
 	}
 	f.connected.Store(true)
+	for _, m := range f.mirrors {
+		m.takeSome(m.below(entries), next, f.lapsing())
+	}
 	if len(entries) > 0 {
-		for _, m := range f.mirrors {
-			m.takeSome(m.below(entries), f.lapsing())
-		}
 		_ = pause.For(ctx, f.o.Gather()) // the loop asks the context itself
 	}
 	return next, nil
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -75,9 +75,9 @@
 	return l.asks == 0 || l.asks < maxAsks && now.Sub(l.asked) > askAgainAfter
 }
 
-// caughtUp notes what is known by now.
-func (l *lag) caughtUp(known platform.Revision) {
-	if l.told <= known {
+// caughtUp ends the lag if all that was told is known by now.
+func (l *lag) caughtUp(m *Mirror) {
+	if m.knows(l.told) {
 		l.since = time.Time{}
 	}
 }
@@ -137,12 +137,13 @@
 }
 
 func (c *Group) shouldAsk(now time.Time, prefix string, told platform.Revision) bool {
-	known := c.by[prefix].Newest()
+	m := c.by[prefix]
+	known := m.knows(told)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.lags[prefix]
-	if told <= known {
-		l.caughtUp(known)
+	if known {
+		l.caughtUp(m)
 		return false
 	}
 	if !l.tell(now, told) {
@@ -153,34 +154,38 @@
 	return true
 }
 
-// ask takes a peer's copy.
+// ask takes a peer's copy. Only what changed since this daemon last knew all of it crosses the
+// link: named weights are a few bytes beside a desired state of a megabyte.
 func (c *Group) ask(ctx context.Context, peer, prefix string) {
+	m := c.by[prefix]
 	defer func() {
-		known := c.by[prefix].Newest()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.lags[prefix].asks--
-		c.lags[prefix].caughtUp(known)
+		c.lags[prefix].caughtUp(m)
 	}()
-	m := c.by[prefix]
-	known, begun := uint64(m.Newest()), time.Now()
-	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: known})
+	known, begun := m.completeTo(), time.Now()
+	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true})
 	if err != nil {
 		c.countAsked("failed")
 		c.log.Info("A peer gives no copy", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(begun).Milliseconds(), "error", err)
 		return
 	}
-	if answer.Newest <= known {
+	if m.knows(platform.Revision(answer.Newest)) {
 		c.countAsked("nothing_new")
 		return
 	}
 	c.countAsked("taken")
-	entries := make([]platform.Entry, len(answer.Entries))
-	for i, e := range answer.Entries {
-		entries[i] = platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)}
-	}
 	c.log.Info("A peer's copy is taken", "peer", peer, "prefix", prefix, "revision", answer.Newest, "known", known, "entries", len(answer.Entries), "after_ms", time.Since(begun).Milliseconds())
-	m.takeAll(entries, platform.Revision(answer.Newest), answer.Lapsing)
+	m.takeAll(answer.content())
+}
+
+func (r *ReadResponse) content() content {
+	c := content{unchanged: r.Unchanged, complete: platform.Revision(r.Complete), lapsing: r.Lapsing}
+	for _, e := range r.Entries {
+		c.entries = append(c.entries, platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)})
+	}
+	return c
 }
 
 func (c *Group) countAsked(outcome string) {
@@ -197,17 +202,17 @@
 	if m == nil {
 		return &ReadResponse{}, nil
 	}
-	lapsing := m.lapsing()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := &ReadResponse{Newest: uint64(m.newest), Lapsing: lapsing}
+	known := platform.Revision(r.NewerThan)
+	if !r.Changes {
+		known = 0 // a daemon of an older release takes whole copies only
+	}
+	given, newest := m.since(known)
+	out := &ReadResponse{Newest: uint64(newest), Lapsing: given.lapsing, Complete: uint64(given.complete), Unchanged: given.unchanged}
 	if out.Newest <= r.NewerThan {
-		return out, nil
+		return &ReadResponse{Newest: out.Newest}, nil
 	}
-	for _, e := range m.present() {
-		out.Entries = append(out.Entries, &CopiedEntry{
-			Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease),
-		})
+	for _, e := range given.entries {
+		out.Entries = append(out.Entries, &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease)})
 	}
 	c.metrics.Counter("copies_given").Inc(1)
 	return out, nil
--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -34,7 +34,7 @@
 	for key, value := range values {
 		entries = append(entries, platform.Entry{Key: key, Value: []byte(value), Revision: at})
 	}
-	m.takeAll(entries, at, false)
+	m.takeAll(content{entries: entries, complete: at})
 	return m, c
 }
 
@@ -118,7 +118,8 @@
 	if l.asks != maxAsks || asked > behindFor+askAgainAfter+200*time.Millisecond {
 		t.Errorf("%d peers asked, the last after %s", l.asks, asked)
 	}
-	l.caughtUp(5)
+	m, _ := filled(5, nil)
+	l.caughtUp(m)
 	if l.tell(start.Add(4*time.Second), 6); !l.since.Equal(start.Add(4 * time.Second)) {
 		t.Error("the time behind runs on from a change that is known by now")
 	}
@@ -162,3 +163,62 @@
 		t.Errorf("%d bytes for a copy of %d", size, routes.Len())
 	}
 }
+
+// A replica registers while a peer lists page by page: it has passed the replica's page, and
+// reads of a later change on another one. Its copy lacks the replica, and is newer all the same.
+// The replica must not be taken for gone by a daemon that knows it: no watch tells of it again.
+func TestCopyOfAPeerThatStillListsTakesNothingAway(t *testing.T) {
+	knows, _ := filled(0, nil)
+	knows.takeAll(content{entries: []platform.Entry{{Key: "p/9", Value: []byte("later"), Revision: 120}}, complete: 100})
+	behind, c := filled(0, nil)
+	behind.takeAll(content{entries: []platform.Entry{{Key: "p/1", Value: []byte("replica"), Revision: 110}}, complete: 110})
+	tellUntil(t, newGroup(behind), c, 120, "p/9", "later", servePeer(t, newGroup(knows)))
+	if got := c.get("p/1"); got != "replica" {
+		t.Errorf("the replica's entry is %q", got)
+	}
+}
+
+// One daemon notices by a listing that a key is gone, the others heard of the removal. The
+// first can't know its revision, takes that of the listing, and tells it to the others: a
+// change they know must not have them ask for copies for ever.
+func TestKnownRemovalIsNotAskedFor(t *testing.T) {
+	lister, _ := filled(1, map[string]string{"p/1": "one"})
+	lister.takeAll(content{complete: 50})
+	watcher, _ := filled(1, map[string]string{"p/1": "one"})
+	watcher.takeSome([]platform.Entry{{Key: "p/1", Revision: 40, Deleted: true}}, 50, false)
+	g, peer := newGroup(watcher), servePeer(t, newGroup(lister))
+	for range 40 {
+		g.Heard(context.Background(), peer, newGroup(lister).Revisions())
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.lags["p/"].asked.IsZero() {
+		t.Error("a copy was asked for")
+	}
+}
+
+// Weights are named: a few bytes beside a desired state of a megabyte. A daemon that learns of it
+// from a peer must not wait for the megabyte that it has, and a key that went meanwhile must go.
+func TestOnlyWhatChangedCrossesTheLink(t *testing.T) {
+	before := map[string]string{"p/state": "large", "p/weights": "1", "p/gone": "x"}
+	knows, _ := filled(5, before)
+	knows.takeSome([]platform.Entry{{Key: "p/weights", Value: []byte("2"), Revision: 7}, {Key: "p/gone", Revision: 8, Deleted: true}}, 9, false)
+	behind, c := filled(5, before)
+	g := newGroup(knows)
+	answer, err := g.Read(context.Background(), &ReadRequest{Prefix: "p/", NewerThan: 5, Changes: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(answer.Entries) != 1 || answer.Entries[0].Key != "p/weights" || len(answer.Unchanged) != 1 || answer.Complete != 9 {
+		t.Errorf("the answer is %v", answer)
+	}
+	tellUntil(t, newGroup(behind), c, 8, "p/weights", "2", servePeer(t, g))
+	if c.get("p/state") != "large" || c.get("p/gone") != "" {
+		t.Errorf("the copy is %v", c.values)
+	}
+	old, err := g.Read(context.Background(), &ReadRequest{Prefix: "p/", NewerThan: 5})
+	if err != nil || len(old.Entries) != 2 {
+		t.Errorf("a daemon of an older release gets %v, %v", old, err)
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,8 +33,20 @@
 	lapsing func() bool // whether a removal may be a lapse now
 
 	mu      sync.Mutex
-	entries map[string]platform.Entry // as read; deleted ones are kept as such for a while
+	entries map[string]platform.Entry // as read; deleted ones are kept as such
 	newest  platform.Revision         // of all changes that are known
+	// complete is the revision up to which all changes are known. It is mostly above newest, since
+	// other keys change too; below it while a listing's later pages tell of changes that its
+	// earlier ones lack.
+	complete platform.Revision
+}
+
+// content is what a source knows of the keys below a prefix.
+type content struct {
+	entries   []platform.Entry
+	unchanged []string          // further keys, whose entries the mirror has
+	complete  platform.Revision // the source knows all changes up to it
+	lapsing   bool              // entries may be missing that lapsed in an outage
 }
 
 // below returns the entries that the mirror copies.
@@ -48,28 +60,35 @@
 	return out
 }
 
-// takeAll takes all there is below the prefix.
-func (m *Mirror) takeAll(entries []platform.Entry, at platform.Revision, lapsing bool) {
+// takeAll takes all there is below the prefix. A key that the source lacks was removed if the
+// source is complete up to the key's last change; else the source may not have heard of it yet.
+func (m *Mirror) takeAll(c content) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
+	present := make(map[string]bool, len(c.entries)+len(c.unchanged))
+	for _, key := range c.unchanged {
+		present[key] = true
+	}
+	for _, e := range c.entries {
 		present[e.Key] = true
 		m.keep(e)
 	}
 	for key, e := range m.entries {
-		if !present[key] && !e.Deleted && e.Revision <= at {
-			m.entries[key] = platform.Entry{Key: key, Revision: at, Deleted: true}
-			m.newest = max(m.newest, at)
+		if !present[key] && !e.Deleted && e.Revision <= c.complete {
+			m.entries[key] = platform.Entry{Key: key, Revision: c.complete, Deleted: true}
+			m.newest = max(m.newest, c.complete)
 		}
 	}
-	m.apply(Update{Entries: m.present(), Full: true, Lapsing: lapsing})
+	m.complete = max(m.complete, c.complete)
+	m.apply(Update{Entries: m.present(), Full: true, Lapsing: c.lapsing})
 }
 
-// takeSome takes changes, and leaves out those that are known already.
-func (m *Mirror) takeSome(entries []platform.Entry, lapsing bool) {
+// takeSome takes all changes up to a revision that came after those that are known, and leaves
+// out what is known already.
+func (m *Mirror) takeSome(entries []platform.Entry, complete platform.Revision, lapsing bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.complete = max(m.complete, complete)
 	var news []platform.Entry
 	for _, e := range entries {
 		if m.keep(e) {
@@ -81,6 +100,26 @@
 	}
 }
 
+// since returns what a mirror that is complete up to a revision needs to be like this one, and
+// the newest change in it; nothing if there is no newer one.
+func (m *Mirror) since(revision platform.Revision) (content, platform.Revision) {
+	c := content{lapsing: m.lapsing()}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.newest <= revision {
+		return content{}, m.newest
+	}
+	c.complete = m.complete
+	for _, e := range m.present() {
+		if e.Revision > revision {
+			c.entries = append(c.entries, e)
+		} else {
+			c.unchanged = append(c.unchanged, e.Key)
+		}
+	}
+	return c, m.newest
+}
+
 // keep notes an entry and reports whether it is news. A copy of a peer may have told it
 // before.
 func (m *Mirror) keep(e platform.Entry) bool {
@@ -108,3 +147,17 @@
 	defer m.mu.Unlock()
 	return m.newest
 }
+
+// knows reports whether a change of some revision is known here.
+func (m *Mirror) knows(revision platform.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return revision <= max(m.newest, m.complete)
+}
+
+// completeTo returns the revision up to which all changes are known.
+func (m *Mirror) completeTo() platform.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.complete
+}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -245,7 +245,7 @@
 	}
 
 	// What the service tells late is older than the copy, and changes nothing.
-	behind.mirror.takeSome([]platform.Entry{{Key: "p/1", Value: []byte("old"), Revision: 1}}, false)
+	behind.mirror.takeSome([]platform.Entry{{Key: "p/1", Value: []byte("old"), Revision: 1}}, 1, false)
 	if got := c.get("p/1"); got != "new" {
 		t.Errorf("the copy went back to %q", got)
 	}
