Each prefix is listed by itself, and is in force when it was read

Nothing was in force before its last page, and one page that failed began it anew with the first: what operators wrote, one key, waited for the pages of hundreds of replicas.

Prefixes are listed in the order of their mirrors, operators' first, and a call that fails repeats only its own prefix. A listing takes some calls more (one a prefix at least) and happens at a start, after a failure and after a standstill. The time for lapses after an outage still begins when all was read.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -21,8 +21,8 @@
 	defaultWait = 8 * time.Second
 	minPause    = 100 * time.Millisecond // between failed calls, at first
 	maxPause    = time.Second
-	// returnGrace is how long after an outage a removal may be of a lease that ran out in
-	// it, with its owner alive. What is removed later has left.
+	// returnGrace is how long after the listing that ends an outage a removal may be of a lease
+	// that ran out in it, with its owner alive. What is removed later has left.
 	returnGrace = time.Second
 	// outageAfter is how long calls must fail to count as an outage. A watch that is cut
 	// and goes on at once is none.
@@ -35,7 +35,8 @@
 // Options of New.
 type Options struct {
 	KV platform.KV
-	// Prefix is that of all keys that are watched; empty: all there are.
+	// Prefix is that of all keys that are watched, and begins the prefix of each mirror; empty:
+	// all there are.
 	Prefix string
 	// Wait returns the longest wait of one watch; nil: 8 s. A watch that was cut without a
 	// word is noticed after it, so that it bounds how late a change may be known.
@@ -54,7 +55,8 @@
 	wake      chan struct{}
 
 	mu        sync.Mutex
-	lapseEnds time.Time
+	returning bool      // the first listing after an outage runs
+	lapseEnds time.Time // after it, a removal is none of a lease that ran out in an outage
 	failing   time.Time // since when calls fail; zero: they don't
 	listing   time.Time // since when a listing runs; zero: none does
 }
@@ -82,7 +84,8 @@
 }
 
 // Mirror adds a copy of the keys below a prefix, which no other mirror may share. apply is
-// called from one goroutine at a time. It must be called before Run.
+// called from one goroutine at a time. It must be called before Run. Mirrors are listed in the
+// order in which they were added: the first is in force first.
 func (f *Follower) Mirror(prefix string, apply func(Update)) *Mirror {
 	m := &Mirror{prefix: prefix, apply: apply, lapsing: f.lapsing, entries: map[string]platform.Entry{}}
 	f.mirrors = append(f.mirrors, m)
@@ -134,28 +137,39 @@
 
 var errRefresh = errors.New("mirror: a new listing is asked for")
 
+// list reads all prefixes, one after the other in the order in which their mirrors were added,
+// and returns the revision from which a watch misses nothing. Each is in force when it was read:
+// with one listing of all, operators' word would wait for the pages of hundreds of replicas,
+// and begin anew with the first page when a call for the last fails.
 func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
-	var entries []platform.Entry
-	var at platform.Revision
-	begun, tries := time.Now(), 0
+	begun := time.Now()
 	f.setListing(begun)
 	defer f.setListing(time.Time{})
-	err := f.retried(ctx, func() (err error) {
-		tries++
-		entries, at, err = f.o.KV.List(ctx, f.o.Prefix)
+	var from platform.Revision
+	total, tries := 0, 0
+	for i, m := range f.mirrors {
+		var entries []platform.Entry
+		var at platform.Revision
+		err := f.retried(ctx, func() (err error) {
+			tries++
+			entries, at, err = f.o.KV.List(ctx, m.prefix)
+			if err != nil {
+				f.o.Logger.Debug("A listing fails", "prefix", m.prefix, "after_ms", time.Since(begun).Milliseconds(), "error", err)
+			}
+			return err
+		})
 		if err != nil {
-			f.o.Logger.Debug("A listing fails", "try", tries, "after_ms", time.Since(begun).Milliseconds(), "error", err)
+			return 0, err
 		}
-		return err
-	})
-	if err != nil {
-		return 0, err
-	}
-	f.o.Logger.Info("All was listed", "entries", len(entries), "revision", at, "tries", tries, "after_ms", time.Since(begun).Milliseconds())
-	for _, m := range f.mirrors {
-		m.takeAll(content{entries: m.below(entries), complete: at, lapsing: f.lapsing()})
+		m.takeAll(content{entries: entries, complete: at, lapsing: f.lapsing()})
+		if i == 0 || at < from {
+			from = at
+		}
+		total += len(entries)
 	}
-	return at, nil
+	f.returned()
+	f.o.Logger.Info("All was listed", "entries", total, "revision", from, "calls", tries, "after_ms", time.Since(begun).Milliseconds())
+	return from, nil
 }
 
 func (f *Follower) setListing(since time.Time) {
@@ -211,7 +225,18 @@
 func (f *Follower) lapsing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.lapseEnds)
+	return f.returning || time.Now().Before(f.lapseEnds)
+}
+
+// returned notes that a listing is complete. The time for lapses begins then: all prefixes were
+// read, so that owners of entries that are missing can be told from those that left.
+func (f *Follower) returned() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.returning {
+		f.returning = false
+		f.lapseEnds = time.Now().Add(returnGrace)
+	}
 }
 
 // retried calls until it succeeds or ctx ends.
@@ -243,7 +268,7 @@
 	lasted := time.Since(f.failing)
 	f.failing = time.Time{}
 	if lasted >= outageAfter {
-		f.lapseEnds = time.Now().Add(returnGrace)
+		f.returning = true
 	}
 	f.o.Logger.Info(loglines.KVRegained, "failed_for_ms", lasted.Milliseconds())
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -302,3 +302,43 @@
 		t.Error("the removal counts as lapsed")
 	}
 }
+
+// slowPages is a service whose listings fail wherever they hold entries of replicas.
+type slowPages struct{ platform.KV }
+
+func (s slowPages) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	entries, at, err := s.KV.List(ctx, prefix)
+	for _, e := range entries {
+		if strings.HasPrefix(e.Key, "replicas/") {
+			return nil, 0, platform.ErrUnavailable
+		}
+	}
+	return entries, at, err
+}
+
+// A daemon lists anew while the service is slow, and a page of the hundreds of replicas fails each
+// time. What operators wrote is one key, which it reads at once, and must be in force; it waited
+// for the replicas' pages, as all was one listing.
+func TestOperatorsWordDoesNotWaitForReplicas(t *testing.T) {
+	store := kv.NewFake(time.Now).Client("a")
+	put(t, store, "op/state", "new")
+	put(t, store, "replicas/1", "ready")
+	f := New(Options{KV: slowPages{store}})
+	operators, replicas := newCopy(), newCopy()
+	f.Mirror("op/", operators.apply)
+	f.Mirror("replicas/", replicas.apply)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx) // ends with ctx
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	operators.await(t, "op/state", "new")
+	if got := replicas.get("replicas/1"); got != "" {
+		t.Errorf("the replica's entry is %q", got)
+	}
+}
