--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -75,6 +75,14 @@
 	return l.asks == 0 || l.asks < maxAsks && now.Sub(l.asked) > askAgainAfter
 }
 
+// lasts returns for how long some change has not been known here that is still told of.
+func (l *lag) lasts(now time.Time, m *Mirror) time.Duration {
+	if l.since.IsZero() || now.Sub(l.heard) > forgetAfter || m.knows(l.told) {
+		return 0
+	}
+	return now.Sub(l.since)
+}
+
 // caughtUp ends the lag if all that was told is known by now.
 func (l *lag) caughtUp(m *Mirror) {
 	if m.knows(l.told) {
@@ -136,6 +144,14 @@
 	}
 }
 
+// Behind returns for how long peers have told of a change below a prefix that is not known here,
+// zero if none tells of one.
+func (c *Group) Behind(prefix string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lags[prefix].lasts(time.Now(), c.by[prefix])
+}
+
 func (c *Group) shouldAsk(now time.Time, prefix string, told platform.Revision) bool {
 	m := c.by[prefix]
 	known := m.knows(told)
--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -222,3 +222,42 @@
 		t.Errorf("a daemon of an older release gets %v, %v", old, err)
 	}
 }
+
+// A large change is being applied, which takes a small VM a while. Requests ask meanwhile whether
+// peers know more, and peers are told what is known here: neither may wait for it.
+func TestNobodyWaitsForAChangeThatIsBeingApplied(t *testing.T) {
+	applying, applied := make(chan struct{}), make(chan struct{})
+	m := New(Options{KV: kv.NewFake(time.Now).Client("a")}).Mirror("p/", func(Update) {
+		close(applying)
+		<-applied
+	})
+	g := newGroup(m)
+	g.Heard(context.Background(), "127.0.0.1:1", []uint64{5})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.takeAll(content{entries: []platform.Entry{{Key: "p/1", Revision: 5}}, complete: 5})
+	}()
+	<-applying
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if g.Behind("p/") == 0 {
+			t.Error("the change counts as known before it is in force")
+		}
+		if told := g.Revisions(); told[0] != 0 {
+			t.Errorf("peers are told of revision %d before it is in force", told[0])
+		}
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		t.Error("a request waits")
+	}
+	close(applied)
+	<-done
+	<-answered
+	if g.Behind("p/") != 0 {
+		t.Error("the change is not known")
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -13,6 +13,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 )
@@ -39,6 +40,11 @@
 	// other keys change too; below it while a listing's later pages tell of changes that its
 	// earlier ones lack.
 	complete platform.Revision
+
+	// inForce and known are newest, and the larger of newest and complete, as of the last update
+	// that was applied. They are read without the lock: applying a large desired state takes a small
+	// VM a fifth of a second, and each request asks whether peers know more.
+	inForce, known atomic.Uint64
 }
 
 // content is what a source knows of the keys below a prefix.
@@ -81,6 +87,13 @@
 	}
 	m.complete = max(m.complete, c.complete)
 	m.apply(Update{Entries: m.present(), Full: true, Lapsing: c.lapsing})
+	m.publish()
+}
+
+// publish tells what is in force. Who applies an update calls it after.
+func (m *Mirror) publish() {
+	m.inForce.Store(uint64(m.newest))
+	m.known.Store(uint64(max(m.newest, m.complete)))
 }
 
 // takeSome takes all changes up to a revision that came after those that are known, and leaves
@@ -98,6 +111,7 @@
 	if len(news) > 0 {
 		m.apply(Update{Entries: news, Lapsing: lapsing})
 	}
+	m.publish()
 }
 
 // since returns what a mirror that is complete up to a revision needs to be like this one, and
@@ -141,19 +155,11 @@
 	return out
 }
 
-// Newest returns the revision of the newest change that is known.
-func (m *Mirror) Newest() platform.Revision {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.newest
-}
+// Newest returns the revision of the newest change that is in force.
+func (m *Mirror) Newest() platform.Revision { return platform.Revision(m.inForce.Load()) }
 
-// knows reports whether a change of some revision is known here.
-func (m *Mirror) knows(revision platform.Revision) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return revision <= max(m.newest, m.complete)
-}
+// knows reports whether a change of some revision is in force here.
+func (m *Mirror) knows(revision platform.Revision) bool { return uint64(revision) <= m.known.Load() }
 
 // completeTo returns the revision up to which all changes are known.
 func (m *Mirror) completeTo() platform.Revision {
