A store's long list is read to its end

The same cause elsewhere: a keeper gave a list of all that its store holds a second as a whole. Some ten thousand parts take a link of 10 Mbit/s longer; the list was asked for again and again, and the store's contexts were computed anew. Lists and events are bounded by their progress now.

--- a/internal/contextstore/kept.go
+++ b/internal/contextstore/kept.go
@@ -38,8 +38,10 @@
 
 // Calls carries out calls to stores.
 type Calls interface {
-	// Events waits for changes after a number.
+	// Events waits for changes after a number. It gives up a store that does not answer soon after
+	// the wait, but takes an answer that comes, however long that lasts.
 	Events(ctx context.Context, address string, after uint64, wait time.Duration) (Content, error)
+	// List reads all that a store holds; it gives up like Events.
 	List(ctx context.Context, address string) (Content, error)
 	// Free frees parts, unless the store has restarted or its clock is past a time.
 	Free(ctx context.Context, address string, keys []storeroom.Key, epoch uint64, until int64) error
@@ -147,8 +149,6 @@
 	k.mu.Lock()
 	after := k.next
 	k.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
-	defer cancel()
 	c, err := k.calls.Events(ctx, k.address, after, wait)
 	if err != nil {
 		return err
@@ -158,8 +158,6 @@
 }
 
 func (k *kept) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, followWait)
-	defer cancel()
 	c, err := k.calls.List(ctx, k.address)
 	if err != nil {
 		return err
