--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -86,7 +86,7 @@
 func (c *Client) Health() Health { return c.health.health() }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.transport.http.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.http.HTTP.CloseIdleConnections() }
 
 // Get implements KV.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -325,3 +326,38 @@
 		t.Errorf("VM list %+v, %v", vms, err)
 	}
 }
+
+// Story: the table grew, and its listing comes over a small link for longer than the time limit
+// of a call. Cut as a whole it was asked for again and again, and a daemon that started then never had
+// the table.
+func TestLongListingIsReadToItsEnd(t *testing.T) {
+	s, addr := newWire(t)
+	c := platform.NewClient(platform.Options{Addresses: []string{addr}, ClientID: "one", Timeout: 300 * time.Millisecond})
+	t.Cleanup(c.Close)
+	const keys, size = 4, 30_000 // bytes
+	for i := range keys {
+		if _, err := c.CompareAndSwap(testContext(t), "p/"+strconv.Itoa(i), 0, make([]byte, size), ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.intercept(func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+		whole := httptest.NewRecorder()
+		next.ServeHTTP(whole, r)
+		w.WriteHeader(whole.Code)
+		for body := whole.Body.Bytes(); len(body) > 0; {
+			n := min(len(body), 16<<10)
+			if _, err := w.Write(body[:n]); err != nil {
+				return
+			}
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return
+			}
+			body = body[n:]
+			time.Sleep(80 * time.Millisecond)
+		}
+	})
+	entries, _, err := c.List(testContext(t), "p/")
+	if err != nil || len(entries) != keys {
+		t.Errorf("%d entries, %v", len(entries), err)
+	}
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/kvapi"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 const clientHeader = "X-Client"
@@ -40,7 +41,7 @@
 	addresses []string
 	clientID  string
 	timeout   time.Duration
-	http      *http.Client
+	http      *transfer.Client
 	health    *healthTracker
 	next      atomic.Uint64 // index of the address in use
 }
@@ -55,7 +56,7 @@
 		addresses: opts.Addresses,
 		clientID:  opts.ClientID,
 		timeout:   opts.Timeout,
-		http:      &http.Client{Transport: rt},
+		http:      &transfer.Client{HTTP: &http.Client{Transport: rt}, Head: opts.Timeout},
 		health:    health,
 	}
 }
@@ -69,11 +70,10 @@
 	wait   time.Duration // added to the timeout of watches
 }
 
-// attempt sends a request once. A failure moves on to the next address and drops
+// attempt sends a request once. Its answer must begin within the timeout, and then make progress:
+// a listing of the whole table is as large as the table. A failure moves on to the next address and drops
 // idle connections: a connection that went silent would otherwise be used again.
 func (t *transport) attempt(ctx context.Context, r request) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout+r.wait)
-	defer cancel()
 	turn := t.next.Load()
 	start := time.Now()
 	a, err := t.exchange(ctx, t.addresses[turn%uint64(len(t.addresses))], r)
@@ -82,7 +82,7 @@
 	}
 	if err != nil {
 		t.next.CompareAndSwap(turn, turn+1)
-		t.http.CloseIdleConnections()
+		t.http.HTTP.CloseIdleConnections()
 	}
 	return a, err
 }
@@ -92,7 +92,7 @@
 	if err != nil {
 		return answer{}, err
 	}
-	resp, err := t.http.Do(req)
+	resp, err := t.http.DoWithin(req, t.timeout+r.wait)
 	if err != nil {
 		return answer{}, markUnavailable(err)
 	}
