Peers are a check on what a watch says it told

A watch that heard nothing while changes were made may still say up to which revision it told all. What a peer tells is news again above the newest change heard of; a copy's newest change is taken over where the peer is complete, so that a removal known by another revision is asked for once and not for ever.

--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -180,7 +180,7 @@
 		c.lags[prefix].asks--
 		c.lags[prefix].caughtUp(m)
 	}()
-	known, begun := m.completeTo(), time.Now()
+	known, begun := m.heardTo(), time.Now()
 	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true})
 	if err != nil {
 		c.countAsked("failed")
@@ -197,7 +197,7 @@
 }
 
 func (r *ReadResponse) content() content {
-	c := content{unchanged: r.Unchanged, complete: platform.Revision(r.Complete), lapsing: r.Lapsing}
+	c := content{unchanged: r.Unchanged, complete: platform.Revision(r.Complete), newest: platform.Revision(r.Newest), lapsing: r.Lapsing}
 	for _, e := range r.Entries {
 		c.entries = append(c.entries, platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)})
 	}
@@ -222,11 +222,11 @@
 	if !r.Changes {
 		known = 0 // a daemon of an older release takes whole copies only
 	}
-	given, newest := m.since(known)
-	out := &ReadResponse{Newest: uint64(newest), Lapsing: given.lapsing, Complete: uint64(given.complete), Unchanged: given.unchanged}
-	if out.Newest <= r.NewerThan {
-		return &ReadResponse{Newest: out.Newest}, nil
+	given := m.since(known)
+	if uint64(given.newest) <= r.NewerThan {
+		return &ReadResponse{Newest: uint64(given.newest)}, nil
 	}
+	out := &ReadResponse{Newest: uint64(given.newest), Lapsing: given.lapsing, Complete: uint64(given.complete), Unchanged: given.unchanged}
 	for _, e := range given.entries {
 		out.Entries = append(out.Entries, &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease)})
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -41,10 +41,10 @@
 	// earlier ones lack.
 	complete platform.Revision
 
-	// inForce and known are newest, and the larger of newest and complete, as of the last update
-	// that was applied. They are read without the lock: applying a large desired state takes a small
-	// VM a fifth of a second, and each request asks whether peers know more.
-	inForce, known atomic.Uint64
+	// inForce is newest as of the last update that was applied. It is read without the lock: applying
+	// a large desired state takes a small VM a fifth of a second, and each request asks whether
+	// peers know more.
+	inForce atomic.Uint64
 }
 
 // content is what a source knows of the keys below a prefix.
@@ -52,6 +52,7 @@
 	entries   []platform.Entry
 	unchanged []string          // further keys, whose entries the mirror has
 	complete  platform.Revision // the source knows all changes up to it
+	newest    platform.Revision // newest change that the source knows
 	lapsing   bool              // entries may be missing that lapsed in an outage
 }
 
@@ -86,6 +87,9 @@
 		}
 	}
 	m.complete = max(m.complete, c.complete)
+	if c.newest <= c.complete {
+		m.newest = max(m.newest, c.newest) // also where it was a removal that had another revision here
+	}
 	m.apply(Update{Entries: m.present(), Full: true, Lapsing: c.lapsing})
 	m.publish()
 }
@@ -93,7 +97,6 @@
 // publish tells what is in force. Who applies an update calls it after.
 func (m *Mirror) publish() {
 	m.inForce.Store(uint64(m.newest))
-	m.known.Store(uint64(max(m.newest, m.complete)))
 }
 
 // takeSome takes all changes up to a revision that came after those that are known, and leaves
@@ -114,16 +117,16 @@
 	m.publish()
 }
 
-// since returns what a mirror that is complete up to a revision needs to be like this one, and
-// the newest change in it; nothing if there is no newer one.
-func (m *Mirror) since(revision platform.Revision) (content, platform.Revision) {
+// since returns what a mirror that knows all changes up to a revision needs to be like this
+// one, without entries if there is no newer change.
+func (m *Mirror) since(revision platform.Revision) content {
 	c := content{lapsing: m.lapsing()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	c.complete, c.newest = m.complete, m.newest
 	if m.newest <= revision {
-		return content{}, m.newest
+		return c
 	}
-	c.complete = m.complete
 	for _, e := range m.present() {
 		if e.Revision > revision {
 			c.entries = append(c.entries, e)
@@ -131,7 +134,7 @@
 			c.unchanged = append(c.unchanged, e.Key)
 		}
 	}
-	return c, m.newest
+	return c
 }
 
 // keep notes an entry and reports whether it is news. A copy of a peer may have told it
@@ -158,12 +161,14 @@
 // Newest returns the revision of the newest change that is in force.
 func (m *Mirror) Newest() platform.Revision { return platform.Revision(m.inForce.Load()) }
 
-// knows reports whether a change of some revision is in force here.
-func (m *Mirror) knows(revision platform.Revision) bool { return uint64(revision) <= m.known.Load() }
+// knows reports whether a change of some revision is in force here. It goes by the changes that
+// were heard of and not by how far the service says it told all: peers are a check on that.
+func (m *Mirror) knows(revision platform.Revision) bool { return revision <= m.Newest() }
 
-// completeTo returns the revision up to which all changes are known.
-func (m *Mirror) completeTo() platform.Revision {
+// heardTo returns a revision up to which all changes are known, by the service's word and by
+// what was heard of.
+func (m *Mirror) heardTo() platform.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.complete
+	return min(m.complete, m.newest)
 }
