--- /dev/null
+++ b/internal/mirror/fleet_test.go
@@ -0,0 +1,418 @@
+package mirror
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/bluebellscale/bluebellscale/internal/pause"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+)
+
+// The model: many daemons before one service, in a bubble of synthetic time. Each has a small
+// link, for what the service tells it and for what peers ask of it, and its calls to the
+// service meet faults of their own. Sizes and links are an eighth of the users', so that all
+// takes as long as there.
+const (
+	fleetDaemons  = 100
+	fleetReplicas = 150
+	fleetPeers    = 6 // that a daemon tells of what it knows, and one more by chance
+	fleetTell     = 100 * time.Millisecond
+	fleetBound    = 3 * time.Second // the users' tightest until a change is in force
+	fleetLink     = 10e6 / 8 / 8    // bytes a second
+	fleetState    = 1 << 20 / 8     // bytes of the largest desired state
+	fleetPage     = 50              // entries
+	fleetCall     = 4 * time.Millisecond
+	fleetSilence  = 1500 * time.Millisecond // until a call without an answer is given up
+)
+
+// faultKind is what calls to the service meet.
+type faultKind string
+
+const (
+	faultNone    faultKind = "none"
+	faultRefused faultKind = "refused"
+	faultSilent  faultKind = "silent"
+	faultSlow    faultKind = "slow"  // answers take sixty times as long
+	faultFlaky   faultKind = "flaky" // every second call fails
+)
+
+// fault is one stretch of faults at one daemon.
+type fault struct {
+	kind     faultKind
+	from, to time.Duration // since the start
+}
+
+// modelService is the key-value service.
+type modelService struct {
+	mu       sync.Mutex
+	revision platform.Revision
+	items    map[string]platform.Entry
+	history  []platform.Entry
+	oldest   platform.Revision
+	changed  chan struct{}
+}
+
+func newModelService() *modelService {
+	return &modelService{items: map[string]platform.Entry{}, changed: make(chan struct{})}
+}
+
+func (s *modelService) put(key string, value []byte) platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e := platform.Entry{Key: key, Value: value, Revision: s.revision}
+	s.items[key] = e
+	s.history = append(s.history, e)
+	s.wake()
+	return s.revision
+}
+
+// compact drops the history.
+func (s *modelService) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.wake()
+}
+
+func (s *modelService) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *modelService) list(prefix, after string) ([]platform.Entry, platform.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var page []platform.Entry
+	for _, e := range s.items {
+		if strings.HasPrefix(e.Key, prefix) && e.Key > after {
+			page = append(page, e)
+		}
+	}
+	slices.SortFunc(page, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return page[:min(len(page), fleetPage)], s.revision
+}
+
+// since returns changes after a revision, and what tells of the next.
+func (s *modelService) since(after platform.Revision) ([]platform.Entry, platform.Revision, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.oldest {
+		return nil, 0, nil, platform.ErrCompacted
+	}
+	var events []platform.Entry
+	for _, e := range s.history {
+		if e.Revision > after {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
+
+// modelDaemon is a daemon, and the service as it sees it.
+type modelDaemon struct {
+	platform.KV  // what a Follower does not call
+	service      *modelService
+	down, up     *rate.Limiter // its link
+	start        time.Time
+	faults       []fault
+	calls        int
+	group        *Group
+	handler      http.Handler
+	mu           sync.Mutex
+	state        platform.Revision // of the desired state in force
+	wentBackOnce bool
+}
+
+func (d *modelDaemon) apply(u Update) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range u.Entries {
+		if e.Key != "op/config" {
+			continue
+		}
+		if e.Revision < d.state {
+			d.wentBackOnce = true
+		}
+		d.state = e.Revision
+	}
+}
+
+// call is one call to the service, until its answer begins.
+func (d *modelDaemon) call(ctx context.Context) error {
+	kind, now := faultNone, time.Since(d.start)
+	for _, f := range d.faults {
+		if now >= f.from && now < f.to {
+			kind = f.kind
+		}
+	}
+	d.calls++
+	switch {
+	case kind == faultRefused || kind == faultFlaky && d.calls%2 == 0:
+		return platform.ErrUnavailable
+	case kind == faultSilent:
+		if err := pause.For(ctx, fleetSilence); err != nil {
+			return err
+		}
+		return platform.ErrUnavailable
+	case kind == faultSlow:
+		return pause.For(ctx, 60*fleetCall)
+	default:
+		return pause.For(ctx, fleetCall)
+	}
+}
+
+// receive takes the time that entries need on the link, in the service's encoding.
+func (d *modelDaemon) receive(ctx context.Context, entries []platform.Entry) error {
+	for _, e := range entries {
+		for left := len(e.Value)*4/3 + 100; left > 0; left -= d.down.Burst() {
+			if err := d.down.WaitN(ctx, min(left, d.down.Burst())); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// List implements platform.KV, page by page.
+func (d *modelDaemon) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	var all []platform.Entry
+	var first platform.Revision
+	for after := ""; ; after = all[len(all)-1].Key {
+		if err := d.call(ctx); err != nil {
+			return nil, 0, err
+		}
+		page, at := d.service.list(prefix, after)
+		if err := d.receive(ctx, page); err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = at
+		}
+		all = append(all, page...)
+		if len(page) < fleetPage {
+			return all, first, nil
+		}
+	}
+}
+
+// Watch implements platform.KV.
+func (d *modelDaemon) Watch(ctx context.Context, _ string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	if err := d.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		events, at, changed, err := d.service.since(after)
+		if err != nil || len(events) > 0 {
+			if err == nil {
+				err = d.receive(ctx, events)
+			}
+			return events, at, err
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// modelNet carries questions between daemons over their links.
+type modelNet struct {
+	self *modelDaemon
+	by   map[string]*modelDaemon
+}
+
+// RoundTrip implements http.RoundTripper.
+func (n modelNet) RoundTrip(r *http.Request) (*http.Response, error) {
+	peer := n.by[r.URL.Host]
+	r.Header.Set("Accept-Encoding", "gzip")
+	answer := httptest.NewRecorder()
+	peer.handler.ServeHTTP(answer, r)
+	out := answer.Result()
+	link := &modelBody{ctx: r.Context(), from: peer.up, to: n.self.down, left: bytes.NewReader(answer.Body.Bytes())}
+	if out.Header.Get("Content-Encoding") != "gzip" {
+		out.Body = io.NopCloser(link)
+		return out, nil
+	}
+	plain, err := gzip.NewReader(link)
+	if err != nil {
+		return nil, err
+	}
+	out.Body = plain
+	return out, nil
+}
+
+// modelBody is an answer that comes over two links.
+type modelBody struct {
+	ctx      context.Context
+	from, to *rate.Limiter
+	left     *bytes.Reader
+}
+
+// Read implements io.Reader.
+func (b *modelBody) Read(p []byte) (int, error) {
+	n, err := b.left.Read(p[:min(len(p), b.to.Burst())])
+	for _, l := range []*rate.Limiter{b.from, b.to} {
+		if waitErr := l.WaitN(b.ctx, n); waitErr != nil {
+			return 0, waitErr
+		}
+	}
+	return n, err
+}
+
+// modelFleet is all of it.
+type modelFleet struct {
+	service *modelService
+	daemons []*modelDaemon
+	start   time.Time
+}
+
+// newModelFleet starts daemons that meet the faults drawn for each.
+func newModelFleet(ctx context.Context, wg *sync.WaitGroup, faults func(daemon int) []fault) *modelFleet {
+	f := &modelFleet{service: newModelService(), start: time.Now()}
+	f.service.put("op/config", []byte("first"))
+	for i := range fleetReplicas {
+		f.service.put(fmt.Sprintf("servers/%04d", i), make([]byte, 300))
+	}
+	by := map[string]*modelDaemon{}
+	for i := range fleetDaemons {
+		const burst = 2 << 10 // bytes of one read
+		d := &modelDaemon{
+			service: f.service, start: f.start, faults: faults(i),
+			down: rate.NewLimiter(fleetLink, burst), up: rate.NewLimiter(fleetLink, burst),
+		}
+		follower := New(Options{KV: d, Wait: func() time.Duration { return fleetBound - 800*time.Millisecond }})
+		mirrors := []*Mirror{follower.Mirror("op/", d.apply), follower.Mirror("servers/", func(Update) {})}
+		d.group = NewGroup(GroupOptions{Client: &http.Client{Transport: modelNet{self: d, by: by}}, Mirrors: mirrors})
+		d.handler, _ = d.group.Handler() // fails for wrong options only
+		f.daemons = append(f.daemons, d)
+		by[address(i)] = d
+		wg.Go(func() { _ = follower.Run(ctx) }) // ends with ctx
+	}
+	for i := range f.daemons {
+		wg.Go(func() { f.tell(ctx, i) })
+	}
+	return f
+}
+
+func address(daemon int) string { return fmt.Sprint("d", daemon, ":1") }
+
+// tell has a daemon tell others what it knows, some times a second.
+func (f *modelFleet) tell(ctx context.Context, i int) {
+	chance := rand.New(rand.NewPCG(uint64(i), 1))
+	for pause.For(ctx, fleetTell) == nil {
+		told := f.daemons[i].group.Revisions()
+		for n := range fleetPeers {
+			f.daemons[(i+1+n)%fleetDaemons].group.Heard(ctx, address(i), told)
+		}
+		f.daemons[chance.IntN(fleetDaemons)].group.Heard(ctx, address(i), told)
+	}
+}
+
+// drawFaults draws what one daemon meets within a time.
+func drawFaults(draw *rand.Rand, within time.Duration) []fault {
+	kinds := []faultKind{faultRefused, faultSilent, faultSlow, faultFlaky}
+	var out []fault
+	for range draw.IntN(3) {
+		from := time.Duration(draw.Int64N(int64(within)))
+		lasts := 500*time.Millisecond + time.Duration(draw.Int64N(int64(6*time.Second)))
+		out = append(out, fault{kind: kinds[draw.IntN(len(kinds))], from: from, to: from + lasts})
+	}
+	return out
+}
+
+// largeState returns text as unlike itself as names drawn by chance.
+func largeState(draw *rand.Rand) []byte {
+	size := fleetState/8 + draw.IntN(fleetState*7/8)
+	var b bytes.Buffer
+	for b.Len() < size {
+		fmt.Fprintf(&b, `{"name":"r-%08x","host":"%08x.example","prefix":"/%08x/","kind":"safe"},`, draw.Uint32(), draw.Uint32(), draw.Uint32())
+	}
+	return b.Bytes()
+}
+
+// Operators write large desired states, one soon after the other, while the service refuses
+// some daemons, answers others not at all, late or every second time, and drops its history. Each
+// state must be in force on every daemon within the bound, as each reaches its peers, and never
+// give way to an older one.
+//
+// FLEET_SEEDS is how many seeds to play by hand, from FLEET_FIRST on.
+func TestChangesAreInForceInTimeOnAHundredDaemons(t *testing.T) {
+	first, seeds := uint64(1), 3
+	if n, err := strconv.Atoi(os.Getenv("FLEET_SEEDS")); err == nil {
+		seeds = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("FLEET_FIRST"), 10, 64); err == nil {
+		first = n
+	}
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playFleet(t, rand.New(rand.NewPCG(seed, 0))) })
+		})
+	}
+}
+
+// playFleet has operators make some changes, and looks after each whether it is in force in time.
+func playFleet(t *testing.T, draw *rand.Rand) {
+	const length = 12 * time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	f := newModelFleet(ctx, &wg, func(int) []fault { return drawFaults(draw, length) })
+	for range draw.IntN(4) {
+		at := time.Duration(draw.Int64N(int64(length)))
+		wg.Go(func() {
+			if pause.For(ctx, at) == nil {
+				f.service.compact()
+			}
+		})
+	}
+	_ = pause.For(ctx, 2*time.Second) // all have listed
+	var checks sync.WaitGroup
+	for range 2 + draw.IntN(3) {
+		_ = pause.For(ctx, 300*time.Millisecond+time.Duration(draw.Int64N(int64(3*time.Second))))
+		revision := f.service.put("op/config", largeState(draw))
+		at := time.Since(f.start)
+		checks.Go(func() {
+			_ = pause.For(ctx, fleetBound)
+			f.check(t, at, revision)
+		})
+	}
+	checks.Wait()
+	cancel()
+	wg.Wait()
+}
+
+// check reports daemons on which a change is not in force, or older ones came back.
+func (f *modelFleet) check(t *testing.T, at time.Duration, revision platform.Revision) {
+	for i, d := range f.daemons {
+		d.mu.Lock()
+		if d.state < revision {
+			t.Errorf("daemon %d: the change of %s (revision %d) is not in force after %s: revision %d is; its faults: %v", i, at, revision, fleetBound, d.state, d.faults)
+		}
+		if d.wentBackOnce {
+			t.Errorf("daemon %d: an older state came back", i)
+		}
+		d.mu.Unlock()
+	}
+}
