--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -139,8 +139,8 @@
 
 // list reads all prefixes, one after the other in the order in which their mirrors were added,
 // and returns the revision from which a watch misses nothing. Each is in force when it was read:
-// with one listing of all, operators' word would wait for the pages of hundreds of replicas,
-// and begin anew with the first page when a call for the last fails.
+// with one listing of all, the desired state would wait for the pages of hundreds of replicas,
+// and be read anew when a call for the last page fails.
 func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
 	begun := time.Now()
 	f.setListing(begun)
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -62,11 +62,11 @@
 	asked time.Time         // when the last was
 }
 
-// tell notes that a peer knows of a change that this daemon does not, and reports whether to
+// note takes that a peer knows of a change that this daemon does not, and reports whether to
 // ask for its copy.
-func (l *lag) tell(now time.Time, revision platform.Revision) bool {
+func (l *lag) note(now time.Time, revision platform.Revision) bool {
 	if l.since.IsZero() || now.Sub(l.heard) > forgetAfter {
-		l.since = now
+		l.since, l.told = now, 0
 	}
 	l.told, l.heard = max(l.told, revision), now
 	if now.Sub(l.since) < behindFor {
@@ -138,7 +138,7 @@
 	}
 	now := time.Now()
 	for i, prefix := range c.order {
-		if c.shouldAsk(now, prefix, platform.Revision(revisions[i])) {
+		if c.beginAsk(now, prefix, platform.Revision(revisions[i])) {
 			go c.ask(ctx, peer, prefix)
 		}
 	}
@@ -152,7 +152,9 @@
 	return c.lags[prefix].lasts(time.Now(), c.by[prefix])
 }
 
-func (c *Group) shouldAsk(now time.Time, prefix string, told platform.Revision) bool {
+// beginAsk notes what a peer told of a prefix, and reports whether the peer is to be asked for its
+// copy. It is then counted as asked until ask ends.
+func (c *Group) beginAsk(now time.Time, prefix string, told platform.Revision) bool {
 	m := c.by[prefix]
 	known := m.knows(told)
 	c.mu.Lock()
@@ -162,7 +164,7 @@
 		l.caughtUp(m)
 		return false
 	}
-	if !l.tell(now, told) {
+	if !l.note(now, told) {
 		return false
 	}
 	l.asks++
@@ -180,7 +182,7 @@
 		c.lags[prefix].asks--
 		c.lags[prefix].caughtUp(m)
 	}()
-	known, begun := m.heardTo(), time.Now()
+	known, begun := m.knownTo(), time.Now()
 	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true})
 	if err != nil {
 		c.countAsked("failed")
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -165,9 +165,9 @@
 // were heard of and not by how far the service says it told all: peers are a check on that.
 func (m *Mirror) knows(revision platform.Revision) bool { return revision <= m.Newest() }
 
-// heardTo returns a revision up to which all changes are known, by the service's word and by
+// knownTo returns a revision up to which all changes are known, by the service's word and by
 // what was heard of.
-func (m *Mirror) heardTo() platform.Revision {
+func (m *Mirror) knownTo() platform.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return min(m.complete, m.newest)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -317,9 +317,9 @@
 }
 
 // A daemon lists anew while the service is slow, and a page of the hundreds of replicas fails each
-// time. What operators wrote is one key, which it reads at once, and must be in force; it waited
+// time. The desired state is one key, which it reads at once, and must be in force; it waited
 // for the replicas' pages, as all was one listing.
-func TestOperatorsWordDoesNotWaitForReplicas(t *testing.T) {
+func TestDesiredStateDoesNotWaitForReplicas(t *testing.T) {
 	store := kv.NewFake(time.Now).Client("a")
 	put(t, store, "op/state", "new")
 	put(t, store, "replicas/1", "ready")
