--- a/internal/steward/poll_test.go
+++ b/internal/steward/poll_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,12 +131,26 @@
 func twoDaemons(t *testing.T) (asker, steward *Service, server *httptest.Server) {
 	t.Helper()
 	steward = newService(t, "d1", "d1", deadSteward{})
-	server = httptest.NewServer(peer.NewStewardServer(liveSteward{steward.Server()}))
+	server = httptest.NewServer(&mortal{Handler: peer.NewStewardServer(liveSteward{steward.Server()})})
 	t.Cleanup(server.Close)
 	asker = newService(t, "d2", "d1", peer.NewStewardProtobufClient(server.URL, http.DefaultClient))
 	return asker, steward, server
 }
 
+// mortal is a server that can die: it then answers nobody, also who has connected just before.
+type mortal struct {
+	http.Handler
+	dead atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if m.dead.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	m.Handler.ServeHTTP(w, r)
+}
+
 func (k *keeper) counts(t *testing.T) (running, waiting int) {
 	v, ok := k.look(t.Context(), Prompt{}, probe{})
 	if !ok {
@@ -160,8 +175,7 @@
 	for waiting := 0; waiting == 0; {
 		_, waiting = k.counts(t)
 	}
-	server.CloseClientConnections()
-	server.Config.Handler = nil
+	server.Config.Handler.(*mortal).dead.Store(true)
 	server.Listener.Close()
 	server.CloseClientConnections()
 	if refusal := <-granted; refusal != nil {
