Cold replicas get few requests, evacuated failure domains none, homes are kept

Cause: cold_remaining_ms was decoded and read by nobody, and there was no word of evacuations or allowed_regions.

Cold replicas: each daemon keeps to a share of its own. A few senders a replica, by hash of names; in any second they send at most half of what the bound allows, so that it holds while daemons are of two minds. Weighed: counting each other's requests from datagrams (a daemon that is cut off hears nothing and sends all), and all daemons of the group with a small share each (eight senders at 1.2 a second break the bound as soon as two lists differ). What is not known of a replica that was down, answers under another start, or comes back from an evacuation counts as cold.

Evacuations end at once where an operator takes them back, and go on for five seconds where a list merely lacks them after an outage.

Tests: internal/policy/coldstart (66 and 390 daemons, cut in two, frozen), internal/replicas, internal/placer, directory by homes.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	n.Share = share
-	share.Engine = &placer.Engine{Set: n.set, Mine: func(routing.ServiceID) []*replicas.Replica { return nil }}
+	share.Engine = &placer.Engine{Eligibility: placer.Eligibility{Set: n.set}, Mine: func(routing.ServiceID) []*replicas.Replica { return nil }}
 	return n
 }
 
--- /dev/null
+++ b/internal/placer/eligible_test.go
@@ -0,0 +1,185 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/policy/coldstart"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// spread is a world with one replica in each of some failure domains, named region-number.
+func spread(domains ...string) *world {
+	w := newWorld(0)
+	for i, domain := range domains {
+		w.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{
+			ID: request.TargetID(domain), Service: "llm", Address: fmt.Sprintf("127.0.0.1:%d", i+1), FailureDomain: domain,
+			Weights: map[request.Model]uint64{model: 1},
+		}}})
+	}
+	w.engine.Region = func(domain string) routing.Region {
+		if len(domain) < 2 {
+			return ""
+		}
+		return routing.Region(domain[:2])
+	}
+	return w
+}
+
+func where(t *testing.T, w *world, j *relay.Job) string {
+	t.Helper()
+	p, err := w.engine.Place(context.Background(), j, nil)
+	if err != nil {
+		return ""
+	}
+	done(p)
+	return string(p.Replica.Info().ID)
+}
+
+// A failure domain is evacuated: no request goes there, be it its first try or a later one, also
+// if its replicas are the only ones that hold the context, or that are not busy.
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	w := spread("eu-1", "eu-2")
+	w.set.ApplyEvacuations(time.Now(), replicas.EvacuationChange{Begun: []string{"eu-1"}})
+	w.set.Get("eu-2").SetBusy(time.Now().Add(time.Minute))
+	for range 20 {
+		if got := where(t, w, job("s")); got != "eu-2" {
+			t.Fatalf("went to %q", got)
+		}
+	}
+	if p, err := w.engine.Place(context.Background(), job("s"), []request.TargetID{"eu-2"}); err == nil {
+		t.Errorf("a second try went to %s", p.Replica.Info().ID)
+	}
+	w.set.ApplyEvacuations(time.Now(), replicas.EvacuationChange{Begun: []string{"eu-2"}})
+	if _, err := w.engine.Place(context.Background(), job("s"), nil); err == nil {
+		t.Error("the last domain gets a request while it is evacuated")
+	}
+}
+
+// The group of a daemon has no replica left that may be used: those of other groups serve.
+func TestOtherGroupsServeWhereAllOfTheOwnAreEvacuated(t *testing.T) {
+	w := spread("eu-1", "eu-2")
+	w.engine.Mine = func(routing.ServiceID) []*replicas.Replica { return []*replicas.Replica{w.set.Get("eu-1")} }
+	w.set.ApplyEvacuations(time.Now(), replicas.EvacuationChange{Begun: []string{"eu-1"}})
+	if got := where(t, w, job("s")); got != "eu-2" {
+		t.Errorf("went to %q", got)
+	}
+}
+
+// A request with homes goes to none but these, and is refused where their capacity is gone. A
+// failure domain whose region nobody knows is no home.
+func TestHomesAreKept(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		route, org []routing.Region
+		want       string
+	}{
+		{"of the route", []routing.Region{"us"}, nil, "us-1"},
+		{"of the organisation", nil, []routing.Region{"as"}, "as-1"},
+		{"of both", []routing.Region{"eu", "us"}, []routing.Region{"us", "as"}, "us-1"},
+		{"without a region in common", []routing.Region{"eu"}, []routing.Region{"as"}, ""},
+		{"that nobody knows", []routing.Region{"af"}, nil, ""},
+	} {
+		w := spread("eu-1", "us-1", "as-1", "?")
+		j := job("s")
+		j.Route.Homes, j.Org = c.route, &routing.Org{ID: "o", Homes: c.org}
+		for range 10 {
+			if got := where(t, w, j); got != c.want {
+				t.Errorf("homes %s: went to %q, want %q", c.name, got, c.want)
+			}
+		}
+		if c.want == "" {
+			continue
+		}
+		w.set.Get(request.TargetID(c.want)).Load.Begin(45_000, 40_000)
+		if got := where(t, w, j); got != "" && got != c.want {
+			t.Errorf("homes %s: a full home's request went to %q", c.name, got)
+		}
+	}
+}
+
+// A prompt with homes is not saved to a store outside of them, and what was allowed is given back.
+func TestNothingIsSavedOutsideOfHomes(t *testing.T) {
+	w := spread("us-1")
+	j := job("s")
+	j.Route.Homes = []routing.Region{"us"} // the store stands in failure domain "a"
+	p := place(t, w, j)
+	for i, to := range p.Send.SaveTo {
+		if to != "" {
+			t.Errorf("part %d is saved to %s", i, to)
+		}
+	}
+	if len(w.shelf.released) == 0 {
+		t.Error("leave to save is kept")
+	}
+}
+
+func withCold(w *world, group ...string) {
+	limits := coldstart.Limits{PerSecond: 9.8, Burst: 19.7}
+	w.set.SetColdStarts(map[routing.ServiceID]time.Duration{"llm": time.Minute})
+	w.engine.Cold = &Cold{
+		Self: "d0", Group: func(routing.ServiceID) []string { return group },
+		Limits: func(routing.ServiceID) coldstart.Limits { return limits },
+	}
+}
+
+// A third of the replicas has just started. They get some requests, within their bound, and the
+// others the rest; nobody is refused.
+func TestColdReplicasGetAFewRequests(t *testing.T) {
+	w := newWorld(6)
+	withCold(w, "d0")
+	for _, r := range []request.TargetID{"r0", "r1"} {
+		w.set.Get(r).AssumeCold(time.Now())
+	}
+	got := map[request.TargetID]int{}
+	for i := range 18 {
+		p, err := w.engine.Place(context.Background(), job(fmt.Sprint("s", i)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[p.Replica.Info().ID]++
+	}
+	if got["r0"] > 2 || got["r1"] > 2 {
+		t.Errorf("cold replicas got %d and %d requests in a moment", got["r0"], got["r1"])
+	}
+	if got["r0"]+got["r1"] == 0 {
+		t.Error("cold replicas got none")
+	}
+}
+
+// A daemon that has just started does not know how many others there are: it sends to warm
+// replicas, and to cold ones only where no other is left.
+func TestStartingDaemonPrefersWarmReplicas(t *testing.T) {
+	w := newWorld(2)
+	withCold(w)
+	w.set.Get("r0").AssumeCold(time.Now())
+	for i := range 20 {
+		if got := where(t, w, job(fmt.Sprint("s", i))); got != "r1" {
+			t.Fatalf("went to %q", got)
+		}
+	}
+	w.set.Get("r1").AssumeCold(time.Now())
+	if got := where(t, w, job("s")); got == "" {
+		t.Error("refused with cold replicas idle")
+	}
+}
+
+// Plain services may have cold replicas, too.
+func TestPlainCallsKeepToTheBoundOfColdReplicas(t *testing.T) {
+	w := newWorld(1)
+	withCold(w, "d0")
+	w.set.Get("r0").AssumeCold(time.Now())
+	p := &Plain{Eligibility: w.engine.Eligibility, Domain: "a"}
+	j := &relay.Job{Service: &routing.Service{ID: "llm"}, Route: &routing.Route{}}
+	if _, err := p.Place(context.Background(), j, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Place(context.Background(), j, nil); err == nil {
+		t.Error("two at once")
+	}
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,7 +78,7 @@
 
 // Engine places prompts on model replicas.
 type Engine struct {
-	Set *replicas.Set
+	Eligibility
 	// Mine returns the replicas of a service that this daemon uses.
 	Mine     func(routing.ServiceID) []*replicas.Replica
 	Domain   string // of this daemon
@@ -103,17 +104,19 @@
 
 // Place implements relay.Placer.
 func (e *Engine) Place(ctx context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
-	usable := usable(e.Mine(j.Service.ID), tried)
+	usable := e.of(j, e.Mine(j.Service.ID), tried)
 	usable = e.onNamedWeights(usable, j.Model)
 	if len(usable) == 0 {
 		return nil, noReplica()
 	}
 	salt := cacheSalt(best(usable, j.Model), j.Org)
 	stored, until := e.askStores(ctx, j, salt, usable)
-	candidates := e.candidates(j, usable, salt, stored)
 	need := e.need(j)
-	n := pick.Sampled(pick.Default, need, candidates)
-	r, chosen := usable[n], &candidates[n]
+	r, chosen := e.choose(j, need, usable, salt, stored)
+	if r == nil {
+		e.release(salt, j, stored)
+		return nil, noReplica()
+	}
 	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil && !j.Begun {
 		e.release(salt, j, stored)
 		return nil, err
@@ -138,6 +141,20 @@
 	}, nil
 }
 
+// choose returns the cheapest replica that may get the request now, nil if none may. Leave to send
+// to a cold one may have been taken by another request meanwhile.
+func (e *Engine) choose(j *relay.Job, need pick.Request, usable []*replicas.Replica, salt string, stored []Stored) (*replicas.Replica, *pick.Candidate) {
+	for len(usable) > 0 {
+		candidates := e.candidates(j, usable, salt, stored)
+		n := pick.Sampled(pick.Default, need, candidates)
+		if e.Cold.Take(time.Now(), usable[n]) {
+			return usable[n], &candidates[n]
+		}
+		usable = slices.Delete(usable, n, n+1)
+	}
+	return nil, nil
+}
+
 // ended returns what follows a try. One that did not run makes none of the transfers that it
 // was allowed; one that ended before its first token, as its replica crashed or its caller left,
 // is of no use to the link's estimate, and may have saved something.
@@ -333,7 +350,20 @@
 	if e.Stores == nil || len(j.Parts) == 0 {
 		return make([]Stored, len(j.Parts)), 0
 	}
-	return e.Stores.Ask(ctx, salt, j.Parts, e.residentSomewhere(j, salt, usable))
+	stored, until := e.Stores.Ask(ctx, salt, j.Parts, e.residentSomewhere(j, salt, usable))
+	e.release(salt, j, e.unsaveAbroad(j, stored))
+	return stored, until
+}
+
+// unsaveAbroad takes out of stored, and returns, the saves to stores outside a prompt's homes.
+func (e *Engine) unsaveAbroad(j *relay.Job, stored []Stored) []Stored {
+	unused := make([]Stored, len(stored))
+	for i, s := range stored {
+		if s.Save && !e.isHome(j, s.FailureDomain) {
+			unused[i], stored[i] = s, Stored{}
+		}
+	}
+	return unused
 }
 
 // fill names where each part comes from and goes to. A source is named also for parts
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -68,7 +68,7 @@
 		w.put(i, 1)
 	}
 	w.engine = &Engine{
-		Set: w.set, Mine: w.set.Of, Domain: "a", Stores: w.shelf,
+		Eligibility: Eligibility{Set: w.set}, Mine: w.set.Of, Domain: "a", Stores: w.shelf,
 		OldFrom: time.Second, OldBegin: 2 * time.Second,
 		Outdated: func(_ request.Model, v uint64) (time.Time, bool) { return w.since, v < w.named },
 	}
@@ -321,8 +321,8 @@
 // if there is none.
 func TestPlainCallGoesToTheLeastLoaded(t *testing.T) {
 	w := newWorld(3)
-	p := &Plain{Set: w.set, Domain: "a"}
-	j := &relay.Job{Service: &routing.Service{ID: "llm"}}
+	p := &Plain{Eligibility: Eligibility{Set: w.set}, Domain: "a"}
+	j := &relay.Job{Service: &routing.Service{ID: "llm"}, Route: &routing.Route{}}
 	w.set.Get("r0").Load.Begin(0, 0)
 	w.set.Get("r1").Load.Begin(0, 0)
 	got, err := p.Place(context.Background(), j, nil)
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
@@ -30,16 +28,25 @@
 
 // Plain places calls of plain services.
 type Plain struct {
-	Set    *replicas.Set
+	Eligibility
 	Domain string // of this daemon
 }
 
 // Place implements relay.Placer.
 func (p *Plain) Place(_ context.Context, j *relay.Job, tried []request.TargetID) (*relay.Placement, error) {
-	usable := usable(p.Set.Of(j.Service.ID), tried)
-	if len(usable) == 0 {
-		return nil, noReplica()
+	for {
+		usable := p.of(j, p.Set.Of(j.Service.ID), tried)
+		if len(usable) == 0 {
+			return nil, noReplica()
+		}
+		r := p.cheapest(usable)
+		if p.Cold.Take(time.Now(), r) {
+			return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
+		}
 	}
+}
+
+func (p *Plain) cheapest(usable []*replicas.Replica) *replicas.Replica {
 	now := time.Now()
 	candidates := make([]pick.Candidate, len(usable))
 	for i, r := range usable {
@@ -49,30 +56,7 @@
 			SameDomain: info.FailureDomain == p.Domain, ErrorRate: r.Health.ErrorRate(),
 		}
 	}
-	r := usable[pick.Best(plainCosts, pick.Request{}, candidates)]
-	return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
-}
-
-// usable returns the replicas that may be tried, in random order so that
-// equal ones share the work. Where all were tried or rest, those that rest are tried
-// rather than none.
-func usable(all []*replicas.Replica, tried []request.TargetID) []*replicas.Replica {
-	now := time.Now()
-	var fit, resting []*replicas.Replica
-	for _, r := range all {
-		switch {
-		case slices.Contains(tried, r.Info().ID):
-		case r.Health.Resting(now) || r.Busy(now):
-			resting = append(resting, r)
-		default:
-			fit = append(fit, r)
-		}
-	}
-	if len(fit) == 0 && len(tried) == 0 {
-		fit = resting
-	}
-	rand.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
-	return fit
+	return usable[pick.Best(plainCosts, pick.Request{}, candidates)]
 }
 
 func noReplica() error {
--- /dev/null
+++ b/internal/policy/coldstart/coldstart_test.go
@@ -0,0 +1,215 @@
+package coldstart
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed"
+)
+
+func TestShares(t *testing.T) {
+	datadriven.RunTest(t, "testdata/shares", func(t *testing.T, d *datadriven.TestData) string {
+		var l Limits
+		d.ScanArgs(t, "per_second", &l.PerSecond)
+		d.ScanArgs(t, "burst", &l.Burst)
+		var out strings.Builder
+		for _, daemons := range []int{1, 2, 3, 8, 66, 390} {
+			senders, gap := l.Shares(daemons)
+			fmt.Fprintf(&out, "%d daemons: %d senders, each every %s\n", daemons, senders, gap)
+		}
+		return out.String()
+	})
+}
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("vm", i)
+	}
+	return out
+}
+
+// Daemons that agree choose as many senders as they mean to, and not the same for each replica.
+func TestSendersAreSpread(t *testing.T) {
+	group := names(8)
+	sends := map[string]int{}
+	const replicas, senders = 400, 3
+	for replica := range uint64(replicas) {
+		n := 0
+		for _, daemon := range group {
+			if IsSender(daemon, group, replica, senders) {
+				sends[daemon]++
+				n++
+			}
+		}
+		if n != senders {
+			t.Fatalf("replica %d: %d senders", replica, n)
+		}
+	}
+	for _, daemon := range group {
+		if got := sends[daemon]; got < replicas*senders/len(group)/2 {
+			t.Errorf("%s sends to %d of %d replicas", daemon, got, replicas)
+		}
+	}
+}
+
+// sender is one daemon of a simulated fleet before one cold replica.
+type sender struct {
+	name   string
+	view   []string      // the daemons that it knows of
+	ahead  time.Duration // of its clock
+	frozen [2]time.Duration
+	gap    time.Duration
+	pace   Pace
+}
+
+const replica = 7
+
+// press lets each daemon send whenever it may, for some seconds, and returns when requests arrived.
+func press(rt *rapid.T, l Limits, daemons []*sender, lasts time.Duration) []time.Duration {
+	start := time.Unix(1_800_000_000, 0)
+	var arrivals []time.Duration
+	var senders []*sender
+	for _, d := range daemons {
+		n, each := l.Shares(len(d.view))
+		if IsSender(d.name, d.view, replica, n) {
+			d.gap = each
+			senders = append(senders, d)
+		}
+	}
+	step := time.Duration(rapid.IntRange(1, 40).Draw(rt, "step_ms")) * time.Millisecond
+	for at := time.Duration(0); at < lasts; at += step {
+		for _, d := range senders {
+			if at >= d.frozen[0] && at < d.frozen[1] {
+				continue
+			}
+			if d.pace.Take(start.Add(d.ahead+at), d.gap) {
+				arrivals = append(arrivals, at)
+			}
+		}
+	}
+	return arrivals
+}
+
+// worstSecond returns the most arrivals in any window of one second.
+func worstSecond(arrivals []time.Duration) int {
+	most, from := 0, 0
+	for to := range arrivals {
+		for arrivals[to]-arrivals[from] >= time.Second {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+func drawLimits(rt *rapid.T) Limits {
+	rate := rapid.Float64Range(0.3, 40).Draw(rt, "per_second")
+	overage := rapid.Float64Range(1, 2).Draw(rt, "overage")
+	slack := rapid.Float64Range(2, 10).Draw(rt, "slack")
+	return Limits{PerSecond: rate, Burst: rate*overage + slack}
+}
+
+func drawFleet(rt *rapid.T) []*sender {
+	n := rapid.SampledFrom([]int{1, 2, 3, 8, 15, 66, 390}).Draw(rt, "daemons")
+	all := names(n)
+	daemons := make([]*sender, n)
+	for i := range daemons {
+		daemons[i] = &sender{name: all[i], view: all, ahead: time.Duration(rapid.IntRange(-5000, 5000).Draw(rt, "ahead_ms")) * time.Millisecond}
+	}
+	return daemons
+}
+
+// A replica crashes if it gets more than Burst in a second, with all that run there. All daemons
+// press as they can, with clocks that differ.
+func TestNeverAboveTheBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := drawLimits(rt)
+		if got := worstSecond(press(rt, l, drawFleet(rt), 4*time.Second)); float64(got) > l.Burst {
+			rt.Fatalf("%d requests in a second, %v allowed", got, l)
+		}
+	})
+}
+
+// A part of the daemons is cut off and goes by the list from before, while the others have left
+// them out of theirs; both send to the replica.
+func TestNeverAboveTheBoundWhileCutInTwo(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l, daemons := drawLimits(rt), drawFleet(rt)
+		cut := rapid.IntRange(0, len(daemons)).Draw(rt, "cut")
+		var reached []string
+		for _, d := range daemons[cut:] {
+			reached = append(reached, d.name)
+		}
+		for _, d := range daemons[cut:] {
+			d.view = reached
+		}
+		if got := worstSecond(press(rt, l, daemons, 4*time.Second)); float64(got) > l.Burst {
+			rt.Fatalf("%d requests in a second, %v allowed", got, l)
+		}
+	})
+}
+
+// A daemon stands still and wakes: what it was not allowed meanwhile must not come at once.
+func TestNeverAboveTheBoundAfterAFreeze(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l, daemons := drawLimits(rt), drawFleet(rt)
+		for _, d := range daemons {
+			if rapid.Bool().Draw(rt, "freezes") {
+				d.frozen = [2]time.Duration{time.Second, 3 * time.Second}
+			}
+		}
+		if got := worstSecond(press(rt, l, daemons, 5*time.Second)); float64(got) > l.Burst {
+			rt.Fatalf("%d requests in a second, %v allowed", got, l)
+		}
+	})
+}
+
+// Each daemon counting for itself alone, as if there were no others, crashes the replica.
+func TestNaiveLimitOfEachDaemonIsAboveTheBound(t *testing.T) {
+	l := Limits{PerSecond: 10, Burst: 20}
+	arrivals := 0
+	for range names(8) {
+		var p Pace
+		for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+			if p.Take(time.Unix(0, 0).Add(at), gapFor(l.PerSecond)) {
+				arrivals++
+			}
+		}
+	}
+	if float64(arrivals) <= l.Burst {
+		t.Errorf("only %d requests", arrivals)
+	}
+}
+
+// A fleet uses most of what a cold replica bears: callers must not be refused or crowd the few
+// warm replicas while a third of them starts.
+func TestMostOfTheRateIsUsed(t *testing.T) {
+	l := Limits{PerSecond: 9.8, Burst: 9.8*1.5 + 5}
+	for _, daemons := range []int{3, 8, 66, 390} {
+		senders, gap := l.Shares(daemons)
+		if rate := float64(senders) / gap.Seconds(); rate < 0.75*l.PerSecond {
+			t.Errorf("%d daemons send %.1f a second", daemons, rate)
+		}
+	}
+}
+
+// The order of a list must not matter: each daemon may know the others in another one.
+func TestSendersDoNotDependOnOrder(t *testing.T) {
+	group := names(9)
+	turned := slices.Clone(group)
+	slices.Reverse(turned)
+	for r := range uint64(50) {
+		for _, daemon := range group {
+			if IsSender(daemon, group, r, 3) != IsSender(daemon, turned, r, 3) {
+				t.Fatalf("replica %d, %s", r, daemon)
+			}
+		}
+	}
+}
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -179,23 +179,23 @@
 
 // note tells the replica's health of the outcome.
 func (s *Server) note(j *Job, t *try) {
-	h := &t.placement.Replica.Health
+	r := t.placement.Replica
 	if j.Model != "" && t.answer.Weights > 0 {
-		t.placement.Replica.SawWeights(j.Model, t.answer.Weights)
+		r.SawWeights(j.Model, t.answer.Weights)
 	}
 	switch t.outcome {
 	case answered:
-		h.Answered(false)
+		r.Answered(time.Now(), false)
 	case notRun:
-		h.Answered(false)
+		r.Answered(time.Now(), false)
 		if j.Model != "" {
-			t.placement.Replica.Refused(time.Now())
+			r.Refused(time.Now())
 		}
 	case failed:
-		h.Answered(true)
+		r.Answered(time.Now(), true)
 	case mayHave:
-		h.Unreachable(time.Now())
+		r.Health.Unreachable(time.Now())
 	case callerEnd:
-		h.Abandoned()
+		r.Health.Abandoned()
 	}
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -98,6 +98,14 @@
 	return j.Org.ID
 }
 
+// AllowedIn reports whether the request, its prompt and what is kept of that may go to a region.
+func (j *Job) AllowedIn(region routing.Region) bool {
+	return routing.AllowedIn(region, j.Route, j.Org)
+}
+
+// HasHomes reports whether the request may not go everywhere.
+func (j *Job) HasHomes() bool { return len(j.Route.Homes) > 0 || j.Org != nil && len(j.Org.Homes) > 0 }
+
 // Priority returns the rank of the request, 0 is the most urgent.
 func (j *Job) Priority() int {
 	if j.Org != nil && j.Org.Ranked {
--- a/internal/replicas/health.go
+++ b/internal/replicas/health.go
@@ -28,6 +28,7 @@
 	until   time.Time
 	trial   bool // the one request after a rest is under way
 	down    bool // it accepts no connection; only a probe that gets one ends that
+	found   bool // of down: this daemon found it itself, and has not only a peer's word
 	probing bool // a probe is under way
 }
 
@@ -35,7 +36,7 @@
 func (h *Health) Answered(failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.row, h.trial, h.until, h.down = 0, false, time.Time{}, false
+	h.row, h.trial, h.until, h.down, h.found = 0, false, time.Time{}, false, false
 	h.note(failed)
 }
 
@@ -58,7 +59,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.note(true)
-	h.trial = false
+	h.trial, h.found = false, true
 	if h.down {
 		return false
 	}
@@ -90,15 +91,24 @@
 	return true
 }
 
+// FoundDown reports whether this daemon itself found that the replica accepts no connection, and
+// has got none since.
+func (h *Health) FoundDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.found
+}
+
 // Probed notes the outcome of a probe.
 func (h *Health) Probed(now time.Time, connected bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.probing = false
 	if connected {
-		h.down, h.row, h.until = false, 0, time.Time{}
+		h.down, h.found, h.row, h.until = false, false, 0, time.Time{}
 		return
 	}
+	h.found = true
 	h.row++
 	h.rest(now)
 }
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -57,10 +57,23 @@
 	return r.dead
 }
 
-// probe finds out whether the replica accepts a connection.
+// Answered notes an answer of the replica; failed says that it was an error of its own.
+func (r *Replica) Answered(now time.Time, failed bool) {
+	if r.Health.FoundDown() {
+		r.AssumeCold(now)
+	}
+	r.Health.Answered(failed)
+}
+
+// probe finds out whether the replica accepts a connection. One that accepted none before has
+// mostly started anew.
 func (r *Replica) probe(ctx context.Context) {
 	err := r.Pool.Probe(ctx)
-	r.Health.Probed(time.Now(), err == nil)
+	now := time.Now()
+	if err == nil && r.Health.FoundDown() {
+		r.AssumeCold(now)
+	}
+	r.Health.Probed(now, err == nil)
 }
 
 // Probe looks after replicas that accepted no connection: those whose rest is over.
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -52,6 +52,7 @@
 	// milliseconds; zero: it does not tell. It names the start and orders nothing: the
 	// clock may have been set back between two of them.
 	Started int64
+	Cold    time.Duration // how much longer it bears few requests only, as it told
 }
 
 // Replica is one start of a replica. A replica that starts again under its id is another
@@ -72,6 +73,8 @@
 	info      atomic.Pointer[Info]
 	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
 	busy      steady.Moment // until when it takes no requests
+	cold      steady.Moment // until when it bears few requests only
+	coldFor   func(routing.ServiceID) time.Duration
 }
 
 // Info returns what the registry told last.
@@ -104,6 +107,12 @@
 	lapsing  map[request.TargetID]time.Time
 	services map[routing.ServiceID]bool // nil: all
 	view     atomic.Pointer[View]
+
+	coldMu    sync.Mutex
+	coldAfter map[routing.ServiceID]time.Duration // how long a start is cold
+	evacuated atomic.Pointer[map[string]bool]     // failure domains whose replicas get nothing new
+
+	evacuationEnds map[string]time.Time // by failure domain: when one ends that may have been lost
 }
 
 // View is the replicas that take requests at one time. It must not be changed.
@@ -126,7 +135,8 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}}
+	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}, evacuationEnds: map[string]time.Time{}}
+	s.evacuated.Store(&map[string]bool{})
 	s.publish()
 	return s
 }
@@ -194,10 +204,13 @@
 	present := make(map[request.TargetID]bool, len(c.Present))
 	for _, id := range c.Unreadable {
 		present[id] = true
+		if r := s.byID[id]; r != nil {
+			r.AssumeCold(now) // it may be what the entry was to tell
+		}
 	}
 	for _, info := range c.Present {
 		present[info.ID] = true
-		s.put(info)
+		s.put(now, info)
 	}
 	for _, id := range c.Gone {
 		s.remove(now, id, c.Lapsing)
@@ -212,7 +225,7 @@
 	s.publish()
 }
 
-func (s *Set) put(info Info) {
+func (s *Set) put(now time.Time, info Info) {
 	r := s.byID[info.ID]
 	if r != nil && slices.Contains(r.earlier, info.Started) {
 		return // a late word of an earlier start
@@ -227,6 +240,9 @@
 		info.Started = r.Info().Started
 		r.info.Store(&info)
 	}
+	if info.Cold > 0 {
+		s.byID[info.ID].cold.Extend(now.Add(info.Cold))
+	}
 }
 
 // maxEarlier is the number of starts of one id that are remembered to tell late words of
@@ -238,7 +254,7 @@
 func (s *Set) start(info Info, earlier []int64) {
 	r := &Replica{
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), hash: hashOf(info), earlier: earlier,
-		onDown: s.onDown, onRefused: s.onRefused,
+		onDown: s.onDown, onRefused: s.onRefused, coldFor: s.coldFor,
 	}
 	r.info.Store(&info)
 	s.byID[info.ID] = r
@@ -271,8 +287,9 @@
 	if s.byID[info.ID] != r || slices.Contains(r.earlier, started) {
 		return false
 	}
-	info.Started = started
+	info.Started, info.Cold = started, 0 // what the registry told was of the start before
 	s.restart(r, info)
+	s.byID[info.ID].AssumeCold(time.Now())
 	s.publish()
 	return false
 }
@@ -293,10 +310,11 @@
 	r.Pool.Close()
 }
 
-// Tick forgets replicas whose entries did not come back after an outage.
+// Tick forgets replicas whose entries, and evacuations that, did not come back after an outage.
 func (s *Set) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tickEvacuations(now)
 	changed := false
 	for id, until := range s.lapsing {
 		if now.After(until) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -29,6 +29,9 @@
 // ServiceID names a service of the desired state.
 type ServiceID string
 
+// Region names a region.
+type Region string
+
 // Share is one service's part of a route's requests.
 type Share struct {
 	Service ServiceID
@@ -49,6 +52,7 @@
 	MaxAttempts int           // replicas to which one request may be sent
 	Anonymous   bool          // no key is asked for
 	Shares      []Share       // one entry or more
+	Homes       []Region      // where its requests may go; empty: anywhere
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -104,14 +108,32 @@
 	MaxConns   int           // connections to one replica, over all daemons
 	Engine     *Engine       // nil for plain services
 	Store      *ContextStore // nil for replicas
+	ColdStart  ColdStart
+}
+
+// ColdStart describes replicas that have just started. The zero ColdStart: they are as good as any.
+type ColdStart struct {
+	Lasts     time.Duration // from the start
+	PerSecond float64       // requests that one bears meanwhile, over all daemons; zero: as many as any
 }
 
 // Org is an organisation.
 type Org struct {
 	ID       request.OrgID
-	Priority int  // goes before a route's, if HasPriority
-	Ranked   bool // Priority is set
-	Isolated bool // shares no KV cache with others
+	Priority int      // goes before a route's, if HasPriority
+	Ranked   bool     // Priority is set
+	Isolated bool     // shares no KV cache with others
+	Homes    []Region // where its requests may go; empty: anywhere
+}
+
+// AllowedIn reports whether requests of a route and an organisation, nil if there is none, may go
+// to a region. Where both have homes, both bind.
+func AllowedIn(region Region, route *Route, org *Org) bool {
+	return allows(route.Homes, region) && (org == nil || allows(org.Homes, region))
+}
+
+func allows(homes []Region, region Region) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
 // CallerLimits bound what a caller may send.
@@ -170,6 +192,19 @@
 	return nil
 }
 
+// HomesOf returns the regions that are homes of some route of a host; empty if none has homes.
+func (s *Snapshot) HomesOf(host string) []Region {
+	var homes []Region
+	for _, r := range s.byHost[strings.ToLower(host)] {
+		for _, home := range r.Homes {
+			if !slices.Contains(homes, home) {
+				homes = append(homes, home)
+			}
+		}
+	}
+	return homes
+}
+
 // OrgOf returns the organisation that holds a key, nil if none does.
 func (s *Snapshot) OrgOf(key string) *Org { return s.keys[key] }
 
