A store that comes back from a copy begins an era, which orders before its revisions

Cause: all of the code ordered by revision alone. After a return from a copy revisions fall and are given out again: desired states would be dropped as old, a watch would go on from a revision that means something else, two holders could have one epoch.

Ways weighed: the era in the number of each revision (kept: mirrors, peers' copies and datagrams order by it without a change), or an era beside each revision in all messages. Leases of an era before are void, epochs of an era begin above all before, and claims wait for one TTL after a return, since the last holder may rely on a lease that the copy lacks.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,9 @@
 	done chan struct{}
 }
 
+// UnknownHolder stands for a holder whose record the service has lost.
+const UnknownHolder request.DaemonID = "?"
+
 // Name returns the name held.
 func (l *Lease) Name() string { return l.name }
 
@@ -60,7 +63,8 @@
 func (l *Lease) ActAfter() time.Time { return l.actAfter }
 
 // Lapsed returns the daemon whose lease of the name ran out before this one; empty if the
-// name was released, or never held. It may be this daemon, also before its last start.
+// name was released, or never held. It may be this daemon, also before its last start, or
+// UnknownHolder.
 func (l *Lease) Lapsed() request.DaemonID { return l.lapsed }
 
 // Release ends the lease and frees the name. When the service does not answer, the
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -34,9 +34,12 @@
 	// WaitAfterTakeover is how long the new holder of a name that was not released
 	// waits before MayAct allows an order: at least the longest order timeout.
 	WaitAfterTakeover time.Duration
-	Now               func() time.Time // nil: time.Now, which carries the monotonic clock
-	Logger            hclog.Logger
-	Metrics           tally.Scope
+	// Returned returns when this process learnt that the service had come back from a copy that
+	// may lack what was written last, and whether it did; nil: it never does.
+	Returned func() (at time.Time, ok bool)
+	Now      func() time.Time // nil: time.Now, which carries the monotonic clock
+	Logger   hclog.Logger
+	Metrics  tally.Scope
 }
 
 // Manager holds names for one process. It is safe for concurrent use.
@@ -65,6 +68,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Returned == nil {
+		opts.Returned = func() (time.Time, bool) { return time.Time{}, false }
+	}
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
@@ -143,6 +149,9 @@
 	if l := m.lookup(name); l != nil {
 		return l, nil
 	}
+	if err := m.checkSettled(); err != nil {
+		return nil, err
+	}
 	current, revision, err := m.read(ctx, name)
 	if err != nil {
 		return nil, err
@@ -154,6 +163,17 @@
 	return m.claim(ctx, name, s, current, revision, takeover)
 }
 
+// checkSettled refuses claims for one TTL after the service came back from a copy. A lease of
+// before may be missing there while its holder, which has not heard of the return, relies on it
+// still; it was renewed last before the return.
+func (m *Manager) checkSettled() error {
+	at, ok := m.opts.Returned()
+	if left := m.opts.TTL - m.opts.Now().Sub(at); ok && left > 0 {
+		return errors.Mark(errors.Newf("lease: the service has come back from a copy; claims wait for %s", left), ErrUnavailable)
+	}
+	return nil
+}
+
 func (m *Manager) ensureSession(ctx context.Context) (*session, error) {
 	m.CheckDeadline()
 	if s := m.current(); s != nil {
@@ -215,6 +235,7 @@
 
 func (m *Manager) claim(ctx context.Context, name string, s *session, current record, revision platform.Revision, takeover bool) (*Lease, error) {
 	next := current.next(m.self(), s.id)
+	next.Epoch = max(next.Epoch, s.leastEpoch())
 	got, err := m.opts.KV.CompareAndSwap(ctx, recordPrefix+name, revision, next.encode(), "")
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
@@ -224,14 +245,29 @@
 		m.unsettle(name, revision)
 		return nil, errors.Mark(err, ErrUnavailable)
 	}
+	if got.Era() != s.revision.Era() {
+		// The service has come back from a copy, and knows nothing of the session.
+		return nil, errors.Mark(errors.New("lease: claimed in an era after its session's"), ErrUnavailable)
+	}
 	l := &Lease{manager: m, name: name, epoch: next.Epoch, session: s, revision: got, done: make(chan struct{})}
-	if takeover {
+	forgotten := m.mayHaveForgotten(s, revision)
+	if takeover || forgotten {
 		l.actAfter = m.opts.Now().Add(m.opts.WaitAfterTakeover)
 		l.lapsed = current.Holder
 	}
+	if forgotten {
+		l.lapsed = UnknownHolder
+	}
 	return l, m.keep(l)
 }
 
+// mayHaveForgotten reports whether the service may have lost the record of a later holder: it has
+// come back from a copy, and nobody has claimed the name since.
+func (m *Manager) mayHaveForgotten(s *session, record platform.Revision) bool {
+	_, returned := m.opts.Returned()
+	return returned && record.Era() < s.revision.Era()
+}
+
 // keep notes a lease unless its session ended while it was claimed.
 func (m *Manager) keep(l *Lease) error {
 	m.mu.Lock()
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -14,6 +14,11 @@
 // An order that is delayed by more than all of these, in a network or in a paused
 // process, still arrives late.
 //
+// The service may come back from a copy of some seconds ago, and have lost records and sessions.
+// All leases of before are then void: a session renews in its own era only, claims wait until the
+// last holder of before can't rely on its lease any more, count as takeovers, and take epochs
+// above all that the era before can have given.
+//
 // In a long outage of the service the leases lapse by the holder's own clock, and
 // nobody holds anything until it is over.
 package lease
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -13,7 +13,8 @@
 
 // session is the platform lease of this process, which all its names share.
 type session struct {
-	id platform.LeaseID
+	id       platform.LeaseID
+	revision platform.Revision // of its key
 
 	mu       sync.Mutex
 	validity validity
@@ -25,6 +26,11 @@
 	return s.validity.left(now)
 }
 
+// leastEpoch is the least epoch of a lease under the session. A record that the service lost may
+// have had any epoch of an earlier era; those of an era begin above all of them, whatever the
+// copy tells.
+func (s *session) leastEpoch() uint64 { return uint64(platform.NewRevision(s.revision.Era(), 0)) }
+
 // renewed notes a keep-alive that was sent at a time and answered.
 func (s *session) renewed(sent time.Time) {
 	s.mu.Lock()
@@ -75,10 +81,11 @@
 		return errors.Mark(err, ErrUnavailable)
 	}
 	value, _ := json.Marshal(m.self()) // plain fields: can't fail
-	if _, err := m.opts.KV.CompareAndSwap(ctx, sessionPrefix+string(id), 0, value, id); err != nil {
+	at, err := m.opts.KV.CompareAndSwap(ctx, sessionPrefix+string(id), 0, value, id)
+	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
-	s := &session{id: id, validity: validity{sent: sent, ttl: m.opts.TTL, margin: m.opts.Margin}}
+	s := &session{id: id, revision: at, validity: validity{sent: sent, ttl: m.opts.TTL, margin: m.opts.Margin}}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.session = s
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// ServiceReturned tells that the service has come back from a copy of some time ago. All is listed
+// anew, and what is missing may have been lost with its owner alive.
+func (f *Follower) ServiceReturned() {
+	f.mu.Lock()
+	f.returning = true
+	f.mu.Unlock()
+	f.o.Logger.Warn("The key-value service has come back from a copy")
+	f.Refresh()
+}
+
 // Run follows the service until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,8 +10,25 @@
 )
 
 // Revision orders writes of the key-value service. Zero stands for an absent key.
+//
+// A service may come back from a copy of some seconds ago, and then gives the numbers of the writes
+// that it lost out again. Each return begins another era, which counts before the number: what
+// was read in an older era is older, whatever its number.
 type Revision uint64
 
+// eraShift is the number of bits below an era. At 10,000 writes a second they last for three
+// years.
+const eraShift = 40
+
+// NewRevision returns the revision of a number in an era.
+func NewRevision(era, number uint64) Revision { return Revision(era<<eraShift | number) }
+
+// Era returns how often the service has come back from a copy; zero where it doesn't tell.
+func (r Revision) Era() uint64 { return uint64(r) >> eraShift }
+
+// Number returns what the service itself calls the revision.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
 // LeaseID names a lease of the key-value service.
 type LeaseID string
 
@@ -29,7 +46,8 @@
 	// ErrNotFound reports an absent key or a lapsed lease.
 	ErrNotFound = errors.New("platform: not found")
 	// ErrConflict reports a compare-and-swap whose expected revision was not current;
-	// the write had no effect. errors.As to *ConflictError gives the current entry.
+	// the write had no effect. errors.As to *ConflictError gives the current entry. A
+	// revision of an older era is never current.
 	ErrConflict = errors.New("platform: conflict")
 	// ErrUnavailable reports that the service did not answer; a read can be repeated.
 	ErrUnavailable = errors.New("platform: unavailable")
--- a/internal/weights/duty.go
+++ b/internal/weights/duty.go
@@ -315,6 +315,12 @@
 	for _, id := range p.Ordered {
 		d.foreign[id] = now.Add(d.o.OrderLease)
 	}
+	if l.Lapsed() == lease.UnknownHolder {
+		// What its holder before wrote down may be lost: any replica may have its orders.
+		for _, r := range d.o.Set.All() {
+			d.foreign[r.Info().ID] = now.Add(d.o.OrderLease)
+		}
+	}
 	d.o.Logger.Info("This daemon rolls out weights", "epoch", l.Epoch(), "ordered_before", len(p.Ordered))
 	return true
 }
