Two daemons of a group watch the store, the others hear from them; datagrams tell changes only

A daemon leaves the watch to peers only while one says, each 400 ms, that the store answers it; a copy then carries what changed and what was removed, no other keys.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,9 +1,9 @@
 // Package loadshare tells daemons of each other's work at the replicas, so that each can
 // place its requests as if it saw all of them.
 //
-// Datagrams carry the counts, some times a second and only while they change. One that is
-// lost is made good by the next; a peer that falls silent is forgotten. Nothing that must
-// hold depends on them.
+// Datagrams carry the counts that changed, some times a second, and all of them less often. What
+// one that is lost told is made good by the next that carries all; a peer that falls silent is
+// forgotten. Nothing that must hold depends on them.
 package loadshare
 
 import (
@@ -31,7 +31,7 @@
 	// tellEvery bounds the age of what peers know. A prompt takes 30 ms to some hundred,
 	// so that most of them are known to all before they end.
 	tellEvery = 60 * time.Millisecond
-	// repeatEvery is how often unchanged work is told again, before peers forget it.
+	// repeatEvery is how often all work is told, changed or not, before peers forget it.
 	repeatEvery = 400 * time.Millisecond
 	// maxDatagram keeps a datagram in one packet.
 	maxDatagram = 1400
@@ -55,6 +55,10 @@
 	// and Heard is told those of a peer.
 	Revisions func() []uint64
 	Heard     func(peer string, revisions []uint64)
+	// Watches reports whether the service tells this daemon itself of changes, and HeardWatcher is
+	// called at the word of a peer that it tells that one; nil: nobody watches, or is told.
+	Watches      func() bool
+	HeardWatcher func()
 	// HeardDeath is told of a replica that died while it ran a peer's request; nil: nobody.
 	HeardDeath func(quarantine.Sighting)
 	Logger     hclog.Logger
@@ -68,12 +72,12 @@
 
 	mu       sync.Mutex
 	placed   []*Placed
-	states   []*State // told to all daemons: any may use the replica
-	down     []uint64 // replicas found unreachable; told to those that use them
-	refusing []uint64 // replicas that would not run a request; likewise
-	deaths   []*Death // told to all daemons: the request may come again at any
-	last     []*Work
-	lastTold time.Time
+	states   []*State         // told to all daemons: any may use the replica
+	down     []uint64         // replicas found unreachable; told to those that use them
+	refusing []uint64         // replicas that would not run a request; likewise
+	deaths   []*Death         // told to all daemons: the request may come again at any
+	last     map[uint64]*Work // by replica, as told last
+	allTold  time.Time        // when all work was told last
 
 	told map[request.DaemonID]map[uint64]bool // the replicas that each peer named last
 
@@ -90,6 +94,12 @@
 	if o.HeardDeath == nil {
 		o.HeardDeath = func(quarantine.Sighting) {}
 	}
+	if o.Watches == nil {
+		o.Watches = func() bool { return false }
+	}
+	if o.HeardWatcher == nil {
+		o.HeardWatcher = func() {}
+	}
 	address, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: address")
@@ -188,7 +198,7 @@
 		n := rand.IntN(len(others))
 		others = others[n : n+1]
 	}
-	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths}, others)
+	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Watches: r.Watches}, others)
 }
 
 func (s *Share) send(r *Report, to []netip.AddrPort) {
@@ -214,45 +224,54 @@
 	s.placed, s.states, s.down, s.refusing = s.placed[n:], nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
-	changed := !same(work, s.last)
-	if changed || now.Sub(s.lastTold) >= repeatEvery && len(work) > 0 {
-		r.Work = work
-		if len(work) == 0 {
-			r.Work = []*Work{{}} // tells that all is done
-		}
-		s.last, s.lastTold = work, now
-	}
+	s.tellWork(now, r, work)
 	revisions := s.o.Revisions()
-	if slices.Equal(revisions, s.revisions) && now.Sub(s.revisionsTold) < repeatEvery && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths) == 0 {
+	newRevisions := !slices.Equal(revisions, s.revisions) || now.Sub(s.revisionsTold) >= repeatEvery
+	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths) == 0 {
 		return nil
 	}
-	r.Revisions, r.Address = revisions, s.o.Address
-	s.revisions, s.revisionsTold = revisions, now
+	if newRevisions {
+		r.Revisions, r.Address, r.Watches = revisions, s.o.Address, s.o.Watches()
+		s.revisions, s.revisionsTold = revisions, now
+	}
 	return r
 }
 
-func (s *Share) work() []*Work {
-	var out []*Work
+// tellWork adds to a report what changed in the work here, or all of it if that is due.
+func (s *Share) tellWork(now time.Time, r *Report, work map[uint64]*Work) {
+	before := s.last
+	s.last = work
+	if now.Sub(s.allTold) >= repeatEvery && len(work) > 0 {
+		s.allTold = now
+		for _, w := range work {
+			r.Work = append(r.Work, w)
+		}
+		return
+	}
+	r.ChangesOnly = true
+	for hash, w := range work {
+		if !proto.Equal(w, before[hash]) {
+			r.Work = append(r.Work, w)
+		}
+	}
+	for hash := range before {
+		if work[hash] == nil {
+			r.Work = append(r.Work, &Work{Replica: hash})
+		}
+	}
+}
+
+// work returns what this daemon has in flight, by replica.
+func (s *Share) work() map[uint64]*Work {
+	out := map[uint64]*Work{}
 	for _, r := range s.o.Set.All() {
 		w := r.Load.Own()
-		if w.Requests == 0 {
+		if w == (replicas.Work{}) {
 			continue
 		}
-		out = append(out, &Work{
+		out[r.Hash()] = &Work{
 			Replica: r.Hash(), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.Long),
-		})
-	}
-	return out
-}
-
-func same(a, b []*Work) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if !proto.Equal(a[i], b[i]) {
-			return false
 		}
 	}
-	return true
+	return out
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -118,3 +118,39 @@
 		t.Errorf("believed of the new start: load %+v, busy %t, weights %d", r.Load.Total(now), r.Busy(now), r.Weights("m"))
 	}
 }
+
+// Datagrams tell what changed only. One that told of an end is lost: the replica would look busy
+// for good, but the next that tells all makes it good, and what did not change is not forgotten.
+func TestLostChangeIsMadeGood(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	defer a.conn.Close()
+	defer b.conn.Close()
+	begun := time.Now()
+	hear := func(after time.Duration, lost bool) *Report {
+		now := begun.Add(after)
+		r := a.next(now)
+		if r != nil && !lost {
+			b.take(context.Background(), now, r)
+			<-b.heard
+		}
+		return r
+	}
+	flight := a.set.Get("r").Load.Begin(100, 60)
+	hear(repeatEvery, false)
+	seen := func(after time.Duration) int { return b.set.Get("r").Load.Total(begun.Add(after)).Requests }
+	if seen(repeatEvery) != 1 {
+		t.Fatal("the request is not seen")
+	}
+	a.set.Get("r").Load.Begin(50, 0)
+	if r := hear(repeatEvery+tellEvery, true); r == nil || !r.ChangesOnly || len(r.Work) != 1 {
+		t.Fatalf("told %+v", r)
+	}
+	hear(2*repeatEvery, false)
+	if seen(2*repeatEvery) != 2 {
+		t.Errorf("%d requests after all was told", seen(2*repeatEvery))
+	}
+	flight.End()
+	if r := a.next(begun.Add(2*repeatEvery + tellEvery)); r == nil || len(r.Work) != 1 || r.Revisions != nil {
+		t.Errorf("told %+v", r)
+	}
+}
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -40,6 +40,9 @@
 	if len(r.Revisions) > 0 {
 		s.o.Heard(r.Address, r.Revisions)
 	}
+	if r.Watches {
+		s.o.HeardWatcher()
+	}
 	byHash := s.o.Set.View().ByHash
 	if len(r.Work) > 0 {
 		s.takeWork(now, r, byHash)
@@ -80,12 +83,15 @@
 	}
 }
 
-// takeWork notes a peer's work. A replica that it names no more has none of it.
+// takeWork notes a peer's work. Where it tells all, a replica that it names no more has none of it.
 func (s *Share) takeWork(now time.Time, r *Report, byHash map[uint64]*replicas.Replica) {
 	peer := request.DaemonID(r.From)
 	s.mu.Lock()
+	told := s.told[peer]
+	if told == nil || !r.ChangesOnly {
+		told = make(map[uint64]bool, len(r.Work))
+	}
 	before := s.told[peer]
-	told := make(map[uint64]bool, len(r.Work))
 	s.told[peer] = told
 	s.mu.Unlock()
 	for _, w := range r.Work {
@@ -98,6 +104,9 @@
 			Requests: int(w.Requests), Tokens: int(w.Tokens), Prefill: int(w.Prefill), Long: int(w.Long),
 		})
 	}
+	if r.ChangesOnly {
+		return
+	}
 	for h := range before {
 		if replica := byHash[h]; replica != nil && !told[h] {
 			replica.Load.Tell(now, peer, replicas.Work{})
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -30,6 +30,8 @@
 	// spread is the part of a watch's wait that is left to chance, so that the watches of
 	// many daemons don't end together.
 	spread = 0.2
+	// relayedEvery is how often a process looks whether peers still tell it of changes.
+	relayedEvery = 100 * time.Millisecond
 )
 
 // Options of New.
@@ -44,7 +46,9 @@
 	// Gather returns how long to wait after a change for more, so that many changes at
 	// once don't cost a call each; nil: not at all.
 	Gather func() time.Duration
-	Logger hclog.Logger
+	// Relayed reports whether peers tell of all changes now, so that none is asked for; nil: never.
+	Relayed func() bool
+	Logger  hclog.Logger
 }
 
 // Follower keeps mirrors up to date.
@@ -52,6 +56,7 @@
 	o         Options
 	mirrors   []*Mirror
 	connected atomic.Bool
+	watching  atomic.Bool // the service is asked for changes, and has answered last
 	wake      chan struct{}
 
 	mu        sync.Mutex
@@ -76,6 +81,9 @@
 	if o.Gather == nil {
 		o.Gather = func() time.Duration { return 0 }
 	}
+	if o.Relayed == nil {
+		o.Relayed = func() bool { return false }
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -96,6 +104,9 @@
 // service's answers.
 func (f *Follower) Connected() bool { return f.connected.Load() }
 
+// Watches reports whether the service tells this process itself of changes.
+func (f *Follower) Watches() bool { return f.watching.Load() }
+
 // State returns how the follower stands with the service.
 func (f *Follower) State() State {
 	f.mu.Lock()
@@ -136,8 +147,14 @@
 	for ctx.Err() == nil {
 		at, err := f.list(ctx)
 		for err == nil {
+			if f.o.Relayed() {
+				err = f.leaveToPeers(ctx)
+				continue
+			}
 			at, err = f.watch(ctx, at)
+			f.watching.Store(err == nil)
 		}
+		f.watching.Store(false)
 		if err != nil && ctx.Err() == nil {
 			f.o.Logger.Info("All is listed anew", "cause", err)
 		}
@@ -218,6 +235,24 @@
 	return next, nil
 }
 
+// leaveToPeers asks for nothing while peers tell of all changes. What they told is known already
+// when a watch goes on from where this process left it.
+func (f *Follower) leaveToPeers(ctx context.Context) error {
+	f.watching.Store(false)
+	tick := time.NewTicker(relayedEvery)
+	defer tick.Stop()
+	for f.o.Relayed() {
+		select {
+		case <-tick.C:
+		case <-f.wake:
+			return errRefresh
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // nextWait returns how long the next watch may wait.
 func (f *Follower) nextWait() time.Duration {
 	longest := f.o.Wait()
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -39,6 +39,9 @@
 	Mirrors []*Mirror    // the same on all daemons, in the same order
 	Logger  hclog.Logger
 	Metrics tally.Scope
+	// Relayed reports whether peers tell of all changes now; nil: never. Their copies are then
+	// asked for at once.
+	Relayed func() bool
 }
 
 // Group shares mirrors among daemons. It implements the service Copies.
@@ -48,6 +51,7 @@
 	metrics tally.Scope
 	order   []string // prefixes
 	by      map[string]*Mirror
+	relayed func() bool
 
 	mu   sync.Mutex
 	lags map[string]*lag // by prefix
@@ -63,13 +67,13 @@
 }
 
 // note takes that a peer knows of a change that this daemon does not, and reports whether to
-// ask for its copy.
-func (l *lag) note(now time.Time, revision platform.Revision) bool {
+// ask for its copy: once that has lasted for some time.
+func (l *lag) note(now time.Time, revision platform.Revision, after time.Duration) bool {
 	if l.since.IsZero() || now.Sub(l.heard) > forgetAfter {
 		l.since, l.told = now, 0
 	}
 	l.told, l.heard = max(l.told, revision), now
-	if now.Sub(l.since) < behindFor {
+	if now.Sub(l.since) < after {
 		return false
 	}
 	return l.asks == 0 || l.asks < maxAsks && now.Sub(l.asked) > askAgainAfter
@@ -98,8 +102,12 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	if o.Relayed == nil {
+		o.Relayed = func() bool { return false }
+	}
 	c := &Group{
-		client: &transfer.Client{HTTP: o.Client, Head: readTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
+		relayed: o.Relayed,
+		client:  &transfer.Client{HTTP: o.Client, Head: readTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
 		by: map[string]*Mirror{}, lags: map[string]*lag{},
 	}
 	c.client.Done = c.countReceived
@@ -164,7 +172,11 @@
 		l.caughtUp(m)
 		return false
 	}
-	if !l.note(now, told) {
+	after := behindFor
+	if c.relayed() {
+		after = 0
+	}
+	if !l.note(now, told, after) {
 		return false
 	}
 	l.asks++
@@ -183,7 +195,7 @@
 		c.lags[prefix].caughtUp(m)
 	}()
 	known, begun := m.knownTo(), time.Now()
-	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true})
+	answer, err := NewCopiesProtobufClient("http://"+peer, c.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true, Removals: true})
 	if err != nil {
 		c.countAsked("failed")
 		c.log.Info("A peer gives no copy", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(begun).Milliseconds(), "error", err)
@@ -195,13 +207,17 @@
 	}
 	c.countAsked("taken")
 	c.log.Info("A peer's copy is taken", "peer", peer, "prefix", prefix, "revision", answer.Newest, "known", known, "entries", len(answer.Entries), "after_ms", time.Since(begun).Milliseconds())
-	m.takeAll(answer.content())
+	if given := answer.content(); answer.ChangesOnly {
+		m.takeSome(given.entries, given.complete, given.lapsing)
+	} else {
+		m.takeAll(given)
+	}
 }
 
 func (r *ReadResponse) content() content {
 	c := content{unchanged: r.Unchanged, complete: platform.Revision(r.Complete), newest: platform.Revision(r.Newest), lapsing: r.Lapsing}
 	for _, e := range r.Entries {
-		c.entries = append(c.entries, platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease)})
+		c.entries = append(c.entries, platform.Entry{Key: e.Key, Value: e.Value, Revision: platform.Revision(e.Revision), Lease: platform.LeaseID(e.Lease), Deleted: e.Removed})
 	}
 	return c
 }
@@ -224,13 +240,19 @@
 	if !r.Changes {
 		known = 0 // a daemon of an older release takes whole copies only
 	}
-	given := m.since(known)
+	given, changesOnly := content{}, false
+	if r.Removals {
+		given, changesOnly = m.changesSince(known)
+	}
+	if !changesOnly {
+		given = m.since(known)
+	}
 	if uint64(given.newest) <= r.NewerThan {
 		return &ReadResponse{Newest: uint64(given.newest)}, nil
 	}
-	out := &ReadResponse{Newest: uint64(given.newest), Lapsing: given.lapsing, Complete: uint64(given.complete), Unchanged: given.unchanged}
+	out := &ReadResponse{Newest: uint64(given.newest), Lapsing: given.lapsing, Complete: uint64(given.complete), Unchanged: given.unchanged, ChangesOnly: changesOnly}
 	for _, e := range given.entries {
-		out.Entries = append(out.Entries, &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease)})
+		out.Entries = append(out.Entries, &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease), Removed: e.Deleted})
 	}
 	c.metrics.Counter("copies_given").Inc(1)
 	return out, nil
--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -101,7 +101,7 @@
 	start := time.Now()
 	asked := time.Duration(0)
 	for at := time.Duration(0); at < 3*time.Second; at += 60 * time.Millisecond {
-		ask := l.note(start.Add(at), 5)
+		ask := l.note(start.Add(at), 5, behindFor)
 		if !l.since.Equal(start) {
 			t.Fatalf("after %s the time behind begins anew", at)
 		}
@@ -120,7 +120,7 @@
 	}
 	m, _ := filled(5, map[string]string{"p/1": "new"})
 	l.caughtUp(m)
-	if l.note(start.Add(4*time.Second), 6); !l.since.Equal(start.Add(4 * time.Second)) {
+	if l.note(start.Add(4*time.Second), 6, behindFor); !l.since.Equal(start.Add(4 * time.Second)) {
 		t.Error("the time behind runs on from a change that is known by now")
 	}
 }
@@ -130,8 +130,8 @@
 func TestWhatNobodyTellsAnyMoreIsForgotten(t *testing.T) {
 	var l lag
 	start := time.Now()
-	l.note(start, 5)
-	if l.note(start.Add(forgetAfter+time.Millisecond), 6) {
+	l.note(start, 5, behindFor)
+	if l.note(start.Add(forgetAfter+time.Millisecond), 6, behindFor) {
 		t.Error("a peer is asked at once")
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	entries map[string]platform.Entry // as read; deleted ones are kept as such
 	newest  platform.Revision         // of all changes that are known
+	// removals is the revision after which all removed keys are known as such.
+	removals platform.Revision
 	// complete is the revision up to which all changes are known. It is mostly above newest, since
 	// other keys change too; below it while a listing's later pages tell of changes that its
 	// earlier ones lack.
@@ -86,6 +88,9 @@
 			m.newest = max(m.newest, c.complete)
 		}
 	}
+	if m.removals == 0 {
+		m.removals = c.complete
+	}
 	m.complete = max(m.complete, c.complete)
 	if c.newest <= c.complete {
 		m.newest = max(m.newest, c.newest) // also where it was a removal that had another revision here
@@ -137,6 +142,24 @@
 	return c
 }
 
+// changesSince returns all changes after a revision, removals among them, and whether they are all:
+// what was removed before this mirror's first listing is not known here.
+func (m *Mirror) changesSince(revision platform.Revision) (c content, all bool) {
+	c = content{lapsing: m.lapsing()}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.complete, c.newest = m.complete, m.newest
+	if m.removals == 0 || revision < m.removals {
+		return c, false
+	}
+	for _, e := range m.entries {
+		if e.Revision > revision {
+			c.entries = append(c.entries, e)
+		}
+	}
+	return c, true
+}
+
 // keep notes an entry and reports whether it is news. A copy of a peer may have told it
 // before.
 func (m *Mirror) keep(e platform.Entry) bool {
--- a/internal/policy/coldstart/coldstart.go
+++ b/internal/policy/coldstart/coldstart.go
@@ -14,10 +14,9 @@
 package coldstart
 
 import (
-	"cmp"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/bluebellscale/bluebellscale/internal/policy/subset"
 )
 
 // Limits are what one cold replica bears.
@@ -64,32 +63,9 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// IsSender reports whether a daemon is among the senders to a replica: those of some daemons
-// whose names rank first together with the replica's.
+// IsSender reports whether a daemon is among the senders to a replica, of some daemons.
 func IsSender(self string, daemons []string, replica uint64, senders int) bool {
-	own := rank(self, replica)
-	before := 0
-	for _, other := range daemons {
-		if other != self && ahead(rank(other, replica), other, own, self) {
-			before++
-		}
-	}
-	return before < senders
-}
-
-func ahead(a uint64, aName string, b uint64, bName string) bool {
-	return cmp.Or(cmp.Compare(a, b), cmp.Compare(aName, bName)) < 0
-}
-
-func rank(daemon string, replica uint64) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(daemon) // a digest takes everything
-	var raw [8]byte
-	for i := range raw {
-		raw[i] = byte(replica >> (8 * i))
-	}
-	_, _ = digest.Write(raw[:])
-	return digest.Sum64()
+	return subset.IsAmong(self, daemons, replica, senders)
 }
 
 // Pace is one daemon's share of one cold replica. The zero Pace has sent nothing.
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,3 +94,23 @@
 	}
 	return 0
 }
+
+// IsAmong reports whether a name is among the first few of some names, in an order that is another
+// one for each key.
+func IsAmong(name string, names []string, key uint64, few int) bool {
+	own := rank(name, key)
+	before := 0
+	for _, other := range names {
+		if other != name && cmp.Or(cmp.Compare(rank(other, key), own), cmp.Compare(other, name)) < 0 {
+			before++
+		}
+	}
+	return before < few
+}
+
+func rank(name string, key uint64) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(name) // a digest takes everything
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, key))
+	return digest.Sum64()
+}
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strings"
@@ -18,19 +19,19 @@
 	j.Meta = meta // also for the log of a refusal
 	state, current := s.o.State()
 	if state == nil {
-		return j, request.Refuse(request.CodeStale, http.StatusServiceUnavailable, notReadyRetry, "no desired state is known yet")
+		return j, request.Refuse(request.CodeStale, http.StatusServiceUnavailable, s.notReadyBack(), "no desired state is known yet")
 	}
 	path := rawPath(r.RequestURI)
 	j.Route = state.Match(r.Host, path)
 	if j.Route == nil {
-		return j, ifCurrent(current, request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no route for %s%s", r.Host, path))
+		return j, s.ifCurrent(current, request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no route for %s%s", r.Host, path))
 	}
 	if s.tooLate(j) {
 		return j, request.Refuse(request.CodeDraining, http.StatusServiceUnavailable, stoppingRetry, "this daemon stops")
 	}
 	if state.NeedsKey(j.Route) {
 		if j.Org = state.OrgOf(s.o.Dialect.Key(r.Header)); j.Org == nil {
-			return j, ifCurrent(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
+			return j, s.ifCurrent(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
 		}
 	}
 	if metaErr != nil {
@@ -46,11 +47,19 @@
 
 // ifCurrent replaces a refusal by "come back" where the desired state may be old: the
 // route or key may have been added since.
-func ifCurrent(current bool, e *request.Error) error {
+func (s *Server) ifCurrent(current bool, e *request.Error) error {
 	if current {
 		return e
 	}
-	return request.Refuse(request.CodeStale, http.StatusServiceUnavailable, notReadyRetry, "the desired state may be old")
+	return request.Refuse(request.CodeStale, http.StatusServiceUnavailable, s.notReadyBack(), "the desired state may be old")
+}
+
+// notReadyBack returns when to come back to a daemon that waits for the desired state. Callers come
+// back a few times only: told half a second in an outage of two, they used up their retries in it.
+func (s *Server) notReadyBack() time.Duration {
+	expected := time.Duration(outageFactor * float64(s.o.Outage()))
+	back := min(max(notReadyRetry, expected), maxNotReadyRetry)
+	return time.Duration(float64(back) * (1 - notReadySpread/2 + notReadySpread*rand.Float64()))
 }
 
 func (s *Server) readBody(r *http.Request, j *Job, limit int64) error {
