--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -11,6 +11,7 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -36,8 +37,12 @@
 	Share      float64 // retries for each first try of the target set
 	Burst      float64 // retries at once above that
 	PerSecond  float64 // retries a second that are always allowed, for sets with few calls
-	BaseDelay  time.Duration
-	MaxDelay   time.Duration
+	// Saved is how much of Share may be saved up over Window, on top of Burst: a replica that dies
+	// takes all its streams with it, and few requests fail in between. Zero: nothing.
+	Saved     float64
+	Window    time.Duration
+	BaseDelay time.Duration
+	MaxDelay  time.Duration
 }
 
 func (p *Params) setDefaults() {
@@ -62,6 +67,7 @@
 	params Params
 	tokens float64
 	at     time.Time
+	recent float64 // first tries within a window, the older ones counted less
 }
 
 // NewBudget returns a full budget.
@@ -73,9 +79,13 @@
 // OnFirstTry earns the set its share of a retry.
 func (b *Budget) OnFirstTry(now time.Time) {
 	b.fill(now)
-	b.tokens = min(b.params.Burst, b.tokens+b.params.Share)
+	b.recent++
+	b.tokens = min(b.most(), b.tokens+b.params.Share)
 }
 
+// most returns how many retries may be left at most.
+func (b *Budget) most() float64 { return b.params.Burst + b.params.Saved*b.recent }
+
 // Left returns how many retries are left now.
 func (b *Budget) Left(now time.Time) float64 {
 	b.fill(now)
@@ -84,7 +94,10 @@
 
 func (b *Budget) fill(now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens = min(b.params.Burst, b.tokens+elapsed.Seconds()*b.params.PerSecond)
+		if b.params.Window > 0 {
+			b.recent *= math.Exp(-elapsed.Seconds() / b.params.Window.Seconds())
+		}
+		b.tokens = min(b.most(), b.tokens+elapsed.Seconds()*b.params.PerSecond)
 		b.at = now
 	}
 }
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -145,3 +145,32 @@
 	}
 	t.Logf("%d calls: %d tries, naive %d", calls, ours, naive)
 }
+
+// A replica dies with all its streams while few requests failed before: what was not used in the
+// time before may be, and still no window has more retries than its share of requests allows.
+func TestSavedRetriesKeepToTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window, share, burst = 10 * time.Second, 0.084, 2.0
+		p := Params{Share: share, Saved: 0.056, Window: window, Burst: burst, PerSecond: 0.0001}
+		b := NewBudget(epoch, p)
+		rate := rapid.IntRange(1, 200).Draw(t, "requests a second")
+		failAt := time.Duration(rapid.IntRange(0, 40_000).Draw(t, "failure at ms")) * time.Millisecond
+		var retries []time.Time
+		for i := range 40 * rate {
+			now := epoch.Add(time.Duration(i) * time.Second / time.Duration(rate))
+			b.OnFirstTry(now)
+			for now.Sub(epoch) >= failAt && b.TryTake(now) {
+				retries = append(retries, now)
+			}
+		}
+		from := 0
+		for to := range retries {
+			for retries[to].Sub(retries[from]) >= window {
+				from++
+			}
+			if n, most := float64(to-from+1), 0.2*float64(rate)*window.Seconds()+burst+2; n > most {
+				t.Fatalf("%v retries in a window, %v allowed", n, most)
+			}
+		}
+	})
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -20,9 +20,15 @@
 const (
 	// defaultBodyLimit holds while no desired state names one.
 	defaultBodyLimit = 4 << 20
-	// notReadyRetry is when to come back to a daemon that has no desired state yet, or
-	// can't be sure that its own is current.
-	notReadyRetry = 500 * time.Millisecond
+	// notReadyRetry and maxNotReadyRetry bound when to come back to a daemon that has no desired
+	// state yet, or can't be sure that its own is current.
+	notReadyRetry    = 500 * time.Millisecond
+	maxNotReadyRetry = 3 * time.Second
+	// notReadySpread is the part of that which is left to chance: all callers that a fleet refused
+	// would be back at once.
+	notReadySpread = 0.4
+	// outageFactor is how much longer an outage is expected to last than it has lasted.
+	outageFactor = 1.5
 	// stoppingRetry is when to come back to another daemon.
 	stoppingRetry = 20 * time.Millisecond
 	// fullRetry is when to come back after no replica could take a request. Answers take
@@ -49,6 +55,8 @@
 	// State returns the desired state in force, nil if none is known, and whether it is
 	// surely current.
 	State func() (s *routing.Snapshot, current bool)
+	// Outage returns for how long nothing could be read that might be newer; nil: unknown.
+	Outage func() time.Duration
 	// Budget bounds the retries of one service here; the share of this daemon.
 	Budget func() retry.Params
 	// Suspects refuses requests that crash replicas; nil: none is refused.
@@ -79,6 +87,9 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	if o.Outage == nil {
+		o.Outage = func() time.Duration { return 0 }
+	}
 	o.Logger = o.Logger.Named("relay")
 	s := &Server{
 		o: o, budgets: map[routing.ServiceID]*retry.Budget{},
@@ -128,9 +139,13 @@
 	k := &sink{w: w, control: http.NewResponseController(w), last: j.LastEvent}
 	var tried []request.TargetID
 	var n counts
+	var next *Placement // of a run that goes on from a copy
 	for {
 		j.Begun = k.started
-		p, err := s.placer(j).Place(ctx, j, tried)
+		p, err := next, error(nil)
+		if p == nil {
+			p, err = s.placer(j).Place(ctx, j, tried)
+		}
 		if err != nil {
 			s.end(ctx, w, j, k, n.mayHaveRun > 0, err)
 			return
@@ -156,6 +171,9 @@
 		s.logTry(j, t, n.sent+n.unsent)
 		t.done(t.body != nil)
 		tried = append(tried, p.Send.Replica)
+		if next = s.fromBackup(ctx, j, t); next != nil {
+			continue
+		}
 		if ctx.Err() != nil || t.outcome == callerEnd || !s.mayFollow(ctx, j, t, n, k) {
 			s.end(ctx, w, j, k, n.mayHaveRun > 0, t.err)
 			return
@@ -195,6 +213,8 @@
 	switch {
 	case t.outcome == failed:
 		return true // decided, and paid for, before
+	case n.mayHaveRun > 0 && !j.Route.Repeatable():
+		return false // a run that was to go on elsewhere and could not
 	case t.outcome == notSent:
 		return n.unsent < maxUnsent && time.Until(j.Deadline) > minTimeLeft
 	case t.outcome == notRun && !k.started:
