--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -135,12 +135,7 @@
 	e.release(own, j, unfetch(&send, chosen.Parts, sources, stored))
 	e.record(r, j, own)
 	first, stop := e.watchFetch(chosen, need, sources, stored)
-	copied := e.backup(j, r, version, need, usable)
-	if copied != nil {
-		send.BackupTo = copied.Replica.Info().Address
-	}
 	return &relay.Placement{
-		Backup:  copied,
 		Replica: r, Send: send, BeginBy: e.beginBy(j.Model, version), First: first, Ended: e.ended(stop, own, j, stored), Reason: reason(chosen, &send, j.OutputTokens),
 		Flight: begin(r, need, pick.Default.ToCompute(need, chosen.Parts)),
 	}, nil
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -139,13 +139,9 @@
 	k := &sink{w: w, control: http.NewResponseController(w), last: j.LastEvent}
 	var tried []request.TargetID
 	var n counts
-	var next *Placement // of a run that goes on from a copy
 	for {
 		j.Begun = k.started
-		p, err := next, error(nil)
-		if p == nil {
-			p, err = s.placer(j).Place(ctx, j, tried)
-		}
+		p, err := s.placer(j).Place(ctx, j, tried)
 		if err != nil {
 			s.end(ctx, w, j, k, n.mayHaveRun > 0, err)
 			return
@@ -171,9 +167,6 @@
 		s.logTry(j, t, n.sent+n.unsent)
 		t.done(t.body != nil)
 		tried = append(tried, p.Send.Replica)
-		if next = s.fromBackup(ctx, j, t); next != nil {
-			continue
-		}
 		if ctx.Err() != nil || t.outcome == callerEnd || !s.mayFollow(ctx, j, t, n, k) {
 			s.end(ctx, w, j, k, n.mayHaveRun > 0, t.err)
 			return
@@ -213,8 +206,6 @@
 	switch {
 	case t.outcome == failed:
 		return true // decided, and paid for, before
-	case n.mayHaveRun > 0 && !j.Route.Repeatable():
-		return false // a run that was to go on elsewhere and could not
 	case t.outcome == notSent:
 		return n.unsent < maxUnsent && time.Until(j.Deadline) > minTimeLeft
 	case t.outcome == notRun && !k.started:
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -77,9 +77,6 @@
 		t.timer.Stop()
 	}
 	t.placement.Flight.End()
-	if t.placement.Backup != nil {
-		t.placement.Backup.Flight.End()
-	}
 	if t.placement.Ended != nil {
 		t.placement.Ended(t.outcome != notRun && t.outcome != notSent)
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -47,10 +47,6 @@
 	SaveTo     []string
 	FetchUntil int64 // on the replicas' clock, ms; a fetch is thrown away after it
 	Urgency    int   // 0 to 9, 0 is first
-	// BackupTo is the address of the replica to which the run's memory is copied as it grows.
-	BackupTo string
-	// ContinueFrom names such a copy, from which the run goes on.
-	ContinueFrom string
 }
 
 // Answer is what a replica's headers say.
@@ -131,15 +127,6 @@
 	First func()
 	// Ended is told once how the try ended; nil: nobody needs it.
 	Ended func(ran bool)
-	// Backup is where the run's memory is copied; nil: nowhere.
-	Backup *Backup
-}
-
-// Backup is a replica that holds a copy of a run's memory.
-type Backup struct {
-	Replica *replicas.Replica
-	Flight  *replicas.Flight // the memory that the copy takes
-	Tokens  int
 }
 
 // Placer chooses replicas.
--- a/internal/replicas/load.go
+++ b/internal/replicas/load.go
@@ -87,9 +87,6 @@
 	return l.begin(Work{Requests: 1, Tokens: tokens, Prefill: prefill, Long: tokens})
 }
 
-// Hold counts memory that is taken without a request.
-func (l *Load) Hold(tokens int) *Flight { return l.begin(Work{Tokens: tokens}) }
-
 func (l *Load) begin(w Work) *Flight {
 	l.mu.Lock()
 	l.own.add(w)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -89,7 +89,6 @@
 	Models        []request.Model
 	FollowersMax  int  // event followers that a replica bears at once
 	ManagedStores bool // stores are freed by us, and each part may name its own
-	Backups       bool // a run can be copied to another replica as it goes on, and continued there
 }
 
 // ContextStore describes a store of KV cache.
