A claim after a return counts as a takeover by the epoch of the record, not by its revision

Cause: a copy's entries have revisions of the new era, so that a record which the copy still had did not count as of an era before: the next holder acted at once, while orders of a lost later holder may have been under way.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -250,7 +250,7 @@
 		return nil, errors.Mark(errors.New("lease: claimed in an era after its session's"), ErrUnavailable)
 	}
 	l := &Lease{manager: m, name: name, epoch: next.Epoch, session: s, revision: got, done: make(chan struct{})}
-	forgotten := m.mayHaveForgotten(s, revision)
+	forgotten := m.mayHaveForgotten(s, current)
 	if takeover || forgotten {
 		l.actAfter = m.opts.Now().Add(m.opts.WaitAfterTakeover)
 		l.lapsed = current.Holder
@@ -262,10 +262,11 @@
 }
 
 // mayHaveForgotten reports whether the service may have lost the record of a later holder: it has
-// come back from a copy, and nobody has claimed the name since.
-func (m *Manager) mayHaveForgotten(s *session, record platform.Revision) bool {
+// come back from a copy, and nobody has claimed the name since. The record's epoch tells its era;
+// its revision does not, since a copy's entries have those of the new era.
+func (m *Manager) mayHaveForgotten(s *session, r record) bool {
 	_, returned := m.opts.Returned()
-	return returned && record.Era() < s.revision.Era()
+	return returned && r.Epoch < s.leastEpoch()
 }
 
 // keep notes a lease unless its session ended while it was claimed.
