--- a/internal/placer/cold.go
+++ b/internal/placer/cold.go
@@ -29,24 +29,23 @@
 
 // Ready reports whether a replica may get a request of this daemon now.
 func (c *Cold) Ready(now time.Time, r *replicas.Replica) bool {
-	if !c.binds(now, r) {
-		return true
-	}
-	_, sends := c.share(r)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return sends && c.pace(r).Ready(now)
+	return c.ask(now, r, func(p *coldstart.Pace, _ time.Duration) bool { return p.Ready(now) })
 }
 
 // Take takes leave to send a request to a replica now, and reports whether there is any.
 func (c *Cold) Take(now time.Time, r *replicas.Replica) bool {
+	return c.ask(now, r, func(p *coldstart.Pace, gap time.Duration) bool { return p.Take(now, gap) })
+}
+
+// ask asks this daemon's share of a replica, if a bound holds for that.
+func (c *Cold) ask(now time.Time, r *replicas.Replica, share func(p *coldstart.Pace, gap time.Duration) bool) bool {
 	if !c.binds(now, r) {
 		return true
 	}
 	gap, sends := c.share(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return sends && c.pace(r).Take(now, gap)
+	return sends && share(c.pace(r), gap)
 }
 
 // Unsure reports whether a replica is cold while this daemon does not know the others yet, so that
