--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -38,6 +38,7 @@
 	fleetState    = 1 << 20 / 8     // bytes of the largest desired state
 	fleetPage     = 50              // entries
 	fleetCall     = 4 * time.Millisecond
+	fleetWatchers = 4                       // one daemon in so many watches the service, where the others are told
 	fleetSilence  = 1500 * time.Millisecond // until a call without an answer is given up
 )
 
@@ -138,6 +139,8 @@
 	mu           sync.Mutex
 	state        platform.Revision // of the desired state in force
 	wentBackOnce bool
+	relays       Relays
+	watches      func() bool // whether the service tells this daemon itself
 }
 
 func (d *modelDaemon) apply(u Update) {
@@ -289,7 +292,7 @@
 }
 
 // newModelFleet starts daemons that meet the faults drawn for each.
-func newModelFleet(ctx context.Context, wg *sync.WaitGroup, faults func(daemon int) []fault) *modelFleet {
+func newModelFleet(ctx context.Context, wg *sync.WaitGroup, relayed bool, faults func(daemon int) []fault) *modelFleet {
 	f := &modelFleet{service: newModelService(), start: time.Now()}
 	f.service.put("op/config", []byte("first"))
 	for i := range fleetReplicas {
@@ -302,9 +305,11 @@
 			service: f.service, start: f.start, faults: faults(i),
 			down: rate.NewLimiter(fleetLink, burst), up: rate.NewLimiter(fleetLink, burst),
 		}
-		follower := New(Options{KV: d, Wait: func() time.Duration { return fleetBound - 800*time.Millisecond }})
+		isRelayed := func() bool { return relayed && i%fleetWatchers != 0 && d.relays.Covered(time.Now()) }
+		follower := New(Options{KV: d, Wait: func() time.Duration { return fleetBound - 800*time.Millisecond }, Relayed: isRelayed})
+		d.watches = follower.Watches
 		mirrors := []*Mirror{follower.Mirror("op/", d.apply), follower.Mirror("servers/", func(Update) {})}
-		d.group = NewGroup(GroupOptions{Client: &http.Client{Transport: modelNet{self: d, by: by}}, Mirrors: mirrors})
+		d.group = NewGroup(GroupOptions{Client: &http.Client{Transport: modelNet{self: d, by: by}}, Mirrors: mirrors, Relayed: isRelayed})
 		d.handler, _ = d.group.Handler() // fails for wrong options only
 		f.daemons = append(f.daemons, d)
 		by[address(i)] = d
@@ -322,11 +327,18 @@
 func (f *modelFleet) tell(ctx context.Context, i int) {
 	chance := rand.New(rand.NewPCG(uint64(i), 1))
 	for pause.For(ctx, fleetTell) == nil {
-		told := f.daemons[i].group.Revisions()
 		for n := range fleetPeers {
-			f.daemons[(i+1+n)%fleetDaemons].group.Heard(ctx, address(i), told)
+			f.tellOne(ctx, i, (i+1+n)%fleetDaemons)
 		}
-		f.daemons[chance.IntN(fleetDaemons)].group.Heard(ctx, address(i), told)
+		f.tellOne(ctx, i, chance.IntN(fleetDaemons))
+	}
+}
+
+// tellOne has a daemon tell another what it knows, and whether the service tells it itself.
+func (f *modelFleet) tellOne(ctx context.Context, from, to int) {
+	f.daemons[to].group.Heard(ctx, address(from), f.daemons[from].group.Revisions())
+	if f.daemons[from].watches() {
+		f.daemons[to].relays.Heard(time.Now())
 	}
 }
 
@@ -367,18 +379,20 @@
 		first = n
 	}
 	for seed := first; seed < first+uint64(seeds); seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playFleet(t, rand.New(rand.NewPCG(seed, 0))) })
-		})
+		for name, relayed := range map[string]bool{"all watch": false, "few watch": true} {
+			t.Run(fmt.Sprintf("%s seed=%d", name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playFleet(t, rand.New(rand.NewPCG(seed, 0)), relayed) })
+			})
+		}
 	}
 }
 
 // playFleet has operators make some changes, and looks after each whether it is in force in time.
-func playFleet(t *testing.T, draw *rand.Rand) {
+func playFleet(t *testing.T, draw *rand.Rand, relayed bool) {
 	const length = 12 * time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	f := newModelFleet(ctx, &wg, func(int) []fault { return drawFaults(draw, length) })
+	f := newModelFleet(ctx, &wg, relayed, func(int) []fault { return drawFaults(draw, length) })
 	for range draw.IntN(4) {
 		at := time.Duration(draw.Int64N(int64(length)))
 		wg.Go(func() {
