--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -150,3 +150,24 @@
 func testMirror() *Mirror {
 	return &Mirror{prefix: "a/", apply: func(Update) {}, lapsing: func() bool { return false }, entries: map[string]platform.Entry{}}
 }
+
+// A peer that has not heard of the service's return tells of a higher number of the era before, and
+// gives what it knows of that: neither must count as newer. A peer that has heard is believed.
+func TestCopiesOfAnEraBeforeAreNotTaken(t *testing.T) {
+	m := testMirror()
+	before, after := platform.NewRevision(1, 900), platform.NewRevision(2, 480)
+	m.takeAll(content{entries: []platform.Entry{{Key: "a/1", Value: []byte("new"), Revision: after}}, complete: after, newest: after})
+	group := NewGroup(GroupOptions{Client: http.DefaultClient, Mirrors: []*Mirror{m}, Relayed: func() bool { return true }})
+	now := time.Unix(1000, 0)
+	if group.beginAsk(now, "a/", before) {
+		t.Error("a peer of the era before is asked")
+	}
+	m.takeAll(content{entries: []platform.Entry{{Key: "a/1", Value: []byte("old"), Revision: before}}, complete: before, newest: before})
+	m.takeSome([]platform.Entry{{Key: "a/1", Revision: before, Deleted: true}}, before, false)
+	if got := m.present(); len(got) != 1 || string(got[0].Value) != "new" || m.Newest() != after {
+		t.Errorf("got %+v at %d", got, m.Newest())
+	}
+	if !group.beginAsk(now, "a/", platform.NewRevision(3, 1)) {
+		t.Error("a peer of the era after is not asked")
+	}
+}
