--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -44,7 +44,11 @@
 }
 
 func (plainDialect) Answer(status int, h http.Header) Answer {
-	return Answer{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	a := Answer{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	if limit := h.Get("Limit"); limit != "" {
+		a.PerSecond, a.Invalid = strconv.ParseFloat(limit, 64)
+	}
+	return a
 }
 
 func (plainDialect) Incoming(to, from http.Header) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -55,6 +55,11 @@
 	Signed  bool   // the replica vouches for the answer
 	NotRun  bool   // it did not run the request
 	Weights uint64 // that it serves; zero: not told
+	// PerSecond is how many requests a second it takes from all daemons together; zero: as many
+	// as come.
+	PerSecond float64
+	// Invalid names headers that can not be read; the others hold. Nil: there are none.
+	Invalid error
 }
 
 // Dialect reads and writes the headers that callers and replicas use.
--- /dev/null
+++ b/internal/relay/words.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+)
+
+// noteWords notes what a replica says of itself in the head of an answer. One that does not vouch
+// for its answer, and did not turn the request away either, may be faulty: what it leaves out ends
+// nothing. An answer that another replica gives at the same address says nothing of this one.
+func (s *Server) noteWords(t *try) {
+	r := t.placement.Replica
+	if t.response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if t.answer.Invalid != nil {
+		s.o.Logger.Warn("A header of a replica can not be read", "replica", r.Info().ID, "error", t.answer.Invalid)
+		return
+	}
+	if t.answer.PerSecond > 0 || t.answer.Signed || t.answer.NotRun {
+		s.noteLimit(r, t.answer.PerSecond)
+	}
+}
+
+// noteLimit notes how many requests a second a replica takes, zero for as many as come.
+func (s *Server) noteLimit(r *replicas.Replica, perSecond float64) {
+	before, _ := r.Limit()
+	if !r.SawLimit(time.Now(), perSecond) {
+		return
+	}
+	switch {
+	case before == 0:
+		s.o.Logger.Info("A replica names a limit", "replica", r.Info().ID, "per_second", perSecond)
+	case perSecond == 0:
+		s.o.Logger.Info("A replica names no limit any more", "replica", r.Info().ID)
+	default:
+		s.o.Logger.Debug("A replica names another limit", "replica", r.Info().ID, "per_second", perSecond)
+	}
+}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -74,6 +74,7 @@
 	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
 	busy      steady.Moment // until when it takes no requests
 	cold      steady.Moment // until when it bears few requests only
+	limit     atomic.Pointer[limitWord]
 	coldFor   func(routing.ServiceID) time.Duration
 }
 
