Bounds of cold replicas become quotas of any window

The mechanism that keeps a fleet within what a cold replica bears (few senders by hash, a share for each) is what a replica with a named limit needs, too, over another window. The package holds it for any window and any number of senders; a daemon remembers what it sent of late instead of when it may send next, so that a bound which begins counts what went before. Behaviour for cold replicas is the same: shares in testdata are unchanged, tests keep their assertions.

--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -15,12 +15,12 @@
 //
 // A replica in an evacuated failure domain, or outside the homes of a request, gets none at all:
 // with nothing else left the request is refused. One that rests or is busy is tried rather than
-// none. A cold one gets a request only by leave of Cold.
+// none. One of which a bound is known gets a request only by leave of Quotas.
 type Eligibility struct {
 	Set *replicas.Set
 	// Region returns the region of a failure domain, empty if it is not known: then it is no home.
 	Region func(failureDomain string) routing.Region
-	Cold   *Cold // nil: none is kept to
+	Quotas *Quotas // nil: none are kept to
 }
 
 // of returns the replicas that may be tried, in random order so that equal ones share the work:
@@ -41,8 +41,8 @@
 	var fit, resting []*replicas.Replica
 	for _, r := range of {
 		switch {
-		case slices.Contains(tried, r.Info().ID) || !e.allowed(j, r) || !e.Cold.Ready(now, r):
-		case r.Health.Resting(now) || r.Busy(now) || e.Cold.Unsure(now, r):
+		case slices.Contains(tried, r.Info().ID) || !e.allowed(j, r) || !e.Quotas.Ready(now, r):
+		case r.Health.Resting(now) || r.Busy(now) || e.Quotas.Unsure(now, r):
 			resting = append(resting, r)
 		default:
 			fit = append(fit, r)
--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/bluebellscale/bluebellscale/internal/policy/coldstart"
+	"github.com/bluebellscale/bluebellscale/internal/policy/quota"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -120,11 +120,11 @@
 }
 
 func withCold(w *world, group ...string) {
-	limits := coldstart.Limits{PerSecond: 9.8, Burst: 19.7}
+	limits := quota.ColdStart(9.8, 19.7)
 	w.set.SetColdStarts(map[routing.ServiceID]time.Duration{"llm": time.Minute})
-	w.engine.Cold = &Cold{
+	w.engine.Quotas = &Quotas{
 		Self: "d0", Group: func(routing.ServiceID) []string { return group },
-		Limits: func(routing.ServiceID) coldstart.Limits { return limits },
+		Cold: func(routing.ServiceID) quota.Limits { return limits },
 	}
 }
 
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -142,12 +142,12 @@
 }
 
 // choose returns the cheapest replica that may get the request now, nil if none may. Leave to send
-// to a cold one may have been taken by another request meanwhile.
+// to one with a bound may have been taken by another request meanwhile.
 func (e *Engine) choose(j *relay.Job, need pick.Request, usable []*replicas.Replica, salt string, stored []Stored) (*replicas.Replica, *pick.Candidate) {
 	for len(usable) > 0 {
 		candidates := e.candidates(j, usable, salt, stored)
 		n := pick.Sampled(pick.Default, need, candidates)
-		if e.Cold.Take(time.Now(), usable[n]) {
+		if e.Quotas.Take(time.Now(), usable[n]) {
 			return usable[n], &candidates[n]
 		}
 		usable = slices.Delete(usable, n, n+1)
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -40,7 +40,7 @@
 			return nil, noReplica()
 		}
 		r := p.cheapest(usable)
-		if p.Cold.Take(time.Now(), r) {
+		if p.Quotas.Take(time.Now(), r) {
 			return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
 		}
 	}
--- a/internal/policy/coldstart/coldstart_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package quota
 
 import (
 	"fmt"
@@ -15,13 +15,14 @@
 
 func TestShares(t *testing.T) {
 	datadriven.RunTest(t, "testdata/shares", func(t *testing.T, d *datadriven.TestData) string {
-		var l Limits
-		d.ScanArgs(t, "per_second", &l.PerSecond)
-		d.ScanArgs(t, "burst", &l.Burst)
+		var perSecond, burst float64
+		d.ScanArgs(t, "per_second", &perSecond)
+		d.ScanArgs(t, "burst", &burst)
+		l := ColdStart(perSecond, burst)
 		var out strings.Builder
 		for _, daemons := range []int{1, 2, 3, 8, 66, 390} {
-			senders, gap := l.Shares(daemons)
-			fmt.Fprintf(&out, "%d daemons: %d senders, each every %s\n", daemons, senders, gap)
+			senders, each := l.Shares(daemons)
+			fmt.Fprintf(&out, "%d daemons: %d senders, each every %s\n", daemons, senders, each.Gap())
 		}
 		return out.String()
 	})
@@ -65,12 +66,21 @@
 	view   []string      // the daemons that it knows of
 	ahead  time.Duration // of its clock
 	frozen [2]time.Duration
-	gap    time.Duration
+	share  Share
 	pace   Pace
 }
 
 const replica = 7
 
+// take sends a request if a share leaves room for it.
+func take(p *Pace, now time.Time, s Share) bool {
+	if !p.Ready(now, s) {
+		return false
+	}
+	p.Sent(now)
+	return true
+}
+
 // press lets each daemon send whenever it may, for some seconds, and returns when requests arrived.
 func press(rt *rapid.T, l Limits, daemons []*sender, lasts time.Duration) []time.Duration {
 	start := time.Unix(1_800_000_000, 0)
@@ -79,7 +89,7 @@
 	for _, d := range daemons {
 		n, each := l.Shares(len(d.view))
 		if IsSender(d.name, d.view, replica, n) {
-			d.gap = each
+			d.share = each
 			senders = append(senders, d)
 		}
 	}
@@ -89,7 +99,7 @@
 			if at >= d.frozen[0] && at < d.frozen[1] {
 				continue
 			}
-			if d.pace.Take(start.Add(d.ahead+at), d.gap) {
+			if take(&d.pace, start.Add(d.ahead+at), d.share) {
 				arrivals = append(arrivals, at)
 			}
 		}
@@ -113,7 +123,7 @@
 	rate := rapid.Float64Range(0.3, 40).Draw(rt, "per_second")
 	overage := rapid.Float64Range(1, 2).Draw(rt, "overage")
 	slack := rapid.Float64Range(2, 10).Draw(rt, "slack")
-	return Limits{PerSecond: rate, Burst: rate*overage + slack}
+	return ColdStart(rate, rate*overage+slack)
 }
 
 func drawFleet(rt *rapid.T) []*sender {
@@ -173,12 +183,12 @@
 
 // Each daemon counting for itself alone, as if there were no others, crashes the replica.
 func TestNaiveLimitOfEachDaemonIsAboveTheBound(t *testing.T) {
-	l := Limits{PerSecond: 10, Burst: 20}
+	l := ColdStart(10, 20)
 	arrivals := 0
 	for range names(8) {
 		var p Pace
 		for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
-			if p.Take(time.Unix(0, 0).Add(at), gapFor(l.PerSecond)) {
+			if take(&p, time.Unix(0, 0).Add(at), Share{Requests: int(l.PerSecond), Window: l.Window}) {
 				arrivals++
 			}
 		}
@@ -191,10 +201,10 @@
 // A fleet uses most of what a cold replica bears: callers must not be refused or crowd the few
 // warm replicas while a third of them starts.
 func TestMostOfTheRateIsUsed(t *testing.T) {
-	l := Limits{PerSecond: 9.8, Burst: 9.8*1.5 + 5}
+	l := ColdStart(9.8, 9.8*1.5+5)
 	for _, daemons := range []int{3, 8, 66, 390} {
-		senders, gap := l.Shares(daemons)
-		if rate := float64(senders) / gap.Seconds(); rate < 0.75*l.PerSecond {
+		senders, each := l.Shares(daemons)
+		if rate := float64(senders) / each.Gap().Seconds(); rate < 0.75*l.PerSecond {
 			t.Errorf("%d daemons send %.1f a second", daemons, rate)
 		}
 	}
