A replica that names a limit gets no more than that from all daemons together

Callers of a replica in need saw it go on being loaded until it fails with all that run there: in the incident it named 4.2 requests a second and got 41 in 4 s, another named 1 and got 13.

Cause: nothing of what a replica says of itself in answers, but its weights, entered the choice. Ruled out: daemons that each keep to the whole limit (one alone sent 16 of 35), retries and resumed streams (all 35 were first tries).

Now the limit is a quota like that of cold replicas: some daemons send at all, by hash, each a share of the window that is counted from what it sent before it heard. Peers are told of limits and of their end in the datagrams that they get anyway; a word that nobody renews is doubted after 10 to 20 s, by one daemon after the other.

Why it holds: no daemon counts on hearing of another's requests. Shares add up to half of the burst at most, so that two disjoint sets of senders keep within it (rapid test, up to 390 daemons, cut, frozen, busy before).

Weighed and left: counting each other's requests (a lost datagram breaks the limit), one owner a replica that grants (a round trip, and nobody when it is frozen).

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -37,6 +37,7 @@
 	maxDatagram = 1400
 	maxPlaced   = 12 // prompts in one datagram, 40 to 60 bytes each
 	maxDeaths   = 8  // in one datagram, 50 bytes each
+	maxLimits   = 24 // in one datagram, 24 bytes each
 	readBuffer  = 64 << 10
 	// refusedFor is how long a replica is left alone that would not run a peer's request.
 	// The word of it is up to a tick old.
@@ -72,12 +73,13 @@
 
 	mu       sync.Mutex
 	placed   []*Placed
-	states   []*State         // told to all daemons: any may use the replica
-	down     []uint64         // replicas found unreachable; told to those that use them
-	refusing []uint64         // replicas that would not run a request; likewise
-	deaths   []*Death         // told to all daemons: the request may come again at any
-	last     map[uint64]*Work // by replica, as told last
-	allTold  time.Time        // when all work was told last
+	states   []*State            // told to all daemons: any may use the replica
+	down     []uint64            // replicas found unreachable; told to those that use them
+	refusing []uint64            // replicas that would not run a request; likewise
+	limits   []*replicas.Replica // whose words on limits are to be told
+	deaths   []*Death            // told to all daemons: the request may come again at any
+	last     map[uint64]*Work    // by replica, as told last
+	allTold  time.Time           // when all work was told last
 
 	told map[request.DaemonID]map[uint64]bool // the replicas that each peer named last
 
@@ -154,6 +156,15 @@
 	}
 }
 
+// Limited tells peers, within one tick, what a replica said of how many requests it takes.
+func (s *Share) Limited(r *replicas.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.limits, r) {
+		s.limits = append(s.limits, r)
+	}
+}
+
 // Died tells all daemons, within one tick, that a replica died while it ran a request.
 func (s *Share) Died(sighting quarantine.Sighting) {
 	fingerprint, err := hex.DecodeString(string(sighting.Fingerprint))
@@ -193,12 +204,14 @@
 		return
 	}
 	if len(r.States)+len(r.Deaths) == 0 {
-		// One other daemon hears what is known here of the key-value service, so that
-		// news pass from group to group.
+		// One other daemon hears what is known here of the key-value service, and of limits,
+		// so that news pass from group to group.
 		n := rand.IntN(len(others))
 		others = others[n : n+1]
 	}
-	s.send(&Report{From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Watches: r.Watches}, others)
+	s.send(&Report{
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Watches: r.Watches,
+	}, others)
 }
 
 func (s *Share) send(r *Report, to []netip.AddrPort) {
@@ -224,10 +237,11 @@
 	s.placed, s.states, s.down, s.refusing = s.placed[n:], nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
+	r.Limits = s.takeLimits(now)
 	s.tellWork(now, r, work)
 	revisions := s.o.Revisions()
 	newRevisions := !slices.Equal(revisions, s.revisions) || now.Sub(s.revisionsTold) >= repeatEvery
-	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths) == 0 {
+	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits) == 0 {
 		return nil
 	}
 	if newRevisions {
@@ -237,6 +251,18 @@
 	return r
 }
 
+// takeLimits returns the limits that one datagram tells, and leaves the others for the next.
+func (s *Share) takeLimits(now time.Time) []*Limit {
+	n := min(len(s.limits), maxLimits)
+	out := make([]*Limit, n)
+	for i, r := range s.limits[:n] {
+		perSecond, at := r.Limit()
+		out[i] = &Limit{Replica: r.Hash(), PerSecond: perSecond, AgeMs: int32(now.Sub(at).Milliseconds())}
+	}
+	s.limits = s.limits[n:]
+	return out
+}
+
 // tellWork adds to a report what changed in the work here, or all of it if that is due.
 func (s *Share) tellWork(now time.Time, r *Report, work map[uint64]*Work) {
 	before := s.last
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -77,6 +77,12 @@
 	await("the replica is busy", func() bool { return b.set.Get("r").Busy(time.Now()) && b.set.Get("r").Weights("m") == 3 })
 	a.Announce(weights.State{Replica: "r"})
 	await("the replica takes requests", func() bool { return !b.set.Get("r").Busy(time.Now()) })
+	a.set.Get("r").SawLimit(time.Now(), 2.5)
+	a.Limited(a.set.Get("r"))
+	await("the limit", func() bool { limit, _ := b.set.Get("r").Limit(); return limit == 2.5 })
+	a.set.Get("r").SawLimit(time.Now(), 0)
+	a.Limited(a.set.Get("r"))
+	await("its end", func() bool { limit, _ := b.set.Get("r").Limit(); return limit == 0 })
 	a.Refusing(a.set.Get("r"))
 	await("one that refused the peer gets none", func() bool { return b.set.Get("r").Busy(time.Now()) })
 	death := quarantine.Sighting{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -73,6 +73,11 @@
 			replica.AvoidFor(now, refusedFor)
 		}
 	}
+	for _, l := range r.Limits {
+		if replica := byHash[l.Replica]; replica != nil && l.PerSecond >= 0 {
+			replica.SawLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
+		}
+	}
 	for _, state := range r.States {
 		if replica := byHash[state.Replica]; replica != nil {
 			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -128,6 +128,93 @@
 	}
 }
 
+// namedLimits is what a replica bears that named a limit.
+func namedLimits(perSecond float64) quota.Limits {
+	return quota.Limits{PerSecond: perSecond, Burst: 6*perSecond + 5, Window: 4 * time.Second}
+}
+
+func withNamed(w *world, self string, group ...string) {
+	w.engine.Quotas = &Quotas{
+		Self: self, Group: func(routing.ServiceID) []string { return group },
+		Cold: func(routing.ServiceID) quota.Limits { return quota.Limits{} }, Named: namedLimits,
+	}
+}
+
+// A replica in need names a limit for all daemons together, and each of eight daemons, with the
+// context of its callers there, keeps to the whole of it.
+func TestDaemonsShareANamedLimit(t *testing.T) {
+	const perSecond = 2
+	group := []string{"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7"}
+	var total int
+	for _, self := range group {
+		w := newWorld(2)
+		withNamed(w, self, group...)
+		w.set.Get("r0").SawLimit(time.Now(), perSecond)
+		for i := range 20 {
+			switch where(t, w, job(fmt.Sprint("s", i))) {
+			case "r0":
+				total++
+			case "":
+				t.Fatalf("%s refuses with a replica left", self)
+			}
+		}
+	}
+	if total > 4*perSecond {
+		t.Errorf("%d requests in a moment", total)
+	}
+	if total == 0 {
+		t.Error("the replica gets none")
+	}
+}
+
+// All replicas are in need: what they take together is sent, the rest is refused at once.
+func TestLimitsOfAllReplicasAreKept(t *testing.T) {
+	w := newWorld(2)
+	withNamed(w, "d0", "d0")
+	w.set.Get("r0").SawLimit(time.Now(), 1)
+	w.set.Get("r1").SawLimit(time.Now(), 1)
+	served := 0
+	for range 20 {
+		if where(t, w, job("s")) != "" {
+			served++
+		}
+	}
+	if served == 0 || served > 2 {
+		t.Errorf("%d requests served in a moment", served)
+	}
+}
+
+// Nobody hears any more whether a limit still holds, as its senders have gone or are cut off: a
+// daemon that is none of them finds out by itself, with a request of its own.
+func TestDaemonFindsOutWhetherALimitStillHolds(t *testing.T) {
+	group := []string{"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7"}
+	w := newWorld(1)
+	r := w.set.Get("r0")
+	senders, _ := namedLimits(0.5).Shares(len(group))
+	for _, self := range group {
+		if !quota.IsSender(self, group, r.Hash(), senders) {
+			withNamed(w, self, group...)
+			break
+		}
+	}
+	if w.engine.Quotas == nil {
+		t.Fatal("all daemons send")
+	}
+	r.SawLimit(time.Now().Add(-limitHolds+time.Second), 0.5)
+	if got := where(t, w, job("s")); got != "" {
+		t.Error("it sends though others do")
+	}
+	w.set.Apply(time.Now(), replicas.Change{Gone: []request.TargetID{"r0"}})
+	w.put(0, 1)
+	w.set.Get("r0").SawLimit(time.Now().Add(-2*limitHolds-time.Second), 0.5)
+	if got := where(t, w, job("s")); got != "r0" {
+		t.Error("it never finds out")
+	}
+	if got := where(t, w, job("s")); got != "" {
+		t.Error("it sends more than one")
+	}
+}
+
 // A third of the replicas has just started. They get some requests, within their bound, and the
 // others the rest; nobody is refused.
 func TestColdReplicasGetAFewRequests(t *testing.T) {
@@ -183,3 +270,23 @@
 		t.Error("two at once")
 	}
 }
+
+// A replica takes one request in ten seconds. What was sent is remembered for as long, and not for
+// ever where no bound holds.
+func TestWhatWasSentIsRememberedAsLongAsABoundNeeds(t *testing.T) {
+	w := newWorld(1)
+	withNamed(w, "d0", "d0")
+	q, r, now := w.engine.Quotas, w.set.Get("r0"), time.Now()
+	q.Take(now, r)
+	r.SawLimit(now, 0.1)
+	later := now.Add(8 * time.Second)
+	q.Forget(later)
+	if q.Ready(later, r) {
+		t.Error("a second request after eight seconds")
+	}
+	r.SawLimit(later, 0)
+	q.Forget(later)
+	if len(q.paces) != 0 {
+		t.Error("what was sent is kept without a bound")
+	}
+}
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -1,17 +1,31 @@
 package placer
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellscale/bluebellscale/internal/policy/quota"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
-// startSenders is the number of senders that a daemon reckons with which does not know the others
-// yet. It then sends little to a replica with a bound, as all may that start at the same moment.
-const startSenders = 16
+const (
+	// startSenders is the number of senders that a daemon reckons with which does not know the
+	// others yet. It then sends little to a replica with a bound, as all may that start at the
+	// same moment.
+	startSenders = 16
+	// limitHolds is how long the word on a replica's limit is taken to hold at least, and twice
+	// that at most. Later a daemon may find out with a request whether it still does: those that
+	// send there may be gone or cut off, and the others would never hear of its end.
+	limitHolds = 10 * time.Second
+	// paceKept is how long it is remembered what was sent to a replica without a bound: as long
+	// as any window of one that may begin. boundPaceKept is longer than any share's window.
+	paceKept      = 5 * time.Second
+	boundPaceKept = 10 * time.Minute
+)
 
 // Quotas keeps this daemon to its share of the requests that replicas bear. It is safe for
 // concurrent use.
@@ -20,37 +34,57 @@
 	// Group returns the names of the daemons that use the same replicas of a service, this one
 	// among them; empty: they are not known yet.
 	Group func(routing.ServiceID) []string
-	// Cold returns what one cold replica of a service bears.
-	Cold func(routing.ServiceID) quota.Limits
+	// Cold returns what one cold replica of a service bears, Named what one does that named a
+	// limit of requests a second.
+	Cold  func(routing.ServiceID) quota.Limits
+	Named func(perSecond float64) quota.Limits
 
 	mu    sync.Mutex
 	paces map[*replicas.Replica]*quota.Pace
 }
 
+// bound is what a replica bears, as known now.
+type bound struct {
+	limits quota.Limits
+	doubt  bool // whether it still holds
+}
+
 // Ready reports whether a replica may get a request of this daemon now.
 func (q *Quotas) Ready(now time.Time, r *replicas.Replica) bool {
-	return q.ask(now, r, false)
+	if q == nil {
+		return true
+	}
+	bounds := q.bounds(now, r)
+	if len(bounds) == 0 {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.allow(now, r, bounds)
 }
 
 // Take takes leave to send a request to a replica now, and reports whether there is any.
 func (q *Quotas) Take(now time.Time, r *replicas.Replica) bool {
-	return q.ask(now, r, true)
-}
-
-// ask asks this daemon's share of a replica, if a bound holds for that, and takes from it.
-func (q *Quotas) ask(now time.Time, r *replicas.Replica, take bool) bool {
-	if !q.binds(now, r) {
+	if q == nil {
 		return true
 	}
-	share, sends := q.share(r)
+	bounds := q.bounds(now, r)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	pace := q.pace(r)
-	if !sends || !pace.Ready(now, share) {
+	if !q.allow(now, r, bounds) {
 		return false
 	}
-	if take {
-		pace.Sent(now)
+	q.pace(r).Sent(now) // without a bound, too: one that begins counts what went before
+	return true
+}
+
+// allow reports whether this daemon's shares leave room for a request.
+func (q *Quotas) allow(now time.Time, r *replicas.Replica, bounds []bound) bool {
+	for _, b := range bounds {
+		share, sends := q.share(r, b)
+		if !sends || !q.pace(r).Ready(now, share) {
+			return false
+		}
 	}
 	return true
 }
@@ -58,22 +92,40 @@
 // Unsure reports whether a bound holds for a replica while this daemon does not know the others yet,
 // so that it had better send elsewhere.
 func (q *Quotas) Unsure(now time.Time, r *replicas.Replica) bool {
-	return q.binds(now, r) && len(q.Group(r.Info().Service)) == 0
+	return q != nil && len(q.bounds(now, r)) > 0 && len(q.Group(r.Info().Service)) == 0
 }
 
-// binds reports whether a bound holds for a replica now.
-func (q *Quotas) binds(now time.Time, r *replicas.Replica) bool {
-	return q != nil && r.Cold(now) && q.Cold(r.Info().Service).Bounded()
+// bounds returns the bounds that hold for a replica now.
+func (q *Quotas) bounds(now time.Time, r *replicas.Replica) []bound {
+	var out []bound
+	if r.Cold(now) {
+		if cold := q.Cold(r.Info().Service); cold.Bounded() {
+			out = append(out, bound{limits: cold})
+		}
+	}
+	if perSecond, at := r.Limit(); perSecond > 0 {
+		out = append(out, bound{limits: q.Named(perSecond), doubt: now.Sub(at) > q.holds(r)})
+	}
+	return out
+}
+
+// holds returns how long this daemon takes the word on a replica's limit to hold: not as long as
+// others, so that the first one that finds out tells them.
+func (q *Quotas) holds(r *replicas.Replica) time.Duration {
+	part := float64(xxhash.Sum64String(q.Self)^r.Hash()) / math.MaxUint64
+	return limitHolds + time.Duration(part*float64(limitHolds))
 }
 
 // share returns this daemon's share of a replica, and whether it sends to it at all.
-func (q *Quotas) share(r *replicas.Replica) (share quota.Share, sends bool) {
-	service := r.Info().Service
-	limits, group := q.Cold(service), q.Group(service)
-	if len(group) == 0 {
-		return limits.AloneShare(startSenders), true
+func (q *Quotas) share(r *replicas.Replica, b bound) (share quota.Share, sends bool) {
+	group := q.Group(r.Info().Service)
+	switch {
+	case len(group) == 0:
+		return b.limits.AloneShare(startSenders), true
+	case b.doubt:
+		return b.limits.AloneShare(len(group)), true
 	}
-	senders, share := limits.Shares(len(group))
+	senders, share := b.limits.Shares(len(group))
 	return share, quota.IsSender(q.Self, group, r.Hash(), senders)
 }
 
@@ -90,12 +142,16 @@
 	return p
 }
 
-// Forget drops what was sent to replicas that are cold no more.
+// Forget drops what was sent too long ago to matter.
 func (q *Quotas) Forget(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for r := range q.paces {
-		if !r.Cold(now) {
+	for r, p := range q.paces {
+		kept := paceKept
+		if len(q.bounds(now, r)) > 0 {
+			kept = boundPaceKept
+		}
+		if now.Sub(p.Last()) > kept {
 			delete(q.paces, r)
 		}
 	}
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -72,6 +72,8 @@
 
 const replica = 7
 
+var start = time.Unix(1_800_000_000, 0)
+
 // take sends a request if a share leaves room for it.
 func take(p *Pace, now time.Time, s Share) bool {
 	if !p.Ready(now, s) {
@@ -83,7 +85,6 @@
 
 // press lets each daemon send whenever it may, for some seconds, and returns when requests arrived.
 func press(rt *rapid.T, l Limits, daemons []*sender, lasts time.Duration) []time.Duration {
-	start := time.Unix(1_800_000_000, 0)
 	var arrivals []time.Duration
 	var senders []*sender
 	for _, d := range daemons {
@@ -107,11 +108,11 @@
 	return arrivals
 }
 
-// worstSecond returns the most arrivals in any window of one second.
-func worstSecond(arrivals []time.Duration) int {
+// worst returns the most arrivals in any window.
+func worst(window time.Duration, arrivals []time.Duration) int {
 	most, from := 0, 0
 	for to := range arrivals {
-		for arrivals[to]-arrivals[from] >= time.Second {
+		for arrivals[to]-arrivals[from] >= window {
 			from++
 		}
 		most = max(most, to-from+1)
@@ -126,6 +127,12 @@
 	return ColdStart(rate, rate*overage+slack)
 }
 
+// drawNamed draws what a replica bears that named a limit.
+func drawNamed(rt *rapid.T) Limits {
+	rate := rapid.Float64Range(0.1, 30).Draw(rt, "per_second")
+	return Limits{PerSecond: rate, Burst: 1.5*4*rate + 5, Window: 4 * time.Second}
+}
+
 func drawFleet(rt *rapid.T) []*sender {
 	n := rapid.SampledFrom([]int{1, 2, 3, 8, 15, 66, 390}).Draw(rt, "daemons")
 	all := names(n)
@@ -141,7 +148,7 @@
 func TestNeverAboveTheBound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		l := drawLimits(rt)
-		if got := worstSecond(press(rt, l, drawFleet(rt), 4*time.Second)); float64(got) > l.Burst {
+		if got := worst(time.Second, press(rt, l, drawFleet(rt), 4*time.Second)); float64(got) > l.Burst {
 			rt.Fatalf("%d requests in a second, %v allowed", got, l)
 		}
 	})
@@ -160,7 +167,7 @@
 		for _, d := range daemons[cut:] {
 			d.view = reached
 		}
-		if got := worstSecond(press(rt, l, daemons, 4*time.Second)); float64(got) > l.Burst {
+		if got := worst(time.Second, press(rt, l, daemons, 4*time.Second)); float64(got) > l.Burst {
 			rt.Fatalf("%d requests in a second, %v allowed", got, l)
 		}
 	})
@@ -175,7 +182,7 @@
 				d.frozen = [2]time.Duration{time.Second, 3 * time.Second}
 			}
 		}
-		if got := worstSecond(press(rt, l, daemons, 5*time.Second)); float64(got) > l.Burst {
+		if got := worst(time.Second, press(rt, l, daemons, 5*time.Second)); float64(got) > l.Burst {
 			rt.Fatalf("%d requests in a second, %v allowed", got, l)
 		}
 	})
@@ -223,3 +230,66 @@
 		}
 	}
 }
+
+// A replica in need fails if it gets more than it named. All daemons press as they can, of which some
+// are cut off and go by an older list, and some stand still and wake; each had sent what it liked
+// before it heard of the limit.
+func TestNeverAboveANamedLimit(t *testing.T) {
+	const heard = 3 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		l, daemons := drawNamed(rt), drawFleet(rt)
+		cut := rapid.IntRange(0, len(daemons)).Draw(rt, "cut")
+		var reached []string
+		for _, d := range daemons[cut:] {
+			reached = append(reached, d.name)
+		}
+		for i, d := range daemons {
+			if i >= cut {
+				d.view = reached
+			}
+			if rapid.Bool().Draw(rt, "freezes") {
+				d.frozen = [2]time.Duration{5 * time.Second, 9 * time.Second}
+			}
+			for n := range rapid.IntRange(0, 5).Draw(rt, "before") {
+				d.pace.Sent(start.Add(d.ahead - time.Duration(6-n)*heard/6))
+			}
+		}
+		if got := worst(l.Window, press(rt, l, daemons, 3*l.Window)); float64(got) > l.Burst {
+			rt.Fatalf("%d requests in %s, %v allowed", got, l.Window, l)
+		}
+	})
+}
+
+// A replica is busy when it names its limit: what a daemon sent before counts in its share of the
+// window that runs, so that the replica gets its rest at once.
+func TestWhatWentBeforeCounts(t *testing.T) {
+	share := Share{Requests: 2, Window: 4 * time.Second}
+	var p Pace
+	for n := range 10 {
+		p.Sent(start.Add(time.Duration(n) * 100 * time.Millisecond))
+	}
+	last := start.Add(900 * time.Millisecond)
+	if p.Ready(last.Add(share.Gap()), share) {
+		t.Error("ready after one gap")
+	}
+	if !p.Ready(last.Add(4*time.Second-100*time.Millisecond), share) {
+		t.Error("not ready when the last but one has left the window")
+	}
+}
+
+// A named limit is used: with fewer than half of it sent, callers are refused for nothing, and with
+// few senders most daemons could not serve a service of which all replicas are in need.
+func TestNamedLimitIsUsedByManyDaemons(t *testing.T) {
+	for _, perSecond := range []float64{1, 4.2, 20, 100} {
+		l := Limits{PerSecond: perSecond, Burst: 1.5*4*perSecond + 5, Window: 4 * time.Second}
+		for _, daemons := range []int{8, 15, 66, 390} {
+			senders, each := l.Shares(daemons)
+			if rate := float64(senders) / each.Gap().Seconds(); rate < 0.5*perSecond {
+				t.Errorf("%v a second: %d daemons send %.1f", perSecond, daemons, rate)
+			}
+			if could := min(float64(daemons), 2*perSecond); float64(senders) < 0.75*could {
+				t.Errorf("%v a second: %d of %d daemons send", perSecond, senders, daemons)
+			}
+		}
+	}
+}
--- a/internal/relay/words.go
+++ b/internal/relay/words.go
@@ -27,7 +27,7 @@
 // noteLimit notes how many requests a second a replica takes, zero for as many as come.
 func (s *Server) noteLimit(r *replicas.Replica, perSecond float64) {
 	before, _ := r.Limit()
-	if !r.SawLimit(time.Now(), perSecond) {
+	if !r.NamesLimit(time.Now(), perSecond) {
 		return
 	}
 	switch {
--- a/internal/replicas/limit.go
+++ b/internal/replicas/limit.go
@@ -2,22 +2,43 @@
 
 import "time"
 
+// limitEndTold is for how long after a replica last named a limit its words are told to peers: a
+// datagram is lost at times, and one that missed the end would leave the replica alone.
+const limitEndTold = 2 * time.Second
+
 // limitWord is what was said last of how many requests a replica takes.
 type limitWord struct {
 	perSecond float64   // from all daemons together; zero: as many as come
 	at        time.Time // when it was said
+	named     time.Time // when a limit was named last
 }
 
-// SawLimit notes how many requests a second the replica said at a time that it takes from all
-// daemons together, zero for as many as come. It reports whether that is news; what is older than
-// what is known is not.
+// NamesLimit notes how many requests a second an answer of the replica says that it takes from all
+// daemons together, zero for as many as come, and has peers told. It reports whether that is news.
+func (r *Replica) NamesLimit(now time.Time, perSecond float64) (changed bool) {
+	changed = r.SawLimit(now, perSecond)
+	known := r.limit.Load()
+	if r.onLimit != nil && now.Sub(known.named) < limitEndTold {
+		r.onLimit(r)
+	}
+	return changed
+}
+
+// SawLimit notes the word of a limit that was said at a time, here or to a peer. It reports whether
+// that is news; what is older than what is known is not.
 func (r *Replica) SawLimit(at time.Time, perSecond float64) (changed bool) {
-	next := &limitWord{perSecond: perSecond, at: at}
+	next := &limitWord{perSecond: perSecond, at: at, named: at}
 	for {
 		known := r.limit.Load()
 		if known != nil && known.at.After(at) {
 			return false
 		}
+		if perSecond == 0 {
+			next.named = time.Time{}
+			if known != nil {
+				next.named = known.named
+			}
+		}
 		if r.limit.CompareAndSwap(known, next) {
 			return known == nil && perSecond > 0 || known != nil && known.perSecond != perSecond
 		}
@@ -34,6 +55,10 @@
 	return known.perSecond, known.at
 }
 
+// OnLimit has a function called when an answer to this daemon names a replica's limit, or the end
+// of one. It must be set before the first Apply.
+func (s *Set) OnLimit(f func(*Replica)) { s.onLimit = f }
+
 // Limited returns the number of replicas that name a limit.
 func (s *Set) Limited() int {
 	limited := 0
--- a/internal/replicas/limit_test.go
+++ b/internal/replicas/limit_test.go
@@ -29,3 +29,25 @@
 		t.Error("its end is no news")
 	}
 }
+
+// The end of a limit is told for a while: a peer that missed the datagram would leave the replica
+// alone. Of replicas that named none nothing is told.
+func TestEndOfALimitIsToldAgain(t *testing.T) {
+	s, told := NewSet(), 0
+	s.OnLimit(func(*Replica) { told++ })
+	s.Apply(time.Now(), Change{Present: []Info{info("a")}})
+	r, now := s.Get("a"), time.Now()
+	steps := []struct {
+		at        time.Duration
+		perSecond float64
+		told      int
+	}{
+		{0, 0, 0}, {time.Second, 3, 1}, {2 * time.Second, 3, 2}, {3 * time.Second, 0, 3}, {3500 * time.Millisecond, 0, 4}, {5 * time.Second, 0, 4},
+	}
+	for _, step := range steps {
+		r.NamesLimit(now.Add(step.at), step.perSecond)
+		if told != step.told {
+			t.Errorf("after %s told %d times, want %d", step.at, told, step.told)
+		}
+	}
+}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -67,6 +67,7 @@
 	earlier   []int64        // starts of this id before, the newest last
 	onDown    func(*Replica) // nil: nobody is told
 	onRefused func(*Replica) // likewise
+	onLimit   func(*Replica) // likewise
 	lookMu    sync.Mutex
 	lookedAt  time.Time // by Dead
 	dead      bool
@@ -102,6 +103,7 @@
 type Set struct {
 	onDown    func(*Replica)
 	onRefused func(*Replica)
+	onLimit   func(*Replica)
 
 	mu       sync.Mutex
 	byID     map[request.TargetID]*Replica
@@ -255,7 +257,7 @@
 func (s *Set) start(info Info, earlier []int64) {
 	r := &Replica{
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), hash: hashOf(info), earlier: earlier,
-		onDown: s.onDown, onRefused: s.onRefused, coldFor: s.coldFor,
+		onDown: s.onDown, onRefused: s.onRefused, onLimit: s.onLimit, coldFor: s.coldFor,
 	}
 	r.info.Store(&info)
 	s.byID[info.ID] = r
