Senders to a replica with a bound are of the group that uses it

Found by reading while the limits were mended, the same bound at stake: where a group has no replica left that may be used (its failure domains evacuated, no home), its daemons use those of other groups, and each group chose senders of its own to them. A cold replica, or one that named a limit, could get as many times what it bears as there are groups. Who sends now depends on the replica alone.

--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -123,7 +123,7 @@
 	limits := quota.ColdStart(9.8, 19.7)
 	w.set.SetColdStarts(map[routing.ServiceID]time.Duration{"llm": time.Minute})
 	w.engine.Quotas = &Quotas{
-		Self: "d0", Group: func(routing.ServiceID) []string { return group },
+		Self: "d0", Users: func(*replicas.Replica) []string { return group },
 		Cold: func(routing.ServiceID) quota.Limits { return limits },
 	}
 }
@@ -135,7 +135,7 @@
 
 func withNamed(w *world, self string, group ...string) {
 	w.engine.Quotas = &Quotas{
-		Self: self, Group: func(routing.ServiceID) []string { return group },
+		Self: self, Users: func(*replicas.Replica) []string { return group },
 		Cold: func(routing.ServiceID) quota.Limits { return quota.Limits{} }, Named: namedLimits,
 	}
 }
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -31,9 +31,8 @@
 // concurrent use.
 type Quotas struct {
 	Self string // this daemon's name
-	// Group returns the names of the daemons that use the same replicas of a service, this one
-	// among them; empty: they are not known yet.
-	Group func(routing.ServiceID) []string
+	// Users returns the names of the daemons that use a replica; empty: they are not known yet.
+	Users func(*replicas.Replica) []string
 	// Cold returns what one cold replica of a service bears, Named what one does that named a
 	// limit of requests a second.
 	Cold  func(routing.ServiceID) quota.Limits
@@ -92,7 +91,7 @@
 // Unsure reports whether a bound holds for a replica while this daemon does not know the others yet,
 // so that it had better send elsewhere.
 func (q *Quotas) Unsure(now time.Time, r *replicas.Replica) bool {
-	return q != nil && len(q.bounds(now, r)) > 0 && len(q.Group(r.Info().Service)) == 0
+	return q != nil && len(q.bounds(now, r)) > 0 && len(q.Users(r)) == 0
 }
 
 // bounds returns the bounds that hold for a replica now.
@@ -118,15 +117,15 @@
 
 // share returns this daemon's share of a replica, and whether it sends to it at all.
 func (q *Quotas) share(r *replicas.Replica, b bound) (share quota.Share, sends bool) {
-	group := q.Group(r.Info().Service)
+	users := q.Users(r)
 	switch {
-	case len(group) == 0:
+	case len(users) == 0:
 		return b.limits.AloneShare(startSenders), true
 	case b.doubt:
-		return b.limits.AloneShare(len(group)), true
+		return b.limits.AloneShare(len(users)), true
 	}
-	senders, share := b.limits.Shares(len(group))
-	return share, quota.IsSender(q.Self, group, r.Hash(), senders)
+	senders, share := b.limits.Shares(len(users))
+	return share, quota.IsSender(q.Self, users, r.Hash(), senders)
 }
 
 // pace returns what this daemon sent to a replica.
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -14,6 +14,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/subset"
@@ -82,9 +83,9 @@
 	return Share{Requests: 1, Window: time.Duration(float64(l.Window) * windows)}
 }
 
-// IsSender reports whether a daemon is among the senders to a replica, of some daemons.
-func IsSender(self string, daemons []string, replica uint64, senders int) bool {
-	return subset.IsAmong(self, daemons, replica, senders)
+// IsSender reports whether a daemon is among the senders to a replica, of those that use it.
+func IsSender(self string, users []string, replica uint64, senders int) bool {
+	return slices.Contains(users, self) && subset.IsAmong(self, users, replica, senders)
 }
 
 // maxSent bounds the requests that are remembered. A daemon's share of a window is below that but
