--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -58,6 +58,7 @@
 	// PerSecond is how many requests a second it takes from all daemons together; zero: as many
 	// as come.
 	PerSecond float64
+	Leaving   bool // it takes no new requests
 	// Invalid names headers that can not be read; the others hold. Nil: there are none.
 	Invalid error
 }
--- a/internal/relay/words.go
+++ b/internal/relay/words.go
@@ -17,9 +17,12 @@
 	}
 	if t.answer.Invalid != nil {
 		s.o.Logger.Warn("A header of a replica can not be read", "replica", r.Info().ID, "error", t.answer.Invalid)
-		return
 	}
-	if t.answer.PerSecond > 0 || t.answer.Signed || t.answer.NotRun {
+	if t.answer.Leaving && r.SaysLeaving() {
+		s.o.Logger.Info("A replica says that it leaves", "replica", r.Info().ID)
+	}
+	whole := t.answer.Invalid == nil && (t.answer.Signed || t.answer.NotRun)
+	if t.answer.PerSecond > 0 || whole {
 		s.noteLimit(r, t.answer.PerSecond)
 	}
 }
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -76,6 +76,7 @@
 	busy      steady.Moment // until when it takes no requests
 	cold      steady.Moment // until when it bears few requests only
 	limit     atomic.Pointer[limitWord]
+	leaving   atomic.Bool // an answer said so
 	coldFor   func(routing.ServiceID) time.Duration
 }
 
