A replica whose answers say that it leaves gets nothing more

A replica left while the key-value service was away, so that the registry told nobody; its answers did. Callers' requests went there for 12 s more (7.8 to 20 s), until it ended with what ran.

Cause: only the registry was believed on whether a replica leaves; answers were not read for it. Ruled out: an entry taken for a lapse (there was no word of the registry at all before 20.1 s), requests placed before and sent late (they reached the replica 10 ms after their caller had sent them).

Now the word of an answer takes the replica out of every choice for as long as that start of it lives, also where its entry says otherwise, lapses and is back. Peers are told in their datagrams. Groups are cut as before: the replica counts there until the registry takes it out, so that daemons which have not heard divide the fleet alike.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -76,6 +76,7 @@
 	states   []*State            // told to all daemons: any may use the replica
 	down     []uint64            // replicas found unreachable; told to those that use them
 	refusing []uint64            // replicas that would not run a request; likewise
+	leaving  []uint64            // replicas that said so in answers; likewise
 	limits   []*replicas.Replica // whose words on limits are to be told
 	deaths   []*Death            // told to all daemons: the request may come again at any
 	last     map[uint64]*Work    // by replica, as told last
@@ -151,18 +152,29 @@
 func (s *Share) Refusing(r *replicas.Replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !slices.Contains(s.refusing, r.Hash()) {
-		s.refusing = append(s.refusing, r.Hash())
-	}
+	s.refusing = addOnce(s.refusing, r.Hash())
+}
+
+// Leaving tells peers, within one tick, that a replica said that it takes no new requests.
+func (s *Share) Leaving(r *replicas.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = addOnce(s.leaving, r.Hash())
 }
 
 // Limited tells peers, within one tick, what a replica said of how many requests it takes.
 func (s *Share) Limited(r *replicas.Replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !slices.Contains(s.limits, r) {
-		s.limits = append(s.limits, r)
+	s.limits = addOnce(s.limits, r)
+}
+
+// addOnce adds a value to those that are to be told, unless it is among them.
+func addOnce[T comparable](to []T, value T) []T {
+	if slices.Contains(to, value) {
+		return to
 	}
+	return append(to, value)
 }
 
 // Died tells all daemons, within one tick, that a replica died while it ran a request.
@@ -204,13 +216,13 @@
 		return
 	}
 	if len(r.States)+len(r.Deaths) == 0 {
-		// One other daemon hears what is known here of the key-value service, and of limits,
-		// so that news pass from group to group.
+		// One other daemon hears what is known here of the key-value service, and what
+		// replicas said of themselves, so that news pass from group to group.
 		n := rand.IntN(len(others))
 		others = others[n : n+1]
 	}
 	s.send(&Report{
-		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Watches: r.Watches,
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches,
 	}, others)
 }
 
@@ -233,15 +245,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
-	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down, Refusing: s.refusing}
-	s.placed, s.states, s.down, s.refusing = s.placed[n:], nil, nil, nil
+	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.down, Refusing: s.refusing, Leaving: s.leaving}
+	s.placed, s.states, s.down, s.refusing, s.leaving = s.placed[n:], nil, nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
 	r.Limits = s.takeLimits(now)
 	s.tellWork(now, r, work)
 	revisions := s.o.Revisions()
 	newRevisions := !slices.Equal(revisions, s.revisions) || now.Sub(s.revisionsTold) >= repeatEvery
-	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits) == 0 {
+	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving) == 0 {
 		return nil
 	}
 	if newRevisions {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -83,6 +83,8 @@
 	a.set.Get("r").SawLimit(time.Now(), 0)
 	a.Limited(a.set.Get("r"))
 	await("its end", func() bool { limit, _ := b.set.Get("r").Limit(); return limit == 0 })
+	a.Leaving(a.set.Get("r"))
+	await("that the replica leaves", b.set.Get("r").Leaving)
 	a.Refusing(a.set.Get("r"))
 	await("one that refused the peer gets none", func() bool { return b.set.Get("r").Busy(time.Now()) })
 	death := quarantine.Sighting{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -73,6 +73,11 @@
 			replica.AvoidFor(now, refusedFor)
 		}
 	}
+	for _, hash := range r.Leaving {
+		if replica := byHash[hash]; replica != nil {
+			replica.HeardLeaving()
+		}
+	}
 	for _, l := range r.Limits {
 		if replica := byHash[l.Replica]; replica != nil && l.PerSecond >= 0 {
 			replica.SawLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -13,7 +13,7 @@
 
 // Eligibility says which replicas may get a request, whatever it would cost.
 //
-// A replica in an evacuated failure domain, or outside the homes of a request, gets none at all:
+// A replica that leaves, in an evacuated failure domain, or outside the homes of a request, gets none at all:
 // with nothing else left the request is refused. One that rests or is busy is tried rather than
 // none. One of which a bound is known gets a request only by leave of Quotas.
 type Eligibility struct {
@@ -62,7 +62,7 @@
 
 // allowed reports whether a request may go to a replica at all.
 func (e *Eligibility) allowed(j *relay.Job, r *replicas.Replica) bool {
-	return !e.Set.Evacuated(r.Info().FailureDomain) && e.isHome(j, r.Info().FailureDomain)
+	return !r.Leaving() && !e.Set.Evacuated(r.Info().FailureDomain) && e.isHome(j, r.Info().FailureDomain)
 }
 
 // isHome reports whether a request may go to a failure domain.
--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// A replica says in its answers that it leaves: it gets nothing more, also if it alone holds the
+// context, or is the last that is there, or was not tried for a request that failed elsewhere.
+func TestReplicaThatLeavesGetsNothing(t *testing.T) {
+	w := spread("eu-1", "eu-2")
+	w.set.Get("eu-1").SaysLeaving()
+	w.set.Get("eu-2").SetBusy(time.Now().Add(time.Minute))
+	for range 20 {
+		if got := where(t, w, job("s")); got != "eu-2" {
+			t.Fatalf("went to %q", got)
+		}
+	}
+	if p, err := w.engine.Place(context.Background(), job("s"), []request.TargetID{"eu-2"}); err == nil {
+		t.Errorf("a second try went to %s", p.Replica.Info().ID)
+	}
+	plain := &Plain{Eligibility: w.engine.Eligibility, Domain: "a"}
+	w.set.Get("eu-2").SaysLeaving()
+	if _, err := plain.Place(context.Background(), job("s"), nil); err == nil {
+		t.Error("the last replica gets a call while it leaves")
+	}
+}
+
 // The group of a daemon has no replica left that may be used: those of other groups serve.
 func TestOtherGroupsServeWhereAllOfTheOwnAreEvacuated(t *testing.T) {
 	w := spread("eu-1", "eu-2")
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -68,6 +68,7 @@
 	onDown    func(*Replica) // nil: nobody is told
 	onRefused func(*Replica) // likewise
 	onLimit   func(*Replica) // likewise
+	onLeaving func(*Replica) // likewise
 	lookMu    sync.Mutex
 	lookedAt  time.Time // by Dead
 	dead      bool
@@ -105,10 +106,12 @@
 	onDown    func(*Replica)
 	onRefused func(*Replica)
 	onLimit   func(*Replica)
+	onLeaving func(*Replica)
 
 	mu       sync.Mutex
 	byID     map[request.TargetID]*Replica
 	lapsing  map[request.TargetID]time.Time
+	left     map[request.TargetID]left
 	services map[routing.ServiceID]bool // nil: all
 	view     atomic.Pointer[View]
 
@@ -139,7 +142,7 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}, evacuationEnds: map[string]time.Time{}}
+	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}, left: map[request.TargetID]left{}, evacuationEnds: map[string]time.Time{}}
 	s.evacuated.Store(&map[string]bool{})
 	s.publish()
 	return s
@@ -258,9 +261,10 @@
 func (s *Set) start(info Info, earlier []int64) {
 	r := &Replica{
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), hash: hashOf(info), earlier: earlier,
-		onDown: s.onDown, onRefused: s.onRefused, onLimit: s.onLimit, coldFor: s.coldFor,
+		onDown: s.onDown, onRefused: s.onRefused, onLimit: s.onLimit, onLeaving: s.onLeaving, coldFor: s.coldFor,
 	}
 	r.info.Store(&info)
+	r.leaving.Store(s.hasLeft(info.ID, info.Started))
 	s.byID[info.ID] = r
 }
 
@@ -311,6 +315,7 @@
 	}
 	delete(s.lapsing, id)
 	delete(s.byID, id)
+	s.noteLeft(now, r)
 	r.Pool.Close()
 }
 
@@ -319,6 +324,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tickEvacuations(now)
+	s.tickLeft(now)
 	changed := false
 	for id, until := range s.lapsing {
 		if now.After(until) {
