--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -48,6 +48,9 @@
 	if limit := h.Get("Limit"); limit != "" {
 		a.PerSecond, a.Invalid = strconv.ParseFloat(limit, 64)
 	}
+	if seconds, err := strconv.Atoi(h.Get("Rest")); err == nil {
+		a.Rest = time.Duration(seconds) * time.Second
+	}
 	return a
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -59,6 +59,8 @@
 	// as come.
 	PerSecond float64
 	Leaving   bool // it takes no new requests
+	// Rest is for how long it wants no request of this daemon, having turned one away.
+	Rest time.Duration
 	// Invalid names headers that can not be read; the others hold. Nil: there are none.
 	Invalid error
 }
--- a/internal/relay/words.go
+++ b/internal/relay/words.go
@@ -21,6 +21,10 @@
 	if t.answer.Leaving && r.SaysLeaving() {
 		s.o.Logger.Info("A replica says that it leaves", "replica", r.Info().ID)
 	}
+	if t.answer.Rest > 0 {
+		r.AsksForRest(time.Now().Add(t.answer.Rest))
+		s.o.Metrics.Counter("rests_asked_for").Inc(1)
+	}
 	whole := t.answer.Invalid == nil && (t.answer.Signed || t.answer.NotRun)
 	if t.answer.PerSecond > 0 || whole {
 		s.noteLimit(r, t.answer.PerSecond)
--- a/internal/relay/words_test.go
+++ b/internal/relay/words_test.go
@@ -49,3 +49,21 @@
 		})
 	}
 }
+
+// The time for which a replica that turns a request away wants no more is heard; a shorter one that
+// comes later, of a request that was on its way, does not cut it.
+func TestRestThatAReplicaAsksForIsHeard(t *testing.T) {
+	w := newWorld(t, route(routing.KindOnce))
+	w.replica(says("503 Busy", "Not-Run: 1\r\nRest: 9\r\n"))
+	r := w.placer.replicas[0]
+	if _, _, err := w.call(http.MethodPost, "/x", nil); err != nil {
+		t.Fatal(err)
+	}
+	r.AsksForRest(time.Now().Add(time.Second))
+	if left := r.RestLeft(time.Now()); left < 8*time.Second || left > 9*time.Second {
+		t.Errorf("%s of rest are left", left)
+	}
+	if left := r.RestLeft(time.Now().Add(10 * time.Second)); left != 0 {
+		t.Errorf("%s are left when it is over", left)
+	}
+}
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -26,6 +26,19 @@
 // longer.
 func (r *Replica) AvoidFor(now time.Time, d time.Duration) { r.busy.Extend(now.Add(d)) }
 
+// AsksForRest notes that the replica turned a request of this daemon away and wants none until a
+// time, unless that is known to be later.
+func (r *Replica) AsksForRest(until time.Time) { r.rest.Extend(until) }
+
+// RestLeft returns for how much longer the replica wants no requests of this daemon.
+func (r *Replica) RestLeft(now time.Time) time.Duration {
+	until, asked := r.rest.Time()
+	if !asked {
+		return 0
+	}
+	return max(0, until.Sub(now))
+}
+
 // Unreachable notes that no connection to the replica could be opened, and tells peers.
 func (r *Replica) Unreachable(now time.Time) {
 	if r.Health.Down(now) && r.onDown != nil {
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -75,6 +75,7 @@
 	info      atomic.Pointer[Info]
 	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
 	busy      steady.Moment // until when it takes no requests
+	rest      steady.Moment // until when it wants no requests of this daemon
 	cold      steady.Moment // until when it bears few requests only
 	limit     atomic.Pointer[limitWord]
 	leaving   atomic.Bool // an answer said so
