A replica that asked a daemon for rest gets none of its requests meanwhile

Replicas that were too busy turned requests away and asked for 3 s of rest.

Cause: the time that a replica names was not read; one that would not run a request was left alone for a fixed time, and looked idle after it. Part of the cause: a replica left alone was tried where no other remained. Ruled out: peers that send in its place (each daemon was turned away, and asked, by itself).

Weighed and left: telling peers of rests, since a replica may turn away one failure domain's daemons only.

--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -13,9 +13,10 @@
 
 // Eligibility says which replicas may get a request, whatever it would cost.
 //
-// A replica that leaves, in an evacuated failure domain, or outside the homes of a request, gets none at all:
-// with nothing else left the request is refused. One that rests or is busy is tried rather than
-// none. One of which a bound is known gets a request only by leave of Quotas.
+// A replica that leaves, that asked this daemon for rest, in an evacuated failure domain, or outside
+// the homes of a request, gets none at all: with nothing else left the request is refused. One that is
+// left alone for another reason is tried rather than none. One with a bound gets a request only by
+// leave of Quotas.
 type Eligibility struct {
 	Set *replicas.Set
 	// Region returns the region of a failure domain, empty if it is not known: then it is no home.
@@ -41,7 +42,7 @@
 	var fit, resting []*replicas.Replica
 	for _, r := range of {
 		switch {
-		case slices.Contains(tried, r.Info().ID) || !e.allowed(j, r) || !e.Quotas.Ready(now, r):
+		case slices.Contains(tried, r.Info().ID) || !e.allowed(j, r) || !e.mayNow(now, r):
 		case r.Health.Resting(now) || r.Busy(now) || e.Quotas.Unsure(now, r):
 			resting = append(resting, r)
 		default:
@@ -55,6 +56,11 @@
 	return fit
 }
 
+// mayNow reports whether a replica may get a request at this moment.
+func (e *Eligibility) mayNow(now time.Time, r *replicas.Replica) bool {
+	return r.RestLeft(now) == 0 && e.Quotas.Ready(now, r)
+}
+
 // anyAllowed reports whether a request may go to one of some replicas, now or later.
 func (e *Eligibility) anyAllowed(j *relay.Job, of []*replicas.Replica) bool {
 	return slices.ContainsFunc(of, func(r *replicas.Replica) bool { return e.allowed(j, r) })
--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// A replica turned a request of this daemon away and asked for rest: it gets none until that is over,
+// also if it alone holds the context, or the others are busy. With none left callers are refused.
+func TestReplicaThatAskedForRestGetsNothingMeanwhile(t *testing.T) {
+	const rest = 200 * time.Millisecond
+	w := spread("eu-1", "eu-2")
+	w.set.Get("eu-1").AsksForRest(time.Now().Add(time.Minute))
+	w.set.Get("eu-2").SetBusy(time.Now().Add(time.Minute))
+	for range 20 {
+		if got := where(t, w, job("s")); got != "eu-2" {
+			t.Fatalf("went to %q", got)
+		}
+	}
+	if p, err := w.engine.Place(context.Background(), job("s"), []request.TargetID{"eu-2"}); err == nil {
+		t.Errorf("a second try went to %s", p.Replica.Info().ID)
+	}
+	until := time.Now().Add(rest)
+	w.set.Get("eu-2").AsksForRest(until)
+	plain := &Plain{Eligibility: w.engine.Eligibility, Domain: "a"}
+	if _, err := plain.Place(context.Background(), job("s"), nil); err == nil && time.Now().Before(until) {
+		t.Error("a call goes to a replica in its rest")
+	}
+	time.Sleep(time.Until(until))
+	if got := where(t, w, job("s")); got != "eu-2" {
+		t.Errorf("after its rest: %q", got)
+	}
+}
+
 // The group of a daemon has no replica left that may be used: those of other groups serve.
 func TestOtherGroupsServeWhereAllOfTheOwnAreEvacuated(t *testing.T) {
 	w := spread("eu-1", "eu-2")
