--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -181,10 +181,7 @@
 // Match returns the route with the longest prefix that begins the path, nil if there is
 // none. The path is taken as it was sent, still escaped.
 func (s *Snapshot) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range s.byHost[strings.ToLower(host)] {
+	for _, r := range s.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -192,10 +189,19 @@
 	return nil
 }
 
+// routesOf returns the routes of a host, longest prefix first. A port that the host names is no part
+// of it.
+func (s *Snapshot) routesOf(host string) []*Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return s.byHost[strings.ToLower(host)]
+}
+
 // HomesOf returns the regions that are homes of some route of a host; empty if none has homes.
 func (s *Snapshot) HomesOf(host string) []Region {
 	var homes []Region
-	for _, r := range s.byHost[strings.ToLower(host)] {
+	for _, r := range s.routesOf(host) {
 		for _, home := range r.Homes {
 			if !slices.Contains(homes, home) {
 				homes = append(homes, home)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -65,3 +65,17 @@
 		t.Errorf("got %v", counts)
 	}
 }
+
+// A caller asks the directory for a host as it will name it, with a port or in capitals: the homes
+// found must be those of the route that its request then takes.
+func TestHomesAreFoundAsRoutesAre(t *testing.T) {
+	s := NewSnapshot(1, []*Route{{Name: "r", Host: "h.example", Prefix: "/", Homes: []Region{"eu"}}}, nil, nil, CallerLimits{})
+	for _, host := range []string{"h.example", "H.example", "h.example:8080"} {
+		if s.Match(host, "/x") == nil {
+			t.Errorf("%s: no route", host)
+		}
+		if homes := s.HomesOf(host); len(homes) != 1 || homes[0] != "eu" {
+			t.Errorf("%s: homes %v", host, homes)
+		}
+	}
+}
