A refused request takes nothing of a replica's limit

Found by reading: leave to send to a replica with a bound was taken before the wait there was looked at, so that a request which is refused for its wait used up what a replica in need takes in seconds. The wait is looked at first. Without bounds the order makes no difference. Test seen failing before.

--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -338,3 +338,20 @@
 		t.Error("what was sent is kept without a bound")
 	}
 }
+
+// A request is refused since its wait would be too long: it must not use up the one that a replica in
+// need takes in seconds.
+func TestRefusedRequestTakesNothingOfALimit(t *testing.T) {
+	w := newWorld(1)
+	withNamed(w, "d0", "d0")
+	r := w.set.Get("r0")
+	r.SawLimit(time.Now(), 0.2)
+	work := r.Load.Begin(10_000, 1_000_000)
+	if got := where(t, w, job("s")); got != "" {
+		t.Fatal("not refused")
+	}
+	work.End()
+	if got := where(t, w, job("s")); got != "r0" {
+		t.Error("the replica is idle, and gets nothing")
+	}
+}
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -112,12 +112,8 @@
 	salt := cacheSalt(best(usable, j.Model), j.Org)
 	stored, until := e.askStores(ctx, j, salt, usable)
 	need := e.need(j)
-	r, chosen := e.choose(j, need, usable, salt, stored)
-	if r == nil {
-		e.release(salt, j, stored)
-		return nil, noReplica()
-	}
-	if err := admit(pick.Default.Wait(need, chosen), e.longestWait(j)); err != nil && !j.Begun {
+	r, chosen, err := e.choose(j, need, usable, salt, stored)
+	if err != nil {
 		e.release(salt, j, stored)
 		return nil, err
 	}
@@ -141,18 +137,22 @@
 	}, nil
 }
 
-// choose returns the cheapest replica that may get the request now, nil if none may. Leave to send
+// choose returns the cheapest replica that may get the request now, or why none may. Leave to send
 // to one with a bound may have been taken by another request meanwhile.
-func (e *Engine) choose(j *relay.Job, need pick.Request, usable []*replicas.Replica, salt string, stored []Stored) (*replicas.Replica, *pick.Candidate) {
+func (e *Engine) choose(j *relay.Job, need pick.Request, usable []*replicas.Replica, salt string, stored []Stored) (*replicas.Replica, *pick.Candidate, error) {
+	longest := e.longestWait(j)
 	for len(usable) > 0 {
 		candidates := e.candidates(j, usable, salt, stored)
 		n := pick.Sampled(pick.Default, need, candidates)
+		if err := admit(pick.Default.Wait(need, &candidates[n]), longest); err != nil && !j.Begun {
+			return nil, nil, err
+		}
 		if e.Quotas.Take(time.Now(), usable[n]) {
-			return usable[n], &candidates[n]
+			return usable[n], &candidates[n], nil
 		}
 		usable = slices.Delete(usable, n, n+1)
 	}
-	return nil, nil
+	return nil, nil, noReplica()
 }
 
 // ended returns what follows a try. One that did not run makes none of the transfers that it
