--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -60,5 +60,5 @@
 }
 
 func noReplica() error {
-	return request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, noReplicaRetry, "no replica can be reached")
+	return request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, noReplicaRetry, "no replica takes requests now")
 }
