--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -143,6 +143,18 @@
 	return daemons
 }
 
+// cutInTwo cuts off some daemons, which go on by their lists, while the others leave them out of theirs.
+func cutInTwo(rt *rapid.T, daemons []*sender) {
+	cut := rapid.IntRange(0, len(daemons)).Draw(rt, "cut")
+	var reached []string
+	for _, d := range daemons[cut:] {
+		reached = append(reached, d.name)
+	}
+	for _, d := range daemons[cut:] {
+		d.view = reached
+	}
+}
+
 // A replica crashes if it gets more than Burst in a second, with all that run there. All daemons
 // press as they can, with clocks that differ.
 func TestNeverAboveTheBound(t *testing.T) {
@@ -159,14 +171,7 @@
 func TestNeverAboveTheBoundWhileCutInTwo(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		l, daemons := drawLimits(rt), drawFleet(rt)
-		cut := rapid.IntRange(0, len(daemons)).Draw(rt, "cut")
-		var reached []string
-		for _, d := range daemons[cut:] {
-			reached = append(reached, d.name)
-		}
-		for _, d := range daemons[cut:] {
-			d.view = reached
-		}
+		cutInTwo(rt, daemons)
 		if got := worst(time.Second, press(rt, l, daemons, 4*time.Second)); float64(got) > l.Burst {
 			rt.Fatalf("%d requests in a second, %v allowed", got, l)
 		}
@@ -238,15 +243,8 @@
 	const heard = 3 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		l, daemons := drawNamed(rt), drawFleet(rt)
-		cut := rapid.IntRange(0, len(daemons)).Draw(rt, "cut")
-		var reached []string
-		for _, d := range daemons[cut:] {
-			reached = append(reached, d.name)
-		}
-		for i, d := range daemons {
-			if i >= cut {
-				d.view = reached
-			}
+		cutInTwo(rt, daemons)
+		for _, d := range daemons {
 			if rapid.Bool().Draw(rt, "freezes") {
 				d.frozen = [2]time.Duration{5 * time.Second, 9 * time.Second}
 			}
