--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -77,7 +77,7 @@
 	down     []uint64            // replicas found unreachable; told to those that use them
 	refusing []uint64            // replicas that would not run a request; likewise
 	leaving  []uint64            // replicas that said so in answers; likewise
-	limits   []*replicas.Replica // whose words on limits are to be told
+	limits   []*replicas.Replica // whose rate limits are to be told
 	deaths   []*Death            // told to all daemons: the request may come again at any
 	last     map[uint64]*Work    // by replica, as told last
 	allTold  time.Time           // when all work was told last
@@ -162,7 +162,7 @@
 	s.leaving = addOnce(s.leaving, r.Hash())
 }
 
-// Limited tells peers, within one tick, what a replica said of how many requests it takes.
+// Limited tells peers, within one tick, the rate limit that a replica named.
 func (s *Share) Limited(r *replicas.Replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -80,7 +80,7 @@
 	}
 	for _, l := range r.Limits {
 		if replica := byHash[l.Replica]; replica != nil && l.PerSecond >= 0 {
-			replica.SawLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
+			replica.HeardLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
 		}
 	}
 	for _, state := range r.States {
--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -13,7 +13,7 @@
 
 // Eligibility says which replicas may get a request, whatever it would cost.
 //
-// A replica that leaves, that asked this daemon for rest, in an evacuated failure domain, or outside
+// A replica that leaves, that told this daemon to stay away, in an evacuated failure domain, or outside
 // the homes of a request, gets none at all: with nothing else left the request is refused. One that is
 // left alone for another reason is tried rather than none. One with a bound gets a request only by
 // leave of Quotas.
@@ -58,7 +58,7 @@
 
 // mayNow reports whether a replica may get a request at this moment.
 func (e *Eligibility) mayNow(now time.Time, r *replicas.Replica) bool {
-	return r.RestLeft(now) == 0 && e.Quotas.Ready(now, r)
+	return r.BackoffLeft(now) == 0 && e.Quotas.Ready(now, r)
 }
 
 // anyAllowed reports whether a request may go to one of some replicas, now or later.
--- a/internal/placer/eligible_test.go
+++ b/internal/placer/eligible_test.go
@@ -71,33 +71,33 @@
 // context, or is the last that is there, or was not tried for a request that failed elsewhere.
 func TestReplicaThatLeavesGetsNothing(t *testing.T) {
 	w := spread("eu-1", "eu-2")
-	w.set.Get("eu-1").SaysLeaving()
+	w.set.Get("eu-1").SawLeaving()
 	w.set.Get("eu-2").SetBusy(time.Now().Add(time.Minute))
 	getsNothing(t, w, "eu-2")
 	plain := &Plain{Eligibility: w.engine.Eligibility, Domain: "a"}
-	w.set.Get("eu-2").SaysLeaving()
+	w.set.Get("eu-2").SawLeaving()
 	if _, err := plain.Place(context.Background(), job("s"), nil); err == nil {
 		t.Error("the last replica gets a call while it leaves")
 	}
 }
 
-// A replica turned a request of this daemon away and asked for rest: it gets none until that is over,
+// A replica turned a request of this daemon away with Retry-After: it gets none until that is over,
 // also if it alone holds the context, or the others are busy. With none left callers are refused.
-func TestReplicaThatAskedForRestGetsNothingMeanwhile(t *testing.T) {
-	const rest = 200 * time.Millisecond
+func TestReplicaGetsNothingBeforeItsRetryAfter(t *testing.T) {
+	const backoff = 200 * time.Millisecond
 	w := spread("eu-1", "eu-2")
-	w.set.Get("eu-1").AsksForRest(time.Now().Add(time.Minute))
+	w.set.Get("eu-1").BackOff(time.Now().Add(time.Minute))
 	w.set.Get("eu-2").SetBusy(time.Now().Add(time.Minute))
 	getsNothing(t, w, "eu-2")
-	until := time.Now().Add(rest)
-	w.set.Get("eu-2").AsksForRest(until)
+	until := time.Now().Add(backoff)
+	w.set.Get("eu-2").BackOff(until)
 	plain := &Plain{Eligibility: w.engine.Eligibility, Domain: "a"}
 	if _, err := plain.Place(context.Background(), job("s"), nil); err == nil && time.Now().Before(until) {
-		t.Error("a call goes to a replica in its rest")
+		t.Error("a call goes to a replica that is to be left alone")
 	}
 	time.Sleep(time.Until(until))
 	if got := where(t, w, job("s")); got != "eu-2" {
-		t.Errorf("after its rest: %q", got)
+		t.Errorf("after that: %q", got)
 	}
 }
 
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -17,7 +17,7 @@
 	// others yet. It then sends little to a replica with a bound, as all may that start at the
 	// same moment.
 	startSenders = 16
-	// limitHolds is how long the word on a replica's limit is taken to hold at least, and twice
+	// limitHolds is how long a replica's rate limit is taken to hold after it was told, at least, and twice
 	// that at most. Later a daemon may find out with a request whether it still does: those that
 	// send there may be gone or cut off, and the others would never hear of its end.
 	limitHolds = 10 * time.Second
@@ -33,10 +33,10 @@
 	Self string // this daemon's name
 	// Users returns the names of the daemons that use a replica; empty: they are not known yet.
 	Users func(*replicas.Replica) []string
-	// Cold returns what one cold replica of a service bears, Named what one does that named a
-	// limit of requests a second.
-	Cold  func(routing.ServiceID) quota.Limits
-	Named func(perSecond float64) quota.Limits
+	// Cold returns what one cold replica of a service bears, Limited what one does that named a
+	// rate limit.
+	Cold    func(routing.ServiceID) quota.Limits
+	Limited func(perSecond float64) quota.Limits
 
 	mu    sync.Mutex
 	paces map[*replicas.Replica]*quota.Pace
@@ -45,7 +45,7 @@
 // bound is what a replica bears, as known now.
 type bound struct {
 	limits quota.Limits
-	doubt  bool // whether it still holds
+	stale  bool // it may hold no more
 }
 
 // Ready reports whether a replica may get a request of this daemon now.
@@ -103,12 +103,12 @@
 		}
 	}
 	if perSecond, at := r.Limit(); perSecond > 0 {
-		out = append(out, bound{limits: q.Named(perSecond), doubt: now.Sub(at) > q.holds(r)})
+		out = append(out, bound{limits: q.Limited(perSecond), stale: now.Sub(at) > q.holds(r)})
 	}
 	return out
 }
 
-// holds returns how long this daemon takes the word on a replica's limit to hold: not as long as
+// holds returns how long this daemon takes a replica's rate limit to hold: not as long as
 // others, so that the first one that finds out tells them.
 func (q *Quotas) holds(r *replicas.Replica) time.Duration {
 	part := float64(xxhash.Sum64String(q.Self)^r.Hash()) / math.MaxUint64
@@ -121,7 +121,7 @@
 	switch {
 	case len(users) == 0:
 		return b.limits.AloneShare(startSenders), true
-	case b.doubt:
+	case b.stale:
 		return b.limits.AloneShare(len(users)), true
 	}
 	senders, share := b.limits.Shares(len(users))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -46,10 +46,10 @@
 func (plainDialect) Answer(status int, h http.Header) Answer {
 	a := Answer{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 	if limit := h.Get("Limit"); limit != "" {
-		a.PerSecond, a.Invalid = strconv.ParseFloat(limit, 64)
+		a.RateLimit, a.Invalid = strconv.ParseFloat(limit, 64)
 	}
-	if seconds, err := strconv.Atoi(h.Get("Rest")); err == nil {
-		a.Rest = time.Duration(seconds) * time.Second
+	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
+		a.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return a
 }
--- a/internal/relay/words.go
+++ b/internal/relay/signals.go
@@ -7,10 +7,10 @@
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 )
 
-// noteWords notes what a replica says of itself in the head of an answer. One that does not vouch
+// noteSignals notes what a replica says of itself in the head of an answer. One that does not vouch
 // for its answer, and did not turn the request away either, may be faulty: what it leaves out ends
 // nothing. An answer that another replica gives at the same address says nothing of this one.
-func (s *Server) noteWords(t *try) {
+func (s *Server) noteSignals(t *try) {
 	r := t.placement.Replica
 	if t.response.Status == http.StatusMisdirectedRequest {
 		return
@@ -18,23 +18,23 @@
 	if t.answer.Invalid != nil {
 		s.o.Logger.Warn("A header of a replica can not be read", "replica", r.Info().ID, "error", t.answer.Invalid)
 	}
-	if t.answer.Leaving && r.SaysLeaving() {
+	if t.answer.Leaving && r.SawLeaving() {
 		s.o.Logger.Info("A replica says that it leaves", "replica", r.Info().ID)
 	}
-	if t.answer.Rest > 0 {
-		r.AsksForRest(time.Now().Add(t.answer.Rest))
-		s.o.Metrics.Counter("rests_asked_for").Inc(1)
+	if t.answer.RetryAfter > 0 {
+		r.BackOff(time.Now().Add(t.answer.RetryAfter))
+		s.o.Metrics.Counter("backoffs").Inc(1)
 	}
 	whole := t.answer.Invalid == nil && (t.answer.Signed || t.answer.NotRun)
-	if t.answer.PerSecond > 0 || whole {
-		s.noteLimit(r, t.answer.PerSecond)
+	if t.answer.RateLimit > 0 || whole {
+		s.noteLimit(r, t.answer.RateLimit)
 	}
 }
 
 // noteLimit notes how many requests a second a replica takes, zero for as many as come.
 func (s *Server) noteLimit(r *replicas.Replica, perSecond float64) {
 	before, _ := r.Limit()
-	if !r.NamesLimit(time.Now(), perSecond) {
+	if !r.SawLimit(time.Now(), perSecond) {
 		return
 	}
 	switch {
--- a/internal/relay/words_test.go
+++ b/internal/relay/signals_test.go
@@ -19,7 +19,7 @@
 
 // What a replica says of itself in any answer is heard; what it leaves out ends a limit only where
 // the answer is surely its own.
-func TestLimitThatAReplicaNamesIsHeard(t *testing.T) {
+func TestRateLimitOfAReplicaIsHeard(t *testing.T) {
 	const known = 4
 	for name, c := range map[string]struct {
 		handle func(c net.Conn, id string)
@@ -39,7 +39,7 @@
 			w := newWorld(t, route(routing.KindOnce))
 			w.replica(c.handle)
 			r := w.placer.replicas[0]
-			r.SawLimit(time.Now(), known)
+			r.HeardLimit(time.Now(), known)
 			if _, _, err := w.call(http.MethodPost, "/x", nil); err != nil {
 				t.Log(err) // of answers that break off
 			}
@@ -52,18 +52,18 @@
 
 // The time for which a replica that turns a request away wants no more is heard; a shorter one that
 // comes later, of a request that was on its way, does not cut it.
-func TestRestThatAReplicaAsksForIsHeard(t *testing.T) {
+func TestRetryAfterOfAReplicaIsHeard(t *testing.T) {
 	w := newWorld(t, route(routing.KindOnce))
-	w.replica(says("503 Busy", "Not-Run: 1\r\nRest: 9\r\n"))
+	w.replica(says("503 Busy", "Not-Run: 1\r\nRetry-After: 9\r\n"))
 	r := w.placer.replicas[0]
 	if _, _, err := w.call(http.MethodPost, "/x", nil); err != nil {
 		t.Fatal(err)
 	}
-	r.AsksForRest(time.Now().Add(time.Second))
-	if left := r.RestLeft(time.Now()); left < 8*time.Second || left > 9*time.Second {
-		t.Errorf("%s of rest are left", left)
+	r.BackOff(time.Now().Add(time.Second))
+	if left := r.BackoffLeft(time.Now()); left < 8*time.Second || left > 9*time.Second {
+		t.Errorf("%s of the backoff are left", left)
 	}
-	if left := r.RestLeft(time.Now().Add(10 * time.Second)); left != 0 {
+	if left := r.BackoffLeft(time.Now().Add(10 * time.Second)); left != 0 {
 		t.Errorf("%s are left when it is over", left)
 	}
 }
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -109,7 +109,7 @@
 		return t
 	}
 	t.answer = s.o.Dialect.Answer(t.response.Status, t.response.Header)
-	s.noteWords(t)
+	s.noteSignals(t)
 	t.outcome = s.judge(j, t)
 	if t.outcome == answered || t.outcome == failed {
 		s.readWhole(ctx, j, t)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -55,12 +55,12 @@
 	Signed  bool   // the replica vouches for the answer
 	NotRun  bool   // it did not run the request
 	Weights uint64 // that it serves; zero: not told
-	// PerSecond is how many requests a second it takes from all daemons together; zero: as many
+	// RateLimit is how many requests a second it takes from all daemons together; zero: as many
 	// as come.
-	PerSecond float64
+	RateLimit float64
 	Leaving   bool // it takes no new requests
-	// Rest is for how long it wants no request of this daemon, having turned one away.
-	Rest time.Duration
+	// RetryAfter is for how long it wants no request of this daemon, having turned one away.
+	RetryAfter time.Duration
 	// Invalid names headers that can not be read; the others hold. Nil: there are none.
 	Invalid error
 }
--- a/internal/replicas/leaving.go
+++ b/internal/replicas/leaving.go
@@ -17,9 +17,9 @@
 	at      time.Time
 }
 
-// SaysLeaving notes that an answer of the replica says that it takes no new requests, and has peers
+// SawLeaving notes that an answer of the replica says that it takes no new requests, and has peers
 // told. It reports whether that is news.
-func (r *Replica) SaysLeaving() (changed bool) {
+func (r *Replica) SawLeaving() (changed bool) {
 	changed = r.HeardLeaving()
 	if r.onLeaving != nil {
 		r.onLeaving(r)
@@ -27,7 +27,7 @@
 	return changed
 }
 
-// HeardLeaving notes a word that the replica takes no new requests, and reports whether that is news.
+// HeardLeaving notes that the replica takes no new requests, and reports whether that is news.
 // No start of a replica takes it back.
 func (r *Replica) HeardLeaving() (changed bool) { return !r.leaving.Swap(true) }
 
--- a/internal/replicas/leaving_test.go
+++ b/internal/replicas/leaving_test.go
@@ -17,12 +17,12 @@
 	if s.Get("a").Leaving() {
 		t.Fatal("leaves from the start")
 	}
-	if !s.Get("a").SaysLeaving() || s.Get("a").SaysLeaving() {
+	if !s.Get("a").SawLeaving() || s.Get("a").SawLeaving() {
 		t.Error("not news once")
 	}
 	s.Apply(now, Change{Present: []Info{i}})
 	if !s.Get("a").Leaving() {
-		t.Error("ready by the registry's word")
+		t.Error("ready since the registry says so")
 	}
 	s.Apply(now, Change{Gone: []request.TargetID{"a"}})
 	s.Tick(now.Add(leftKept - time.Second))
@@ -41,7 +41,7 @@
 func TestReplicasThatLeftAreForgotten(t *testing.T) {
 	s, now := NewSet(), time.Now()
 	s.Apply(now, Change{Present: []Info{info("a")}})
-	s.Get("a").SaysLeaving()
+	s.Get("a").SawLeaving()
 	s.Apply(now, Change{Gone: []request.TargetID{"a"}})
 	s.Tick(now.Add(leftKept + time.Second))
 	if len(s.left) != 0 {
--- a/internal/replicas/limit.go
+++ b/internal/replicas/limit.go
@@ -2,21 +2,21 @@
 
 import "time"
 
-// limitEndTold is for how long after a replica last named a limit its words are told to peers: a
+// limitEndTold is for how long after a replica last named a rate limit what it says is told to peers: a
 // datagram is lost at times, and one that missed the end would leave the replica alone.
 const limitEndTold = 2 * time.Second
 
-// limitWord is what was said last of how many requests a replica takes.
-type limitWord struct {
+// rateLimit is what was said last of how many requests a replica takes.
+type rateLimit struct {
 	perSecond float64   // from all daemons together; zero: as many as come
 	at        time.Time // when it was said
 	named     time.Time // when a limit was named last
 }
 
-// NamesLimit notes how many requests a second an answer of the replica says that it takes from all
+// SawLimit notes how many requests a second an answer of the replica says that it takes from all
 // daemons together, zero for as many as come, and has peers told. It reports whether that is news.
-func (r *Replica) NamesLimit(now time.Time, perSecond float64) (changed bool) {
-	changed = r.SawLimit(now, perSecond)
+func (r *Replica) SawLimit(now time.Time, perSecond float64) (changed bool) {
+	changed = r.HeardLimit(now, perSecond)
 	known := r.limit.Load()
 	if r.onLimit != nil && now.Sub(known.named) < limitEndTold {
 		r.onLimit(r)
@@ -24,10 +24,10 @@
 	return changed
 }
 
-// SawLimit notes the word of a limit that was said at a time, here or to a peer. It reports whether
+// HeardLimit notes a rate limit that was told at a time, here or to a peer. It reports whether
 // that is news; what is older than what is known is not.
-func (r *Replica) SawLimit(at time.Time, perSecond float64) (changed bool) {
-	next := &limitWord{perSecond: perSecond, at: at, named: at}
+func (r *Replica) HeardLimit(at time.Time, perSecond float64) (changed bool) {
+	next := &rateLimit{perSecond: perSecond, at: at, named: at}
 	for {
 		known := r.limit.Load()
 		if known != nil && known.at.After(at) {
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -26,13 +26,13 @@
 // longer.
 func (r *Replica) AvoidFor(now time.Time, d time.Duration) { r.busy.Extend(now.Add(d)) }
 
-// AsksForRest notes that the replica turned a request of this daemon away and wants none until a
+// BackOff notes that the replica turned a request of this daemon away and wants none until a
 // time, unless that is known to be later.
-func (r *Replica) AsksForRest(until time.Time) { r.rest.Extend(until) }
+func (r *Replica) BackOff(until time.Time) { r.backoff.Extend(until) }
 
-// RestLeft returns for how much longer the replica wants no requests of this daemon.
-func (r *Replica) RestLeft(now time.Time) time.Duration {
-	until, asked := r.rest.Time()
+// BackoffLeft returns for how much longer the replica wants no requests of this daemon.
+func (r *Replica) BackoffLeft(now time.Time) time.Duration {
+	until, asked := r.backoff.Time()
 	if !asked {
 		return 0
 	}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -75,9 +75,9 @@
 	info      atomic.Pointer[Info]
 	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
 	busy      steady.Moment // until when it takes no requests
-	rest      steady.Moment // until when it wants no requests of this daemon
+	backoff   steady.Moment // until when it wants no requests of this daemon
 	cold      steady.Moment // until when it bears few requests only
-	limit     atomic.Pointer[limitWord]
+	limit     atomic.Pointer[rateLimit]
 	leaving   atomic.Bool // an answer said so
 	coldFor   func(routing.ServiceID) time.Duration
 }
