Who uses a replica of the own group is known without dividing the fleet again

Cause: since senders are those of a replica's group, the first question after each change of the view worked out the users of all replicas, group by group, with the placer's lock held; replicas are cold all the time at that size.

Ruled out: noise alone would not raise one daemon's processor time by half; the paths of quotas ask nothing else that grows.

--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -84,6 +84,16 @@
 	return cut(order(members), group, groups)
 }
 
+// Parts returns the names of the members in each of some groups.
+func Parts(members []Member, groups int) [][]string {
+	ordered := order(members)
+	out := make([][]string, groups)
+	for group := range out {
+		out[group] = cut(ordered, group, groups)
+	}
+	return out
+}
+
 // Of returns the group in which a name is, 0 if it is in none.
 func Of(members []Member, name string, groups int) int {
 	ordered := order(members)
