--- a/internal/placer/quotas_test.go
+++ b/internal/placer/quotas_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// A replica in need names a limit for all daemons together, and each of eight daemons, with the
+// An overloaded replica names a limit for all daemons together, and each of eight daemons, with the
 // context of its callers there, keeps to the whole of it.
 func TestDaemonsShareANamedLimit(t *testing.T) {
 	const perSecond = 2
@@ -61,7 +61,7 @@
 	}
 }
 
-// All replicas are in need: what they take together is sent, the rest is refused at once.
+// All replicas are overloaded: what they take together is sent, the rest is refused at once.
 func TestLimitsOfAllReplicasAreKept(t *testing.T) {
 	w := newWorld(2)
 	withNamed(w, "d0", "d0")
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota bounds how many requests a replica gets, over all daemons.
 //
-// A replica that has just started, or that is in need, fails if it gets many requests at once, with
+// A replica that has just started, or is overloaded, fails if it gets many requests at once, with
 // all that run there. Daemons learn of each other's requests only after the fact, and one that is cut
 // off or stands still learns nothing, so nobody counts for all: each daemon keeps to a share of
 // its own.
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -236,7 +236,7 @@
 	}
 }
 
-// A replica in need fails if it gets more than it named. All daemons press as they can, of which some
+// An overloaded replica fails if it gets more than it named. All daemons press as they can, of which some
 // are cut off and go by an older list, and some stand still and wake; each had sent what it liked
 // before it heard of the limit.
 func TestNeverAboveANamedLimit(t *testing.T) {
@@ -276,7 +276,7 @@
 }
 
 // A named limit is used: with fewer than half of it sent, callers are refused for nothing, and with
-// few senders most daemons could not serve a service of which all replicas are in need.
+// few senders most daemons could not serve a service of which all replicas are overloaded.
 func TestNamedLimitIsUsedByManyDaemons(t *testing.T) {
 	for _, perSecond := range []float64{1, 4.2, 20, 100} {
 		l := Limits{PerSecond: perSecond, Burst: 1.5*4*perSecond + 5, Window: 4 * time.Second}
