A replica's rate limit is kept under a lock, not in a loop of swaps

Found on the last read: each answer allocated a word and swapped it in a loop, with a case of its own for the first one. Under a lock the zero value serves, and an answer allocates nothing. Behaviour and tests are the same.

--- a/internal/replicas/limit.go
+++ b/internal/replicas/limit.go
@@ -1,13 +1,17 @@
 package replicas
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // limitEndTold is for how long after a replica last named a rate limit what it says is told to peers: a
 // datagram is lost at times, and one that missed the end would leave the replica alone.
 const limitEndTold = 2 * time.Second
 
-// rateLimit is what was said last of how many requests a replica takes.
+// rateLimit is what was said last of how many requests a replica takes. The zero rateLimit: nothing.
 type rateLimit struct {
+	mu        sync.Mutex
 	perSecond float64   // from all daemons together; zero: as many as come
 	at        time.Time // when it was said
 	named     time.Time // when a limit was named last
@@ -17,8 +21,7 @@
 // daemons together, zero for as many as come, and has peers told. It reports whether that is news.
 func (r *Replica) SawLimit(now time.Time, perSecond float64) (changed bool) {
 	changed = r.HeardLimit(now, perSecond)
-	known := r.limit.Load()
-	if r.onLimit != nil && now.Sub(known.named) < limitEndTold {
+	if r.onLimit != nil && now.Sub(r.limit.lastNamed()) < limitEndTold {
 		r.onLimit(r)
 	}
 	return changed
@@ -27,32 +30,32 @@
 // HeardLimit notes a rate limit that was told at a time, here or to a peer. It reports whether
 // that is news; what is older than what is known is not.
 func (r *Replica) HeardLimit(at time.Time, perSecond float64) (changed bool) {
-	next := &rateLimit{perSecond: perSecond, at: at, named: at}
-	for {
-		known := r.limit.Load()
-		if known != nil && known.at.After(at) {
-			return false
-		}
-		if perSecond == 0 {
-			next.named = time.Time{}
-			if known != nil {
-				next.named = known.named
-			}
-		}
-		if r.limit.CompareAndSwap(known, next) {
-			return known == nil && perSecond > 0 || known != nil && known.perSecond != perSecond
-		}
+	l := &r.limit
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at.After(at) {
+		return false
+	}
+	changed = l.perSecond != perSecond
+	l.perSecond, l.at = perSecond, at
+	if perSecond > 0 {
+		l.named = at
 	}
+	return changed
 }
 
 // Limit returns how many requests a second the replica takes from all daemons together, and when
 // that was said. Zero: as many as come.
 func (r *Replica) Limit() (perSecond float64, at time.Time) {
-	known := r.limit.Load()
-	if known == nil {
-		return 0, time.Time{}
-	}
-	return known.perSecond, known.at
+	r.limit.mu.Lock()
+	defer r.limit.mu.Unlock()
+	return r.limit.perSecond, r.limit.at
+}
+
+func (l *rateLimit) lastNamed() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.named
 }
 
 // OnLimit has a function called when an answer to this daemon names a replica's limit, or the end
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -77,7 +77,7 @@
 	busy      steady.Moment // until when it takes no requests
 	backoff   steady.Moment // until when it wants no requests of this daemon
 	cold      steady.Moment // until when it bears few requests only
-	limit     atomic.Pointer[rateLimit]
+	limit     rateLimit
 	leaving   atomic.Bool // an answer said so
 	coldFor   func(routing.ServiceID) time.Duration
 }
