Shares of quotas are worked out before their lock is taken, and users asked for once a replica

Found on the last read: who uses a replica was asked for under the lock that each placement takes, once for each bound, and the tick asked for the bounds of all replicas, also of those just used. Behaviour and tests are the same.

--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -53,13 +53,13 @@
 	if q == nil {
 		return true
 	}
-	bounds := q.bounds(now, r)
-	if len(bounds) == 0 {
-		return true
+	shares, sends := q.shares(now, r)
+	if !sends || len(shares) == 0 {
+		return sends
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.allow(now, r, bounds)
+	return q.allow(now, r, shares)
 }
 
 // Take takes leave to send a request to a replica now, and reports whether there is any.
@@ -67,10 +67,13 @@
 	if q == nil {
 		return true
 	}
-	bounds := q.bounds(now, r)
+	shares, sends := q.shares(now, r)
+	if !sends {
+		return false
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.allow(now, r, bounds) {
+	if !q.allow(now, r, shares) {
 		return false
 	}
 	q.pace(r).Sent(now) // without a bound, too: one that begins counts what went before
@@ -78,10 +81,9 @@
 }
 
 // allow reports whether this daemon's shares leave room for a request.
-func (q *Quotas) allow(now time.Time, r *replicas.Replica, bounds []bound) bool {
-	for _, b := range bounds {
-		share, sends := q.share(r, b)
-		if !sends || !q.pace(r).Ready(now, share) {
+func (q *Quotas) allow(now time.Time, r *replicas.Replica, shares []quota.Share) bool {
+	for _, share := range shares {
+		if !q.pace(r).Ready(now, share) {
 			return false
 		}
 	}
@@ -115,9 +117,26 @@
 	return limitHolds + time.Duration(part*float64(limitHolds))
 }
 
-// share returns this daemon's share of a replica, and whether it sends to it at all.
-func (q *Quotas) share(r *replicas.Replica, b bound) (share quota.Share, sends bool) {
+// shares returns this daemon's share of a replica by each bound that holds, and whether it sends to
+// it at all. No lock is held: to know the users may mean to divide the fleet anew.
+func (q *Quotas) shares(now time.Time, r *replicas.Replica) (shares []quota.Share, sends bool) {
+	bounds := q.bounds(now, r)
+	if len(bounds) == 0 {
+		return nil, true
+	}
 	users := q.Users(r)
+	for _, b := range bounds {
+		share, sends := q.share(r, b, users)
+		if !sends {
+			return nil, false
+		}
+		shares = append(shares, share)
+	}
+	return shares, true
+}
+
+// share returns this daemon's share of a replica by one bound, and whether it sends to it at all.
+func (q *Quotas) share(r *replicas.Replica, b bound, users []string) (share quota.Share, sends bool) {
 	switch {
 	case len(users) == 0:
 		return b.limits.AloneShare(startSenders), true
@@ -146,11 +165,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for r, p := range q.paces {
-		kept := paceKept
-		if len(q.bounds(now, r)) > 0 {
-			kept = boundPaceKept
-		}
-		if now.Sub(p.Last()) > kept {
+		rested := now.Sub(p.Last())
+		if rested > boundPaceKept || rested > paceKept && len(q.bounds(now, r)) == 0 {
 			delete(q.paces, r)
 		}
 	}
