--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -142,39 +142,24 @@
 }
 
 // Unreachable tells peers, within one tick, that no connection to a replica can be opened.
-func (s *Share) Unreachable(r *replicas.Replica) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = append(s.down, r.Hash())
-}
+func (s *Share) Unreachable(r *replicas.Replica) { tellOnce(s, &s.down, r.Hash()) }
 
 // Refusing tells peers, within one tick, that a replica would not run a request.
-func (s *Share) Refusing(r *replicas.Replica) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refusing = addOnce(s.refusing, r.Hash())
-}
+func (s *Share) Refusing(r *replicas.Replica) { tellOnce(s, &s.refusing, r.Hash()) }
 
 // Leaving tells peers, within one tick, that a replica said that it takes no new requests.
-func (s *Share) Leaving(r *replicas.Replica) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = addOnce(s.leaving, r.Hash())
-}
+func (s *Share) Leaving(r *replicas.Replica) { tellOnce(s, &s.leaving, r.Hash()) }
 
 // Limited tells peers, within one tick, the rate limit that a replica named.
-func (s *Share) Limited(r *replicas.Replica) {
+func (s *Share) Limited(r *replicas.Replica) { tellOnce(s, &s.limits, r) }
+
+// tellOnce adds a value to some that are to be told, unless it is among them.
+func tellOnce[T comparable](s *Share, to *[]T, value T) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limits = addOnce(s.limits, r)
-}
-
-// addOnce adds a value to those that are to be told, unless it is among them.
-func addOnce[T comparable](to []T, value T) []T {
-	if slices.Contains(to, value) {
-		return to
+	if !slices.Contains(*to, value) {
+		*to = append(*to, value)
 	}
-	return append(to, value)
 }
 
 // Died tells all daemons, within one tick, that a replica died while it ran a request.
--- a/internal/loadshare/take.go
+++ b/internal/loadshare/take.go
@@ -63,21 +63,9 @@
 			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: d.Started,
 		})
 	}
-	for _, hash := range r.Unreachable {
-		if replica := byHash[hash]; replica != nil {
-			replica.Suspect(ctx)
-		}
-	}
-	for _, hash := range r.Refusing {
-		if replica := byHash[hash]; replica != nil {
-			replica.AvoidFor(now, refusedFor)
-		}
-	}
-	for _, hash := range r.Leaving {
-		if replica := byHash[hash]; replica != nil {
-			replica.HeardLeaving()
-		}
-	}
+	eachKnown(byHash, r.Unreachable, func(known *replicas.Replica) { known.Suspect(ctx) })
+	eachKnown(byHash, r.Refusing, func(known *replicas.Replica) { known.AvoidFor(now, refusedFor) })
+	eachKnown(byHash, r.Leaving, func(known *replicas.Replica) { known.HeardLeaving() })
 	for _, l := range r.Limits {
 		if replica := byHash[l.Replica]; replica != nil && l.PerSecond >= 0 {
 			replica.HeardLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
@@ -93,6 +81,15 @@
 	}
 }
 
+// eachKnown does something with those of some replicas that are known here.
+func eachKnown(byHash map[uint64]*replicas.Replica, hashes []uint64, do func(*replicas.Replica)) {
+	for _, hash := range hashes {
+		if replica := byHash[hash]; replica != nil {
+			do(replica)
+		}
+	}
+}
+
 // takeWork notes a peer's work. Where it tells all, a replica that it names no more has none of it.
 func (s *Share) takeWork(now time.Time, r *Report, byHash map[uint64]*replicas.Replica) {
 	peer := request.DaemonID(r.From)
