--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -127,10 +127,14 @@
 	return ColdStart(rate, rate*overage+slack)
 }
 
+// named returns what a replica bears that named a rate limit.
+func named(perSecond float64) Limits {
+	return Limits{PerSecond: perSecond, Burst: 1.5*4*perSecond + 5, Window: 4 * time.Second}
+}
+
 // drawNamed draws what a replica bears that named a limit.
 func drawNamed(rt *rapid.T) Limits {
-	rate := rapid.Float64Range(0.1, 30).Draw(rt, "per_second")
-	return Limits{PerSecond: rate, Burst: 1.5*4*rate + 5, Window: 4 * time.Second}
+	return named(rapid.Float64Range(0.1, 30).Draw(rt, "per_second"))
 }
 
 func drawFleet(rt *rapid.T) []*sender {
@@ -279,7 +283,7 @@
 // few senders most daemons could not serve a service of which all replicas are overloaded.
 func TestNamedLimitIsUsedByManyDaemons(t *testing.T) {
 	for _, perSecond := range []float64{1, 4.2, 20, 100} {
-		l := Limits{PerSecond: perSecond, Burst: 1.5*4*perSecond + 5, Window: 4 * time.Second}
+		l := named(perSecond)
 		for _, daemons := range []int{8, 15, 66, 390} {
 			senders, each := l.Shares(daemons)
 			if rate := float64(senders) / each.Gap().Seconds(); rate < 0.5*perSecond {
