A replica reports to the listeners of its set instead of keeping a copy of each

With limits and leaving there were four functions in the set, four copies in each replica, and a nil check at each use. One struct, whose functions do nothing until they are set, serves all. Behaviour and tests are the same.

--- a/internal/replicas/leaving.go
+++ b/internal/replicas/leaving.go
@@ -21,9 +21,7 @@
 // told. It reports whether that is news.
 func (r *Replica) SawLeaving() (changed bool) {
 	changed = r.HeardLeaving()
-	if r.onLeaving != nil {
-		r.onLeaving(r)
-	}
+	r.on.leaving(r)
 	return changed
 }
 
@@ -36,7 +34,7 @@
 
 // OnLeaving has a function called when an answer to this daemon says that its replica leaves. It
 // must be set before the first Apply.
-func (s *Set) OnLeaving(f func(*Replica)) { s.onLeaving = f }
+func (s *Set) OnLeaving(f func(*Replica)) { s.on.leaving = f }
 
 // noteLeft remembers a replica that leaves, as its entry goes.
 func (s *Set) noteLeft(now time.Time, r *Replica) {
--- a/internal/replicas/limit.go
+++ b/internal/replicas/limit.go
@@ -21,8 +21,8 @@
 // daemons together, zero for as many as come, and has peers told. It reports whether that is news.
 func (r *Replica) SawLimit(now time.Time, perSecond float64) (changed bool) {
 	changed = r.HeardLimit(now, perSecond)
-	if r.onLimit != nil && now.Sub(r.limit.lastNamed()) < limitEndTold {
-		r.onLimit(r)
+	if now.Sub(r.limit.lastNamed()) < limitEndTold {
+		r.on.limit(r)
 	}
 	return changed
 }
@@ -60,7 +60,7 @@
 
 // OnLimit has a function called when an answer to this daemon names a replica's limit, or the end
 // of one. It must be set before the first Apply.
-func (s *Set) OnLimit(f func(*Replica)) { s.onLimit = f }
+func (s *Set) OnLimit(f func(*Replica)) { s.on.limit = f }
 
 // Limited returns the number of replicas that name a limit.
 func (s *Set) Limited() int {
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -17,9 +17,7 @@
 // two replicas had.
 func (r *Replica) Refused(now time.Time) {
 	r.AvoidFor(now, refusedFor)
-	if r.onRefused != nil {
-		r.onRefused(r)
-	}
+	r.on.refused(r)
 }
 
 // AvoidFor says that the replica takes no requests for a time, unless that is known to last
@@ -41,8 +39,8 @@
 
 // Unreachable notes that no connection to the replica could be opened, and tells peers.
 func (r *Replica) Unreachable(now time.Time) {
-	if r.Health.Down(now) && r.onDown != nil {
-		r.onDown(r)
+	if r.Health.Down(now) {
+		r.on.down(r)
 	}
 }
 
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -63,23 +63,20 @@
 	Load   Load
 	Health Health
 
-	hash      uint64         // of id and start
-	earlier   []int64        // starts of this id before, the newest last
-	onDown    func(*Replica) // nil: nobody is told
-	onRefused func(*Replica) // likewise
-	onLimit   func(*Replica) // likewise
-	onLeaving func(*Replica) // likewise
-	lookMu    sync.Mutex
-	lookedAt  time.Time // by Dead
-	dead      bool
-	info      atomic.Pointer[Info]
-	weights   sync.Map      // request.Model -> uint64, from answers newer than the registry
-	busy      steady.Moment // until when it takes no requests
-	backoff   steady.Moment // until when it wants no requests of this daemon
-	cold      steady.Moment // until when it bears few requests only
-	limit     rateLimit
-	leaving   atomic.Bool // an answer said so
-	coldFor   func(routing.ServiceID) time.Duration
+	hash     uint64     // of id and start
+	earlier  []int64    // starts of this id before, the newest last
+	on       *listeners // of its set
+	lookMu   sync.Mutex
+	lookedAt time.Time // by Dead
+	dead     bool
+	info     atomic.Pointer[Info]
+	weights  sync.Map      // request.Model -> uint64, from answers newer than the registry
+	busy     steady.Moment // until when it takes no requests
+	backoff  steady.Moment // until when it wants no requests of this daemon
+	cold     steady.Moment // until when it bears few requests only
+	limit    rateLimit
+	leaving  atomic.Bool // an answer said so
+	coldFor  func(routing.ServiceID) time.Duration
 }
 
 // Info returns what the registry told last.
@@ -104,10 +101,7 @@
 
 // Set is all replicas. It is safe for concurrent use.
 type Set struct {
-	onDown    func(*Replica)
-	onRefused func(*Replica)
-	onLimit   func(*Replica)
-	onLeaving func(*Replica)
+	on *listeners
 
 	mu       sync.Mutex
 	byID     map[request.TargetID]*Replica
@@ -141,9 +135,13 @@
 	return xxhash.Sum64String(name)
 }
 
+// listeners are told what this daemon itself finds out about a replica.
+type listeners struct{ down, refused, limit, leaving func(*Replica) }
+
 // NewSet returns an empty set.
 func NewSet() *Set {
-	s := &Set{byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}, left: map[request.TargetID]left{}, evacuationEnds: map[string]time.Time{}}
+	nobody := func(*Replica) {}
+	s := &Set{on: &listeners{down: nobody, refused: nobody, limit: nobody, leaving: nobody}, byID: map[request.TargetID]*Replica{}, lapsing: map[request.TargetID]time.Time{}, left: map[request.TargetID]left{}, evacuationEnds: map[string]time.Time{}}
 	s.evacuated.Store(&map[string]bool{})
 	s.publish()
 	return s
@@ -151,11 +149,11 @@
 
 // OnDown has a function called when this daemon finds that a replica accepts no connection.
 // It must be set before the first Apply.
-func (s *Set) OnDown(f func(*Replica)) { s.onDown = f }
+func (s *Set) OnDown(f func(*Replica)) { s.on.down = f }
 
 // OnRefused has a function called when a replica would not run a request of this daemon. It
 // must be set before the first Apply.
-func (s *Set) OnRefused(f func(*Replica)) { s.onRefused = f }
+func (s *Set) OnRefused(f func(*Replica)) { s.on.refused = f }
 
 // Of returns the replicas of a service that take requests, ordered by id. The slice
 // must not be changed.
@@ -262,7 +260,7 @@
 func (s *Set) start(info Info, earlier []int64) {
 	r := &Replica{
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), hash: hashOf(info), earlier: earlier,
-		onDown: s.onDown, onRefused: s.onRefused, onLimit: s.onLimit, onLeaving: s.onLeaving, coldFor: s.coldFor,
+		on: s.on, coldFor: s.coldFor,
 	}
 	r.info.Store(&info)
 	r.leaving.Store(s.hasLeft(info.ID, info.Started))
