platform, subset: a replaced replica no longer makes each daemon order the whole fleet again

Cause: newFleetView hashed and sorted all daemons and all replicas after each change of either list, worked out the peers' addresses again, and dropped all ranks, each of which sorted all daemons (51 stores and the rollout). A release or the start of 10,000 replicas changes the list several times a second.

Groups have the same members as before: checked against the sorted order on random histories.

--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -49,6 +49,26 @@
 	return best.member
 }
 
+// RankOf returns the index of a member in Rank, without sorting: the number of members that precede it.
+// It returns the number of members if id is not one of them.
+func RankOf(members []*peer.Member, key, id string) int {
+	keyHash := xxhash.Sum64String(key)
+	self := weighted{member: &peer.Member{Id: id}, weight: weight(keyHash, id)}
+	preceding, isMember := 0, false
+	for _, m := range members {
+		switch {
+		case m.Id == id:
+			isMember = true
+		case (weighted{member: m, weight: weight(keyHash, m.Id)}).before(self):
+			preceding++
+		}
+	}
+	if !isMember {
+		return len(members)
+	}
+	return preceding
+}
+
 type weighted struct {
 	member *peer.Member
 	weight uint64
--- a/internal/membership/rendezvous_test.go
+++ b/internal/membership/rendezvous_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// TestRankOfIsIndexInRank checks RankOf, which does not sort, against the full order.
+func TestRankOfIsIndexInRank(t *testing.T) {
+	for _, size := range []int{0, 1, 2, 50} {
+		members := fleetOf(size)
+		for i := range 20 {
+			key := fmt.Sprint("store/", i)
+			for want, m := range Rank(members, key, size) {
+				if got := RankOf(members, key, m.Id); got != want {
+					t.Errorf("%s has rank %d among %d for %s, want %d", m.Id, got, size, key, want)
+				}
+			}
+			if got := RankOf(members, key, "unknown"); got != size {
+				t.Errorf("an unknown member has rank %d among %d", got, size)
+			}
+		}
+	}
+}
+
 // BenchmarkRankOfOne measures the lookup of a target's coordinator.
 func BenchmarkRankOfOne(b *testing.B) {
 	for _, size := range []int{8, 50, 150, 390} {
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"sort"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -42,69 +43,131 @@
 // Member is a daemon or a replica.
 type Member struct{ Name, FailureDomain string }
 
-// rankedMember is a member with its relative position in the order, from 0 to 1.
-type rankedMember struct {
-	name     string
-	hash     uint64
-	position float64
+// hashedName is a member with the hash that orders it in its failure domain.
+type hashedName struct {
+	name string
+	hash uint64
 }
 
-// orderedNames orders the members of each failure domain by hash and interleaves the domains, so that
-// each domain is spread evenly over the whole order.
-func orderedNames(members []Member) []string {
-	domains := map[string][]rankedMember{}
+func (a hashedName) compare(b hashedName) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+// Order is the order of daemons or of replicas whose slices are the groups. The members of each failure
+// domain are ordered by hash, and the domains interleaved, so that each is spread evenly over the whole
+// order. A change and a group cost little more the more members there are. It is not safe for concurrent
+// use.
+type Order struct {
+	domains map[string][]hashedName // each sorted
+	size    int
+}
+
+// NewOrder returns the order of the given members.
+func NewOrder(members []Member) *Order {
+	o := &Order{domains: map[string][]hashedName{}, size: len(members)}
 	for _, m := range members {
-		domains[m.FailureDomain] = append(domains[m.FailureDomain], rankedMember{name: m.Name, hash: xxhash.Sum64String(m.Name)})
+		o.domains[m.FailureDomain] = append(o.domains[m.FailureDomain], hashed(m.Name))
 	}
-	merged := make([]rankedMember, 0, len(members))
-	for _, domain := range domains {
-		slices.SortFunc(domain, byHash)
-		for i := range domain {
-			domain[i].position = (float64(i) + 0.5) / float64(len(domain))
-		}
-		merged = append(merged, domain...)
+	for _, domain := range o.domains {
+		slices.SortFunc(domain, hashedName.compare)
 	}
-	slices.SortFunc(merged, func(a, b rankedMember) int { return cmp.Or(cmp.Compare(a.position, b.position), byHash(a, b)) })
-	names := make([]string, len(merged))
-	for i, p := range merged {
-		names[i] = p.name
+	return o
+}
+
+func hashed(name string) hashedName { return hashedName{name: name, hash: xxhash.Sum64String(name)} }
+
+// Add adds a member that the order does not contain.
+func (o *Order) Add(m Member) {
+	h := hashed(m.Name)
+	domain := o.domains[m.FailureDomain]
+	n, _ := slices.BinarySearchFunc(domain, h, hashedName.compare)
+	o.domains[m.FailureDomain] = slices.Insert(domain, n, h)
+	o.size++
+}
+
+// Remove removes a member. It does nothing if the order does not contain it.
+func (o *Order) Remove(m Member) {
+	domain := o.domains[m.FailureDomain]
+	n, found := slices.BinarySearchFunc(domain, hashed(m.Name), hashedName.compare)
+	if !found {
+		return
 	}
-	return names
+	if len(domain) == 1 {
+		delete(o.domains, m.FailureDomain)
+	} else {
+		o.domains[m.FailureDomain] = slices.Delete(domain, n, n+1)
+	}
+	o.size--
 }
 
-func byHash(a, b rankedMember) int {
-	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+// placed is a member with its relative position in the order, from 0 to 1.
+type placed struct {
+	hashedName
+	position float64
 }
 
-// groupSlice returns the slice of ordered names that forms a group.
-func groupSlice(ordered []string, group, groups int) []string {
-	return ordered[group*len(ordered)/groups : (group+1)*len(ordered)/groups]
+func (a placed) compare(b placed) int {
+	return cmp.Or(cmp.Compare(a.position, b.position), a.hashedName.compare(b.hashedName))
 }
 
-// GroupMembers returns the names of the members of one group.
-func GroupMembers(members []Member, group, groups int) []string {
-	return groupSlice(orderedNames(members), group, groups)
+// placedAt returns the nth member of a failure domain.
+func placedAt(domain []hashedName, n int) placed {
+	return placed{hashedName: domain[n], position: (float64(n) + 0.5) / float64(len(domain))}
 }
 
-// AllGroups returns the names of the members of each group.
-func AllGroups(members []Member, groups int) [][]string {
-	ordered := orderedNames(members)
-	out := make([][]string, groups)
-	for group := range out {
-		out[group] = groupSlice(ordered, group, groups)
+// Group returns the names of the members of one group.
+func (o *Order) Group(group, groups int) []string {
+	from, to := group*o.size/groups, (group+1)*o.size/groups
+	window, before := o.around(from, to)
+	names := make([]string, 0, to-from)
+	for _, m := range window[from-before : to-before] {
+		names = append(names, m.name)
 	}
-	return out
+	return names
 }
 
-// GroupOf returns the group of a member, or 0 if the name is not a member.
-func GroupOf(members []Member, name string, groups int) int {
-	ordered := orderedNames(members)
-	for group := range groups {
-		if slices.Contains(groupSlice(ordered, group, groups), name) {
-			return group
+// around returns consecutive members that include those from index from to index to of the order, and the
+// number of members before the first of them. A member's index differs from its relative position times
+// the number of members by less than two for each failure domain.
+func (o *Order) around(from, to int) (window []placed, before int) {
+	margin := 2 * float64(len(o.domains))
+	low := (float64(from) - margin) / float64(o.size)
+	high := (float64(to) + margin) / float64(o.size)
+	for _, domain := range o.domains {
+		first := sort.Search(len(domain), func(n int) bool { return placedAt(domain, n).position >= low })
+		before += first
+		for n := first; n < len(domain) && placedAt(domain, n).position <= high; n++ {
+			window = append(window, placedAt(domain, n))
 		}
 	}
-	return 0
+	slices.SortFunc(window, placed.compare)
+	return window, before
+}
+
+// Len returns the number of members.
+func (o *Order) Len() int { return o.size }
+
+// GroupOf returns the group of a member, and false if the order does not contain it.
+func (o *Order) GroupOf(m Member, groups int) (group int, ok bool) {
+	domain := o.domains[m.FailureDomain]
+	n, found := slices.BinarySearchFunc(domain, hashed(m.Name), hashedName.compare)
+	if !found {
+		return 0, false
+	}
+	self, index := placedAt(domain, n), 0
+	for _, domain := range o.domains {
+		index += sort.Search(len(domain), func(n int) bool { return placedAt(domain, n).compare(self) >= 0 })
+	}
+	return ((index+1)*groups - 1) / o.size, true
+}
+
+// AllGroups returns the names of the members of each group.
+func (o *Order) AllGroups(groups int) [][]string {
+	out := make([][]string, groups)
+	for group := range out {
+		out[group] = o.Group(group, groups)
+	}
+	return out
 }
 
 // IsSelected reports whether rendezvous hashing selects a name: whether it is among the first count
--- a/internal/policy/subset/subset_test.go
+++ b/internal/policy/subset/subset_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
+
+	_ "github.com/bluebellscale/bluebellscale/internal/testseed" // the same seeds in each run
+	"pgregory.net/rapid"
 )
 
 // members returns n members, assigned to the failure domains in turn.
@@ -15,6 +19,16 @@
 	return out
 }
 
+// groupOf returns the group of a member by its name.
+func groupOf(all []Member, name string, groups int) int {
+	n := slices.IndexFunc(all, func(m Member) bool { return m.Name == name })
+	if n < 0 {
+		return 0
+	}
+	group, _ := NewOrder(all).GroupOf(all[n], groups)
+	return group
+}
+
 // Each daemon sends a datagram to each other daemon of its group every 60 ms. A single group of 71
 // daemons would send 83,000 datagrams per second; in groups, each daemon has as few peers as in a
 // small fleet.
@@ -36,13 +50,13 @@
 	const groups = 4
 	seen := map[string]int{}
 	for g := range groups {
-		part := GroupMembers(all, g, groups)
+		part := NewOrder(all).Group(g, groups)
 		if len(part) < 87/groups || len(part) > 87/groups+1 {
 			t.Errorf("group %d has %d members", g, len(part))
 		}
 		for _, name := range part {
 			seen[name]++
-			if GroupOf(all, name, groups) != g {
+			if groupOf(all, name, groups) != g {
 				t.Errorf("%s is a member of two groups", name)
 			}
 		}
@@ -53,7 +67,7 @@
 	moved := 0
 	fewer := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Name == "d40" })
 	for _, m := range fewer {
-		if GroupOf(all, m.Name, groups) != GroupOf(fewer, m.Name, groups) {
+		if groupOf(all, m.Name, groups) != groupOf(fewer, m.Name, groups) {
 			moved++
 		}
 	}
@@ -75,7 +89,7 @@
 	}
 	for g := range groups {
 		count := map[string]int{}
-		for _, name := range GroupMembers(all, g, groups) {
+		for _, name := range NewOrder(all).Group(g, groups) {
 			count[domainOf[name]]++
 		}
 		for d := range domains {
@@ -95,7 +109,7 @@
 		fewer := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m == removed })
 		moved := 0
 		for _, m := range fewer {
-			if GroupOf(all, m.Name, groups) != GroupOf(fewer, m.Name, groups) {
+			if groupOf(all, m.Name, groups) != groupOf(fewer, m.Name, groups) {
 				moved++
 			}
 		}
@@ -104,3 +118,74 @@
 		}
 	}
 }
+
+// sortedOrder is the order by its definition: members sorted by their relative position in their failure
+// domain.
+func sortedOrder(members []Member) []string {
+	domains := map[string][]hashedName{}
+	for _, m := range members {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], hashed(m.Name))
+	}
+	var all []placed
+	for _, domain := range domains {
+		slices.SortFunc(domain, hashedName.compare)
+		for n := range domain {
+			all = append(all, placedAt(domain, n))
+		}
+	}
+	slices.SortFunc(all, placed.compare)
+	var names []string
+	for _, m := range all {
+		names = append(names, m.name)
+	}
+	return names
+}
+
+// Daemons that joined at different times must agree on the groups, although each updates its order by the
+// differences that it saw.
+func TestGroupsDoNotDependOnHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		order, present := NewOrder(nil), map[string]Member{}
+		for range rapid.IntRange(1, 80).Draw(t, "changes") {
+			name := fmt.Sprint("m", rapid.IntRange(0, 60).Draw(t, "name"))
+			if m, has := present[name]; has {
+				order.Remove(m)
+				delete(present, name)
+				continue
+			}
+			m := Member{Name: name, FailureDomain: fmt.Sprint("fd", rapid.IntRange(0, 3).Draw(t, "domain"))}
+			order.Add(m)
+			present[name] = m
+		}
+		members := slices.Collect(maps.Values(present))
+		want := sortedOrder(members)
+		groups := rapid.IntRange(1, 9).Draw(t, "groups")
+		var got []string
+		for g, names := range order.AllGroups(groups) {
+			for _, name := range names {
+				if of, ok := order.GroupOf(present[name], groups); of != g || !ok {
+					t.Fatalf("%s of group %d is in group %d", name, g, of)
+				}
+			}
+			if len(names) != (g+1)*len(want)/groups-g*len(want)/groups {
+				t.Fatalf("group %d of %d has %d of %d members", g, groups, len(names), len(want))
+			}
+			got = append(got, names...)
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("groups of %v, want %v", got, want)
+		}
+	})
+}
+
+// BenchmarkGroup measures a replaced replica and the group that it may change.
+func BenchmarkGroup(b *testing.B) {
+	all := members("i-", 20_000, 5)
+	order := NewOrder(all)
+	b.ReportAllocs()
+	for n := range b.N {
+		order.Remove(all[n%len(all)])
+		order.Add(all[n%len(all)])
+		order.Group(17, 256)
+	}
+}
