weights: only the first candidates compare the weights of all replicas

Cause: four times a second each daemon compared the version of each replica with the requested one, to know whether to take the lease over after its rank times 800 ms: with 985 daemons and 9,695 replicas 38 million comparisons a second for a rank that would wait 13 minutes. Ranks above 16 (13 s, beyond any rollout) now look at nothing; a daemon that is dropped from the roster moves the ranks up within its lease.

--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -37,6 +37,9 @@
 	// takeoverDelay, multiplied by its rank, is how long a daemon waits while replicas are
 	// outdated before it tries to acquire the lease.
 	takeoverDelay = 800 * time.Millisecond
+	// lastCandidate is the highest rank of a daemon that takes part. A higher rank would wait longer
+	// than any rollout may take.
+	lastCandidate = 16
 	// acquireInterval is the minimum time between two attempts to acquire the lease.
 	acquireInterval = 700 * time.Millisecond
 	// maxUnavailableShare is the share of a model's replicas that may be unavailable at once.
@@ -219,6 +222,10 @@
 // reconcile runs one iteration of the rollout and reports whether replicas are outdated.
 func (c *Controller) reconcile(ctx context.Context) bool {
 	now := time.Now()
+	if !c.holdsLease() && c.o.Rank() > lastCandidate {
+		c.outdatedSince = time.Time{}
+		return false // without a look at all replicas
+	}
 	outdated := c.outdatedReplicas()
 	c.completeOrders(outdated)
 	if len(outdated) == 0 {
@@ -283,10 +290,12 @@
 	return outdated
 }
 
+func (c *Controller) holdsLease() bool { return c.lease != nil && c.lease.Valid() }
+
 // ensureLease reports whether this daemon holds the lease, and tries to acquire it if it is this
 // daemon's turn.
 func (c *Controller) ensureLease(ctx context.Context, now time.Time, hasWork bool) bool {
-	if c.lease != nil && c.lease.Valid() {
+	if c.holdsLease() {
 		return true
 	}
 	c.lease = nil
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -257,3 +257,22 @@
 		t.Errorf("orders %+v to %v", fleet.calls.received, fleet.calls.receivers)
 	}
 }
+
+// Each daemon of a large fleet compares the weights of all replicas several times a second, although only
+// the first few may ever give orders.
+func TestOnlyCandidatesLookAtAllReplicas(t *testing.T) {
+	fleet := newTestFleet(6)
+	fleet.requested = 2
+	for rank, candidate := range map[int]bool{1: true, lastCandidate: true, lastCandidate + 1: false, 1500: false} {
+		looked := false
+		d := fleet.newController("d1")
+		d.o.Rank = func() int { return rank }
+		d.o.RequestedVersions = func() map[request.Model]uint64 {
+			looked = true
+			return map[request.Model]uint64{model: fleet.requested}
+		}
+		if busy := d.reconcile(t.Context()); looked != candidate || busy != candidate {
+			t.Errorf("rank %d: looked at the replicas: %t, want %t", rank, looked, candidate)
+		}
+	}
+}
