platform, mirror: few daemons watch the key-value service, and copies spread from daemon to daemon

Cause: two daemons of each group watched, 256 of 985, and each change ended all these watches, each a call. A daemon reported to one more on each tick although the report to it was empty.

Now, in fleets of more than 16 cells (groups by daemons alone), 2 daemons of a section of up to 8 cells watch and inform 2 relays of each of its cells, which inform their cell: 32 watches at 985 daemons and 64 at 2,000, and nobody informs more than 32. Up to 240 daemons each cell is a section: as before.

A daemon now sends two copies at once and refuses more; those refused ask one that has received it meanwhile.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -52,7 +52,10 @@
 	// Peers returns the daemons that use the same replicas, and Others all other daemons.
 	Peers  func() []netip.AddrPort
 	Others func() []netip.AddrPort
-	Set    *replicas.Set
+	// Informs returns the daemons to which changes of the key-value service are announced besides Peers;
+	// nil: none. It may contain some of Peers.
+	Informs func() []netip.AddrPort
+	Set     *replicas.Set
 	// Revisions returns the newest known changes of the key-value service. OnRevisions receives those
 	// of a peer.
 	Revisions   func() []uint64
@@ -61,6 +64,10 @@
 	// is called when a peer reports that it does. Nil: the daemon has no watch, or reports are ignored.
 	Watches   func() bool
 	OnWatcher func()
+	// Relays reports whether this daemon passes on the changes that it hears from a watching daemon.
+	// OnRelay is called when a peer reports that it does. Nil: as for Watches and OnWatcher.
+	Relays  func() bool
+	OnRelay func()
 	// OnDeath is called for a replica that died while it ran a peer's request; nil: reports are ignored.
 	OnDeath func(quarantine.CrashReport)
 	Logger  hclog.Logger
@@ -104,6 +111,15 @@
 	if o.OnWatcher == nil {
 		o.OnWatcher = func() {}
 	}
+	if o.Relays == nil {
+		o.Relays = func() bool { return false }
+	}
+	if o.OnRelay == nil {
+		o.OnRelay = func() {}
+	}
+	if o.Informs == nil {
+		o.Informs = func() []netip.AddrPort { return nil }
+	}
 	address, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: address")
@@ -196,20 +212,37 @@
 	if r == nil {
 		return
 	}
-	s.send(r, s.o.Peers())
-	others := s.o.Others()
-	if len(others) == 0 {
-		return
+	peers, others := s.o.Peers(), s.o.Others()
+	s.send(r, peers)
+	shared := &Report{
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays,
 	}
-	if len(r.States)+len(r.Deaths) == 0 {
+	switch {
+	case len(r.States)+len(r.Deaths) > 0:
+		s.send(shared, others)
+	case len(r.Revisions)+len(r.Limits)+len(r.Leaving) > 0:
 		// One other daemon gets the known changes of the key-value service and what replicas announced, so
 		// that they spread from group to group.
-		n := rand.IntN(len(others))
-		others = others[n : n+1]
+		s.send(shared, s.informed(peers, others, len(r.Revisions) > 0))
+	}
+}
+
+// informed returns the daemons besides peers that a report without states and deaths goes to: a random one
+// and, if it has revisions, those that this daemon informs of changes.
+func (s *Reporter) informed(peers, others []netip.AddrPort, revisions bool) []netip.AddrPort {
+	var to []netip.AddrPort
+	if len(others) > 0 {
+		to = append(to, others[rand.IntN(len(others))])
+	}
+	if !revisions {
+		return to
+	}
+	for _, address := range s.o.Informs() {
+		if !slices.Contains(peers, address) {
+			to = append(to, address)
+		}
 	}
-	s.send(&Report{
-		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches,
-	}, others)
+	return to
 }
 
 func (s *Reporter) send(r *Report, to []netip.AddrPort) {
@@ -243,7 +276,7 @@
 		return nil
 	}
 	if newRevisions {
-		r.Revisions, r.Address, r.Watches = revisions, s.o.Address, s.o.Watches()
+		r.Revisions, r.Address, r.Watches, r.Relays = revisions, s.o.Address, s.o.Watches(), s.o.Relays()
 		s.revisions, s.revisionsSentAt = revisions, now
 	}
 	return r
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/klauspost/compress/gzhttp"
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
@@ -29,6 +30,10 @@
 	// a change that other peers have.
 	maxFetches     = 2
 	nextFetchDelay = time.Second
+	// maxServed is how many copies a daemon sends at once. Further peers are refused and ask one that has
+	// received the copy meanwhile. Otherwise all daemons of a fleet would share the links of the few that
+	// receive a change first, and a large change would reach all of them late.
+	maxServed = 2
 	// headerTimeout bounds the time until a peer's response begins. The transfer time depends on
 	// the size of the copy.
 	headerTimeout = 500 * time.Millisecond
@@ -53,6 +58,7 @@
 	prefixes []string // of the mirrors, in the order of GroupOptions.Mirrors
 	byPrefix map[string]*Mirror
 	relayed  func() bool
+	serving  chan struct{} // holds an element for each copy that is being sent
 
 	mu   sync.Mutex
 	lags map[string]*lag // by prefix
@@ -109,7 +115,7 @@
 	g := &Group{
 		relayed: o.Relayed,
 		client:  &transfer.Client{HTTP: o.Client, HeaderTimeout: headerTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
-		byPrefix: map[string]*Mirror{}, lags: map[string]*lag{},
+		byPrefix: map[string]*Mirror{}, lags: map[string]*lag{}, serving: make(chan struct{}, maxServed),
 	}
 	g.client.OnClose = g.countReceived
 	for _, m := range o.Mirrors {
@@ -127,7 +133,23 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "mirror: compression")
 	}
-	return compressed(NewCopiesServer(g)), nil
+	return g.limitServed(compressed(NewCopiesServer(g))), nil
+}
+
+// limitServed refuses requests while maxServed others are being served.
+func (g *Group) limitServed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case g.serving <- struct{}{}:
+			defer func() { <-g.serving }()
+			next.ServeHTTP(w, r)
+		default:
+			g.metrics.Counter("copies_refused").Inc(1)
+			if err := twirp.WriteError(w, twirp.ResourceExhausted.Error("other copies are being sent")); err != nil {
+				panic(http.ErrAbortHandler) // the peer closed the connection
+			}
+		}
+	})
 }
 
 // Revisions returns the newest applied revision of each mirror. The daemon reports them to peers.
@@ -198,6 +220,10 @@
 	}()
 	known, started := m.completeUpTo(), time.Now()
 	resp, err := NewCopiesProtobufClient("http://"+peer, g.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true, Removals: true})
+	if refused := twirp.Error(nil); errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted {
+		g.countFetch("refused")
+		return
+	}
 	if err != nil {
 		g.countFetch("failed")
 		g.log.Info("Fetching a copy from a peer failed", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(started).Milliseconds(), "error", err)
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"sort"
 
@@ -40,6 +41,11 @@
 	return groups
 }
 
+// CellCount returns the number of cells, a power of two: the smallest groups into which daemons are
+// divided, whatever the replicas. Cells lie within groups: with the same order of daemons, each cell is
+// part of one group.
+func CellCount(daemons int) int { return GroupCount(daemons, math.MaxInt) }
+
 // Member is a daemon or a replica.
 type Member struct{ Name, FailureDomain string }
 
@@ -170,6 +176,18 @@
 	return out
 }
 
+// Select returns the names that rendezvous hashing selects: the first count names in an order that depends
+// on the key.
+func Select(names []string, key uint64, count int) []string {
+	var out []string
+	for _, name := range names {
+		if IsSelected(name, names, key, count) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // IsSelected reports whether rendezvous hashing selects a name: whether it is among the first count
 // names in an order that depends on the key.
 func IsSelected(name string, names []string, key uint64, count int) bool {
