mirror, platform: one page of the registry at a start, copies at intervals, shared attempts in an outage

The log of 22 daemons: 10,000 replicas register within half a minute, 360 a second, and each daemon fetches a copy for every few of them, up to fifty times a second; at its end each listing of the registry is 20 calls and 4.8 MB, which 985 daemons that start together read for 38 s over the store's link.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -68,6 +68,10 @@
 	// OnRelay is called when a peer reports that it does. Nil: as for Watches and OnWatcher.
 	Relays  func() bool
 	OnRelay func()
+	// Failing reports whether the key-value service does not answer this daemon. OnFailing is called when a
+	// peer reports that. Nil: as for Watches and OnWatcher.
+	Failing   func() bool
+	OnFailing func(peer request.DaemonID)
 	// OnDeath is called for a replica that died while it ran a peer's request; nil: reports are ignored.
 	OnDeath func(quarantine.CrashReport)
 	Logger  hclog.Logger
@@ -93,9 +97,13 @@
 	peerReplicas map[request.DaemonID]map[uint64]bool // replicas in the last reports of each peer
 
 	revisions       []uint64
+	access          kvAccess
 	revisionsSentAt time.Time
 }
 
+// kvAccess says how a daemon learns of changes in the key-value service.
+type kvAccess struct{ watches, relays, failing bool }
+
 // New starts to listen and returns a Reporter.
 func New(o Options) (*Reporter, error) {
 	if o.Logger == nil {
@@ -117,6 +125,12 @@
 	if o.OnRelay == nil {
 		o.OnRelay = func() {}
 	}
+	if o.Failing == nil {
+		o.Failing = func() bool { return false }
+	}
+	if o.OnFailing == nil {
+		o.OnFailing = func(request.DaemonID) {}
+	}
 	if o.Informs == nil {
 		o.Informs = func() []netip.AddrPort { return nil }
 	}
@@ -215,7 +229,7 @@
 	peers, others := s.o.Peers(), s.o.Others()
 	s.send(r, peers)
 	shared := &Report{
-		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays,
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing,
 	}
 	switch {
 	case len(r.States)+len(r.Deaths) > 0:
@@ -270,14 +284,14 @@
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
 	r.Limits = s.dequeueLimits(now)
 	s.addWork(now, r, work)
-	revisions := s.o.Revisions()
-	newRevisions := !slices.Equal(revisions, s.revisions) || now.Sub(s.revisionsSentAt) >= fullReportInterval
+	revisions, access := s.o.Revisions(), kvAccess{watches: s.o.Watches(), relays: s.o.Relays(), failing: s.o.Failing()}
+	newRevisions := !slices.Equal(revisions, s.revisions) || access != s.access || now.Sub(s.revisionsSentAt) >= fullReportInterval
 	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving) == 0 {
 		return nil
 	}
 	if newRevisions {
-		r.Revisions, r.Address, r.Watches, r.Relays = revisions, s.o.Address, s.o.Watches(), s.o.Relays()
-		s.revisions, s.revisionsSentAt = revisions, now
+		r.Revisions, r.Address, r.Watches, r.Relays, r.Failing = revisions, s.o.Address, access.watches, access.relays, access.failing
+		s.revisions, s.access, s.revisionsSentAt = revisions, access, now
 	}
 	return r
 }
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -44,6 +44,9 @@
 	if r.Watches {
 		s.o.OnWatcher()
 	}
+	if r.Failing {
+		s.o.OnFailing(request.DaemonID(r.From))
+	}
 	if r.Relays {
 		s.o.OnRelay()
 	}
--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -98,6 +98,15 @@
 	return s.revision
 }
 
+func (s *modelService) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, platform.Entry{Key: key, Revision: s.revision, Deleted: true})
+	s.wake()
+}
+
 // compact drops the history.
 func (s *modelService) compact() {
 	s.mu.Lock()
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -20,7 +20,8 @@
 	// then detects missed changes with its next watch, and the daemon reports them to its peers.
 	defaultWatchTimeout = 8 * time.Second
 	minBackoff          = 100 * time.Millisecond // first delay between failed calls
-	maxBackoff          = time.Second
+	// maxBackoff is the longest delay, multiplied by the number of daemons that try as well.
+	maxBackoff = time.Second
 	// recoveryGrace is how long after the listing that ends an outage a removed entry may belong to
 	// a lease that expired in the outage while its owner was alive. The owner of an entry that is
 	// removed later has left.
@@ -50,6 +51,14 @@
 	// Relayed reports whether peers currently relay all changes, so that the follower need not
 	// watch; nil: never.
 	Relayed func() bool
+	// Pollers returns how many daemons, including this one, try to reach a service that does not answer them,
+	// and would tell this one of its return; nil: one.
+	Pollers func() int
+	// Lists reports whether this daemon reads all pages of a paged mirror from the key-value service; nil:
+	// always. Other daemons ask peers for a copy with AskPeer first.
+	Lists func() bool
+	// AskPeer asks one peer for its copy of a prefix and applies it. It need not find one that has it.
+	AskPeer func(ctx context.Context, prefix string)
 	Logger  hclog.Logger
 }
 
@@ -60,6 +69,9 @@
 	connected atomic.Bool
 	watching  atomic.Bool // the follower watches, and its last watch succeeded
 	wake      chan struct{}
+	listed    atomic.Bool               // the first listing is done
+	compacted bool                      // the history of the last watch is gone; used by Run only
+	loads     map[*Mirror]chan struct{} // running loads of paged mirrors, closed at their end; used by Run only
 
 	mu           sync.Mutex
 	recovering   bool      // an outage or a restore happened, and no listing has completed since
@@ -89,8 +101,17 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.Pollers == nil {
+		o.Pollers = func() int { return 1 }
+	}
+	if o.Lists == nil {
+		o.Lists = func() bool { return true }
+	}
+	if o.AskPeer == nil {
+		o.AskPeer = func(context.Context, string) {}
+	}
 	o.Logger = o.Logger.Named("mirror")
-	return &Follower{opts: o, wake: make(chan struct{}, 1)}
+	return &Follower{opts: o, wake: make(chan struct{}, 1), loads: map[*Mirror]chan struct{}{}}
 }
 
 // AddMirror adds a copy of the keys below a prefix. Prefixes of mirrors must not overlap. apply
@@ -146,17 +167,23 @@
 
 // Run lists and watches the key-value service until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	defer f.awaitLoads()
 	for ctx.Err() == nil {
-		at, err := f.list(ctx)
-		for err == nil {
+		err := f.list(ctx)
+		for err == nil || errors.Is(err, errRelayed) {
 			if f.opts.Relayed() {
 				err = f.waitWhileRelayed(ctx)
 				continue
 			}
-			at, err = f.watch(ctx, at)
+			if err != nil {
+				break // peers relayed changes for a moment only
+			}
+			f.watching.Store(true)
+			err = f.watch(ctx)
 			f.watching.Store(err == nil)
 		}
 		f.watching.Store(false)
+		f.compacted = errors.Is(err, platform.ErrCompacted)
 		if err != nil && ctx.Err() == nil {
 			f.opts.Logger.Info("The follower lists all keys again", "cause", err)
 		}
@@ -164,41 +191,74 @@
 	return nil
 }
 
-var errRefreshRequested = errors.New("mirror: a new listing was requested")
+var (
+	errRefreshRequested = errors.New("mirror: a new listing was requested")
+	// errRelayed ends a listing during which peers began to relay changes. Their copies replace it.
+	errRelayed = errors.New("mirror: peers relay changes")
+)
 
-// list reads the prefixes one by one, in the order in which their mirrors were added, and returns
-// the revision from which a watch misses no change. Each prefix is applied as soon as it was
-// read. In a single listing of all keys, the desired state would have to wait for the pages of
-// hundreds of replicas, and would be read again if the call for the last page failed.
-func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
+// list reads the prefixes one by one, in the order in which their mirrors were added. Each prefix is
+// applied as soon as it was read. In a single listing of all keys, the desired state would have to wait
+// for the pages of hundreds of replicas, and would be read again if the call for the last page failed.
+func (f *Follower) list(ctx context.Context) error {
 	started := time.Now()
 	f.setListingSince(started)
 	defer f.setListingSince(time.Time{})
-	var from platform.Revision
-	total, calls := 0, 0
-	for i, m := range f.mirrors {
-		var entries []platform.Entry
-		var at platform.Revision
-		err := f.retry(ctx, func() (err error) {
-			calls++
-			entries, at, err = f.opts.KV.List(ctx, m.prefix)
-			if err != nil {
-				f.opts.Logger.Debug("A list call failed", "prefix", m.prefix, "after_ms", time.Since(started).Milliseconds(), "error", err)
-			}
+	total := 0
+	for _, m := range f.mirrors {
+		n, err := f.listMirror(ctx, m)
+		if err != nil {
 			return err
-		})
+		}
+		total += n
+	}
+	f.listed.Store(true)
+	f.endRecovery()
+	f.opts.Logger.Info("The follower listed all keys", "entries", total, "after_ms", time.Since(started).Milliseconds())
+	return nil
+}
+
+// listMirror reads a prefix, or the first page of a paged mirror, and returns the number of entries. It
+// reads no paged mirror whose changes a watch still reports.
+func (f *Follower) listMirror(ctx context.Context, m *Mirror) (int, error) {
+	if _, inSync := m.watchFrom(); m.paged && inSync && !f.compacted {
+		return 0, nil
+	}
+	var page platform.Page
+	err := f.retry(ctx, func() (err error) {
+		page, err = f.firstPage(ctx, m)
 		if err != nil {
-			return 0, err
+			f.opts.Logger.Debug("A list call failed", "prefix", m.prefix, "error", err)
 		}
-		m.applyListing(content{entries: entries, complete: at, afterOutage: f.afterOutage()})
-		if i == 0 || at < from {
-			from = at
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	if !page.More {
+		m.applyListing(content{entries: page.Entries, complete: page.Revision, afterOutage: f.afterOutage()})
+		return len(page.Entries), nil
+	}
+	f.startLoad(ctx, m, page.Entries)
+	return len(page.Entries), nil
+}
+
+// firstPage returns all entries of a mirror, or the first page of a paged one. The first listing of a
+// process may be some seconds old, except that of the first mirror: the watch or the copies of peers that
+// follow it bring what it lacks.
+func (f *Follower) firstPage(ctx context.Context, m *Mirror) (platform.Page, error) {
+	pager, pages := f.opts.KV.(platform.Pager)
+	stale := !f.listed.Load() && m != f.mirrors[0]
+	if pages && m.paged {
+		return pager.ListPage(ctx, m.prefix, "", stale)
+	}
+	if pages && stale {
+		if page, err := pager.ListPage(ctx, m.prefix, "", stale); err != nil || !page.More {
+			return page, err
 		}
-		total += len(entries)
 	}
-	f.endRecovery()
-	f.opts.Logger.Info("The follower listed all keys", "entries", total, "revision", from, "calls", calls, "after_ms", time.Since(started).Milliseconds())
-	return from, nil
+	entries, at, err := f.opts.KV.List(ctx, m.prefix)
+	return platform.Page{Entries: entries, Revision: at}, err
 }
 
 func (f *Follower) setListingSince(since time.Time) {
@@ -210,38 +270,51 @@
 // watch waits for changes once. After an error the caller lists all keys again: a list call
 // returns at once and detects the end of an outage immediately, whereas a new watch would detect
 // it at its timeout.
-func (f *Follower) watch(ctx context.Context, at platform.Revision) (platform.Revision, error) {
+func (f *Follower) watch(ctx context.Context) error {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.cancelOnRefresh(watchCtx, cancel)
+	at := f.watchFrom()
 	entries, next, err := f.opts.KV.Watch(watchCtx, f.opts.Prefix, at, f.nextWatchTimeout())
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return at, ctx.Err()
+		return ctx.Err()
 	case err != nil && watchCtx.Err() != nil:
-		return at, errRefreshRequested
+		return errRefreshRequested
 	case err != nil:
 		f.connected.Store(false)
 		if !errors.Is(err, platform.ErrCompacted) {
 			f.recordFailure(err)
 		}
-		return at, err
+		return err
 	}
 	f.connected.Store(true)
 	for _, m := range f.mirrors {
-		m.applyChanges(m.matching(entries), next, f.afterOutage())
+		m.applyWatched(m.matching(entries), at, next, f.afterOutage())
 	}
 	if len(entries) > 0 {
 		_ = sleep.For(ctx, f.opts.BatchDelay()) // the loop checks ctx
 	}
-	return next, nil
+	return nil
+}
+
+// watchFrom returns the revision from which a watch misses no change of any mirror in sync.
+func (f *Follower) watchFrom() platform.Revision {
+	from, found := platform.Revision(0), false
+	for _, m := range f.mirrors {
+		if at, inSync := m.watchFrom(); inSync && (!found || at < from) {
+			from, found = at, true
+		}
+	}
+	return from
 }
 
 // waitWhileRelayed blocks without calls to the key-value service while peers relay all changes. The
-// next watch continues from the revision of the last one; merging skips changes that peers
-// delivered in the meantime.
+// next watch continues from the revision up to which the mirrors are complete.
 func (f *Follower) waitWhileRelayed(ctx context.Context) error {
 	f.watching.Store(false)
+	f.recordSuccess()
+	f.endRecovery()
 	tick := time.NewTicker(relayCheckInterval)
 	defer tick.Stop()
 	for f.opts.Relayed() {
@@ -288,7 +361,8 @@
 	}
 }
 
-// retry repeats call with backoff until it succeeds or ctx ends.
+// retry repeats call with backoff until it succeeds or ctx ends, or until peers relay changes to a daemon
+// that listed all keys before.
 func (f *Follower) retry(ctx context.Context, call func() error) error {
 	backoff := minBackoff
 	for {
@@ -302,9 +376,22 @@
 		}
 		f.connected.Store(false)
 		f.recordFailure(err)
-		_ = sleep.For(ctx, backoff/2+rand.N(backoff/2)) // the loop checks ctx
-		backoff = min(2*backoff, maxBackoff)
+		if f.backOff(ctx, backoff/2+rand.N(backoff/2)) {
+			return errRelayed
+		}
+		backoff = min(2*backoff, maxBackoff*time.Duration(f.opts.Pollers()))
+	}
+}
+
+// backOff sleeps, and reports whether peers relay changes instead.
+func (f *Follower) backOff(ctx context.Context, d time.Duration) (relayed bool) {
+	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
+		if f.listed.Load() && f.opts.Relayed() {
+			return true
+		}
+		_ = sleep.For(ctx, min(relayCheckInterval, time.Until(end))) // the loop checks ctx
 	}
+	return false
 }
 
 func (f *Follower) recordSuccess() {
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -48,6 +48,9 @@
 	// Relayed reports whether peers currently relay all changes; nil: never. While it does, copies
 	// are fetched without delay.
 	Relayed func() bool
+	// FetchInterval returns the least time between two fetches of the prefixes that it applies to, so that
+	// many changes in quick succession do not cost a fetch each; nil: none.
+	FetchInterval func(prefix string) time.Duration
 }
 
 // Group exchanges the contents of mirrors with peers. It implements the service Copies.
@@ -58,6 +61,7 @@
 	prefixes []string // of the mirrors, in the order of GroupOptions.Mirrors
 	byPrefix map[string]*Mirror
 	relayed  func() bool
+	interval func(prefix string) time.Duration
 	serving  chan struct{} // holds an element for each copy that is being sent
 
 	mu   sync.Mutex
@@ -112,9 +116,12 @@
 	if o.Relayed == nil {
 		o.Relayed = func() bool { return false }
 	}
+	if o.FetchInterval == nil {
+		o.FetchInterval = func(string) time.Duration { return 0 }
+	}
 	g := &Group{
-		relayed: o.Relayed,
-		client:  &transfer.Client{HTTP: o.Client, HeaderTimeout: headerTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
+		relayed: o.Relayed, interval: o.FetchInterval,
+		client: &transfer.Client{HTTP: o.Client, HeaderTimeout: headerTimeout}, log: o.Logger.Named("copies"), metrics: o.Metrics,
 		byPrefix: map[string]*Mirror{}, lags: map[string]*lag{}, serving: make(chan struct{}, maxServed),
 	}
 	g.client.OnClose = g.countReceived
@@ -199,7 +206,7 @@
 	if g.relayed() {
 		delay = 0
 	}
-	if !l.recordReport(now, reported, delay) {
+	if !l.recordReport(now, reported, delay) || now.Sub(l.lastFetch) < g.interval(prefix) {
 		return false
 	}
 	l.fetches++
@@ -207,6 +214,14 @@
 	return true
 }
 
+// Ask requests a peer's copy of a prefix and applies it, whether or not the peer reported a newer change.
+func (g *Group) Ask(ctx context.Context, peer, prefix string) {
+	g.mu.Lock()
+	g.lags[prefix].fetches++
+	g.mu.Unlock()
+	g.fetch(ctx, peer, prefix)
+}
+
 // fetch requests a peer's copy and applies it. The peer sends only the changes after the revision
 // up to which this daemon is complete, because a complete copy may be far larger: a change of a
 // weight version has a few bytes, the desired state a megabyte.
--- /dev/null
+++ b/internal/mirror/load.go
@@ -0,0 +1,102 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
+)
+
+const (
+	// askInterval is the time between two requests for a peer's copy.
+	askInterval = 300 * time.Millisecond
+	// askTimeout bounds one request, so that a slow peer does not keep a daemon from asking another.
+	askTimeout = 4 * time.Second
+	// minLoadPatience is how long a daemon waits at least for a peer's copy before it reads all pages
+	// itself. It waits up to twice as long, so that not all daemons of a fleet read them at once.
+	minLoadPatience = 8 * time.Second
+)
+
+// AddPagedMirror is AddMirror for a prefix with so many keys that a listing takes many calls. If all
+// daemons of a fleet read all pages after a restart, they would occupy the key-value service's link for
+// longer than callers wait. A daemon therefore applies the first page, which suffices to serve callers,
+// and gets the rest from a peer while Options.Lists does not select it to read it.
+func (f *Follower) AddPagedMirror(prefix string, apply func(Update)) *Mirror {
+	m := f.AddMirror(prefix, apply)
+	m.paged = true
+	return m
+}
+
+// startLoad applies the first page of a listing and gets the rest in the background. A mirror that was in
+// sync stays so while peers relay changes, because their copies contain what changed meanwhile.
+func (f *Follower) startLoad(ctx context.Context, m *Mirror, first []platform.Entry) {
+	if _, inSync := m.watchFrom(); inSync && f.opts.Relayed() {
+		return
+	}
+	afterOutage := f.afterOutage()
+	m.applyPage(first, afterOutage)
+	if running := f.loads[m]; running != nil && !isClosed(running) {
+		return
+	}
+	done := make(chan struct{})
+	f.loads[m] = done
+	go func() {
+		defer close(done)
+		f.load(ctx, m, afterOutage)
+	}()
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitLoads returns when all loads have ended.
+func (f *Follower) awaitLoads() {
+	for _, done := range f.loads {
+		<-done
+	}
+}
+
+// load brings a mirror into sync with a peer's copy or a complete listing. It returns when the mirror is in
+// sync or ctx ends. afterOutage is that of listAll.
+func (f *Follower) load(ctx context.Context, m *Mirror, afterOutage bool) {
+	started := time.Now()
+	patience := minLoadPatience + rand.N(minLoadPatience)
+	for ctx.Err() == nil {
+		if _, inSync := m.watchFrom(); inSync {
+			f.opts.Logger.Info("The follower has all keys of a prefix", "prefix", m.prefix, "after_ms", time.Since(started).Milliseconds())
+			return
+		}
+		if f.opts.Lists() || time.Since(started) > patience {
+			f.listAll(ctx, m, afterOutage)
+			continue
+		}
+		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		f.opts.AskPeer(askCtx, m.prefix)
+		cancel()
+		if _, inSync := m.watchFrom(); !inSync {
+			_ = sleep.For(ctx, askInterval/2+rand.N(askInterval)) // the loop checks ctx
+		}
+	}
+}
+
+// listAll applies a complete listing of a mirror. afterOutage says whether an outage ended just before the
+// load began: entries that were written again since may be missing from the first pages.
+func (f *Follower) listAll(ctx context.Context, m *Mirror, afterOutage bool) {
+	var entries []platform.Entry
+	var at platform.Revision
+	err := f.retry(ctx, func() (err error) {
+		entries, at, err = f.opts.KV.List(ctx, m.prefix)
+		return err
+	})
+	if err == nil { // otherwise ctx has ended, or a peer's copy is to be expected
+		m.applyListing(content{entries: entries, complete: at, afterOutage: afterOutage})
+	}
+}
--- /dev/null
+++ b/internal/mirror/load_test.go
@@ -0,0 +1,179 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
+)
+
+// pagedKV serves the model's service page by page and counts the calls.
+type pagedKV struct {
+	countedWatches
+	pages int // calls of ListPage and List, which counts as many as it reads
+}
+
+func newPagedKV(replicas int) *pagedKV {
+	s := newModelService()
+	s.put("op/config", nil)
+	for i := range replicas {
+		s.put(fmt.Sprintf("servers/%05d", i), nil)
+	}
+	return &pagedKV{countedWatches: countedWatches{faultlessKV: faultlessKV{s}}}
+}
+
+func (k *pagedKV) ListPage(_ context.Context, prefix, after string, _ bool) (platform.Page, error) {
+	k.mu.Lock()
+	k.pages++
+	k.mu.Unlock()
+	entries, at := k.s.list(prefix, after)
+	return platform.Page{Entries: entries, Revision: at, More: len(entries) == fleetPageSize}, nil
+}
+
+func (k *pagedKV) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	var all []platform.Entry
+	var first platform.Revision
+	for after := ""; ; after = all[len(all)-1].Key {
+		page, err := k.ListPage(ctx, prefix, after, false)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		all = append(all, page.Entries...)
+		if !page.More {
+			return all, first, nil
+		}
+	}
+}
+
+func (k *pagedKV) countPages() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pages
+}
+
+// loadingDaemon is a daemon with a paged mirror of replicas.
+type loadingDaemon struct {
+	kv       *pagedKV
+	follower *Follower
+	replicas *Mirror
+	copy     *recordedCopy
+}
+
+// startLoading starts a daemon, which ends with the test.
+func startLoading(t *testing.T, kv *pagedKV, o Options) *loadingDaemon {
+	o.KV = kv
+	d := &loadingDaemon{kv: kv, follower: New(o), copy: newCopy()}
+	d.copy.changed = make(chan struct{}, 10_000)
+	d.follower.AddMirror("op/", func(Update) {})
+	d.replicas = d.follower.AddPagedMirror("servers/", d.copy.apply)
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { _ = d.follower.Run(ctx) }) // ends with ctx
+	t.Cleanup(func() { cancel(); done.Wait() })
+	return d
+}
+
+func (d *loadingDaemon) count() int {
+	d.copy.mu.Lock()
+	defer d.copy.mu.Unlock()
+	return len(d.copy.values)
+}
+
+const manyReplicas = 20 * fleetPageSize
+
+// All daemons of a fleet restart at once and each reads the whole registry, so that the service's link is
+// occupied for longer than callers wait. A daemon must serve from the first page, and take the rest from a
+// peer.
+func TestRestartedDaemonReadsOnePage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newPagedKV(manyReplicas)
+		entries, _, _ := kv.List(t.Context(), "servers/") // never fails
+		kv.pages = 0
+		asked := 0
+		var d *loadingDaemon
+		d = startLoading(t, kv, Options{
+			Lists: func() bool { return false },
+			AskPeer: func(context.Context, string) {
+				if asked++; asked == 3 {
+					d.replicas.applyListing(content{entries: entries, complete: manyReplicas + 1})
+				}
+			},
+		})
+		_ = sleep.For(t.Context(), askInterval/4)
+		if d.count() != fleetPageSize {
+			t.Errorf("%d replicas are known after the first page", d.count())
+		}
+		if d.replicas.Newest() != 0 || d.replicas.contentSince(0).entries != nil {
+			t.Error("a daemon without the whole registry offers it to peers")
+		}
+		_ = sleep.For(t.Context(), 3*askInterval)
+		if d.count() != manyReplicas || kv.countPages() != 2 {
+			t.Errorf("%d replicas after %d calls to list, want %d after 2", d.count(), kv.countPages(), manyReplicas)
+		}
+	})
+}
+
+// The daemons that are to read the registry are all dead or cut off from the service.
+func TestDaemonListsItselfWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := startLoading(t, newPagedKV(manyReplicas), Options{Lists: func() bool { return false }})
+		_ = sleep.For(t.Context(), minLoadPatience-time.Second)
+		if d.count() != fleetPageSize {
+			t.Errorf("%d replicas are known while the daemon waits for peers", d.count())
+		}
+		_ = sleep.For(t.Context(), minLoadPatience+2*time.Second)
+		if d.count() != manyReplicas {
+			t.Errorf("%d replicas are known in the end", d.count())
+		}
+	})
+}
+
+// A replica leaves while a daemon gets its first copy from a peer that is behind. The daemon's watch began
+// after that change, and must go back to the revision of the copy: otherwise the daemon uses the replica for
+// ever.
+func TestChangeBetweenCopyAndWatchIsNotMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newPagedKV(manyReplicas)
+		entries, at, _ := kv.List(t.Context(), "servers/") // never fails
+		kv.s.remove("servers/00700")
+		var d *loadingDaemon
+		d = startLoading(t, kv, Options{
+			Lists:   func() bool { return false },
+			AskPeer: func(context.Context, string) { d.replicas.applyListing(content{entries: entries, complete: at}) },
+		})
+		_ = sleep.For(t.Context(), 2*defaultWatchTimeout)
+		if d.count() != manyReplicas-1 {
+			t.Errorf("%d replicas are known, want %d", d.count(), manyReplicas-1)
+		}
+	})
+}
+
+// Watches end with each outage. A daemon that knows the whole registry must not read it again for that.
+func TestOutageCostsNoListingOfRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newPagedKV(manyReplicas)
+		d := startLoading(t, kv, Options{})
+		_ = sleep.For(t.Context(), time.Second)
+		before := kv.countPages()
+		d.follower.Refresh()
+		kv.s.put("servers/new", nil)
+		_ = sleep.For(t.Context(), time.Second)
+		if d.count() != manyReplicas+1 || kv.countPages() > before+1 {
+			t.Errorf("%d replicas after %d further calls to list", d.count(), kv.countPages()-before)
+		}
+		kv.s.put("servers/newer", nil)
+		kv.s.compact() // before the watch reports the change
+		_ = sleep.For(t.Context(), time.Second)
+		if kv.countPages() < before+manyReplicas/fleetPageSize {
+			t.Error("the registry is not read again after its history was compacted")
+		}
+	})
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,9 +33,15 @@
 	apply       func(Update)
 	afterOutage func() bool // reports whether a removal may be an expiry
 
+	// paged is set for a prefix whose listing may take many calls; see Follower.AddPagedMirror.
+	paged bool
+
 	mu      sync.Mutex
 	entries map[string]platform.Entry // by key; deleted entries stay with Deleted set
-	newest  platform.Revision         // revision of the newest known change
+	// inSync is set while complete holds. It is not while entries of a listing are missing that this
+	// daemon reads from a peer or in the background.
+	inSync bool
+	newest platform.Revision // revision of the newest known change
 	// removalsKnownAfter is the revision after which all removals are recorded in entries.
 	removalsKnownAfter platform.Revision
 	// complete is the revision up to which all changes are known. It usually exceeds newest,
@@ -92,7 +98,7 @@
 	if m.removalsKnownAfter == 0 {
 		m.removalsKnownAfter = c.complete
 	}
-	m.complete = max(m.complete, c.complete)
+	m.complete, m.inSync = max(m.complete, c.complete), true
 	if c.newest <= c.complete {
 		m.newest = max(m.newest, c.newest) // a removal may have a different revision here
 	}
@@ -102,9 +108,41 @@
 
 // publishNewest makes newest visible to Newest. Callers invoke it after they have applied an update.
 func (m *Mirror) publishNewest() {
+	if !m.inSync {
+		m.applied.Store(0)
+		return
+	}
 	m.applied.Store(uint64(m.newest))
 }
 
+// applyPage merges the first page of a listing. The mirror is out of sync until the other pages or a
+// peer's copy are applied.
+func (m *Mirror) applyPage(entries []platform.Entry, afterOutage bool) {
+	m.mu.Lock()
+	m.inSync = false
+	complete := m.complete
+	m.mu.Unlock()
+	m.applyChanges(entries, complete, afterOutage)
+}
+
+// applyWatched merges the changes after a revision, up to revision complete.
+func (m *Mirror) applyWatched(entries []platform.Entry, after, complete platform.Revision, afterOutage bool) {
+	m.mu.Lock()
+	if after > m.complete {
+		complete = m.complete // the changes before are still to be read
+	}
+	m.mu.Unlock()
+	m.applyChanges(entries, complete, afterOutage)
+}
+
+// watchFrom returns the revision from which a watch misses no change, and false if the mirror is out of
+// sync.
+func (m *Mirror) watchFrom() (platform.Revision, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.complete, m.inSync
+}
+
 // applyChanges merges the changes that follow the known ones, up to revision complete, and skips
 // those that are known already.
 func (m *Mirror) applyChanges(entries []platform.Entry, complete platform.Revision, afterOutage bool) {
@@ -124,11 +162,14 @@
 }
 
 // contentSince returns what a mirror that has all changes up to revision needs to match this one.
-// The result has no entries if there is no newer change.
+// The result has no entries if there is no newer change, or if this mirror is out of sync.
 func (m *Mirror) contentSince(revision platform.Revision) content {
 	c := content{afterOutage: m.afterOutage()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.inSync {
+		return c
+	}
 	c.complete, c.newest = m.complete, m.newest
 	if m.newest <= revision {
 		return c
@@ -149,6 +190,9 @@
 	c = content{afterOutage: m.afterOutage()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.inSync {
+		return c, true
+	}
 	c.complete, c.newest = m.complete, m.newest
 	if m.removalsKnownAfter == 0 || revision < m.removalsKnownAfter {
 		return c, false
@@ -182,7 +226,7 @@
 	return out
 }
 
-// Newest returns the revision of the newest applied change.
+// Newest returns the revision of the newest applied change; zero if the mirror is out of sync.
 func (m *Mirror) Newest() platform.Revision { return platform.Revision(m.applied.Load()) }
 
 // hasApplied reports whether the change with the given revision is applied here. It relies on the
@@ -191,9 +235,12 @@
 func (m *Mirror) hasApplied(revision platform.Revision) bool { return revision <= m.Newest() }
 
 // completeUpTo returns the revision up to which all changes are known, according to both the
-// key-value service and the received changes.
+// key-value service and the received changes; zero if the mirror is out of sync.
 func (m *Mirror) completeUpTo() platform.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.inSync {
+		return 0
+	}
 	return min(m.complete, m.newest)
 }
--- a/internal/mirror/relays.go
+++ b/internal/mirror/relays.go
@@ -1,8 +1,11 @@
 package mirror
 
 import (
+	"maps"
 	"sync"
 	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
 // reportTTL is how long a peer's report that it watches the key-value service, or hears a daemon that
@@ -36,3 +39,27 @@
 	defer r.mu.Unlock()
 	return !r.lastReport.IsZero() && now.Sub(r.lastReport) < reportTTL
 }
+
+// PeerTracker counts the peers that made a report recently. It is safe for concurrent use.
+type PeerTracker struct {
+	mu         sync.Mutex
+	lastReport map[request.DaemonID]time.Time
+}
+
+// Record records a peer's report.
+func (p *PeerTracker) Record(now time.Time, peer request.DaemonID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastReport == nil {
+		p.lastReport = map[request.DaemonID]time.Time{}
+	}
+	p.lastReport[peer] = now
+}
+
+// Count returns the number of peers whose report is valid at time now.
+func (p *PeerTracker) Count(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.lastReport, func(_ request.DaemonID, at time.Time) bool { return now.Sub(at) >= reportTTL })
+	return len(p.lastReport)
+}
--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 )
 
 // When all watching peers die, a daemon that relied on them must watch again within a second.
@@ -172,3 +175,77 @@
 		t.Error("no fetch starts from a peer in the next era")
 	}
 }
+
+// In an outage each daemon of a fleet calls the service every second, and all list all keys when it returns.
+// Daemons must share these attempts, and rely on the first one that hears from the service again.
+func TestDaemonsShareAttemptsInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pollers = 8
+		var down, relayed atomic.Bool
+		service := &outageKV{pagedKV: newPagedKV(manyReplicas), down: &down}
+		f := New(Options{KV: service, Relayed: relayed.Load, Pollers: func() int { return pollers }})
+		f.AddMirror("op/", func(Update) {})
+		replicas := f.AddPagedMirror("servers/", func(Update) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { _ = f.Run(ctx) }) // ends with ctx
+		defer func() { cancel(); done.Wait() }()
+		_ = sleep.For(ctx, time.Second)
+		down.Store(true)
+		f.Refresh()
+		before := service.calls.Load()
+		const outage = time.Minute
+		_ = sleep.For(ctx, outage)
+		if calls := service.calls.Load() - before; calls > int64(outage/maxBackoff)/2 {
+			t.Errorf("%d calls in an outage of %s", calls, outage)
+		}
+		if f.Connected() {
+			t.Error("the follower counts as connected in the outage")
+		}
+		relayed.Store(true)
+		before = service.calls.Load()
+		_ = sleep.For(ctx, 2*relayCheckInterval)
+		if !f.Connected() || f.State().FailingFor > 0 || replicas.Newest() == 0 {
+			t.Errorf("a daemon that peers inform is in state %+v", f.State())
+		}
+		if calls := service.calls.Load() - before; calls > 0 {
+			t.Errorf("%d calls after peers heard from the service", calls)
+		}
+	})
+}
+
+// outageKV refuses all calls while it is down.
+type outageKV struct {
+	*pagedKV
+	down  *atomic.Bool
+	calls atomic.Int64
+}
+
+func (o *outageKV) refuse() error {
+	o.calls.Add(1)
+	if o.down.Load() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (o *outageKV) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	if err := o.refuse(); err != nil {
+		return nil, 0, err
+	}
+	return o.pagedKV.List(ctx, prefix)
+}
+
+func (o *outageKV) ListPage(ctx context.Context, prefix, after string, stale bool) (platform.Page, error) {
+	if err := o.refuse(); err != nil {
+		return platform.Page{}, err
+	}
+	return o.pagedKV.ListPage(ctx, prefix, after, stale)
+}
+
+func (o *outageKV) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	if err := o.refuse(); err != nil {
+		return nil, 0, err
+	}
+	return o.pagedKV.Watch(ctx, prefix, after, wait)
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -92,6 +92,21 @@
 	RevokeLease(ctx context.Context, id LeaseID) error
 }
 
+// Page is a part of a listing.
+type Page struct {
+	Entries []Entry
+	// Revision is a revision whose later changes a watch reports; the page may contain some of them.
+	Revision Revision
+	More     bool // further entries follow the last one
+}
+
+// Pager is implemented by clients of key-value services that list a prefix page by page.
+type Pager interface {
+	// ListPage returns a page of the entries below a prefix that follow the key after; empty: the first
+	// page. A stale page is cheaper, and may be some seconds old.
+	ListPage(ctx context.Context, prefix, after string, stale bool) (Page, error)
+}
+
 // VM is an entry of the platform's VM list, which lags behind the actual state.
 type VM struct {
 	ID            string `json:"id"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -59,7 +59,9 @@
 	live    atomic.Pointer[[]Daemon] // sorted by ID; includes this daemon unless it leaves
 	renewMu sync.Mutex
 	lease   platform.LeaseID
-	self    Daemon // guarded by renewMu
+
+	self     Daemon            // guarded by renewMu
+	revision platform.Revision // of this daemon's entry as last written; guarded by renewMu
 
 	leaving atomic.Bool
 
@@ -132,13 +134,7 @@
 	if err != nil {
 		return errors.Wrap(err, "roster: encode")
 	}
-	key := r.opts.Prefix + string(r.self.ID)
-	current, err := r.opts.KV.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		r.lease = ""
-		return errors.Wrap(err, "roster: read")
-	}
-	if _, err := r.opts.KV.CompareAndSwap(ctx, key, current.Revision, value, r.lease); err != nil {
+	if err := r.swapEntry(ctx, value); err != nil {
 		r.lease = ""
 		return errors.Wrap(err, "roster: write")
 	}
@@ -146,6 +142,22 @@
 	return nil
 }
 
+// swapEntry replaces this daemon's entry, whatever its content is: most daemons have none when they start,
+// and know the revision of their own afterwards.
+func (r *Roster) swapEntry(ctx context.Context, value []byte) error {
+	key := r.opts.Prefix + string(r.self.ID)
+	revision, err := r.opts.KV.CompareAndSwap(ctx, key, r.revision, value, r.lease)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		revision, err = r.opts.KV.CompareAndSwap(ctx, key, conflict.Current.Revision, value, r.lease)
+	}
+	if err != nil {
+		return err
+	}
+	r.revision = revision
+	return nil
+}
+
 // Leave marks this daemon as leaving, so that the other daemons direct no new callers to it.
 func (r *Roster) Leave(ctx context.Context) error {
 	r.renewMu.Lock()
