roster, lease, loadshare: fewer renewals, sessions and reports in a large fleet

Now a roster lease lives 4 s up to 100 daemons, and longer with their number up to 12 s: one of hundreds is given to few callers, who try another; a daemon starts with the long one. A held lease is found out before a session is started. Revisions of registry and roster are reported at half of the interval of their copies, to the cell alone.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -426,3 +426,23 @@
 		t.Errorf("epoch %d after %d, expired holder %q; an order of the earlier process may still take effect", again.Epoch(), first.Epoch(), again.ExpiredHolder())
 	}
 }
+
+// The first in rank asks for a lease that another process holds, again and again. If it started and ended a
+// session each time, these writes would end the watches of all daemons.
+func TestAcquiringHeldNameStartsNoSession(t *testing.T) {
+	fake := kv.NewFake(time.Now)
+	holder := lease.NewManager(lease.Options{KV: fake.Client("a"), Self: "a"})
+	if _, err := holder.Acquire(t.Context(), "n"); err != nil {
+		t.Fatal(err)
+	}
+	other := lease.NewManager(lease.Options{KV: fake.Client("b"), Self: "b"})
+	_, before, _ := fake.Client("b").List(t.Context(), "") // the fake has no faults
+	for range 3 {
+		if _, err := other.Acquire(t.Context(), "n"); !errors.Is(err, lease.ErrHeld) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	if _, after, _ := fake.Client("b").List(t.Context(), ""); after != before {
+		t.Errorf("the attempts wrote %d times", after-before)
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -146,10 +146,7 @@
 func (m *Manager) Acquire(ctx context.Context, name string) (*Lease, error) {
 	m.acquireMu.Lock()
 	defer m.acquireMu.Unlock()
-	s, err := m.ensureSession(ctx)
-	if err != nil {
-		return nil, err
-	}
+	m.CheckDeadline()
 	if l := m.lookup(name); l != nil {
 		return l, nil
 	}
@@ -160,7 +157,13 @@
 	if err != nil {
 		return nil, err
 	}
-	takeover, err := m.checkFree(ctx, current, s)
+	takeover, err := m.checkFree(ctx, current)
+	if err != nil {
+		return nil, err
+	}
+	// A process that acquires nothing starts no session, whose start and end would be two writes that end the
+	// watches of others.
+	s, err := m.ensureSession(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -213,8 +216,8 @@
 // checkFree returns an error unless the name of record r may be claimed. takeover reports whether
 // the previous holder did not release the name. A removed session key is never created again, so
 // the name stays free of that holder until the claim is written.
-func (m *Manager) checkFree(ctx context.Context, r record, s *session) (takeover bool, err error) {
-	if r.Session == "" || r.Session == s.id {
+func (m *Manager) checkFree(ctx context.Context, r record) (takeover bool, err error) {
+	if s := m.current(); r.Session == "" || s != nil && r.Session == s.id {
 		return false, nil
 	}
 	if m.isFormerSession(r.Session) || m.opts.OwnsAddress && r.Holder == m.opts.Self && r.Address == m.opts.Address {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -52,14 +52,16 @@
 	// Peers returns the daemons that use the same replicas, and Others all other daemons.
 	Peers  func() []netip.AddrPort
 	Others func() []netip.AddrPort
-	// Informs returns the daemons to which changes of the key-value service are announced besides Peers;
-	// nil: none. It may contain some of Peers.
+	// Informs returns the daemons to which changes of the key-value service are announced, besides a random
+	// one; nil: Peers.
 	Informs func() []netip.AddrPort
 	Set     *replicas.Set
 	// Revisions returns the newest known changes of the key-value service. OnRevisions receives those
-	// of a peer.
-	Revisions   func() []uint64
-	OnRevisions func(peer string, revisions []uint64)
+	// of a peer. RevisionsDue reports whether to report changed revisions now, given those that were
+	// reported last and how long ago; nil: at once.
+	Revisions    func() []uint64
+	RevisionsDue func(before, now []uint64, age time.Duration) bool
+	OnRevisions  func(peer string, revisions []uint64)
 	// Watches reports whether this daemon receives changes from the key-value service directly. OnWatcher
 	// is called when a peer reports that it does. Nil: the daemon has no watch, or reports are ignored.
 	Watches   func() bool
@@ -132,7 +134,10 @@
 		o.OnFailing = func(request.DaemonID) {}
 	}
 	if o.Informs == nil {
-		o.Informs = func() []netip.AddrPort { return nil }
+		o.Informs = o.Peers
+	}
+	if o.RevisionsDue == nil {
+		o.RevisionsDue = func(before, now []uint64, _ time.Duration) bool { return !slices.Equal(before, now) }
 	}
 	address, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
@@ -226,40 +231,70 @@
 	if r == nil {
 		return
 	}
-	peers, others := s.o.Peers(), s.o.Others()
-	s.send(r, peers)
+	peers, others, informs := s.o.Peers(), s.o.Others(), s.o.Informs()
+	if len(r.Revisions) == 0 {
+		s.send(r, peers)
+	} else {
+		s.send(r, both(peers, informs))
+		s.send(withoutRevisions(r), without(peers, informs))
+	}
 	shared := &Report{
 		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing,
 	}
 	switch {
 	case len(r.States)+len(r.Deaths) > 0:
 		s.send(shared, others)
-	case len(r.Revisions)+len(r.Limits)+len(r.Leaving) > 0:
+	case len(r.Revisions)+len(r.Limits)+len(r.Leaving) > 0 && len(others) > 0:
 		// One other daemon gets the known changes of the key-value service and what replicas announced, so
 		// that they spread from group to group.
-		s.send(shared, s.informed(peers, others, len(r.Revisions) > 0))
+		n := rand.IntN(len(others))
+		s.send(shared, others[n:n+1])
+	}
+	if len(r.Revisions) > 0 {
+		s.send(shared, without(informs, peers))
 	}
 }
 
-// informed returns the daemons besides peers that a report without states and deaths goes to: a random one
-// and, if it has revisions, those that this daemon informs of changes.
-func (s *Reporter) informed(peers, others []netip.AddrPort, revisions bool) []netip.AddrPort {
-	var to []netip.AddrPort
-	if len(others) > 0 {
-		to = append(to, others[rand.IntN(len(others))])
-	}
-	if !revisions {
-		return to
-	}
-	for _, address := range s.o.Informs() {
-		if !slices.Contains(peers, address) {
-			to = append(to, address)
+// both returns the members of a that are in b.
+func both(a, b []netip.AddrPort) (out []netip.AddrPort) {
+	for _, address := range a {
+		if slices.Contains(b, address) {
+			out = append(out, address)
 		}
 	}
-	return to
+	return out
+}
+
+// without returns the members of a that are not in b.
+func without(a, b []netip.AddrPort) (out []netip.AddrPort) {
+	for _, address := range a {
+		if !slices.Contains(b, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// withoutRevisions returns what a report says about replicas, nil if that is nothing.
+func withoutRevisions(r *Report) *Report {
+	if isEmpty(r) {
+		return nil
+	}
+	return &Report{
+		From: r.From, Work: r.Work, ChangesOnly: r.ChangesOnly, Placed: r.Placed, States: r.States, Deaths: r.Deaths,
+		Unreachable: r.Unreachable, Refusing: r.Refusing, Leaving: r.Leaving, Limits: r.Limits,
+	}
+}
+
+// isEmpty reports whether a report says nothing about replicas.
+func isEmpty(r *Report) bool {
+	return len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving) == 0
 }
 
 func (s *Reporter) send(r *Report, to []netip.AddrPort) {
+	if r == nil || len(to) == 0 {
+		return
+	}
 	raw, err := proto.Marshal(r)
 	if err != nil {
 		s.o.Logger.Error("Failed to encode a report", "error", err)
@@ -285,8 +320,9 @@
 	r.Limits = s.dequeueLimits(now)
 	s.addWork(now, r, work)
 	revisions, access := s.o.Revisions(), kvAccess{watches: s.o.Watches(), relays: s.o.Relays(), failing: s.o.Failing()}
-	newRevisions := !slices.Equal(revisions, s.revisions) || access != s.access || now.Sub(s.revisionsSentAt) >= fullReportInterval
-	if !newRevisions && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving) == 0 {
+	age := now.Sub(s.revisionsSentAt)
+	newRevisions := access != s.access || age >= fullReportInterval || s.o.RevisionsDue(s.revisions, revisions, age)
+	if !newRevisions && isEmpty(r) {
 		return nil
 	}
 	if newRevisions {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,3 +163,30 @@
 		t.Errorf("reported %+v", r)
 	}
 }
+
+// A fleet that starts has one group of all daemons. Peers that another daemon informs must get no reports of
+// changes in the key-value service, of which there is one for each daemon that starts.
+func TestOnlyInformedDaemonsGetRevisions(t *testing.T) {
+	a, informed, other := start(t, "a"), start(t, "informed"), start(t, "other")
+	address := func(n *node) netip.AddrPort { return netip.MustParseAddrPort(n.conn.LocalAddr().String()) }
+	a.peers = []netip.AddrPort{address(informed), address(other)}
+	a.o.Informs = func() []netip.AddrPort { return a.peers[:1] }
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	for _, n := range []*node{a, informed, other} {
+		done.Go(func() { _ = n.Run(ctx) }) // ends with ctx
+	}
+	defer func() { cancel(); done.Wait() }()
+	a.set.Get("r").Load.Begin(100, 0)
+	for deadline := time.Now().Add(5 * time.Second); other.set.Get("r").Load.Total(time.Now()).Requests != 1; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a peer does not see the work")
+		}
+	}
+	<-informed.receivedRevisions
+	select {
+	case <-other.receivedRevisions:
+		t.Error("a peer that is not informed got revisions")
+	default:
+	}
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -51,6 +51,9 @@
 	// Relayed reports whether peers currently relay all changes, so that the follower need not
 	// watch; nil: never.
 	Relayed func() bool
+	// SettleTime returns how long a process waits after its first listing for peers that relay changes, before
+	// it watches; nil: not at all.
+	SettleTime func() time.Duration
 	// Pollers returns how many daemons, including this one, try to reach a service that does not answer them,
 	// and would tell this one of its return; nil: one.
 	Pollers func() int
@@ -101,6 +104,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.SettleTime == nil {
+		o.SettleTime = func() time.Duration { return 0 }
+	}
 	if o.Pollers == nil {
 		o.Pollers = func() int { return 1 }
 	}
@@ -168,8 +174,11 @@
 // Run lists and watches the key-value service until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	defer f.awaitLoads()
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		err := f.list(ctx)
+		if first && err == nil {
+			f.backOff(ctx, f.opts.SettleTime())
+		}
 		for err == nil || errors.Is(err, errRelayed) {
 			if f.opts.Relayed() {
 				err = f.waitWhileRelayed(ctx)
@@ -385,13 +394,15 @@
 
 // backOff sleeps, and reports whether peers relay changes instead.
 func (f *Follower) backOff(ctx context.Context, d time.Duration) (relayed bool) {
-	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
+	for end := time.Now().Add(d); ; {
 		if f.listed.Load() && f.opts.Relayed() {
 			return true
 		}
-		_ = sleep.For(ctx, min(relayCheckInterval, time.Until(end))) // the loop checks ctx
+		left := time.Until(end)
+		if left <= 0 || sleep.For(ctx, min(relayCheckInterval, left)) != nil {
+			return false
+		}
 	}
-	return false
 }
 
 func (f *Follower) recordSuccess() {
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -168,6 +168,20 @@
 	return out
 }
 
+// ReportDue reports whether peers are to be told of changed revisions now, given those that they were told
+// last and how long ago. Changes of prefixes with a FetchInterval are told at half of it.
+func (g *Group) ReportDue(before, now []uint64, age time.Duration) bool {
+	if len(before) != len(now) {
+		return true
+	}
+	for i, prefix := range g.prefixes {
+		if before[i] != now[i] && age >= g.interval(prefix)/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // HandleRevisions processes a peer's Revisions. It fetches the peer's copy of each prefix for
 // which peers have been ahead for fetchDelay, or at once while peers relay changes.
 func (g *Group) HandleRevisions(ctx context.Context, peer string, revisions []uint64) {
--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -282,3 +282,35 @@
 	skipped.applyChanges(nil, 50, false)
 	reportUntil(t, newGroup(skipped), c, uint64(ahead.Newest()), "p/1", "new", servePeer(t, newGroup(ahead)))
 }
+
+// The registry of a large fleet changes many times a second. Reports of each change would be most of what
+// daemons send, while a change of the desired state must be reported at once.
+func TestManyChangesAreReportedAtIntervals(t *testing.T) {
+	const interval = 500 * time.Millisecond
+	f := New(Options{KV: kv.NewFake(time.Now).Client("a")})
+	g := NewGroup(GroupOptions{
+		Mirrors: []*Mirror{f.AddMirror("op/", func(Update) {}), f.AddMirror("servers/", func(Update) {})},
+		FetchInterval: func(prefix string) time.Duration {
+			if prefix == "servers/" {
+				return interval
+			}
+			return 0
+		},
+	})
+	if g.ReportDue([]uint64{1, 5}, []uint64{1, 6}, interval/2-1) || !g.ReportDue([]uint64{1, 5}, []uint64{1, 6}, interval/2) {
+		t.Error("a change of the registry is not reported at half of the interval")
+	}
+	if !g.ReportDue([]uint64{1, 5}, []uint64{2, 5}, 0) || g.ReportDue([]uint64{1, 5}, []uint64{1, 5}, time.Hour) {
+		t.Error("only a change of the desired state must be reported at once")
+	}
+	begun := 0
+	for tick := range 100 { // in ten seconds, each with a newer revision
+		if g.beginFetch(time.Unix(1000, 0).Add(time.Duration(tick)*interval/5), "servers/", platform.Revision(tick+1)) {
+			begun++
+			g.lags["servers/"].fetches--
+		}
+	}
+	if begun > 20 {
+		t.Errorf("%d fetches in ten seconds", begun)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,13 +26,30 @@
 )
 
 const (
-	// leaseTTL is how long a daemon that died is still listed. It need not be shorter, because
-	// callers that cannot reach the daemon try another address.
-	leaseTTL      = 4 * time.Second
-	renewInterval = time.Second
+	// minLeaseTTL and maxLeaseTTL bound how long a daemon that died is still listed. Callers that cannot
+	// reach a daemon try another address, which costs them time: one of a few daemons must be unlisted soon.
+	// One of hundreds is given to few callers, while each renewal of hundreds is a call; see leaseTTL.
+	minLeaseTTL = 4 * time.Second
+	maxLeaseTTL = 12 * time.Second
+	// daemonsPerSecond is how many daemons lengthen the time to live by a second.
+	daemonsPerSecond = 25
+	// renewalsPerTTL is how often a lease is renewed within its time to live.
+	renewalsPerTTL = 4
+	// retryInterval is how often a daemon checks whether to renew its lease, and how soon it retries.
+	retryInterval = time.Second
+	// rewriteGrace is how long an entry that was removed after an outage is kept, until its owner has
+	// written it again.
+	rewriteGrace = 4 * time.Second
+	// discoveryTime is how long a daemon may take to discover the others. Until then it assumes many.
+	discoveryTime = 3 * time.Second
 	callTimeout   = 2 * time.Second
 )
 
+// leaseTTL returns the time to live of the entries of a number of daemons.
+func leaseTTL(daemons int) time.Duration {
+	return min(maxLeaseTTL, max(minLeaseTTL, time.Duration(daemons)*time.Second/daemonsPerSecond))
+}
+
 // Daemon is a daemon's entry in the roster.
 type Daemon struct {
 	ID            request.DaemonID `json:"id"`
@@ -59,6 +76,9 @@
 	live    atomic.Pointer[[]Daemon] // sorted by ID; includes this daemon unless it leaves
 	renewMu sync.Mutex
 	lease   platform.LeaseID
+	ttl     time.Duration // of lease; guarded by renewMu
+	renewed time.Time     // when lease was last renewed; guarded by renewMu
+	started time.Time
 
 	self     Daemon            // guarded by renewMu
 	revision platform.Revision // of this daemon's entry as last written; guarded by renewMu
@@ -76,7 +96,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("roster")
-	r := &Roster{opts: o, self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
+	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
 	r.mirror = o.Follower.AddMirror(o.Prefix, r.apply)
 	r.publish()
 	return r
@@ -91,7 +111,7 @@
 
 // Run keeps this daemon listed until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
-	tick := time.NewTicker(renewInterval)
+	tick := time.NewTicker(retryInterval)
 	defer tick.Stop()
 	for {
 		if err := r.renew(ctx); err != nil && ctx.Err() == nil {
@@ -106,29 +126,46 @@
 	}
 }
 
-// renew renews the lease of this daemon's entry, or writes the entry under a new lease.
+// renew renews the lease of this daemon's entry if it is due, or writes the entry under a new lease.
 func (r *Roster) renew(ctx context.Context) error {
 	r.renewMu.Lock()
 	defer r.renewMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if r.lease != "" {
+	now := time.Now()
+	if r.lease != "" && r.ttl <= 2*r.suitableTTL(now) {
+		if now.Sub(r.renewed) < r.ttl/renewalsPerTTL-retryInterval/2 {
+			return nil
+		}
 		err := r.opts.KV.KeepAlive(ctx, r.lease)
+		if err == nil {
+			r.renewed = now
+		}
 		if !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		r.lease = ""
 	}
+	r.lease = ""
 	return r.writeEntry(ctx)
 }
 
+// suitableTTL returns the time to live for this daemon's lease.
+func (r *Roster) suitableTTL(now time.Time) time.Duration {
+	if now.Sub(r.started) < discoveryTime {
+		return maxLeaseTTL
+	}
+	return leaseTTL(len(r.Live()))
+}
+
 func (r *Roster) writeEntry(ctx context.Context) error {
 	if r.lease == "" {
-		lease, err := r.opts.KV.GrantLease(ctx, leaseTTL)
+		now := time.Now()
+		ttl := r.suitableTTL(now)
+		lease, err := r.opts.KV.GrantLease(ctx, ttl)
 		if err != nil {
 			return errors.Wrap(err, "roster: lease")
 		}
-		r.lease = lease
+		r.lease, r.ttl, r.renewed = lease, ttl, now
 	}
 	value, err := json.Marshal(r.self)
 	if err != nil {
@@ -138,7 +175,7 @@
 		r.lease = ""
 		return errors.Wrap(err, "roster: write")
 	}
-	r.opts.Logger.Info("The daemon wrote its roster entry", "leaving", r.self.Leaving)
+	r.opts.Logger.Info("The daemon wrote its roster entry", "leaving", r.self.Leaving, "ttl_ms", r.ttl.Milliseconds())
 	return nil
 }
 
@@ -234,7 +271,7 @@
 		return
 	}
 	if _, ok := r.expiring[id]; !ok {
-		r.expiring[id] = time.Now().Add(leaseTTL)
+		r.expiring[id] = time.Now().Add(rewriteGrace)
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
@@ -72,12 +74,12 @@
 	if err := first.renew(ctx); err != nil {
 		t.Fatal(err)
 	}
-	now = now.Add(leaseTTL / 2)
+	now = now.Add(maxLeaseTTL / 2)
 	second := newRoster(store, "a")
 	if err := second.renew(ctx); err != nil {
 		t.Fatal(err)
 	}
-	now = now.Add(leaseTTL * 3 / 4) // the first lease has expired
+	now = now.Add(maxLeaseTTL * 3 / 4) // the first lease has expired
 	fake.Expire()
 	if err := second.renew(ctx); err != nil {
 		t.Fatal(err)
@@ -125,3 +127,52 @@
 		}
 	}
 }
+
+// countingKV counts renewals and remembers the time to live of the last lease.
+type countingKV struct {
+	platform.KV
+	renewals int
+	ttl      time.Duration
+}
+
+func (c *countingKV) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	c.renewals++
+	return c.KV.KeepAlive(ctx, id)
+}
+
+func (c *countingKV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	c.ttl = ttl
+	return c.KV.GrantLease(ctx, ttl)
+}
+
+// A thousand daemons renew a lease each second, which costs more calls than all their other work. In a small
+// fleet a dead daemon must still be unlisted soon, since callers are given its address often.
+func TestLargeFleetRenewsLessOften(t *testing.T) {
+	for _, c := range []struct {
+		daemons  int
+		ttl      time.Duration
+		renewals int // in a minute
+	}{{8, 4 * time.Second, 60}, {95, 4 * time.Second, 60}, {985, 12 * time.Second, 20}, {2000, 12 * time.Second, 20}} {
+		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &countingKV{KV: kv.NewFake(time.Now).Client("a")}
+				r := newRoster(store, "a")
+				var others []platform.Entry
+				for i := range c.daemons - 1 {
+					others = append(others, entry(fmt.Sprint("other", i)))
+				}
+				r.apply(mirror.Update{Full: true, Entries: others})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = r.Run(ctx) }() // ends with ctx
+				time.Sleep(2 * discoveryTime)
+				store.renewals = 0
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				if store.ttl != c.ttl || store.renewals < c.renewals-2 || store.renewals > c.renewals+2 {
+					t.Errorf("lease of %s, %d renewals a minute; want %s and %d", store.ttl, store.renewals, c.ttl, c.renewals)
+				}
+			})
+		})
+	}
+}
--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -76,7 +76,7 @@
 	announceLead = 80 * time.Millisecond
 	// heldRetryDelay is how long a daemon waits before it retries to acquire a lease that
 	// another daemon holds, while no replica is outdated.
-	heldRetryDelay = 2 * time.Second
+	heldRetryDelay = 10 * time.Second
 )
 
 // Report is the state that a replica reports about itself.
@@ -140,6 +140,7 @@
 	rollouts      map[request.Model]*rollout.Rollout
 	lease         *lease.Lease
 	acquireAfter  time.Time // earliest next attempt to acquire the lease
+	heldUntil     time.Time // until when the lease is left to its holder while no replica is outdated
 	outdatedSince time.Time // since when some replica is outdated; zero: none is
 	pending       map[request.TargetID]pendingOrder
 	orderedAt     map[request.TargetID]time.Time // when a replica was last ordered to load
@@ -302,7 +303,7 @@
 	clear(c.pending)
 	rank := c.o.Rank()
 	eligible := rank == 0 || hasWork && now.Sub(c.outdatedSince) > time.Duration(rank)*takeoverDelay
-	if !eligible || now.Before(c.acquireAfter) {
+	if !eligible || now.Before(c.acquireAfter) || !hasWork && now.Before(c.heldUntil) {
 		return false
 	}
 	c.acquireAfter = now.Add(acquireInterval)
@@ -312,7 +313,7 @@
 		case !errors.Is(err, lease.ErrHeld):
 			c.o.Logger.Warn("Failed to acquire the weights lease", "error", err)
 		case !hasWork:
-			c.acquireAfter = now.Add(heldRetryDelay)
+			c.heldUntil = now.Add(heldRetryDelay)
 		}
 		return false
 	}
