loadshare, lease, contextstore: an idle daemon wakes up when there is something to do

Cause: 985 daemons that serve little wake up some sixty times a second each: for a report every 60 ms that mostly says nothing, the deadline of a session that they don't have, stores that others own, relays that they hear. Now a change of the own work, of what was placed or of a copy makes a report due, within 60 ms of the last at the earliest as before; without one it goes every 400 ms. A process without a session looks for its deadline at the heartbeat, one without a store for free ones every 250 ms, a relayed one every 200 ms.

A listing that a stall or a restore asked for is not replaced by peers' copies: what was received in the stall is old.

--- a/internal/contextstore/owner.go
+++ b/internal/contextstore/owner.go
@@ -40,7 +40,9 @@
 	// milliseconds.
 	freeTimeout     = 150 * time.Millisecond
 	acquireInterval = time.Second
-	backupRanks     = 2
+	// idleAcquireCheckInterval is how often a daemon without a store looks for one that has no owner.
+	idleAcquireCheckInterval = 250 * time.Millisecond
+	backupRanks              = 2
 	// silenceTimeout is how long a store may be silent before fetches from it stop. It may be
 	// down, and a dead source costs a request some hundred ms.
 	silenceTimeout = 1600 * time.Millisecond
@@ -122,11 +124,22 @@
 		for _, store := range o.opts.Stores() {
 			o.acquireIfDue(ctx, store)
 		}
-		_ = sleep.For(ctx, maintainInterval) // the loop checks ctx itself
+		_ = sleep.For(ctx, o.acquireCheckInterval()) // the loop checks ctx itself
 	}
 	return nil
 }
 
+// acquireCheckInterval returns the time until this daemon looks for stores to acquire again. One that owns
+// none looks less often, since in a large fleet most own none.
+func (o *Owner) acquireCheckInterval() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.stores) == 0 {
+		return idleAcquireCheckInterval
+	}
+	return maintainInterval
+}
+
 // acquireIfDue acquires a store that is free and assigned to this daemon. It also reacquires a
 // store whose lease expired here.
 func (o *Owner) acquireIfDue(ctx context.Context, store *routing.Service) {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 )
 
 const (
@@ -96,7 +97,10 @@
 	deadlineCheckDone := make(chan struct{})
 	go func() {
 		defer close(deadlineCheckDone)
-		runEvery(ctx, m.opts.TTL/checksPerTTL, m.CheckDeadline)
+		for ctx.Err() == nil {
+			m.CheckDeadline()
+			_ = sleep.For(ctx, m.deadlineCheckInterval()) // the loop checks ctx
+		}
 	}()
 	m.heartbeatOnce(ctx)
 	runEvery(ctx, m.opts.TTL/heartbeatsPerTTL, func() { m.heartbeatOnce(ctx) })
@@ -104,6 +108,15 @@
 	return nil
 }
 
+// deadlineCheckInterval returns the time until the next check of the deadline. A process without a session
+// has none; one that starts meanwhile is checked long before its deadline.
+func (m *Manager) deadlineCheckInterval() time.Duration {
+	if m.current() == nil {
+		return m.opts.TTL / heartbeatsPerTTL
+	}
+	return m.opts.TTL / checksPerTTL
+}
+
 func (m *Manager) heartbeatOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.TTL)
 	defer cancel()
@@ -167,6 +180,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// The calls may have shown a restore that this process did not know of.
+	if err := m.checkRestoreWait(); err != nil {
+		return nil, err
+	}
 	return m.claim(ctx, name, s, current, revision, takeover)
 }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -24,6 +24,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/weights"
 )
 
@@ -34,6 +35,8 @@
 	// fullReportInterval is how often all work is reported, changed or not. It is shorter than the time
 	// after which peers drop it.
 	fullReportInterval = 400 * time.Millisecond
+	// reportSlack is how much earlier than that a full report may be due, since timers vary.
+	reportSlack = reportInterval / 2
 	// maxDatagram is the size up to which a datagram fits in one packet.
 	maxDatagram = 1400
 	maxPlaced   = 12 // prompts in one datagram, 40 to 60 bytes each
@@ -84,6 +87,7 @@
 	o      Options
 	conn   *net.UDPConn
 	Placer *placer.PromptPlacer // records what peers placed; must be set before Run
+	news   chan struct{}        // has an element if there may be something new to report
 
 	mu             sync.Mutex
 	placed         []*Placed
@@ -147,7 +151,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: listen")
 	}
-	return &Reporter{o: o, conn: conn, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
+	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
 // ReportPlaced queues a placed prompt for the next datagram.
@@ -160,6 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.placed = append(s.placed, p)
+	s.Wake()
 }
 
 // AnnounceState reports a replica's state to all daemons within one tick.
@@ -175,6 +180,7 @@
 	s.mu.Lock()
 	s.states = append(s.states, state)
 	s.mu.Unlock()
+	s.Wake()
 }
 
 // ReportUnreachable reports to peers, within one tick, that a replica accepts no connections.
@@ -195,6 +201,7 @@
 	defer s.mu.Unlock()
 	if !slices.Contains(*to, value) {
 		*to = append(*to, value)
+		s.Wake()
 	}
 }
 
@@ -208,21 +215,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deaths = append(s.deaths, &Death{Replica: string(report.Target), Started: report.Incarnation, Fingerprint: fingerprint})
+	s.Wake()
 }
 
 // Run sends reports to peers until ctx ends.
 func (s *Reporter) Run(ctx context.Context) error {
 	go s.receive(ctx)
 	defer s.conn.Close()
-	tick := time.NewTicker(reportInterval)
-	defer tick.Stop()
 	for {
 		select {
-		case now := <-tick.C:
-			s.report(now)
+		case <-s.news:
+		case <-time.After(fullReportInterval - reportInterval):
 		case <-ctx.Done():
 			return nil
 		}
+		s.report(time.Now())
+		_ = sleep.For(ctx, reportInterval) // the loop checks ctx
+	}
+}
+
+// Wake makes the next report due: there may be something new to report. An idle daemon reports, and wakes
+// up, only every fullReportInterval.
+func (s *Reporter) Wake() {
+	select {
+	case s.news <- struct{}{}:
+	default:
 	}
 }
 
@@ -318,10 +335,13 @@
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
 	r.Limits = s.dequeueLimits(now)
+	if len(s.placed)+len(s.deaths)+len(s.limits) > 0 {
+		s.Wake()
+	}
 	s.addWork(now, r, work)
 	revisions, access := s.o.Revisions(), kvAccess{watches: s.o.Watches(), relays: s.o.Relays(), failing: s.o.Failing()}
 	age := now.Sub(s.revisionsSentAt)
-	newRevisions := access != s.access || age >= fullReportInterval || s.o.RevisionsDue(s.revisions, revisions, age)
+	newRevisions := access != s.access || age >= fullReportInterval-reportSlack || s.o.RevisionsDue(s.revisions, revisions, age)
 	if !newRevisions && isEmpty(r) {
 		return nil
 	}
@@ -348,7 +368,7 @@
 func (s *Reporter) addWork(now time.Time, r *Report, work map[uint64]*Work) {
 	before := s.lastWork
 	s.lastWork = work
-	if now.Sub(s.lastFullReport) >= fullReportInterval && len(work) > 0 {
+	if now.Sub(s.lastFullReport) >= fullReportInterval-reportSlack && len(work) > 0 {
 		s.lastFullReport = now
 		for _, w := range work {
 			r.Work = append(r.Work, w)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -190,3 +190,37 @@
 	default:
 	}
 }
+
+// An idle daemon of a large fleet wakes up sixteen times a second to find that it has nothing to report. It must
+// wake up for the full reports alone.
+func TestIdleDaemonReportsSeldom(t *testing.T) {
+	a := start(t, "a")
+	looked := make(chan struct{}, 100)
+	a.o.Failing = func() bool { looked <- struct{}{}; return false }
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { _ = a.Run(ctx) }) // ends with ctx
+	defer func() { cancel(); done.Wait() }()
+	begun := time.Now()
+	for range 3 {
+		<-looked
+	}
+	if took := time.Since(begun); took < 2*fullReportInterval {
+		t.Errorf("three reports of an idle daemon within %s", took)
+	}
+}
+
+// A daemon that wakes up seldom must not report new work late.
+func TestNewWorkMakesReportDue(t *testing.T) {
+	a := start(t, "a")
+	a.set.OnOwnWork(a.Wake)
+	flight := a.set.Get("r").Load.Begin(100, 50)
+	for _, change := range []func(){func() {}, flight.Computed, flight.End} {
+		change()
+		select {
+		case <-a.news:
+		default:
+			t.Error("a change of the work does not make a report due")
+		}
+	}
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -33,7 +33,7 @@
 	// daemons from ending at the same time.
 	watchJitter = 0.2
 	// relayCheckInterval is how often a follower checks whether peers still relay changes.
-	relayCheckInterval = 100 * time.Millisecond
+	relayCheckInterval = 200 * time.Millisecond
 )
 
 // Options configures a Follower.
@@ -51,6 +51,8 @@
 	// Relayed reports whether peers currently relay all changes, so that the follower need not
 	// watch; nil: never.
 	Relayed func() bool
+	// OnApplied is called when a mirror has applied changes; nil: nobody is told.
+	OnApplied func()
 	// SettleTime returns how long a process waits after its first listing for peers that relay changes, before
 	// it watches; nil: not at all.
 	SettleTime func() time.Duration
@@ -73,6 +75,8 @@
 	watching  atomic.Bool // the follower watches, and its last watch succeeded
 	wake      chan struct{}
 	listed    atomic.Bool               // the first listing is done
+	refreshes atomic.Uint64             // listings requested so far
+	refreshed atomic.Uint64             // value of refreshes at the start of the last complete listing
 	compacted bool                      // the history of the last watch is gone; used by Run only
 	loads     map[*Mirror]chan struct{} // running loads of paged mirrors, closed at their end; used by Run only
 
@@ -104,6 +108,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.OnApplied == nil {
+		o.OnApplied = func() {}
+	}
 	if o.SettleTime == nil {
 		o.SettleTime = func() time.Duration { return 0 }
 	}
@@ -124,7 +131,7 @@
 // is called from one goroutine at a time. AddMirror must be called before Run. Run lists and
 // applies mirrors in the order in which they were added.
 func (f *Follower) AddMirror(prefix string, apply func(Update)) *Mirror {
-	m := &Mirror{prefix: prefix, apply: apply, afterOutage: f.afterOutage, entries: map[string]platform.Entry{}}
+	m := &Mirror{prefix: prefix, apply: apply, onApplied: f.opts.OnApplied, afterOutage: f.afterOutage, entries: map[string]platform.Entry{}}
 	f.mirrors = append(f.mirrors, m)
 	return m
 }
@@ -151,9 +158,11 @@
 	return time.Since(t).Milliseconds()
 }
 
-// Refresh requests a new listing. A process calls it after a stall, when its copies may be stale.
+// Refresh requests a new listing. A process calls it after a stall, when its copies may be stale. Peers'
+// copies do not replace that listing: reports of peers that were received in the stall are old.
 func (f *Follower) Refresh() {
 	f.connected.Store(false)
+	f.refreshes.Add(1)
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -210,7 +219,7 @@
 // applied as soon as it was read. In a single listing of all keys, the desired state would have to wait
 // for the pages of hundreds of replicas, and would be read again if the call for the last page failed.
 func (f *Follower) list(ctx context.Context) error {
-	started := time.Now()
+	started, refreshes := time.Now(), f.refreshes.Load()
 	f.setListingSince(started)
 	defer f.setListingSince(time.Time{})
 	total := 0
@@ -222,6 +231,7 @@
 		total += n
 	}
 	f.listed.Store(true)
+	f.refreshed.Store(refreshes)
 	f.endRecovery()
 	f.opts.Logger.Info("The follower listed all keys", "entries", total, "after_ms", time.Since(started).Milliseconds())
 	return nil
@@ -392,10 +402,15 @@
 	}
 }
 
+// mayRelyOnPeers reports whether peers' copies can replace a listing.
+func (f *Follower) mayRelyOnPeers() bool {
+	return f.listed.Load() && f.refreshes.Load() == f.refreshed.Load()
+}
+
 // backOff sleeps, and reports whether peers relay changes instead.
 func (f *Follower) backOff(ctx context.Context, d time.Duration) (relayed bool) {
 	for end := time.Now().Add(d); ; {
-		if f.listed.Load() && f.opts.Relayed() {
+		if f.mayRelyOnPeers() && f.opts.Relayed() {
 			return true
 		}
 		left := time.Until(end)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,6 +31,7 @@
 type Mirror struct {
 	prefix      string
 	apply       func(Update)
+	onApplied   func()      // called after each update; nil: not at all
 	afterOutage func() bool // reports whether a removal may be an expiry
 
 	// paged is set for a prefix whose listing may take many calls; see Follower.AddPagedMirror.
@@ -108,11 +109,13 @@
 
 // publishNewest makes newest visible to Newest. Callers invoke it after they have applied an update.
 func (m *Mirror) publishNewest() {
+	newest := m.newest
 	if !m.inSync {
-		m.applied.Store(0)
-		return
+		newest = 0
+	}
+	if m.applied.Swap(uint64(newest)) != uint64(newest) && m.onApplied != nil {
+		m.onApplied()
 	}
-	m.applied.Store(uint64(m.newest))
 }
 
 // applyPage merges the first page of a listing. The mirror is out of sync until the other pages or a
--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -183,7 +183,7 @@
 		const pollers = 8
 		var down, relayed atomic.Bool
 		service := &outageKV{pagedKV: newPagedKV(manyReplicas), down: &down}
-		f := New(Options{KV: service, Relayed: relayed.Load, Pollers: func() int { return pollers }})
+		f := New(Options{KV: service, WatchTimeout: func() time.Duration { return time.Second }, Relayed: relayed.Load, Pollers: func() int { return pollers }})
 		f.AddMirror("op/", func(Update) {})
 		replicas := f.AddPagedMirror("servers/", func(Update) {})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -191,8 +191,7 @@
 		done.Go(func() { _ = f.Run(ctx) }) // ends with ctx
 		defer func() { cancel(); done.Wait() }()
 		_ = sleep.For(ctx, time.Second)
-		down.Store(true)
-		f.Refresh()
+		down.Store(true) // the next watch is refused
 		before := service.calls.Load()
 		const outage = time.Minute
 		_ = sleep.For(ctx, outage)
--- a/internal/replicas/load.go
+++ b/internal/replicas/load.go
@@ -100,13 +100,16 @@
 	defer l.mu.Unlock()
 	before := l.own
 	l.own.add(w)
-	switch {
-	case l.replica == nil:
-	case l.own == Work{}:
+	if l.replica == nil || l.own == before {
+		return
+	}
+	switch (Work{}) {
+	case l.own:
 		l.replica.tracked.loaded.remove(l.replica)
-	case before == Work{}:
+	case before:
 		l.replica.tracked.loaded.add(l.replica)
 	}
+	l.replica.listeners.ownWork()
 }
 
 // Computed records that the prompt has been computed, because the first token arrived.
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -137,13 +137,16 @@
 }
 
 // listeners are notified of what this daemon itself observes at a replica.
-type listeners struct{ down, refused, limit, leaving func(*Replica) }
+type listeners struct {
+	down, refused, limit, leaving func(*Replica)
+	ownWork                       func() // the work of this daemon changed
+}
 
 // NewSet returns an empty set.
 func NewSet() *Set {
 	ignore := func(*Replica) {}
 	s := &Set{
-		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore}, tracked: &trackedStates{}, update: newViewUpdate(),
+		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, ownWork: func() {}}, tracked: &trackedStates{}, update: newViewUpdate(),
 		byID: map[request.TargetID]*Replica{}, byHash: map[uint64]*Replica{},
 		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, evacuationExpiry: map[string]time.Time{},
 	}
@@ -160,6 +163,10 @@
 // It must be called before the first Apply.
 func (s *Set) OnRefused(f func(*Replica)) { s.listeners.refused = f }
 
+// OnOwnWork registers a function that is called when the work of this daemon at a replica changes. It must be
+// called before the first Apply, and must not block.
+func (s *Set) OnOwnWork(f func()) { s.listeners.ownWork = f }
+
 // ByService returns the replicas of a known service that their registry entries do not mark as leaving,
 // ordered by id. The slice must not be modified.
 func (s *Set) ByService(service routing.ServiceID) []*Replica { return s.View().ByService[service] }
