--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -61,7 +61,7 @@
 	Pollers func() int
 	// Lists reports whether this daemon reads all pages of a paged mirror from the key-value service; nil:
 	// always. Other daemons ask peers for a copy with AskPeer first.
-	Lists func() bool
+	Lists func(prefix string) bool
 	// AskPeer asks one peer for its copy of a prefix and applies it. It need not find one that has it.
 	AskPeer func(ctx context.Context, prefix string)
 	Logger  hclog.Logger
@@ -118,7 +118,7 @@
 		o.Pollers = func() int { return 1 }
 	}
 	if o.Lists == nil {
-		o.Lists = func() bool { return true }
+		o.Lists = func(string) bool { return true }
 	}
 	if o.AskPeer == nil {
 		o.AskPeer = func(context.Context, string) {}
@@ -269,6 +269,9 @@
 	pager, pages := f.opts.KV.(platform.Pager)
 	stale := !f.listed.Load() && m != f.mirrors[0]
 	if pages && m.paged {
+		if page, found, err := f.nearPage(ctx, m, pager); found || err != nil {
+			return page, err
+		}
 		return pager.ListPage(ctx, m.prefix, "", stale)
 	}
 	if pages && stale {
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -17,18 +17,35 @@
 	// minLoadPatience is how long a daemon waits at least for a peer's copy before it reads all pages
 	// itself. It waits up to twice as long, so that not all daemons of a fleet read them at once.
 	minLoadPatience = 8 * time.Second
+	// minNear is the number of near keys from which a daemon reads only these first. With fewer the fleet
+	// is small, or its keys are not named alike.
+	minNear = 8
 )
 
 // AddPagedMirror is AddMirror for a prefix with so many keys that a listing takes many calls. If all
 // daemons of a fleet read all pages after a restart, they would occupy the key-value service's link for
 // longer than callers wait. A daemon therefore applies the first page, which suffices to serve callers,
-// and gets the rest from a peer while Options.Lists does not select it to read it.
-func (f *Follower) AddPagedMirror(prefix string, apply func(Update)) *Mirror {
+// and gets the rest from a peer while Options.Lists does not select it to read it. If some keys have the
+// prefix near, which begins with prefix, it reads only these first.
+func (f *Follower) AddPagedMirror(prefix, near string, apply func(Update)) *Mirror {
 	m := f.AddMirror(prefix, apply)
-	m.paged = true
+	m.paged, m.nearPrefix = true, near
 	return m
 }
 
+// nearPage returns the keys of a paged mirror that are read first, and false if they are too few.
+func (f *Follower) nearPage(ctx context.Context, m *Mirror, pager platform.Pager) (platform.Page, bool, error) {
+	if m.nearPrefix == "" || f.listed.Load() {
+		return platform.Page{}, false, nil
+	}
+	page, err := pager.ListPage(ctx, m.nearPrefix, "", true)
+	if err != nil || len(page.Entries) < minNear {
+		return platform.Page{}, false, err
+	}
+	page.More = true // keys without the near prefix
+	return page, true, nil
+}
+
 // startLoad applies the first page of a listing and gets the rest in the background. A mirror that was in
 // sync stays so while peers relay changes, because their copies contain what changed meanwhile.
 func (f *Follower) startLoad(ctx context.Context, m *Mirror, first []platform.Entry) {
@@ -74,7 +91,7 @@
 			f.opts.Logger.Info("The follower has all keys of a prefix", "prefix", m.prefix, "after_ms", time.Since(started).Milliseconds())
 			return
 		}
-		if f.opts.Lists() || time.Since(started) > patience {
+		if f.opts.Lists(m.prefix) || time.Since(started) > patience {
 			f.listAll(ctx, m, afterOutage)
 			continue
 		}
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -65,15 +65,20 @@
 	follower *Follower
 	replicas *Mirror
 	copy     *recordedCopy
+	near     string // prefix of the keys that are read first
 }
 
 // startLoading starts a daemon, which ends with the test.
 func startLoading(t *testing.T, kv *pagedKV, o Options) *loadingDaemon {
+	return startLoadingNear(t, kv, o, "")
+}
+
+func startLoadingNear(t *testing.T, kv *pagedKV, o Options, near string) *loadingDaemon {
 	o.KV = kv
-	d := &loadingDaemon{kv: kv, follower: New(o), copy: newCopy()}
+	d := &loadingDaemon{kv: kv, follower: New(o), copy: newCopy(), near: near}
 	d.copy.changed = make(chan struct{}, 10_000)
 	d.follower.AddMirror("op/", func(Update) {})
-	d.replicas = d.follower.AddPagedMirror("servers/", d.copy.apply)
+	d.replicas = d.follower.AddPagedMirror("servers/", d.near, d.copy.apply)
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
 	done.Go(func() { _ = d.follower.Run(ctx) }) // ends with ctx
@@ -100,7 +105,7 @@
 		asked := 0
 		var d *loadingDaemon
 		d = startLoading(t, kv, Options{
-			Lists: func() bool { return false },
+			Lists: func(string) bool { return false },
 			AskPeer: func(context.Context, string) {
 				if asked++; asked == 3 {
 					d.replicas.applyListing(content{entries: entries, complete: manyReplicas + 1})
@@ -124,7 +129,7 @@
 // The daemons that are to read the registry are all dead or cut off from the service.
 func TestDaemonListsItselfWithoutPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := startLoading(t, newPagedKV(manyReplicas), Options{Lists: func() bool { return false }})
+		d := startLoading(t, newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }})
 		_ = sleep.For(t.Context(), minLoadPatience-time.Second)
 		if d.count() != fleetPageSize {
 			t.Errorf("%d replicas are known while the daemon waits for peers", d.count())
@@ -146,7 +151,7 @@
 		kv.s.remove("servers/00700")
 		var d *loadingDaemon
 		d = startLoading(t, kv, Options{
-			Lists:   func() bool { return false },
+			Lists:   func(string) bool { return false },
 			AskPeer: func(context.Context, string) { d.replicas.applyListing(content{entries: entries, complete: at}) },
 		})
 		_ = sleep.For(t.Context(), 2*defaultWatchTimeout)
@@ -156,6 +161,21 @@
 	})
 }
 
+// A thousand daemons that restart read the list of all thousand, so that the service's link is occupied for
+// seconds. A daemon must read only those named like it, which suffice to find one that has the whole list. In a
+// small fleet it must read all at once.
+func TestRestartedDaemonReadsNearKeysFirst(t *testing.T) {
+	for near, first := range map[string]int{"servers/0010": 10, "servers/nothing": fleetPageSize} {
+		synctest.Test(t, func(t *testing.T) {
+			d := startLoadingNear(t, newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }}, near)
+			_ = sleep.For(t.Context(), time.Second)
+			if d.count() != first || d.replicas.InSync() {
+				t.Errorf("near %s: %d keys are known, in sync: %t", near, d.count(), d.replicas.InSync())
+			}
+		})
+	}
+}
+
 // Watches end with each outage. A daemon that knows the whole registry must not read it again for that.
 func TestOutageCostsNoListingOfRegistry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,6 +36,9 @@
 
 	// paged is set for a prefix whose listing may take many calls; see Follower.AddPagedMirror.
 	paged bool
+	// nearPrefix is the prefix of the keys of a paged mirror that are read first; see
+	// Follower.AddPagedMirror.
+	nearPrefix string
 
 	mu      sync.Mutex
 	entries map[string]platform.Entry // by key; deleted entries stay with Deleted set
@@ -229,6 +232,12 @@
 	return out
 }
 
+// InSync reports whether the mirror has all entries, up to some revision.
+func (m *Mirror) InSync() bool {
+	_, inSync := m.watchFrom()
+	return inSync
+}
+
 // Newest returns the revision of the newest applied change; zero if the mirror is out of sync.
 func (m *Mirror) Newest() platform.Revision { return platform.Revision(m.applied.Load()) }
 
--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -185,7 +185,7 @@
 		service := &outageKV{pagedKV: newPagedKV(manyReplicas), down: &down}
 		f := New(Options{KV: service, WatchTimeout: func() time.Duration { return time.Second }, Relayed: relayed.Load, Pollers: func() int { return pollers }})
 		f.AddMirror("op/", func(Update) {})
-		replicas := f.AddPagedMirror("servers/", func(Update) {})
+		replicas := f.AddPagedMirror("servers/", "", func(Update) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		var done sync.WaitGroup
 		done.Go(func() { _ = f.Run(ctx) }) // ends with ctx
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -82,6 +82,12 @@
 
 func hashed(name string) hashedName { return hashedName{name: name, hash: xxhash.Sum64String(name)} }
 
+// InDomain returns the order of the members of one failure domain. It is valid until o changes.
+func (o *Order) InDomain(domain string) *Order {
+	members := o.domains[domain]
+	return &Order{domains: map[string][]hashedName{domain: members}, size: len(members)}
+}
+
 // Add adds a member that the order does not contain.
 func (o *Order) Add(m Member) {
 	h := hashed(m.Name)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -97,11 +97,15 @@
 	}
 	o.Logger = o.Logger.Named("roster")
 	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
-	r.mirror = o.Follower.AddMirror(o.Prefix, r.apply)
+	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
 	r.publish()
 	return r
 }
 
+// commonName returns the beginning that the names of some other VMs presumably share with this one: VMs are
+// often numbered.
+func commonName(id request.DaemonID) string { return string(id[:max(0, len(id)-1)]) }
+
 // Live returns the daemons that accept callers, including this one unless it leaves. The list is
 // replaced only when it changes.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
