--- a/internal/replicas/view_test.go
+++ b/internal/replicas/view_test.go
@@ -148,3 +148,13 @@
 		s.WithOwnWork()
 	}
 }
+
+// A replica restarts and is removed in one change of the registry. The view must not keep its earlier start.
+func TestRestartAndRemovalInOneChangeLeaveNothing(t *testing.T) {
+	s, now := NewSet(), time.Unix(1000, 0)
+	s.Apply(now, Change{Present: []Info{started("a", 1), info("b")}})
+	s.Apply(now, Change{Present: []Info{started("a", 2)}, Removed: []request.TargetID{"a"}})
+	if got := ids(s.ByService("s")); !slices.Equal(got, []request.TargetID{"b"}) {
+		t.Errorf("the view lists %v", got)
+	}
+}
