mirror: daemons that restart together start from those that know each other by name

A start now reads the VMs named alike first, asks them for the desired state and what they have of the registry, and reads both by itself if it is one of the two that the others ask, or after a second. A part that a peer gives is taken as a part.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -183,6 +183,7 @@
 // Run lists and watches the key-value service until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	defer f.awaitLoads()
+	f.startFromPeers(ctx)
 	for first := true; ctx.Err() == nil; first = false {
 		err := f.list(ctx)
 		if first && err == nil {
@@ -237,10 +238,24 @@
 	return nil
 }
 
-// listMirror reads a prefix, or the first page of a paged mirror, and returns the number of entries. It
-// reads no paged mirror whose changes a watch still reports.
+// isKnown reports whether a mirror need not be listed: a peer gave a copy of it at the start, a watch still
+// reports its changes, or a part is known and the rest is loaded in the background.
+func (f *Follower) isKnown(ctx context.Context, m *Mirror) bool {
+	switch {
+	case f.compacted:
+		return false
+	case m.InSync():
+		return m.paged || !f.listed.Load()
+	case m.paged && !m.isEmpty():
+		f.startLoad(ctx, m, nil)
+		return true
+	}
+	return false
+}
+
+// listMirror reads a prefix, or the first page of a paged mirror, and returns the number of entries.
 func (f *Follower) listMirror(ctx context.Context, m *Mirror) (int, error) {
-	if _, inSync := m.watchFrom(); m.paged && inSync && !f.compacted {
+	if f.isKnown(ctx, m) {
 		return 0, nil
 	}
 	var page platform.Page
@@ -269,9 +284,6 @@
 	pager, pages := f.opts.KV.(platform.Pager)
 	stale := !f.listed.Load() && m != f.mirrors[0]
 	if pages && m.paged {
-		if page, found, err := f.nearPage(ctx, m, pager); found || err != nil {
-			return page, err
-		}
 		return pager.ListPage(ctx, m.prefix, "", stale)
 	}
 	if pages && stale {
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -248,7 +248,7 @@
 		g.lags[prefix].clearIfApplied(m)
 	}()
 	known, started := m.completeUpTo(), time.Now()
-	resp, err := NewCopiesProtobufClient("http://"+peer, g.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true, Removals: true})
+	resp, err := NewCopiesProtobufClient("http://"+peer, g.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true, Removals: true, Partial: m.isEmpty()})
 	if refused := twirp.Error(nil); errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted {
 		g.countFetch("refused")
 		return
@@ -258,6 +258,11 @@
 		g.log.Info("Fetching a copy from a peer failed", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(started).Milliseconds(), "error", err)
 		return
 	}
+	if resp.Partial {
+		g.countFetch("partial")
+		m.applyPage(resp.content().entries, resp.Lapsing)
+		return
+	}
 	if m.hasApplied(platform.Revision(resp.Newest)) {
 		g.countFetch("nothing_new")
 		return
@@ -293,6 +298,9 @@
 	if m == nil {
 		return &ReadResponse{}, nil
 	}
+	if entries, partial := m.partialEntries(); partial && r.Partial {
+		return &ReadResponse{Partial: true, Lapsing: m.afterOutage(), Entries: copiedEntries(entries)}, nil
+	}
 	known := platform.Revision(r.NewerThan)
 	if !r.Changes {
 		known = 0 // daemons of an older release accept complete copies only
@@ -307,10 +315,17 @@
 	if uint64(copied.newest) <= r.NewerThan {
 		return &ReadResponse{Newest: uint64(copied.newest)}, nil
 	}
-	out := &ReadResponse{Newest: uint64(copied.newest), Lapsing: copied.afterOutage, Complete: uint64(copied.complete), Unchanged: copied.unchanged, ChangesOnly: changesOnly}
-	for _, e := range copied.entries {
-		out.Entries = append(out.Entries, &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease), Removed: e.Deleted})
-	}
 	g.metrics.Counter("copies_given").Inc(1)
-	return out, nil
+	return &ReadResponse{
+		Newest: uint64(copied.newest), Lapsing: copied.afterOutage, Complete: uint64(copied.complete), Unchanged: copied.unchanged, ChangesOnly: changesOnly,
+		Entries: copiedEntries(copied.entries),
+	}, nil
+}
+
+func copiedEntries(entries []platform.Entry) []*CopiedEntry {
+	out := make([]*CopiedEntry, len(entries))
+	for i, e := range entries {
+		out[i] = &CopiedEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: string(e.Lease), Removed: e.Deleted}
+	}
+	return out
 }
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -17,6 +17,10 @@
 	// minLoadPatience is how long a daemon waits at least for a peer's copy before it reads all pages
 	// itself. It waits up to twice as long, so that not all daemons of a fleet read them at once.
 	minLoadPatience = 8 * time.Second
+	// startPatience is how long a daemon that starts asks peers before it lists, startAskInterval the time
+	// between its attempts.
+	startPatience    = time.Second
+	startAskInterval = 100 * time.Millisecond
 	// minNear is the number of near keys from which a daemon reads only these first. With fewer the fleet
 	// is small, or its keys are not named alike.
 	minNear = 8
@@ -33,23 +37,65 @@
 	return m
 }
 
-// nearPage returns the keys of a paged mirror that are read first, and false if they are too few.
-func (f *Follower) nearPage(ctx context.Context, m *Mirror, pager platform.Pager) (platform.Page, bool, error) {
-	if m.nearPrefix == "" || f.listed.Load() {
-		return platform.Page{}, false, nil
+// readNear reads the near keys of the paged mirrors, and reports whether they name enough peers to start from.
+func (f *Follower) readNear(ctx context.Context) (found bool) {
+	pager, pages := f.opts.KV.(platform.Pager)
+	if !pages {
+		return false
+	}
+	for _, m := range f.mirrors {
+		if m.nearPrefix == "" {
+			continue
+		}
+		page, err := pager.ListPage(ctx, m.nearPrefix, "", true)
+		if err != nil {
+			f.opts.Logger.Debug("A list call failed", "prefix", m.nearPrefix, "error", err)
+			continue // the listing that follows retries
+		}
+		if len(page.Entries) >= minNear {
+			found = true
+			f.startLoad(ctx, m, page.Entries)
+		}
+	}
+	return found
+}
+
+// startFromPeers asks the peers that the near keys name for copies, so that daemons that restart together do
+// not all read the same entries from the key-value service. Two of those that know each other first read them
+// for the others. What a daemon has not got within startPatience it lists.
+func (f *Follower) startFromPeers(ctx context.Context) {
+	if !f.readNear(ctx) || f.opts.Lists("") {
+		return
 	}
-	page, err := pager.ListPage(ctx, m.nearPrefix, "", true)
-	if err != nil || len(page.Entries) < minNear {
-		return platform.Page{}, false, err
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, m := range f.mirrors {
+			if !m.InSync() {
+				f.opts.AskPeer(ctx, m.prefix)
+			}
+		}
+		if f.canServe() {
+			return
+		}
+		_ = sleep.For(ctx, startAskInterval) // the loop checks ctx
+	}
+}
+
+// canServe reports whether the first mirror is in sync and no paged one is empty.
+func (f *Follower) canServe() bool {
+	for _, m := range f.mirrors {
+		if m.paged && m.isEmpty() {
+			return false
+		}
 	}
-	page.More = true // keys without the near prefix
-	return page, true, nil
+	return f.mirrors[0].InSync()
 }
 
 // startLoad applies the first page of a listing and gets the rest in the background. A mirror that was in
 // sync stays so while peers relay changes, because their copies contain what changed meanwhile.
 func (f *Follower) startLoad(ctx context.Context, m *Mirror, first []platform.Entry) {
-	if _, inSync := m.watchFrom(); inSync && f.opts.Relayed() {
+	if m.InSync() && f.opts.Relayed() {
 		return
 	}
 	afterOutage := f.afterOutage()
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -176,6 +176,71 @@
 	}
 }
 
+// All daemons of a fleet restart, and each reads the same desired state and the same page of replicas. Those
+// that know a few others by name must get both from these, and read by themselves only if nobody has them.
+func TestRestartedDaemonStartsFromPeers(t *testing.T) {
+	for name, peersHaveIt := range map[string]bool{"peers have it": true, "nobody has it": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := newPagedKV(manyReplicas)
+				operators, _, _ := kv.List(t.Context(), "op/") // never fails
+				page, _ := kv.ListPage(t.Context(), "servers/", "", true)
+				kv.pages = 0
+				var f *Follower
+				var op, replicas *Mirror
+				f = New(Options{
+					KV: kv, Lists: func(string) bool { return false }, Relayed: func() bool { return true },
+					AskPeer: func(_ context.Context, prefix string) {
+						switch {
+						case !peersHaveIt:
+						case prefix == "op/":
+							op.applyListing(content{entries: operators, complete: 1})
+						case prefix == "servers/":
+							replicas.applyPage(page.Entries, false)
+						}
+					},
+				})
+				op = f.AddMirror("op/", func(Update) {})
+				replicas = f.AddPagedMirror("servers/", "", func(Update) {})
+				f.AddPagedMirror("daemons/", "servers/0010", func(Update) {}) // any ten keys
+				ctx, cancel := context.WithCancel(t.Context())
+				var done sync.WaitGroup
+				done.Go(func() { _ = f.Run(ctx) }) // ends with ctx
+				defer func() { cancel(); done.Wait() }()
+				_ = sleep.For(ctx, startPatience/2)
+				if known := op.InSync() && len(replicas.existing()) == fleetPageSize; known != peersHaveIt {
+					t.Errorf("the desired state and a page of replicas are known: %t", known)
+				}
+				if n := kv.countPages(); n != 1 {
+					t.Errorf("%d calls to list, want one for the near keys", n)
+				}
+				_ = sleep.For(ctx, startPatience)
+				if !op.InSync() || replicas.isEmpty() {
+					t.Error("the daemon cannot serve after its wait for peers")
+				}
+			})
+		})
+	}
+}
+
+// A daemon that starts may take a part of the registry from a peer that has no more. It must not take the peer's
+// word that this is all.
+func TestPartialCopyIsNoListing(t *testing.T) {
+	has, _ := filledMirror(0, nil)
+	has.applyPage([]platform.Entry{{Key: "p/1", Value: []byte("one"), Revision: 5}}, false)
+	g := newGroup(has)
+	whole, err := g.Read(t.Context(), &ReadRequest{Prefix: "p/", Changes: true, Removals: true})
+	if err != nil || len(whole.Entries) != 0 || whole.Newest != 0 {
+		t.Errorf("a daemon that asks for all gets %v, %v", whole, err)
+	}
+	c := newCopy()
+	lacks := New(Options{}).AddMirror("p/", c.apply)
+	newGroup(lacks).Ask(t.Context(), servePeer(t, g), "p/")
+	if c.get("p/1") != "one" || lacks.InSync() || lacks.Newest() != 0 {
+		t.Errorf("the copy is %v, in sync: %t", c.values, lacks.InSync())
+	}
+}
+
 // Watches end with each outage. A daemon that knows the whole registry must not read it again for that.
 func TestOutageCostsNoListingOfRegistry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -232,6 +232,24 @@
 	return out
 }
 
+// partialEntries returns the entries of a mirror that is out of sync, and false if it is in sync or has none.
+func (m *Mirror) partialEntries() ([]platform.Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.inSync {
+		return nil, false
+	}
+	entries := m.existing()
+	return entries, len(entries) > 0
+}
+
+// isEmpty reports whether no entry is known.
+func (m *Mirror) isEmpty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.entries) == 0
+}
+
 // InSync reports whether the mirror has all entries, up to some revision.
 func (m *Mirror) InSync() bool {
 	_, inSync := m.watchFrom()
