mirror: a part of a peer's entries is merged under the mirror's lock, and a stall lists all again

Found by reading: a part that arrives as the rest is applied would have put the mirror out of sync with nobody to load it, or added an entry that was removed before the listing.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -239,10 +239,11 @@
 }
 
 // isKnown reports whether a mirror need not be listed: a peer gave a copy of it at the start, a watch still
-// reports its changes, or a part is known and the rest is loaded in the background.
+// reports its changes, or a part is known and the rest is loaded in the background. After a stall or a restore
+// all mirrors are listed.
 func (f *Follower) isKnown(ctx context.Context, m *Mirror) bool {
 	switch {
-	case f.compacted:
+	case f.compacted || f.refreshes.Load() != f.refreshed.Load():
 		return false
 	case m.InSync():
 		return m.paged || !f.listed.Load()
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -260,7 +260,7 @@
 	}
 	if resp.Partial {
 		g.countFetch("partial")
-		m.applyPage(resp.content().entries, resp.Lapsing)
+		m.applyPartial(resp.content().entries, resp.Lapsing)
 		return
 	}
 	if m.hasApplied(platform.Revision(resp.Newest)) {
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -133,7 +133,7 @@
 	started := time.Now()
 	patience := minLoadPatience + rand.N(minLoadPatience)
 	for ctx.Err() == nil {
-		if _, inSync := m.watchFrom(); inSync {
+		if m.InSync() {
 			f.opts.Logger.Info("The follower has all keys of a prefix", "prefix", m.prefix, "after_ms", time.Since(started).Milliseconds())
 			return
 		}
@@ -144,7 +144,7 @@
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		f.opts.AskPeer(askCtx, m.prefix)
 		cancel()
-		if _, inSync := m.watchFrom(); !inSync {
+		if !m.InSync() {
 			_ = sleep.For(ctx, askInterval/2+rand.N(askInterval)) // the loop checks ctx
 		}
 	}
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -244,19 +245,30 @@
 // Watches end with each outage. A daemon that knows the whole registry must not read it again for that.
 func TestOutageCostsNoListingOfRegistry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newPagedKV(manyReplicas)
-		d := startLoading(t, kv, Options{})
-		_ = sleep.For(t.Context(), time.Second)
+		var down atomic.Bool
+		kv := &outageKV{pagedKV: newPagedKV(manyReplicas), down: &down}
+		c := newCopy()
+		c.changed = make(chan struct{}, 10_000)
+		f := New(Options{KV: kv, WatchTimeout: func() time.Duration { return time.Second }})
+		f.AddMirror("op/", func(Update) {})
+		f.AddPagedMirror("servers/", "", c.apply)
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { _ = f.Run(ctx) }) // ends with ctx
+		defer func() { cancel(); done.Wait() }()
+		_ = sleep.For(ctx, time.Second)
 		before := kv.countPages()
-		d.follower.Refresh()
+		down.Store(true)
+		_ = sleep.For(ctx, 5*time.Second)
+		down.Store(false)
 		kv.s.put("servers/new", nil)
-		_ = sleep.For(t.Context(), time.Second)
-		if d.count() != manyReplicas+1 || kv.countPages() > before+1 {
-			t.Errorf("%d replicas after %d further calls to list", d.count(), kv.countPages()-before)
+		_ = sleep.For(ctx, 3*time.Second)
+		if !c.has("servers/new") || kv.countPages() > before+1 {
+			t.Errorf("after the outage: %d further calls to list, the new replica is known: %t", kv.countPages()-before, c.has("servers/new"))
 		}
 		kv.s.put("servers/newer", nil)
 		kv.s.compact() // before the watch reports the change
-		_ = sleep.For(t.Context(), time.Second)
+		_ = sleep.For(ctx, time.Second)
 		if kv.countPages() < before+manyReplicas/fleetPageSize {
 			t.Error("the registry is not read again after its history was compacted")
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -125,20 +125,29 @@
 // peer's copy are applied.
 func (m *Mirror) applyPage(entries []platform.Entry, afterOutage bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.inSync = false
-	complete := m.complete
-	m.mu.Unlock()
-	m.applyChanges(entries, complete, afterOutage)
+	m.mergeAndApply(entries, m.complete, afterOutage)
+}
+
+// applyPartial merges a part of a peer's entries. A mirror that is in sync skips them: some may have been removed
+// before its listing.
+func (m *Mirror) applyPartial(entries []platform.Entry, afterOutage bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.inSync {
+		m.mergeAndApply(entries, m.complete, afterOutage)
+	}
 }
 
 // applyWatched merges the changes after a revision, up to revision complete.
 func (m *Mirror) applyWatched(entries []platform.Entry, after, complete platform.Revision, afterOutage bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if after > m.complete {
 		complete = m.complete // the changes before are still to be read
 	}
-	m.mu.Unlock()
-	m.applyChanges(entries, complete, afterOutage)
+	m.mergeAndApply(entries, complete, afterOutage)
 }
 
 // watchFrom returns the revision from which a watch misses no change, and false if the mirror is out of
@@ -154,6 +163,11 @@
 func (m *Mirror) applyChanges(entries []platform.Entry, complete platform.Revision, afterOutage bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.mergeAndApply(entries, complete, afterOutage)
+}
+
+// mergeAndApply is applyChanges under the lock.
+func (m *Mirror) mergeAndApply(entries []platform.Entry, complete platform.Revision, afterOutage bool) {
 	m.complete = max(m.complete, complete)
 	var changed []platform.Entry
 	for _, e := range entries {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -48,6 +48,13 @@
 	return c.values[key]
 }
 
+func (c *recordedCopy) has(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, has := c.values[key]
+	return has
+}
+
 // await waits until a key has a value.
 func (c *recordedCopy) await(t *testing.T, key, want string) {
 	t.Helper()
