--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,17 +132,17 @@
 // countingKV counts renewals and remembers the time to live of the last lease.
 type countingKV struct {
 	platform.KV
-	renewals int
-	ttl      time.Duration
+	renewals atomic.Int64
+	ttl      atomic.Int64
 }
 
 func (c *countingKV) KeepAlive(ctx context.Context, id platform.LeaseID) error {
-	c.renewals++
+	c.renewals.Add(1)
 	return c.KV.KeepAlive(ctx, id)
 }
 
 func (c *countingKV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	c.ttl = ttl
+	c.ttl.Store(int64(ttl))
 	return c.KV.GrantLease(ctx, ttl)
 }
 
@@ -151,7 +152,7 @@
 	for _, c := range []struct {
 		daemons  int
 		ttl      time.Duration
-		renewals int // in a minute
+		renewals int64 // in a minute
 	}{{8, 4 * time.Second, 60}, {95, 4 * time.Second, 60}, {985, 12 * time.Second, 20}, {2000, 12 * time.Second, 20}} {
 		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -166,11 +167,12 @@
 				defer cancel()
 				go func() { _ = r.Run(ctx) }() // ends with ctx
 				time.Sleep(2 * discoveryTime)
-				store.renewals = 0
+				store.renewals.Store(0)
 				time.Sleep(time.Minute)
 				synctest.Wait()
-				if store.ttl != c.ttl || store.renewals < c.renewals-2 || store.renewals > c.renewals+2 {
-					t.Errorf("lease of %s, %d renewals a minute; want %s and %d", store.ttl, store.renewals, c.ttl, c.renewals)
+				ttl, renewals := time.Duration(store.ttl.Load()), store.renewals.Load()
+				if ttl != c.ttl || renewals < c.renewals-2 || renewals > c.renewals+2 {
+					t.Errorf("lease of %s, %d renewals a minute; want %s and %d", ttl, renewals, c.ttl, c.renewals)
 				}
 			})
 		})
