--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -66,25 +66,29 @@
 	follower *Follower
 	replicas *Mirror
 	copy     *recordedCopy
-	near     string // prefix of the keys that are read first
 }
 
-// startLoading starts a daemon, which ends with the test.
-func startLoading(t *testing.T, kv *pagedKV, o Options) *loadingDaemon {
-	return startLoadingNear(t, kv, o, "")
-}
-
-func startLoadingNear(t *testing.T, kv *pagedKV, o Options, near string) *loadingDaemon {
+// newLoading returns a daemon that is not started.
+func newLoading(kv *pagedKV, o Options, near string) *loadingDaemon {
 	o.KV = kv
-	d := &loadingDaemon{kv: kv, follower: New(o), copy: newCopy(), near: near}
+	d := &loadingDaemon{kv: kv, follower: New(o), copy: newCopy()}
 	d.copy.changed = make(chan struct{}, 10_000)
 	d.follower.AddMirror("op/", func(Update) {})
-	d.replicas = d.follower.AddPagedMirror("servers/", d.near, d.copy.apply)
+	d.replicas = d.follower.AddPagedMirror("servers/", near, d.copy.apply)
+	return d
+}
+
+// start starts the daemon, which ends with the test. ask stands for its requests to peers.
+func (d *loadingDaemon) start(t *testing.T, ask func()) {
+	d.follower.opts.AskPeer = func(_ context.Context, prefix string) {
+		if prefix == "servers/" {
+			ask()
+		}
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
 	done.Go(func() { _ = d.follower.Run(ctx) }) // ends with ctx
 	t.Cleanup(func() { cancel(); done.Wait() })
-	return d
 }
 
 func (d *loadingDaemon) count() int {
@@ -104,14 +108,11 @@
 		entries, _, _ := kv.List(t.Context(), "servers/") // never fails
 		kv.pages = 0
 		asked := 0
-		var d *loadingDaemon
-		d = startLoading(t, kv, Options{
-			Lists: func(string) bool { return false },
-			AskPeer: func(context.Context, string) {
-				if asked++; asked == 3 {
-					d.replicas.applyListing(content{entries: entries, complete: manyReplicas + 1})
-				}
-			},
+		d := newLoading(kv, Options{Lists: func(string) bool { return false }}, "")
+		d.start(t, func() {
+			if asked++; asked == 3 {
+				d.replicas.applyListing(content{entries: entries, complete: manyReplicas + 1})
+			}
 		})
 		_ = sleep.For(t.Context(), askInterval/4)
 		if d.count() != fleetPageSize {
@@ -130,7 +131,8 @@
 // The daemons that are to read the registry are all dead or cut off from the service.
 func TestDaemonListsItselfWithoutPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := startLoading(t, newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }})
+		d := newLoading(newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }}, "")
+		d.start(t, func() {})
 		_ = sleep.For(t.Context(), minLoadPatience-time.Second)
 		if d.count() != fleetPageSize {
 			t.Errorf("%d replicas are known while the daemon waits for peers", d.count())
@@ -150,11 +152,8 @@
 		kv := newPagedKV(manyReplicas)
 		entries, at, _ := kv.List(t.Context(), "servers/") // never fails
 		kv.s.remove("servers/00700")
-		var d *loadingDaemon
-		d = startLoading(t, kv, Options{
-			Lists:   func(string) bool { return false },
-			AskPeer: func(context.Context, string) { d.replicas.applyListing(content{entries: entries, complete: at}) },
-		})
+		d := newLoading(kv, Options{Lists: func(string) bool { return false }}, "")
+		d.start(t, func() { d.replicas.applyListing(content{entries: entries, complete: at}) })
 		_ = sleep.For(t.Context(), 2*defaultWatchTimeout)
 		if d.count() != manyReplicas-1 {
 			t.Errorf("%d replicas are known, want %d", d.count(), manyReplicas-1)
@@ -168,7 +167,8 @@
 func TestRestartedDaemonReadsNearKeysFirst(t *testing.T) {
 	for near, first := range map[string]int{"servers/0010": 10, "servers/nothing": fleetPageSize} {
 		synctest.Test(t, func(t *testing.T) {
-			d := startLoadingNear(t, newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }}, near)
+			d := newLoading(newPagedKV(manyReplicas), Options{Lists: func(string) bool { return false }}, near)
+			d.start(t, func() {})
 			_ = sleep.For(t.Context(), time.Second)
 			if d.count() != first || d.replicas.InSync() {
 				t.Errorf("near %s: %d keys are known, in sync: %t", near, d.count(), d.replicas.InSync())
