--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -252,8 +252,9 @@
 	if len(r.Revisions) == 0 {
 		s.send(r, peers)
 	} else {
-		s.send(r, both(peers, informs))
-		s.send(withoutRevisions(r), without(peers, informs))
+		informed, uninformed := split(peers, informs)
+		s.send(r, informed)
+		s.send(withoutRevisions(r), uninformed)
 	}
 	shared := &Report{
 		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing,
@@ -268,28 +269,21 @@
 		s.send(shared, others[n:n+1])
 	}
 	if len(r.Revisions) > 0 {
-		s.send(shared, without(informs, peers))
+		_, notPeers := split(informs, peers)
+		s.send(shared, notPeers)
 	}
 }
 
-// both returns the members of a that are in b.
-func both(a, b []netip.AddrPort) (out []netip.AddrPort) {
+// split divides the members of a into those that are in b and those that are not.
+func split(a, b []netip.AddrPort) (in, out []netip.AddrPort) {
 	for _, address := range a {
 		if slices.Contains(b, address) {
+			in = append(in, address)
+		} else {
 			out = append(out, address)
 		}
 	}
-	return out
-}
-
-// without returns the members of a that are not in b.
-func without(a, b []netip.AddrPort) (out []netip.AddrPort) {
-	for _, address := range a {
-		if !slices.Contains(b, address) {
-			out = append(out, address)
-		}
-	}
-	return out
+	return in, out
 }
 
 // withoutRevisions returns what a report says about replicas, nil if that is nothing.
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -37,11 +37,12 @@
 	return m
 }
 
-// readNear reads the near keys of the paged mirrors, and reports whether they name enough peers to start from.
-func (f *Follower) readNear(ctx context.Context) (found bool) {
+// readNear reads the near keys of the paged mirrors. It returns a mirror whose near keys name enough peers to
+// start from, or nil.
+func (f *Follower) readNear(ctx context.Context) (found *Mirror) {
 	pager, pages := f.opts.KV.(platform.Pager)
 	if !pages {
-		return false
+		return nil
 	}
 	for _, m := range f.mirrors {
 		if m.nearPrefix == "" {
@@ -53,7 +54,7 @@
 			continue // the listing that follows retries
 		}
 		if len(page.Entries) >= minNear {
-			found = true
+			found = m
 			f.startLoad(ctx, m, page.Entries)
 		}
 	}
@@ -61,10 +62,11 @@
 }
 
 // startFromPeers asks the peers that the near keys name for copies, so that daemons that restart together do
-// not all read the same entries from the key-value service. Two of those that know each other first read them
-// for the others. What a daemon has not got within startPatience it lists.
+// not all read the same entries from the key-value service. A daemon that is to list the near mirror reads all
+// entries from the service for the others. What a daemon has not got within startPatience it lists.
 func (f *Follower) startFromPeers(ctx context.Context) {
-	if !f.readNear(ctx) || f.opts.Lists("") {
+	near := f.readNear(ctx)
+	if near == nil || f.opts.Lists(near.prefix) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, startPatience)
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -173,15 +173,6 @@
 	return ((index+1)*groups - 1) / o.size, true
 }
 
-// AllGroups returns the names of the members of each group.
-func (o *Order) AllGroups(groups int) [][]string {
-	out := make([][]string, groups)
-	for group := range out {
-		out[group] = o.Group(group, groups)
-	}
-	return out
-}
-
 // Select returns the names that rendezvous hashing selects: the first count names in an order that depends
 // on the key.
 func Select(names []string, key uint64, count int) []string {
--- a/internal/policy/subset/subset_test.go
+++ b/internal/policy/subset/subset_test.go
@@ -161,7 +161,8 @@
 		want := sortedOrder(members)
 		groups := rapid.IntRange(1, 9).Draw(t, "groups")
 		var got []string
-		for g, names := range order.AllGroups(groups) {
+		for g := range groups {
+			names := order.Group(g, groups)
 			for _, name := range names {
 				if of, ok := order.GroupOf(present[name], groups); of != g || !ok {
 					t.Fatalf("%s of group %d is in group %d", name, g, of)
