reach: a daemon says which services' replicas it does not reach

Neither logs nor metrics told a daemon that has lost its path to all replicas from one whose replicas have all died or are full: each request logged its own failed connection, and prompts were refused as if for load.

--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -73,6 +73,9 @@
 			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: d.Started,
 		})
 	}
+	if len(r.Unreachable) > 0 {
+		s.o.Logger.Debug("A peer reports that replicas accept no connections", "peer", r.From, "replicas", len(r.Unreachable))
+	}
 	s.forEachKnown(r.Unreachable, func(known *replicas.Replica) { known.Suspect(ctx) })
 	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.AvoidFor(now, refusalBackoff) })
 	s.forEachKnown(r.Leaving, func(known *replicas.Replica) { known.MarkLeaving() })
--- a/internal/replicas/health.go
+++ b/internal/replicas/health.go
@@ -91,6 +91,14 @@
 	return true
 }
 
+// RetryNow ends the backoff. If pathWasLost, the replica no longer counts as confirmed down: the connections to it failed for
+// a reason that lies with this daemon.
+func (h *Health) RetryNow(pathWasLost bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.backoffUntil, h.confirmed = time.Time{}, h.confirmed && !pathWasLost
+}
+
 // Down reports whether the replica is known or suspected to accept no connections.
 func (h *Health) Down() bool {
 	h.mu.Lock()
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -45,8 +45,12 @@
 
 // RecordUnreachable records that no connection to the replica could be opened, and notifies the listener.
 func (r *Replica) RecordUnreachable(now time.Time) {
-	if r.Health.RecordDown(now) {
+	changed := r.Health.RecordDown(now)
+	if changed {
 		r.tracked.down.add(r)
+	}
+	r.listeners.failed(r)
+	if changed {
 		r.listeners.down(r)
 	}
 }
@@ -72,27 +76,63 @@
 	r.down, r.probedAt = r.Pool.Probe(ctx) != nil, now
 	if r.down {
 		r.RecordUnreachable(now)
+	} else {
+		r.listeners.reached(r)
 	}
 	return r.down
 }
 
 // RecordAnswer records an answer of the replica; failed is set if it was the replica's own error.
 func (r *Replica) RecordAnswer(now time.Time, failed bool) {
+	r.recordReached(now)
+	r.Health.RecordAnswer(failed)
+}
+
+// recordReached notifies the listener, and assumes that a replica that accepted no connection before has restarted. The
+// listener comes first: it may know that the path was lost instead.
+func (r *Replica) recordReached(now time.Time) {
+	r.listeners.reached(r)
 	if r.Health.ConfirmedDown() {
 		r.AssumeCold(now)
 	}
-	r.Health.RecordAnswer(failed)
 }
 
-// probe checks whether the replica accepts connections. A replica that did not before has usually
-// restarted.
+// Probe checks whether the replica accepts connections, whether or not it did before.
+func (r *Replica) Probe(ctx context.Context) {
+	if r.Health.Down() {
+		r.probe(ctx)
+		return
+	}
+	switch err := r.Pool.Probe(ctx); {
+	case err == nil:
+		r.listeners.reached(r)
+	case ctx.Err() == nil:
+		r.RecordUnreachable(time.Now())
+	}
+}
+
+// probe checks whether a replica that accepted no connections does now. It has usually restarted then.
 func (r *Replica) probe(ctx context.Context) {
 	err := r.Pool.Probe(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	now := time.Now()
-	if err == nil && r.Health.ConfirmedDown() {
-		r.AssumeCold(now)
+	if err == nil {
+		r.recordReached(now)
 	}
 	r.Health.RecordProbe(now, err == nil)
+	if err != nil {
+		r.listeners.failed(r)
+	}
+}
+
+// RetryDown lets the replicas that accepted no connection be probed at once, because this daemon has regained a path. If
+// pathWasLost, the failed connections do not show that a replica restarted.
+func (s *Set) RetryDown(pathWasLost bool) {
+	for _, r := range s.tracked.down.list() {
+		r.Health.RetryNow(pathWasLost)
+	}
 }
 
 // ProbeDown probes the replicas that accepted no connection and whose backoff has passed.
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -139,7 +139,8 @@
 // listeners are notified of what this daemon itself observes at a replica.
 type listeners struct {
 	down, refused, limit, leaving func(*Replica)
-	ownWork                       func() // the work of this daemon changed
+	reached, failed               func(*Replica) // outcome of a connection
+	ownWork                       func()         // the work of this daemon changed
 	room                          func(*Replica)
 }
 
@@ -147,7 +148,7 @@
 func NewSet() *Set {
 	ignore := func(*Replica) {}
 	s := &Set{
-		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, ownWork: func() {}, room: ignore}, tracked: &trackedStates{}, update: newViewUpdate(),
+		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, reached: ignore, failed: ignore, ownWork: func() {}, room: ignore}, tracked: &trackedStates{}, update: newViewUpdate(),
 		byID: map[request.TargetID]*Replica{}, byHash: map[uint64]*Replica{},
 		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, evacuationExpiry: map[string]time.Time{},
 	}
@@ -160,6 +161,14 @@
 // connections. It must be called before the first Apply.
 func (s *Set) OnDown(f func(*Replica)) { s.listeners.down = f }
 
+// OnReached registers a function that is called when a replica answers or accepts a connection, and OnFailed one that is
+// called whenever a connection to a replica could not be opened. Both must be called before the first Apply, and their
+// functions must not block.
+func (s *Set) OnReached(f func(*Replica)) { s.listeners.reached = f }
+
+// OnFailed is described at OnReached.
+func (s *Set) OnFailed(f func(*Replica)) { s.listeners.failed = f }
+
 // OnRefused registers a function that is called when a replica refuses to run a request of this daemon.
 // It must be called before the first Apply.
 func (s *Set) OnRefused(f func(*Replica)) { s.listeners.refused = f }
