replicas: a failed probe after an answer no longer ends the process

What callers would see: a VM that loses its path to the replicas while open connections live on ends by itself, with all its requests. A replica that refuses new connections is probed; an answer on an open connection clears its count of failures while the probe is under way; the probe then fails and shifts by a negative count, which panics.

TestFailedProbeAfterAnswerIsIgnored panicked before. A failed probe of a replica that has answered since is now ignored: the answer is the newer evidence.

--- a/internal/replicas/health.go
+++ b/internal/replicas/health.go
@@ -123,6 +123,9 @@
 		h.down, h.confirmed, h.failures, h.backoffUntil = false, false, 0, time.Time{}
 		return
 	}
+	if !h.down {
+		return // the replica has answered since the probe began
+	}
 	h.confirmed = true
 	h.failures++
 	h.backOff(now)
