--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -105,6 +105,7 @@
 type Set struct {
 	listeners *listeners
 	tracked   *trackedStates
+	wrapDial  func(upstream.DialFunc) upstream.DialFunc // nil: connections are opened directly
 
 	mu         sync.Mutex
 	byID       map[request.TargetID]*Replica
@@ -157,6 +158,10 @@
 	return s
 }
 
+// WrapDial replaces how connections to replicas are opened by what wrap makes of it. It must be called before the first
+// Apply.
+func (s *Set) WrapDial(wrap func(upstream.DialFunc) upstream.DialFunc) { s.wrapDial = wrap }
+
 // OnDown registers a function that is called when this daemon finds that a replica accepts no
 // connections. It must be called before the first Apply.
 func (s *Set) OnDown(f func(*Replica)) { s.listeners.down = f }
@@ -300,6 +305,9 @@
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), id: info.ID, hash: hashOf(info), earlierStarts: earlierStarts,
 		listeners: s.listeners, tracked: s.tracked, coldFor: s.coldFor,
 	}
+	if s.wrapDial != nil {
+		r.Pool.WrapDial(s.wrapDial)
+	}
 	r.Load.replica = r
 	r.info.Store(&info)
 	r.leaving.Store(s.hasDeparted(info.ID, info.Started))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -119,10 +119,13 @@
 	c.Close()
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool holds idle connections to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
-	dialer  *net.Dialer
+	dialer  DialFunc
 	maxIdle int
 	dials   atomic.Uint64
 
@@ -142,9 +145,12 @@
 		}
 		return SetBuffers(raw)
 	}
-	return &Pool{address: address, dialer: dialer, maxIdle: maxIdle}
+	return &Pool{address: address, dialer: dialer.DialContext, maxIdle: maxIdle}
 }
 
+// WrapDial replaces how connections are opened by what wrap makes of it. It must be called before the first use.
+func (p *Pool) WrapDial(wrap func(DialFunc) DialFunc) { p.dialer = wrap(p.dialer) }
+
 // Dials returns the number of connections opened so far.
 func (p *Pool) Dials() uint64 { return p.dials.Load() }
 
@@ -194,7 +200,7 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Add(1)
-	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	raw, err := p.dialer(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
 	}
