forwarding: a daemon that reaches no replica serves its callers through one that does

Cause: a daemon had one way to a replica, its own connection, and took each failed connection as a fault of that replica. When all had failed it refused, although the store, callers and the other daemons reached it and they reached every replica. The class: a loss of the path from here, believed to be a failure at the other end.

Evidence: every refusal came from the cut VMs and followed connections that timed out; the others used the same replicas with 6 % of a core. Ruled out: that the loss spread (peers answered all, and probes of what a cut daemon reports take 2 ms), and that leading callers away would do: they keep an answer of the directory for up to three times its 2 s.

The daemon then forwards the request, before it tries a replica, to a daemon that does not report the same loss. What a request has used up of its attempts, time and retry budget goes with it. At most once: what may have run at the peer is not sent again unless the route allows it, and a refusal is 'not run' only if the peer says so. A peer with an older desired state refuses. When all daemons have lost the replicas, callers are refused at once.

--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -32,9 +32,11 @@
 type ObserverOptions struct {
 	Set *replicas.Set
 	// Known returns the replicas of each service that this daemon uses.
-	Known   func() map[routing.ServiceID][]*replicas.Replica
-	Logger  hclog.Logger
-	Metrics tally.Scope
+	Known func() map[routing.ServiceID][]*replicas.Replica
+	// OnChange is called when a service was lost or is reached again. It must not block. Nil: it is not called.
+	OnChange func()
+	Logger   hclog.Logger
+	Metrics  tally.Scope
 }
 
 // Observer knows which services' replicas this daemon reaches. It is safe for concurrent use.
@@ -155,22 +157,23 @@
 	o.tracker.Prune(now)
 	wasIsolated := o.isolated
 	o.isolated = o.tracker.Isolated(now)
-	regained := false
+	changed, regained := false, false
 	for service, list := range known {
 		since, before := o.lost[service]
 		switch lost := o.tracker.Lost(now, service, idsOf(list)); {
 		case lost && !before:
-			o.lost[service] = now
+			o.lost[service], changed = now, true
 			o.o.Logger.Warn("This daemon reaches no replica of a service", "service", service, "replicas", len(list), "isolated", o.isolated)
 		case !lost && before:
 			delete(o.lost, service)
-			regained = true
+			changed, regained = true, true
 			o.o.Logger.Info("This daemon reaches replicas of a service again", "service", service, "after_ms", now.Sub(since).Milliseconds())
 		}
 	}
 	for service := range o.lost {
 		if _, exists := known[service]; !exists {
 			delete(o.lost, service)
+			changed = true
 		}
 	}
 	isolated := o.isolated
@@ -187,6 +190,9 @@
 	if probe {
 		o.wake()
 	}
+	if changed && o.o.OnChange != nil {
+		o.o.OnChange()
+	}
 }
 
 func idsOf(list []*replicas.Replica) []reach.ReplicaID {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -25,6 +25,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
 	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/weights"
 )
@@ -87,6 +88,8 @@
 	Backlog func() []Demand
 	// OnRooms receives the room of groups; nil: it is ignored.
 	OnRooms func(from request.DaemonID, rooms []GroupRoom)
+	// Lost returns the services none of whose replicas this daemon reaches; nil: it reaches some of all.
+	Lost func() []routing.ServiceID
 	// Lenders returns the daemons that hear of work at a replica, besides Peers; nil: none do.
 	Lenders LendersFunc
 	Logger  hclog.Logger
@@ -118,6 +121,8 @@
 	badRooms   rate.Sometimes // bounds log lines
 	waiting    waitingReport  // guarded by mu
 	peerDemand peerDemand
+	reach      ownReach // guarded by mu
+	peerReach  peerReach
 
 	revisions       []uint64
 	access          kvAccess
@@ -157,6 +162,9 @@
 	if o.OnFailing == nil {
 		o.OnFailing = func(request.DaemonID) {}
 	}
+	if o.Lost == nil {
+		o.Lost = func() []routing.ServiceID { return nil }
+	}
 	if o.Informs == nil {
 		o.Informs = o.Peers
 	}
@@ -278,7 +286,7 @@
 		s.send(withoutRevisions(r), uninformed)
 	}
 	shared := &Report{
-		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing,
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing, Reach: r.Reach,
 	}
 	switch {
 	case len(r.States)+len(r.Deaths) > 0:
@@ -289,7 +297,7 @@
 		n := rand.IntN(len(others))
 		s.send(shared, others[n:n+1])
 	}
-	if len(r.Revisions) > 0 {
+	if len(r.Revisions) > 0 || r.Reach != nil {
 		_, notPeers := split(informs, peers)
 		s.send(shared, notPeers)
 	}
@@ -315,13 +323,13 @@
 	return &Report{
 		From: r.From, Work: r.Work, ChangesOnly: r.ChangesOnly, Placed: r.Placed, States: r.States, Deaths: r.Deaths,
 		Unreachable: r.Unreachable, Refusing: r.Refusing, Leaving: r.Leaving, Limits: r.Limits, Speeds: r.Speeds,
-		Rooms: r.Rooms, Waiting: r.Waiting,
+		Rooms: r.Rooms, Waiting: r.Waiting, Reach: r.Reach,
 	}
 }
 
 // isEmpty reports whether a report has no content besides the sender's flags and revisions.
 func isEmpty(r *Report) bool {
-	return len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving)+len(r.Rooms)+len(r.Waiting)+len(r.Speeds) == 0
+	return r.Reach == nil && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving)+len(r.Rooms)+len(r.Waiting)+len(r.Speeds) == 0
 }
 
 func (s *Reporter) send(r *Report, to []netip.AddrPort) {
@@ -347,6 +355,7 @@
 	if s.o.Backlog != nil {
 		backlog = s.o.Backlog()
 	}
+	lost := s.o.Lost()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
@@ -359,6 +368,7 @@
 	r.Rooms, s.rooms = messages(s.rooms[:rooms]), s.rooms[rooms:]
 	r.Waiting = s.nextWaiting(now, backlog)
 	r.Speeds = s.dueSpeeds(now)
+	r.Reach = s.reach.due(now, lost)
 	if len(s.placed)+len(s.deaths)+len(s.limits)+len(s.rooms) > 0 {
 		s.Wake()
 	}
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -51,6 +51,7 @@
 	if r.Relays {
 		s.o.OnRelay()
 	}
+	s.peerReach.apply(now, request.DaemonID(r.From), r.Reach)
 	if len(r.Work) > 0 {
 		s.applyWork(now, r)
 	}
@@ -76,7 +77,11 @@
 	if len(r.Unreachable) > 0 {
 		s.o.Logger.Debug("A peer reports that replicas accept no connections", "peer", r.From, "replicas", len(r.Unreachable))
 	}
-	s.forEachKnown(r.Unreachable, func(known *replicas.Replica) { known.Suspect(ctx) })
+	s.forEachKnown(r.Unreachable, func(known *replicas.Replica) {
+		if !s.peerReach.has(now, request.DaemonID(r.From), known.Info().Service) {
+			known.Suspect(ctx)
+		}
+	})
 	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.AvoidFor(now, refusalBackoff) })
 	s.forEachKnown(r.Leaving, func(known *replicas.Replica) { known.MarkLeaving() })
 	for _, l := range r.Limits {
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -12,14 +12,18 @@
 )
 
 // accept reads the complete request and resolves its route, organisation, service and deadline.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*Job, error) {
-	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header}
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, from *received) (*Job, error) {
+	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header, received: from}
 	meta, metaErr := s.o.Dialect.ParseRequest(r.Header)
 	j.Meta = meta // set before any refusal, whose log line includes it
 	state, current := s.o.State()
 	if state == nil {
 		return j, request.Refuse(request.CodeStale, http.StatusServiceUnavailable, s.notReadyRetryAfter(), "no desired state is known yet")
 	}
+	j.stateVersion = state.Version
+	if err := s.admitReceived(state, from); err != nil {
+		return j, err
+	}
 	path := rawPath(r.RequestURI)
 	j.Route = state.Match(r.Host, path)
 	if j.Route == nil {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	a.outcome = mayHaveRun
-	a.placement.Replica.Health.RecordFailure(time.Now())
+	a.recordFailure()
 	return false
 }
 
@@ -121,6 +121,9 @@
 		w.Header().Set("Retry-After", fmt.Sprintf("%.3f", e.RetryAfter.Seconds()))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if j.received != nil {
+		setRefusalHeader(w.Header(), e)
+	}
 	s.closeIfDraining(w)
 	s.o.Metrics.Tagged(map[string]string{"code": string(e.Code)}).Counter("refused").Inc(1)
 	args := []any{"request", j.ID, "status", e.Status, "code", e.Code, "ran", e.Ran,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
 
@@ -31,6 +32,7 @@
 // attempt is one transmission of a job to a replica.
 type attempt struct {
 	placement    *Placement
+	peer         *Peer // the daemon to which the request was forwarded; nil: it was sent to a replica
 	response     *upstream.Response
 	meta         ResponseMeta
 	body         []byte   // complete response body if it was buffered, otherwise nil
@@ -82,6 +84,25 @@
 	if a.placement.OnEnd != nil {
 		a.placement.OnEnd(a.outcome != notRun && a.outcome != notSent)
 	}
+	if a.peer != nil {
+		a.peer.End(a.peerUnable())
+	}
+}
+
+// peerUnable reports whether the daemon to which the request was forwarded could not serve it for a reason of its own.
+func (a *attempt) peerUnable() bool {
+	if a.outcome != notSent {
+		return false
+	}
+	var refusal *request.Error
+	return !errors.As(a.err, &refusal) || isUnable(refusal.Code)
+}
+
+// recordFailure records that the response broke off.
+func (a *attempt) recordFailure() {
+	if a.peer == nil {
+		a.placement.Replica.Health.RecordFailure(time.Now())
+	}
 }
 
 // maxBufferedBody bounds the responses that are buffered before delivery, so that a truncated
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -51,9 +51,10 @@
 	}()
 }
 
-// recordSuccess reports to the CrashTracker that a replica answered the request.
-func (s *Server) recordSuccess(ctx context.Context, j *Job) {
-	if s.o.CrashTracker != nil {
+// recordSuccess reports to the CrashTracker that a replica answered the request. The daemon to which a request was forwarded
+// reports it itself.
+func (s *Server) recordSuccess(ctx context.Context, j *Job, a *attempt) {
+	if s.o.CrashTracker != nil && a.peer == nil {
 		s.o.CrashTracker.RecordSuccess(context.WithoutCancel(ctx), j.fingerprint)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -36,7 +36,7 @@
 func (plainDialect) CallerKey(h http.Header) string { return h.Get("Key") }
 
 func (plainDialect) AttemptHeader(h http.Header, s AttemptMeta) http.Header {
-	out := http.Header{"Id": h["Id"], "Left": {strconv.FormatInt(s.TimeLeft.Milliseconds(), 10)}, "Org": {string(s.Org)}}
+	out := http.Header{"Id": h["Id"], "Last": h["Last"], "Left": {strconv.FormatInt(s.TimeLeft.Milliseconds(), 10)}, "Org": {string(s.Org)}}
 	if s.LastEventID != "" {
 		out["Last"] = []string{s.LastEventID}
 	}
@@ -54,6 +54,14 @@
 	return a
 }
 
+func (plainDialect) ForwardHeader(h http.Header, timeLeft time.Duration, lastEventID string) http.Header {
+	out := http.Header{"Id": h["Id"], "Key": h["Key"], "Last": h["Last"], "Left": {strconv.FormatInt(timeLeft.Milliseconds(), 10)}}
+	if lastEventID != "" {
+		out.Set("Last", lastEventID)
+	}
+	return out
+}
+
 func (plainDialect) CopyResponseHeader(to, from http.Header) {
 	for _, name := range []string{"Id", "Signed", "Content-Type"} {
 		if v := from[name]; v != nil {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -50,6 +50,7 @@
 
 // Options configures New.
 type Options struct {
+	Self    request.DaemonID
 	Dialect Dialect
 	// Engines places requests for model replicas, Plain places requests for all other services.
 	Engines Placer
@@ -69,6 +70,10 @@
 	Memory memory.Params
 	// StallTimeout is how long a caller may make no progress while it sends a body or takes a response; zero: DefaultStallTimeout.
 	StallTimeout time.Duration
+	// Peers chooses daemons to which requests are forwarded while this one is partitioned from replicas; nil: none is.
+	Peers Peers
+	// MaxReceived bounds the requests that other daemons forward to this one and that are in progress; zero: it takes none.
+	MaxReceived int
 	// Room holds the requests that wait for room at the replicas; nil: none waits.
 	Room    *waiting.Room
 	Logger  hclog.Logger
@@ -81,6 +86,7 @@
 	draining     atomic.Bool
 	streamCutoff monotime.Instant // while draining, the time from which new streams are refused
 	inFlight     atomic.Int64
+	received     atomic.Int64 // requests in progress that other daemons forwarded
 	memory       *budget
 
 	timeToFirst    map[routing.Kind]tally.Histogram // latency of the first event, or of the complete response
@@ -132,12 +138,15 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handle(w, r, nil) }
+
+// handle serves a request of a caller, or one that another daemon forwarded.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, from *received) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	out := newProgressWriter(w, s.o.StallTimeout)
 	w = out
-	j, err := s.accept(w, r)
+	j, err := s.accept(w, r, from)
 	defer s.end(j, out)
 	if err != nil {
 		s.writeError(w, j, err)
@@ -156,61 +165,104 @@
 
 // serve makes attempts until the job is answered or no further attempt is allowed.
 func (s *Server) serve(ctx context.Context, w http.ResponseWriter, j *Job) {
-	s.withBudget(j.Service.ID, func(b *retry.Budget) bool { b.OnFirstAttempt(time.Now()); return true })
 	out := &sink{w: w, control: http.NewResponseController(w), lastEventID: j.LastEventID}
-	var tried []request.TargetID
-	var n attemptCounts
+	h := newHistory(j)
 	for {
 		j.ResponseStarted = out.started
-		p, err := s.place(ctx, j, tried)
+		a, err := s.attempt(ctx, j, out, h)
 		if err != nil {
-			s.finishUnanswered(ctx, w, j, out, n.mayHaveRun > 0, err)
+			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, err)
 			return
 		}
-		if out.lastEventID != j.LastEventID {
-			p.Meta.LastEventID = out.lastEventID
-		}
-		a := s.send(ctx, j, p)
 		if a.outcome == answered {
 			if s.deliver(ctx, w, j, out, a) {
-				s.recordSuccess(ctx, j)
+				s.recordSuccess(ctx, j, a)
 				return
 			}
 		}
-		n.add(a.outcome)
-		if a.outcome == mayHaveRun && a.err != nil && !a.startOverdue.Load() {
-			s.checkForCrash(j, p.Replica)
+		h.add(a)
+		if a.peer == nil && a.outcome == mayHaveRun && a.err != nil && !a.startOverdue.Load() {
+			s.checkForCrash(j, a.placement.Replica)
 		}
-		if a.outcome == failed && !s.mayRunAgain(ctx, j, n) {
+		if a.outcome == failed && !s.mayRunAgain(ctx, j, h) {
 			s.deliverComplete(w, j, a)
 			return
 		}
-		s.logFailedAttempt(j, a, n.sent+n.unsent)
+		s.logFailedAttempt(j, a, h.sent+h.unsent+len(h.peers))
 		a.release(a.body != nil)
-		tried = append(tried, p.Meta.Replica)
-		if ctx.Err() != nil || a.outcome == cancelled || !s.mayRetry(ctx, j, a, n, out) {
-			s.finishUnanswered(ctx, w, j, out, n.mayHaveRun > 0, a.err)
+		if ctx.Err() != nil || a.outcome == cancelled || !s.mayRetry(ctx, j, a, h, out) {
+			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, a.err)
 			return
 		}
 	}
 }
 
-// attemptCounts counts the attempts of a request.
-type attemptCounts struct {
+// attempt sends the request to a replica, or to another daemon if this one has lost the path to the replicas. An error means
+// that there is neither.
+func (s *Server) attempt(ctx context.Context, j *Job, out *sink, h *history) (*attempt, error) {
+	if a := s.forward(ctx, j, out, h, false); a != nil {
+		return a, nil
+	}
+	if s.o.Peers != nil && s.o.Peers.Lost(j.Service.ID) {
+		return nil, h.lostRefusal()
+	}
+	p, err := s.place(ctx, j, h.replicas)
+	if err != nil {
+		if a := s.forward(ctx, j, out, h, true); a != nil {
+			return a, nil
+		}
+		return nil, err
+	}
+	if out.lastEventID != j.LastEventID {
+		p.Meta.LastEventID = out.lastEventID
+	}
+	s.countRequest(j, h)
+	return s.send(ctx, j, p), nil
+}
+
+// countRequest adds the request to those from which the retry budget is earned, once for all daemons.
+func (s *Server) countRequest(j *Job, h *history) {
+	if h.counted {
+		return
+	}
+	h.counted = true
+	s.withBudget(j.Service.ID, func(b *retry.Budget) bool { b.OnFirstAttempt(time.Now()); return true })
+}
+
+// history is what was tried for a request.
+type history struct {
 	unsent     int // attempts that reached no replica
 	sent       int
-	mayHaveRun int // sent attempts whose request may have run
+	mayHaveRun int  // sent attempts whose request may have run
+	counted    bool // the request counts for the retry budget
+	final      bool // another daemon has tried what may be tried
+	replicas   []request.TargetID
+	peers      []request.DaemonID
+	refusal    *request.Error // of the last peer; nil: none refused
 }
 
-func (n *attemptCounts) add(o outcome) {
-	switch o {
+// newHistory returns the history of a request before the first attempt of this daemon.
+func newHistory(j *Job) *history {
+	if j.received == nil {
+		return &history{}
+	}
+	return &history{sent: j.received.mayHaveRun, mayHaveRun: j.received.mayHaveRun, counted: j.received.counted, replicas: j.received.replicas}
+}
+
+func (h *history) add(a *attempt) {
+	if a.peer != nil {
+		h.addPeer(a)
+		return
+	}
+	h.replicas = append(h.replicas, a.placement.Meta.Replica)
+	switch a.outcome {
 	case notSent:
-		n.unsent++
+		h.unsent++
 	case notRun:
-		n.sent++
+		h.sent++
 	default:
-		n.sent++
-		n.mayHaveRun++
+		h.sent++
+		h.mayHaveRun++
 	}
 }
 
@@ -223,22 +275,24 @@
 
 // mayRetry reports whether another attempt may follow a failed one. It charges the retry budget
 // where the retry requires it.
-func (s *Server) mayRetry(ctx context.Context, j *Job, a *attempt, n attemptCounts, out *sink) bool {
+func (s *Server) mayRetry(ctx context.Context, j *Job, a *attempt, h *history, out *sink) bool {
 	switch {
+	case h.final:
+		return false
 	case a.outcome == failed:
 		return true // mayRunAgain has allowed and charged the retry
 	case a.outcome == notSent:
-		return n.unsent < maxUnsentAttempts && time.Until(j.Deadline) > minTimeLeft
+		return h.unsent < maxUnsentAttempts && time.Until(j.Deadline) > minTimeLeft
 	case a.outcome == notRun && !out.started:
-		return n.sent < maxSentAttempts && time.Until(j.Deadline) > minTimeLeft && s.takeRetry(j)
+		return h.sent < maxSentAttempts && time.Until(j.Deadline) > minTimeLeft && s.takeRetry(j)
 	}
-	return s.mayRunAgain(ctx, j, n)
+	return s.mayRunAgain(ctx, j, h)
 }
 
 // mayRunAgain reports whether a request that ran or may have run may be sent again, and charges the
 // retry budget.
-func (s *Server) mayRunAgain(ctx context.Context, j *Job, n attemptCounts) bool {
-	if !j.Route.Repeatable() || n.mayHaveRun >= j.Route.MaxAttempts || n.sent >= maxSentAttempts {
+func (s *Server) mayRunAgain(ctx context.Context, j *Job, h *history) bool {
+	if !j.Route.Repeatable() || h.mayHaveRun >= j.Route.MaxAttempts || h.sent >= maxSentAttempts {
 		return false
 	}
 	if ctx.Err() != nil || time.Until(j.Deadline) < minTimeLeft {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -81,6 +81,9 @@
 	AttemptHeader(h http.Header, s AttemptMeta) http.Header
 	// ParseResponse parses a replica's headers.
 	ParseResponse(status int, h http.Header) ResponseMeta
+	// ForwardHeader returns the headers with which another daemon gets a request: the caller's own without connection
+	// headers, with the time that is left, and with the event after which a stream resumes unless it is empty.
+	ForwardHeader(h http.Header, timeLeft time.Duration, lastEventID string) http.Header
 	// CopyResponseHeader copies a replica's headers to the caller's response.
 	CopyResponseHeader(to, from http.Header)
 }
@@ -104,6 +107,9 @@
 
 	memory *holding // of Body, and of the buffers of a stream
 	wait   waitRecord
+	// stateVersion is the version of the desired state by which the request was accepted.
+	stateVersion uint64
+	received     *received // what the daemon that forwarded the request tells; nil: it came from the caller
 }
 
 // OrgID returns the organisation's id, empty if there is none.
