directory: callers are led away from VMs that reach no replica

A failure domain that loses more than half of its capacity so is filled up from its region, as before.

--- a/internal/policy/spread/losses.go
+++ b/internal/policy/spread/losses.go
@@ -66,11 +66,11 @@
 // not be.
 func (l *Losses) Expires() (time.Time, bool) { return l.expires, !l.expires.IsZero() }
 
-// carried returns what the members of each failure domain that are not silent can carry.
+// carried returns what the members of each failure domain that are not to be avoided can carry.
 func (f *Fleet) carried() map[string]carriable {
 	out := map[string]carriable{}
 	for _, m := range f.members {
-		if m.vm.Silent {
+		if m.vm.avoided() {
 			continue
 		}
 		sum := out[m.vm.FailureDomain]
@@ -110,7 +110,7 @@
 			rest = append(rest, members...)
 		}
 	}
-	rest = slices.DeleteFunc(f.withoutSilent(inOrder(rest)), func(m member) bool { return contains(chosen, m) })
+	rest = slices.DeleteFunc(f.withoutAvoided(inOrder(rest)), func(m member) bool { return contains(chosen, m) })
 	count := min(len(rest), minAddresses-len(chosen))
 	if count == 0 {
 		return chosen
--- a/internal/policy/spread/spread.go
+++ b/internal/policy/spread/spread.go
@@ -54,8 +54,12 @@
 	Serves        bool    // whether it accepts callers now
 	Group         int     // daemons of one group share replicas; groups have equal numbers of them
 	Silent        bool    // whether it is presumably dead, stalled or cut off
+	Cut           bool    // whether it reaches no replica, and serves its callers through other daemons
 }
 
+// avoided reports whether callers are not told of a VM while enough others are near.
+func (vm *VM) avoided() bool { return vm.Silent || vm.Cut }
+
 // Caller is a caller that asks for addresses.
 type Caller struct {
 	Key           uint64 // the same for all its questions
@@ -68,7 +72,7 @@
 type Fleet struct {
 	members []member // in the order of the VMs
 	domains map[string][]member
-	silent  bool            // whether some are silent
+	avoided bool            // whether some are to be avoided
 	reduced map[string]bool // failure domains that carry much less than lately
 }
 
@@ -92,7 +96,7 @@
 		m := member{index: i, vm: vm, hash: xxhash.Sum64String(vm.Name), weight: weights[i]}
 		f.members = append(f.members, m)
 		f.domains[vm.FailureDomain] = append(f.domains[vm.FailureDomain], m)
-		f.silent = f.silent || vm.Silent
+		f.avoided = f.avoided || vm.avoided()
 	}
 	return f
 }
@@ -161,7 +165,7 @@
 // Answer returns the addresses for a caller, at most MaxAddresses. callers is the number of callers with
 // different keys: with few of them, answers are longer.
 func (f *Fleet) Answer(c Caller, callers int, regionOf func(domain string) routing.Region) []string {
-	candidates := f.withoutSilent(f.near(c, regionOf))
+	candidates := f.withoutAvoided(f.near(c, regionOf))
 	count := answerLength(candidates, callers)
 	chosen := candidates
 	if count < len(candidates) {
@@ -211,17 +215,17 @@
 	return f.members
 }
 
-// withoutSilent omits silent daemons, unless too few others are left. A silent daemon may serve all the same, so
-// that callers are not told of daemons farther away because of it.
-func (f *Fleet) withoutSilent(members []member) []member {
-	if !f.silent {
+// withoutAvoided omits daemons that are to be avoided, unless too few others are left. They may serve all the same, so that
+// callers are not told of daemons farther away because of them.
+func (f *Fleet) withoutAvoided(members []member) []member {
+	if !f.avoided {
 		return members
 	}
-	heard := slices.DeleteFunc(slices.Clone(members), func(m member) bool { return m.vm.Silent })
-	if len(heard) < min(len(members), minLocal) {
+	kept := slices.DeleteFunc(slices.Clone(members), func(m member) bool { return m.vm.avoided() })
+	if len(kept) < min(len(members), minLocal) {
 		return members
 	}
-	return heard
+	return kept
 }
 
 // inOrder sorts members into the order of the VMs.
@@ -302,7 +306,7 @@
 
 // SharesIn is Shares for one failure domain. It leaves out daemons of other failure domains.
 func (f *Fleet) SharesIn(domain string, callers int) map[string]float64 {
-	members := slices.Clone(f.withoutSilent(f.domains[domain]))
+	members := slices.Clone(f.withoutAvoided(f.domains[domain]))
 	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(b.weight, a.weight) })
 	length := float64(answerLength(members, callers))
 	total := 0.0
