Leased roles move away from a daemon that reaches no replica

Callers of all daemons would see replaced weights for as long as the partition lasts, and prompts computed again whose parts lie in a store nobody follows.

A daemon that has reached no replica for a second, while a peer does, releases the weights lease (as at a planned stop: not before its last order has expired) and the stores whose next owner can learn of all readers, and acquires none. If no daemon reaches the replicas, roles stay where they are.

--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,6 +174,45 @@
 	}
 }
 
+// The owner of a store is cut off from it, though not from the key-value service. Another daemon must become the owner, and
+// the first one must not take the store back before it reaches it.
+func TestOwnerThatIsCutOffGivesItsStoresUp(t *testing.T) {
+	fake, store := kv.NewFake(time.Now), &fakeStore{epoch: 1, parts: map[storecache.Key]int{}}
+	services := []*routing.Service{service("s", 1000, 1000)}
+	var cut atomic.Bool
+	start := func(id request.DaemonID, able func() bool) *Owner {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := fake.Client(string(id))
+		leases := lease.NewManager(lease.Options{KV: client, Self: id, Address: string(id) + ":1", TTL: time.Second, Margin: 200 * time.Millisecond})
+		owner := NewOwner(Options{
+			KV: client, Self: id, Leases: leases, API: store, Stores: func() []*routing.Service { return services },
+			Rank: func(routing.ServiceID) int { return 0 }, TokenBytes: func() int { return 1000 }, Able: able,
+		})
+		var runs sync.WaitGroup
+		for _, run := range []func(context.Context) error{leases.Run, owner.Run} {
+			runs.Go(func() { _ = run(ctx) }) // ends with ctx
+		}
+		t.Cleanup(func() { cancel(); runs.Wait() })
+		return owner
+	}
+	await := func(what string, is func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("timed out waiting until ", what)
+			}
+		}
+	}
+	first := start("a", func() bool { return !cut.Load() })
+	await("the first daemon owns the store", func() bool { return first.lookup("s") != nil })
+	second := start("b", nil)
+	cut.Store(true)
+	await("the second daemon owns the store", func() bool { return second.lookup("s") != nil })
+	if first.lookup("s") != nil {
+		t.Error("two daemons own the store")
+	}
+}
+
 // A part is saved once. It may be fetched once the store has it, and no longer after the store
 // restarted empty.
 func TestPartIsSavedFetchedAndLost(t *testing.T) {
--- a/internal/contextstore/owner.go
+++ b/internal/contextstore/owner.go
@@ -71,8 +71,11 @@
 	LeaseEpoch func(store routing.ServiceID) uint64
 	// TokenBytes returns the size of a token's KV cache; zero if it is not known yet.
 	TokenBytes func() int
-	Logger     hclog.Logger
-	Metrics    tally.Scope
+	// Able reports whether this daemon reaches stores and replicas, or no daemon does. One that is not able gives its stores
+	// up. If nil, it always is.
+	Able    func() bool
+	Logger  hclog.Logger
+	Metrics tally.Scope
 }
 
 // Owner owns the stores that are assigned to this daemon. It implements Keeper.
@@ -109,20 +112,47 @@
 	o.mu.Unlock()
 	for _, owned := range stores {
 		l := owned.retire()
-		if !owned.mayReleaseLease() {
-			continue // the lease must expire, which tells the next owner that there may be readers
+		if owned.mayReleaseLease() { // otherwise it must expire, which tells the next owner that there may be readers
+			o.release(ctx, owned, l)
 		}
-		if err := l.Release(ctx); err != nil {
-			o.opts.Logger.Warn("Failed to release a context store; its lease will expire", "store", owned.id, "error", err)
+	}
+}
+
+func (o *Owner) release(ctx context.Context, owned *ownedStore, l *lease.Lease) {
+	if err := l.Release(ctx); err != nil {
+		o.opts.Logger.Warn("Failed to release a context store; its lease will expire", "store", owned.id, "error", err)
+	}
+}
+
+// able reports whether this daemon may own stores. If not, it releases those whose next owner can learn of all readers; the
+// others follow once it can.
+func (o *Owner) able(ctx context.Context) bool {
+	if o.opts.Able == nil || o.opts.Able() {
+		return true
+	}
+	o.mu.Lock()
+	stores := slices.Collect(maps.Values(o.stores))
+	o.mu.Unlock()
+	for _, owned := range stores {
+		if !owned.mayReleaseLease() {
+			continue
 		}
+		o.opts.Logger.Info("This daemon reaches no replica and gives a context store up", "store", owned.id)
+		o.mu.Lock()
+		delete(o.stores, owned.id)
+		o.mu.Unlock()
+		o.release(ctx, owned, owned.retire())
 	}
+	return false
 }
 
 // Run acquires stores that have no owner until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	for ctx.Err() == nil && !o.leaving.Load() {
-		for _, store := range o.opts.Stores() {
-			o.acquireIfDue(ctx, store)
+		if o.able(ctx) {
+			for _, store := range o.opts.Stores() {
+				o.acquireIfDue(ctx, store)
+			}
 		}
 		_ = sleep.For(ctx, o.acquireCheckInterval()) // the loop checks ctx itself
 	}
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -50,6 +50,7 @@
 	tracker  reach.Tracker
 	lost     map[routing.ServiceID]time.Time // services, and since when
 	isolated bool                            // all services with replicas are lost
+	since    time.Time                       // when that began
 	probedAt time.Time
 }
 
@@ -108,6 +109,16 @@
 	return o.isolated
 }
 
+// IsolatedFor reports whether this daemon has reached no replica for a duration.
+func (o *Observer) IsolatedFor(d time.Duration) bool {
+	if !o.failing.Load() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isolated && time.Since(o.since) >= d
+}
+
 // LostServices returns the services whose replicas this daemon does not reach, in order.
 func (o *Observer) LostServices() []routing.ServiceID {
 	if !o.failing.Load() {
@@ -177,6 +188,9 @@
 		}
 	}
 	isolated := o.isolated
+	if isolated && !wasIsolated {
+		o.since = now
+	}
 	o.o.Metrics.Gauge("services_lost").Update(float64(len(o.lost)))
 	probe := o.tracker.Suspected(now) || len(o.lost) > 0
 	o.failing.Store(probe || o.tracker.Any())
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -264,7 +264,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n", id)
 		<-firstArrived
 		_, _ = io.WriteString(c, "id: 2\nda") // breaks off in an event
-		_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+		_ = c.(*net.TCPConn).SetLinger(0)     // fails only on a closed connection
 	})
 	second := newFixture(t, r)
 	second.server.o.MaxReceived = 10
--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -127,6 +127,9 @@
 	RequestedVersions func() map[request.Model]uint64
 	// Rank returns this daemon's position among the candidates for the lease, 0 first.
 	Rank func() int
+	// Able reports whether this daemon reaches replicas, or no daemon does. One that is not able gives the lease up. Nil: it
+	// always is.
+	Able func() bool
 	// OutdatedSince reports whether a newer version was requested, and since when.
 	OutdatedSince func(m request.Model, version uint64) (since time.Time, outdated bool)
 	// Announce sends a replica's state to peers; may be nil.
@@ -149,6 +152,7 @@
 	orderRecord    *orderRecord                   // set while the lease is held
 	inheritedUntil map[request.TargetID]time.Time // until when orders of the previous holder may be pending
 
+	leading  atomic.Bool // it held the lease in the last iteration
 	stopping atomic.Bool
 	stopped  chan struct{}    // closed once the lease is released
 	lastSent monotime.Instant // when the last order was sent
@@ -183,6 +187,7 @@
 		if c.reconcile(ctx) {
 			next = reconcileInterval
 		}
+		c.leading.Store(c.holdsLease())
 		_ = sleep.For(ctx, next) // the loop condition checks ctx
 	}
 	return nil
@@ -213,6 +218,18 @@
 	c.o.Logger.Info("Released the weights lease", "epoch", c.lease.Epoch())
 }
 
+// yield gives the lease to a daemon that reaches the replicas. Orders sent by this one may still be pending, which the next
+// holder reads from the order record.
+func (c *Controller) yield(ctx context.Context) {
+	c.outdatedSince = time.Time{}
+	if !c.holdsLease() {
+		return
+	}
+	c.o.Logger.Info("This daemon reaches no replica and gives the weights lease up", "epoch", c.lease.Epoch())
+	c.releaseLease(ctx)
+	c.lease = nil
+}
+
 // outdatedReplica is a replica that serves an older version than the requested one.
 type outdatedReplica struct {
 	replica *replicas.Replica
@@ -223,6 +240,10 @@
 // reconcile runs one iteration of the rollout and reports whether replicas are outdated.
 func (c *Controller) reconcile(ctx context.Context) bool {
 	now := time.Now()
+	if c.o.Able != nil && !c.o.Able() {
+		c.yield(ctx)
+		return false
+	}
 	if !c.holdsLease() && c.o.Rank() > lastCandidate {
 		c.outdatedSince = time.Time{}
 		return false // without a look at all replicas
@@ -291,6 +312,9 @@
 	return outdated
 }
 
+// HoldsLease reports whether this daemon runs the rollout.
+func (c *Controller) HoldsLease() bool { return c.leading.Load() }
+
 func (c *Controller) holdsLease() bool { return c.lease != nil && c.lease.Valid() }
 
 // ensureLease reports whether this daemon holds the lease, and tries to acquire it if it is this
