A lost path no longer makes requests count as ones that crash replicas

What callers would see: requests that were in flight when a VM lost its path to the replicas are refused on all VMs for half an hour, if their callers send the same again.

A connection that breaks counts as a crash if the replica accepts no new one. A death now needs a witness: one of up to three other replicas that this daemon does reach. Without any other replica it counts as before.

--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -26,6 +26,8 @@
 	probeInterval = 250 * time.Millisecond
 	// maxProbes bounds the replicas that are probed at once.
 	maxProbes = 4
+	// maxWitnesses bounds the replicas that are probed to tell a replica's death from the loss of the path to it.
+	maxWitnesses = 3
 )
 
 // ObserverOptions configures an Observer.
@@ -249,6 +251,31 @@
 	}
 }
 
+// PathIsSound reports whether this daemon reaches another replica than one that it does not reach. It probes some. Without
+// other replicas the path counts as sound.
+func (o *Observer) PathIsSound(ctx context.Context, unreached *replicas.Replica) bool {
+	var others []*replicas.Replica
+	for _, list := range o.o.Known() {
+		others = append(others, list...)
+	}
+	others = slices.DeleteFunc(others, func(r *replicas.Replica) bool { return r == unreached })
+	if len(others) == 0 {
+		return true
+	}
+	rand.Shuffle(len(others), func(i, k int) { others[i], others[k] = others[k], others[i] })
+	others = others[:min(maxWitnesses, len(others))]
+	reached := make(chan bool, len(others))
+	for _, r := range others {
+		go func() { reached <- !r.IsDown(ctx) }()
+	}
+	for range others {
+		if <-reached {
+			return true
+		}
+	}
+	return false
+}
+
 // toProbe returns a random sample of the replicas whose state would change what this daemon knows: those of lost services,
 // and if it may have lost all, those that have not failed.
 func (o *Observer) toProbe(now time.Time) []*replicas.Replica {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -46,6 +46,10 @@
 		if !r.IsDown(ctx) {
 			return
 		}
+		if s.o.PathIsSound != nil && !s.o.PathIsSound(ctx, r) {
+			s.o.Metrics.Counter("crashes_not_counted").Inc(1)
+			return // this daemon lost the path to the replicas, which may all be alive
+		}
 		// A replica may restart under its id. The start time makes each of its crashes count once.
 		s.o.CrashTracker.RecordCrash(ctx, quarantine.CrashReport{Fingerprint: j.fingerprint(), Target: r.Info().ID, Incarnation: uint64(r.Info().Started)})
 	}()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/monotime"
 	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 	"github.com/bluebellscale/bluebellscale/internal/waiting"
@@ -66,6 +67,8 @@
 	WaitPolicy  WaitPolicy // of requests that may wait in Room
 	// CrashTracker refuses requests that crash replicas; nil: no request is refused.
 	CrashTracker CrashTracker
+	// PathIsSound reports whether this daemon reaches other replicas than one that it does not reach; nil: it always does.
+	PathIsSound func(ctx context.Context, unreached *replicas.Replica) bool
 	// Memory bounds what the daemon holds in memory for requests; the zero value does not.
 	Memory memory.Params
 	// StallTimeout is how long a caller may make no progress while it sends a body or takes a response; zero: DefaultStallTimeout.
