brittle replicas: daemons bound how much each has to reject

New on the users' pages: replicas may say in all answers that they are brittle (Server-Brittle = N). They then accept fewer requests, and one that rejects more than N in a second falls over with all that it runs. Callers of all daemons would lose those.

Daemons did not read the header, and tried a full replica again as soon as no other was left.

policy/brittle: a daemon keeps to its share of what the replica is known to accept and probes rarely beyond it; rejections used up by share mean rest. The model in its test plays 1, 3, 8 and 32 daemons with views 100 ms old, limits of 5, 12 and 30, and two views of each other; naive daemons make its replica fall over. Weighed: to halve slots (unknown what a replica accepts then), a count by one daemon a replica (a message more a request, and nobody counts while it is frozen), quotas on requests as for rate limits (bound what is accepted as well). The header counts for all replicas of the service, and ends when answers have not said so for a second. Neither lent to other groups nor tried while one of its peers was just refused.

--- a/internal/borrowing/exchange.go
+++ b/internal/borrowing/exchange.go
@@ -312,10 +312,10 @@
 	room := groupRoom{countedAt: now}
 	for _, r := range group {
 		limit, _ := r.Limit()
-		if limit > 0 || r.Leaving() {
+		if limit > 0 || r.IsBrittle() || r.Leaving() {
 			room.withheld = append(room.withheld, r.Hash())
 		}
-		if limit > 0 || r.Cold(now) || r.Busy(now) || r.Health.BackingOff(now) || !e.o.Usable(r) {
+		if limit > 0 || r.IsBrittle() || r.Cold(now) || r.Busy(now) || r.Health.BackingOff(now) || !e.o.Usable(r) {
 			continue
 		}
 		capacity, load := e.o.Capacity(r), r.Load.Total(now)
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -82,7 +82,7 @@
 			known.Suspect(ctx)
 		}
 	})
-	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.AvoidFor(now, refusalBackoff) })
+	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.RecordPeerRefusal(now, refusalBackoff) })
 	s.forEachKnown(r.Leaving, func(known *replicas.Replica) { known.MarkLeaving() })
 	for _, l := range r.Limits {
 		if replica := s.o.Set.ByHash(l.Replica); replica != nil && l.PerSecond >= 0 {
--- a/internal/placer/borrowing.go
+++ b/internal/placer/borrowing.go
@@ -100,7 +100,7 @@
 	var fit []*replicas.Replica
 	for _, r := range from {
 		limit, _ := r.Limit()
-		if !r.Cold(now) && limit == 0 && e.availability(now, j, r, tried) == ready {
+		if !r.Cold(now) && limit == 0 && !r.IsBrittle() && e.availability(now, j, r, tried) == ready {
 			fit = append(fit, r)
 		}
 	}
--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -48,7 +48,7 @@
 		}
 		return avoided
 	case r.Busy(now) || e.Quotas.Unconfirmed(now, r):
-		if len(tried) > 0 {
+		if len(tried) > 0 || r.IsBrittle() {
 			return later
 		}
 		return avoided
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -2,12 +2,15 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bluebellscale/bluebellscale/internal/policy/brittle"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quota"
+	"github.com/bluebellscale/bluebellscale/internal/policy/subset"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
@@ -52,6 +55,9 @@
 	if q == nil {
 		return true
 	}
+	if !q.mayRisk(now, r) {
+		return false
+	}
 	shares, sends := q.shares(now, r)
 	if !sends || len(shares) == 0 {
 		return sends
@@ -61,6 +67,18 @@
 	return q.allow(now, r, shares)
 }
 
+// mayRisk reports whether this daemon may send a request to a replica that may be brittle.
+func (q *Quotas) mayRisk(now time.Time, r *replicas.Replica) bool {
+	if !r.IsBrittle() {
+		return true
+	}
+	daemons := q.Daemons(r)
+	if !slices.Contains(daemons, q.Self) {
+		return r.MayRisk(now, brittle.Share{Daemons: assumedSenders, Rank: int(xxhash.Sum64String(q.Self) % assumedSenders)})
+	}
+	return r.MayRisk(now, brittle.Share{Daemons: len(daemons), Rank: subset.Rank(q.Self, daemons, r.Hash())})
+}
+
 // Take consumes one request of this daemon's share of a replica, and reports whether it was available.
 func (q *Quotas) Take(now time.Time, r *replicas.Replica) bool {
 	if q == nil {
@@ -72,9 +90,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.allow(now, r, shares) {
+	if !q.allow(now, r, shares) || !q.mayRisk(now, r) {
 		return false
 	}
+	r.RecordRisk(now)
 	q.pace(r).RecordSent(now) // even without a bound: one that begins counts earlier requests
 	return true
 }
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -188,14 +188,19 @@
 // IsSelected reports whether rendezvous hashing selects a name: whether it is among the first count
 // names in an order that depends on the key.
 func IsSelected(name string, names []string, key uint64, count int) bool {
+	return Rank(name, names, key) < count
+}
+
+// Rank returns the position of a name in the order of rendezvous hashing, which depends on the key.
+func Rank(name string, names []string, key uint64) int {
 	own := rendezvousHash(name, key)
-	lowerRanked := 0
+	rank := 0
 	for _, other := range names {
 		if other != name && cmp.Or(cmp.Compare(rendezvousHash(other, key), own), cmp.Compare(other, name)) < 0 {
-			lowerRanked++
+			rank++
 		}
 	}
-	return lowerRanked < count
+	return rank
 }
 
 func rendezvousHash(name string, key uint64) uint64 {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -203,8 +203,8 @@
 	case answered:
 		r.RecordAnswer(time.Now(), false)
 	case notRun:
-		r.RecordAnswer(time.Now(), false)
-		if j.Model != "" {
+		r.RecordNotRun(time.Now())
+		if j.Model != "" || r.IsBrittle() && a.response.Status != http.StatusMisdirectedRequest {
 			r.RecordRefusal(time.Now())
 		}
 	case failed:
--- a/internal/relay/signals.go
+++ b/internal/relay/signals.go
@@ -30,6 +30,10 @@
 	if a.meta.RateLimit > 0 || trusted {
 		s.applyRateLimit(r, a.meta.RateLimit)
 	}
+	if (a.meta.Brittle > 0 || trusted) && r.ObserveBrittle(time.Now(), a.meta.Brittle) {
+		s.o.Logger.Info("The replicas of a service changed whether they are brittle", "service", r.Info().Service, "replica", r.Info().ID,
+			"rejections_per_second", a.meta.Brittle)
+	}
 }
 
 // applyRateLimit records the requests per second that a replica accepts; zero means no limit.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -63,7 +63,10 @@
 	// RateLimit is the number of requests per second that the replica accepts from all daemons
 	// together; zero: no limit.
 	RateLimit float64
-	Leaving   bool // the replica accepts no new requests
+	// Brittle is the number of requests that the replica can reject in a second for want of room without falling over;
+	// zero: it names no limit.
+	Brittle float64
+	Leaving bool // the replica accepts no new requests
 	// RetryAfter is the backoff that the replica requests from this daemon with a refusal.
 	RetryAfter time.Duration
 	// Invalid describes headers that could not be parsed; the other fields are valid. Nil: none.
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -30,6 +30,7 @@
 // other, and callers were refused after two replicas had refused their request.
 func (r *Replica) RecordRefusal(now time.Time) {
 	r.AvoidFor(now, refusalBackoff)
+	r.recordRejected(now)
 	r.listeners.refused(r)
 }
 
@@ -82,9 +83,16 @@
 	return r.down
 }
 
+// RecordNotRun records that the replica answered without running the request.
+func (r *Replica) RecordNotRun(now time.Time) {
+	r.recordReached(now)
+	r.Health.RecordAnswer(false)
+}
+
 // RecordAnswer records an answer of the replica; failed is set if it was the replica's own error.
 func (r *Replica) RecordAnswer(now time.Time, failed bool) {
 	r.recordReached(now)
+	r.recordAccepted(now)
 	r.Health.RecordAnswer(failed)
 }
 
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -78,6 +78,7 @@
 	backoffUntil  monotime.Instant // accepts no requests of this daemon until then
 	coldUntil     monotime.Instant // accepts few requests until then
 	limit         rateLimit
+	brittle       brittleness
 	leaving       atomic.Bool // set by an answer
 	coldFor       func(routing.ServiceID) time.Duration
 }
@@ -141,7 +142,8 @@
 type listeners struct {
 	down, refused, limit, leaving func(*Replica)
 	reached, failed               func(*Replica) // outcome of a connection
-	ownWork                       func()         // the work of this daemon changed
+	brittle                       func(r *Replica, now time.Time, perSecond float64)
+	ownWork                       func() // the work of this daemon changed
 	room                          func(*Replica)
 }
 
@@ -153,6 +155,7 @@
 		byID: map[request.TargetID]*Replica{}, byHash: map[uint64]*Replica{},
 		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, evacuationExpiry: map[string]time.Time{},
 	}
+	s.listeners.brittle = s.announceToService
 	s.evacuated.Store(&map[string]bool{})
 	s.view.Store(&View{ByService: map[routing.ServiceID][]*Replica{}})
 	return s
--- a/internal/replicas/tracked.go
+++ b/internal/replicas/tracked.go
@@ -50,12 +50,14 @@
 	loaded  tracked // this daemon has requests in flight there
 	down    tracked // may accept no connections
 	limited tracked // reported a rate limit that may still hold
+	brittle tracked // announced a limit on rejections
 }
 
 // forget drops a replica that was removed. Its requests in flight stay tracked until they end.
 func (t *trackedStates) forget(r *Replica) {
 	t.down.remove(r)
 	t.limited.remove(r)
+	t.brittle.remove(r)
 }
 
 // WithOwnWork returns the replicas at which this daemon has requests in flight.
