--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -48,7 +48,7 @@
 }
 
 // add makes an address one of a daemon's peers.
-func (p *fixedPeers) add(t *testing.T, address string) {
+func (p *fixedPeers) add(t testing.TB, address string) {
 	t.Helper()
 	pool := upstream.NewPool(address, time.Second, 4)
 	t.Cleanup(pool.Close)
@@ -57,7 +57,7 @@
 }
 
 // newPair returns a daemon that has lost its replicas, and the peer to which it forwards requests.
-func newPair(t *testing.T, routes ...*routing.Route) (cut, peer *fixture, peers *fixedPeers) {
+func newPair(t testing.TB, routes ...*routing.Route) (cut, peer *fixture, peers *fixedPeers) {
 	t.Helper()
 	cut, peer = newFixture(t, routes...), newFixture(t, routes...)
 	peers = &fixedPeers{}
@@ -335,3 +335,25 @@
 		t.Error("the caller got a truncated answer as a complete one")
 	}
 }
+
+// BenchmarkForwarded compares a request that another daemon serves with one that this daemon sends to a replica itself.
+func BenchmarkForwarded(b *testing.B) {
+	answer := func(c net.Conn, id string) { writeOK(c, id, "served") }
+	run := func(b *testing.B, f *fixture) {
+		for b.Loop() {
+			if _, body, err := f.call(http.MethodPost, "/x", nil); err != nil || body != "served" {
+				b.Fatalf("got %q, %v", body, err)
+			}
+		}
+	}
+	b.Run("direct", func(b *testing.B) {
+		f := newFixture(b, route(routing.KindOnce))
+		f.addReplica(answer)
+		run(b, f)
+	})
+	b.Run("forwarded", func(b *testing.B) {
+		cut, peer, _ := newPair(b, route(routing.KindOnce))
+		peer.addReplica(answer)
+		run(b, cut)
+	})
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -97,7 +97,7 @@
 
 // fixture is a relay with fake replicas whose responses a test scripts.
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	set      *replicas.Set
 	placer   *fixedOrderPlacer
 	server   *Server
@@ -110,7 +110,7 @@
 
 const testHost = "h"
 
-func newFixture(t *testing.T, routes ...*routing.Route) *fixture {
+func newFixture(t testing.TB, routes ...*routing.Route) *fixture {
 	t.Helper()
 	f := &fixture{t: t, set: replicas.NewSet(), placer: &fixedOrderPlacer{}, current: true}
 	for _, r := range routes {
