forwarding: a request that finds no free connection is forwarded while open ones live on

Cause: in the variant of a partition in which open connections live on and new ones are refused, each answer on an open one says that the path works. A request that finds none free tries two or three replicas, finds the others known as down, and was refused as if no replica were left.

A request for which no replica is left, after it could not reach some, is now forwarded whether or not the path is in doubt. Where replicas really died it costs one question more, until peers have reported that they lost the service too.

--- a/internal/policy/forward/forward.go
+++ b/internal/policy/forward/forward.go
@@ -25,12 +25,13 @@
 }
 
 // Forwards reports whether the request goes to another daemon. While the loss is only suspected, a request goes there once
-// it was itself held up by it.
+// it was itself held up by it. One for which no replica is left after some could not be reached goes there in any case: open
+// connections may live on while new ones are refused, so that the path works for others.
 func (s Situation) Forwards() bool {
 	switch {
 	case s.Received || s.Peers >= MaxPeers:
 		return false
-	case s.Lost:
+	case s.Lost || s.Unplaced && s.Unsent > 0:
 		return true
 	default:
 		return s.Suspected && (s.Unplaced || s.Unsent > 0)
