gateway: a completion that reached no target is served by another daemon

A caller of a daemon that is cut off from the targets got 502, not run; and so did callers of other daemons whose context had such a daemon as its home, since a refusal by the home was final although it had reached no target.

A refusal that says that no target accepted a connection now ends at the daemon that accepted the request: it serves the request itself, or, if it reached none either, asks one other daemon. One hop, as before; nothing that may have run is sent on.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -123,12 +123,17 @@
 	e.taken[resource]--
 }
 
-type fakeMembers struct{ self, home *peer.Member }
-
-func (m fakeMembers) Self() *peer.Member                                { return m.self }
-func (m fakeMembers) Live() []*peer.Member                              { return nil }
-func (m fakeMembers) Owner(string) *peer.Member                         { return m.home }
-func (m fakeMembers) Rank(string, int) []*peer.Member                   { return []*peer.Member{m.self} }
+type fakeMembers struct{ self, home, other *peer.Member }
+
+func (m fakeMembers) Self() *peer.Member        { return m.self }
+func (m fakeMembers) Live() []*peer.Member      { return nil }
+func (m fakeMembers) Owner(string) *peer.Member { return m.home }
+func (m fakeMembers) Rank(string, int) []*peer.Member {
+	if m.other != nil {
+		return []*peer.Member{m.self, m.other}
+	}
+	return []*peer.Member{m.self}
+}
 func (e *testEnv) Partition(request.OrgID, string) int                  { return 0 }
 func (e *testEnv) ReportNotHolder(int)                                  {}
 func (e *testEnv) Done(request.OrgID, int64)                            { e.release("slice") }
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -106,7 +106,8 @@
 
 // relayHop relays a completion that the home daemon of the context serves. If the home
 // fails, this daemon serves the request itself: the home is a hashed assignment, and
-// serving elsewhere only costs efficiency. A refusal by the home is final.
+// serving elsewhere only costs efficiency. A refusal by the home is final, unless it reached no target: it may be cut off from
+// targets that this daemon reaches.
 func (g *Gateway) relayHop(out *sink, j *Job) {
 	g.stats.forwarded.Inc(1)
 	err := g.attemptHop(out, j)
@@ -115,7 +116,8 @@
 		return
 	}
 	var refusal *request.Error
-	if errors.As(err, &refusal) {
+	refused := errors.As(err, &refusal)
+	if refused && !reachedNoTarget(refusal) {
 		g.fail(out, refusal)
 		return
 	}
@@ -123,7 +125,7 @@
 		g.fail(out, cancelled(request.InDoubt))
 		return
 	}
-	if !dialFailed(err) {
+	if !refused && !dialFailed(err) {
 		j.recordOutcome(request.InDoubt)
 		g.hops.close()
 	}
@@ -131,6 +133,11 @@
 	g.serveAfterHopFailure(out, j)
 }
 
+// reachedNoTarget reports whether a daemon refused a request because no target accepted a connection of it.
+func reachedNoTarget(refusal *request.Error) bool {
+	return refusal.Code == request.CodeTargetFailed && refusal.Ran == request.NotRun
+}
+
 // attemptHop relays the frames that the home daemon sends. The hop fails when the home
 // sends nothing for HopIdleTimeout: otherwise a frozen home would block the caller until
 // membership declares the home dead.
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -330,3 +330,55 @@
 type brokenWriter struct{ http.ResponseWriter }
 
 func (brokenWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// The home of a context reaches no target, while the daemon that accepted the request does. The home's word that it ran nothing
+// must not end the request.
+func TestHomeThatReachesNoTargetIsReplaced(t *testing.T) {
+	tables := newTables(t)
+	home, accepting := newTestEnv(tables), newTestEnv(tables)
+	home.startTarget(t)
+	home.attemptOutcomes = []outcome{dialRefused, dialRefused, dialRefused, dialRefused, dialRefused, dialRefused}
+	peers := httptest.NewServer(home.gateway(t).HopHandler())
+	t.Cleanup(peers.Close)
+	accepting.startTarget(t)
+	accepting.members.home = &peer.Member{Id: "home", PeerAddress: peers.Listener.Addr().String()}
+	g := accepting.gateway(t)
+	status, detail, text, err := sendRequest(t, serveGateway(t, g).URL, "/v1/completions", testPrompt)
+	if err != nil || status != http.StatusOK || !strings.Contains(text, completeText) {
+		t.Fatalf("got %d %+v %s %v", status, detail, text, err)
+	}
+	await(t, "all resources to be released", func() bool { return len(accepting.held(g)) == 0 })
+}
+
+// The daemon that accepted a request reaches no target, and is itself the home of the context. Another daemon must be asked, once,
+// and what may have run there must not be called not run.
+func TestDaemonThatReachesNoTargetAsksAnother(t *testing.T) {
+	none := []outcome{dialRefused, dialRefused, dialRefused, dialRefused, dialRefused, dialRefused}
+	for name, c := range map[string]struct {
+		atOther []outcome
+		status  int
+		ran     request.RunOutcome
+	}{
+		"the other serves":          {nil, http.StatusOK, ""},
+		"the other reaches none":    {none, http.StatusBadGateway, request.NotRun},
+		"the other's target breaks": {[]outcome{closedBeforeBytes, closedBeforeBytes, closedBeforeBytes, closedBeforeBytes}, http.StatusBadGateway, request.InDoubt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tables := newTables(t)
+			other, cut := newTestEnv(tables), newTestEnv(tables)
+			other.startTarget(t)
+			other.attemptOutcomes = c.atOther
+			peers := httptest.NewServer(other.gateway(t).HopHandler())
+			t.Cleanup(peers.Close)
+			cut.startTarget(t)
+			cut.attemptOutcomes = none
+			cut.members.other = &peer.Member{Id: "other", PeerAddress: peers.Listener.Addr().String()}
+			g := cut.gateway(t)
+			status, detail, text, err := sendRequest(t, serveGateway(t, g).URL, "/v1/completions", testPrompt)
+			if err != nil || status != c.status || detail.Ran != c.ran {
+				t.Fatalf("got %d %+v %s %v", status, detail, text, err)
+			}
+			await(t, "all resources to be released", func() bool { return len(cut.held(g)) == 0 })
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/sleep"
@@ -57,13 +58,55 @@
 // from placement on. If it returns false, it has answered the caller.
 func (g *Gateway) retryAttempt(out *sink, j *Job, failure *attemptError) bool {
 	if final := g.prepareRetry(j, failure); final != nil {
-		g.fail(out, final)
+		if !g.serveThroughPeer(out, j, final) {
+			g.fail(out, final)
+		}
 		return false
 	}
 	out.beginRetry()
 	return true
 }
 
+// serveThroughPeer forwards a request that reached no target to another daemon, which may reach them: this one may be cut off. It
+// reports whether it has answered the caller. A request that another daemon forwarded or refused goes no further.
+func (g *Gateway) serveThroughPeer(out *sink, j *Job, final *request.Error) bool {
+	if !reachedNoTarget(final) || j.priorOutcome != request.NotRun || j.fromPeer || j.serveLocally || out.sentText.Len() > 0 {
+		return false
+	}
+	j.forwardTo = g.anotherMember(j)
+	if j.forwardTo == nil {
+		return false
+	}
+	g.stats.forwarded.Inc(1)
+	err := g.attemptHop(out, j)
+	if err == nil {
+		g.stats.answered.Inc(1)
+		return true
+	}
+	g.log.Warn("Another daemon failed to serve a request that reached no target", "daemon", j.forwardTo.Id, "request", j.id, "error", err)
+	var refusal *request.Error
+	switch {
+	case errors.As(err, &refusal):
+		g.fail(out, refusal)
+		return true
+	case dialFailed(err):
+		return false
+	}
+	j.recordOutcome(request.InDoubt)
+	return false
+}
+
+// anotherMember returns a live daemon other than this one, which depends on the request; nil if there is none.
+func (g *Gateway) anotherMember(j *Job) *peer.Member {
+	self := g.opts.Members.Self().Id
+	for _, m := range g.opts.Members.Rank(string(j.id), 2) {
+		if m.Id != self {
+			return m
+		}
+	}
+	return nil
+}
+
 // prepareRetry prepares another attempt, or returns the final answer.
 func (g *Gateway) prepareRetry(j *Job, failure *attemptError) *request.Error {
 	if failure.final || j.ctx.Err() != nil {
