Own interface: a daemon that reaches no target takes none for down or dead

The daemon that keeps a target's queue for all daemons polls the target; cut off, it marked all its targets as down after two failed polls: it emptied their queues, refused what waited, and reported the requests in flight as ones that kill targets. A request that broke on any daemon was counted so, too.

TestTargetIsDownOnlyIfAnotherIsReached and TestLostPathIsNoDeathOfTarget hold it; without the witness a target counts as down, and as dead.

--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
@@ -88,13 +90,18 @@
 }
 
 // recordPoll counts consecutive failed polls. A target counts as down only after
-// failuresUntilDown of them, since one lost response must not empty its queue.
+// failuresUntilDown of them, since one lost response must not empty its queue, and only if this daemon reaches another target:
+// daemons that reach this one go on with the grants that they get here.
 func (a *targetActor) recordPoll(failures int, err error) int {
 	if err == nil {
 		return 0
 	}
 	failures++
 	a.resetConnections()
+	if failures == failuresUntilDown && !a.service.reachesOthers(a.row.ID) {
+		a.service.log.Warn("This daemon reaches no target; none counts as down", "target", a.row.ID, "error", err)
+		return failures - 1 // the next failed poll decides again
+	}
 	if failures == failuresUntilDown {
 		a.service.log.Warn("Target does not respond to polls; marking it as down", "target", a.row.ID, "error", err)
 		a.send(&downMsg{})
@@ -102,6 +109,17 @@
 	return failures
 }
 
+// reachesOthers reports whether this daemon reaches another target than one that it does not reach.
+func (s *Service) reachesOthers(unreached request.TargetID) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	var others []*target.Client
+	for _, t := range s.opts.Tables.Current().SampleTargets(unreached, target.MaxWitnesses, rand.IntN) {
+		others = append(others, s.opts.Targets.Client(*t))
+	}
+	return target.PathIsSound(ctx, others)
+}
+
 // resetConnections discards the pooled connections to the target if a new connection
 // works. Polls use few connections, and one that no longer delivers data would make the
 // target appear down.
--- a/internal/coordinator/poll_test.go
+++ b/internal/coordinator/poll_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
@@ -19,6 +20,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/table"
+	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
 // fakeEngine serves load, cache events and blocks.
@@ -259,3 +262,38 @@
 		s.Release(honest, gateway.Release{PrefillTokens: 10})
 	})
 }
+
+// targetsAt provides clients of one address for all targets but one.
+type targetsAt struct {
+	unreached request.TargetID
+	address   string
+}
+
+func (p targetsAt) Client(t table.Target) *target.Client {
+	address := p.address
+	if t.ID == p.unreached {
+		address = "127.0.0.1:1"
+	}
+	return target.New(target.Options{ID: t.ID, Address: address, DialTimeout: time.Second, HeaderTimeout: time.Second})
+}
+
+// A daemon that is cut off from all targets must not take them for down: the queues that it keeps for other daemons, which reach
+// them, would be emptied. A target that alone is not reached is down.
+func TestTargetIsDownOnlyIfAnotherIsReached(t *testing.T) {
+	s := newService(t, "d1", "d1", unreachableCoordinator{})
+	row, _ := s.opts.Tables.Current().Target("engine-1")
+	a := s.ensureActor(t.Context(), *row)
+	failed := errors.New("the poll failed")
+	s.opts.Targets = targetsAt{unreached: row.ID, address: "127.0.0.1:1"}
+	for range 5 {
+		if n := a.recordPoll(failuresUntilDown-1, failed); n >= failuresUntilDown {
+			t.Fatal("a target counts as down on a daemon that reaches none")
+		}
+	}
+	alive := httptest.NewServer(&fakeEngine{})
+	defer alive.Close()
+	s.opts.Targets = targetsAt{unreached: row.ID, address: alive.Listener.Addr().String()}
+	if n := a.recordPoll(failuresUntilDown-1, failed); n != failuresUntilDown {
+		t.Error("a target that alone is not reached does not count as down")
+	}
+}
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -382,3 +382,22 @@
 		})
 	}
 }
+
+// A daemon that is cut off from all targets must not count the requests that break as ones that killed their targets: after a few
+// of them all daemons would refuse the request.
+func TestLostPathIsNoDeathOfTarget(t *testing.T) {
+	env := newTestEnv(newTables(t))
+	server := env.startTarget(t)
+	g := env.gateway(t)
+	if !g.reachesOthers(t.Context(), "engine-1") {
+		t.Error("the path counts as lost although other targets are reached")
+	}
+	server.Close()
+	if g.reachesOthers(t.Context(), "engine-1") {
+		t.Error("the path counts as sound although no target is reached")
+	}
+	j := &Job{kind: kindService, choice: Choice{Target: table.Target{ID: "cards-1", Address: env.target}}}
+	if g.hasDied(j, env.Client(j.choice.Target)) {
+		t.Error("a target that is not reached counts as dead, and so would all others")
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -216,15 +217,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if j.kind == kindService {
-		return errors.Is(client.Probe(ctx), target.ErrUnreachable)
+		return errors.Is(client.Probe(ctx), target.ErrUnreachable) && g.reachesOthers(ctx, j.choice.Target.ID)
 	}
 	state, err := client.State(ctx)
 	if err != nil {
-		return errors.Is(err, target.ErrUnreachable)
+		return errors.Is(err, target.ErrUnreachable) && g.reachesOthers(ctx, j.choice.Target.ID)
 	}
 	return j.incarnation != 0 && state.Incarnation != j.incarnation
 }
 
+// reachesOthers reports whether this daemon reaches another target than one that it does not reach.
+func (g *Gateway) reachesOthers(ctx context.Context, unreached request.TargetID) bool {
+	var others []*target.Client
+	for _, t := range g.opts.Tables.Current().SampleTargets(unreached, target.MaxWitnesses, rand.IntN) {
+		others = append(others, g.opts.Targets.Client(*t))
+	}
+	return target.PathIsSound(ctx, others)
+}
+
 func (g *Gateway) cancelStream(client *target.Client, id request.ID) {
 	g.cancels.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/table/snapshot.go
+++ b/internal/table/snapshot.go
@@ -167,6 +167,17 @@
 // Targets returns all targets, ordered by id.
 func (s *Snapshot) Targets() []*Target { return s.targets }
 
+// SampleTargets returns up to n targets other than one, drawn by intN, which returns a random number below its argument.
+func (s *Snapshot) SampleTargets(except request.TargetID, n int, intN func(int) int) []*Target {
+	others := slices.DeleteFunc(slices.Clone(s.targets), func(t *Target) bool { return t.ID == except })
+	n = min(n, len(others))
+	for i := range n {
+		k := i + intN(len(others)-i)
+		others[i], others[k] = others[k], others[i]
+	}
+	return others[:n]
+}
+
 // EnginesFor returns the engines of a model, ordered by id.
 func (s *Snapshot) EnginesFor(model request.Model) []*Target { return s.engines[model] }
 
