A test of probes no longer depends on how fast they are

TestPeerReportOfDownReplicaIsVerified failed once in a run of the whole script beside other load: 'alive is used before it was probed'. It checked a replica's state right after a probe had been started, and the probe, over loopback, had ended before. The check was wrong, not the code: a replica whose probe has succeeded is to be used. Probes now wait until the check is done, so that it holds at any speed and would see a replica that is used without a probe each time.

--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
 
 func info(id string) Info {
@@ -173,6 +174,13 @@
 	}
 	defer l.Close()
 	s := NewSet()
+	checked := make(chan struct{}) // probes wait until it is closed
+	s.WrapDial(func(dial upstream.DialFunc) upstream.DialFunc {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			<-checked
+			return dial(ctx, network, address)
+		}
+	})
 	alive := info("alive")
 	alive.Address = l.Addr().String()
 	s.Apply(time.Now(), Change{Present: []Info{alive, info("dead")}})
@@ -182,6 +190,7 @@
 			t.Errorf("%s is used before it was probed", r.Info().ID)
 		}
 	}
+	close(checked)
 	for deadline := time.Now().Add(5 * time.Second); s.Get("alive").Health.BackingOff(time.Now()); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the replica that answers is not used again")
