--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,9 +11,11 @@
 if [ ${#known[@]} -gt 0 ]; then
 	skip=(-skip "^($(printf '%s\n' "${known[@]}" | awk '{print $1}' | paste -sd'|'))\$")
 fi
-go test "$@" "${skip[@]}" ./...
+# The longest package takes some minutes under the race detector; beside other load, twice as long.
+limit=20m
+go test -timeout "$limit" "$@" "${skip[@]}" ./...
 for entry in "${known[@]}"; do
 	read -r name package <<<"$entry"
 	echo "known red: $name in $package"
-	go test "$@" -run "^$name\$" "$package" || echo "known red: $name failed again"
+	go test -timeout "$limit" "$@" -run "^$name\$" "$package" || echo "known red: $name failed again"
 done
