forwarding, brittle replicas: answers cost less while some replicas fail; one place for the lock

Each answer worked out anew which services are lost while any replica had failed within five seconds; it can only end a loss, so that this is now done only while there is one. RecordRisk no longer locks for replicas that are not brittle.

--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -149,8 +149,11 @@
 	now := time.Now()
 	o.mu.Lock()
 	o.tracker.OnReached(now, r.Info().Service)
+	mayRegain := len(o.lost) > 0 || o.isolated
 	o.mu.Unlock()
-	o.update(now)
+	if mayRegain {
+		o.update(now)
+	}
 }
 
 func (o *Observer) onFailed(r *replicas.Replica) {
--- a/internal/replicas/brittle.go
+++ b/internal/replicas/brittle.go
@@ -16,9 +16,12 @@
 	state brittle.State
 }
 
-func (r *Replica) brittleLoad(now time.Time) brittle.Load {
-	total := r.Load.Total(now).Requests
-	return brittle.Load{Own: r.Load.Own().Requests, Total: total, Slots: r.Info().Slots}
+// use calls do with the state and the load of the replica.
+func (b *brittleness) use(now time.Time, r *Replica, do func(s *brittle.State, load brittle.Load)) {
+	load := brittle.Load{Own: r.Load.Own().Requests, Total: r.Load.Total(now).Requests, Slots: r.Info().Slots}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	do(&b.state, load)
 }
 
 // ObserveBrittle records how many rejections a second an answer of the replica says that it withstands, zero if it does not
@@ -34,13 +37,11 @@
 }
 
 func (r *Replica) announceBrittle(now time.Time, perSecond float64) (changed bool) {
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	changed = r.brittle.state.Announce(now, perSecond, load)
-	brittle := r.brittle.state.Limit() > 0
-	r.brittle.present.Store(brittle)
-	if brittle {
+	r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) {
+		changed = s.Announce(now, perSecond, load)
+		r.brittle.present.Store(s.Limit() > 0)
+	})
+	if r.IsBrittle() {
 		r.tracked.brittle.add(r)
 	}
 	return changed
@@ -64,53 +65,38 @@
 }
 
 // MayRisk reports whether a request may be sent to the replica, if it is brittle, although it might reject it.
-func (r *Replica) MayRisk(now time.Time, share brittle.Share) bool {
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	return r.brittle.state.Allows(now, load, share)
+func (r *Replica) MayRisk(now time.Time, share brittle.Share) (may bool) {
+	r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) { may = s.Allows(now, load, share) })
+	return may
 }
 
 // RecordRisk records that a request for which MayRisk was true is sent.
 func (r *Replica) RecordRisk(now time.Time) {
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	r.brittle.state.OnSent(now, load)
+	if r.IsBrittle() {
+		r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) { s.OnSent(now, load) })
+	}
 }
 
 // recordAccepted records that the replica, if it is brittle, accepted a request.
 func (r *Replica) recordAccepted(now time.Time) {
-	if !r.IsBrittle() {
-		return
+	if r.IsBrittle() {
+		r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) { s.OnAccepted(now, load) })
 	}
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	r.brittle.state.OnAccepted(now, load)
 }
 
 // recordRejected records that the replica, if it is brittle, rejected a request of this daemon.
 func (r *Replica) recordRejected(now time.Time) {
-	if !r.IsBrittle() {
-		return
+	if r.IsBrittle() {
+		r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) { s.OnRejected(now, load) })
 	}
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	r.brittle.state.OnRejected(now, load)
 }
 
 // RecordPeerRefusal records that the replica refused to run a request of another daemon.
 func (r *Replica) RecordPeerRefusal(now time.Time, avoidFor time.Duration) {
 	r.AvoidFor(now, avoidFor)
-	if !r.IsBrittle() {
-		return
+	if r.IsBrittle() {
+		r.brittle.use(now, r, func(s *brittle.State, load brittle.Load) { s.OnPeerRejected(load) })
 	}
-	load := r.brittleLoad(now)
-	r.brittle.mu.Lock()
-	defer r.brittle.mu.Unlock()
-	r.brittle.state.OnPeerRejected(load)
 }
 
 // announceToService lets the other replicas of a service begin to be brittle, or end, as one of them says. They say the same, but
