relay: a replica's headers can't refuse a forwarded call

Found by reading: a daemon tells the one that forwarded a request by headers that it has not run it. A replica that sends these headers with its answer, faulty or not, made the call count as not run: in the test it ran twice, at two peers, and its caller got a refusal. Both headers are now taken off every answer of a replica.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -49,7 +49,7 @@
 }
 
 func (s *Server) deliverBuffered(w http.ResponseWriter, j *Job, a *attempt) {
-	s.o.Dialect.CopyResponseHeader(w.Header(), a.response.Header)
+	s.copyHeader(w.Header(), a)
 	w.Header().Set("Content-Length", fmt.Sprint(len(a.body)))
 	s.closeIfDraining(w)
 	w.WriteHeader(a.response.Status)
@@ -64,7 +64,7 @@
 // deliverUnbuffered streams a long response to the caller. If the replica's connection breaks, the
 // caller's connection is closed without the final chunk, so that the response is visibly truncated.
 func (s *Server) deliverUnbuffered(w http.ResponseWriter, j *Job, a *attempt) {
-	s.o.Dialect.CopyResponseHeader(w.Header(), a.response.Header)
+	s.copyHeader(w.Header(), a)
 	if n := a.response.ContentLength; n >= 0 {
 		w.Header().Set("Content-Length", fmt.Sprint(n))
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -217,6 +217,14 @@
 	return request.Refuse(code, http.StatusServiceUnavailable, retryAfter, "%s refused a forwarded request", a.peer.ID)
 }
 
+// copyHeader copies a replica's headers to the response. Those by which daemons refuse forwarded requests can't come from a
+// replica: a call that ran would count as not run.
+func (s *Server) copyHeader(to http.Header, a *attempt) {
+	s.o.Dialect.CopyResponseHeader(to, a.response.Header)
+	to.Del(headerRefusalCode)
+	to.Del(headerRefusalRan)
+}
+
 // setRefusalHeader tells the daemon that forwarded a request why it is refused.
 func setRefusalHeader(h http.Header, e *request.Error) {
 	h.Set(headerRefusalCode, string(e.Code))
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -224,6 +224,26 @@
 	}
 }
 
+// A faulty replica runs a call and answers with the headers by which daemons refuse forwarded requests. The call must not count as
+// not run, or it would run again.
+func TestReplicaCannotRefuseForDaemon(t *testing.T) {
+	cut, peer, peers := newPair(t, route(routing.KindOnce))
+	answer := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\n%s: no_target\r\n%s: not_run\r\nContent-Length: 2\r\n\r\nok", id, headerRefusalCode, headerRefusalRan)
+	}
+	peer.addReplica(answer)
+	second := newFixture(t, route(routing.KindOnce))
+	second.server.o.MaxReceived = 10
+	second.addReplica(answer)
+	peers.add(t, second.listenForPeers())
+	if _, body, err := cut.call(http.MethodPost, "/x", nil); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if n := len(peer.received()) + len(second.received()); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
 // The caller of a forwarded request disconnects. The replica must be told soon, although two daemons are in between.
 func TestCancelReachesReplicaThroughPeer(t *testing.T) {
 	cut, peer, _ := newPair(t, route(routing.KindIdempotent))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -63,7 +63,7 @@
 }
 
 func (plainDialect) CopyResponseHeader(to, from http.Header) {
-	for _, name := range []string{"Id", "Signed", "Content-Type"} {
+	for _, name := range []string{"Id", "Signed", "Content-Type", headerRefusalCode, headerRefusalRan} {
 		if v := from[name]; v != nil {
 			to[name] = v
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -127,7 +127,7 @@
 	}
 	out.started = true
 	out.firstAt = time.Now()
-	s.o.Dialect.CopyResponseHeader(out.w.Header(), a.response.Header)
+	s.copyHeader(out.w.Header(), a)
 	s.closeIfDraining(out.w)
 	out.w.WriteHeader(a.response.Status)
 }
