--- a/internal/policy/brittle/brittle.go
+++ b/internal/policy/brittle/brittle.go
@@ -5,8 +5,8 @@
 //
 // Each daemon therefore keeps to its share of what the replica is known to accept, its base. Beyond that it sends probes, rarely,
 // whose outcome raises or lowers the base. Invariant: of daemons with the same view of each other, requests within the base are
-// rejected at most half as often as announced, and so are probes. A daemon whose share of the rejections is used up rests, and one
-// that has none rests for so long that all such daemons together stay below the limit.
+// rejected at most a quarter as often as announced, probes a quarter, and requests of daemons without a share in these at most
+// half: who has used up its share rests.
 //
 // The package is pure: it holds no clock, I/O, goroutine or randomness.
 package brittle
