--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/forward"
+	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
@@ -332,6 +333,37 @@
 	}
 }
 
+// The retry budget is a share of the requests of callers, refused ones included. A request that two daemons see counts once.
+func TestRequestCountsOnceForRetryBudget(t *testing.T) {
+	earned := func(f *fixture) int {
+		f.server.o.RetryBudget = func() retry.Params { return retry.Params{Share: 1, Window: time.Hour, Burst: 100} }
+		n := 0
+		for f.server.withBudget("s", func(b *retry.Budget) bool { return b.TryTake(time.Now()) }) {
+			n++
+		}
+		return n
+	}
+	cut, peer, _ := newPair(t, route(routing.KindOnce))
+	alone := newFixture(t, route(routing.KindOnce))
+	for _, f := range []*fixture{cut, peer, alone} {
+		earned(f) // empties the budget
+	}
+	for range 20 {
+		if _, _, err := cut.post("forwarded"); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := alone.post("refused"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a, b := earned(cut), earned(peer); a != 0 || b < 15 {
+		t.Errorf("20 forwarded requests earn %d retries at the daemon that forwards them and %d at the other", a, b)
+	}
+	if n := earned(alone); n < 15 {
+		t.Errorf("20 refused requests earn %d retries", n)
+	}
+}
+
 // The replica gets the time that is left, not what the caller once had.
 func TestPeerPassesOnTheTimeLeft(t *testing.T) {
 	cut, peer, _ := newPair(t, route(routing.KindOnce))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -209,6 +209,7 @@
 	if s.o.Peers != nil && s.o.Peers.Lost(j.Service.ID) {
 		return nil, h.lostRefusal()
 	}
+	s.countRequest(j, h)
 	p, err := s.place(ctx, j, h.replicas)
 	if err != nil {
 		if a := s.forward(ctx, j, out, h, true); a != nil {
@@ -219,11 +220,10 @@
 	if out.lastEventID != j.LastEventID {
 		p.Meta.LastEventID = out.lastEventID
 	}
-	s.countRequest(j, h)
 	return s.send(ctx, j, p), nil
 }
 
-// countRequest adds the request to those from which the retry budget is earned, once for all daemons.
+// countRequest adds the request, placed or not, to those from which the retry budget is earned, once for all daemons.
 func (s *Server) countRequest(j *Job, h *history) {
 	if h.counted {
 		return
