--- a/internal/forwarding/peers.go
+++ b/internal/forwarding/peers.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/forward"
@@ -42,7 +41,6 @@
 	HasLost     func(peer request.DaemonID, service routing.ServiceID) bool
 	MaxRequests int // forwarded by this daemon at the same time
 	Enabled     func() bool
-	Logger      hclog.Logger
 	Metrics     tally.Scope
 }
 
@@ -66,13 +64,9 @@
 
 // NewPeers returns Peers that has forwarded nothing yet.
 func NewPeers(o PeersOptions) *Peers {
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
-	o.Logger = o.Logger.Named("forwarding")
 	return &Peers{o: o, peers: map[request.DaemonID]*peerState{}}
 }
 
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -69,14 +69,20 @@
 
 // mayRisk reports whether this daemon may send a request to a replica that may be brittle.
 func (q *Quotas) mayRisk(now time.Time, r *replicas.Replica) bool {
+	return !r.IsBrittle() || r.MayRisk(now, q.riskShare(r))
+}
+
+// riskShare returns this daemon's share of what may be risked at a brittle replica, the zero Share for another one. It must be
+// called without the lock, as shares.
+func (q *Quotas) riskShare(r *replicas.Replica) brittle.Share {
 	if !r.IsBrittle() {
-		return true
+		return brittle.Share{}
 	}
 	daemons := q.Daemons(r)
 	if !slices.Contains(daemons, q.Self) {
-		return r.MayRisk(now, brittle.Share{Daemons: assumedSenders, Rank: int(xxhash.Sum64String(q.Self) % assumedSenders)})
+		return brittle.Share{Daemons: assumedSenders, Rank: int(xxhash.Sum64String(q.Self) % assumedSenders)}
 	}
-	return r.MayRisk(now, brittle.Share{Daemons: len(daemons), Rank: subset.Rank(q.Self, daemons, r.Hash())})
+	return brittle.Share{Daemons: len(daemons), Rank: subset.Rank(q.Self, daemons, r.Hash())}
 }
 
 // Take consumes one request of this daemon's share of a replica, and reports whether it was available.
@@ -88,9 +94,10 @@
 	if !sends {
 		return false
 	}
+	risk := q.riskShare(r)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.allow(now, r, shares) || !q.mayRisk(now, r) {
+	if !q.allow(now, r, shares) || r.IsBrittle() && !r.MayRisk(now, risk) {
 		return false
 	}
 	r.RecordRisk(now)
