--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -18,7 +18,37 @@
 	s.o.Metrics.Tagged(map[string]string{"outcome": a.outcome.String()}).Counter("tries").Inc(1)
 	s.o.Logger.Info(loglines.AttemptFailed, "request", j.ID, "try", number, "replica", a.placement.Meta.Replica,
 		"outcome", a.outcome.String(), "status", status, "weights", a.placement.Meta.WeightsVersion,
-		"why", a.placement.Reason, "error", a.err, "retry_after_ms", a.meta.RetryAfter.Milliseconds(), "after_ms", sinceMs(j.Start))
+		"why", a.placement.Reason, "error", a.err, "retry_after_ms", a.meta.RetryAfter.Milliseconds(), "after_ms", sinceMs(j.Start), "software", a.software(), "resumed_after", a.resumedAfter(j))
+}
+
+// software returns the version of the software of the attempt's replica, empty if another daemon chose the replica.
+func (a *attempt) software() string {
+	if a.placement.Replica == nil {
+		return ""
+	}
+	return a.placement.Replica.Info().Software
+}
+
+// resumedAfter returns the event after which the attempt resumed a stream, empty for a new stream.
+func (a *attempt) resumedAfter(j *Job) string {
+	if a.placement.Meta.LastEventID != "" {
+		return a.placement.Meta.LastEventID
+	}
+	return j.LastEventID
+}
+
+// countResume counts an attempt that resumes a stream.
+func (s *Server) countResume(j *Job, a *attempt) {
+	by := ""
+	switch {
+	case j.ResponseStarted:
+		by = "daemon"
+	case j.LastEventID != "":
+		by = "caller"
+	default:
+		return
+	}
+	s.o.Metrics.Tagged(map[string]string{"by": by}).Counter("streams_resumed").Inc(1)
 }
 
 // logAnswered records the latency of a delivered response and logs it. delivery is "stream" for a stream
@@ -41,9 +71,12 @@
 		args = append(args, "late", cause)
 	}
 	if out != nil {
-		args = append(args, "first_ms", out.firstAt.Sub(j.Start).Milliseconds(), "events", out.events,
+		args = append(args, "software", a.software(), "first_ms", out.firstAt.Sub(j.Start).Milliseconds(), "events", out.events,
 			"pause_ms", out.longestGap.Milliseconds())
 	}
+	if after := a.resumedAfter(j); after != "" {
+		args = append(args, "resumed_after", after, "resumes", j.Resumes)
+	}
 	s.o.Logger.Info(loglines.Answered, append(args, j.wait.fields()...)...)
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -177,6 +177,7 @@
 			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, err)
 			return
 		}
+		s.countResume(j, a)
 		if a.outcome == answered {
 			if s.deliver(ctx, w, j, out, a) {
 				s.recordSuccess(ctx, j, a)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -34,6 +34,9 @@
 	LengthHint   int    // the caller's estimate of the output tokens; zero: none
 	Parts        []Part // parts of the prompt in order
 	LastEventID  string // event after which a stream resumes, empty for a new stream
+	// Resumes is the request that brought the caller the first event of the stream that resumes; empty if the caller
+	// does not say.
+	Resumes request.ID
 	// Invalid describes optional headers that could not be parsed; the request is served without them.
 	// Nil: none.
 	Invalid error
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -46,7 +46,8 @@
 	Address       string
 	FailureDomain string
 	Slots         int
-	Leaving       bool // it accepts no new requests
+	Software      string // version of the replica's software, not of its weights
+	Leaving       bool   // it accepts no new requests
 	Weights       map[request.Model]uint64
 	// Started is when the replica's process started by its own clock, in Unix milliseconds, or zero if
 	// the replica does not report it. It identifies an incarnation but does not order incarnations: the
