A stream goes on within one response only at the version that began it

What callers saw: one answer with events of two versions of the replicas' software, which do not fit together.

Cause: the relay resumes a broken stream at any replica of the service. The registry's version was dropped when an entry was read, so that no decision could take it into account. Class: an identity that matters (who made the first part) is dropped at the boundary, and what is alike by name is taken to be interchangeable.

A request is bound to a version once the first event is delivered; replicas of others are not eligible for it, borrowed ones included, and without one the stream is broken off at once. A daemon that forwards a request learns the version from the other daemon's response and passes it on with a resumed one; if it was not told, it does not go on. An entry whose version changes under its id is a new incarnation, so that caches and loads of the old one are not assumed, and a running stream keeps the version that it began at.

--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -14,8 +14,8 @@
 // Eligibility decides which replicas may get a request, independent of cost.
 //
 // A replica gets no requests if it is leaving, if its Retry-After to this daemon has not passed, if its
-// failure domain is evacuated, or if it is outside the home regions of the request. If no other
-// replica is left, the request is refused. A replica that is avoided for another reason still gets
+// failure domain is evacuated, or if it is outside the home regions of the request. It does not resume a
+// stream that another version of its software began. If no other replica is left, the request is refused. A replica that is avoided for another reason still gets
 // requests if no better one is available. A replica with a bound gets a request only if Quotas
 // permits it.
 type Eligibility struct {
@@ -107,7 +107,7 @@
 
 // allowed reports whether a request may go to a replica at all.
 func (e *Eligibility) allowed(j *relay.Job, r *replicas.Replica) bool {
-	return !r.Leaving() && !e.Set.Evacuated(r.Info().FailureDomain) && e.isHome(j, r.Info().FailureDomain)
+	return !r.Leaving() && j.Software.Allows(r.Info().Software) && !e.Set.Evacuated(r.Info().FailureDomain) && e.isHome(j, r.Info().FailureDomain)
 }
 
 // isHome reports whether a failure domain is in a home region of a request.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -20,7 +20,7 @@
 		s.deliverComplete(w, j, a)
 		return true
 	}
-	err := s.copyEvents(ctx, out, a)
+	err := s.copyEvents(ctx, j, out, a)
 	if err == nil {
 		if a.placement.Stream != nil {
 			a.placement.Stream.Completed(time.Now())
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -24,8 +24,11 @@
 	headerForwardedRan     = "Bluebellscale-Forwarded-Ran"      // attempts that may have run
 	headerForwardedCounted = "Bluebellscale-Forwarded-Counted"  // 1: the request counts for its retry budget
 	headerForwardedTried   = "Bluebellscale-Forwarded-Replicas" // replicas that were tried, separated by commas
-	headerRefusalCode      = "Bluebellscale-Refusal"            // in a response that is no replica's: its request.Code
-	headerRefusalRan       = "Bluebellscale-Refusal-Ran"        // and its request.RunOutcome
+	// headerSoftware is the version of the replicas' software that began a stream: in a forwarded request that resumes it, and in the
+	// response to one that began it.
+	headerSoftware    = "Bluebellscale-Software"
+	headerRefusalCode = "Bluebellscale-Refusal"     // in a response that is no replica's: its request.Code
+	headerRefusalRan  = "Bluebellscale-Refusal-Ran" // and its request.RunOutcome
 )
 
 const (
@@ -63,6 +66,7 @@
 	mayHaveRun int
 	counted    bool
 	replicas   []request.TargetID
+	software   SoftwareBinding
 }
 
 // IsForwarded reports whether a request on the listener for other daemons is a forwarded request of a caller.
@@ -98,12 +102,15 @@
 			from.replicas = append(from.replicas, request.TargetID(id))
 		}
 	}
+	if from.software, err = parseSoftware(h); err != nil {
+		return nil, err
+	}
 	removeForwarded(h)
 	return from, nil
 }
 
 func removeForwarded(h http.Header) {
-	for _, name := range []string{headerForwardedBy, headerForwardedState, headerForwardedRan, headerForwardedCounted, headerForwardedTried} {
+	for _, name := range []string{headerForwardedBy, headerForwardedState, headerForwardedRan, headerForwardedCounted, headerForwardedTried, headerSoftware} {
 		h.Del(name)
 	}
 }
@@ -178,6 +185,7 @@
 	if h.counted {
 		header.Set(headerForwardedCounted, "1")
 	}
+	setSoftware(header, j.Software)
 	if len(h.replicas) > 0 {
 		ids := make([]string, len(h.replicas))
 		for i, id := range h.replicas {
@@ -223,6 +231,7 @@
 	s.o.Dialect.CopyResponseHeader(to, a.response.Header)
 	to.Del(headerRefusalCode)
 	to.Del(headerRefusalRan)
+	to.Del(headerSoftware)
 }
 
 // setRefusalHeader tells the daemon that forwarded a request why it is refused.
--- /dev/null
+++ b/internal/relay/resume.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// streamID returns the identity of the stream that the request begins or resumes.
+func (j *Job) streamID() StreamID {
+	id := StreamID{Service: j.Service.ID, Org: j.OrgID(), Request: j.ID}
+	if j.LastEventID != "" && j.Resumes != "" {
+		id.Request = j.Resumes
+	}
+	return id
+}
+
+// mayResume reports whether the request may resume a stream, or its stream be resumed.
+func (j *Job) mayResume() bool { return j.Route.Kind == routing.KindStream && j.Route.Resumable }
+
+// bindResumed binds a request that resumes a stream to the version of the software that began it. Its error means that the
+// stream can't go on.
+func (s *Server) bindResumed(ctx context.Context, j *Job) error {
+	if j.received != nil && j.received.software.Bound {
+		j.Software = j.received.software
+		return nil
+	}
+	if s.o.Origins == nil || j.LastEventID == "" || !j.mayResume() {
+		return nil
+	}
+	software, err := s.o.Origins.Find(ctx, j.streamID())
+	if err != nil {
+		return err
+	}
+	j.Software = BoundTo(software)
+	return nil
+}
+
+// recordOrigin records where a stream begins, or was resumed, unless the daemon that chose the replica does.
+func (s *Server) recordOrigin(j *Job, out *sink, a *attempt) {
+	if s.o.Origins != nil && a.peer == nil && j.mayResume() {
+		s.o.Origins.Began(j.streamID(), out.software.Version)
+	}
+}
+
+// servedBy returns the version of the software of the replica that answers the attempt; unbound if the daemon that chose it
+// does not say.
+func (a *attempt) servedBy() SoftwareBinding {
+	if a.peer == nil {
+		return BoundTo(a.software())
+	}
+	b, err := parseSoftware(a.response.Header)
+	if err != nil {
+		return SoftwareBinding{}
+	}
+	return b
+}
+
+// setServedBy tells the daemon that forwarded a request at which version its stream began.
+func setServedBy(h http.Header, j *Job, software SoftwareBinding) {
+	if j.received != nil {
+		setSoftware(h, software)
+	}
+}
+
+func setSoftware(h http.Header, b SoftwareBinding) {
+	if b.Bound {
+		h.Set(headerSoftware, url.QueryEscape(b.Version))
+	}
+}
+
+// parseSoftware parses the version in a header between daemons. Its error names the header.
+func parseSoftware(h http.Header) (SoftwareBinding, error) {
+	values := h.Values(headerSoftware)
+	if len(values) == 0 {
+		return SoftwareBinding{}, nil
+	}
+	version, err := url.QueryUnescape(values[0])
+	if err != nil {
+		return SoftwareBinding{}, errors.Newf("%s: %q: want an escaped version", headerSoftware, values[0])
+	}
+	return BoundTo(version), nil
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -77,6 +77,8 @@
 	Peers Peers
 	// MaxReceived bounds the requests that other daemons forward to this one and that are in progress; zero: it takes none.
 	MaxReceived int
+	// Origins says at which version a stream goes on that its caller resumes; nil: at any.
+	Origins Origins
 	// Room holds the requests that wait for room at the replicas; nil: none waits.
 	Room    *waiting.Room
 	Logger  hclog.Logger
@@ -163,6 +165,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.Deadline)
 	defer cancel()
+	if err := s.bindResumed(ctx, j); err != nil {
+		s.writeError(w, j, err)
+		return
+	}
 	s.serve(ctx, w, j)
 }
 
@@ -171,7 +177,9 @@
 	out := &sink{w: w, control: http.NewResponseController(w), lastEventID: j.LastEventID}
 	h := newHistory(j)
 	for {
-		j.ResponseStarted = out.started
+		if out.started {
+			j.ResponseStarted, j.Software = true, out.software
+		}
 		a, err := s.attempt(ctx, j, out, h)
 		if err != nil {
 			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, err)
@@ -281,7 +289,7 @@
 // where the retry requires it.
 func (s *Server) mayRetry(ctx context.Context, j *Job, a *attempt, h *history, out *sink) bool {
 	switch {
-	case h.final:
+	case h.final, out.started && !out.software.Bound:
 		return false
 	case a.outcome == failed:
 		return true // mayRunAgain has allowed and charged the retry
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -90,7 +90,8 @@
 	w           http.ResponseWriter
 	control     *http.ResponseController
 	started     bool
-	lastEventID string // id of the last event that was delivered
+	lastEventID string          // id of the last event that was delivered
+	software    SoftwareBinding // version of the software that began the response; unbound: not known
 	events      int
 	firstAt     time.Time
 	lastAt      time.Time
@@ -121,24 +122,27 @@
 
 // startResponse writes the status and headers of the first replica's response. It is called at the
 // first event, so that a stream that breaks earlier can still become a clean error.
-func (s *Server) startResponse(out *sink, a *attempt) {
+func (s *Server) startResponse(j *Job, out *sink, a *attempt) {
 	if out.started {
 		return
 	}
+	out.software = a.servedBy()
+	s.recordOrigin(j, out, a)
 	out.started = true
 	out.firstAt = time.Now()
 	s.copyHeader(out.w.Header(), a)
+	setServedBy(out.w.Header(), j, out.software)
 	s.closeIfDraining(out.w)
 	out.w.WriteHeader(a.response.Status)
 }
 
 // copyEvents delivers events until the stream ends. It returns nil if the stream ended cleanly.
-func (s *Server) copyEvents(ctx context.Context, out *sink, a *attempt) error {
+func (s *Server) copyEvents(ctx context.Context, j *Job, out *sink, a *attempt) error {
 	reader := newEventReader(a.response.Body)
 	for {
 		event, err := reader.next()
 		if err == io.EOF {
-			s.startResponse(out, a)
+			s.startResponse(j, out, a)
 			return out.control.Flush()
 		}
 		if err != nil {
@@ -151,7 +155,7 @@
 			out.lastEventID = id
 		}
 		a.recordFirstEvent()
-		s.startResponse(out, a)
+		s.startResponse(j, out, a)
 		arrived := time.Now()
 		if out.recordEvent(arrived) && a.placement.OnLongestGap != nil {
 			a.placement.OnLongestGap(out.longestGap)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -94,6 +94,34 @@
 	CopyResponseHeader(to, from http.Header)
 }
 
+// SoftwareBinding restricts a request to the replicas of one version of their software. The zero value restricts nothing.
+type SoftwareBinding struct {
+	Bound   bool
+	Version string
+}
+
+// BoundTo returns the binding to a version.
+func BoundTo(version string) SoftwareBinding { return SoftwareBinding{Bound: true, Version: version} }
+
+// Allows reports whether a replica with a version may get the request.
+func (b SoftwareBinding) Allows(version string) bool { return !b.Bound || b.Version == version }
+
+// StreamID identifies a stream over all requests of its caller.
+type StreamID struct {
+	Service routing.ServiceID
+	Org     request.OrgID
+	Request request.ID // that brought the caller the first event
+}
+
+// Origins knows at which version of its service's software each stream began.
+type Origins interface {
+	// Began records the version before the first event of a stream, or of a request that resumes it, is delivered. It does
+	// not block.
+	Began(s StreamID, software string)
+	// Find returns the version. A *request.Error means that it is not known.
+	Find(ctx context.Context, s StreamID) (software string, err error)
+}
+
 // Job is a request in progress.
 type Job struct {
 	Meta
@@ -110,6 +138,8 @@
 	// ResponseStarted is set once the caller has received a part of the response. A resumed stream is
 	// not refused because of queueing time, since its caller would lose what it has received.
 	ResponseStarted bool
+	// Software is the version that began the stream that the request resumes.
+	Software SoftwareBinding
 
 	memory *holding // of Body, and of the buffers of a stream
 	wait   waitRecord
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -113,6 +113,7 @@
 	byID       map[request.TargetID]*Replica
 	expiring   map[request.TargetID]time.Time
 	departures map[request.TargetID]departure
+	software   map[softwareOf]int         // number of registered replicas
 	services   map[routing.ServiceID]bool // services in the view; nil: all
 	view       atomic.Pointer[View]
 	update     viewUpdate // changes since the view
@@ -144,6 +145,7 @@
 	down, refused, limit, leaving func(*Replica)
 	reached, failed               func(*Replica) // outcome of a connection
 	brittle                       func(r *Replica, now time.Time, perSecond float64)
+	software                      func(service routing.ServiceID, version string, present bool)
 	ownWork                       func() // the work of this daemon changed
 	room                          func(*Replica)
 }
@@ -152,9 +154,9 @@
 func NewSet() *Set {
 	ignore := func(*Replica) {}
 	s := &Set{
-		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, reached: ignore, failed: ignore, ownWork: func() {}, room: ignore}, tracked: &trackedStates{}, update: newViewUpdate(),
+		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, reached: ignore, failed: ignore, ownWork: func() {}, room: ignore, software: func(routing.ServiceID, string, bool) {}}, tracked: &trackedStates{}, update: newViewUpdate(),
 		byID: map[request.TargetID]*Replica{}, byHash: map[uint64]*Replica{},
-		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, evacuationExpiry: map[string]time.Time{},
+		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, software: map[softwareOf]int{}, evacuationExpiry: map[string]time.Time{},
 	}
 	s.listeners.brittle = s.announceToService
 	s.evacuated.Store(&map[string]bool{})
@@ -286,10 +288,12 @@
 	switch {
 	case r == nil:
 		s.add(info, nil)
-	case info.Started != 0 && info.Started != r.Info().Started:
+	case info.Started != 0 && info.Started != r.Info().Started, info.Software != r.Info().Software:
 		s.restart(r, info)
 	default:
 		info.Started = r.Info().Started
+		s.countSoftware(&info, 1)
+		s.countSoftware(r.Info(), -1) // the entry may name another service
 		r.info.Store(&info)
 		s.relist(r)
 	}
@@ -316,6 +320,7 @@
 	r.info.Store(&info)
 	r.leaving.Store(s.hasDeparted(info.ID, info.Started))
 	s.byID[info.ID] = r
+	s.countSoftware(&info, 1)
 	s.relist(r)
 }
 
@@ -338,6 +343,7 @@
 // forget drops an incarnation.
 func (s *Set) forget(r *Replica) {
 	delete(s.byID, r.id)
+	s.countSoftware(r.Info(), -1)
 	s.relist(r)
 	s.tracked.forget(r)
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -71,6 +71,7 @@
 	CodeTruncatedStream  Code = "truncated_stream"
 	CodePayloadTooLarge  Code = "payload_too_large"
 	CodeMethodNotAllowed Code = "method_not_allowed"
+	CodeOriginUnknown    Code = "origin_unknown"
 )
 
 // Error is the final response to a request that did not succeed.
