A stream that its caller takes up goes on only at the version that began it

What callers saw: a stream that broke was taken up at another daemon, and the rest came from a replica of another version of the software.

Cause: the request that takes a stream up is a new one for the daemon that gets it. No daemon knew where another had begun a stream, and Resumes was passed on unread. Class: state that is needed after a failure lies only with the process that fails.

Before the first event of a stream is delivered, the daemon sends the version to three daemons, in one datagram each: one chosen of the whole fleet, the others of the region, in distinct failure domains. A daemon that gets a stream that is taken up asks those. Policy/origin decides: a record names the version; without one, a stream goes on only if nobody that answers knows of a second version, and somebody is certain of the one. Else the request is refused at once as not run. A daemon that is certain of one version sends no records, and sends those of its streams when it no longer is.

Ruled out: broadcasting each stream (75 KB/s a daemon at the aim), asking all daemons (the one that knows is the one that died), the key-value service (writes per stream), and choosing the version by a hash of the request (daemons disagree while versions come and go, and caches would be split).

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 proto:
 	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
 		--twirp_out=. --twirp_opt=paths=source_relative peer.proto
-	for p in mirror contextstore loadshare; do (cd internal/$$p && \
+	for p in mirror contextstore loadshare origins; do (cd internal/$$p && \
 		protoc --go_out=. --go_opt=paths=source_relative \
 		--twirp_out=. --twirp_opt=paths=source_relative $$p.proto); done
 	rm -f internal/loadshare/loadshare.twirp.go
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
 	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -90,6 +91,8 @@
 	OnRooms func(from request.DaemonID, rooms []GroupRoom)
 	// Lost returns the services none of whose replicas this daemon reaches; nil: it reaches some of all.
 	Lost func() []routing.ServiceID
+	// OnOrigins receives records of streams; nil: they are ignored.
+	OnOrigins func([]origin.Record)
 	// Lenders returns the daemons that hear of work at a replica, besides Peers; nil: none do.
 	Lenders LendersFunc
 	Logger  hclog.Logger
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -32,6 +32,10 @@
 			s.o.Logger.Debug("Failed to decode a datagram", "error", err)
 			continue
 		}
+		if len(r.Origins) > 0 {
+			s.applyOrigins(r.Origins)
+			continue
+		}
 		s.apply(ctx, time.Now(), &r)
 	}
 }
--- /dev/null
+++ b/internal/origins/lookup.go
@@ -0,0 +1,106 @@
+package origins
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// Find implements relay.Origins.
+func (e *Exchange) Find(ctx context.Context, s relay.StreamID) (software string, err error) {
+	if e.lookups.Add(1) > int64(e.o.Params.MaxLookups) {
+		e.lookups.Add(-1)
+		return "", request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, busyRetry, "as many streams are looked up as may be")
+	}
+	defer e.lookups.Add(-1)
+	v := e.decide(ctx, s.Service, keyOf(s))
+	e.o.Metrics.Tagged(map[string]string{"verdict": string(v.Reason)}).Counter("stream_lookups").Inc(1)
+	if !v.GoesOn {
+		return "", refusal(v)
+	}
+	return v.Software, nil
+}
+
+// decide asks the daemons that keep the record of a stream, unless this one knows it.
+func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) origin.Verdict {
+	testimonies := []origin.Testimony{e.testimony(service, key)}
+	if testimonies[0].Found {
+		return origin.Decide(testimonies)
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
+	defer cancel()
+	peers := e.others()
+	keepers := origin.Keepers(membersOf(peers), key, e.o.Region, e.o.Params.Copies)
+	answers := make(chan *origin.Testimony, len(keepers))
+	for _, n := range keepers {
+		go func() { answers <- e.ask(ctx, peers[n], service, key) }()
+	}
+	for range keepers {
+		t := <-answers // ctx bounds each call
+		if t == nil {
+			continue
+		}
+		testimonies = append(testimonies, *t)
+		if t.Found {
+			break
+		}
+	}
+	return origin.Decide(testimonies)
+}
+
+// ask returns what another daemon knows of a stream, nil if it does not answer.
+func (e *Exchange) ask(ctx context.Context, p Peer, service routing.ServiceID, key origin.Key) *origin.Testimony {
+	client := NewKeeperProtobufClient("http://"+p.Address.String(), e.o.Client)
+	r, err := client.Find(ctx, &FindRequest{Stream: uint64(key), Service: string(service)})
+	if err != nil {
+		if ctx.Err() == nil {
+			e.o.Logger.Debug("A daemon did not say where a stream began", "daemon", p.Name, "error", err)
+		}
+		return nil
+	}
+	return &origin.Testimony{
+		Finding: origin.Finding{Found: r.Found, Software: r.Software, Conflict: r.Conflict},
+		View:    origin.View{Certainty: certaintyOf(r.Certainty), Software: r.Sole},
+	}
+}
+
+// keeper serves the questions of other daemons.
+type keeper struct{ exchange *Exchange }
+
+// PathPrefix is the prefix of the paths that NewServer serves.
+const PathPrefix = KeeperPathPrefix
+
+// NewServer returns the handler of other daemons' questions.
+func NewServer(e *Exchange) http.Handler { return NewKeeperServer(keeper{e}) }
+
+// Find implements Keeper.
+func (k keeper) Find(_ context.Context, q *FindRequest) (*FindResponse, error) {
+	t := k.exchange.testimony(routing.ServiceID(q.Service), origin.Key(q.Stream))
+	return &FindResponse{
+		Found: t.Found, Software: t.Finding.Software, Conflict: t.Conflict, Certainty: messageOf(t.View.Certainty), Sole: t.View.Software,
+	}, nil
+}
+
+func certaintyOf(c Certainty) origin.Certainty {
+	switch c {
+	case Certainty_CERTAINTY_SOLE:
+		return origin.Sole
+	case Certainty_CERTAINTY_SEVERAL:
+		return origin.Several
+	}
+	return origin.Unsure
+}
+
+func messageOf(c origin.Certainty) Certainty {
+	switch c {
+	case origin.Sole:
+		return Certainty_CERTAINTY_SOLE
+	case origin.Several:
+		return Certainty_CERTAINTY_SEVERAL
+	}
+	return Certainty_CERTAINTY_UNSURE
+}
--- /dev/null
+++ b/internal/policy/origin/origin.go
@@ -0,0 +1,108 @@
+// Package origin decides at which version of a service's software a stream goes on.
+//
+// Replicas of several versions of one service's software may serve side by side. What two versions write does not fit
+// together, replicas don't check it, and the daemon that a stream is taken up at is mostly not the one that began it; that one
+// may be gone. Invariant: a stream goes on only at the version that began it, and not at all if that version is uncertain.
+//
+// A daemon that knows several versions, or is not sure, records where each stream begins at a few daemons, before its caller
+// receives the first event. A daemon that knows of one version alone records nothing. A stream without a record can therefore
+// go on only if nobody that is asked knows of a second version.
+//
+// The package is pure: it holds no clock, I/O, goroutine or randomness.
+package origin
+
+// Certainty is what a daemon knows of the versions at which streams of a service that may still go on can have begun.
+type Certainty int
+
+const (
+	Unsure  Certainty = iota // the daemon has not seen the service for long enough, or its view may be old
+	Sole                     // one version
+	Several                  // more than one
+)
+
+// String implements fmt.Stringer.
+func (c Certainty) String() string { return [...]string{"unsure", "sole", "several"}[c] }
+
+// View is what a daemon knows of a service.
+type View struct {
+	Certainty Certainty
+	Software  string // the version, if Certainty is Sole
+}
+
+// Finding is what a daemon has recorded of a stream.
+type Finding struct {
+	Found    bool
+	Software string // at which the stream began, if Found
+	Conflict bool   // two records of the stream name different versions
+}
+
+// Testimony is what one daemon says of a stream.
+type Testimony struct {
+	Finding
+	View View // of the stream's service
+}
+
+// Reason says why a stream may go on, or not.
+type Reason string
+
+const (
+	ReasonRecorded Reason = "recorded" // a record names the version
+	ReasonSole     Reason = "sole"     // there is no record, and no other version
+	ReasonConflict Reason = "conflict" // records contradict each other
+	ReasonSeveral  Reason = "several"  // there is no record, and several versions
+	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
+)
+
+// Verdict says whether a stream may go on, and at which version.
+type Verdict struct {
+	GoesOn   bool
+	Software string
+	Reason   Reason
+}
+
+// Decide returns the verdict on a stream from what this daemon and those that it could ask say.
+func Decide(testimonies []Testimony) Verdict {
+	found, conflict := recorded(testimonies)
+	switch {
+	case conflict:
+		return Verdict{Reason: ReasonConflict}
+	case found != nil:
+		return Verdict{GoesOn: true, Software: found.Software, Reason: ReasonRecorded}
+	}
+	return unrecorded(testimonies)
+}
+
+// recorded returns the finding on which all records agree, nil if there is none.
+func recorded(testimonies []Testimony) (found *Finding, conflict bool) {
+	for i := range testimonies {
+		f := &testimonies[i].Finding
+		switch {
+		case f.Conflict:
+			return nil, true
+		case !f.Found:
+		case found == nil:
+			found = f
+		case found.Software != f.Software:
+			return nil, true
+		}
+	}
+	return found, false
+}
+
+// unrecorded returns the verdict on a stream without a record.
+func unrecorded(testimonies []Testimony) Verdict {
+	var sole *View
+	for i := range testimonies {
+		v := &testimonies[i].View
+		switch {
+		case v.Certainty == Several, v.Certainty == Sole && sole != nil && v.Software != sole.Software:
+			return Verdict{Reason: ReasonSeveral}
+		case v.Certainty == Sole:
+			sole = v
+		}
+	}
+	if sole == nil {
+		return Verdict{Reason: ReasonUnsure}
+	}
+	return Verdict{GoesOn: true, Software: sole.Software, Reason: ReasonSole}
+}
--- /dev/null
+++ b/internal/policy/origin/versions.go
@@ -0,0 +1,65 @@
+package origin
+
+import "time"
+
+// Versions are the versions of one service's software that a daemon has seen lately. The zero value has seen none; it is not
+// safe for concurrent use.
+type Versions struct {
+	present map[string]bool
+	gone    map[string]time.Time // when the last replica of a version left
+}
+
+// Appear records that replicas of a version are registered.
+func (v *Versions) Appear(software string) {
+	if v.present == nil {
+		v.present, v.gone = map[string]bool{}, map[string]time.Time{}
+	}
+	v.present[software] = true
+	delete(v.gone, software)
+}
+
+// Vanish records that the last replica of a version is no longer registered. Its streams may go on for a while.
+func (v *Versions) Vanish(now time.Time, software string) {
+	if !v.present[software] {
+		return
+	}
+	delete(v.present, software)
+	v.gone[software] = now
+}
+
+// Prune forgets versions whose last replica left longer than keep ago. It reports whether no version is left.
+func (v *Versions) Prune(now time.Time, keep time.Duration) (empty bool) {
+	for software, at := range v.gone {
+		if now.Sub(at) > keep {
+			delete(v.gone, software)
+		}
+	}
+	return len(v.present)+len(v.gone) == 0
+}
+
+// Names returns the versions at which streams can have begun within keep.
+func (v *Versions) Names(now time.Time, keep time.Duration) []string {
+	var names []string
+	for software := range v.present {
+		names = append(names, software)
+	}
+	for software, at := range v.gone {
+		if now.Sub(at) <= keep {
+			names = append(names, software)
+		}
+	}
+	return names
+}
+
+// View returns what the versions tell. sure says that the daemon has seen all versions of the last keep, and that its
+// registry is current.
+func (v *Versions) View(now time.Time, keep time.Duration, sure bool) View {
+	names := v.Names(now, keep)
+	switch {
+	case len(names) > 1:
+		return View{Certainty: Several}
+	case len(names) == 0 || !sure:
+		return View{}
+	}
+	return View{Certainty: Sole, Software: names[0]}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -154,6 +154,8 @@
 	Version  uint64
 	Services map[ServiceID]*Service
 	Limits   CallerLimits
+	// LongestResumable is the longest timeout of the routes whose streams may be resumed; zero: there is none.
+	LongestResumable time.Duration
 
 	byHost       map[string][]*Route // longest prefix first
 	keys         map[string]*Org
@@ -177,6 +179,9 @@
 	for _, r := range routes {
 		s.byHost[r.Host] = append(s.byHost[r.Host], r)
 		s.addObjectives(r)
+		if r.Kind == KindStream && r.Resumable {
+			s.LongestResumable = max(s.LongestResumable, r.Timeout)
+		}
 	}
 	for _, hostRoutes := range s.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
