The versions at which streams may go on outlive all daemons

The key-value service now lists the versions of each service at which streams that may go on can have begun: one small key a service, written by the first in rank when a version appears, and when the streams of one that has left have ended. A daemon that starts is certain once it has read the key and the registry. Nothing is written at rest, nor per stream. Ruled out: asking peers for what they have seen, which fails when all start together.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -16,6 +16,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -60,6 +62,11 @@
 	Client *http.Client
 	// Current reports whether the list of replicas is current.
 	Current func() bool
+	// KV holds the versions of services, which Follower follows; nil: they are not kept there. Rank returns this daemon's rank
+	// for a key; the first one writes it.
+	KV       platform.KV
+	Follower *mirror.Follower
+	Rank     func(key string) int
 	// Keep returns how long a stream may go on after its first event.
 	Keep    func() time.Duration
 	Params  Params
@@ -72,13 +79,17 @@
 	o       Options
 	wake    chan struct{} // has an element if the versions have changed
 	lookups atomic.Int64
+	mirror  *mirror.Mirror // of the histories; nil: they are not kept
 
 	mu       sync.Mutex
 	versions map[routing.ServiceID]*origin.Versions
 	listedAt time.Time // when all replicas were listed first; zero: not yet
-	records  *origin.Records
-	began    map[routing.ServiceID]*origin.Records // of streams that began here
-	sole     map[routing.ServiceID]bool            // services of which no records were sent at the last check
+	// histories are the entries in the key-value service; missing says since when a service has had none.
+	histories map[routing.ServiceID]*history
+	missing   map[routing.ServiceID]time.Time
+	records   *origin.Records
+	began     map[routing.ServiceID]*origin.Records // of streams that began here
+	sole      map[routing.ServiceID]bool            // services of which no records were sent at the last check
 }
 
 // New returns an Exchange.
@@ -90,12 +101,20 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("origins")
-	return &Exchange{
+	e := &Exchange{
+		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		o: o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
 		records: origin.NewRecords(o.Params.MaxRecords), began: map[routing.ServiceID]*origin.Records{}, sole: map[routing.ServiceID]bool{},
 	}
+	if o.KV != nil {
+		e.mirror = o.Follower.AddMirror(HistoryPrefix, e.applyHistory)
+	}
+	return e
 }
 
+// Mirror returns the mirror of the versions in the key-value service; nil if they are not kept there.
+func (e *Exchange) Mirror() *mirror.Mirror { return e.mirror }
+
 // OnListed records since when the list of replicas has been complete. Later calls are ignored.
 func (e *Exchange) OnListed(now time.Time) {
 	e.mu.Lock()
@@ -108,11 +127,7 @@
 // OnSoftware records that the first replica of a version was registered, or that the last one left. It does not block.
 func (e *Exchange) OnSoftware(service routing.ServiceID, software string, present bool) {
 	e.mu.Lock()
-	v := e.versions[service]
-	if v == nil {
-		v = &origin.Versions{}
-		e.versions[service] = v
-	}
+	v := e.versionsOf(service)
 	if present {
 		v.Appear(software)
 	} else {
@@ -174,7 +189,8 @@
 	if v == nil {
 		return origin.View{}
 	}
-	complete := !e.listedAt.IsZero() && now.Sub(e.listedAt) >= keep
+	recorded := e.histories[service] != nil && len(e.histories[service].versions) > 0
+	complete := !e.listedAt.IsZero() && (recorded || now.Sub(e.listedAt) >= keep)
 	return v.View(now, keep, current && complete)
 }
 
--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -265,7 +265,7 @@
 
 // TestManyStreamsComeBackAtOnce guards against lookups without a bound when many daemons die together.
 func TestManyStreamsComeBackAtOnce(t *testing.T) {
-	g := newGroup(t, 4)
+	g := newGroup(t, 8)
 	g.appear("v2")
 	asking := g.members[0]
 	asking.o.Params.MaxLookups = 20
--- /dev/null
+++ b/internal/origins/history.go
@@ -0,0 +1,172 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// HistoryPrefix precedes the keys in the key-value service that list the versions of each service at which streams that may
+// go on can have begun. They last when all daemons are killed together, and are written when a version comes or goes.
+const HistoryPrefix = "software/"
+
+const (
+	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
+	writeDelay   = 500 * time.Millisecond
+	writeTimeout = time.Second
+	// maxVersions bounds the versions in one entry. A service with more counts as one whose versions are not known.
+	maxVersions = 64
+)
+
+// historyEntry is the value of a key below HistoryPrefix.
+type historyEntry struct {
+	Versions []string `json:"versions"`
+}
+
+// history is what the key-value service lists of a service.
+type history struct {
+	versions []string
+	revision platform.Revision
+	differs  time.Time // since when this daemon has known other versions; zero: it does not
+}
+
+// applyHistory applies changes of the entries.
+func (e *Exchange) applyHistory(u mirror.Update) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if u.Full {
+		clear(e.histories)
+	}
+	for _, entry := range u.Entries {
+		service := routing.ServiceID(strings.TrimPrefix(entry.Key, HistoryPrefix))
+		if entry.Deleted {
+			delete(e.histories, service)
+			continue
+		}
+		versions, err := decodeHistory(entry.Value)
+		if err != nil {
+			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", entry.Key, "error", err)
+			versions = nil // the next write replaces it
+		}
+		e.histories[service] = &history{versions: versions, revision: entry.Revision}
+		delete(e.missing, service)
+		for _, software := range versions {
+			e.versionsOf(service).Remember(now, software)
+		}
+	}
+}
+
+// decodeHistory decodes and validates an entry. Its error names the field.
+func decodeHistory(value []byte) ([]string, error) {
+	var entry historyEntry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return nil, errors.Wrap(err, "origins: history")
+	}
+	if n := len(entry.Versions); n == 0 || n > maxVersions {
+		return nil, errors.Newf("origins: history: versions: %d entries, want 1 to %d", n, maxVersions)
+	}
+	return entry.Versions, nil
+}
+
+// dueWrite is an entry that this daemon is to write.
+type dueWrite struct {
+	service  routing.ServiceID
+	versions []string
+	revision platform.Revision
+}
+
+// dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written. A daemon that
+// has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
+func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listedAt.IsZero() {
+		return nil
+	}
+	for service, v := range e.versions {
+		names := v.Names(now, keep)
+		slices.Sort(names)
+		h := e.histories[service]
+		if h == nil && now.Sub(e.listedAt) < keep || len(names) == 0 || len(names) > maxVersions {
+			continue
+		}
+		if h == nil {
+			h = &history{}
+			e.missing[service] = earliest(e.missing[service], now)
+			h.differs = e.missing[service]
+		}
+		if slices.Equal(h.versions, names) {
+			h.differs = time.Time{}
+			continue
+		}
+		h.differs = earliest(h.differs, now)
+		if now.Sub(h.differs) >= time.Duration(rank(HistoryPrefix+string(service)))*writeDelay {
+			due = append(due, dueWrite{service: service, versions: names, revision: h.revision})
+		}
+	}
+	return due
+}
+
+func earliest(t, now time.Time) time.Time {
+	if t.IsZero() {
+		return now
+	}
+	return t
+}
+
+// write writes an entry. A conflict is no error: the entry that another daemon wrote arrives soon, and is compared again.
+func (e *Exchange) write(ctx context.Context, w dueWrite) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	value, err := json.Marshal(historyEntry{Versions: w.versions})
+	if err != nil {
+		e.o.Logger.Error("Failed to encode a list of versions", "service", w.service, "error", err)
+		return
+	}
+	_, err = e.o.KV.CompareAndSwap(ctx, HistoryPrefix+string(w.service), w.revision, value, "")
+	switch {
+	case err == nil:
+		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
+	case !errors.Is(err, platform.ErrConflict):
+		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
+	}
+}
+
+// RunHistory writes the entries that this daemon is to write until ctx is cancelled.
+func (e *Exchange) RunHistory(ctx context.Context) error {
+	t := time.NewTicker(pruneInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !e.o.Current() {
+			continue
+		}
+		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
+			e.write(ctx, w)
+		}
+	}
+}
+
+// versionsOf returns the versions of a service. The mutex must be held.
+func (e *Exchange) versionsOf(service routing.ServiceID) *origin.Versions {
+	v := e.versions[service]
+	if v == nil {
+		v = &origin.Versions{}
+		e.versions[service] = v
+	}
+	return v
+}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -27,6 +27,20 @@
 	v.gone[software] = now
 }
 
+// Remember records that a version has had replicas until now, unless the daemon knows better.
+func (v *Versions) Remember(now time.Time, software string) {
+	if v.present[software] {
+		return
+	}
+	if _, known := v.gone[software]; known {
+		return
+	}
+	if v.gone == nil {
+		v.present, v.gone = map[string]bool{}, map[string]time.Time{}
+	}
+	v.gone[software] = now
+}
+
 // Prune forgets versions whose last replica left longer than keep ago. It reports whether no version is left.
 func (v *Versions) Prune(now time.Time, keep time.Duration) (empty bool) {
 	for software, at := range v.gone {
