--- /dev/null
+++ b/internal/origins/schedule_test.go
@@ -0,0 +1,349 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
+)
+
+// A schedule runs exchanges in virtual time while versions come and go and daemons are killed, alone or all at once, cut off
+// from the key-value service or from each other. Callers take streams up at random daemons.
+const (
+	scheduleSeeds     = 20
+	scheduleLength    = 60 * time.Second
+	scheduleStep      = 50 * time.Millisecond
+	scheduleDaemons   = 6
+	scheduleVersions  = 3
+	streamsPerStep    = 2
+	maxReturn         = 3 * time.Second // until a caller takes its stream up
+	maxFault          = 4 * time.Second
+	maxRestart        = 1500 * time.Millisecond
+	unnoticedCut      = 1500 * time.Millisecond // how long a cut-off daemon believes that its list of replicas is current
+	maxPropagation    = 20 * time.Millisecond
+	datagramLoss      = 0.03
+	versionFaultShare = 0.5 // share of the faults that change which versions have replicas
+)
+
+// errUnreachable is the error of a call to a daemon that is dead or cut off.
+var errUnreachable = errors.New("origins: test: unreachable")
+
+type scheduledDaemon struct {
+	*Exchange
+	name     string
+	address  netip.AddrPort
+	stop     context.CancelFunc
+	alive    bool
+	cutAt    time.Time // from the key-value service; zero: it is not cut off
+	isolated bool      // from other daemons
+	view     map[string]bool
+}
+
+type schedule struct {
+	t       *testing.T
+	random  *rand.Rand
+	ctx     context.Context
+	mu      sync.Mutex // guards all below, and the daemons' fields
+	daemons []*scheduledDaemon
+	present map[string]bool // versions that have replicas
+	entry   platform.Entry  // in the key-value service
+	streams int
+	wentOn  int
+	refused int
+	wrong   []string
+}
+
+// TestSchedulesOfVersions guards against streams that go on at another version, whatever fails meanwhile.
+func TestSchedulesOfVersions(t *testing.T) {
+	for seed := uint64(1); seed <= scheduleSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
+		})
+	}
+}
+
+func runSchedule(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, present: map[string]bool{"v1": true}}
+	for i := range scheduleDaemons {
+		s.daemons = append(s.daemons, &scheduledDaemon{name: fmt.Sprint("vm", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)})
+		s.start(i)
+	}
+	for end := time.Now().Add(scheduleLength); time.Now().Before(end); time.Sleep(scheduleStep) {
+		for range streamsPerStep {
+			s.beginStream()
+		}
+		if s.random.IntN(20) == 0 {
+			s.injectFault()
+		}
+	}
+	time.Sleep(maxReturn + maxFault)
+	cancel()
+	synctest.Wait()
+	t.Logf("seed %d: %d streams, %d of %d went on", seed, s.streams, s.wentOn, s.wentOn+s.refused)
+	for _, wrong := range s.wrong {
+		t.Errorf("seed %d: %s", seed, wrong)
+	}
+	if s.wentOn < s.refused {
+		t.Errorf("seed %d: more than half of the streams could not go on", seed)
+	}
+}
+
+// start starts a daemon, which reads the key-value service shortly after.
+func (s *schedule) start(i int) {
+	d := s.daemons[i]
+	ctx, stop := context.WithCancel(s.ctx)
+	d.alive, d.stop, d.view = true, stop, map[string]bool{}
+	d.Exchange = New(Options{
+		Self: d.name, Region: "r", Peers: s.peers, Send: func(to netip.AddrPort, records []origin.Record) { s.send(i, to, records) },
+		Client: &http.Client{Transport: &scheduleTransport{schedule: s, from: i}}, Current: func() bool { return s.current(i) },
+		Keep: func() time.Duration { return keepTime }, Params: DefaultParams, Rank: func(string) int { return i },
+	})
+	d.o.KV = &scheduleKV{schedule: s, daemon: i}
+	e := d.Exchange
+	for _, run := range []func(context.Context) error{e.Run, e.RunHistory} {
+		go func() { _ = run(ctx) }()
+	}
+	time.AfterFunc(100*time.Millisecond, func() { s.read(i, e) })
+}
+
+// read brings a daemon up to date, unless it is cut off or another process by now.
+func (s *schedule) read(i int, e *Exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.daemons[i]
+	if d.Exchange != e || !d.alive || !d.cutAt.IsZero() {
+		return
+	}
+	if s.entry.Revision != 0 {
+		e.applyHistory(mirror.Update{Entries: []platform.Entry{s.entry}})
+	}
+	for n := range scheduleVersions {
+		software := fmt.Sprint("v", n+1)
+		if s.present[software] != d.view[software] {
+			d.view[software] = s.present[software]
+			e.OnSoftware(service, software, s.present[software])
+		}
+	}
+	e.OnListed(time.Now())
+}
+
+// propagate lets all daemons read, at different times.
+func (s *schedule) propagate() {
+	for i, d := range s.daemons {
+		e := d.Exchange
+		time.AfterFunc(time.Duration(s.random.Int64N(int64(maxPropagation))), func() { s.read(i, e) })
+	}
+}
+
+func (s *schedule) current(i int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.daemons[i]
+	return d.cutAt.IsZero() || time.Since(d.cutAt) < unnoticedCut
+}
+
+func (s *schedule) peers() []Peer {
+	out := make([]Peer, len(s.daemons)) // the list of daemons lags behind their deaths
+	for i, d := range s.daemons {
+		out[i] = Peer{Member: origin.Member{Name: d.name, FailureDomain: fmt.Sprint(i % 3), Region: "r"}, Address: d.address}
+	}
+	return out
+}
+
+// reachable returns the daemon at an address, nil if another one does not reach it.
+func (s *schedule) reachable(from int, address netip.AddrPort) *Exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := slices.IndexFunc(s.daemons, func(d *scheduledDaemon) bool { return d.address == address })
+	if d := s.daemons[n]; d.alive && !d.isolated && !s.daemons[from].isolated {
+		return d.Exchange
+	}
+	return nil
+}
+
+func (s *schedule) send(from int, to netip.AddrPort, records []origin.Record) {
+	s.mu.Lock()
+	lost := s.random.Float64() < datagramLoss
+	s.mu.Unlock()
+	if lost {
+		return
+	}
+	time.AfterFunc(time.Millisecond, func() {
+		if e := s.reachable(from, to); e != nil {
+			e.OnRecords(records)
+		}
+	})
+}
+
+// beginStream begins a stream at a random daemon, and may let its caller take it up later.
+func (s *schedule) beginStream() {
+	s.mu.Lock()
+	i := s.random.IntN(len(s.daemons))
+	d, e := s.daemons[i], s.daemons[i].Exchange
+	software := fmt.Sprint("v", 1+s.random.IntN(scheduleVersions))
+	serves := d.alive && d.view[software] && s.present[software]
+	n := s.streams
+	returns := s.random.IntN(2) == 0
+	after := time.Duration(s.random.Int64N(int64(maxReturn)))
+	if serves {
+		s.streams++
+	}
+	s.mu.Unlock()
+	if !serves {
+		return
+	}
+	e.Began(stream(n), software)
+	if returns {
+		go s.takeUp(n, software, after)
+	}
+}
+
+func (s *schedule) takeUp(n int, began string, after time.Duration) {
+	time.Sleep(after)
+	s.mu.Lock()
+	d := s.daemons[s.random.IntN(len(s.daemons))]
+	e, alive := d.Exchange, d.alive
+	s.mu.Unlock()
+	if !alive {
+		return
+	}
+	got, err := e.Find(s.ctx, stream(n))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err != nil:
+		s.refused++
+	case got != began:
+		s.wrong = append(s.wrong, fmt.Sprintf("stream %d began at %s and goes on at %s at %s", n, began, got, d.name))
+	default:
+		s.wentOn++
+	}
+}
+
+func (s *schedule) injectFault() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.random.Float64() < versionFaultShare {
+		s.changeVersions()
+		return
+	}
+	i := s.random.IntN(len(s.daemons))
+	lasts := time.Duration(s.random.Int64N(int64(maxFault)))
+	switch s.random.IntN(8) {
+	case 0, 1, 2:
+		s.kill(i)
+	case 3:
+		for n := range s.daemons {
+			s.kill(n)
+		}
+	case 4, 5:
+		s.cut(i, lasts)
+	case 6:
+		for n := range s.daemons {
+			s.cut(n, lasts)
+		}
+	default:
+		d := s.daemons[i]
+		d.isolated = true
+		time.AfterFunc(lasts, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			d.isolated = false
+		})
+	}
+}
+
+// changeVersions gives a version replicas, or takes its last one away.
+func (s *schedule) changeVersions() {
+	software := fmt.Sprint("v", 1+s.random.IntN(scheduleVersions))
+	s.present[software] = !s.present[software]
+	s.propagate()
+}
+
+func (s *schedule) kill(i int) {
+	d := s.daemons[i]
+	if !d.alive {
+		return
+	}
+	d.alive = false
+	d.stop()
+	time.AfterFunc(time.Duration(s.random.Int64N(int64(maxRestart))), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.start(i)
+	})
+}
+
+// cut cuts a daemon off from the key-value service.
+func (s *schedule) cut(i int, lasts time.Duration) {
+	d := s.daemons[i]
+	if !d.cutAt.IsZero() {
+		return
+	}
+	d.cutAt = time.Now()
+	time.AfterFunc(lasts, func() {
+		s.mu.Lock()
+		d.cutAt = time.Time{}
+		e := d.Exchange
+		s.mu.Unlock()
+		s.read(i, e)
+	})
+}
+
+// scheduleTransport carries the calls of one daemon.
+type scheduleTransport struct {
+	schedule *schedule
+	from     int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *scheduleTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(time.Millisecond)
+	e := t.schedule.reachable(t.from, netip.MustParseAddrPort(r.URL.Host))
+	if e == nil {
+		return nil, errUnreachable
+	}
+	w := httptest.NewRecorder()
+	NewServer(e).ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// scheduleKV is the key-value service as one daemon sees it.
+type scheduleKV struct {
+	platform.KV
+	schedule *schedule
+	daemon   int
+}
+
+// CompareAndSwap implements platform.KV.
+func (kv *scheduleKV) CompareAndSwap(_ context.Context, key string, expect platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+	s := kv.schedule
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.daemons[kv.daemon].cutAt.IsZero():
+		return 0, errUnreachable
+	case s.entry.Revision != expect:
+		return 0, platform.ErrConflict
+	case !json.Valid(value):
+		s.wrong = append(s.wrong, fmt.Sprintf("an invalid entry was written: %q", value))
+	}
+	s.entry = platform.Entry{Key: key, Value: value, Revision: expect + 1}
+	s.propagate()
+	return s.entry.Revision, nil
+}
