--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -314,3 +314,20 @@
 	g.members[0].OnSoftware(service, "v2", true)
 	g.mustEnd(g.members[0], 1)
 }
+
+// BenchmarkLookup measures what a stream that is taken up costs this daemon and the three that it asks.
+func BenchmarkLookup(b *testing.B) {
+	g := &group{t: &testing.T{}}
+	for i := range 4 {
+		m := g.start(fmt.Sprint("vm", i))
+		b.Cleanup(m.server.Close)
+		m.OnListed(time.Now().Add(-time.Hour))
+		m.OnSoftware(service, "v1", true)
+	}
+	b.ResetTimer()
+	for n := range b.N {
+		if _, err := g.members[0].Find(context.Background(), stream(n)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,7 +26,7 @@
 type plainDialect struct{}
 
 func (plainDialect) ParseRequest(h http.Header) (Meta, error) {
-	m := Meta{ID: request.ID(h.Get("Id")), LastEventID: h.Get("Last")}
+	m := Meta{ID: request.ID(h.Get("Id")), LastEventID: h.Get("Last"), Resumes: request.ID(h.Get("Resumes"))}
 	if ms, err := strconv.Atoi(h.Get("Left")); err == nil {
 		m.TimeLeft = time.Duration(ms) * time.Millisecond
 	}
@@ -78,11 +78,11 @@
 
 func (*fixedOrderPlacer) HasRoom(*Job, []request.TargetID) bool { return true }
 
-func (l *fixedOrderPlacer) Place(_ context.Context, _ *Job, tried []request.TargetID) (*Placement, error) {
+func (l *fixedOrderPlacer) Place(_ context.Context, j *Job, tried []request.TargetID) (*Placement, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.replicas {
-		if !slices.Contains(tried, r.Info().ID) {
+		if !slices.Contains(tried, r.Info().ID) && j.Software.Allows(r.Info().Software) {
 			return &Placement{Replica: r, Flight: r.Load.Begin(0, 0)}, nil
 		}
 	}
--- /dev/null
+++ b/internal/relay/resume_test.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
+)
+
+// addVersionedReplica adds a replica that runs a version of its software and sends events from the one after Last on. It breaks
+// off after events of them; zero: it sends all three.
+func (f *fixture) addVersionedReplica(software string, events int) {
+	f.t.Helper()
+	f.addReplica(func(c net.Conn, id string) {
+		got := f.received()
+		last := 0
+		_, _ = fmt.Sscan(got[len(got)-1].lastEventID, &last) // stays zero for a new stream
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id)
+		for n := last + 1; n <= 3; n++ {
+			fmt.Fprintf(c, "id: %d\ndata: %s\n\n", n, software)
+			if n-last == events {
+				_, _ = io.WriteString(c, "id:") // breaks off in an event
+				return
+			}
+		}
+	})
+	n := len(f.placer.replicas) - 1
+	entry := *f.placer.replicas[n].Info()
+	entry.Software = software
+	f.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{entry}})
+	f.placer.replicas[n] = f.set.Get(entry.ID)
+}
+
+// fakeOrigins knows where some streams began.
+type fakeOrigins struct {
+	known map[StreamID]string
+	begun map[StreamID]string
+}
+
+func (o *fakeOrigins) Began(s StreamID, software string) { o.begun[s] = software }
+
+func (o *fakeOrigins) Find(_ context.Context, s StreamID) (string, error) {
+	software, ok := o.known[s]
+	if !ok {
+		return "", request.Refuse(request.CodeOriginUnknown, http.StatusServiceUnavailable, time.Second, "not known")
+	}
+	return software, nil
+}
+
+func resumableRoute() *routing.Route {
+	r := route(routing.KindStream)
+	r.Resumable, r.MaxAttempts = true, 4
+	return r
+}
+
+// TestForwardedStreamGoesOnAtItsVersion guards against a stream that another daemon began and lost going on at another version at the next daemon.
+func TestForwardedStreamGoesOnAtItsVersion(t *testing.T) {
+	cut, first, peers := newPair(t, resumableRoute())
+	first.addVersionedReplica("v1", 1)
+	first.server.o.MaxReceived = 10
+	second := newFixture(t, resumableRoute())
+	second.server.o.MaxReceived = 10
+	second.addVersionedReplica("v2", 0)
+	second.addVersionedReplica("v1", 0)
+	peers.add(t, second.listenForPeers())
+	resp, body, err := cut.call(http.MethodPost, "/x", http.Header{"Id": {"1"}})
+	if err != nil || body != "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\nid: 3\ndata: v1\n\n" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if resp != nil && resp.Header.Get(headerSoftware) != "" {
+		t.Error("a header between daemons reached the caller")
+	}
+}
+
+// TestStreamOfSilentPeerDoesNotGoOn guards against a stream of a daemon that did not say at which version it began it.
+func TestStreamOfSilentPeerDoesNotGoOn(t *testing.T) {
+	cut, _, peers := newPair(t, resumableRoute())
+	older := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n") // the test sees what arrived
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(older.Close)
+	peers.ids, peers.pools = nil, nil
+	peers.add(t, strings.TrimPrefix(older.URL, "http://"))
+	second := newFixture(t, resumableRoute())
+	second.server.o.MaxReceived = 10
+	second.addVersionedReplica("v1", 0)
+	peers.add(t, second.listenForPeers())
+	if _, body, err := cut.call(http.MethodPost, "/x", http.Header{"Id": {"1"}}); err == nil {
+		t.Errorf("the stream looks complete: %q", body)
+	}
+	if got := second.received(); len(got) != 0 {
+		t.Errorf("the stream went on: %+v", got)
+	}
+}
+
+// TestTakenUpStreamIsBoundToItsVersion guards against a request that takes a stream up and is placed as a new one, or waits if the stream can't go on.
+func TestTakenUpStreamIsBoundToItsVersion(t *testing.T) {
+	f := newFixture(t, resumableRoute())
+	f.addVersionedReplica("v2", 0)
+	f.addVersionedReplica("v1", 1)
+	f.addVersionedReplica("v1", 0)
+	known := StreamID{Service: "s", Org: "org", Request: "0"}
+	origins := &fakeOrigins{known: map[StreamID]string{known: "v1"}, begun: map[StreamID]string{}}
+	f.server.o.Origins = origins
+	_, body, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, "Resumes": {"0"}})
+	if err != nil || body != "id: 2\ndata: v1\n\nid: 3\ndata: v1\n\n" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if origins.begun[known] != "v1" {
+		t.Errorf("recorded %v, want the stream's record renewed", origins.begun)
+	}
+	resp, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"2"}, "Last": {"1"}, "Resumes": {"unknown"}})
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("an unknown stream: %+v, %v", resp, err)
+	}
+	if n := len(f.received()); n != 2 {
+		t.Errorf("%d requests reached replicas, want 2", n)
+	}
+}
+
+// TestCallersCannotNameVersion guards against a caller that sends the header by which daemons tell each other the version.
+func TestCallersCannotNameVersion(t *testing.T) {
+	f := newFixture(t, resumableRoute())
+	f.addVersionedReplica("v1", 0)
+	f.server.o.Origins = &fakeOrigins{begun: map[StreamID]string{}}
+	resp, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, headerSoftware: {"v1"}})
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	r.Header = http.Header{headerForwardedBy: {"a"}, headerForwardedState: {"1"}, headerForwardedRan: {"0"}, headerSoftware: {"%"}}
+	f.server.ServeForwarded(w, r)
+	if w.Code != http.StatusBadRequest || !strings.Contains(w.Body.String(), headerSoftware) {
+		t.Errorf("a wrong header between daemons: %d %s", w.Code, w.Body)
+	}
+}
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -380,3 +382,50 @@
 		t.Errorf("%d tokens count as computed", got)
 	}
 }
+
+// TestVersionChangeIsNewIncarnation guards against a replica whose software changes under its id keeping the load and caches that are assumed of the old process, and streams of the old one being taken for the new one's.
+func TestVersionChangeIsNewIncarnation(t *testing.T) {
+	s := NewSet()
+	var changes []string
+	s.OnSoftware(func(_ routing.ServiceID, version string, present bool) {
+		changes = append(changes, fmt.Sprint(version, present))
+	})
+	old := info("a")
+	old.Software = "v1"
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{old, old}})
+	before := s.Get("a")
+	next := old
+	next.Software = "v2"
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{next}})
+	after := s.Get("a")
+	if after == before || after.Info().Software != "v2" || before.Info().Software != "v1" || count(s) != 1 || s.ByHash(after.Hash()) != after {
+		t.Errorf("%+v after %+v", after.Info(), before.Info())
+	}
+	s.Apply(time.Unix(0, 0), Change{Removed: []request.TargetID{"a"}})
+	if want := []string{"v1true", "v1false", "v2true", "v2false"}; !slices.Equal(changes, want) {
+		t.Errorf("versions: %v, want %v", changes, want)
+	}
+}
+
+// TestVersionOfLeavingReplicaCounts guards against a version that counts as gone while a leaving replica still runs its streams.
+func TestVersionOfLeavingReplicaCounts(t *testing.T) {
+	s := NewSet()
+	present := 0
+	s.OnSoftware(func(_ routing.ServiceID, _ string, appears bool) {
+		present--
+		if appears {
+			present += 2
+		}
+	})
+	entry := info("a")
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{entry}})
+	entry.Leaving = true
+	s.Apply(time.Unix(0, 0), Change{Present: []Info{entry}})
+	if present != 1 {
+		t.Errorf("%d versions are present", present)
+	}
+	s.Apply(time.Unix(0, 0), Change{Full: true})
+	if present != 0 {
+		t.Errorf("%d versions are present after the replica was removed", present)
+	}
+}
