--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -67,6 +67,8 @@
 	KV       platform.KV
 	Follower *mirror.Follower
 	Rank     func(key string) int
+	// Resumable reports whether streams of a service may be resumed. The versions of other services are not written.
+	Resumable func(routing.ServiceID) bool
 	// Keep returns how long a stream may go on after its first event.
 	Keep    func() time.Duration
 	Params  Params
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -94,6 +94,9 @@
 		return nil
 	}
 	for service, v := range e.versions {
+		if !e.o.Resumable(service) {
+			continue
+		}
 		names := v.Names(now, keep)
 		slices.Sort(names)
 		h := e.histories[service]
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -57,6 +57,7 @@
 		}
 		return writes[0].versions
 	}
+	m.OnSoftware("plain", "v1", true)
 	if got := due(0); got != nil {
 		t.Errorf("before the list of replicas is complete: %v", got)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -111,6 +111,8 @@
 	ColdStart  ColdStart
 	// MaxEventGap is the shortest of the MaxEventGaps of its routes; zero: no route has one. NewSnapshot sets it.
 	MaxEventGap time.Duration
+	// Resumable reports whether streams of one of its routes may be resumed. NewSnapshot sets it.
+	Resumable bool
 	// HasObjectives reports whether one of its routes has a latency objective. NewSnapshot sets it.
 	HasObjectives bool
 }
@@ -179,9 +181,7 @@
 	for _, r := range routes {
 		s.byHost[r.Host] = append(s.byHost[r.Host], r)
 		s.addObjectives(r)
-		if r.Kind == KindStream && r.Resumable {
-			s.LongestResumable = max(s.LongestResumable, r.Timeout)
-		}
+		s.addResumable(r)
 	}
 	for _, hostRoutes := range s.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -189,6 +189,19 @@
 	return s
 }
 
+// addResumable updates LongestResumable, and Resumable of the services of a route.
+func (s *Snapshot) addResumable(r *Route) {
+	if r.Kind != KindStream || !r.Resumable {
+		return
+	}
+	s.LongestResumable = max(s.LongestResumable, r.Timeout)
+	for _, share := range r.Shares {
+		if service := s.Services[share.Service]; service != nil {
+			service.Resumable = true
+		}
+	}
+}
+
 // addObjectives updates MaxEventGap and HasObjectives of the services of a route.
 func (s *Snapshot) addObjectives(r *Route) {
 	for _, share := range r.Shares {
