--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -26,7 +26,7 @@
 
 const (
 	// pruneInterval is how often records and versions that are too old are dropped, and certainty is checked.
-	pruneInterval = 250 * time.Millisecond
+	pruneInterval = 500 * time.Millisecond
 	// unknownRetry is the Retry-After of a stream whose origin is not known: daemons that may know it are back after a
 	// restart or a partition of seconds.
 	unknownRetry = time.Second
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -20,6 +20,8 @@
 const HistoryPrefix = "software/"
 
 const (
+	// historyInterval is how often the entries are compared with what this daemon knows.
+	historyInterval = time.Second
 	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
 	writeDelay   = 500 * time.Millisecond
 	writeTimeout = time.Second
@@ -147,7 +149,7 @@
 
 // RunHistory writes the entries that this daemon is to write until ctx is cancelled.
 func (e *Exchange) RunHistory(ctx context.Context) error {
-	t := time.NewTicker(pruneInterval)
+	t := time.NewTicker(historyInterval)
 	defer t.Stop()
 	for {
 		select {
