origins: a daemon's rank is worked out without the lock; one test for resumable streams

The rank of a daemon was asked for while the exchange's lock was held, which the list of replicas takes under its own: nothing called so may take those locks in the other order. Which routes' streams may be resumed stood in three places; it is a method of the route now. No decision changes.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -85,11 +85,19 @@
 	service  routing.ServiceID
 	versions []string
 	revision platform.Revision
+	since    time.Time // since when the entry has differed
 }
 
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written. A daemon that
 // has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
-func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
+func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) []dueWrite {
+	return slices.DeleteFunc(e.differing(now, keep), func(w dueWrite) bool {
+		return now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
+	})
+}
+
+// differing returns the entries that differ from what this daemon knows.
+func (e *Exchange) differing(now time.Time, keep time.Duration) (out []dueWrite) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.listedAt.IsZero() {
@@ -115,11 +123,9 @@
 			continue
 		}
 		h.differs = earliest(h.differs, now)
-		if now.Sub(h.differs) >= time.Duration(rank(HistoryPrefix+string(service)))*writeDelay {
-			due = append(due, dueWrite{service: service, versions: names, revision: h.revision})
-		}
+		out = append(out, dueWrite{service: service, versions: names, revision: h.revision, since: h.differs})
 	}
-	return due
+	return out
 }
 
 func earliest(t, now time.Time) time.Time {
--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -15,9 +15,9 @@
 //
 // A replica gets no requests if it is leaving, if its Retry-After to this daemon has not passed, if its
 // failure domain is evacuated, or if it is outside the home regions of the request. It does not resume a
-// stream that another version of its software began. If no other replica is left, the request is refused. A replica that is avoided for another reason still gets
-// requests if no better one is available. A replica with a bound gets a request only if Quotas
-// permits it.
+// stream that another version of its software began. If no other replica is left, the request is
+// refused. A replica that is avoided for another reason still gets requests if no better one is
+// available. A replica with a bound gets a request only if Quotas permits it.
 type Eligibility struct {
 	Set *replicas.Set
 	// Region returns the region of a failure domain, empty if it is unknown. An unknown region is never a home.
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -6,8 +6,6 @@
 	"net/url"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
 // streamID returns the identity of the stream that the request begins or resumes.
@@ -19,9 +17,6 @@
 	return id
 }
 
-// mayResume reports whether the request may resume a stream, or its stream be resumed.
-func (j *Job) mayResume() bool { return j.Route.Kind == routing.KindStream && j.Route.Resumable }
-
 // bindResumed binds a request that resumes a stream to the version of the software that began it. Its error means that the
 // stream can't go on.
 func (s *Server) bindResumed(ctx context.Context, j *Job) error {
@@ -29,7 +24,7 @@
 		j.Software = j.received.software
 		return nil
 	}
-	if s.o.Origins == nil || j.LastEventID == "" || !j.mayResume() {
+	if s.o.Origins == nil || j.LastEventID == "" || !j.Route.HasResumableStreams() {
 		return nil
 	}
 	software, err := s.o.Origins.Find(ctx, j.streamID())
@@ -42,7 +37,7 @@
 
 // recordOrigin records where a stream begins, or was resumed, unless the daemon that chose the replica does.
 func (s *Server) recordOrigin(j *Job, out *sink, a *attempt) {
-	if s.o.Origins != nil && a.peer == nil && j.mayResume() {
+	if s.o.Origins != nil && a.peer == nil && j.Route.HasResumableStreams() {
 		s.o.Origins.Began(j.streamID(), out.software.Version)
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -57,9 +57,12 @@
 
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
+	return r.Kind == KindIdempotent || r.HasResumableStreams()
 }
 
+// HasResumableStreams reports whether the route's streams may be continued at another replica.
+func (r *Route) HasResumableStreams() bool { return r.Kind == KindStream && r.Resumable }
+
 // ServiceFor returns the service that handles a request. The same key maps to the same service as long
 // as the shares do not change.
 func (r *Route) ServiceFor(key string) ServiceID {
@@ -191,7 +194,7 @@
 
 // addResumable updates LongestResumable, and Resumable of the services of a route.
 func (s *Snapshot) addResumable(r *Route) {
-	if r.Kind != KindStream || !r.Resumable {
+	if !r.HasResumableStreams() {
 		return
 	}
 	s.LongestResumable = max(s.LongestResumable, r.Timeout)
