Requests with a part that crashes replicas are refused, whatever else they hold

Callers saw 502 and broken streams for a seventh to a third of their requests: requests with one part in common, which differed in all else, crashed one replica after the other, each with all that it ran.

Cause: what crashes replicas was sought in one place only, the digest of the whole request, and counted there. Requests that differ are new each time, so that each had one or two deaths and none reached three.

Now each request has traits: itself, the parts of its prompt, its path, its model, each within its organisation and, where it is not isolated, over all of them. A death accuses the traits of all that was in flight, an answer clears its request's. What counts are deaths of which each one's request was sent after the death before, so that a loss of power or a cut counts once; a trait that was answered lately needs twice as many; a death that another such trait explains is not held against requests without that trait. Blame ends with an answer to a trial, of which one daemon begins one after two minutes, then four, and so on, or an hour after the last death. The decision is policy/poison, pure; the shell is crashes. A suspect request waits for the check of its last replica before it is sent on, is checked again when it has waited for room, and ends after two replicas died under it.

The counting mode of policy/quarantine is gone: a whole request is one of the traits. The loadshare test compares the new report field by field.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -23,7 +22,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
-	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
+	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -43,7 +42,7 @@
 	// maxDatagram is the size up to which a datagram fits in one packet.
 	maxDatagram = 1400
 	maxPlaced   = 12 // prompts in one datagram, 40 to 60 bytes each
-	maxDeaths   = 8  // in one datagram, 50 bytes each
+	maxDeaths   = 4  // in one datagram, with the traits of a request: 35 bytes each
 	maxLimits   = 24 // in one datagram, 24 bytes each
 	maxSpeeds   = 8  // in one datagram, 24 bytes each
 	readBuffer  = 64 << 10
@@ -83,8 +82,10 @@
 	OnFailing func(peer request.DaemonID)
 	// OnReport is called for each datagram of a peer; nil: not called.
 	OnReport func(peer request.DaemonID)
-	// OnDeath is called for a replica that died while it ran a peer's request; nil: reports are ignored.
-	OnDeath func(quarantine.CrashReport)
+	// OnDeath is called for a replica that died while it ran a peer's request, and OnTraits receives records of traits; nil: reports are
+	// ignored.
+	OnDeath  func(poison.Report)
+	OnTraits func([]poison.Record)
 	// Backlog returns what waits in this daemon, the most urgent first; nil: nothing is reported.
 	Backlog func() []Demand
 	// OnRooms receives the room of groups; nil: it is ignored.
@@ -112,7 +113,7 @@
 	refusing       []uint64            // replicas that refused a request; sent to the daemons that use them
 	leaving        []uint64            // replicas that announced in answers that they are leaving; sent to the daemons that use them, and to one other
 	limits         []*replicas.Replica // replicas whose rate limits are to be sent
-	deaths         []*Death            // sent to all daemons, as any may receive the request again
+	deaths         []poison.Report     // sent to all daemons, as any may receive such requests
 	rooms          []GroupRoom         // of other groups, sent to peers
 	lastWork       map[uint64]*Work    // as reported last, by replica
 	lastFullReport time.Time           // when all work was reported last
@@ -142,7 +143,7 @@
 	}
 	o.Logger = o.Logger.Named("loadshare")
 	if o.OnDeath == nil {
-		o.OnDeath = func(quarantine.CrashReport) {}
+		o.OnDeath = func(poison.Report) {}
 	}
 	if o.Watches == nil {
 		o.Watches = func() bool { return false }
@@ -236,19 +237,6 @@
 	}
 }
 
-// ReportDeath reports to all daemons, within one tick, that a replica died while it ran a request.
-func (s *Reporter) ReportDeath(report quarantine.CrashReport) {
-	fingerprint, err := hex.DecodeString(string(report.Fingerprint))
-	if err != nil {
-		s.o.Logger.Error("Failed to decode a fingerprint", "fingerprint", report.Fingerprint, "error", err)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deaths = append(s.deaths, &Death{Replica: string(report.Target), Started: report.Incarnation, Fingerprint: fingerprint})
-	s.Wake()
-}
-
 // Run sends reports to peers until ctx ends.
 func (s *Reporter) Run(ctx context.Context) error {
 	go s.receive(ctx)
@@ -365,7 +353,7 @@
 	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.unreachable, Refusing: s.refusing, Leaving: s.leaving}
 	s.placed, s.states, s.unreachable, s.refusing, s.leaving = s.placed[n:], nil, nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
-	r.Deaths, s.deaths = s.deaths[:deaths], s.deaths[deaths:]
+	r.Deaths, s.deaths = deathMessages(now, s.deaths[:deaths]), s.deaths[deaths:]
 	r.Limits = s.dequeueLimits(now)
 	rooms := min(len(s.rooms), maxRooms)
 	r.Rooms, s.rooms = messages(s.rooms[:rooms]), s.rooms[rooms:]
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
-	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
+	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -19,20 +19,20 @@
 	*Reporter
 	set               *replicas.Set
 	receivedRevisions chan []uint64
-	receivedDeaths    chan quarantine.CrashReport
+	receivedDeaths    chan poison.Report
 	peers             []netip.AddrPort
 }
 
 func start(t *testing.T, id request.DaemonID) *node {
 	t.Helper()
-	n := &node{set: replicas.NewSet(), receivedRevisions: make(chan []uint64, 100), receivedDeaths: make(chan quarantine.CrashReport, 1)}
+	n := &node{set: replicas.NewSet(), receivedRevisions: make(chan []uint64, 100), receivedDeaths: make(chan poison.Report, 1)}
 	n.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: "r", Service: "s", Address: "127.0.0.1:1"}}})
 	reporter, err := New(Options{
 		Self: id, Address: "127.0.0.1:0", Set: n.set,
 		Peers: func() []netip.AddrPort { return n.peers }, Others: func() []netip.AddrPort { return nil },
 		Revisions:   func() []uint64 { return []uint64{7} },
 		OnRevisions: func(_ string, r []uint64) { n.receivedRevisions <- r },
-		OnDeath:     func(report quarantine.CrashReport) { n.receivedDeaths <- report },
+		OnDeath:     func(report poison.Report) { n.receivedDeaths <- report },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -90,11 +90,15 @@
 	await("the replica is leaving", b.set.Get("r").Leaving)
 	a.ReportRefusing(a.set.Get("r"))
 	await("a replica that refused the peer is avoided", func() bool { return b.set.Get("r").Busy(time.Now()) })
-	death := quarantine.CrashReport{Fingerprint: quarantine.Of("org", []byte("body")), Target: "r", Incarnation: 1}
-	a.ReportDeath(death)
-	if got := <-b.receivedDeaths; got != death {
+	at, trait := time.Now(), poison.NewTrait(poison.KindPart, 5, []byte("part"))
+	a.ReportDeath(poison.Report{Death: "r@1", Org: 5, At: at, Accused: []poison.Accused{{Trait: trait, Sent: at.Add(-time.Second)}}})
+	got := <-b.receivedDeaths
+	if got.Death != "r@1" || got.Org != 5 || len(got.Accused) != 1 || got.Accused[0].Trait != trait || got.At.Sub(got.Accused[0].Sent) != time.Second {
 		t.Errorf("received %+v", got)
 	}
+	if d := got.At.Sub(at).Abs(); d > time.Second {
+		t.Errorf("the time of the death differs by %s", d)
+	}
 	a.ReportUnreachable(a.set.Get("r")) // no process listens at its address
 	await("the peer avoids the replica", func() bool { return b.set.Get("r").Health.BackingOff(time.Now()) })
 	if r := <-b.receivedRevisions; len(r) != 1 || r[0] != 7 {
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"net"
 	"time"
 
@@ -10,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellscale/bluebellscale/internal/placer"
-	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -36,6 +34,10 @@
 			s.applyOrigins(r.Origins)
 			continue
 		}
+		if len(r.Traits) > 0 {
+			s.applyTraits(r.Traits)
+			continue
+		}
 		s.apply(ctx, time.Now(), &r)
 	}
 }
@@ -74,9 +76,7 @@
 		s.Placer.RecordPlacement(replica, parts, int(p.Other))
 	}
 	for _, d := range r.Deaths {
-		s.o.OnDeath(quarantine.CrashReport{
-			Fingerprint: quarantine.Fingerprint(hex.EncodeToString(d.Fingerprint)), Target: request.TargetID(d.Replica), Incarnation: d.Started,
-		})
+		s.o.OnDeath(deathReport(now, d))
 	}
 	if len(r.Unreachable) > 0 {
 		s.o.Logger.Debug("A peer reports that replicas accept no connections", "peer", r.From, "replicas", len(r.Unreachable))
--- a/internal/policy/quarantine/crash_record.go
+++ b/internal/policy/quarantine/crash_record.go
@@ -33,9 +33,6 @@
 	// Proven is set once a target died with no other request in flight. Requests of others that ran
 	// beside the cause have deaths as well, but no such death.
 	Proven bool
-	// Answered is set once a target ran the request to its end. It clears records that are counted
-	// (Params.UnprovenDeaths).
-	Answered bool `json:",omitempty"`
 }
 
 // Merge merges records of peers or of the key-value service, and returns the local records that
@@ -70,10 +67,6 @@
 		c.Proven = true
 		changed = true
 	}
-	if other.Answered && !c.Answered {
-		c.Answered = true
-		changed = true
-	}
 	for _, death := range other.Deaths {
 		if i, ok := slices.BinarySearch(c.Deaths, death); !ok {
 			c.Deaths = slices.Insert(c.Deaths, i, death)
@@ -116,7 +109,6 @@
 			write(string(death))
 		}
 		write(strconv.FormatBool(record.Proven))
-		write(strconv.FormatBool(record.Answered))
 		sum += h.Sum64()
 	}
 	return sum
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -38,11 +38,6 @@
 	Retention time.Duration
 	// MaxRecords bounds the stored records; those that expire first are evicted first.
 	MaxRecords int
-	// UnprovenDeaths is the number of deaths at which a request is refused although none of them proved
-	// the request to be the cause. It is for targets that can't be emptied for a suspect: suspects run
-	// like any other request, and a suspect that a target answered completely is cleared. Zero:
-	// suspects run alone.
-	UnprovenDeaths int
 }
 
 // Fingerprint identifies a request by its organisation and content.
@@ -81,8 +76,7 @@
 	// Wait means that an equal request is in flight as a suspect. The caller tries again after it has
 	// ended.
 	Wait Mode = "wait"
-	// Refuse means that the request must not run: it reached MaxDeaths with a proven cause, or
-	// UnprovenDeaths.
+	// Refuse means that the request must not run: it reached MaxDeaths with a proven cause.
 	Refuse Mode = "refuse"
 )
 
@@ -127,9 +121,6 @@
 // Check returns how a request may run now, before it is placed.
 func (r *Registry) Check(now time.Time, fp Fingerprint) Decision {
 	record := r.record(now, fp)
-	if r.params.UnprovenDeaths > 0 {
-		return r.checkUnproven(now, record)
-	}
 	running := r.inFlightTargets[fp]
 	switch {
 	case record != nil && record.Proven && len(record.Deaths) >= MaxDeaths:
@@ -145,38 +136,6 @@
 	return Decision{Mode: Unrestricted}
 }
 
-// checkUnproven refuses a request with UnprovenDeaths deaths that no target has answered.
-func (r *Registry) checkUnproven(now time.Time, record *CrashRecord) Decision {
-	if record == nil || record.Answered || len(record.Deaths) < r.params.UnprovenDeaths {
-		return Decision{Mode: Unrestricted}
-	}
-	return Decision{Mode: Refuse, Err: quarantinedError(now, record)}
-}
-
-// CrashReport is the death of a target with a request in flight.
-type CrashReport struct {
-	Fingerprint Fingerprint
-	Target      request.TargetID
-	Incarnation uint64 // as for OnTargetDied
-}
-
-// OnCrashReport records a death with a request that is not in the registry, and returns the record if
-// it changed.
-func (r *Registry) OnCrashReport(now time.Time, report CrashReport) []CrashRecord {
-	return r.recordDeath(now, report.Target, report.Incarnation, map[Fingerprint]bool{report.Fingerprint: false})
-}
-
-// OnAnswered records that a target ran a request to its end. This clears a suspect, since a request
-// that crashes targets crashes each target that runs it. It returns the record if it changed.
-func (r *Registry) OnAnswered(now time.Time, fp Fingerprint) []CrashRecord {
-	record := r.record(now, fp)
-	if record == nil || record.Answered {
-		return nil
-	}
-	record.Answered = true
-	return []CrashRecord{record.clone()}
-}
-
 // Begin records a request that is about to be sent to a target. alone says that the target was granted
 // with no other request in flight. If ok is false the request must not be sent: the decision has
 // changed since Check, or never allowed it.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/monotime"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
@@ -41,8 +42,10 @@
 	startTimer   *time.Timer // of cancelUnlessStarted, nil without a StartDeadline
 	outcome      outcome
 	err          error
-	started      atomic.Bool // the first event or the complete response has arrived
-	startOverdue atomic.Bool // cancelled because it had not started by Placement.StartDeadline
+	sentAt       time.Time
+	firstEventAt monotime.Instant // of a stream
+	started      atomic.Bool      // the first event or the complete response has arrived
+	startOverdue atomic.Bool      // cancelled because it had not started by Placement.StartDeadline
 }
 
 // recordFirstEvent records that the replica has computed the prompt.
@@ -50,6 +53,7 @@
 	if a.started.Swap(true) {
 		return
 	}
+	a.firstEventAt.Set(time.Now())
 	a.placement.Flight.Computed()
 	if a.placement.OnFirstEvent != nil {
 		a.placement.OnFirstEvent()
@@ -112,7 +116,7 @@
 // send makes one attempt. It leaves the body of a stream unread.
 func (s *Server) send(ctx context.Context, j *Job, p *Placement) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{placement: p, cancel: cancel}
+	a := &attempt{placement: p, cancel: cancel, sentAt: time.Now()}
 	p.Meta.Replica = p.Replica.Info().ID
 	p.Meta.Org = j.OrgID()
 	p.Meta.TimeLeft = time.Until(j.Deadline)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,7 +15,8 @@
 	"testing"
 	"time"
 
-	"github.com/bluebellscale/bluebellscale/internal/policy/quarantine"
+	"github.com/bluebellscale/bluebellscale/internal/crashes"
+	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -512,30 +513,61 @@
 	l = f.addReplica(handle)
 }
 
-// fakeCrashTracker replaces the crash register that the daemons share.
+// fakeCrashTracker replaces the records that the daemons share. It counts the deaths of whole requests.
 type fakeCrashTracker struct {
-	mu      sync.Mutex
-	crashes map[quarantine.Fingerprint]int
-	started uint64 // start time of the last replica that crashed
+	mu        sync.Mutex
+	crashes   map[poison.Trait]int
+	lastDeath string
+	answered  int
+	suspect   bool // all requests have suspect traits
 }
 
-func (c *fakeCrashTracker) Check(fingerprint func() quarantine.Fingerprint) *request.Error {
+func (c *fakeCrashTracker) Refuses(traits crashes.TraitsFunc) *request.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.crashes[fingerprint()] < 3 {
+	if c.crashes[wholeRequest(traits(true))] < 3 {
 		return nil
 	}
 	return request.Refuse(request.CodeQuarantined, http.StatusServiceUnavailable, time.Minute, "replicas crashed")
 }
 
-func (c *fakeCrashTracker) RecordCrash(_ context.Context, report quarantine.CrashReport) {
+func (c *fakeCrashTracker) Admit(_ context.Context, traits crashes.TraitsFunc) *request.Error {
+	return c.Refuses(traits)
+}
+
+func (c *fakeCrashTracker) RecordCrash(report poison.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range report.Accused {
+		if a.Trait.Kind == poison.KindRequest {
+			c.crashes[a.Trait]++
+		}
+	}
+	c.lastDeath = report.Death
+}
+
+func (c *fakeCrashTracker) RecordSuccess(crashes.TraitsFunc) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes[report.Fingerprint]++
-	c.started = report.Incarnation
+	c.answered++
+}
+
+func (c *fakeCrashTracker) SuspectDeaths(crashes.TraitsFunc) int {
+	if c.suspect {
+		return 1
+	}
+	return 0
 }
 
-func (c *fakeCrashTracker) RecordSuccess(context.Context, func() quarantine.Fingerprint) {}
+// wholeRequest returns the trait of a request's content.
+func wholeRequest(traits []poison.Trait) poison.Trait {
+	for _, t := range traits {
+		if t.Kind == poison.KindRequest {
+			return t
+		}
+	}
+	return poison.Trait{}
+}
 
 func (c *fakeCrashTracker) total() int {
 	c.mu.Lock()
@@ -552,7 +584,7 @@
 // remaining replicas must serve other requests.
 func TestRequestThatCrashesReplicasIsQuarantined(t *testing.T) {
 	f := newFixture(t, route(routing.KindOnce))
-	tracker := &fakeCrashTracker{crashes: map[quarantine.Fingerprint]int{}}
+	tracker := &fakeCrashTracker{crashes: map[poison.Trait]int{}}
 	f.server.o.CrashTracker = tracker
 	for range 6 {
 		f.addCrashingReplica()
@@ -571,8 +603,8 @@
 	if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
 		t.Fatalf("after three crashes: %v, %v", answer, err)
 	}
-	if tracker.started != startedAt {
-		t.Errorf("recorded start time %d, want %d", tracker.started, startedAt)
+	if want := fmt.Sprint("@", startedAt); !strings.HasSuffix(tracker.lastDeath, want) {
+		t.Errorf("recorded the death %s, want the start time %s", tracker.lastDeath, want)
 	}
 	if _, body, err := f.post("harmless"); err != nil || body != "fine" {
 		t.Errorf("another request: %q, %v", body, err)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -67,6 +67,8 @@
 	WaitPolicy  WaitPolicy // of requests that may wait in Room
 	// CrashTracker refuses requests that crash replicas; nil: no request is refused.
 	CrashTracker CrashTracker
+	// Replaced reports whether a replica is no longer registered, or another one has its address; nil: none is.
+	Replaced func(r *replicas.Replica) bool
 	// PathIsSound reports whether this daemon reaches other replicas than one that it does not reach; nil: it always does.
 	PathIsSound func(ctx context.Context, unreached *replicas.Replica) bool
 	// Memory bounds what the daemon holds in memory for requests; the zero value does not.
@@ -157,12 +159,6 @@
 		s.writeError(w, j, err)
 		return
 	}
-	if s.o.CrashTracker != nil {
-		if err := s.o.CrashTracker.Check(j.fingerprint); err != nil {
-			s.writeError(w, j, err)
-			return
-		}
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.Deadline)
 	defer cancel()
 	if err := s.bindResumed(ctx, j); err != nil {
@@ -188,13 +184,14 @@
 		s.countResume(j, a)
 		if a.outcome == answered {
 			if s.deliver(ctx, w, j, out, a) {
-				s.recordSuccess(ctx, j, a)
+				s.recordSuccess(j, a)
 				return
 			}
 		}
 		h.add(a)
+		var check *crashCheck
 		if a.peer == nil && a.outcome == mayHaveRun && a.err != nil && !a.startOverdue.Load() {
-			s.checkForCrash(j, a.placement.Replica)
+			check = s.checkForCrash(j, a)
 		}
 		if a.outcome == failed && !s.mayRunAgain(ctx, j, h) {
 			s.deliverComplete(w, j, a)
@@ -206,12 +203,21 @@
 			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, a.err)
 			return
 		}
+		if check != nil {
+			if err := s.awaitCrashCheck(ctx, j, check, h); err != nil {
+				s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, err)
+				return
+			}
+		}
 	}
 }
 
 // attempt sends the request to a replica, or to another daemon if this one has lost the path to the replicas. An error means
 // that there is neither.
 func (s *Server) attempt(ctx context.Context, j *Job, out *sink, h *history) (*attempt, error) {
+	if err := s.refuseCrashing(j); err != nil {
+		return nil, err
+	}
 	if a := s.forward(ctx, j, out, h, false); a != nil {
 		return a, nil
 	}
@@ -226,6 +232,9 @@
 		}
 		return nil, err
 	}
+	if err := s.admitPlaced(ctx, j, p); err != nil {
+		return nil, err
+	}
 	if out.lastEventID != j.LastEventID {
 		p.Meta.LastEventID = out.lastEventID
 	}
@@ -246,6 +255,7 @@
 	unsent     int // attempts that reached no replica
 	sent       int
 	mayHaveRun int  // sent attempts whose request may have run
+	crashed    int  // replicas that died while they ran the request
 	counted    bool // the request counts for the retry budget
 	final      bool // another daemon has tried what may be tried
 	replicas   []request.TargetID
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -39,7 +39,6 @@
 	Logger      hclog.Logger
 	Metrics     tally.Scope
 	Now         func() time.Time // nil: time.Now
-	Params      quarantine.Params
 }
 
 // Registry holds the crash records of one daemon. It is safe for concurrent use.
@@ -69,7 +68,7 @@
 		opts:          opts,
 		log:           opts.Logger.Named("suspect"),
 		recordCounter: opts.Metrics.Counter("quarantine_findings"),
-		crashRecords:  quarantine.New(opts.Params),
+		crashRecords:  quarantine.New(quarantine.Params{}),
 	}
 }
 
@@ -183,13 +182,6 @@
 	return r.crashRecords.Hash(r.opts.Now())
 }
 
-// count returns the number of crash records that have not expired.
-func (r *Registry) count() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.crashRecords.All(r.opts.Now()))
-}
-
 // All returns the crash records in the form that is sent to peers.
 func (r *Registry) All() []*peer.Finding {
 	r.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -147,6 +147,11 @@
 	return nil, errors.Mark(errors.New("upstream: no response to this request"), ErrMismatched)
 }
 
+// EndsWithConnection reports whether only the end of the connection tells the end of the body.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.raw.TransferEncoding) == 0
+}
+
 // Done ends the use of the response. The connection is reused only if complete states that the body
 // was read to its end.
 func (r *Response) Done(complete bool) {
