Each death has one cause: what reaches its limit first explains its deaths; schedules of parts that crash

Traits that reach it together are blamed together until a request that lacks one is answered, in a trial after a second. Limits of 8 for parts that were answered became 6: twice as many took too long at one request in three seconds, by reckoning.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -30,9 +30,9 @@
 	gossipInterval = 2 * time.Second
 	// pruneInterval is how often old records are dropped.
 	pruneInterval = 30 * time.Second
-	// storedDeaths is the least number of independent deaths with which a record is written to the key-value service. Few of the
-	// traits that are accused at one death see a second one.
-	storedDeaths = 2
+	// toldDeaths is the least number of deaths of a trait of whose answers the other daemons are told. Few of the traits that are
+	// accused at one death see a second one.
+	toldDeaths = 2
 	// lostTrialRetry is the Retry-After of a request that would have been a trial, if another daemon began one.
 	lostTrialRetry = 5 * time.Second
 )
@@ -194,7 +194,7 @@
 	defer t.mu.Unlock()
 	changed := t.registry.OnAnswered(now, all, remembered)
 	for _, r := range changed {
-		if len(r.Deaths) >= storedDeaths {
+		if len(r.Deaths) >= toldDeaths {
 			t.unsent[r.Trait] = true
 		}
 	}
@@ -218,7 +218,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.registry.Merge(now, records) {
-		if r.Answered.IsZero() || len(r.Deaths) < storedDeaths {
+		if r.Answered.IsZero() || len(r.Deaths) < toldDeaths {
 			continue
 		}
 		t.unsent[r.Trait] = true // the other daemon does not know of an answer
@@ -245,17 +245,27 @@
 // held.
 func (t *Tracker) noteChanged(now time.Time, changed []poison.Record) {
 	for _, r := range changed {
-		stored, isStored := t.stored[r.Trait]
-		if !poison.Covers(stored, r) && (isStored || t.registry.Held(r.Trait) >= storedDeaths) {
-			if t.unstored[r.Trait].IsZero() {
-				t.unstored[r.Trait] = now
-			}
-			t.logRecord(r)
+		if !t.isDue(r) {
+			continue
+		}
+		if t.unstored[r.Trait].IsZero() {
+			t.unstored[r.Trait] = now
 		}
+		t.logRecord(r)
 	}
 	t.countRecords()
 }
 
+// isDue reports whether a record is to be written: the trait is on the way to be poisonous, or no longer is although the key-value
+// service says so. The mutex must be held.
+func (t *Tracker) isDue(r poison.Record) bool {
+	stored := t.stored[r.Trait]
+	if t.o.Params.IsHalfWay(r) {
+		return !poison.Covers(stored, r)
+	}
+	return t.o.Params.IsHalfWay(stored)
+}
+
 func (t *Tracker) logRecord(r poison.Record) {
 	message := "Requests with the same trait were in flight at several deaths"
 	if t.registry.IsPoisonous(r.Trait) {
--- a/internal/crashes/pages.go
+++ b/internal/crashes/pages.go
@@ -135,7 +135,7 @@
 	t.mu.Lock()
 	for trait, since := range t.unstored {
 		r, ok := t.registry.Record(trait)
-		if !ok || poison.Covers(t.stored[trait], r) {
+		if !ok || !t.isDue(r) {
 			delete(t.unstored, trait)
 			continue
 		}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -4,11 +4,14 @@
 // traits of all requests in flight there are accused. An answer clears the traits of its request, since what crashes replicas
 // crashes each one that begins an answer. A trait with enough independent deaths since its last answer is poisonous.
 //
-// Invariant: a trait that crashes each replica is refused once its limit of independent deaths is known. Two deaths
-// are independent if the request of the second was sent after the first: a loss of power or a partition counts once. A trait that was
-// answered in the last hour needs more deaths than one that was not, and a death that another poisonous trait explains is not held against requests without that
-// trait. An organisation's requests are refused for deaths under its own requests, or for a value under which requests of two
-// organisations had deaths.
+// Invariant: a trait that crashes each replica is refused once its limit of independent deaths is known. Two deaths are independent if
+// the request of the second was sent after the first: a loss of power or a partition counts once. A trait that was answered in the last
+// hour needs half as many deaths more.
+//
+// Each death has one cause: the first trait that reaches its limit explains its deaths, and the others must reach theirs
+// without these. What sound requests have in common with the cause is therefore not blamed with it. Traits that reach their limit
+// at the same death are blamed together, until a request that lacks one of them is answered. An organisation's requests are refused for deaths
+// under its own requests, or for a value under which requests of two organisations had deaths.
 //
 // Blame ends with an answer to a trial, of which there is one after a time that doubles with each further death, or
 // Params.Retention after the last death.
@@ -18,6 +21,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -29,19 +33,22 @@
 	RequestDeaths, PartDeaths, BroadDeaths int
 	// TrialAfter is the time from the last death to the first trial, MaxTrialAfter bounds its doubling.
 	TrialAfter, MaxTrialAfter time.Duration
-	Retention                 time.Duration // how long a record is kept after its last change
-	MaxRecords                int
-	MaxAnswered               int // traits that are remembered as answered
+	// TiedTrialAfter is the time to the trial of a trait that is blamed together with others, by a request that lacks one of them, and
+	// half of the time to the next one, if the trial told nothing.
+	TiedTrialAfter time.Duration
+	Retention      time.Duration // how long a record is kept after its last change
+	MaxRecords     int
+	MaxAnswered    int // traits that are remembered as answered
 }
 
 // DefaultParams are the bounds without settings.
 var DefaultParams = Params{
-	RequestDeaths: 3, PartDeaths: 4, BroadDeaths: 8, TrialAfter: 2 * time.Minute, MaxTrialAfter: 30 * time.Minute,
+	RequestDeaths: 3, PartDeaths: 4, BroadDeaths: 8, TrialAfter: 2 * time.Minute, MaxTrialAfter: 30 * time.Minute, TiedTrialAfter: time.Second,
 	Retention: time.Hour, MaxRecords: 10_000, MaxAnswered: 8192,
 }
 
 // answeredFactor is how many times as many deaths a trait needs that was answered within the retention.
-const answeredFactor = 2
+const answeredFactor = 1.5
 
 // limit returns the independent deaths from which a trait is poisonous.
 func (p Params) limit(r *Record) int {
@@ -53,7 +60,7 @@
 		n = p.PartDeaths
 	}
 	if !r.Answered.IsZero() {
-		n *= answeredFactor
+		n = int(math.Ceil(answeredFactor * float64(n)))
 	}
 	return min(n, maxDeaths)
 }
@@ -61,7 +68,9 @@
 // Accused is a trait of a request that was in flight at a death.
 type Accused struct {
 	Trait Trait
-	Sent  time.Time
+	// Sent is when the request was sent: for KindRequest to the replica that died, otherwise to the first replica that got it. What
+	// one request meets at several replicas then counts once against what it shares with others.
+	Sent time.Time
 }
 
 // Report is the death of a replica with requests of one organisation in flight.
@@ -75,21 +84,28 @@
 // entry is a record and what follows from it.
 type entry struct {
 	Record
-	poisonous bool
-	held      int // independent pending deaths
+	held int // independent pending deaths
+}
+
+// blame says why a trait is poisonous.
+type blame struct {
+	*entry
+	reached time.Time // when it reached its limit
+	tied    []Trait   // that reached theirs at the same death
 }
 
 // Registry holds the records that one daemon knows.
 type Registry struct {
 	params    Params
 	entries   map[Trait]*entry
-	poisonous map[Trait]*entry
+	suspects  map[Trait]*entry // with enough deaths, explained or not
+	poisonous map[Trait]*blame
 	answers   answers
 }
 
 // New returns an empty registry.
 func New(p Params) *Registry {
-	return &Registry{params: p, entries: map[Trait]*entry{}, poisonous: map[Trait]*entry{}, answers: newAnswers(p.MaxAnswered)}
+	return &Registry{params: p, entries: map[Trait]*entry{}, suspects: map[Trait]*entry{}, poisonous: map[Trait]*blame{}, answers: newAnswers(p.MaxAnswered)}
 }
 
 // Len returns the number of records.
@@ -112,11 +128,11 @@
 		return v
 	}
 	for _, t := range traits {
-		e := r.poisonous[t]
-		if e == nil || !r.blames(e, traits) {
+		b := r.poisonous[t]
+		if b == nil {
 			continue
 		}
-		wait := r.trialAt(e).Sub(now)
+		wait := r.trialAt(b, traits).Sub(now)
 		if wait <= 0 {
 			v.Trials = append(v.Trials, t)
 			continue
@@ -132,42 +148,34 @@
 	return v
 }
 
-// blames reports whether a request with some traits is refused for a poisonous one: a death is left which no poisonous trait
-// explains that the request lacks.
-func (r *Registry) blames(e *entry, traits []Trait) bool {
-	for _, d := range e.pending() {
-		if !r.explained(e.Trait, d, traits) {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *Registry) explained(t Trait, d Death, traits []Trait) bool {
-	for other, e := range r.poisonous {
-		if other.sameValue(t) || slices.Contains(traits, other) {
-			continue
+// trialAt returns when a request with some traits may be the next trial of a poisonous one.
+func (r *Registry) trialAt(b *blame, traits []Trait) time.Time {
+	if slices.ContainsFunc(b.tied, func(t Trait) bool { return !slices.Contains(traits, t) }) {
+		if !b.Trial.After(b.reached) {
+			return b.reached.Add(r.params.TiedTrialAfter)
 		}
-		if slices.ContainsFunc(e.pending(), func(known Death) bool { return known.ID == d.ID }) {
-			return true
+		if !r.diedIn(b) {
+			return b.Trial.Add(2 * r.params.TiedTrialAfter)
 		}
 	}
-	return false
-}
-
-// trialAt returns when the next trial of a poisonous trait may begin.
-func (r *Registry) trialAt(e *entry) time.Time {
 	delay := r.params.TrialAfter
-	for n := r.params.limit(&e.Record); n < e.held && delay < r.params.MaxTrialAfter; n++ {
+	for n := r.params.limit(&b.Record); n < b.held && delay < r.params.MaxTrialAfter; n++ {
 		delay *= 2
 	}
-	last := e.Trial
-	if n := len(e.Deaths); n > 0 && e.Deaths[n-1].At.After(last) {
-		last = e.Deaths[n-1].At
+	last := b.Trial
+	if n := len(b.Deaths); n > 0 && b.Deaths[n-1].At.After(last) {
+		last = b.Deaths[n-1].At
 	}
 	return last.Add(min(delay, r.params.MaxTrialAfter))
 }
 
+// diedIn reports whether a replica died in the last trial of a trait, and no trait with which it is not tied explains that.
+func (r *Registry) diedIn(b *blame) bool {
+	return slices.ContainsFunc(b.pending(), func(d Death) bool {
+		return !d.Sent.Before(b.Trial) && !r.explains(d, func(other Trait) bool { return !other.sameValue(b.Trait) && !slices.Contains(b.tied, other) })
+	})
+}
+
 // OnTrial records that a trial of some traits begins, and returns their records.
 func (r *Registry) OnTrial(now time.Time, traits []Trait) []Record {
 	return r.update(now, traits, func(e *entry) bool {
@@ -250,19 +258,80 @@
 	return !merged.merge(other)
 }
 
-// judge finds out whether a trait is poisonous.
+// judge finds out whether a trait has enough deaths to be poisonous.
 func (r *Registry) judge(e *entry) {
 	pending := e.pending()
 	e.held = independent(pending)
-	e.poisonous = e.held >= r.params.limit(&e.Record) && (e.Trait.Org != AllOrgs || organisations(pending) > 1)
-	if e.poisonous {
-		r.poisonous[e.Trait] = e
-	} else {
-		delete(r.poisonous, e.Trait)
+	suspect := r.suspects[e.Trait] != nil
+	switch {
+	case e.held >= r.params.limit(&e.Record) && (e.Trait.Org != AllOrgs || organisations(pending) > 1):
+		r.suspects[e.Trait] = e
+	case suspect:
+		delete(r.suspects, e.Trait)
+	default:
+		return
 	}
+	r.attribute()
 }
 
-// IsPoisonous reports whether requests with a trait are refused, unless they lack another trait that explains the deaths.
+// attribute finds out which suspects are poisonous: the first that reaches its limit, then the first that reaches it without the deaths
+// that this one explains, and so on. Later deaths do not change the order.
+func (r *Registry) attribute() {
+	r.poisonous = map[Trait]*blame{}
+	for {
+		var first Death
+		var reaching []*entry
+		for t, e := range r.suspects {
+			if r.poisonous[t] != nil {
+				continue
+			}
+			d, ok := reaches(r.unexplained(e), r.params.limit(&e.Record))
+			switch {
+			case !ok:
+			case len(reaching) == 0 || d.before(first):
+				first, reaching = d, []*entry{e}
+			case d.ID == first.ID:
+				reaching = append(reaching, e)
+			}
+		}
+		if len(reaching) == 0 {
+			return
+		}
+		for _, e := range reaching {
+			r.poisonous[e.Trait] = &blame{entry: e, reached: first.At, tied: tiedWith(e, reaching)}
+		}
+	}
+}
+
+// tiedWith returns the traits that may be blamed in place of e. A whole request is not.
+func tiedWith(e *entry, reaching []*entry) (tied []Trait) {
+	for _, other := range reaching {
+		if other.Trait.Kind != KindRequest && !other.Trait.sameValue(e.Trait) {
+			tied = append(tied, other.Trait)
+		}
+	}
+	return tied
+}
+
+// unexplained returns the pending deaths of a suspect that no poisonous trait explains. A whole request explains nothing: it is poisonous
+// for what it shares with others.
+func (r *Registry) unexplained(e *entry) []Death {
+	return slices.DeleteFunc(slices.Clone(e.pending()), func(d Death) bool {
+		return r.explains(d, func(other Trait) bool { return !other.sameValue(e.Trait) })
+	})
+}
+
+// explains reports whether one of those poisonous traits for which among is true has a death.
+func (r *Registry) explains(d Death, among func(Trait) bool) bool {
+	for t, b := range r.poisonous {
+		if t.Kind != KindRequest && among(t) && slices.ContainsFunc(b.pending(), func(known Death) bool { return known.ID == d.ID }) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsPoisonous reports whether requests with a trait are refused.
 func (r *Registry) IsPoisonous(t Trait) bool { return r.poisonous[t] != nil }
 
 // Held returns the number of independent deaths of a trait since its last answer.
@@ -273,6 +342,9 @@
 	return 0
 }
 
+// IsHalfWay reports whether a record has at least half of the deaths that make its trait poisonous.
+func (p Params) IsHalfWay(r Record) bool { return 2*independent(r.pending()) >= p.limit(&r) }
+
 // MostHeld returns the largest Held of some traits.
 func (r *Registry) MostHeld(traits []Trait) int {
 	n := 0
@@ -285,8 +357,8 @@
 // Poisonous returns the records of poisonous traits, those that changed last first.
 func (r *Registry) Poisonous() []Record {
 	out := make([]Record, 0, len(r.poisonous))
-	for _, e := range r.poisonous {
-		out = append(out, e.clone())
+	for _, b := range r.poisonous {
+		out = append(out, b.clone())
 	}
 	slices.SortFunc(out, func(a, b Record) int { return b.last().Compare(a.last()) })
 	return out
@@ -328,7 +400,10 @@
 
 func (r *Registry) drop(t Trait) {
 	delete(r.entries, t)
-	delete(r.poisonous, t)
+	if r.suspects[t] != nil {
+		delete(r.suspects, t)
+		r.attribute()
+	}
 }
 
 // evictedShare is the part of the records that evict drops at once, so that it sorts them rarely.
--- a/internal/policy/poison/record.go
+++ b/internal/policy/poison/record.go
@@ -81,12 +81,7 @@
 }
 
 func (r *Record) sortDeaths() {
-	slices.SortFunc(r.Deaths, func(a, b Death) int {
-		if c := a.At.Compare(b.At); c != 0 {
-			return c
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
+	slices.SortFunc(r.Deaths, Death.compare)
 	if n := len(r.Deaths) - maxDeaths; n > 0 {
 		r.Deaths = slices.Delete(r.Deaths, 0, n)
 	}
@@ -110,14 +105,46 @@
 // die together, for example because a failure domain loses power, count once: their requests were all sent before.
 func independent(deaths []Death) int {
 	n := 0
+	eachIndependent(deaths, func(Death) bool {
+		n++
+		return true
+	})
+	return n
+}
+
+// reaches returns the death with which there is a number of independent ones; ok is false if there are fewer.
+func reaches(deaths []Death, number int) (d Death, ok bool) {
+	n := 0
+	eachIndependent(deaths, func(next Death) bool {
+		n++
+		d, ok = next, n == number
+		return !ok
+	})
+	return d, ok
+}
+
+// eachIndependent calls do for independent deaths in their order, until it returns false.
+func eachIndependent(deaths []Death, do func(Death) bool) {
 	var last time.Time
 	for _, d := range deaths {
-		if n == 0 || !d.Sent.Before(last) {
-			n++
-			last = d.At
+		if d.Sent.Before(last) {
+			continue
 		}
+		if !do(d) {
+			return
+		}
+		last = d.At
 	}
-	return n
+}
+
+// before orders deaths by time.
+func (d Death) before(other Death) bool { return d.compare(other) < 0 }
+
+func (d Death) compare(other Death) int {
+	if c := d.At.Compare(other.At); c != 0 {
+		return c
+	}
+	return strings.Compare(d.ID, other.ID)
 }
 
 // organisations returns the number of organisations whose requests were in flight, two if there are more.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -117,6 +117,9 @@
 func (s *Server) send(ctx context.Context, j *Job, p *Placement) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{placement: p, cancel: cancel, sentAt: time.Now()}
+	if j.firstSentAt.IsZero() {
+		j.firstSentAt = a.sentAt
+	}
 	p.Meta.Replica = p.Replica.Info().ID
 	p.Meta.Org = j.OrgID()
 	p.Meta.TimeLeft = time.Until(j.Deadline)
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -165,8 +165,11 @@
 	report := poison.Report{Death: fmt.Sprint(info.ID, "@", info.Started), Org: poison.OrgOf(j.OrgID()), At: at}
 	first, started := a.firstEventAt.Time()
 	for _, t := range j.traits(true) {
-		if t.Kind == poison.KindRequest || !started || at.Sub(first) < beginWindow {
+		switch {
+		case t.Kind == poison.KindRequest:
 			report.Accused = append(report.Accused, poison.Accused{Trait: t, Sent: a.sentAt})
+		case !started || at.Sub(first) < beginWindow:
+			report.Accused = append(report.Accused, poison.Accused{Trait: t, Sent: j.firstSentAt})
 		}
 	}
 	return report
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -141,6 +141,8 @@
 	// Software is the version that began the stream that the request resumes.
 	Software SoftwareBinding
 
+	firstSentAt time.Time // to a replica
+
 	memory *holding // of Body, and of the buffers of a stream
 	wait   waitRecord
 	// stateVersion is the version of the desired state by which the request was accepted.
