--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -82,6 +82,40 @@
 	c.load(nil)
 }
 
+// TestPrefixThatCrashesTargetsIsRefused guards against prompts that share a beginning which crashes each target, and differ in the rest.
+func TestPrefixThatCrashesTargetsIsRefused(t *testing.T) {
+	const targets, maxCrashed = 8, 5
+	c := newCluster(t, targets, 2)
+	marker := "MARKER-OF-THE-CRASH"
+	for _, e := range c.engines {
+		e.Switches().Apply(fault.Command{CrashMarker: &marker})
+	}
+	prefix := marker + strings.Repeat(" batch", 400)
+	var status int
+	var body string
+	for i := range 2 * targets {
+		c.await("a daemon with a confirmed table", func() bool {
+			status, body = c.complete(c.daemons[i%2], fmt.Sprint(prefix, " number ", i))
+			return !strings.Contains(body, string(request.CodeStale))
+		})
+	}
+	if status != http.StatusServiceUnavailable || !strings.Contains(body, string(request.CodeQuarantined)) {
+		t.Errorf("the last prompt got %d %s", status, body)
+	}
+	crashed := 0
+	for _, s := range c.servers {
+		select {
+		case <-s.Done():
+			crashed++
+		default:
+		}
+	}
+	if crashed > maxCrashed {
+		t.Fatalf("%d of %d targets crashed, want %d at most", crashed, targets, maxCrashed)
+	}
+	c.load(nil)
+}
+
 // An operator sets a new default version while requests run. A target is unavailable while
 // it loads, so ordering all targets to load at once would refuse every caller.
 func TestVersionIsRolledOutWhileRequestsRun(t *testing.T) {
