Own interface: prompts with a beginning that crashes targets are refused

Callers of all organisations lost their targets, one after the other, to prompts that share a beginning and differ in the rest. Cause: as on the platform, only the digest of the whole request was counted. The beginnings of one block, two, four and so on, the model and a call's path are traits now; the decision is policy/poison. The records stay with the daemon: prompts with one beginning have one home, which sees all deaths and answers. A new home learns anew. TestPrefixThatCrashesTargetsIsRefused: 8 of 8 targets crashed before; now 5 at most.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,6 +62,7 @@
 		ContentType: answer.Header.Get("Content-Type"),
 		Body:        answer.Body,
 	}
+	g.poison.onAnswered(j)
 	g.finishTicket(j, result)
 	// The target has finished: a caller that reads slowly must not hold a slot there.
 	g.endInFlight(j, false)
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -53,6 +53,9 @@
 // Process implements pipeline.Filter.
 func (f *placeFilter) Process(j *Job) pipeline.Decision {
 	return pipeline.Await(func(ctx context.Context) pipeline.Decision {
+		if refusal := f.g.poison.refuse(j); refusal != nil {
+			return pipeline.Finish(refusal)
+		}
 		decision := f.g.opts.Quarantine.Gate(ctx, j.fingerprint)
 		if refusal := quarantineRefusal(decision); refusal != nil {
 			return pipeline.Finish(refusal)
@@ -249,7 +252,7 @@
 	if !f.g.opts.Quarantine.Begin(j.fingerprint, attemptID(j), j.choice.Target.ID, j.suspect) {
 		return pipeline.Finish(suspectRunningRefusal())
 	}
-	j.inFlightAttempt = attemptID(j)
+	j.inFlightAttempt, j.dispatchedAt = attemptID(j), time.Now()
 	if j.choice.Import == nil {
 		return pipeline.Pass()
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -49,6 +49,7 @@
 	context         Context
 	fingerprint     quarantine.Fingerprint
 	inFlightAttempt request.ID // the attempt registered with the quarantine; empty if none
+	dispatchedAt    time.Time  // of that attempt
 	suspect         bool
 	admitted        bool // admitted by the limiter
 	forwardTo       *peer.Member
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -55,6 +55,7 @@
 		return
 	}
 	if died {
+		g.poison.onDeath(j)
 		ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
 		defer cancel()
 		g.opts.Quarantine.TargetDied(ctx, j.choice.Target.ID, j.incarnation)
@@ -64,6 +65,7 @@
 }
 
 func (g *Gateway) reportAnswer(j *Job, u engineapi.Usage, firstToken time.Duration) {
+	g.poison.onAnswered(j)
 	g.opts.Contexts.OnAnswer(j.context, CompletionStats{
 		Target:       j.choice.Target.ID,
 		CachedTokens: u.CachedTokens,
