--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,7 +214,7 @@
 	hops         *hopClient
 	stats        stats
 	retryBudgets *retryBudgets
-	poison       *poisonFilter
+	poison       *poisonRecords
 	cancels      sync.WaitGroup // pending cancellations of streams at targets
 }
 
@@ -232,7 +232,7 @@
 		hops:         newHopClient(),
 		stats:        newStats(opts.Metrics),
 		retryBudgets: newRetryBudgets(opts.Seed),
-		poison:       newPoisonFilter(opts.Logger.Named("gateway"), opts.Metrics),
+		poison:       newPoisonRecords(opts.Logger.Named("gateway"), opts.Metrics),
 	}
 	g.pipeline = pipeline.New(pipeline.Options[*Job]{
 		Filters: g.filters(),
