A request ends after two replicas died under it, whether or not it was suspect before

Found when the change was read again: the first death of a request that was not suspect before was not counted, so that it took a third and fourth replica (TestRequestEndsAfterTwoReplicasDied/suspect=false failed: 4 died, want 2). Run: relay and crashes under the race detector, green.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 )
 
 const (
@@ -300,7 +301,7 @@
 		}
 		for t.active.Load() && ctx.Err() == nil {
 			// The random part keeps daemons that see answers at the same time from all telling the others.
-			if !wait(ctx, tickInterval/2+rand.N(tickInterval)) {
+			if sleep.For(ctx, tickInterval/2+rand.N(tickInterval)) != nil {
 				return nil
 			}
 			now := t.o.Now()
@@ -318,15 +319,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // sendAnswers tells all daemons of answers that they may not know.
 func (t *Tracker) sendAnswers() {
 	t.mu.Lock()
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -184,21 +184,30 @@
 	return strings.Join(ids, ",")
 }
 
-// awaitCrashCheck waits a little for the end of a check if the request is suspect, so that it is not sent to the next replica
-// before the death of the last one counts. It returns an error if the request must not be sent again.
+// awaitCrashCheck waits a little for the ends of the request's checks, unless this is its first one and nothing in it is suspect, so
+// that it is not sent to the next replica before the death of the last one counts. It returns an error if the request must not be
+// sent again.
 func (s *Server) awaitCrashCheck(ctx context.Context, j *Job, c *crashCheck, h *history) *request.Error {
-	if s.o.CrashTracker == nil || h.crashed == 0 && s.o.CrashTracker.SuspectDeaths(j.traits) == 0 {
+	if s.o.CrashTracker == nil {
 		return nil
 	}
-	select {
-	case <-c.done:
-	case <-time.After(maxCrashWait):
-	case <-ctx.Done():
+	h.checks = append(h.checks, c)
+	if len(h.checks) == 1 && s.o.CrashTracker.SuspectDeaths(j.traits) == 0 {
+		return nil
 	}
-	if c.died.Load() {
-		h.crashed++
+	ctx, cancel := context.WithTimeout(ctx, maxCrashWait)
+	defer cancel()
+	died := 0
+	for _, check := range h.checks {
+		select {
+		case <-check.done:
+		case <-ctx.Done():
+		}
+		if check.died.Load() {
+			died++
+		}
 	}
-	if h.crashed >= maxOwnCrashes {
+	if died >= maxOwnCrashes {
 		s.o.Metrics.Counter("retries_after_crashes").Inc(1)
 		return &request.Error{Code: request.CodeTargetFailed, Status: http.StatusBadGateway, Message: "the replicas died", Ran: request.InDoubt}
 	}
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -11,23 +11,28 @@
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
-// TestRequestEndsAfterTwoReplicasDied guards against one request that crashes a replica with each of its attempts.
+// TestRequestEndsAfterTwoReplicasDied guards against one request that crashes a replica with each of its attempts, whether or not
+// something in it was suspect before.
 func TestRequestEndsAfterTwoReplicasDied(t *testing.T) {
-	r := route(routing.KindIdempotent)
-	r.MaxAttempts = 4
-	f := newFixture(t, r)
-	tracker := &fakeCrashTracker{crashes: map[poison.Trait]int{}, suspect: true}
-	f.server.o.CrashTracker = tracker
-	for range 5 {
-		f.addCrashingReplica()
-	}
-	answer, _, err := f.post("poison")
-	if err != nil || answer.StatusCode != http.StatusBadGateway {
-		t.Errorf("%v, %v", answer, err)
-	}
-	time.Sleep(100 * time.Millisecond) // until a further attempt would have been counted
-	if n := tracker.total(); n != maxOwnCrashes {
-		t.Errorf("%d replicas died, want %d", n, maxOwnCrashes)
+	for _, suspect := range []bool{true, false} {
+		t.Run(fmt.Sprint("suspect=", suspect), func(t *testing.T) {
+			r := route(routing.KindIdempotent)
+			r.MaxAttempts = 4
+			f := newFixture(t, r)
+			tracker := &fakeCrashTracker{crashes: map[poison.Trait]int{}, suspect: suspect}
+			f.server.o.CrashTracker = tracker
+			for range 5 {
+				f.addCrashingReplica()
+			}
+			answer, _, err := f.post("poison")
+			if err != nil || answer.StatusCode != http.StatusBadGateway {
+				t.Errorf("%v, %v", answer, err)
+			}
+			time.Sleep(100 * time.Millisecond) // until a further attempt would have been counted
+			if n := tracker.total(); n != maxOwnCrashes {
+				t.Errorf("%d replicas died, want %d", n, maxOwnCrashes)
+			}
+		})
 	}
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -254,10 +254,10 @@
 type history struct {
 	unsent     int // attempts that reached no replica
 	sent       int
-	mayHaveRun int  // sent attempts whose request may have run
-	crashed    int  // replicas that died while they ran the request
-	counted    bool // the request counts for the retry budget
-	final      bool // another daemon has tried what may be tried
+	mayHaveRun int           // sent attempts whose request may have run
+	checks     []*crashCheck // of the replicas at which the request broke
+	counted    bool          // the request counts for the retry budget
+	final      bool          // another daemon has tried what may be tried
 	replicas   []request.TargetID
 	peers      []request.DaemonID
 	refusal    *request.Error // of the last peer; nil: none refused
