Schedules of parts: a seed has the same outcome in each run; the events of a failed one are reported

Cause: goroutines that were ready at the same virtual time drew from one source of randomness in any order.

Each request, replica, daemon and the key-value service now draws from a source of its own, times are drawn to the nanosecond, so that nothing happens at the same time, the tracker's intervals can be given, and pages are written in order.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -58,6 +58,8 @@
 	Logger  hclog.Logger
 	Metrics tally.Scope
 	Now     func() time.Time // nil: time.Now
+	// Jitter returns a random time below a bound; nil: uniformly distributed.
+	Jitter func(bound time.Duration) time.Duration
 }
 
 // Tracker holds the records of one daemon. It is safe for concurrent use.
@@ -101,6 +103,9 @@
 	if o.Failing == nil {
 		o.Failing = func() bool { return false }
 	}
+	if o.Jitter == nil {
+		o.Jitter = rand.N[time.Duration]
+	}
 	o.Logger = o.Logger.Named("crashes")
 	t := &Tracker{
 		o: o, wake: make(chan struct{}, 1), registry: poison.New(o.Params), stored: map[poison.Trait]poison.Record{},
@@ -301,7 +306,7 @@
 		}
 		for t.active.Load() && ctx.Err() == nil {
 			// The random part keeps daemons that see answers at the same time from all telling the others.
-			if sleep.For(ctx, tickInterval/2+rand.N(tickInterval)) != nil {
+			if sleep.For(ctx, tickInterval/2+t.o.Jitter(tickInterval)) != nil {
 				return nil
 			}
 			now := t.o.Now()
--- a/internal/crashes/pages.go
+++ b/internal/crashes/pages.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -150,7 +151,8 @@
 		}
 	}
 	t.mu.Unlock()
-	for page, records := range pages {
+	for _, page := range slices.Sorted(maps.Keys(pages)) {
+		records := pages[page]
 		if err := t.writePage(ctx, page, records); err != nil {
 			t.o.Logger.Warn("Failed to write records of deaths; the other daemons were told", "page", page, "error", err)
 			continue // it stays due
--- a/internal/crashes/schedule_test.go
+++ b/internal/crashes/schedule_test.go
@@ -8,11 +8,14 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
@@ -44,6 +47,9 @@
 	crashingPerSecond = 8 // at most
 )
 
+// failedSeeds are of schedules that broke a bound.
+var failedSeeds = []uint64{}
+
 // Bounds of the users' pages.
 const (
 	contactTime     = 3 * time.Second
@@ -54,6 +60,7 @@
 
 type scheduledDaemon struct {
 	*Tracker
+	network     *rand.Rand // of what it sends
 	stop        context.CancelFunc
 	alive       bool
 	cut         bool // from the key-value service
@@ -63,12 +70,15 @@
 
 type scheduledReplica struct {
 	id       string
+	random   *rand.Rand
 	domain   int
 	alive    bool
 	inFlight map[*scheduledRequest]bool
 }
 
 type scheduledRequest struct {
+	number  int
+	random  *rand.Rand
 	daemon  int
 	tracker *Tracker
 	traits  []poison.Trait
@@ -91,9 +101,18 @@
 	everyReach int
 }
 
+// between returns a random time from a up to b.
+func between(r *rand.Rand, a, b time.Duration) time.Duration {
+	return a + time.Duration(r.Int64N(int64(b-a)))
+}
+
+// schedule draws from a source of its own for each request and daemon, and lets nothing happen at the same time, so that a seed has the
+// same outcome in each run.
 type schedule struct {
 	t           *testing.T
-	random      *rand.Rand
+	seed        uint64
+	random      *rand.Rand // of what the main loop draws
+	kvRandom    *rand.Rand // of what the key-value service draws
 	ctx         context.Context
 	fake        *kv.Fake
 	mu          sync.Mutex // guards all below, and the daemons' fields
@@ -103,7 +122,10 @@
 	away        bool // the key-value service
 	storeAt     time.Time
 	started     int
-	atOnce      bool // replicas are back at once
+	requests    int
+	atOnce      bool       // replicas are back at once
+	eventMu     sync.Mutex // guards events
+	events      []string
 	sound       int
 	refused     int
 	refusedBy   map[string]int // by part
@@ -114,27 +136,41 @@
 // TestSchedulesOfPartsThatCrash guards against parts that go on crashing replicas, and against sound requests that are refused, whatever
 // else fails.
 func TestSchedulesOfPartsThatCrash(t *testing.T) {
-	seeds := uint64(scheduleSeeds)
-	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64); err == nil {
-		seeds = n
+	for _, seed := range seedsToRun() {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
+		})
 	}
-	first := uint64(1)
+}
+
+// seedsToRun returns the seeds that once failed and the first ones, or those that the environment asks for.
+func seedsToRun() []uint64 {
+	first, count := uint64(1), uint64(scheduleSeeds)
 	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_FIRST"), 10, 64); err == nil {
 		first = n
 	}
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
-		})
+	n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64)
+	if err == nil {
+		count = n
 	}
+	var seeds []uint64
+	for seed := first; seed < first+count; seed++ {
+		seeds = append(seeds, seed)
+	}
+	if err != nil {
+		seeds = append(seeds, failedSeeds...)
+	}
+	return seeds
 }
 
 func runSchedule(t *testing.T, seed uint64) {
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &schedule{
-		t: t, random: rand.New(rand.NewPCG(seed, 9)), ctx: ctx, fake: kv.NewFake(time.Now), bad: map[string]*badPart{},
+		t: t, seed: seed, ctx: ctx, fake: kv.NewFake(time.Now), bad: map[string]*badPart{},
 		refusedBy: map[string]int{}, soundBy: map[string]int{},
 	}
+	s.random = s.source(mainSource, 0)
+	s.kvRandom = s.source(kvSource, 0)
 	s.mu.Lock()
 	s.drawParts()
 	s.atOnce = s.random.IntN(4) == 0
@@ -142,7 +178,7 @@
 		s.startReplica(i % scheduleDomains)
 	}
 	for i := range scheduleDaemons {
-		s.daemons = append(s.daemons, &scheduledDaemon{})
+		s.daemons = append(s.daemons, &scheduledDaemon{network: s.source(daemonSource, i)})
 		s.start(i)
 	}
 	s.mu.Unlock()
@@ -178,8 +214,35 @@
 	}
 }
 
+// Kinds of sources of randomness.
+const (
+	mainSource = 1 + iota
+	daemonSource
+	jitterSource
+	kvSource
+	requestSource
+	replicaSource
+)
+
+func (s *schedule) source(kind, number int) *rand.Rand {
+	return rand.New(rand.NewPCG(s.seed, uint64(kind)<<32+uint64(number)))
+}
+
+// record keeps an event for the report of a failed seed.
+func (s *schedule) record(format string, args ...any) {
+	s.addEvent(time.Now().Format("04:05.000 ") + fmt.Sprintf(format, args...))
+}
+
+func (s *schedule) addEvent(event string) {
+	s.eventMu.Lock()
+	defer s.eventMu.Unlock()
+	s.events = append(s.events, event)
+}
+
 func (s *schedule) startReplica(domain int) {
-	s.replicas = append(s.replicas, &scheduledReplica{id: fmt.Sprint("r", s.started), domain: domain, alive: true, inFlight: map[*scheduledRequest]bool{}})
+	s.replicas = append(s.replicas, &scheduledReplica{
+		id: fmt.Sprint("r", s.started), random: s.source(replicaSource, s.started), domain: domain, alive: true, inFlight: map[*scheduledRequest]bool{},
+	})
 	s.started++
 }
 
@@ -188,6 +251,7 @@
 	d := s.daemons[i]
 	ctx, stop := context.WithCancel(s.ctx)
 	d.alive, d.stop, d.disturbedAt = true, stop, time.Now()
+	jitter := s.source(jitterSource, i)
 	store := &scheduleKV{KV: s.fake.Client(fmt.Sprint("vm", i)), schedule: s, daemon: i}
 	d.Tracker = New(Options{
 		KV: store, Follower: mirror.New(mirror.Options{KV: store}), Params: poison.DefaultParams,
@@ -200,10 +264,21 @@
 		Gossip:  func(records []poison.Record) { s.toOthers(i, 2, func(t *Tracker) { t.OnPeerRecords(records) }) },
 		Rank:    func(string) int { return i },
 		Failing: func() bool { return !s.reaches(i) },
+		Logger:  hclog.New(&hclog.LoggerOptions{Name: fmt.Sprint("daemon", i), Output: eventWriter{s}, TimeFormat: "04:05.000"}),
+		Jitter:  func(bound time.Duration) time.Duration { return time.Duration(jitter.Int64N(int64(bound))) },
 	})
 	t := d.Tracker
 	go func() { _ = t.Run(ctx) }() // ends with ctx
-	time.AfterFunc(100*time.Millisecond, func() { s.read(i, t) })
+	time.AfterFunc(100*time.Millisecond+between(d.network, 0, maxPropagation), func() { s.read(i, t) })
+}
+
+// eventWriter keeps logs with the events.
+type eventWriter struct{ *schedule }
+
+// Write implements io.Writer.
+func (w eventWriter) Write(line []byte) (int, error) {
+	w.addEvent(strings.TrimSpace(string(line)))
+	return len(line), nil
 }
 
 // read brings a daemon up to date with the key-value service, unless it does not reach it or is another process by now.
@@ -224,7 +299,7 @@
 func (s *schedule) propagate() {
 	for i, d := range s.daemons {
 		t := d.Tracker
-		time.AfterFunc(time.Duration(s.random.Int64N(int64(maxPropagation))), func() { s.read(i, t) })
+		time.AfterFunc(between(s.kvRandom, 0, maxPropagation), func() { s.read(i, t) })
 	}
 }
 
@@ -238,11 +313,12 @@
 func (s *schedule) toOthers(from, count int, deliver func(*Tracker)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, to := range s.random.Perm(len(s.daemons))[:min(count, len(s.daemons))] {
-		if to == from || s.random.Float64() < datagramLoss {
+	network := s.daemons[from].network
+	for _, to := range network.Perm(len(s.daemons))[:min(count, len(s.daemons))] {
+		if to == from || network.Float64() < datagramLoss {
 			continue
 		}
-		time.AfterFunc(time.Duration(s.random.Int64N(int64(datagramDelay))), func() {
+		time.AfterFunc(between(network, 0, datagramDelay), func() {
 			s.mu.Lock()
 			d := s.daemons[to]
 			t := d.Tracker
@@ -292,23 +368,30 @@
 		if s.random.IntN(20) == 0 {
 			parts = []string{"shared", "rare"}
 		}
-		go s.request(parts, nil)
+		s.begin(parts, nil)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.bad)) {
 		b := s.bad[name]
 		if now := time.Now(); now.After(b.from) && now.Before(b.to) && s.random.Float64() < b.perSecond*step {
-			go s.request(b.parts(s.random.IntN(1000)), []string{name})
+			s.begin(b.parts(s.random.IntN(1000)), []string{name})
 		}
 	}
 }
 
+// begin lets a request arrive within a step. The mutex must be held.
+func (s *schedule) begin(parts, bad []string) {
+	s.requests++
+	r := &scheduledRequest{number: s.requests, random: s.source(requestSource, s.requests), bad: bad, org: poison.OrgOf("o")}
+	time.AfterFunc(between(r.random, 0, scheduleStep), func() { s.request(r, parts) })
+}
+
 // request sends a request at a random daemon.
-func (s *schedule) request(parts, bad []string) {
+func (s *schedule) request(r *scheduledRequest, parts []string) {
 	s.mu.Lock()
-	i := s.random.IntN(len(s.daemons))
-	r := &scheduledRequest{daemon: i, tracker: s.daemons[i].Tracker, bad: bad, org: poison.OrgOf("o")}
-	alive := s.daemons[i].alive
-	content := fmt.Sprint(s.random.Uint64())
+	r.daemon = r.random.IntN(len(s.daemons))
+	r.tracker = s.daemons[r.daemon].Tracker
+	alive := s.daemons[r.daemon].alive
+	bad, content := r.bad, fmt.Sprint(r.random.Uint64())
 	if bad == nil && alive {
 		s.sound++
 		for _, part := range parts {
@@ -362,15 +445,15 @@
 		return nil
 	}
 	r.attempt++
-	replica := alive[s.random.IntN(len(alive))]
+	replica := alive[r.random.IntN(len(alive))]
 	r.sent, r.begunAt = time.Now(), time.Time{}
 	if r.first.IsZero() {
 		r.first = r.sent
 	}
 	replica.inFlight[r] = true
-	s.countSent(r)
-	queued := time.Duration(20+s.random.IntN(300)) * time.Millisecond
-	runs := time.Duration(50+s.random.IntN(1500)) * time.Millisecond
+	s.countSent(r, replica)
+	queued := between(r.random, 20*time.Millisecond, 320*time.Millisecond)
+	runs := between(r.random, 50*time.Millisecond, 1550*time.Millisecond)
 	s.mu.Unlock()
 	time.Sleep(queued)
 	if !s.still(replica, r, func() { r.begunAt = time.Now() }) {
@@ -411,10 +494,11 @@
 }
 
 // countSent counts a request that reaches a replica, if the pages bound that. The mutex must be held.
-func (s *schedule) countSent(r *scheduledRequest) {
+func (s *schedule) countSent(r *scheduledRequest, replica *scheduledReplica) {
 	for _, name := range r.bad {
 		b := s.bad[name]
 		b.everyReach++
+		s.record("request %d with %s is sent by daemon %d to %s, after %d crashes", r.number, name, r.daemon, replica.id, len(b.crashes))
 		if len(b.crashes) < crashesBefore || time.Since(b.crashes[crashesBefore-1]) < contactTime {
 			continue
 		}
@@ -435,7 +519,9 @@
 	for _, name := range bad {
 		s.bad[name].crashes = append(s.bad[name].crashes, now)
 	}
-	for r := range replica.inFlight {
+	s.record("%s dies, crashed by %v, with %d requests in flight", replica.id, bad, len(replica.inFlight))
+	inFlight := slices.SortedFunc(maps.Keys(replica.inFlight), func(a, b *scheduledRequest) int { return a.number - b.number })
+	for _, r := range inFlight {
 		report := poison.Report{Death: replica.id + "@1", Org: r.org, At: now}
 		for _, trait := range r.traits {
 			switch {
@@ -447,10 +533,10 @@
 		}
 		if d := s.daemons[r.daemon]; d.Tracker == r.tracker && d.alive {
 			tracker := r.tracker
-			time.AfterFunc(downCheck, func() { tracker.RecordCrash(report) })
+			time.AfterFunc(downCheck+time.Duration(r.number%1000)*time.Microsecond, func() { tracker.RecordCrash(report) })
 		}
 	}
-	restart := time.Duration(1000+s.random.IntN(4000)) * time.Millisecond
+	restart := between(replica.random, time.Second, 5*time.Second)
 	if s.atOnce {
 		restart = time.Millisecond
 	}
@@ -470,7 +556,7 @@
 		return
 	}
 	i := s.random.IntN(len(s.daemons))
-	lasts := time.Duration(s.random.Int64N(int64(maxFault)))
+	lasts := between(s.random, 0, maxFault)
 	switch s.random.IntN(10) {
 	case 0, 1:
 		s.kill(i)
@@ -495,10 +581,11 @@
 		}
 	case 9: // single replicas, one after the other
 		for n := range 5 {
-			time.AfterFunc(time.Duration(n)*400*time.Millisecond, func() {
+			drawn := s.random.Int()
+			time.AfterFunc(time.Duration(n)*400*time.Millisecond+time.Microsecond, func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				s.crash(s.replicas[s.random.IntN(len(s.replicas))], nil)
+				s.crash(s.replicas[drawn%len(s.replicas)], nil)
 			})
 		}
 	}
@@ -508,11 +595,13 @@
 func (s *schedule) during(lasts time.Duration, i int, change func(d *scheduledDaemon, on bool)) {
 	d := s.daemons[i]
 	change(d, true)
+	s.record("trouble of daemon %d or of the service for %s: cut %t, isolated %t, service away %t", i, lasts, d.cut, d.isolated, s.away)
 	d.disturbedAt = time.Now()
 	time.AfterFunc(lasts, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		change(d, false)
+		s.record("the trouble of daemon %d ends: cut %t, isolated %t, service away %t", i, d.cut, d.isolated, s.away)
 		d.disturbedAt = time.Now()
 		s.propagate()
 	})
@@ -526,7 +615,9 @@
 	}
 	d.alive = false
 	d.stop()
-	time.AfterFunc(time.Duration(s.random.Int64N(int64(maxRestart))), func() {
+	restart := between(d.network, 0, maxRestart)
+	s.record("daemon %d is killed for %s", i, restart)
+	time.AfterFunc(restart, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.start(i)
@@ -542,6 +633,11 @@
 		}
 	}
 	s.t.Logf("seed %d: %d of %d sound requests were refused %v", seed, s.refused, s.sound, s.refusedBy)
+	defer func() {
+		if s.t.Failed() {
+			s.t.Log(strings.Join(s.events, "\n"))
+		}
+	}()
 	if float64(s.refused) > maxRefusedShare*float64(s.sound) {
 		s.t.Errorf("seed %d: %d of %d sound requests were refused", seed, s.refused, s.sound)
 	}
