A trial with two tied parts tells nothing against either without the other

A death in a trial now counts against a request only if nothing that the request lacks explains the death. testdata/tied_trial failed before: refused, next trial in 3m58.1s, where now the request is a trial.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -150,11 +150,11 @@
 
 // trialAt returns when a request with some traits may be the next trial of a poisonous one.
 func (r *Registry) trialAt(b *blame, traits []Trait) time.Time {
-	if slices.ContainsFunc(b.tied, func(t Trait) bool { return !slices.Contains(traits, t) }) {
+	if missing := slices.DeleteFunc(slices.Clone(b.tied), func(t Trait) bool { return slices.Contains(traits, t) }); len(missing) > 0 {
 		if !b.Trial.After(b.reached) {
 			return b.reached.Add(r.params.TiedTrialAfter)
 		}
-		if !r.diedIn(b) {
+		if !r.diedIn(b, missing) {
 			return b.Trial.Add(2 * r.params.TiedTrialAfter)
 		}
 	}
@@ -169,10 +169,13 @@
 	return last.Add(min(delay, r.params.MaxTrialAfter))
 }
 
-// diedIn reports whether a replica died in the last trial of a trait, and no trait with which it is not tied explains that.
-func (r *Registry) diedIn(b *blame) bool {
+// diedIn reports whether a replica died in the last trial of a trait, and that tells something about a request that has the trait without some of
+// those with which it is tied: neither one of these nor a trait with which it is not tied explains the death.
+func (r *Registry) diedIn(b *blame, missing []Trait) bool {
 	return slices.ContainsFunc(b.pending(), func(d Death) bool {
-		return !d.Sent.Before(b.Trial) && !r.explains(d, func(other Trait) bool { return !other.sameValue(b.Trait) && !slices.Contains(b.tied, other) })
+		return !d.Sent.Before(b.Trial) && !r.explains(d, func(other Trait) bool {
+			return !other.sameValue(b.Trait) && (!slices.Contains(b.tied, other) || slices.Contains(missing, other))
+		})
 	})
 }
 
