--- a/internal/crashes/schedule_test.go
+++ b/internal/crashes/schedule_test.go
@@ -439,7 +439,7 @@
 			alive = append(alive, replica)
 		}
 	}
-	if len(alive) == 0 || s.daemons[r.daemon].Tracker != r.tracker {
+	if d := s.daemons[r.daemon]; len(alive) == 0 || !d.alive || d.Tracker != r.tracker {
 		r.attempt = maxAttempts
 		s.mu.Unlock()
 		return nil
