Limits: requests wait while a new coordinator settles, instead of being refused

Cause: after a membership change a coordinator grants only what was refilled since, because its predecessor may have granted a full burst; the first prompt overdraws that, and the next one was refused although the deficit is gone in 24 ms. Ruled out: slots (one at a time, but free here), requests (burst 1,000), a lost slice.

The coordinator marks such answers, and the daemon holds the requests for at most 250 ms in all, then refuses as before. Nothing more is granted than before.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -174,6 +174,7 @@
 		Tokens:      answer.Tokens,
 		TTL:         time.Duration(answer.TtlMs) * time.Millisecond,
 		RetryAfter:  time.Duration(answer.RetryAfterMs) * time.Millisecond,
+		Settling:    answer.Settling,
 	}, nil
 }
 
@@ -210,6 +211,7 @@
 		Tokens:       slice.Tokens,
 		TtlMs:        slice.TTL.Milliseconds(),
 		RetryAfterMs: slice.RetryAfter.Milliseconds(),
+		Settling:     slice.Settling,
 	}, nil
 }
 
--- a/internal/policy/limit/coordinator.go
+++ b/internal/policy/limit/coordinator.go
@@ -95,6 +95,7 @@
 	out.RetryAfter = max(out.RetryAfter, wait)
 	if out.RetryAfter > 0 {
 		out.RetryAfter = c.params.clamp(out.RetryAfter)
+		out.Settling = now.Before(l.cautiousUntil)
 	}
 	return out
 }
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -103,4 +103,5 @@
 	Tokens      int64 // in addition to earlier slices
 	TTL         time.Duration
 	RetryAfter  time.Duration // time until more is available, if the coordinator granted less than requested
+	Settling    bool          // the coordinator granted less because of a membership change
 }
--- a/internal/policy/limit/local.go
+++ b/internal/policy/limit/local.go
@@ -7,6 +7,10 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
+// maxHold bounds the time for which requests wait instead of being refused while a coordinator settles. A caller that is refused comes back
+// later than that.
+const maxHold = 250 * time.Millisecond
+
 // Outcome is the result of an admission decision.
 type Outcome string
 
@@ -53,6 +57,8 @@
 	pendingTokens int64 // tokens of the pending requests
 
 	refusedUntil time.Time
+	heldUntil    time.Time // requests that get no slice wait instead of being refused
+	holdEnds     time.Time // bounds heldUntil, from the first of several refusals on
 	demand       demand
 	lastUsed     time.Time
 	fallback     *fallback // nil while the coordinator is reachable
@@ -96,7 +102,7 @@
 	}
 	a.pending++
 	a.pendingTokens += tokens
-	if a.requesting {
+	if a.requesting || now.Before(a.heldUntil) {
 		return Decision{Outcome: Pending}
 	}
 	return Decision{Outcome: Pending, SliceRequest: l.requestSlice(now, org, a)}
@@ -120,10 +126,26 @@
 	a.slices = append(a.slices, heldSlice{requests: slice.Requests, tokens: slice.Tokens, expires: expires})
 	a.slots, a.slotsExpire = slice.Concurrency, expires
 	a.chargeUncovered()
-	a.refusedUntil = time.Time{}
+	a.refusedUntil, a.heldUntil = time.Time{}, time.Time{}
 	if slice.RetryAfter > 0 && !a.covers(now, 1) {
-		a.refusedUntil = now.Add(slice.RetryAfter)
+		a.refuse(now, slice)
+	} else {
+		a.holdEnds = time.Time{}
+	}
+}
+
+// refuse applies the coordinator's refusal. While it settles it refuses organisations that are far below their limits: their requests wait,
+// for maxHold in all.
+func (a *account) refuse(now time.Time, slice Slice) {
+	until := now.Add(slice.RetryAfter)
+	if slice.Settling && a.holdEnds.IsZero() {
+		a.holdEnds = now.Add(maxHold)
+	}
+	if slice.Settling && !until.After(a.holdEnds) {
+		a.heldUntil = until
+		return
 	}
+	a.refusedUntil = until
 }
 
 // OnSliceFailed switches the organisation to the fallback limits until the coordinator
@@ -152,13 +174,15 @@
 
 // Tick returns the slice requests that are due independently of new requests: renewals of
 // slots in use before they expire, and requests for tokens to cover earlier prompts and
-// output. It removes idle organisations. Call it several times per SliceTTL.
+// output, and requests for slices for requests that were held. It removes idle organisations. Call it several times per SliceTTL.
 func (l *LocalLimiter) Tick(now time.Time) []SliceRequest {
 	var requests []SliceRequest
 	for org, a := range l.accounts {
 		l.checkTimeout(now, a)
 		due := a.limits.Concurrency > 0 && a.running > 0 && a.slotsExpire.Sub(now) < l.params.SliceTTL/2
 		due = due || (a.uncoveredTokens > 0 && !now.Before(a.refusedUntil))
+		due = due || a.pending > 0 // requests were held
+		due = due && !now.Before(a.heldUntil)
 		if a.fallback == nil && !a.requesting && due {
 			requests = append(requests, *l.requestSlice(now, org, a))
 		}
@@ -213,7 +237,7 @@
 // LocalLimiter requests a slice only when a request needs one.
 func (l *LocalLimiter) requestSliceAhead(now time.Time, org request.OrgID, a *account) *SliceRequest {
 	requests, _ := a.demand.expected(now, l.params.SliceTTL)
-	if a.requesting || requests < 1 || now.Before(a.refusedUntil) {
+	if a.requesting || requests < 1 || now.Before(a.refusedUntil) || now.Before(a.heldUntil) {
 		return nil
 	}
 	have, _ := a.available()
