Planner: a status that failed because its caller left is not kept

It is kept only if the store VM is to blame. TestStatusOutlivesItsCaller before: the next caller: context canceled.

--- a/internal/planner/stores.go
+++ b/internal/planner/stores.go
@@ -64,9 +64,12 @@
 	if ok && time.Since(cached.readAt) < age {
 		return cached.status, cached.err
 	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	attempt, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	status, err := s.client(row.ID, row.Address).Status(ctx)
+	status, err := s.client(row.ID, row.Address).Status(attempt)
+	if ctx.Err() != nil {
+		return status, err // says nothing about the store VM
+	}
 	s.mu.Lock()
 	s.statuses[row.ID] = cachedStatus{status: status, err: err, readAt: time.Now()}
 	s.mu.Unlock()
