Planner: an export waits for a store VM that missed one status request

Callers saw: nothing at once; a context whose store VM did not answer one status request within 0.5 s, and those answered in the second after it, were never exported, silently, and are computed anew when they return.

The export asks again, five times at most, a second apart, and then counts as failed.

--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bluebellscale/bluebellscale/internal/block"
 	"github.com/bluebellscale/bluebellscale/internal/contextdir"
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/store"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/table"
@@ -22,6 +26,9 @@
 	// because each writes a chunk only when its link is free. Further exports are dropped:
 	// after a long wait, the target would have evicted the blocks.
 	maxExports = 32
+	// maxOrderAttempts bounds the attempts to find a store VM that reports its status, one in statusMaxAge. Blocks stay in a target's
+	// memory for some seconds at least.
+	maxOrderAttempts = 5
 	// freeTimeout bounds the deletion of one superseded export.
 	freeTimeout = 10 * time.Second
 )
@@ -55,9 +62,9 @@
 	if !ok || len(c.Chain) == 0 {
 		return nil
 	}
-	order, worthwhile := p.exportOrder(ctx, snapshot, c)
-	if !worthwhile {
-		return nil
+	order, worthwhile, err := p.awaitExportOrder(ctx, snapshot, c)
+	if err != nil || !worthwhile {
+		return err
 	}
 	address, ok := storeAddress(snapshot, order.Store)
 	if !ok {
@@ -148,8 +155,26 @@
 	return p.deleteExport(ctx, client, m, retained...)
 }
 
-func (p *Planner) exportOrder(ctx context.Context, snapshot *table.Snapshot, c gateway.Context) (retention.ExportOrder, bool) {
-	spaces := p.storeSpace(ctx, snapshot)
+// awaitExportOrder returns what to export. If no store VM can take the context and one did not report its status, it asks again later: the
+// context would otherwise never be exported for one missed answer.
+func (p *Planner) awaitExportOrder(ctx context.Context, snapshot *table.Snapshot, c gateway.Context) (retention.ExportOrder, bool, error) {
+	for attempt := 1; ; attempt++ {
+		spaces := p.storeSpace(ctx, snapshot)
+		order, worthwhile := p.exportOrder(snapshot, c, spaces)
+		silent := slices.ContainsFunc(spaces, func(s retention.StoreUsage) bool { return s.Down })
+		if worthwhile || !silent || len(c.Chain) < retention.DefaultParams().MinBlocks {
+			return order, worthwhile, nil
+		}
+		if attempt == maxOrderAttempts {
+			return order, false, errors.New("planner: no store VM reports its status")
+		}
+		if err := sleep.For(ctx, statusMaxAge); err != nil {
+			return order, false, err
+		}
+	}
+}
+
+func (p *Planner) exportOrder(snapshot *table.Snapshot, c gateway.Context, spaces []retention.StoreUsage) (retention.ExportOrder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.directory.Lookup(c.Scope, c.Chain)
