--- a/internal/waiting/turns.go
+++ b/internal/waiting/turns.go
@@ -51,7 +51,7 @@
 	if len(r.turns) == 0 {
 		return nil
 	}
-	return time.After(turnTime)
+	return time.After(r.o.TurnTime)
 }
 
 // tick looks for room that no replica reports, and refuses and reports at their intervals.
@@ -136,7 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if turns := r.turns[service]; len(turns) >= maxTurns || len(turns) > 0 && now.Sub(turns[len(turns)-1].granted) < turnTime {
+	if turns := r.turns[service]; len(turns) >= maxTurns || len(turns) > 0 && now.Sub(turns[len(turns)-1].granted) < r.o.TurnTime {
 		return nil
 	}
 	rounds.begin()
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -36,10 +36,10 @@
 	deepRoundSize = 64
 	deepInterval  = 100 * time.Millisecond
 	// maxTurns is how many requests of a service may have their turn at once, if their placement takes
-	// longer than turnTime.
+	// longer than Options.TurnTime.
 	maxTurns = 16
-	// turnTime is the time after which a further request gets its turn beside one that is not placed yet.
-	turnTime = 5 * time.Millisecond
+	// DefaultTurnTime is long for a placement.
+	DefaultTurnTime = 5 * time.Millisecond
 	// arrivalInterval is the shortest time between two requests that are asked for room in vain when they
 	// come, because the estimate would refuse them.
 	arrivalInterval = 20 * time.Millisecond
@@ -49,6 +49,9 @@
 type Options struct {
 	MaxRequests int   // that wait
 	MaxBytes    int64 // of their bodies
+	// TurnTime is the time after which a further request gets its turn beside one that is not placed yet; zero: DefaultTurnTime. Order among
+	// requests whose turns overlap is not kept.
+	TurnTime time.Duration
 	Logger      hclog.Logger
 	Metrics     tally.Scope
 }
@@ -111,6 +114,9 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	if o.TurnTime <= 0 {
+		o.TurnTime = DefaultTurnTime
+	}
 	o.Logger = o.Logger.Named("waiting")
 	r := &Room{
 		o: o, metrics: newRoomMetrics(o.Metrics),
