placer: a store with an idle link stays the source of what replicas are assumed to hold

A replica that is assumed to hold a part may have evicted it; a store that offers it has it.

Change: a replica replaces a store's offer only while that store's link has a wait of 10 ms or more.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -446,5 +446,5 @@
 			meta.SaveTo[i] = offers[i].Address
 		}
 	}
-	pp.setReplicaSources(meta, j, to)
+	pp.setReplicaSources(meta, j, offers, to)
 }
--- a/internal/placer/memory.go
+++ b/internal/placer/memory.go
@@ -69,6 +69,10 @@
 // of a part that one or two sessions use is often wrong, and a store that offers the part certainly has it.
 const minHolders = 3
 
+// busyLink is the wait for a store's link from which other replicas are the better source of shared parts: they may have evicted what they are
+// assumed to hold, and what no source has is computed again.
+const busyLink = 10 * time.Millisecond
+
 // findHolder returns a replica on the same weights that is assumed to hold a part, preferably one in
 // the same failure domain, and how many replicas are, of which it need not count more than minHolders. It returns any of them, so that a
 // part that many replicas fetch at the same time occupies the links of all its holders.
@@ -96,11 +100,11 @@
 }
 
 // setReplicaSources sets another replica as the source of parts that no context store provides, and of shared parts
-// that the chosen replica is assumed to hold.
+// that the chosen replica is assumed to hold while their store's link is busy.
 //
 // A replica that has evicted such a part fetches it without a claim on a store's link. Under memory pressure
 // all replicas evict the prefixes that prompts share at the same time; the link of one store would be saturated.
-func (pp *PromptPlacer) setReplicaSources(meta *relay.AttemptMeta, j *relay.Job, to *replicas.Replica) {
+func (pp *PromptPlacer) setReplicaSources(meta *relay.AttemptMeta, j *relay.Job, offers []PartOffer, to *replicas.Replica) {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
 	for i, p := range j.Parts {
@@ -111,7 +115,7 @@
 			continue
 		}
 		from, holders := pp.findHolder(key, j, to, meta.WeightsVersion)
-		if from == nil || meta.FetchFrom[i] != "" && holders < minHolders {
+		if from == nil || meta.FetchFrom[i] != "" && (holders < minHolders || offers[i].QueueTime < busyLink) {
 			continue
 		}
 		meta.FetchFrom[i] = from.Info().Address
