placer: only parts that a replica used lately count as surely held

The estimate of a replica's memory goes by the order of use and its whole capacity; running requests keep memory that it does not know of.

A holder counts, and goes before others, if it read or computed no more than 0.4 of its capacity since it used the part.

TestPartThatWasUsedLongAgoHasNoSureHolder and TestLongUnusedPartIsNotRecent; the first failed before: fetched from a replica, not the store.

--- a/internal/placer/memory.go
+++ b/internal/placer/memory.go
@@ -69,18 +69,22 @@
 // of a part that one or two sessions use is often wrong, and a store that offers the part certainly has it.
 const minHolders = 3
 
+// recentShare is the share of its memory that a replica may have used since a part's last use for the part to count as held for certain.
+// Estimates do not know of the memory that running requests keep.
+const recentShare = 0.4
+
 // busyLink is the wait for a store's link from which other replicas are the better source of shared parts: they may have evicted what they are
 // assumed to hold, and what no source has is computed again.
 const busyLink = 10 * time.Millisecond
 
 // findHolder returns a replica on the same weights that is assumed to hold a part, preferably one in
-// the same failure domain, and how many replicas are, of which it need not count more than minHolders. It returns any of them, so that a
-// part that many replicas fetch at the same time occupies the links of all its holders.
+// the same failure domain, and how many replicas have used it lately, of which it need not count more than minHolders. It returns any of these, so that
+// a part that many replicas fetch at the same time occupies the links of all its holders, and others only if there are none.
 func (pp *PromptPlacer) findHolder(key residency.Key, j *relay.Job, to *replicas.Replica, version uint64) (found *replicas.Replica, holders int) {
 	now := time.Now()
 	assigned := pp.Assigned(j.Service.ID)
 	first := rand.IntN(len(assigned) + 1)
-	near := false
+	near, sure := false, false
 	for n := range assigned {
 		if near && holders >= minHolders {
 			break
@@ -90,10 +94,13 @@
 		if r == to || m == nil || !m.Contains(key) || r.WeightsVersion(j.Model) != version || r.Health.BackingOff(now) {
 			continue
 		}
-		holders++
+		recent := m.ContainsRecent(key, recentShare)
+		if recent {
+			holders++
+		}
 		isNear := r.Info().FailureDomain == to.Info().FailureDomain
-		if found == nil || isNear && !near {
-			found, near = r, isNear
+		if found == nil || recent && !sure || recent == sure && isNear && !near {
+			found, near, sure = r, isNear, recent
 		}
 	}
 	return found, holders
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -318,6 +318,30 @@
 	}
 }
 
+// TestPartThatWasUsedLongAgoHasNoSureHolder guards against shared parts that are computed again because the replicas that are named as their source have
+// evicted them: estimates are of the order of use, and running requests take memory that they do not know of.
+func TestPartThatWasUsedLongAgoHasNoSureHolder(t *testing.T) {
+	f := newFixtureWithSharedPrefix()
+	f.store.queueTime = 2 * busyLink
+	for i := range 8 {
+		f.placer.RecordPlacement(f.set.Get(id(i)), nil, 30_000)
+	}
+	key, to := partKey("w1", "shared"), f.set.Get(id(7))
+	if r, holders := f.placer.findHolder(key, job("t"), to, 1); r == nil || holders != 0 {
+		t.Errorf("holder %v of %d sure ones, want any for want of a better one", r, holders)
+	}
+	lately := f.set.Get(id(3))
+	f.placer.RecordPlacement(lately, []PlacedPart{{Key: key, Tokens: 2500}}, 0)
+	for range 32 {
+		if r, holders := f.placer.findHolder(key, job("t"), to, 1); r != lately || holders != 1 {
+			t.Errorf("holder %s of %d sure ones, want the one that used the part lately", r.Info().ID, holders)
+		}
+	}
+	if p := place(t, f, job("s")); p.Meta.FetchFrom[0] != "store:1" {
+		t.Errorf("the prefix is fetched from %q", p.Meta.FetchFrom[0])
+	}
+}
+
 // newFixtureWithSharedPrefix returns a fixture with eight replicas that are assumed to hold the part "shared", which a store has as well.
 func newFixtureWithSharedPrefix() *fixture {
 	f := newFixture(8)
--- a/internal/policy/residency/residency.go
+++ b/internal/policy/residency/residency.go
@@ -15,12 +15,14 @@
 type part struct {
 	key    Key
 	tokens int
+	usedAt int // MemoryEstimate.touched at the last use
 }
 
 // MemoryEstimate is the estimated content of one replica's memory.
 type MemoryEstimate struct {
 	capacity   int // tokens
 	usedTokens int
+	touched    int        // tokens read or computed so far
 	lru        *list.List // of *part, most recently used first
 	byKey      map[Key]*list.Element
 }
@@ -32,13 +34,15 @@
 
 // Touch records that the replica reads or computes a part now.
 func (m *MemoryEstimate) Touch(key Key, tokens int) {
+	m.touched += tokens
 	if e, ok := m.byKey[key]; ok {
 		p := e.Value.(*part)
+		p.usedAt = m.touched
 		m.usedTokens += tokens - p.tokens
 		p.tokens = tokens
 		m.lru.MoveToFront(e)
 	} else {
-		m.byKey[key] = m.lru.PushFront(&part{key: key, tokens: tokens})
+		m.byKey[key] = m.lru.PushFront(&part{key: key, tokens: tokens, usedAt: m.touched})
 		m.usedTokens += tokens
 	}
 	m.evict()
@@ -60,6 +64,13 @@
 	return ok
 }
 
+// ContainsRecent reports whether a part is presumably cached, and the replica has read or computed no more than a share of its capacity since the
+// last use.
+func (m *MemoryEstimate) ContainsRecent(key Key, share float64) bool {
+	e, ok := m.byKey[key]
+	return ok && float64(m.touched-e.Value.(*part).usedAt) <= share*float64(m.capacity)
+}
+
 // Clear removes all parts, for example because the replica loaded other weights.
 func (m *MemoryEstimate) Clear() {
 	m.lru.Init()
--- a/internal/policy/residency/residency_test.go
+++ b/internal/policy/residency/residency_test.go
@@ -24,6 +24,28 @@
 	}
 }
 
+// TestLongUnusedPartIsNotRecent guards against parts that count as surely cached although most of the memory was used since.
+func TestLongUnusedPartIsNotRecent(t *testing.T) {
+	m := New(100)
+	m.Touch(1, 20)
+	m.Touch(2, 20)
+	if !m.ContainsRecent(1, 0.4) || !m.ContainsRecent(2, 0.4) {
+		t.Error("parts used just now are not recent")
+	}
+	m.Touch(3, 30)
+	if m.ContainsRecent(1, 0.4) || !m.ContainsRecent(2, 0.4) || !m.Contains(1) {
+		t.Errorf("part 1 recent: %t, 2: %t, 1 cached: %t", m.ContainsRecent(1, 0.4), m.ContainsRecent(2, 0.4), m.Contains(1))
+	}
+	m.Touch(1, 20) // read again
+	if !m.ContainsRecent(1, 0.4) || m.ContainsRecent(9, 1) {
+		t.Error("a part that is read again is not recent, or an unknown one is")
+	}
+	m.Clear()
+	if m.ContainsRecent(1, 1) {
+		t.Error("a removed part is recent")
+	}
+}
+
 // The used tokens are the sum over all parts and never exceed the capacity.
 func TestUsedTokensStayWithinCapacity(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
