--- a/internal/crashes/pages.go
+++ b/internal/crashes/pages.go
@@ -57,24 +57,10 @@
 // pageKey returns the key of the page that holds a trait's record.
 func pageKey(t poison.Trait) string { return keyPrefix + keyText(t)[:1] }
 
-func unixMilli(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMilli()
-}
-
-func fromUnixMilli(ms int64) time.Time {
-	if ms <= 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms)
-}
-
 func storedRecords(records []poison.Record) []storedRecord {
 	out := make([]storedRecord, len(records))
 	for i, r := range records {
-		out[i] = storedRecord{Kind: r.Trait.Kind, Org: r.Trait.Org, Key: keyText(r.Trait), Answered: unixMilli(r.Answered), Trial: unixMilli(r.Trial)}
+		out[i] = storedRecord{Kind: r.Trait.Kind, Org: r.Trait.Org, Key: keyText(r.Trait), Answered: poison.UnixMilli(r.Answered), Trial: poison.UnixMilli(r.Trial)}
 		for _, d := range r.Deaths {
 			out[i].Deaths = append(out[i].Deaths, storedDeath{ID: d.ID, Org: d.Org, Sent: d.Sent.UnixMilli(), At: d.At.UnixMilli()})
 		}
@@ -97,7 +83,7 @@
 		if !r.Kind.Valid() {
 			return nil, errors.Newf("crashes: page: kind: %d is unknown", r.Kind)
 		}
-		out[i] = poison.Record{Trait: poison.Trait{Kind: r.Kind, Org: r.Org, Key: poison.Key(key)}, Answered: fromUnixMilli(r.Answered), Trial: fromUnixMilli(r.Trial)}
+		out[i] = poison.Record{Trait: poison.Trait{Kind: r.Kind, Org: r.Org, Key: poison.Key(key)}, Answered: poison.FromUnixMilli(r.Answered), Trial: poison.FromUnixMilli(r.Trial)}
 		for _, d := range r.Deaths {
 			out[i].Deaths = append(out[i].Deaths, poison.Death{ID: d.ID, Org: d.Org, Sent: time.UnixMilli(d.Sent), At: time.UnixMilli(d.At)})
 		}
--- a/internal/loadshare/traits.go
+++ b/internal/loadshare/traits.go
@@ -52,7 +52,7 @@
 			s.o.Logger.Debug("Ignoring a record of an unknown trait")
 			continue
 		}
-		r := poison.Record{Trait: trait, Answered: fromUnixMilli(m.AnsweredMs), Trial: fromUnixMilli(m.TrialMs)}
+		r := poison.Record{Trait: trait, Answered: poison.FromUnixMilli(m.AnsweredMs), Trial: poison.FromUnixMilli(m.TrialMs)}
 		for _, d := range m.Deaths {
 			r.Deaths = append(r.Deaths, poison.Death{ID: d.Id, Org: poison.Org(d.Org), Sent: time.UnixMilli(d.SentMs), At: time.UnixMilli(d.AtMs)})
 		}
@@ -64,7 +64,7 @@
 func recordMessages(records []poison.Record) []*TraitRecord {
 	out := make([]*TraitRecord, len(records))
 	for i, r := range records {
-		out[i] = &TraitRecord{Trait: traitMessage(r.Trait), AnsweredMs: unixMilli(r.Answered), TrialMs: unixMilli(r.Trial)}
+		out[i] = &TraitRecord{Trait: traitMessage(r.Trait), AnsweredMs: poison.UnixMilli(r.Answered), TrialMs: poison.UnixMilli(r.Trial)}
 		for _, d := range r.Deaths {
 			out[i].Deaths = append(out[i].Deaths, &TraitDeath{Id: d.ID, Org: uint64(d.Org), SentMs: d.Sent.UnixMilli(), AtMs: d.At.UnixMilli()})
 		}
@@ -107,17 +107,3 @@
 	t = poison.Trait{Kind: poison.Kind(m.Kind), Org: poison.Org(m.Org), Key: poison.Key(m.Key)}
 	return t, t.Kind.Valid()
 }
-
-func unixMilli(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMilli()
-}
-
-func fromUnixMilli(ms int64) time.Time {
-	if ms <= 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms)
-}
--- a/internal/policy/poison/record.go
+++ b/internal/policy/poison/record.go
@@ -185,3 +185,19 @@
 	}
 	return at
 }
+
+// UnixMilli returns a time of a record in Unix milliseconds, 0 for the zero time.
+func UnixMilli(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// FromUnixMilli returns the time that UnixMilli was given, the zero time for anything that is not a time after 1970.
+func FromUnixMilli(ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -123,3 +123,23 @@
 		t.Errorf("an isolated organisation shares %d traits", n)
 	}
 }
+
+// TestRequestThatWaitedIsCheckedAgain guards against requests that wait for room while what they share with others is found to crash replicas, and
+// are sent when there is room.
+func TestRequestThatWaitedIsCheckedAgain(t *testing.T) {
+	f := newWaitingFixture(t, objectiveRoute(routing.KindOnce, "/", 5))
+	tracker := &fakeCrashTracker{crashes: map[poison.Trait]int{}}
+	f.server.o.CrashTracker = tracker
+	waiting := f.start("/x", "1", nil)
+	tracker.refuseAll.Store(true)
+	f.placer.set(1, true)
+	if answer := f.wantStatus(waiting, http.StatusServiceUnavailable); answer.Header.Get("Retry-After") == "" {
+		t.Error("the refusal does not say when to return")
+	}
+	if n := len(f.received()); n != 0 {
+		t.Errorf("a replica received %d requests", n)
+	}
+	if flights := f.fixture.placer.replicas[0].Load.Own().Requests; flights != 0 {
+		t.Errorf("%d requests count as running at the replica", flights)
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -520,12 +521,13 @@
 	lastDeath string
 	answered  int
 	suspicion poison.Suspicion // of all requests
+	refuseAll atomic.Bool
 }
 
 func (c *fakeCrashTracker) Refuses(traits crashes.TraitsFunc) *request.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.crashes[wholeRequest(traits(true))] < 3 {
+	if c.crashes[wholeRequest(traits(true))] < 3 && !c.refuseAll.Load() {
 		return nil
 	}
 	return request.Refuse(request.CodeQuarantined, http.StatusServiceUnavailable, time.Minute, "replicas crashed")
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -52,8 +52,8 @@
 	// TurnTime is the time after which a further request gets its turn beside one that is not placed yet; zero: DefaultTurnTime. Order among
 	// requests whose turns overlap is not kept.
 	TurnTime time.Duration
-	Logger      hclog.Logger
-	Metrics     tally.Scope
+	Logger   hclog.Logger
+	Metrics  tally.Scope
 }
 
 // Request is a request that wants to wait.
