--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -199,7 +199,7 @@
 }
 
 // choose returns the cheapest of a sample of the replicas that can serve the request in time, or the
-// reason why none should. If a concurrent request has used up the quota of that replica, choose tries again
+// reason why none can. If a concurrent request has used up the quota of that replica, choose tries again
 // without it. It places a resumed stream whatever the wait, since the caller would otherwise lose the
 // part of the response that it has received.
 func (pp *PromptPlacer) choose(s search, usable []*replicas.Replica, salt string, offers []PartOffer) (*replicas.Replica, *pick.Candidate, error) {
@@ -207,10 +207,8 @@
 	for len(usable) > 0 {
 		candidates := pp.candidates(j, usable, salt, offers)
 		kept := inTime(pickReq, candidates, maxWait)
-		if !j.ResponseStarted {
-			if wait, full := waitForRoom(pickReq, candidates, kept, maxWait); full {
-				return nil, nil, &relay.NoRoomError{Service: j.Service.ID, Wait: wait}
-			}
+		if len(kept) == 0 && !j.ResponseStarted {
+			return nil, nil, &relay.NoRoomError{Service: j.Service.ID, Wait: shortestWait(pickReq, candidates) - maxWait}
 		}
 		if len(kept) > 0 {
 			usable, candidates = selectIndexes(usable, kept), selectIndexes(candidates, kept)
--- a/internal/placer/waits.go
+++ b/internal/placer/waits.go
@@ -62,28 +62,6 @@
 	return kept
 }
 
-// waitForRoom reports whether a request should wait for room, and how long, given the indexes of the candidates at which it starts in time. It should if there are none, or
-// if the cheapest candidate is full and each of the others costs more than the longest wait on top of it: there the request would compute
-// anew what the full one holds, and push out what others need. A replica without work takes the request whatever that costs.
-func waitForRoom(r pick.Request, candidates []pick.Candidate, kept []int, maxWait time.Duration) (wait time.Duration, full bool) {
-	if len(kept) == 0 {
-		return shortestWait(r, candidates) - maxWait, true
-	}
-	if len(kept) == len(candidates) {
-		return 0, false
-	}
-	cheapest := &candidates[pick.BestSampled(pick.DefaultCosts, r, candidates)]
-	if startsInTime(r, cheapest, maxWait) {
-		return 0, false
-	}
-	others := selectIndexes(candidates, kept)
-	other := &others[pick.BestSampled(pick.DefaultCosts, r, others)]
-	if other.IsIdle() || pick.DefaultCosts.Total(r, other)-pick.DefaultCosts.Total(r, cheapest) <= maxWait {
-		return 0, false
-	}
-	return pick.DefaultCosts.ExpectedWait(r, cheapest) - maxWait, true
-}
-
 // shortestWait returns the wait at the candidate with the shortest one. There must be a candidate.
 func shortestWait(r pick.Request, candidates []pick.Candidate) time.Duration {
 	shortest := pick.DefaultCosts.ExpectedWait(r, &candidates[0])
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -79,9 +79,6 @@
 	Parts                 []Part
 }
 
-// IsIdle reports whether the replica has no work.
-func (c *Candidate) IsIdle() bool { return c.Running == 0 && c.QueuedPrefill == 0 }
-
 // Request describes the demand of a request, independent of the replica.
 type Request struct {
 	KVTokens   int  // KV cache size when the request ends
@@ -128,7 +125,7 @@
 		if !include(i) {
 			continue
 		}
-		cost := costs.Total(r, &candidates[i])
+		cost := costs.totalCost(r, &candidates[i])
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
@@ -192,8 +189,7 @@
 	return n
 }
 
-// Total returns the cost of running a request on a replica.
-func (k Costs) Total(r Request, c *Candidate) time.Duration {
+func (k Costs) totalCost(r Request, c *Candidate) time.Duration {
 	k = k.At(c)
 	cost := time.Duration(c.QueuedPrefill+r.TailTokens) * k.PrefillPerToken
 	cost += k.partsCost(c.Parts)
