Planner: an export waits for store VMs only if none reports its status

Found by reading the change again: waited whenever some store VM was silent and the context needed no export or none had room. With one of several store VMs down, each answered context that is exported already held one of the 32 exports at once for four seconds, so that others were dropped, and counted as failed. Now it waits only while no store VM reports at all, when nothing could be exported anyway; contexts that are too short end before any status is read, and the rule for that stands in retention alone.

TestExportOutlivesSilentStore holds as it was.

--- a/internal/planner/export.go
+++ b/internal/planner/export.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
@@ -13,7 +14,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retention"
 	"github.com/bluebellscale/bluebellscale/internal/request"
-	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/store"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 	"github.com/bluebellscale/bluebellscale/internal/table"
@@ -26,13 +26,15 @@
 	// because each writes a chunk only when its link is free. Further exports are dropped:
 	// after a long wait, the target would have evicted the blocks.
 	maxExports = 32
-	// maxOrderAttempts bounds the attempts to find a store VM that reports its status, one in statusMaxAge. Blocks stay in a target's
+	// maxSpaceAttempts bounds the attempts to find a store VM that reports its status, one each statusMaxAge. Blocks stay in a target's
 	// memory for some seconds at least.
-	maxOrderAttempts = 5
+	maxSpaceAttempts = 5
 	// freeTimeout bounds the deletion of one superseded export.
 	freeTimeout = 10 * time.Second
 )
 
+var errSilentStores = errors.New("planner: no store VM reports its status")
+
 // exportInBackground frees the exports that the directory dropped and, if the retention
 // policy asks for it, exports a context after its answer. It returns immediately.
 func (p *Planner) exportInBackground(c gateway.Context, on request.TargetID, actions []contextdir.Action) {
@@ -59,13 +61,17 @@
 func (p *Planner) export(ctx context.Context, c gateway.Context, on request.TargetID) error {
 	snapshot := p.opts.Tables.Current()
 	row, ok := snapshot.Target(on)
-	if !ok || len(c.Chain) == 0 {
+	if !ok || retention.DefaultParams().IsShort(len(c.Chain)) {
 		return nil
 	}
-	order, worthwhile, err := p.awaitExportOrder(ctx, snapshot, c)
-	if err != nil || !worthwhile {
+	spaces, err := p.awaitStoreSpace(ctx, snapshot)
+	if err != nil {
 		return err
 	}
+	order, worthwhile := p.exportOrder(snapshot, c, spaces)
+	if !worthwhile {
+		return nil
+	}
 	address, ok := storeAddress(snapshot, order.Store)
 	if !ok {
 		return nil
@@ -155,23 +161,17 @@
 	return p.deleteExport(ctx, client, m, retained...)
 }
 
-// awaitExportOrder returns what to export. If no store VM can take the context and one did not report its status, it asks again later: the
-// context would otherwise never be exported for one missed answer.
-func (p *Planner) awaitExportOrder(ctx context.Context, snapshot *table.Snapshot, c gateway.Context) (retention.ExportOrder, bool, error) {
-	for attempt := 1; ; attempt++ {
+// awaitStoreSpace is storeSpace, but asks again later if no store VM reports its status: otherwise one missed answer of the only store VM
+// would keep a context from being exported at all.
+func (p *Planner) awaitStoreSpace(ctx context.Context, snapshot *table.Snapshot) ([]retention.StoreUsage, error) {
+	read := func() ([]retention.StoreUsage, error) {
 		spaces := p.storeSpace(ctx, snapshot)
-		order, worthwhile := p.exportOrder(snapshot, c, spaces)
-		silent := slices.ContainsFunc(spaces, func(s retention.StoreUsage) bool { return s.Down })
-		if worthwhile || !silent || len(c.Chain) < retention.DefaultParams().MinBlocks {
-			return order, worthwhile, nil
-		}
-		if attempt == maxOrderAttempts {
-			return order, false, errors.New("planner: no store VM reports its status")
-		}
-		if err := sleep.For(ctx, statusMaxAge); err != nil {
-			return order, false, err
+		if len(spaces) > 0 && !slices.ContainsFunc(spaces, func(s retention.StoreUsage) bool { return !s.Down }) {
+			return nil, errSilentStores
 		}
+		return spaces, nil
 	}
+	return backoff.Retry(ctx, read, backoff.WithBackOff(backoff.NewConstantBackOff(statusMaxAge)), backoff.WithMaxTries(maxSpaceAttempts))
 }
 
 func (p *Planner) exportOrder(snapshot *table.Snapshot, c gateway.Context, spaces []retention.StoreUsage) (retention.ExportOrder, bool) {
--- a/internal/policy/retention/export.go
+++ b/internal/policy/retention/export.go
@@ -83,7 +83,7 @@
 // blocks use the link. It ignores the expected return: skipping contexts that are due
 // before their eviction increases recomputation without saving link time.
 func Export(p Params, a AnsweredContext, stores []StoreUsage, bytesPerBlock int64) (ExportOrder, bool) {
-	if a.Blocks < p.MinBlocks {
+	if p.IsShort(a.Blocks) {
 		return ExportOrder{}, false
 	}
 	if c, ok := longestOwned(a.Copies, stores); ok {
--- a/internal/policy/retention/params.go
+++ b/internal/policy/retention/params.go
@@ -16,6 +16,9 @@
 	ChunkTime    time.Duration // longest time that a background transfer may occupy the link
 }
 
+// IsShort reports whether a context has too few blocks to be exported.
+func (p Params) IsShort(blocks int) bool { return blocks < p.MinBlocks }
+
 // DefaultParams returns the settings that both deployments use.
 func DefaultParams() Params {
 	return Params{
