--- a/internal/crashes/schedule_test.go
+++ b/internal/crashes/schedule_test.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -115,6 +116,8 @@
 	kvRandom    *rand.Rand // of what the key-value service draws
 	ctx         context.Context
 	fake        *kv.Fake
+	eventMu     sync.Mutex // guards events
+	events      []string
 	mu          sync.Mutex // guards all below, and the daemons' fields
 	daemons     []*scheduledDaemon
 	replicas    []*scheduledReplica
@@ -123,9 +126,7 @@
 	storeAt     time.Time
 	started     int
 	requests    int
-	atOnce      bool       // replicas are back at once
-	eventMu     sync.Mutex // guards events
-	events      []string
+	atOnce      bool // replicas are back at once
 	sound       int
 	refused     int
 	refusedBy   map[string]int // by part
@@ -136,7 +137,7 @@
 // TestSchedulesOfPartsThatCrash guards against parts that go on crashing replicas, and against sound requests that are refused, whatever
 // else fails.
 func TestSchedulesOfPartsThatCrash(t *testing.T) {
-	for _, seed := range seedsToRun() {
+	for _, seed := range seedsToRun(t) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
 		})
@@ -144,23 +145,28 @@
 }
 
 // seedsToRun returns the seeds that once failed and the first ones, or those that the environment asks for.
-func seedsToRun() []uint64 {
-	first, count := uint64(1), uint64(scheduleSeeds)
-	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_FIRST"), 10, 64); err == nil {
-		first = n
+func seedsToRun(t *testing.T) (seeds []uint64) {
+	first, asked := envNumber(t, "SCHEDULE_FIRST"), envNumber(t, "SCHEDULE_SEEDS")
+	for n := range cmp.Or(asked, scheduleSeeds) {
+		seeds = append(seeds, cmp.Or(first, 1)+n)
 	}
-	n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64)
-	if err == nil {
-		count = n
+	if asked == 0 {
+		seeds = append(seeds, failedSeeds...)
 	}
-	var seeds []uint64
-	for seed := first; seed < first+count; seed++ {
-		seeds = append(seeds, seed)
+	return seeds
+}
+
+// envNumber returns the number in an environment variable, 0 if it is not set.
+func envNumber(t *testing.T, name string) uint64 {
+	value := os.Getenv(name)
+	if value == "" {
+		return 0
 	}
+	n, err := strconv.ParseUint(value, 10, 64)
 	if err != nil {
-		seeds = append(seeds, failedSeeds...)
+		t.Fatalf("%s: %v", name, err)
 	}
-	return seeds
+	return n
 }
 
 func runSchedule(t *testing.T, seed uint64) {
--- a/internal/placer/memory.go
+++ b/internal/placer/memory.go
@@ -78,13 +78,14 @@
 const busyLink = 10 * time.Millisecond
 
 // findHolder returns a replica on the same weights that is assumed to hold a part, preferably one in
-// the same failure domain, and how many replicas have used it lately, of which it need not count more than minHolders. It returns any of these, so that
-// a part that many replicas fetch at the same time occupies the links of all its holders, and others only if there are none.
+// the same failure domain, and how many replicas hold it for certain, of which it need not count more than minHolders. It returns any of
+// these, so that a part that many replicas fetch at the same time occupies the links of all its holders. If there are none, it returns any
+// other that is assumed to hold the part.
 func (pp *PromptPlacer) findHolder(key residency.Key, j *relay.Job, to *replicas.Replica, version uint64) (found *replicas.Replica, holders int) {
 	now := time.Now()
 	assigned := pp.Assigned(j.Service.ID)
 	first := rand.IntN(len(assigned) + 1)
-	near, sure := false, false
+	near := false
 	for n := range assigned {
 		if near && holders >= minHolders {
 			break
@@ -94,13 +95,17 @@
 		if r == to || m == nil || !m.Contains(key) || r.WeightsVersion(j.Model) != version || r.Health.BackingOff(now) {
 			continue
 		}
-		recent := m.ContainsRecent(key, recentShare)
-		if recent {
+		isNear := r.Info().FailureDomain == to.Info().FailureDomain
+		better := found == nil || isNear && !near
+		switch {
+		case m.ContainsRecent(key, recentShare):
+			better = better || holders == 0
 			holders++
+		case holders > 0:
+			continue
 		}
-		isNear := r.Info().FailureDomain == to.Info().FailureDomain
-		if found == nil || recent && !sure || recent == sure && isNear && !near {
-			found, near, sure = r, isNear, recent
+		if better {
+			found, near = r, isNear
 		}
 	}
 	return found, holders
--- a/internal/policy/limit/local.go
+++ b/internal/policy/limit/local.go
@@ -7,8 +7,8 @@
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
-// maxHold bounds the time for which requests wait instead of being refused while a coordinator settles. A caller that is refused comes back
-// later than that.
+// maxHold bounds the time for which requests wait instead of being refused while a coordinator settles. It is a small part of the time in which
+// callers expect the first token.
 const maxHold = 250 * time.Millisecond
 
 // Outcome is the result of an admission decision.
@@ -174,16 +174,16 @@
 
 // Tick returns the slice requests that are due independently of new requests: renewals of
 // slots in use before they expire, and requests for tokens to cover earlier prompts and
-// output, and requests for slices for requests that were held. It removes idle organisations. Call it several times per SliceTTL.
+// output, and for slices for held requests. It removes idle organisations. Call it several
+// times per SliceTTL.
 func (l *LocalLimiter) Tick(now time.Time) []SliceRequest {
 	var requests []SliceRequest
 	for org, a := range l.accounts {
 		l.checkTimeout(now, a)
 		due := a.limits.Concurrency > 0 && a.running > 0 && a.slotsExpire.Sub(now) < l.params.SliceTTL/2
 		due = due || (a.uncoveredTokens > 0 && !now.Before(a.refusedUntil))
-		due = due || a.pending > 0 // requests were held
-		due = due && !now.Before(a.heldUntil)
-		if a.fallback == nil && !a.requesting && due {
+		due = due || a.pending > 0
+		if a.fallback == nil && !a.requesting && due && !now.Before(a.heldUntil) {
 			requests = append(requests, *l.requestSlice(now, org, a))
 		}
 		if a.running == 0 && a.uncoveredTokens == 0 && !a.requesting && now.Sub(a.lastUsed) > l.params.FallbackTTL {
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -150,11 +150,11 @@
 
 // trialAt returns when a request with some traits may be the next trial of a poisonous one.
 func (r *Registry) trialAt(b *blame, traits []Trait) time.Time {
-	if missing := slices.DeleteFunc(slices.Clone(b.tied), func(t Trait) bool { return slices.Contains(traits, t) }); len(missing) > 0 {
+	if slices.ContainsFunc(b.tied, func(t Trait) bool { return !slices.Contains(traits, t) }) {
 		if !b.Trial.After(b.reached) {
 			return b.reached.Add(r.params.TiedTrialAfter)
 		}
-		if !r.diedIn(b, missing) {
+		if !r.diedIn(b, traits) {
 			return b.Trial.Add(2 * r.params.TiedTrialAfter)
 		}
 	}
@@ -169,12 +169,12 @@
 	return last.Add(min(delay, r.params.MaxTrialAfter))
 }
 
-// diedIn reports whether a replica died in the last trial of a trait, and that tells something about a request that has the trait without some of
-// those with which it is tied: neither one of these nor a trait with which it is not tied explains the death.
-func (r *Registry) diedIn(b *blame, missing []Trait) bool {
+// diedIn reports whether a replica died in the last trial of a trait, and no other poisonous trait explains that. Those with which it is tied and
+// that a request has as well explain nothing for the request.
+func (r *Registry) diedIn(b *blame, traits []Trait) bool {
 	return slices.ContainsFunc(b.pending(), func(d Death) bool {
 		return !d.Sent.Before(b.Trial) && !r.explains(d, func(other Trait) bool {
-			return !other.sameValue(b.Trait) && (!slices.Contains(b.tied, other) || slices.Contains(missing, other))
+			return !other.sameValue(b.Trait) && !(slices.Contains(b.tied, other) && slices.Contains(traits, other))
 		})
 	})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -521,7 +521,7 @@
 	lastDeath string
 	answered  int
 	suspicion poison.Suspicion // of all requests
-	refuseAll atomic.Bool
+	refuseAll atomic.Bool      // whatever died
 }
 
 func (c *fakeCrashTracker) Refuses(traits crashes.TraitsFunc) *request.Error {
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -116,14 +116,16 @@
 
 func newWaitingFixtureWithoutReplicas(t *testing.T, routes ...*routing.Route) *waitingFixture {
 	t.Helper()
-	return newWaitingFixtureWithTurns(t, waiting.DefaultTurnTime, routes...)
+	return newWaitingFixtureWithOptions(t, waiting.Options{}, routes...)
 }
 
-func newWaitingFixtureWithTurns(t *testing.T, turnTime time.Duration, routes ...*routing.Route) *waitingFixture {
+// newWaitingFixtureWithOptions is newWaitingFixtureWithoutReplicas with options of the room, whose bounds it sets.
+func newWaitingFixtureWithOptions(t *testing.T, o waiting.Options, routes ...*routing.Route) *waitingFixture {
 	t.Helper()
 	f := &waitingFixture{fixture: newFixture(t, routes...), log: &lockedBuffer{}}
 	f.placer = &roomPlacer{fixedOrderPlacer: f.fixture.placer}
-	f.room = waiting.New(waiting.Options{MaxRequests: 100, MaxBytes: 1 << 20, TurnTime: turnTime})
+	o.MaxRequests, o.MaxBytes = 100, 1<<20
+	f.room = waiting.New(o)
 	t.Cleanup(f.room.Close)
 	f.set.OnRoom(f.room.OnRoom)
 	service := &routing.Service{ID: "s", Engine: &routing.Engine{Slots: 1}}
@@ -205,7 +207,7 @@
 // Guards against a request that jumps the queue because room is free when it comes, while one that is at
 // least as urgent waits for its turn.
 func TestNewRequestDoesNotOvertake(t *testing.T) {
-	f := newWaitingFixtureWithTurns(t, time.Minute, objectiveRoute(routing.KindOnce, "/", 5))
+	f := newWaitingFixtureWithOptions(t, waiting.Options{TurnTime: time.Minute}, objectiveRoute(routing.KindOnce, "/", 5))
 	f.addReplica(func(c net.Conn, id string) { writeOK(c, id, "fine") })
 	f.placer.slow, f.placer.delay = "first", 3*waiting.DefaultTurnTime // as on a busy machine
 	f.placer.set(0, true)
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -38,7 +38,7 @@
 	// maxTurns is how many requests of a service may have their turn at once, if their placement takes
 	// longer than Options.TurnTime.
 	maxTurns = 16
-	// DefaultTurnTime is long for a placement.
+	// DefaultTurnTime is the TurnTime if none is given. Most placements take less.
 	DefaultTurnTime = 5 * time.Millisecond
 	// arrivalInterval is the shortest time between two requests that are asked for room in vain when they
 	// come, because the estimate would refuse them.
