--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -17,6 +17,7 @@
 	name     string
 	ip       string
 	callers  string
+	store    string // the address that it knows for the store
 	settings string
 	cmd      *exec.Cmd
 	ended    chan struct{}
@@ -87,7 +88,7 @@
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("the template of the settings has fields that this stand-in does not fill in")
 	}
-	d := &daemon{name: name, ip: ip, callers: at(0), settings: filepath.Join(dir, name+".ini")}
+	d := &daemon{name: name, ip: ip, callers: at(0), store: storeAddress, settings: filepath.Join(dir, name+".ini")}
 	return d, os.WriteFile(d.settings, []byte(text), 0o600)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,9 +27,9 @@
 }
 
 func main() {
-	plays := map[string]play{"wall": playWall, "restore": playRestore, "software": playSoftware}
+	plays := map[string]play{"wall": playWall, "restore": playRestore, "software": playSoftware, "revoke": playRevoke}
 	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-standin wall|restore|software ROOT RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin wall|software|revoke|restore ROOT RECORD")
 		os.Exit(2)
 	}
 	os.Exit(run(plays[os.Args[1]]))
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -48,6 +48,7 @@
 // store is a stand-in for the platform's metadata store.
 type store struct {
 	listener net.Listener
+	handler  http.Handler
 
 	mu      sync.Mutex
 	content content
@@ -55,7 +56,11 @@
 	oldest  uint64 // a watch from an earlier revision gets 410
 	era     int64  // below zero: no answer names an era
 	silent  bool   // calls get no answer
-	away    bool   // calls get 503
+	// turned are the machines whose calls get no answer, by the address that each of them knows for the store; watches counts the
+	// watches of each that wait.
+	turned  map[string]bool
+	watches map[string]int
+	away    bool // calls get 503
 	changed chan struct{}
 }
 
@@ -65,7 +70,7 @@
 		return nil, err
 	}
 	s := &store{
-		listener: l, era: era, changed: make(chan struct{}),
+		listener: l, era: era, changed: make(chan struct{}), turned: map[string]bool{}, watches: map[string]int{},
 		content: content{revision: 10, items: map[string]item{}, leases: map[uint64]storeLease{}},
 	}
 	mux := http.NewServeMux()
@@ -79,7 +84,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeDelay)
 		s.mu.Lock()
-		silent, away := s.silent, s.away
+		silent, away := s.silent || s.turned[localAddress(r)], s.away
 		if away {
 			s.stamp(w)
 		}
@@ -94,11 +99,57 @@
 			mux.ServeHTTP(w, r)
 		}
 	})
+	s.handler = handler
 	go func() { _ = http.Serve(l, handler) }() // ends with the process
 	go s.expire()
 	return s, nil
 }
 
+// localAddress returns the address at which a call arrived.
+func localAddress(r *http.Request) string {
+	a, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if a == nil {
+		return ""
+	}
+	return a.String()
+}
+
+// ownAddress returns an address of the store for one machine.
+func (s *store) ownAddress() (string, error) {
+	host, _, _ := net.SplitHostPort(s.address())
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(l, s.handler) }() // ends with the process
+	return l.Addr().String(), nil
+}
+
+// turnAway lets the calls of some machines get no answer from now on.
+func (s *store) turnAway(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turned = map[string]bool{}
+	for _, a := range addresses {
+		s.turned[a] = true
+	}
+	s.wakeLocked()
+}
+
+// watching returns the addresses at which watches wait.
+func (s *store) watching() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for a, n := range s.watches {
+		if n > 0 {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (s *store) address() string { return s.listener.Addr().String() }
 
 // stamp names the era of an answer. The lock must be held.
@@ -246,9 +297,21 @@
 	deadline := time.After(time.Duration(ms) * time.Millisecond)
 	s.mu.Lock()
 	era := s.era
+	from := localAddress(r)
+	s.watches[from]++
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.watches[from]--
+		s.mu.Unlock()
+	}()
 	for ended := false; ; {
 		s.mu.Lock()
+		if s.turned[from] {
+			s.mu.Unlock()
+			<-r.Context().Done() // gives no answer
+			return
+		}
 		if s.silent || s.away {
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler) // a watch that waits may be cut
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -80,7 +80,11 @@
 		s.replicas = append(s.replicas, r)
 	}
 	for i := range daemons {
-		d, err := newDaemon(c.root, c.dir, fmt.Sprintf("frontend-%d-%d", n, i+1), zones[i%len(zones)], n*10+i, st.address())
+		storeAddress, err := st.ownAddress()
+		if err != nil {
+			return s, err
+		}
+		d, err := newDaemon(c.root, c.dir, fmt.Sprintf("frontend-%d-%d", n, i+1), zones[i%len(zones)], n*10+i, storeAddress)
 		if err != nil {
 			return s, err
 		}
