--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -41,14 +41,22 @@
 	return "", fmt.Errorf("no loopback address has port %s free", metricsPort)
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freePorts returns different ports that are free at an address.
+func freePorts(ip string, n int) ([]string, error) {
+	var ports []string
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // only then, so that no port is drawn twice
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, port)
 	}
-	defer l.Close()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
+	return ports, nil
 }
 
 // newDaemon writes the settings of a daemon, filled in from the project's template.
@@ -57,11 +65,9 @@
 	if err != nil {
 		return nil, err
 	}
-	ports := make([]string, 4)
-	for i := range ports {
-		if ports[i], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return nil, err
 	}
 	at := func(i int) string { return net.JoinHostPort(ip, ports[i]) }
 	values := map[string]string{
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -55,6 +55,15 @@
 	runs    []execution
 	orders  []order
 	loading int // replicas
+	// services has the service of each receipt's replica.
+	services map[string]string
+}
+
+// serviceOf returns the service of the replica that gave a receipt.
+func (f *fleet) serviceOf(signature string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services[signature]
 }
 
 // load returns how long a load that begins now takes.
@@ -101,12 +110,18 @@
 		return nil, err
 	}
 	r := &replica{fleet: f, id: id, address: l.Addr().String(), service: service, zone: zone, events: events, pause: pause, version: 1}
+	f.mu.Lock()
+	f.services[r.signature()] = service
+	f.mu.Unlock()
 	r.begin(l, software)
 	r.register()
 	go r.beat()
 	return r, nil
 }
 
+// signature returns the receipt of the replica's answers.
+func (r *replica) signature() string { return "s." + r.id }
+
 // begin starts the replica's process. The lock must not be held.
 func (r *replica) begin(l net.Listener, software string) {
 	r.mu.Lock()
@@ -321,7 +336,7 @@
 	f.mu.Unlock()
 	f.log.add("replica %s (%s) runs %s of tenant %q under salt %q after event %q, parts from cache: %v", r.id, software, id, ran.tenant, q.Header.Get("Cache-Salt"), q.Header.Get("Last-Event-Id"), ran.reused)
 	time.Sleep(time.Duration(float64(compute)/prefillPerMs) * time.Millisecond)
-	w.Header().Set("Response-Signature", "s."+r.id)
+	w.Header().Set("Response-Signature", r.signature())
 	w.Header().Set("Weight-Versions", strconv.FormatUint(version, 10))
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -10,6 +10,9 @@
 	host    = "pule25.example"
 	path    = "/puxa400/"
 	service = "huvo11a"
+	// otherPath is the path of a route that a case moves from service to otherService.
+	otherPath    = "/yeti63/"
+	otherService = "dahu75a"
 )
 
 var zones = []string{"conche-hall", "temper-hall", "pack-hall"}
@@ -31,15 +34,20 @@
 
 // desired returns a desired state. Paths of further routes may be given.
 func desired(version int, tenants []tenant, more ...string) map[string]any {
-	route := func(name, prefix string) map[string]any {
+	return desiredMoved(version, tenants, service, more...)
+}
+
+// desiredMoved is desired with the service of otherPath.
+func desiredMoved(version int, tenants []tenant, moved string, more ...string) map[string]any {
+	route := func(name, prefix, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 600, "priority": 1,
 			"service": service, "max_attempts": 2, "allow_anonymous": false, "sticky_sessions": true, "resumable": true, "target_gap_ms": 300,
 		}
 	}
-	routes := []any{route("r-z5k6pjs", path)}
+	routes := []any{route("r-z5k6pjs", path, service), route("r-2eek22x", otherPath, moved)}
 	for i, prefix := range more {
-		routes = append(routes, route(fmt.Sprint("r-more", i), prefix))
+		routes = append(routes, route(fmt.Sprint("r-more", i), prefix, service))
 	}
 	list := []any{}
 	for _, t := range tenants {
@@ -49,15 +57,17 @@
 		}
 		list = append(list, entry)
 	}
-	return map[string]any{
-		"version": version, "routes": routes, "tenants": list,
-		"services": []any{map[string]any{
-			"name": service, "health_check_path": "/health", "connection_limit": 300, "protocol": "h1", "tls": false,
+	engine := func(name string) map[string]any {
+		return map[string]any{
+			"name": name, "health_check_path": "/health", "connection_limit": 300, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
 				"slots": 48, "kv_capacity_tokens": kvTokens, "kv_token_bytes": 262144, "bandwidth_mbps": 740000.0, "moves": true, "backups": true,
 				"managed": true, "stride": 5, "max_concurrent": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": engineModel}},
 			},
-		}},
+		}
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "tenants": list, "services": []any{engine(service), engine(otherService)},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
@@ -69,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{c: c, store: st, fleet: &fleet{store: st, log: c.log}}
+	s := &system{c: c, store: st, fleet: &fleet{store: st, log: c.log, services: map[string]string{}}}
 	st.put("op/config", first)
 	st.put("op/version/"+engineModel, map[string]any{"model": engineModel, "version": 1})
 	for i := range replicas {
@@ -79,6 +89,11 @@
 		}
 		s.replicas = append(s.replicas, r)
 	}
+	for i := range 2 {
+		if _, err := newReplica(s.fleet, ip, fmt.Sprintf("i-%d9%d", n, i), otherService, zones[i], "v1", events, pause); err != nil {
+			return s, err
+		}
+	}
 	for i := range daemons {
 		storeAddress, err := st.ownAddress()
 		if err != nil {
