relay: an answer that is no stream does not end a stream that its caller already receives

Callers saw a stream with status 200 and a final chunk that held a part of its events, and sometimes the text of an error. Cause: when a stream breaks, the next replica's answer went the way of a first answer: an error that may not be repeated, a rejection or any answer with another type was written into the caller's started response, whose end net/http then framed as complete. Fix: once the caller receives a stream, only status 200 with events continues it; anything else is a failed attempt, which is retried within the budgets, or ends the response without its final chunk.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -189,6 +189,18 @@
 	}
 }
 
+// errNotStream means that a replica answered a request that resumes a stream with something else.
+var errNotStream = errors.New("relay: the answer to a resumed stream is no stream")
+
+// rejectUnlessStream turns an answer that can't continue a stream which the caller already receives into a failure.
+func (a *attempt) rejectUnlessStream() {
+	continues := a.outcome == answered && a.response.Status == http.StatusOK && isStream(a.response.Header)
+	if continues || a.outcome != answered && a.outcome != failed {
+		return
+	}
+	a.outcome, a.err = failed, errors.Wrapf(errNotStream, "status %d", a.response.Status)
+}
+
 // promisesNotRun reports whether callers take the status as a promise that the request did not run. A replica that
 // uses it without stating so has made no such promise: passed on, it would let a call run twice.
 func promisesNotRun(status int) bool {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -182,6 +182,9 @@
 			return
 		}
 		s.countResume(j, a)
+		if out.started {
+			a.rejectUnlessStream()
+		}
 		if a.outcome == answered {
 			if s.deliver(ctx, w, j, out, a) {
 				s.recordSuccess(j, a)
@@ -193,7 +196,7 @@
 		if a.peer == nil && a.outcome == mayHaveRun && a.err != nil && !a.startOverdue.Load() {
 			check = s.checkForCrash(j, a)
 		}
-		if a.outcome == failed && !s.mayRunAgain(ctx, j, h) {
+		if a.outcome == failed && !out.started && !s.mayRunAgain(ctx, j, h) {
 			s.deliverComplete(w, j, a)
 			return
 		}
@@ -301,7 +304,7 @@
 	switch {
 	case h.final, out.started && !out.software.Bound:
 		return false
-	case a.outcome == failed:
+	case a.outcome == failed && !out.started:
 		return true // mayRunAgain has allowed and charged the retry
 	case a.outcome == notSent:
 		return h.unsent < maxUnsentAttempts && time.Until(j.Deadline) > minTimeLeft
