relay: a response's framing states no more of its end than its replica's did

Callers saw a Content-Length or a final chunk on answers that had neither a length nor chunks, whose connection ended in order because their replica died, or for a reason that nobody knows. Cause: io.EOF was taken for the end of the answer whatever told it; buffered bodies got the length of what had arrived, streams and long bodies a final chunk. The class: what arrived is stated as what was sent. Fix: an answer that ends with its connection is passed on without a length and chunks. The caller's connection is set to be reset when it is closed until the whole response was sent, so that the death of this daemon, which the kernel ends in order, or a response that it breaks off, can't look like its end; the same for callers of HTTP/1.0, which get no chunks. Before such an answer ends the daemon asks whether its replica still accepts connections (one probe for all of that time, which the record of crashes needed already; at most 300 ms): if not, the answer counts as broken off and goes on elsewhere where it may. A stream that began with chunks and went on at a replica without them gets its final chunk only from one that lives. If the path to the replicas is lost too, what is not known is passed on as not known. The result of a probe from before the connection ended no longer counts for it (a replica could die up to 300 ms after it). A response to HEAD keeps the length that its replica states.

--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -269,7 +269,7 @@
 	others = others[:min(maxWitnesses, len(others))]
 	reached := make(chan bool, len(others))
 	for _, r := range others {
-		go func() { reached <- !r.IsDown(ctx) }()
+		go func() { reached <- !r.IsDown(ctx, time.Time{}) }()
 	}
 	for range others {
 		if <-reached {
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -13,7 +13,7 @@
 
 // accept reads the complete request and resolves its route, organisation, service and deadline.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, from *received) (*Job, error) {
-	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header, received: from}
+	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header, received: from, takesChunks: r.ProtoAtLeast(1, 1)}
 	meta, metaErr := s.o.Dialect.ParseRequest(r.Header)
 	j.Meta = meta // set before any refusal, whose log line includes it
 	state, current := s.o.State()
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -17,7 +17,7 @@
 // may be resumed on another replica.
 func (s *Server) deliver(ctx context.Context, w http.ResponseWriter, j *Job, out *sink, a *attempt) bool {
 	if a.body != nil || !isStream(a.response.Header) {
-		s.deliverComplete(w, j, a)
+		s.deliverComplete(ctx, w, j, a)
 		return true
 	}
 	err := s.copyEvents(ctx, j, out, a)
@@ -40,45 +40,57 @@
 }
 
 // deliverComplete passes on a response that is no stream, buffered or not.
-func (s *Server) deliverComplete(w http.ResponseWriter, j *Job, a *attempt) {
+func (s *Server) deliverComplete(ctx context.Context, w http.ResponseWriter, j *Job, a *attempt) {
 	if a.body != nil {
-		s.deliverBuffered(w, j, a)
+		s.deliverBuffered(ctx, w, j, a)
 		return
 	}
-	s.deliverUnbuffered(w, j, a)
+	s.deliverUnbuffered(ctx, w, j, a)
 }
 
-func (s *Server) deliverBuffered(w http.ResponseWriter, j *Job, a *attempt) {
+func (s *Server) deliverBuffered(ctx context.Context, w http.ResponseWriter, j *Job, a *attempt) {
 	s.copyHeader(w.Header(), a)
-	w.Header().Set("Content-Length", fmt.Sprint(len(a.body)))
+	if !a.response.EndsWithConnection() {
+		setLength(w.Header(), j, a.response, len(a.body))
+	}
+	f := s.frame(ctx, w, j, a)
 	s.closeIfDraining(w)
 	w.WriteHeader(a.response.Status)
 	_, err := w.Write(a.body)
+	if err == nil && f.byConnection {
+		err = http.NewResponseController(w).Flush()
+	}
 	s.logAnswered(j, a, nil, "whole")
 	a.release(true)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	f.end()
 }
 
 // deliverUnbuffered streams a long response to the caller. If the replica's connection breaks, the
-// caller's connection is closed without the final chunk, so that the response is visibly truncated.
-func (s *Server) deliverUnbuffered(w http.ResponseWriter, j *Job, a *attempt) {
+// caller's connection is closed without the final chunk or reset, so that the response is visibly truncated.
+func (s *Server) deliverUnbuffered(ctx context.Context, w http.ResponseWriter, j *Job, a *attempt) {
 	s.copyHeader(w.Header(), a)
 	if n := a.response.ContentLength; n >= 0 {
 		w.Header().Set("Content-Length", fmt.Sprint(n))
 	}
+	f := s.frame(ctx, w, j, a)
 	s.closeIfDraining(w)
 	w.WriteHeader(a.response.Status)
 	_, err := io.Copy(w, a.response.Body)
 	if err == nil {
 		err = http.NewResponseController(w).Flush() // renews the deadline, under which net/http writes the end
 	}
+	if err == nil {
+		err = s.confirmEnd(ctx, j, a, f)
+	}
 	s.logAnswered(j, a, nil, "long")
 	a.release(err == nil)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	f.end()
 }
 
 // finishUnanswered ends a request that no replica answered completely.
--- a/internal/relay/answerbuffer.go
+++ b/internal/relay/answerbuffer.go
@@ -11,6 +11,15 @@
 // errNoMemory means that an answer is not buffered for want of memory.
 var errNoMemory = errors.New("relay: no memory to buffer an answer")
 
+// keepBody keeps a body that was read to its end, unless the end may not be that of the response.
+func (s *Server) keepBody(ctx context.Context, j *Job, a *attempt, body []byte) {
+	if err := s.confirmEnd(ctx, j, a, framing{byConnection: true}); err != nil {
+		a.outcome, a.err = mayHaveRun, err
+		return
+	}
+	a.body = body
+}
+
 // bufferBody reads a short response completely, so that truncation is detected before any byte
 // has been sent to the caller. A response for which there is no memory is passed on unbuffered.
 func (s *Server) bufferBody(ctx context.Context, j *Job, a *attempt) {
@@ -35,7 +44,7 @@
 	})
 	switch {
 	case err == nil:
-		a.body = body
+		s.keepBody(ctx, j, a, body)
 	case errors.Is(err, errNoMemory), errors.Is(err, errLimitReached):
 		r.Body = io.MultiReader(bytes.NewReader(body), r.Body)
 	case ctx.Err() != nil:
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -120,17 +120,16 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		time.Sleep(crashCheckDelay)
-		if !r.IsDown(ctx) {
+		switch s.verdictOn(ctx, r, at) {
+		case lives:
 			go s.awaitReplaced(r, j, report)
-			return
-		}
-		if s.o.PathIsSound != nil && !s.o.PathIsSound(ctx, r) {
+		case unreached:
 			s.o.Metrics.Counter("crashes_not_counted").Inc(1)
 			s.o.Logger.Info("A replica accepts no connections, and the path to it may be lost", "request", j.ID, "replica", r.Info().ID)
-			return // this daemon lost the path to the replicas, which may all be alive
+		case died:
+			c.died.Store(true)
+			s.recordCrash(r, j, report)
 		}
-		c.died.Store(true)
-		s.recordCrash(r, j, report)
 	}()
 	return c
 }
--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
@@ -227,3 +230,132 @@
 		}
 	}
 }
+
+// holdStream sends an event of a stream without a length, and holds the rest back until the relay leaves.
+func holdStream(c net.Conn, id string) {
+	writeStreamHead(c, id)
+	writeEvent(c, 1)
+	_, _ = c.Read(make([]byte, 1)) // returns when the relay leaves
+}
+
+// openResponse sends a request on a connection of its own, reads the first event, and returns the response and the rest of its body.
+func (f *fixture) openResponse(protocol string) (*http.Response, *bufio.Reader) {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second)) // fails only on a closed connection
+	fmt.Fprintf(c, "POST /x %s\r\nHost: %s\r\nId: 1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", protocol, testHost)
+	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	events := newEventReader(response.Body)
+	if event, err := events.next(); err != nil {
+		f.t.Fatalf("%q, %v", event, err)
+	}
+	return response, events.r
+}
+
+// TestDeadDaemonResetsResponseWithoutLength guards against a daemon that dies while it passes on a response without a length: an orderly end of
+// the caller's connection would look like the end of the response.
+func TestDeadDaemonResetsResponseWithoutLength(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("forwarded=", forwarded), func(t *testing.T) {
+			f := newFixture(t, route(routing.KindStream))
+			entry, dies := f, f.front
+			if forwarded {
+				var peers *fixedPeers
+				entry, f, peers = newPair(t, route(routing.KindStream))
+				dies = serveRelay(t, http.HandlerFunc(f.server.ServeForwarded))
+				peers.ids, peers.pools = nil, nil
+				peers.add(t, dies.Listener.Addr().String())
+			}
+			f.addReplica(holdStream)
+			response, body := entry.openResponse("HTTP/1.1")
+			if statesEnd(response) {
+				t.Error("the framing will state that the response is complete")
+			}
+			dies.CloseClientConnections() // as the kernel closes them
+			if rest, err := io.ReadAll(body); err == nil {
+				t.Errorf("the response ended in order, with %q", rest)
+			}
+		})
+	}
+}
+
+// TestOldCallerSeesThatResponseBroke guards against a broken response that looks complete to a caller of HTTP/1.0, which gets no chunks.
+func TestOldCallerSeesThatResponseBroke(t *testing.T) {
+	f := newFixture(t, route(routing.KindStream))
+	f.addReplica(breakStream)
+	response, body := f.openResponse("HTTP/1.0")
+	if rest, err := io.ReadAll(body); err == nil {
+		t.Errorf("the response ended in order, with %q; states its end: %t", rest, statesEnd(response))
+	}
+}
+
+// TestOldCallerGetsWholeResponse guards against a connection that is reset after a whole response.
+func TestOldCallerGetsWholeResponse(t *testing.T) {
+	s := scriptedAnswer{framing: chunkFramed, end: endsWhole, kind: streamAnswer}
+	f := newFixture(t, scriptedRoute())
+	f.addScripted(s)
+	_, body := f.openResponse("HTTP/1.0")
+	rest, err := io.ReadAll(body)
+	if err != nil || !strings.HasSuffix(s.body(), string(rest)) || len(rest) == 0 {
+		t.Errorf("got %q, %v", rest, err)
+	}
+}
+
+// TestResumedStreamEndsAsItsReplicasTell guards against a final chunk after a replica that died before its end was known, in a response that
+// another replica began with chunks.
+func TestResumedStreamEndsAsItsReplicasTell(t *testing.T) {
+	for _, tc := range []struct {
+		end      replicaEnd
+		pathLost bool
+		complete bool
+	}{
+		{end: endsWhole, complete: true}, {end: endsDead}, {end: endsReset}, {end: endsDead, pathLost: true},
+	} {
+		t.Run(fmt.Sprintf("%s/path lost %t", tc.end, tc.pathLost), func(t *testing.T) {
+			r := resumableRoute()
+			r.MaxAttempts = 2
+			f := newFixture(t, r)
+			f.server.o.PathIsSound = func(context.Context, *replicas.Replica) bool { return !tc.pathLost }
+			f.addReplica(breakStream)
+			f.addScripted(scriptedAnswer{framing: connectionFramed, end: tc.end, kind: streamAnswer})
+			_, body, err := f.call(http.MethodPost, "/x", nil)
+			if complete := err == nil; complete != tc.complete {
+				t.Errorf("complete: %t, want %t: %q, %v", complete, tc.complete, body, err)
+			}
+		})
+	}
+}
+
+// TestUnknownEndIsPassedOnAsUnknown guards against a whole answer without a length that is withheld because this daemon lost the path to the
+// replicas just after its end.
+func TestUnknownEndIsPassedOnAsUnknown(t *testing.T) {
+	f := newFixture(t, scriptedRoute())
+	f.server.o.PathIsSound = func(context.Context, *replicas.Replica) bool { return false }
+	s := scriptedAnswer{framing: connectionFramed, end: endsDead, kind: bufferedAnswer}
+	f.addScripted(s)
+	answer, body, err := f.call(http.MethodPost, "/x", nil)
+	if err != nil || body != s.sent() || statesEnd(answer) {
+		t.Errorf("got %d bytes, %v", len(body), err)
+	}
+}
+
+// TestHeadKeepsLengthOfReplica guards against a response to HEAD whose length is that of the body that it does not have.
+func TestHeadKeepsLengthOfReplica(t *testing.T) {
+	for head, want := range map[string]int64{"Content-Length: 77\r\n": 77, "": -1} {
+		f := newFixture(t, route(routing.KindIdempotent))
+		f.addReplica(func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\n%s\r\n", id, head)
+		})
+		answer, _, err := f.call(http.MethodHead, "/x", nil)
+		if err != nil || answer.ContentLength != want {
+			t.Errorf("%q: got %v, %v, want a length of %d", head, answer, err, want)
+		}
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -197,7 +197,7 @@
 			check = s.checkForCrash(j, a)
 		}
 		if a.outcome == failed && !out.started && !s.mayRunAgain(ctx, j, h) {
-			s.deliverComplete(w, j, a)
+			s.deliverComplete(ctx, w, j, a)
 			return
 		}
 		s.logFailedAttempt(j, a, h.sent+h.unsent+len(h.peers))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -90,6 +90,7 @@
 	w           http.ResponseWriter
 	control     *http.ResponseController
 	started     bool
+	framing     framing         // of the response, once it has started
 	lastEventID string          // id of the last event that was delivered
 	software    SoftwareBinding // version of the software that began the response; unbound: not known
 	events      int
@@ -122,7 +123,7 @@
 
 // startResponse writes the status and headers of the first replica's response. It is called at the
 // first event, so that a stream that breaks earlier can still become a clean error.
-func (s *Server) startResponse(j *Job, out *sink, a *attempt) {
+func (s *Server) startResponse(ctx context.Context, j *Job, out *sink, a *attempt) {
 	if out.started {
 		return
 	}
@@ -132,18 +133,35 @@
 	out.firstAt = time.Now()
 	s.copyHeader(out.w.Header(), a)
 	setServedBy(out.w.Header(), j, out.software)
+	out.framing = s.frame(ctx, out.w, j, a)
 	s.closeIfDraining(out.w)
 	out.w.WriteHeader(a.response.Status)
 }
 
+// endStream ends the response after the replica's connection or framing ended between two events.
+func (s *Server) endStream(ctx context.Context, j *Job, out *sink, a *attempt) error {
+	f := out.framing
+	if !out.started {
+		f.byConnection = true // the response will have the replica's framing
+	}
+	if err := s.confirmEnd(ctx, j, a, f); err != nil {
+		return err
+	}
+	s.startResponse(ctx, j, out, a)
+	if err := out.control.Flush(); err != nil {
+		return errors.Mark(errors.Wrap(err, "relay: caller"), errCallerDisconnected)
+	}
+	out.framing.end()
+	return nil
+}
+
 // copyEvents delivers events until the stream ends. It returns nil if the stream ended cleanly.
 func (s *Server) copyEvents(ctx context.Context, j *Job, out *sink, a *attempt) error {
 	reader := newEventReader(a.response.Body)
 	for {
 		event, err := reader.next()
 		if err == io.EOF {
-			s.startResponse(j, out, a)
-			return out.control.Flush()
+			return s.endStream(ctx, j, out, a)
 		}
 		if err != nil {
 			return errors.Wrap(err, "relay: stream")
@@ -155,7 +173,7 @@
 			out.lastEventID = id
 		}
 		a.recordFirstEvent()
-		s.startResponse(j, out, a)
+		s.startResponse(ctx, j, out, a)
 		arrived := time.Now()
 		if out.recordEvent(arrived) && a.placement.OnLongestGap != nil {
 			a.placement.OnLongestGap(out.longestGap)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -142,6 +142,7 @@
 	Software SoftwareBinding
 
 	firstSentAt time.Time // to a replica
+	takesChunks bool      // the caller speaks HTTP/1.1
 
 	memory *holding // of Body, and of the buffers of a stream
 	wait   waitRecord
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -65,13 +65,13 @@
 	}
 }
 
-// IsDown reports whether the replica accepts no connections, just after a connection to it broke. Many
-// requests call it at the same time; one probe serves all of them.
-func (r *Replica) IsDown(ctx context.Context) bool {
+// IsDown reports whether the replica accepts no connections, after a connection to it ended at some time. Many
+// requests call it at the same time; one probe serves all of them whose connections ended before it.
+func (r *Replica) IsDown(ctx context.Context, endedAt time.Time) bool {
 	r.probeMu.Lock()
 	defer r.probeMu.Unlock()
 	now := time.Now()
-	if now.Sub(r.probedAt) < probeResultTTL {
+	if now.Sub(r.probedAt) < probeResultTTL && !r.probedAt.Before(endedAt) {
 		return r.down
 	}
 	r.down, r.probedAt = r.Pool.Probe(ctx) != nil, now
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -149,7 +149,7 @@
 
 // EndsWithConnection reports whether only the end of the connection tells the end of the body.
 func (r *Response) EndsWithConnection() bool {
-	return r.ContentLength < 0 && len(r.raw.TransferEncoding) == 0
+	return r.ContentLength < 0 && len(r.raw.TransferEncoding) == 0 && r.raw.Body != http.NoBody
 }
 
 // Done ends the use of the response. The connection is reused only if complete states that the body
