--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -65,7 +65,7 @@
 	if !s.o.Logger.IsInfo() {
 		return
 	}
-	args := []any{"request", j.ID, "route", j.Route.Name, "how", delivery, "status", a.response.Status, "replica", a.placement.Meta.Replica,
+	args := []any{"request", j.ID, "route", j.Route.Name, "how", delivery, "framed", a.response.Framing(), "status", a.response.Status, "replica", a.placement.Meta.Replica,
 		"why", a.placement.Reason, "after_ms", sinceMs(j.Start)}
 	if cause := lateCause(j, a, out, first); cause != "" {
 		args = append(args, "late", cause)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -147,9 +147,30 @@
 	return nil, errors.Mark(errors.New("upstream: no response to this request"), ErrMismatched)
 }
 
+// Framing is what tells the end of a response's body.
+type Framing string
+
+// The framings of HTTP/1.1.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // the end of the connection, which may have another reason
+)
+
+// Framing returns what tells the end of the body. A response without a body is framed by its length.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.raw.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.ContentLength < 0 && r.raw.Body != http.NoBody:
+		return FramedByConnection
+	}
+	return FramedByLength
+}
+
 // EndsWithConnection reports whether only the end of the connection tells the end of the body.
 func (r *Response) EndsWithConnection() bool {
-	return r.ContentLength < 0 && len(r.raw.TransferEncoding) == 0 && r.raw.Body != http.NoBody
+	return r.Framing() == FramedByConnection
 }
 
 // Done ends the use of the response. The connection is reused only if complete states that the body
