weights: waits of the rollout's holders don't add up under rolling restarts

Cause: the record of the orders that may be pending was never reduced, although a planned release waits until none of them is; and each new holder began the wait for them anew. Ruled out: the store being away (the lease was taken within 0.6 s each time), replicas that refuse (each order was accepted), a wrong choice of the holder (all were calm when they took over). Fix: a planned release first waits for the calls of its own orders, and for OrderLease after the last one's end (before: after its sending, so that an order could arrive up to 600 ms later, and one that was about to be sent wasn't waited for); then it reduces the record to earlier holders' orders that may be pending, each with the time that is left. That is counted from the next holder's take-over on, so that no clocks are compared. A holder that dies leaves the whole wait. What a holder waits for because the record was lost is passed on too. One more write to the store a planned release. TestPlannedStopLeavesNoWait and TestWaitsOfShortTermsDoNotAddUp failed before.

--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -155,7 +157,8 @@
 	leading  atomic.Bool // it held the lease in the last iteration
 	stopping atomic.Bool
 	stopped  chan struct{}    // closed once the lease is released
-	lastSent monotime.Instant // when the last order was sent
+	lastSent monotime.Instant // when the last order was sent, or its call ended
+	sending  sync.WaitGroup   // orders that are being sent
 }
 
 // pendingOrder is an order that is not yet known to be complete.
@@ -208,8 +211,8 @@
 	if c.lease == nil || !c.lease.Valid() {
 		return
 	}
-	if sent, any := c.lastSent.Time(); any {
-		_ = sleep.For(ctx, time.Until(sent.Add(c.o.OrderLease))) // the lease is released even if ctx ends
+	if c.awaitOrders(ctx) == nil {
+		c.recordWaits(ctx)
 	}
 	if err := c.lease.Release(ctx); err != nil {
 		c.o.Logger.Warn("Failed to release the weights lease; it will expire", "error", err)
@@ -218,6 +221,41 @@
 	c.o.Logger.Info("Released the weights lease", "epoch", c.lease.Epoch())
 }
 
+// awaitOrders returns when no order of this holder can be pending any more: OrderLease after the end of the last one's call. Its error means
+// that ctx ended before.
+func (c *Controller) awaitOrders(ctx context.Context) error {
+	c.sending.Wait() // each call is bounded
+	sent, any := c.lastSent.Time()
+	if !any {
+		return ctx.Err()
+	}
+	return sleep.For(ctx, time.Until(sent.Add(c.o.OrderLease)))
+}
+
+// recordWaits reduces the order record to the replicas whose orders from an earlier holder may be pending, so that the waits of
+// holders that stop soon don't add up. If that fails, the next holder waits longer than it has to.
+func (c *Controller) recordWaits(ctx context.Context) {
+	if c.orderRecord == nil {
+		return
+	}
+	now := time.Now()
+	var ids []request.TargetID
+	waitMs := map[request.TargetID]int64{}
+	for id, until := range c.inheritedUntil {
+		if left := until.Sub(now); left > 0 {
+			ids = append(ids, id)
+			waitMs[id] = left.Milliseconds() + 1
+		}
+	}
+	if len(ids)+len(c.orderRecord.Ordered) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	if err := c.orderRecord.replace(ctx, c.o.KV, ids, waitMs); err != nil {
+		c.o.Logger.Info("Failed to reduce the order record", "error", err)
+	}
+}
+
 // yield gives the lease to a daemon that reaches the replicas. Orders sent by this one may still be pending, which the next
 // holder reads from the order record.
 func (c *Controller) yield(ctx context.Context) {
@@ -354,7 +392,7 @@
 	c.lease, c.orderRecord, c.rollouts = l, p, map[request.Model]*rollout.Rollout{}
 	c.inheritedUntil = map[request.TargetID]time.Time{}
 	for _, id := range p.Ordered {
-		c.inheritedUntil[id] = now.Add(c.o.OrderLease)
+		c.inheritedUntil[id] = now.Add(p.wait(id, c.o.OrderLease))
 	}
 	if l.ExpiredHolder() == lease.UnknownHolder {
 		// The order record of the previous holder may be lost: any replica may have a pending order.
--- a/internal/weights/order_record.go
+++ b/internal/weights/order_record.go
@@ -23,6 +23,9 @@
 type orderRecord struct {
 	Epoch   uint64             `json:"epoch"`
 	Ordered []request.TargetID `json:"ordered"`
+	// WaitMs is how long the next holder must wait, in milliseconds from when it takes the record over, for replicas whose orders
+	// became older before the record was written. Without an entry it is the whole order lease.
+	WaitMs map[request.TargetID]int64 `json:"wait_ms,omitempty"`
 
 	revision platform.Revision
 }
@@ -52,11 +55,25 @@
 	return p, p.write(ctx, kv)
 }
 
+// wait returns how long the next holder must wait before it orders a recorded replica.
+func (p *orderRecord) wait(id request.TargetID, orderLease time.Duration) time.Duration {
+	ms, known := p.WaitMs[id]
+	if !known {
+		return orderLease
+	}
+	return min(orderLease, time.Duration(ms)*time.Millisecond)
+}
+
 // replaceReplicas replaces the replicas in the stored record.
 func (p *orderRecord) replaceReplicas(ctx context.Context, kv platform.KV, ids []request.TargetID) error {
+	return p.replace(ctx, kv, ids, nil)
+}
+
+// replace replaces the replicas in the stored record, and how long the next holder must wait for some of them.
+func (p *orderRecord) replace(ctx context.Context, kv platform.KV, ids []request.TargetID, waitMs map[request.TargetID]int64) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	next := orderRecord{Epoch: p.Epoch, Ordered: ids, revision: p.revision}
+	next := orderRecord{Epoch: p.Epoch, Ordered: ids, WaitMs: waitMs, revision: p.revision}
 	if err := next.write(ctx, kv); err != nil {
 		return err
 	}
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -268,7 +268,7 @@
 	c.pending[a.Target] = pendingOrder{replica: r.replica, model: r.model, orderedAt: time.Now()}
 	c.markBusy(r)
 	l := c.lease
-	go func() {
+	c.sending.Go(func() {
 		if sleep.For(ctx, announceLead) != nil {
 			return
 		}
@@ -281,7 +281,7 @@
 			}
 		}
 		c.sendLoad(ctx, l, r, report, a.PrefillDone)
-	}()
+	})
 }
 
 func (c *Controller) sendLoad(ctx context.Context, l *lease.Lease, r outdatedReplica, report Report, keepRunning bool) {
@@ -291,8 +291,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o := Order{Model: r.model, Version: r.version, Holder: c.o.Self, Epoch: l.Epoch(), ExpectedOrders: report.Orders, KeepRunning: keepRunning}
-	c.lastSent.Set(time.Now())
+	c.lastSent.Extend(time.Now())
 	err := c.o.Client.Load(ctx, r.replica, o)
+	c.lastSent.Extend(time.Now())
 	c.o.Logger.Info("Ordered a replica to load weights", "replica", r.replica.Info().ID, "model", r.model,
 		"version", r.version, "epoch", o.Epoch, "expected", o.ExpectedOrders, "runs_go_on", o.KeepRunning, "error", err)
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -216,6 +216,86 @@
 	}
 }
 
+// TestPlannedStopLeavesNoWait guards against a rollout that stands still after each planned stop of the daemon that runs it: it releases the
+// lease when its orders can no longer be pending, so that the next holder has nothing to wait for.
+func TestPlannedStopLeavesNoWait(t *testing.T) {
+	fleet := newTestFleet(2)
+	fleet.requested = 2
+	first := fleet.newController("d1")
+	reconcileUntil(t, fleet, first, 2)
+	stop(t, first)
+	second := fleet.newController("d2")
+	if !second.ensureLease(t.Context(), time.Now(), true) {
+		t.Fatal("the second controller did not acquire the lease")
+	}
+	now := time.Now()
+	for id, until := range second.inheritedUntil {
+		if now.Before(until) {
+			t.Errorf("%s gets no order for %s", id, until.Sub(now))
+		}
+	}
+}
+
+// TestWaitsOfShortTermsDoNotAddUp guards against a rollout without an end under rolling restarts, in which each holder stops before its wait
+// for the orders of an earlier one is over.
+func TestWaitsOfShortTermsDoNotAddUp(t *testing.T) {
+	fleet := newTestFleet(2)
+	fleet.requested = 2
+	crashed := fleet.newController("d0")
+	if !crashed.ensureLease(t.Context(), time.Now(), true) {
+		t.Fatal("the first controller did not acquire the lease")
+	}
+	if err := crashed.orderRecord.replaceReplicas(t.Context(), crashed.o.KV, []request.TargetID{"r0", "r1"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := crashed.lease.Release(t.Context()); err != nil { // stands in for its expiry
+		t.Fatal(err)
+	}
+	crashedAt := time.Now()
+	for n := 1; fleet.calls.countAt(2) < 2; n++ {
+		d := fleet.newController(request.DaemonID(fmt.Sprint("d", n)))
+		term := time.Now().Add(d.o.OrderLease / 2)
+		for time.Now().Before(term) && fleet.calls.countAt(2) < 2 {
+			d.reconcile(t.Context())
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n > 4 {
+			t.Fatalf("no replica was ordered in %d terms, %s after the crash", n, time.Since(crashedAt))
+		}
+		stop(t, d)
+	}
+	if early := fleet.calls.lastOrderAt.Sub(crashedAt); early < crashed.o.OrderLease {
+		t.Errorf("ordered %s after another holder may have ordered", early)
+	}
+}
+
+// TestWaitsWithoutRecordOutliveShortTerm guards against orders within another holder's order lease after the record was lost with a restored
+// backup: who took over first waits for all replicas, and must pass that on if it stops before.
+func TestWaitsWithoutRecordOutliveShortTerm(t *testing.T) {
+	fleet := newTestFleet(1)
+	first := fleet.newController("d1")
+	if !first.ensureLease(t.Context(), time.Now(), true) {
+		t.Fatal("the first controller did not acquire the lease")
+	}
+	until := time.Now().Add(first.o.OrderLease)
+	first.inheritedUntil["r0"] = until
+	stop(t, first)
+	second := fleet.newController("d2")
+	if !second.ensureLease(t.Context(), time.Now(), true) {
+		t.Fatal("the second controller did not acquire the lease")
+	}
+	if second.inheritedUntil["r0"].Before(until) {
+		t.Error("the second controller does not wait")
+	}
+}
+
+// stop stops a controller as a planned stop of its daemon does.
+func stop(t *testing.T, d *Controller) {
+	t.Helper()
+	go func() { _ = d.Run(t.Context()) }()
+	d.Shutdown(t.Context())
+}
+
 // A late rollout makes more replicas unavailable at once: the old weights may soon no longer be used, and
 // from then on a replica that serves them is useless.
 func TestLateRolloutRaisesUnavailableShare(t *testing.T) {
