Both interfaces: OPTIONS * is refused like any other path without a route

Callers saw status 200 without a replica's signature: net/http answers this request by itself, unseen by any filter.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,9 +1,11 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -364,3 +366,18 @@
 	c.get("http://"+c.store.Address()+storeapi.PathList+"?contains="+store.ManifestMark+"&limit=1000", &list)
 	return len(list.Objects)
 }
+
+// TestOptionsForAllIsNoSuccess guards against a success that no target gave: net/http answers `OPTIONS *` by itself.
+func TestOptionsForAllIsNoSuccess(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	conn, err := net.Dial("tcp", c.addresses()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodOptions})
+	if err != nil || resp.StatusCode == http.StatusOK {
+		t.Errorf("got %v, %v, want an error's status", resp, err)
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -101,6 +101,8 @@
 			Handler:           h,
 			ReadHeaderTimeout: readHeaderTimeout,
 			ErrorLog:          d.log.Named("http").StandardLogger(nil),
+
+			DisableGeneralOptionsHandler: true, // the handler's answers carry its headers
 		},
 		failed: make(chan error, 1),
 	}
