contextstore: a store whose address changes is followed at the new one

Callers would have seen prompts read from a store that does not hold them, or holds them only in part: the owner followed the address that the store had when it was acquired, while the daemons that asked it sent replicas to the one of the desired state. Fix: the owner drops the store and acquires it anew, reading what lies at the new address; the asking daemon names the address that it knows, and gets no offer while the two differ (up to the time in which a change is in force). One field in a request between daemons; daemons of an older version don't send it and are answered as before.

--- a/internal/contextstore/client.go
+++ b/internal/contextstore/client.go
@@ -193,7 +193,7 @@
 			q.positions = append(q.positions, i)
 			q.stores = append(q.stores, store)
 			q.request.Parts = append(q.request.Parts, &PartAsk{
-				Store: string(store.ID), Id: p.ID, Tokens: int32(p.Tokens), Resident: resident[i], Last: i == len(parts)-1,
+				Store: string(store.ID), Id: p.ID, Tokens: int32(p.Tokens), Resident: resident[i], Last: i == len(parts)-1, Address: store.Store.Address,
 			})
 		}
 	}
--- a/internal/contextstore/contextstore_test.go
+++ b/internal/contextstore/contextstore_test.go
@@ -29,6 +29,7 @@
 	events []Event
 	parts  map[storecache.Key]int
 	freed  []storecache.Key
+	moved  string // the only address at which it answers; empty: any
 
 	listTime time.Duration // transfer time of a list over the store's link
 }
@@ -68,11 +69,23 @@
 	return len(s.freed)
 }
 
-func (s *fakeStore) Events(_ context.Context, _ string, next uint64, _ time.Duration) (Content, error) {
+// moveTo starts the store anew at another address.
+func (s *fakeStore) moveTo(address string) {
+	s.restart()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moved = address
+}
+
+func (s *fakeStore) answersAt(address string) bool {
+	return !s.down && (s.moved == "" || s.moved == address)
+}
+
+func (s *fakeStore) Events(_ context.Context, address string, next uint64, _ time.Duration) (Content, error) {
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if !s.answersAt(address) {
 		return Content{}, errors.New("down")
 	}
 	content := Content{Epoch: s.epoch, Next: uint64(len(s.events)), ClockMs: time.Now().UnixMilli() + clockAhead}
@@ -82,13 +95,13 @@
 	return content, nil
 }
 
-func (s *fakeStore) List(ctx context.Context, _ string) (Content, error) {
+func (s *fakeStore) List(ctx context.Context, address string) (Content, error) {
 	if err := sleep.For(ctx, s.listTime); err != nil {
 		return Content{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if !s.answersAt(address) {
 		return Content{}, errors.New("down")
 	}
 	content := Content{Epoch: s.epoch, Next: uint64(len(s.events))}
@@ -125,10 +138,15 @@
 
 // startOwnerWith is startOwner with a given key-value service and lease TTL.
 func startOwnerWith(t *testing.T, fake *kv.Fake, ttl time.Duration, store *fakeStore, services ...*routing.Service) *Client {
+	t.Helper()
+	return startOwnerOf(t, fake, ttl, store, func() []*routing.Service { return services })
+}
+
+// startOwnerOf is startOwnerWith for services that change.
+func startOwnerOf(t *testing.T, fake *kv.Fake, ttl time.Duration, store *fakeStore, all func() []*routing.Service) *Client {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	client := fake.Client("a")
-	all := func() []*routing.Service { return services }
 	leases := lease.NewManager(lease.Options{KV: client, Self: "a", Address: "a:1", TTL: ttl, Margin: ttl / 5})
 	owner := NewOwner(Options{
 		KV: client, Self: "a", Leases: leases, API: store, Stores: all, Rank: func(routing.ServiceID) int { return 0 },
@@ -144,7 +162,7 @@
 		cancel()
 		runs.Wait()
 	})
-	for deadline := time.Now().Add(5 * time.Second); len(*c.holders.Load()) < len(services); {
+	for deadline := time.Now().Add(5 * time.Second); len(*c.holders.Load()) < len(all()); {
 		if time.Now().After(deadline) {
 			t.Fatal("a store has no owner")
 		}
@@ -234,6 +252,29 @@
 	waitForAnswer(t, c, "p", false, true)
 }
 
+// TestStoreAtNewAddressIsFollowedThere guards against an owner that goes on with the old address of a store, and takes for whole there what a
+// store at the new one does not hold.
+func TestStoreAtNewAddressIsFollowedThere(t *testing.T) {
+	store := newFakeStore()
+	var known atomic.Pointer[routing.Service]
+	known.Store(service("a", 1000, 1000))
+	c := startOwnerOf(t, kv.NewFake(time.Now), 10*time.Second, store, func() []*routing.Service { return []*routing.Service{known.Load()} })
+	waitForAnswer(t, c, "p", false, true)
+	store.save("w1", "p", 100)
+	waitForAnswer(t, c, "p", true, false)
+	moved := service("a", 1000, 1000)
+	moved.Store.Address = "b:1"
+	store.moveTo(moved.Store.Address)
+	known.Store(moved)
+	got, _ := c.Claim(t.Context(), "w1", []relay.Part{{ID: "p", Tokens: 100}, {ID: "own", Tokens: 10}}, []bool{false, false})
+	if got[0].Fetch {
+		t.Error("a part of the store at the old address is fetched from the new one")
+	}
+	waitForAnswer(t, c, "p", false, true)
+	store.save("w1", "p", 100)
+	waitForAnswer(t, c, "p", true, false)
+}
+
 // The key-value service is down for longer than the lease TTL. Parts in the store stay
 // fetchable throughout, and nothing new is written. After the outage the same daemon continues
 // without the wait that a new owner needs before it may write.
--- a/internal/contextstore/ownedstore.go
+++ b/internal/contextstore/ownedstore.go
@@ -383,6 +383,9 @@
 	return answers, s.replicaClock(now.Add(storecache.ReadPermitTTL)), true
 }
 
+// isElsewhere reports whether the asking daemon would use another address of the store. One of an older version doesn't say.
+func (s *ownedStore) isElsewhere(a *PartAsk) bool { return a.Address != "" && a.Address != s.address }
+
 // release cancels what claim permitted for a part.
 func (s *ownedStore) release(key storecache.Key, claim int64) {
 	s.mu.Lock()
--- a/internal/contextstore/owner.go
+++ b/internal/contextstore/owner.go
@@ -174,6 +174,11 @@
 // store whose lease expired here.
 func (o *Owner) acquireIfDue(ctx context.Context, store *routing.Service) {
 	prev := o.current(store.ID)
+	if prev != nil && prev.address != store.Store.Address {
+		o.opts.Logger.Info("The address of a context store has changed", "store", store.ID, "address", store.Store.Address, "before", prev.address)
+		o.drop(store.ID) // what lies at the old address is of no use
+		prev = nil
+	}
 	if prev != nil && prev.holdsLease() {
 		return
 	}
@@ -305,6 +310,9 @@
 		for i, n := range positions {
 			asks[i] = r.Parts[n]
 		}
+		if slices.ContainsFunc(asks, owned.isElsewhere) {
+			continue // one of the two daemons does not know the store's address yet
+		}
 		answers, permitUntil, ok := owned.claim(r.Salt, r.Weights, asks)
 		if !ok {
 			continue
