--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -289,6 +289,26 @@
 	}
 }
 
+// TestReleasedLeaseIsTakenAtOnce guards against a rollout without a holder while daemons start and stop one after the other: each one waits for
+// daemons before it in rank, which have stopped as well, and stops before its turn.
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	fleet := newTestFleet(1)
+	fleet.requested = 2
+	first := fleet.newController("d1")
+	if !first.ensureLease(t.Context(), time.Now(), true) {
+		t.Fatal("the first controller did not acquire the lease")
+	}
+	stop(t, first)
+	second := fleet.newController("d2")
+	second.o.Rank = func() int { return 1 }
+	for began := time.Now(); !second.holdsLease(); time.Sleep(2 * time.Millisecond) {
+		second.reconcile(t.Context())
+		if time.Since(began) > takeoverDelay/2 {
+			t.Fatal("nobody holds a lease that was released")
+		}
+	}
+}
+
 // stop stops a controller as a planned stop of its daemon does.
 func stop(t *testing.T, d *Controller) {
 	t.Helper()
