framing: how the end of a response is told, as a package for both ways

Moved from relay without a change of behaviour: the connection of a request, a response that ends with its connection, and the two times around the check of its sender.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -57,7 +57,7 @@
 	s.closeIfDraining(w)
 	w.WriteHeader(a.response.Status)
 	_, err := w.Write(a.body)
-	if err == nil && f.byConnection {
+	if err == nil && f.ByConnection {
 		err = http.NewResponseController(w).Flush()
 	}
 	s.logAnswered(j, a, nil, "whole")
@@ -65,7 +65,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	f.end()
+	f.End()
 }
 
 // deliverUnbuffered streams a long response to the caller. If the replica's connection breaks, the
@@ -90,7 +90,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	f.end()
+	f.End()
 }
 
 // finishUnanswered ends a request that no replica answered completely.
--- a/internal/relay/answerbuffer.go
+++ b/internal/relay/answerbuffer.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 )
 
 // errNoMemory means that an answer is not buffered for want of memory.
@@ -13,7 +15,7 @@
 
 // keepBody keeps a body that was read to its end, unless the end may not be that of the response.
 func (s *Server) keepBody(ctx context.Context, j *Job, a *attempt, body []byte) {
-	if err := s.confirmEnd(ctx, j, a, framing{byConnection: true}); err != nil {
+	if err := s.confirmEnd(ctx, j, a, framing.Framing{ByConnection: true}); err != nil {
 		a.outcome, a.err = mayHaveRun, err
 		return
 	}
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/crashes"
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -29,9 +30,6 @@
 }
 
 const (
-	// crashCheckDelay is the delay between a broken connection and the check of the replica. A
-	// crashed process has closed its listener by then.
-	crashCheckDelay = 30 * time.Millisecond
 	// crashCheckTimeout bounds the check.
 	crashCheckTimeout = 3 * time.Second
 	// maxCrashWait is how long a suspect request waits for the check before it is sent again.
@@ -119,7 +117,7 @@
 		defer close(c.done)
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		time.Sleep(crashCheckDelay)
+		time.Sleep(framing.DeathDelay)
 		switch s.verdictOn(ctx, r, at) {
 		case lives:
 			go s.awaitReplaced(r, j, report)
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
@@ -20,64 +20,19 @@
 	errEndUnknown = errors.New("relay: the end of the response is not known")
 )
 
-// maxEndCheck bounds how long the end of a response is held back until it is known whether its replica died.
-const maxEndCheck = 300 * time.Millisecond
-
-// resetOnClose and closeInOrder are arguments of SetLinger.
-const (
-	resetOnClose = 0
-	closeInOrder = -1
-)
-
-type connKey struct{}
-
-// ConnContext makes a connection known to its requests. It must be set as http.Server.ConnContext of each server of the relay's
-// handlers.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// framing is how the end of a response is told to the caller.
-type framing struct {
-	// byConnection: by the end of the connection only. It does not state that the response is complete.
-	byConnection bool
-	conn         interface{ SetLinger(seconds int) error } // nil: not known
-}
-
 // frame chooses how the end of the response is told to the caller: no better than the replica told it. It is called before the headers
 // are written.
-func (s *Server) frame(ctx context.Context, w http.ResponseWriter, j *Job, a *attempt) framing {
-	if a.response.EndsWithConnection() {
-		w.Header().Set("Transfer-Encoding", "identity") // net/http then writes neither a length nor chunks
-		return frameByConnection(ctx)
-	}
-	if !j.takesChunks && w.Header().Get("Content-Length") == "" {
-		return frameByConnection(ctx)
-	}
-	return framing{}
-}
-
-// frameByConnection returns the framing of a response that ends with the caller's connection. Until end is called, the connection is reset
-// whenever it is closed, also by the kernel when this process dies. An early end would look complete otherwise.
-func frameByConnection(ctx context.Context) framing {
-	f := framing{byConnection: true}
-	if conn, ok := ctx.Value(connKey{}).(*net.TCPConn); ok {
-		f.conn = conn
-		_ = conn.SetLinger(resetOnClose) // fails only on a closed connection, whose next write fails
-	}
-	return f
-}
-
-// end is called when the caller has been sent the whole response.
-func (f framing) end() {
-	if f.conn != nil {
-		_ = f.conn.SetLinger(closeInOrder) // fails only on a closed connection
+func (s *Server) frame(ctx context.Context, w http.ResponseWriter, j *Job, a *attempt) framing.Framing {
+	noChunks := !j.takesChunks && w.Header().Get("Content-Length") == ""
+	if a.response.EndsWithConnection() || noChunks {
+		return framing.ByConnection(ctx, w.Header())
 	}
+	return framing.Framing{}
 }
 
 // confirmEnd returns an error if a response must not end as a complete one. Where only the end of the connection told its end, the replica
 // may have died. The daemon that forwarded a request takes the other one's word.
-func (s *Server) confirmEnd(ctx context.Context, j *Job, a *attempt, f framing) error {
+func (s *Server) confirmEnd(ctx context.Context, j *Job, a *attempt, f framing.Framing) error {
 	if a.peer != nil || !a.response.EndsWithConnection() {
 		return nil
 	}
@@ -86,7 +41,7 @@
 	switch {
 	case v == died:
 		return errReplicaDied
-	case v == unreached && (!f.byConnection || j.received != nil):
+	case v == unreached && (!f.ByConnection || j.received != nil):
 		return errEndUnknown
 	}
 	return nil
@@ -120,12 +75,12 @@
 
 // awaitVerdict returns the verdict on a replica whose connection has just ended in order.
 func (s *Server) awaitVerdict(ctx context.Context, r *replicas.Replica) verdict {
-	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
+	ctx, cancel := context.WithTimeout(ctx, framing.MaxEndCheck)
 	defer cancel()
 	endedAt := time.Now()
 	result := make(chan verdict, 1)
 	go func() {
-		time.Sleep(crashCheckDelay)
+		time.Sleep(framing.DeathDelay)
 		result <- s.verdictOn(ctx, r, endedAt)
 	}()
 	select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/crashes"
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/policy/retry"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -138,7 +139,7 @@
 func serveRelay(t testing.TB, h http.Handler) *httptest.Server {
 	t.Helper()
 	front := httptest.NewUnstartedServer(h)
-	front.Config.ConnContext = ConnContext
+	front.Config.ConnContext = framing.ConnContext
 	front.Start()
 	t.Cleanup(front.Close)
 	return front
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 )
 
 const (
@@ -90,7 +92,7 @@
 	w           http.ResponseWriter
 	control     *http.ResponseController
 	started     bool
-	framing     framing         // of the response, once it has started
+	framing     framing.Framing // of the response, once it has started
 	lastEventID string          // id of the last event that was delivered
 	software    SoftwareBinding // version of the software that began the response; unbound: not known
 	events      int
@@ -142,7 +144,7 @@
 func (s *Server) endStream(ctx context.Context, j *Job, out *sink, a *attempt) error {
 	f := out.framing
 	if !out.started {
-		f.byConnection = true // the response will have the replica's framing
+		f.ByConnection = true // the response will have the replica's framing
 	}
 	if err := s.confirmEnd(ctx, j, a, f); err != nil {
 		return err
@@ -151,7 +153,7 @@
 	if err := out.control.Flush(); err != nil {
 		return errors.Mark(errors.Wrap(err, "relay: caller"), errCallerDisconnected)
 	}
-	out.framing.end()
+	out.framing.End()
 	return nil
 }
 
