gateway: a call's answer states no more of its end than its service did

Cause: CallService took io.EOF for the end of the answer whatever told it, and the gateway wrote what had arrived as a whole answer; the daemon that forwarded the call did the same with the other daemon's answer. Fix: such an answer is passed on without a length and chunks, over a connection that is reset unless all of it was sent, also between daemons (their counted connections pass SetLinger on). If its service accepts no connection 30 ms after the end while others are reached, the attempt counts as a lost connection: in doubt, so that a call that must not run twice is not repeated. If no other target is reached either, nothing is known, and it is passed on as such. The check of whether a service died only connects now, instead of waiting for the answer to a request. It adds one connection to the service for each answer without a length, up to 30 ms (at most 330 ms) until such an answer goes out, and one bit for each such result. Nothing is added for answers with a length or chunks.

--- a/internal/daemon/peerbytes.go
+++ b/internal/daemon/peerbytes.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -37,6 +38,15 @@
 	in, out tally.Counter
 }
 
+// SetLinger sets what happens to unsent data when the connection is closed, like that of net.TCPConn.
+func (c countingConn) SetLinger(seconds int) error {
+	conn, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.Newf("daemon: connection of type %T has no linger", c.Conn)
+	}
+	return conn.SetLinger(seconds)
+}
+
 // Read implements net.Conn.
 func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/daemon/peerbytes_test.go
+++ b/internal/daemon/peerbytes_test.go
@@ -3,9 +3,13 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 )
 
 func TestPeerBytesAreCounted(t *testing.T) {
@@ -52,3 +56,30 @@
 	_, err = io.WriteString(c, answer)
 	return err
 }
+
+// TestPeerConnectionCanBeReset guards against a response without a length and chunks between daemons whose connection a dead daemon's
+// kernel ends in order.
+func TestPeerConnectionCanBeReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		framing.ByConnection(r.Context(), w.Header())
+		_, _ = io.WriteString(w, "a part") // the caller sees whether it arrived
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	s.Listener = newCountingListener(l, tally.NoopScope)
+	s.Config.ConnContext = framing.ConnContext
+	s.Start()
+	defer s.Close()
+	answer, err := http.Get(s.URL)
+	if err != nil {
+		return // the reset overtook the header
+	}
+	defer answer.Body.Close()
+	if body, err := io.ReadAll(answer.Body); err == nil {
+		t.Errorf("the response ended in order after %q", body)
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
@@ -99,6 +100,7 @@
 	s := &server{
 		http: &http.Server{
 			Handler:           h,
+			ConnContext:       framing.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
 			ErrorLog:          d.log.Named("http").StandardLogger(nil),
 		},
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -56,6 +56,12 @@
 	return f
 }
 
+// EndsWithConnection reports whether only the end of the connection told the end of the body of a response that an http.Transport
+// returned.
+func EndsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
+}
+
 // End is called when the whole response was sent to the caller and flushed.
 func (f Framing) End() {
 	if f.conn != nil {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -235,7 +235,7 @@
 func (g *Gateway) answer(out *sink, r *http.Request, j *Job) {
 	switch {
 	case j.replay != nil:
-		g.writeResult(out.w, *j.replay, true)
+		g.writeResult(out.w, j, *j.replay, true)
 	case j.forwardTo != nil && j.kind == kindCompletion:
 		g.relayHop(out, j)
 	case j.forwardTo != nil:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/request"
+	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
@@ -33,7 +35,7 @@
 			return
 		}
 		if j.replay != nil {
-			g.writeResult(w, *j.replay, true)
+			g.writeResult(w, j, *j.replay, true)
 			return
 		}
 	}
@@ -57,20 +59,36 @@
 	if err != nil {
 		return g.classifyCallError(j, client, err)
 	}
+	if answer.EndUnknown && g.diedAtEnd(ctx, j, client) {
+		g.log.Warn("Target died at the end of an answer without a length", "target", j.choice.Target.ID, "request", j.id)
+		return g.callInDoubt(j, true)
+	}
 	result := journal.Result{
 		Status:      answer.Status,
 		ContentType: answer.Header.Get("Content-Type"),
 		Body:        answer.Body,
+		EndUnknown:  answer.EndUnknown,
 	}
 	g.poison.onAnswered(j)
 	g.finishTicket(j, result)
 	// The target has finished: a caller that reads slowly must not hold a slot there.
 	g.endInFlight(j, false)
 	g.releaseGrant(j)
-	g.writeResult(w, result, false)
+	g.writeResult(w, j, result, false)
 	return nil
 }
 
+// diedAtEnd reports whether a target died at about the time at which its connection ended, so that the kernel may have ended it
+// before the end of the answer.
+func (g *Gateway) diedAtEnd(ctx context.Context, j *Job, client *target.Client) bool {
+	if sleep.For(ctx, framing.DeathDelay) != nil {
+		return false // the deadline has passed: nothing more is known
+	}
+	ctx, cancel := context.WithTimeout(ctx, framing.MaxEndCheck)
+	defer cancel()
+	return g.hasNoListener(ctx, j, client)
+}
+
 func callHeader(j *Job) http.Header {
 	h := http.Header{}
 	if j.call.contentType != "" {
@@ -94,6 +112,11 @@
 			targetFailed: true,
 		}
 	}
+	return g.callInDoubt(j, g.hasDied(j, client))
+}
+
+// callInDoubt ends an attempt at a call that may have run.
+func (g *Gateway) callInDoubt(j *Job, targetDied bool) *attemptError {
 	g.settleTicket(j, g.opts.Journal.MarkInDoubt)
 	g.stats.inDoubt.Inc(1)
 	answer := &request.Error{Code: request.CodeInDoubt, Status: http.StatusBadGateway, Ran: request.InDoubt,
@@ -105,7 +128,7 @@
 	return &attemptError{
 		answer:       answer,
 		targetFailed: true,
-		targetDied:   g.hasDied(j, client),
+		targetDied:   targetDied,
 	}
 }
 
@@ -131,15 +154,30 @@
 	}
 }
 
-func (g *Gateway) writeResult(w http.ResponseWriter, r journal.Result, replayed bool) {
+func (g *Gateway) writeResult(w http.ResponseWriter, j *Job, r journal.Result, replayed bool) {
 	if r.ContentType != "" {
 		w.Header().Set("Content-Type", r.ContentType)
 	}
 	if replayed {
 		w.Header().Set(headerReplayed, "true")
 	}
+	g.writeCallBody(w, j, r)
+}
+
+// writeCallBody writes the status and the body of a call's answer, with a framing that states no more of its end than is known.
+func (g *Gateway) writeCallBody(w http.ResponseWriter, j *Job, r journal.Result) {
+	var f framing.Framing
+	if r.EndUnknown {
+		f = framing.ByConnection(j.ctx, w.Header())
+	}
 	w.WriteHeader(r.Status)
-	writeWithTimeout(w, r.Body, g.opts.WriteTimeout)
+	err := writeWithTimeout(w, r.Body, g.opts.WriteTimeout)
+	if err == nil && f.ByConnection {
+		err = http.NewResponseController(w).Flush()
+	}
+	if err == nil {
+		f.End()
+	}
 }
 
 // maxChunk is the maximum number of bytes written to a caller under one deadline.
@@ -148,14 +186,15 @@
 // writeWithTimeout writes a body until the caller stops accepting it. Each write has its own
 // deadline, because a caller that stops reading without closing its connection would
 // otherwise hold a credit indefinitely. A slow reader of a large body is not disconnected.
-func writeWithTimeout(w http.ResponseWriter, body []byte, timeout time.Duration) {
+func writeWithTimeout(w http.ResponseWriter, body []byte, timeout time.Duration) error {
 	control := http.NewResponseController(w)
 	for len(body) > 0 {
 		_ = control.SetWriteDeadline(time.Now().Add(timeout))
 		n := min(len(body), maxChunk)
 		if _, err := w.Write(body[:n]); err != nil {
-			return
+			return err
 		}
 		body = body[n:]
 	}
+	return nil
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -64,6 +65,10 @@
 	acquireIDs []request.ID   // request ids of the acquire requests
 	settled    string         // the outcome of the last ticket
 	target     string         // address of the target
+	others     string         // address of all other targets; empty if it is that of the target
+
+	replay         *journal.Result // what the journal has of each call; nil if nothing
+	serviceTimeout time.Duration   // of a call; 0 for a short one
 }
 
 func newTables(t *testing.T) *table.Replica {
@@ -92,6 +97,13 @@
 	return s
 }
 
+// startOther starts a target that answers nothing but accepts connections, and returns its address.
+func (e *testEnv) startOther(t testing.TB) string {
+	s := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 func (e *testEnv) gateway(t testing.TB) *Gateway {
 	g := New(Options{
 		Tables: e.tables, Members: e.members, Limiter: e, Journal: e, Contexts: e, Coordinators: e, Targets: e, Quarantine: fakeQuarantine{e},
@@ -176,6 +188,10 @@
 	if !e.step("once", "ticket") {
 		return nil, nil, errors.New("key-value service unavailable")
 	}
+	if e.replay != nil {
+		e.release("ticket")
+		return nil, e.replay, nil
+	}
 	return &journal.Ticket{}, nil, nil
 }
 
@@ -214,6 +230,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	address := e.target
+	if e.others != "" && t.ID == "lookup-1" {
+		address = e.others
+	}
 	if len(e.attemptOutcomes) > 0 && e.attemptOutcomes[0] == dialRefused {
 		e.attemptOutcomes = e.attemptOutcomes[1:]
 		address = "127.0.0.1:1"
@@ -225,7 +244,7 @@
 		return nil // the call panics after it has been marked as sent
 	}
 	return target.New(target.Options{
-		ID: t.ID, Address: address, HeaderTimeout: 200 * time.Millisecond, ServiceTimeout: 200 * time.Millisecond, MaxIdle: -1,
+		ID: t.ID, Address: address, HeaderTimeout: 200 * time.Millisecond, ServiceTimeout: cmp.Or(e.serviceTimeout, 200*time.Millisecond), MaxIdle: -1,
 	})
 }
 
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellscale/bluebellscale/internal/engineapi"
+	"github.com/bluebellscale/bluebellscale/internal/framing"
+	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/target"
@@ -291,8 +293,7 @@
 			w.Header().Set(name, v)
 		}
 	}
-	w.WriteHeader(answer.StatusCode)
-	writeWithTimeout(w, body, g.opts.WriteTimeout)
+	g.writeCallBody(w, j, journal.Result{Status: answer.StatusCode, Body: body, EndUnknown: framing.EndsWithConnection(answer)})
 }
 
 // readComplete reads an answer to its end. It fails if the answer exceeds the limit,
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -143,9 +143,9 @@
 	g := env.gateway(t)
 	large := journal.Result{Status: http.StatusOK, Body: bytes.Repeat([]byte("x"), 64<<20)}
 	served := make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		defer close(served)
-		g.writeResult(out, large, false)
+		g.writeResult(out, newJob(r, kindService, nil), large, false)
 	}))
 	t.Cleanup(s.Close)
 	conn, err := net.Dial("tcp", s.Listener.Addr().String())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -217,7 +217,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if j.kind == kindService {
-		return errors.Is(client.Probe(ctx), target.ErrUnreachable) && g.reachesOthers(ctx, j.choice.Target.ID)
+		return g.hasNoListener(ctx, j, client)
 	}
 	state, err := client.State(ctx)
 	if err != nil {
@@ -226,6 +226,11 @@
 	return j.incarnation != 0 && state.Incarnation != j.incarnation
 }
 
+// hasNoListener reports whether nothing accepts connections at the address of a target, although this daemon reaches others.
+func (g *Gateway) hasNoListener(ctx context.Context, j *Job, client *target.Client) bool {
+	return errors.Is(client.Connect(ctx), target.ErrUnreachable) && g.reachesOthers(ctx, j.choice.Target.ID)
+}
+
 // reachesOthers reports whether this daemon reaches another target than one that it does not reach.
 func (g *Gateway) reachesOthers(ctx context.Context, unreached request.TargetID) bool {
 	var others []*target.Client
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return // unreachable: these types always encode
 	}
-	writeWithTimeout(s.w, append(body, '\n'), s.timeout)
+	_ = writeWithTimeout(s.w, append(body, '\n'), s.timeout)
 }
 
 func (s *sink) lastChunk(text string, u engineapi.Usage) completionChunk {
--- a/internal/journal/call.go
+++ b/internal/journal/call.go
@@ -26,6 +26,8 @@
 	Status      int
 	ContentType string
 	Body        []byte // kept up to MaxBody bytes
+	// EndUnknown means that the response had neither a length nor chunks: its sender does not state that Body is complete.
+	EndUnknown bool
 }
 
 // Ticket permits one dispatch of one call. The owner must conclude it with exactly one of
--- a/internal/target/connections.go
+++ b/internal/target/connections.go
@@ -97,6 +97,16 @@
 	c.log.Info("Connection pool was reset")
 }
 
+// Connect opens a connection and closes it. It fails with ErrUnreachable if the target accepts none, and with ErrCanceled when ctx
+// ends.
+func (c *Client) Connect(ctx context.Context) error {
+	conn, err := (&net.Dialer{Timeout: c.o.DialTimeout}).DialContext(ctx, "tcp", c.o.Address)
+	if err != nil {
+		return c.fail("connect", dialErrorKind(ctx), true, err)
+	}
+	return conn.Close()
+}
+
 // Probe sends a request on a fresh connection and accepts any response. It distinguishes a
 // target that is down or stalled from one whose pooled connections no longer deliver data.
 func (c *Client) Probe(ctx context.Context) error {
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 )
 
 // ServiceCall is a call to a plain service.
@@ -20,11 +22,13 @@
 	Repeatable bool
 }
 
-// ServiceResponse is a plain service's complete response, whatever its status.
+// ServiceResponse is a plain service's response, whatever its status. It is complete unless EndUnknown is set.
 type ServiceResponse struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// EndUnknown means that the response had neither a length nor chunks: its connection ended in order, for whatever reason.
+	EndUnknown bool
 }
 
 // hopByHopHeaders apply to one connection and must not be forwarded (RFC 9110, section
@@ -34,7 +38,7 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// CallService sends a call at most once and returns the complete response. After an error
+// CallService sends a call at most once and returns the response, read to its end. After an error
 // that is not NotStarted, it is unknown whether the call was executed.
 func (c *Client) CallService(ctx context.Context, call ServiceCall) (*ServiceResponse, error) {
 	const op = "service call"
@@ -61,7 +65,12 @@
 	if int64(len(body)) > c.o.MaxBody {
 		return nil, c.fail(op, ErrBadResponse, false, errors.Newf("response exceeds %d bytes", c.o.MaxBody))
 	}
-	return &ServiceResponse{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header), Body: body}, nil
+	return &ServiceResponse{
+		Status:     resp.StatusCode,
+		Header:     endToEndHeaders(resp.Header),
+		Body:       body,
+		EndUnknown: framing.EndsWithConnection(resp),
+	}, nil
 }
 
 func endToEndHeaders(h http.Header) http.Header {
