gateway: an answer that is whole in memory states its length

A caller of HTTP/1.0 gets no chunks. It got long answers of plain services and completions in one piece up to the end of the connection, and took an orderly end after a part for the end of the answer when the daemon died in the middle. Cause: the gateway left the framing to net/http, which states a length only for bodies below its buffer of 2 KiB. Ruled out for HTTP/1.1, which got chunks without a final one. Fix: the length of the body is stated, except where a response has none (HEAD, 204, 304). It costs no state, memory or calls.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/framing"
@@ -167,8 +168,11 @@
 // writeCallBody writes the status and the body of a call's answer, with a framing that states no more of its end than is known.
 func (g *Gateway) writeCallBody(w http.ResponseWriter, j *Job, r journal.Result) {
 	var f framing.Framing
-	if r.EndUnknown {
+	switch {
+	case r.EndUnknown:
 		f = framing.ByConnection(j.ctx, w.Header())
+	case j.call.method != http.MethodHead && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified:
+		setLength(w.Header(), r.Body)
 	}
 	w.WriteHeader(r.Status)
 	err := writeWithTimeout(w, r.Body, g.opts.WriteTimeout)
@@ -180,6 +184,12 @@
 	}
 }
 
+// setLength states the length of a whole body. Without it net/http sends a long one to a caller of HTTP/1.0 up to the end of the
+// connection, which the kernel ends in order if this daemon dies.
+func setLength(h http.Header, body []byte) {
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+}
+
 // maxChunk is the maximum number of bytes written to a caller under one deadline.
 const maxChunk = 64 << 10
 
--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -52,7 +53,8 @@
 type scriptedTarget struct {
 	framing  targetFraming
 	end      targetEnd
-	size     int // bytes of the body of a call
+	size     int    // bytes of the body of a call
+	text     string // of the second frame of a completion; empty for the usual one
 	listener net.Listener
 }
 
@@ -93,7 +95,7 @@
 		}
 		whole, sent := s.body(), s.body()[:s.size/2]
 		if req.URL.Path == engineapi.PathCompletions {
-			frames := completionFrames(req)
+			frames := completionFrames(req, s.text)
 			whole, sent = strings.Join(frames, ""), strings.Join(frames[:scriptedFrames/2], "")
 		} else {
 			_, _ = io.Copy(io.Discard, req.Body)
@@ -104,11 +106,11 @@
 }
 
 // completionFrames returns the events of the stream that answers a completion.
-func completionFrames(r *http.Request) []string {
+func completionFrames(r *http.Request, second string) []string {
 	var c engineapi.CompletionRequest
 	_ = json.NewDecoder(r.Body).Decode(&c)
 	var events []string
-	for i, text := range []string{"one ", "two ", "three ", ""} {
+	for i, text := range []string{"one ", cmp.Or(second, "two "), "three ", ""} {
 		f := engineapi.Frame{RequestID: c.RequestID, Seq: i, Text: text, Version: c.Version}
 		if text == "" {
 			f.Done, f.Usage = true, &engineapi.Usage{OutputTokens: scriptedFrames - 1}
@@ -311,7 +313,7 @@
 // connection in order, which looks like the end of an answer without a length and chunks.
 func TestDeadDaemonLeavesNoWholeAnswer(t *testing.T) {
 	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
-		for _, f := range []targetFraming{connectionFramed} {
+		for _, f := range []targetFraming{lengthFramed, chunkFramed, connectionFramed} {
 			t.Run(fmt.Sprintf("%s/%s", protocol, f), func(t *testing.T) {
 				target := startScripted(t, f, endsWhole, slowBody)
 				entry, serving := newScriptedDaemons(t, target, false)
@@ -337,3 +339,18 @@
 		}
 	}
 }
+
+// TestWholeCompletionStatesItsLength guards against a completion in one piece that an old caller, who gets no chunks, takes for whole
+// although the daemon died while it wrote it.
+func TestWholeCompletionStatesItsLength(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		target := startScripted(t, chunkFramed, endsWhole, shortBody)
+		target.text = strings.Repeat("long ", shortBody)
+		entry, _ := newScriptedDaemons(t, target, false)
+		answer := postRaw(t, entry.Listener.Addr().String(), protocol, pathCompletions, testPrompt)
+		body, err := io.ReadAll(answer.Body)
+		if err != nil || answer.ContentLength != int64(len(body)) || !strings.Contains(string(body), target.text) {
+			t.Errorf("%s: %d bytes, stated %d, %v", protocol, len(body), answer.ContentLength, err)
+		}
+	}
+}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -157,17 +157,20 @@
 		_ = s.writeEvent(s.lastChunk("", u))
 		s.write("data: [DONE]\n\n")
 	default:
-		s.writeHeader("application/json")
 		s.writeBody(s.lastChunk(s.sentText.String(), u))
 	}
 }
 
+// writeBody writes an answer in one piece.
 func (s *sink) writeBody(answer completionChunk) {
 	body, err := json.Marshal(answer)
 	if err != nil {
 		return // unreachable: these types always encode
 	}
-	_ = writeWithTimeout(s.w, append(body, '\n'), s.timeout)
+	body = append(body, '\n')
+	setLength(s.w.Header(), body)
+	s.writeHeader("application/json")
+	_ = writeWithTimeout(s.w, body, s.timeout) // fails only if the caller has left
 }
 
 func (s *sink) lastChunk(text string, u engineapi.Usage) completionChunk {
