standin: answers with each framing, and broken in each way

Faults of the stand-ins for targets, services and stores, by the switches framing (length, chunks, none), break_answers and break_end (cut between events, cut_inside one, reset, silent, killed). Reads in JSON, which are the daemons' probes and polls, don't break. Tests: whole and broken answers of the stand-ins have the framing and the end that was asked for; a broken engine stream is resumed without a lost frame, a broken answer of a service isn't whole, a part of a manifest or a block is no content (each framing and end).

--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -43,7 +43,11 @@
 		var c Command
 		d := json.NewDecoder(r.Body)
 		d.DisallowUnknownFields()
-		if err := d.Decode(&c); err != nil {
+		err := d.Decode(&c)
+		if err == nil {
+			err = c.check()
+		}
+		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -70,7 +74,9 @@
 		next.ServeHTTP(newDiscardWriter(), r)
 		panic(http.ErrAbortHandler)
 	}
-	next.ServeHTTP(w, r)
+	answer := newAnswerWriter(w, r, s)
+	next.ServeHTTP(answer, r)
+	answer.finish()
 }
 
 // discardWriter is a ResponseWriter that discards the response.
--- a/internal/standin/fault/switches.go
+++ b/internal/standin/fault/switches.go
@@ -45,6 +45,9 @@
 	CrashMarker      string  `json:"crash_marker"`   // a prompt or body that contains it crashes the stand-in
 	Leaving          bool    `json:"leaving"`        // the load report says that the stand-in is leaving
 	Full             bool    `json:"full"`           // refuse new objects for lack of space
+	Framing          Framing `json:"framing"`        // what tells the end of each answer
+	BreakAnswers     int     `json:"break_answers"`  // number of next answers with a body that break off; not reads in JSON
+	BreakEnd         End     `json:"break_end"`      // how these answers end
 	RefuseMillis     int64   `json:"refuse_ms"`      // duration of the last command to refuse connections
 	Blackholed       int     `json:"silenced_total"` // connections blackholed so far
 }
@@ -65,6 +68,9 @@
 	CrashMarker      *string  `json:"crash_marker,omitempty"`
 	Leaving          *bool    `json:"leaving,omitempty"`
 	Full             *bool    `json:"full,omitempty"`
+	Framing          *Framing `json:"framing,omitempty"`
+	BreakAnswers     *int     `json:"break_answers,omitempty"`
+	BreakEnd         *End     `json:"break_end,omitempty"`
 	RefuseMillis     *int64   `json:"refuse_ms,omitempty"` // close open connections and refuse new ones for this long
 	Blackhole        bool     `json:"silent,omitempty"`    // blackhole all open connections permanently
 }
@@ -88,7 +94,7 @@
 	s := &Switches{
 		die:      o.Die,
 		rng:      rand.New(rand.NewSource(o.Seed)),
-		status:   Status{Slow: 1},
+		status:   Status{Slow: 1, BreakEnd: EndCut},
 		unfrozen: thawed,
 		conns:    make(map[*Conn]struct{}),
 	}
@@ -131,6 +137,9 @@
 	setIfPresent(&s.status.CrashMarker, c.CrashMarker)
 	setIfPresent(&s.status.Leaving, c.Leaving)
 	setIfPresent(&s.status.Full, c.Full)
+	setIfPresent(&s.status.Framing, c.Framing)
+	setIfPresent(&s.status.BreakAnswers, c.BreakAnswers)
+	setIfPresent(&s.status.BreakEnd, c.BreakEnd)
 	setIfPresent(&s.status.RefuseMillis, c.RefuseMillis)
 	if c.RefuseMillis != nil {
 		s.refuseUntil = time.Now().Add(time.Duration(*c.RefuseMillis) * time.Millisecond)
@@ -238,6 +247,24 @@
 	return s.takeLocked(&s.status.TearReads, 0)
 }
 
+// takeBrokenAnswer returns how this answer breaks off, and consumes one break. It returns an empty End if the answer is whole.
+func (s *Switches) takeBrokenAnswer() End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.takeLocked(&s.status.BreakAnswers, 0) {
+		return ""
+	}
+	return s.status.BreakEnd
+}
+
+// kill terminates the stand-in.
+func (s *Switches) kill() {
+	s.mu.Lock()
+	die := s.die
+	s.mu.Unlock()
+	die()
+}
+
 func (s *Switches) takeLocked(count *int, rate float64) bool {
 	if *count > 0 {
 		*count--
@@ -250,12 +277,12 @@
 // whether it did.
 func (s *Switches) CrashOnMarker(text string) bool {
 	s.mu.Lock()
-	marker, die := s.status.CrashMarker, s.die
+	marker := s.status.CrashMarker
 	s.mu.Unlock()
 	if marker == "" || !strings.Contains(text, marker) {
 		return false
 	}
-	die()
+	s.kill()
 	return true
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -223,3 +223,29 @@
 		}
 	})
 }
+
+// TestBrokenReadIsNoContent guards against a manifest or a block of which a part arrived and that counts as whole.
+func TestBrokenReadIsNoContent(t *testing.T) {
+	ctx := testContext(t)
+	switches, client := start(t, standin.Options{MemoryBytes: 1 << 20, DiskBytes: 1 << 20}, 200*time.Millisecond)
+	m := exportContext(t, client, 2, "g1")
+	if err := client.PutManifest(ctx, m); err != nil {
+		t.Fatal(err)
+	}
+	one := 1
+	for _, f := range []fault.Framing{fault.FramingLength, fault.FramingChunks, fault.FramingNone} {
+		for _, end := range []fault.End{fault.EndCut, fault.EndReset, fault.EndSilent} {
+			switches.Apply(fault.Command{Framing: &f, BreakAnswers: &one, BreakEnd: &end})
+			if _, err := client.GetManifest(ctx, m.Scope(), m.Generation, m.Tail()); err == nil {
+				t.Errorf("%s/%s: a part of a manifest counts as whole", f, end)
+			}
+			switches.Apply(fault.Command{BreakAnswers: &one})
+			if _, err := client.GetBlock(ctx, m, m.Blocks[0]); err == nil {
+				t.Errorf("%s/%s: a part of a block counts as whole", f, end)
+			}
+			if _, err := client.GetBlock(ctx, m, m.Blocks[0]); err != nil {
+				t.Errorf("%s/%s: the next read: %v", f, end, err)
+			}
+		}
+	}
+}
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -302,3 +302,89 @@
 		}
 	}
 }
+
+// brokenEnds are the ends of answers after which a stand-in lives on.
+var brokenEnds = []fault.End{fault.EndCut, fault.EndCutInside, fault.EndReset, fault.EndSilent}
+
+func eachBrokenAnswer(t *testing.T, test func(t *testing.T, f fault.Framing, end fault.End)) {
+	for _, f := range []fault.Framing{fault.FramingLength, fault.FramingChunks, fault.FramingNone} {
+		for _, end := range brokenEnds {
+			t.Run(string(f)+"/"+string(end), func(t *testing.T) {
+				t.Parallel()
+				test(t, f, end)
+			})
+		}
+	}
+}
+
+// TestBrokenStreamIsResumed guards against a stream whose connection ended early and that counts as whole, or loses a frame.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	eachBrokenAnswer(t, func(t *testing.T, f fault.Framing, end fault.End) {
+		ctx := testContext(t)
+		e, address := startEngine(t, engine.Options{})
+		client := newClient(t, address, 200*time.Millisecond)
+		one := 1
+		e.Switches().Apply(fault.Command{Framing: &f, BreakAnswers: &one, BreakEnd: &end})
+		req := completion("broken", 20)
+		s, err := client.Complete(ctx, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, next, err := readFrames(ctx, s, 0)
+		if s.Close(); !errors.Is(err, target.ErrConnectionLost) && !errors.Is(err, target.ErrTimeout) {
+			t.Fatalf("the broken stream ended with %v after frame %d", err, next)
+		}
+		if s, err = client.Resume(ctx, req.RequestID, next); err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		rest, _, err := readFrames(ctx, s, next)
+		if want := engine.ExpectedText(req.Prompt, req.MaxTokens); err != nil || text+rest != want {
+			t.Errorf("got %q and %q, %v, want %q", text, rest, err, want)
+		}
+	})
+}
+
+// readFrames reads frames, which begin at a sequence number, up to the last one or an error, and returns the next number.
+func readFrames(ctx context.Context, s *target.Stream, next int) (string, int, error) {
+	var text strings.Builder
+	for {
+		f, err := s.Next(ctx)
+		if err != nil {
+			return text.String(), next, err
+		}
+		if f.Seq != next {
+			return text.String(), next, errors.Newf("got frame %d, want %d", f.Seq, next)
+		}
+		if f.Done {
+			return text.String(), next, nil
+		}
+		text.WriteString(f.Text)
+		next++
+	}
+}
+
+// TestBrokenServiceAnswerIsNotWhole guards against an answer of a plain service that broke off and counts as whole.
+func TestBrokenServiceAnswerIsNotWhole(t *testing.T) {
+	eachBrokenAnswer(t, func(t *testing.T, f fault.Framing, end fault.End) {
+		ctx := testContext(t)
+		switches := fault.New(fault.Options{})
+		server, err := fault.Serve("127.0.0.1:0", switches, service.New(service.Options{Switches: switches}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { server.Close() })
+		client := target.New(target.Options{ID: "s1", Address: server.Address(), ServiceTimeout: 200 * time.Millisecond})
+		one := 1
+		switches.Apply(fault.Command{Framing: &f, BreakAnswers: &one, BreakEnd: &end})
+		call := target.ServiceCall{Method: http.MethodPost, Path: "/v1/services/label", Header: http.Header{service.HeaderKey: {"k"}}}
+		answer, err := client.CallService(ctx, call)
+		if err == nil && !answer.EndUnknown || target.NotStarted(err) {
+			t.Errorf("the broken answer counts as whole: %+v, %v", answer, err)
+		}
+		answer, err = client.CallService(ctx, call)
+		if err != nil || answer.EndUnknown != (f == fault.FramingNone) {
+			t.Errorf("the next answer: %+v, %v", answer, err)
+		}
+	})
+}
