isolation: an organisation that becomes isolated leaves no KV cache to others

Cause: the salt of organisations that are not isolated depended on the weights' version alone, and the pool that they share stayed the same when one of them left it or came back. Ruled out: a late desired state (5 s after its confirmation at both daemons, routes of the same version served); another daemon's placement (both daemons sent the same salt); the other direction (an isolated organisation never used what others made). Fix: the name of a pool holds a digest of the organisations of its group that are kept apart, and none of these uses the pool. So no pool that others use holds cache of an organisation that is isolated, whatever a daemon knows and whichever states came before; nothing need be remembered or agreed on for that. The salt is asked for at each placement.

--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,7 +38,7 @@
 		version := r.WeightsVersion(j.Model)
 		out[i] = pp.candidate(now, j, r)
 		out[i].ReservedForLongOutput = longOutput[r.Info().ID]
-		out[i].Parts = pp.partsAt(j, r, salt, cacheSalt(version, j.Org) == salt, offers)
+		out[i].Parts = pp.partsAt(j, r, salt, pp.CacheSalt(version, j.Org) == salt, offers)
 	}
 	return out
 }
@@ -130,15 +129,6 @@
 	return since.Add(pp.OldWeightsBeginWithin)
 }
 
-// cacheSalt separates the KV cache of different weights, and that of isolated organisations.
-func cacheSalt(version uint64, org *routing.Org) string {
-	salt := "w" + strconv.FormatUint(version, 10)
-	if org != nil && org.Isolated {
-		salt += "." + string(org.ID)
-	}
-	return salt
-}
-
 func partKey(salt, id string) residency.Key {
 	return residency.Key(xxhash.Sum64String(salt + "/" + id))
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -81,9 +81,13 @@
 	Assigned      func(routing.ServiceID) []*replicas.Replica
 	Domain        string // failure domain of this daemon
 	OutdatedSince OutdatedSince
-	Stores        Stores
-	Lenders       Lenders                                                              // nil: only assigned replicas are used
-	OnPlaced      func(replica *replicas.Replica, parts []PlacedPart, otherTokens int) // notifies peers; nil: no notification
+	// CacheSalt returns under which salt a replica with a version of the weights keeps the KV cache of an organisation's request.
+	// org is nil if the request has none. The salt separates different weights and isolated organisations, and may change at
+	// any time.
+	CacheSalt func(weights uint64, org *routing.Org) string
+	Stores    Stores
+	Lenders   Lenders                                                              // nil: only assigned replicas are used
+	OnPlaced  func(replica *replicas.Replica, parts []PlacedPart, otherTokens int) // notifies peers; nil: no notification
 	// OldWeightsUsableFor is how long replaced weights still get requests, and OldWeightsBeginWithin
 	// the time within which an answer on them must begin. Both count from the request for the successor
 	// version. Zero means no bound.
@@ -145,7 +149,7 @@
 
 // claimAndChoose claims transfers and chooses one of some replicas. It keeps no claims if it returns an error.
 func (pp *PromptPlacer) claimAndChoose(ctx context.Context, s search, usable []*replicas.Replica) (*choice, error) {
-	c := &choice{salt: cacheSalt(newestVersion(usable, s.job.Model), s.job.Org)}
+	c := &choice{salt: pp.CacheSalt(newestVersion(usable, s.job.Model), s.job.Org)}
 	c.offers, c.until = pp.claimTransfers(ctx, s.job, c.salt, usable)
 	var err error
 	if c.replica, c.candidate, err = pp.choose(s, usable, c.salt, c.offers); err != nil {
@@ -174,10 +178,11 @@
 func (pp *PromptPlacer) placeAt(ctx context.Context, s search, c *choice) *relay.Placement {
 	j, r, chosen := s.job, c.replica, c.candidate
 	version := r.WeightsVersion(j.Model)
-	ownSalt := cacheSalt(version, j.Org)
+	ownSalt := pp.CacheSalt(version, j.Org)
 	meta := relay.AttemptMeta{WeightsVersion: version, CacheSalt: ownSalt, Priority: min(maxPriority, j.Priority())}
 	if ownSalt != c.salt {
-		// During a rollout the chosen replica may serve other weights than the claims were made for.
+		// During a rollout the chosen replica may serve other weights than the claims were made for, and an organisation may
+		// have become isolated since.
 		pp.release(c.salt, j, c.offers)
 		c.offers, c.until = pp.claimTransfers(ctx, j, ownSalt, []*replicas.Replica{r})
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/policy/cachepool"
 	"github.com/bluebellscale/bluebellscale/internal/policy/storecache"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -77,13 +78,25 @@
 		f.put(i, 1)
 	}
 	f.placer = &PromptPlacer{
-		Eligibility: Eligibility{Set: f.set}, Assigned: f.set.ByService, Domain: "a", Stores: f.store,
+		Eligibility: Eligibility{Set: f.set}, Assigned: f.set.ByService, Domain: "a", Stores: f.store, CacheSalt: testSalt,
 		OldWeightsUsableFor: time.Second, OldWeightsBeginWithin: 2 * time.Second,
 		OutdatedSince: func(_ request.Model, v uint64) (time.Time, bool) { return f.since, v < f.requested },
 	}
 	return f
 }
 
+// testSalt returns the salts of organisations none of which was isolated before.
+func testSalt(weights uint64, org *routing.Org) string {
+	pools := cachepool.New(0, nil, &cachepool.Generations{})
+	switch {
+	case org == nil:
+		return pools.Anonymous(weights)
+	case org.Isolated:
+		return cachepool.Own(weights, org.ID)
+	}
+	return pools.Salt(weights, org.ID)
+}
+
 func (f *fixture) put(i int, weights uint64) {
 	f.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{
 		ID: id(i), Service: "llm", Address: fmt.Sprintf("127.0.0.1:%d", i+1), FailureDomain: "a",
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -257,6 +257,19 @@
 // OrgOf returns the organisation that holds a key, nil if none does.
 func (s *Snapshot) OrgOf(key string) *Org { return s.keys[key] }
 
+// Organisations returns the organisations that have keys, in no order.
+func (s *Snapshot) Organisations() []*Org {
+	seen := make(map[*Org]bool)
+	var out []*Org
+	for _, org := range s.keys {
+		if !seen[org] {
+			seen[org] = true
+			out = append(out, org)
+		}
+	}
+	return out
+}
+
 // NeedsKey reports whether requests of a route need a key.
 func (s *Snapshot) NeedsKey(r *Route) bool { return s.requiresKeys && !r.Anonymous }
 
