isolation: a daemon that starts while the store is away does not wait for the records for ever

A daemon that starts while the key-value service is away gets copies from its peers, but not of a prefix without keys, whose revision is zero everywhere. Its organisations would have shared nothing until the service returned, and each prompt would have been read anew. TestRecordsAreNotWaitedForWithoutEnd fails with the end of the wait taken out. Fix: two seconds after its first desired state a daemon goes by the desired state alone. Records that exist are fetched from peers as before.

--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -23,6 +23,10 @@
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
+// recordsWait is how long after its first desired state a daemon waits for the records. While the key-value service is away it gets
+// them from others, except if there are none.
+const recordsWait = 2 * time.Second
+
 // Options configures New.
 type Options struct {
 	KV       platform.KV
@@ -40,8 +44,10 @@
 	pools  atomic.Pointer[cachepool.Pools]
 
 	mu            sync.Mutex
-	listed        bool // the records were read
-	organisations int  // in the desired state; zero before the first one
+	listed        bool      // the records were read
+	waited        bool      // for the records, for long enough
+	desiredAt     time.Time // when the first desired state was applied; zero: none was
+	organisations int       // in the desired state
 	isolated      map[request.OrgID]bool
 	apart         map[request.OrgID]time.Time // since when each has not been isolated, zero if it is
 	generations   cachepool.Generations
@@ -72,6 +78,9 @@
 func (t *Tracker) OnDesired(now time.Time, organisations []*routing.Org) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.desiredAt.IsZero() {
+		t.desiredAt = now
+	}
 	t.organisations = len(organisations)
 	t.isolated = map[request.OrgID]bool{}
 	for _, org := range organisations {
@@ -83,7 +92,19 @@
 	t.update(now)
 }
 
-// update publishes the pools if the records are known. The mutex must be held.
+// onTime ends the wait for the records when it is due.
+func (t *Tracker) onTime(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listed || t.waited || t.desiredAt.IsZero() || now.Sub(t.desiredAt) < recordsWait {
+		return
+	}
+	t.waited = true
+	t.o.Logger.Warn("The records of isolated organisations are not known; only the desired state says which organisations share")
+	t.update(now)
+}
+
+// update publishes the pools if the records are known or no longer waited for. The mutex must be held.
 func (t *Tracker) update(now time.Time) {
 	for org, since := range t.apart {
 		if !t.isolated[org] && since.IsZero() {
@@ -92,7 +113,7 @@
 	}
 	t.compare(now)
 	t.o.Metrics.Gauge("organisations_kept_apart").Update(float64(len(t.apart)))
-	if t.listed {
+	if t.listed || t.waited {
 		t.pools.Store(cachepool.New(t.organisations, names(t.apart), &t.generations))
 	}
 }
@@ -106,7 +127,7 @@
 }
 
 // Salt returns the salt of a request of an organisation, nil if it has none, at a replica with a version of the weights. Until
-// the records are known, organisations share nothing.
+// the records are known or no longer waited for, organisations share nothing.
 func (t *Tracker) Salt(weights uint64, org *routing.Org) string {
 	p := t.pools.Load()
 	switch {
@@ -150,7 +171,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for _, w := range t.dueWrites(time.Now(), t.o.Rank) {
+		now := time.Now()
+		t.onTime(now)
+		for _, w := range t.dueWrites(now, t.o.Rank) {
 			t.write(ctx, w)
 		}
 	}
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -97,6 +97,34 @@
 	}
 }
 
+// TestRecordsAreNotWaitedForWithoutEnd guards against a daemon that starts while the key-value service is away, and whose
+// organisations share nothing until it returns.
+func TestRecordsAreNotWaitedForWithoutEnd(t *testing.T) {
+	now, s := time.Now(), newService()
+	recorded := start(now, s)
+	recorded.OnDesired(now, desired("a"))
+	s.write(t, now, recorded, 0)
+	d := New(Options{})
+	d.onTime(now)
+	d.OnDesired(now.Add(time.Minute), desired("c"))
+	now = now.Add(time.Minute)
+	d.onTime(now.Add(recordsWait - 1))
+	if salt(d, "a") == salt(d, "b") {
+		t.Errorf("a and b use %q before the wait has ended", salt(d, "a"))
+	}
+	d.onTime(now.Add(recordsWait))
+	if a, b, c := salt(d, "a"), salt(d, "b"), salt(d, "c"); a != b || c != cachepool.Own(1, "c") {
+		t.Errorf("after the wait: salts %q, %q and %q", a, b, c)
+	}
+	if len(d.dueWrites(now.Add(time.Hour), func(string) int { return 0 })) > 0 {
+		t.Error("a record is written before it was read")
+	}
+	d.onRecords(now, s.list())
+	if salt(d, "a") != cachepool.Own(1, "a") {
+		t.Errorf("a uses %q once the records are known", salt(d, "a"))
+	}
+}
+
 // TestOrganisationIsolatedAtItsRequestUsesNoPool guards against a request that was accepted while its organisation was isolated,
 // and placed when it no longer was.
 func TestOrganisationIsolatedAtItsRequestUsesNoPool(t *testing.T) {
--- a/internal/isolation/schedule_test.go
+++ b/internal/isolation/schedule_test.go
@@ -99,6 +99,9 @@
 		s.write(d)
 	case 8:
 		s.now = s.now.Add([]time.Duration{time.Second, time.Minute, ReturnAfter / 2, 2 * ReturnAfter}[s.random.IntN(4)])
+		for _, d := range s.daemons {
+			d.onTime(s.now)
+		}
 		s.record("it is %s", s.now.Format(time.TimeOnly))
 	case 9:
 		s.restart()
