store: a part of an object is no corrupt object

A context whose manifest or block was read in part, because the store VM gave neither a length nor chunks and its connection ended early in order, was forgotten as corrupt: it was computed again although its copy was sound, and the end didn't count against the link. Cause: the client compared what had arrived with the digest and took the difference for the store VM's content (MissCorrupt). Evidence: TestBrokenReadIsNoContent, none/cut, 2 of 18 reads failed; lengths, chunks, resets and silence were already ErrUnavailable. Fix: where only the end of the connection told the end, content that does not match is ErrUnavailable. No state, memory or calls.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -2,7 +2,8 @@
 // under which contexts are stored there.
 //
 // The client never returns freed or corrupt content: every read checks length and digest
-// and fails with a *MissError.
+// and fails with a *MissError, or with ErrUnavailable where the response may have ended
+// early.
 package store
 
 import (
@@ -23,6 +24,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
 )
@@ -165,16 +167,25 @@
 }
 
 // get returns an object's content and the length that the store VM accounts for it.
-func (c *Client) get(ctx context.Context, name string) ([]byte, int64, error) {
+func (c *Client) get(ctx context.Context, name string) (response, int64, error) {
 	resp, err := c.do(ctx, apiCall{method: http.MethodGet, path: objectPath(name), name: name})
 	if err != nil {
-		return nil, 0, err
+		return response{}, 0, err
 	}
 	length, err := strconv.ParseInt(resp.header.Get(storeapi.HeaderLength), 10, 64)
 	if err != nil {
-		return nil, 0, &MissError{Name: name, Reason: MissCorrupt}
+		return response{}, 0, &MissError{Name: name, Reason: MissCorrupt}
+	}
+	return resp, length, nil
+}
+
+// corruptError returns the error for content that does not match its length or digest. Where only the end of the connection told its end,
+// a part of it may be missing, and the object may be sound.
+func corruptError(name string, resp response) error {
+	if resp.endUnknown {
+		return errors.Wrapf(ErrUnavailable, "%s: content ended with its connection", name)
 	}
-	return resp.content, length, nil
+	return &MissError{Name: name, Reason: MissCorrupt}
 }
 
 func (c *Client) postJSON(ctx context.Context, path string, in any) error {
@@ -196,8 +207,9 @@
 }
 
 type response struct {
-	header  http.Header
-	content []byte
+	header     http.Header
+	content    []byte
+	endUnknown bool // there was neither a length nor chunks
 }
 
 func (c *Client) do(ctx context.Context, call apiCall) (response, error) {
@@ -231,7 +243,7 @@
 	}
 	defer resp.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxContent))
-	return response{header: resp.Header, content: content}, resp.StatusCode, err
+	return response{header: resp.Header, content: content, endUnknown: framing.EndsWithConnection(resp)}, resp.StatusCode, err
 }
 
 // statusError converts an HTTP status into an error. For a freed name, a put fails since
--- a/internal/store/manifest.go
+++ b/internal/store/manifest.go
@@ -169,25 +169,25 @@
 // absent, freed, corrupt, or belongs to another scope, generation or context.
 func (c *Client) GetManifest(ctx context.Context, scope block.Scope, generation Generation, tail block.Hash) (Manifest, error) {
 	name := ManifestName(scope, generation, tail)
-	content, _, err := c.get(ctx, name)
-	return decodeManifest(name, content, err)
+	resp, _, err := c.get(ctx, name)
+	return decodeManifest(name, resp, err)
 }
 
 // PeekManifest is like GetManifest, but does not count as a use of the export.
 func (c *Client) PeekManifest(ctx context.Context, scope block.Scope, generation Generation, tail block.Hash) (Manifest, error) {
 	name := ManifestName(scope, generation, tail)
 	resp, err := c.do(ctx, apiCall{method: http.MethodGet, path: objectPath(name) + "?peek=1", name: name})
-	return decodeManifest(name, resp.content, err)
+	return decodeManifest(name, resp, err)
 }
 
 // decodeManifest decodes and checks the content that was read under a name.
-func decodeManifest(name string, content []byte, err error) (Manifest, error) {
+func decodeManifest(name string, resp response, err error) (Manifest, error) {
 	if err != nil {
 		return Manifest{}, err
 	}
-	m, ok := decodeEnvelope(content)
+	m, ok := decodeEnvelope(resp.content)
 	if !ok {
-		return Manifest{}, &MissError{Name: name, Reason: MissCorrupt}
+		return Manifest{}, corruptError(name, resp)
 	}
 	if m.Name() != name {
 		return Manifest{}, &MissError{Name: name, Reason: MissWrongName}
@@ -218,14 +218,14 @@
 // or does not have the length and digest that the manifest lists.
 func (c *Client) GetBlock(ctx context.Context, m Manifest, b engineapi.ExportedBlock) ([]byte, error) {
 	name := m.blockName(b)
-	content, length, err := c.get(ctx, name)
+	resp, length, err := c.get(ctx, name)
 	if err != nil {
 		return nil, err
 	}
-	if length != b.Length || digestOf(content) != b.Digest {
-		return nil, &MissError{Name: name, Reason: MissCorrupt}
+	if length != b.Length || digestOf(resp.content) != b.Digest {
+		return nil, corruptError(name, resp)
 	}
-	return content, nil
+	return resp.content, nil
 }
 
 // UnreferencedBlocks returns the names of the blocks that no manifest in kept lists.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -224,7 +224,8 @@
 	})
 }
 
-// TestBrokenReadIsNoContent guards against a manifest or a block of which a part arrived and that counts as whole.
+// TestBrokenReadIsNoContent guards against a manifest or a block of which a part arrived and that counts as whole, or as corrupt in its
+// store, so that the directory forgets a sound copy.
 func TestBrokenReadIsNoContent(t *testing.T) {
 	ctx := testContext(t)
 	switches, client := start(t, standin.Options{MemoryBytes: 1 << 20, DiskBytes: 1 << 20}, 200*time.Millisecond)
@@ -236,12 +237,12 @@
 	for _, f := range []fault.Framing{fault.FramingLength, fault.FramingChunks, fault.FramingNone} {
 		for _, end := range []fault.End{fault.EndCut, fault.EndReset, fault.EndSilent} {
 			switches.Apply(fault.Command{Framing: &f, BreakAnswers: &one, BreakEnd: &end})
-			if _, err := client.GetManifest(ctx, m.Scope(), m.Generation, m.Tail()); err == nil {
-				t.Errorf("%s/%s: a part of a manifest counts as whole", f, end)
+			if _, err := client.GetManifest(ctx, m.Scope(), m.Generation, m.Tail()); !errors.Is(err, store.ErrUnavailable) {
+				t.Errorf("%s/%s: a part of a manifest: %v", f, end, err)
 			}
 			switches.Apply(fault.Command{BreakAnswers: &one})
-			if _, err := client.GetBlock(ctx, m, m.Blocks[0]); err == nil {
-				t.Errorf("%s/%s: a part of a block counts as whole", f, end)
+			if _, err := client.GetBlock(ctx, m, m.Blocks[0]); !errors.Is(err, store.ErrUnavailable) {
+				t.Errorf("%s/%s: a part of a block: %v", f, end, err)
 			}
 			if _, err := client.GetBlock(ctx, m, m.Blocks[0]); err != nil {
 				t.Errorf("%s/%s: the next read: %v", f, end, err)
