--- a/internal/standin/fault/answers.go
+++ b/internal/standin/fault/answers.go
@@ -101,18 +101,24 @@
 	_ = http.NewResponseController(w.ResponseWriter).Flush() // fails only if the caller has left
 }
 
-// decide chooses at the first byte of the body whether the answer breaks. Reads in JSON are the daemons' probes and polls, which would
-// use up the switch.
+// decide chooses at the first byte of the body whether the answer breaks.
 func (w *answerWriter) decide() {
 	if w.decided {
 		return
 	}
 	w.decided = true
-	if w.request.Method != http.MethodGet || w.mediaType() != "application/json" {
+	if !w.isProbe() {
 		w.end = w.switches.takeBrokenAnswer()
 	}
 }
 
+// isProbe reports whether this is the answer to a daemon's probe or poll, which would use up the switch: a read in JSON, or of a path
+// that the stand-in does not serve.
+func (w *answerWriter) isProbe() bool {
+	refused := w.status != 0 && w.status != http.StatusOK
+	return w.request.Method == http.MethodGet && (refused || w.mediaType() == "application/json")
+}
+
 func (w *answerWriter) mediaType() string {
 	mediaType, _, err := mime.ParseMediaType(w.Header().Get("Content-Type"))
 	if err != nil {
--- a/internal/standin/fault/answers_test.go
+++ b/internal/standin/fault/answers_test.go
@@ -23,6 +23,10 @@
 	t.Helper()
 	s := fault.New(fault.Options{})
 	server, err := fault.Serve("127.0.0.1:0", s, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/absent" {
+			http.NotFound(w, r)
+			return
+		}
 		if r.URL.Path != "/stream" {
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = io.WriteString(w, plainBody)
@@ -158,8 +162,10 @@
 	switches, server := serveAnswers(t)
 	one := 1
 	switches.Apply(fault.Command{BreakAnswers: &one})
-	if _, body, err := ask(t.Context(), t, server, http.MethodGet, "/body"); err != nil || body != plainBody {
-		t.Errorf("a probe got %q, %v", body, err)
+	for _, path := range []string{"/body", "/absent"} {
+		if _, body, err := ask(t.Context(), t, server, http.MethodGet, path); err != nil {
+			t.Errorf("a probe of %s got %q, %v", path, body, err)
+		}
 	}
 	if _, _, err := ask(t.Context(), t, server, http.MethodPost, "/body"); err == nil {
 		t.Error("the next answer did not break")
--- a/internal/standin/fault/switches.go
+++ b/internal/standin/fault/switches.go
@@ -46,7 +46,7 @@
 	Leaving          bool    `json:"leaving"`        // the load report says that the stand-in is leaving
 	Full             bool    `json:"full"`           // refuse new objects for lack of space
 	Framing          Framing `json:"framing"`        // what tells the end of each answer
-	BreakAnswers     int     `json:"break_answers"`  // number of next answers with a body that break off; not reads in JSON
+	BreakAnswers     int     `json:"break_answers"`  // number of next answers with a body that break off; not of probes
 	BreakEnd         End     `json:"break_end"`      // how these answers end
 	RefuseMillis     int64   `json:"refuse_ms"`      // duration of the last command to refuse connections
 	Blackholed       int     `json:"silenced_total"` // connections blackholed so far
--- a/scripts/cases/targets.sh
+++ b/scripts/cases/targets.sh
@@ -145,6 +145,23 @@
 	check "exactly the lost answers are in doubt" "$R_in_doubt" -eq 6
 }
 
+# Answers of engines and services break off, with a length, with chunks and with neither. Streams go on, the calls are in doubt, and no part
+# of an answer is framed as complete.
+case_answers_broken_off() {
+	start_cluster
+	load 30
+	at_fault
+	fault e1 '{"framing":"none","break_answers":20,"break_end":"cut"}'
+	fault e2 '{"framing":"chunks","break_answers":20,"break_end":"cut_inside"}'
+	fault e3 '{"framing":"none","break_answers":20,"break_end":"reset"}'
+	fault s1 '{"framing":"length","break_answers":3,"break_end":"cut"}'
+	fault s2 '{"framing":"none","break_answers":3,"break_end":"reset"}'
+	end_load
+	unnoticed
+	check "streams broke off" "$(metric streams_resumed)" -gt 0
+	check "exactly the broken answers are in doubt" "$R_in_doubt" -eq 6
+}
+
 # One request crashes every engine that runs it, and its caller sends it again and again
 # to all daemons. At most two engines fall; it is then refused everywhere as not run, and
 # the others' requests are answered.
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -11,7 +11,7 @@
 CASES="daemon_killed daemon_paused daemon_stopped
 	kv_down kv_slow kv_down_daemon_restarted kv_down_daemon_killed kv_answers_lost
 	engine_killed engine_silent engine_leaving vm_leaving answers_swapped_and_late
-	store_killed stores_full_and_slow service_answers_lost poison_request two_operators"
+	store_killed stores_full_and_slow service_answers_lost answers_broken_off poison_request two_operators"
 
 passed=0
 failed=0
