--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -354,3 +354,43 @@
 		}
 	}
 }
+
+// TestRepeatableCallGoesOnElsewhere guards against a repeatable call that ends in doubt although its service died at the end of the
+// answer and another instance has it whole; and against one that must run once and is repeated.
+func TestRepeatableCallGoesOnElsewhere(t *testing.T) {
+	for service, want := range map[string]int{"lookup": http.StatusOK, "cards": http.StatusBadGateway} {
+		died := startScripted(t, connectionFramed, endsDead, shortBody)
+		lives := startScripted(t, connectionFramed, endsWhole, shortBody)
+		entry, serving := newScriptedDaemons(t, died, false)
+		serving.second, serving.others = "lookup-1", lives.listener.Addr().String()
+		answer := postRaw(t, entry.Listener.Addr().String(), "HTTP/1.1", "/v1/services/"+service, "label")
+		body, err := io.ReadAll(answer.Body)
+		if err != nil || answer.StatusCode != want || want == http.StatusOK && string(body) != lives.body() {
+			t.Errorf("%s: got status %d, %d bytes, %v, want status %d", service, answer.StatusCode, len(body), err, want)
+		}
+	}
+}
+
+// TestAbandonedAnswerIsReset guards against a daemon that gives up on a slow caller, who takes the end of its connection for that of the
+// answer.
+func TestAbandonedAnswerIsReset(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, f := range []targetFraming{chunkFramed, connectionFramed} {
+			t.Run(fmt.Sprintf("%s/%s", protocol, f), func(t *testing.T) {
+				t.Parallel()
+				target := startScripted(t, f, endsWhole, slowBody)
+				serving := newTestEnv(newTables(t))
+				serving.target, serving.others = target.listener.Addr().String(), serving.startOther(t)
+				serving.serviceTimeout = scriptTimeout
+				g := serving.gateway(t)
+				g.opts.WriteTimeout = 100 * time.Millisecond
+				s := serveHandler(t, g.Handler())
+				answer := postRaw(t, s.Listener.Addr().String(), protocol, "/v1/services/cards", "label")
+				await(t, "the daemon to give up", func() bool { return g.InFlight() == 0 })
+				if body, err := io.ReadAll(answer.Body); err == nil {
+					t.Errorf("the answer ended in order after %d of %d bytes", len(body), slowBody)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -67,8 +67,9 @@
 	target     string         // address of the target
 	others     string         // address of all other targets; empty if it is that of the target
 
-	replay         *journal.Result // what the journal has of each call; nil if nothing
-	serviceTimeout time.Duration   // of a call; 0 for a short one
+	second         request.TargetID // the instance after the first one is excluded; empty for the first one again
+	replay         *journal.Result  // what the journal has of each call; nil if nothing
+	serviceTimeout time.Duration    // of a call; 0 for a short one
 }
 
 func newTables(t *testing.T) *table.Replica {
@@ -168,7 +169,10 @@
 
 func (e *testEnv) Version(context.Context, request.Model) (request.Version, bool) { return "", false }
 
-func (e *testEnv) RankInstances(context.Context, string, map[request.TargetID]bool) []table.Target {
+func (e *testEnv) RankInstances(_ context.Context, _ string, exclude map[request.TargetID]bool) []table.Target {
+	if e.second != "" && exclude["cards-1"] {
+		return []table.Target{{ID: e.second}}
+	}
 	return []table.Target{{ID: "cards-1"}}
 }
 
