--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -216,6 +216,7 @@
 	for _, forwarded := range []bool{false, true} {
 		for _, size := range []int{shortBody, longBody} {
 			t.Run(fmt.Sprintf("forwarded=%t/%d bytes", forwarded, size), func(t *testing.T) {
+				t.Parallel()
 				eachEnd(t, func(t *testing.T, f targetFraming, e targetEnd) {
 					target := startScripted(t, f, e, size)
 					entry, serving := newScriptedDaemons(t, target, forwarded)
@@ -263,6 +264,7 @@
 	for _, forwarded := range []bool{false, true} {
 		for _, streamed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("forwarded=%t/streamed=%t", forwarded, streamed), func(t *testing.T) {
+				t.Parallel()
 				eachEnd(t, func(t *testing.T, f targetFraming, e targetEnd) {
 					target := startScripted(t, f, e, shortBody)
 					entry, _ := newScriptedDaemons(t, target, forwarded)
