--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	n.Reporter = reporter
-	reporter.Placer = &placer.PromptPlacer{Eligibility: placer.Eligibility{Set: n.set}, Assigned: func(routing.ServiceID) []*replicas.Replica { return nil }, CacheSalt: func(uint64, *routing.Org) string { return "salt" }}
+	reporter.Placer = &placer.PromptPlacer{Eligibility: placer.Eligibility{Set: n.set}, Assigned: func(routing.ServiceID) []*replicas.Replica { return nil }, CacheSalt: func(request.Model, uint64, *routing.Org) string { return "salt" }}
 	return n
 }
 
--- a/internal/placer/borrowing.go
+++ b/internal/placer/borrowing.go
@@ -114,7 +114,7 @@
 	least := j.PromptTokens
 	for _, r := range at {
 		tokens, memory := j.PromptTokens, pp.memoryEstimates[r]
-		salt := pp.CacheSalt(r.WeightsVersion(j.Model), j.Org)
+		salt := pp.CacheSalt(j.Model, r.WeightsVersion(j.Model), j.Org)
 		for _, p := range j.Parts {
 			if memory != nil && memory.Contains(partKey(salt, p.ID)) {
 				tokens -= p.Tokens
--- a/internal/placer/borrowing_test.go
+++ b/internal/placer/borrowing_test.go
@@ -152,7 +152,7 @@
 	if f.placer.CanBorrow(j, nil) {
 		t.Fatal("a prompt of 9000 tokens takes room for 2000")
 	}
-	f.placer.announcePlacement(f.set.Get("eu-1"), j, testSalt(1, nil))
+	f.placer.announcePlacement(f.set.Get("eu-1"), j, testSalt(j.Model, 1, nil))
 	if !f.placer.CanBorrow(j, nil) {
 		t.Error("a prompt takes room for parts that are in the replica's memory")
 	}
--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -38,7 +38,7 @@
 		version := r.WeightsVersion(j.Model)
 		out[i] = pp.candidate(now, j, r)
 		out[i].ReservedForLongOutput = longOutput[r.Info().ID]
-		out[i].Parts = pp.partsAt(j, r, salt, pp.CacheSalt(version, j.Org) == salt, offers)
+		out[i].Parts = pp.partsAt(j, r, salt, pp.CacheSalt(j.Model, version, j.Org) == salt, offers)
 	}
 	return out
 }
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -81,10 +81,10 @@
 	Assigned      func(routing.ServiceID) []*replicas.Replica
 	Domain        string // failure domain of this daemon
 	OutdatedSince OutdatedSince
-	// CacheSalt returns under which salt a replica with a version of the weights keeps the KV cache of an organisation's request.
-	// org is nil if the request has none. The salt separates different weights and isolated organisations, and may change at
-	// any time.
-	CacheSalt func(weights uint64, org *routing.Org) string
+	// CacheSalt returns under which salt a replica with a version of a model's weights keeps the KV cache of an organisation's
+	// request. org is nil if the request has none. The salt separates models, different weights and isolated organisations,
+	// and may change at any time.
+	CacheSalt func(model request.Model, weights uint64, org *routing.Org) string
 	Stores    Stores
 	Lenders   Lenders                                                              // nil: only assigned replicas are used
 	OnPlaced  func(replica *replicas.Replica, parts []PlacedPart, otherTokens int) // notifies peers; nil: no notification
@@ -149,7 +149,7 @@
 
 // claimAndChoose claims transfers and chooses one of some replicas. It keeps no claims if it returns an error.
 func (pp *PromptPlacer) claimAndChoose(ctx context.Context, s search, usable []*replicas.Replica) (*choice, error) {
-	c := &choice{salt: pp.CacheSalt(newestVersion(usable, s.job.Model), s.job.Org)}
+	c := &choice{salt: pp.CacheSalt(s.job.Model, newestVersion(usable, s.job.Model), s.job.Org)}
 	c.offers, c.until = pp.claimTransfers(ctx, s.job, c.salt, usable)
 	var err error
 	if c.replica, c.candidate, err = pp.choose(s, usable, c.salt, c.offers); err != nil {
@@ -178,7 +178,7 @@
 func (pp *PromptPlacer) placeAt(ctx context.Context, s search, c *choice) *relay.Placement {
 	j, r, chosen := s.job, c.replica, c.candidate
 	version := r.WeightsVersion(j.Model)
-	ownSalt := pp.CacheSalt(version, j.Org)
+	ownSalt := pp.CacheSalt(j.Model, version, j.Org)
 	meta := relay.AttemptMeta{WeightsVersion: version, CacheSalt: ownSalt, Priority: min(maxPriority, j.Priority())}
 	if ownSalt != c.salt {
 		// During a rollout the chosen replica may serve other weights than the claims were made for, and an organisation may
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -86,7 +86,7 @@
 }
 
 // testSalt returns the salts of organisations none of which was isolated before.
-func testSalt(weights uint64, org *routing.Org) string {
+func testSalt(_ request.Model, weights uint64, org *routing.Org) string {
 	pools := cachepool.New(0, nil, &cachepool.Generations{})
 	switch {
 	case org == nil:
--- a/internal/policy/cachepool/cachepool.go
+++ b/internal/policy/cachepool/cachepool.go
@@ -140,3 +140,9 @@
 func OwnAnonymous(weights uint64) string { return prefix(weights) + ".anonymous" }
 
 func prefix(weights uint64) string { return "w" + strconv.FormatUint(weights, 10) }
+
+// ForModel returns the salt of a model's KV cache. Parts of prompts have the same names for each model, in context stores and in what is known
+// of replicas. The digest has a fixed length, so that it can't be taken for a part of another salt.
+func ForModel(salt string, model request.Model) string {
+	return fmt.Sprintf("%s.%016x", salt, xxhash.Sum64String(string(model)))
+}
--- a/internal/policy/cachepool/cachepool_test.go
+++ b/internal/policy/cachepool/cachepool_test.go
@@ -126,3 +126,18 @@
 		}
 	}
 }
+
+// TestModelsShareNoCache guards against a prompt that goes on from the cache of another model, whose parts have the same names.
+func TestModelsShareNoCache(t *testing.T) {
+	pools := New(2, nil, &Generations{})
+	seen := map[string]bool{}
+	for _, base := range []string{pools.Salt(1, "a"), pools.Salt(2, "a"), Own(1, "a"), Own(1, "a.b"), OwnAnonymous(1)} {
+		for _, model := range []request.Model{"m", "n", "m.n", ""} {
+			salt := ForModel(base, model)
+			if seen[salt] {
+				t.Errorf("salt %q of model %q is used twice", salt, model)
+			}
+			seen[salt] = true
+		}
+	}
+}
