A first era of the key-value service is any number

What was seen: after the first restore of a service whose Store-Era begins at 0, two daemons order the same replica within lease_ms (ONE).

Cause: era.go took 0 for "none reported" and the rise to 1 for the first report (maxInitialEra), so that RestoredAt stayed false and neither claims nor the first term of a holder waited. Ruled out: the waits themselves, which hold from era 1 to 2 (FIRST_ERA=1).

A process that starts knows from the guard key: the first conditional write of an era writes it, and it is marked as settled by the first claim later than a TTL and the longest order after that. Until then processes that start wait one TTL with claims. So the first claims in a new service wait too, once: it can't be told from a copy older than the first write.

Price: one write and one settling write an era; a daemon that starts with others in a new service sends one more call (a refused write, whose answer has the guard), one that writes conditionally after the settling two. State: one key.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,9 +39,13 @@
 	// Restored returns when this process detected that the key-value service was restored from a backup,
 	// which may lack the last writes, and whether a restore happened; nil: never.
 	Restored func() (at time.Time, ok bool)
-	Now      func() time.Time // nil: time.Now, whose times include a monotonic reading
-	Logger   hclog.Logger
-	Metrics  tally.Scope
+	// ConfirmEra is called before each claim and returns the lowest epoch of the key-value service's present
+	// era. It may detect a restore before this process started. It calls settled to learn whether claims from
+	// before a restore that was detected at a time are no longer valid. nil: the era is that of the session.
+	ConfirmEra func(ctx context.Context, settled func(detected time.Time) bool) (lowestEpoch uint64, err error)
+	Now        func() time.Time // nil: time.Now, whose times include a monotonic reading
+	Logger     hclog.Logger
+	Metrics    tally.Scope
 }
 
 // Manager holds the leases of one process. It is safe for concurrent use.
@@ -75,6 +79,9 @@
 	if opts.Restored == nil {
 		opts.Restored = func() (time.Time, bool) { return time.Time{}, false }
 	}
+	if opts.ConfirmEra == nil {
+		opts.ConfirmEra = func(context.Context, func(time.Time) bool) (uint64, error) { return 0, nil }
+	}
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
@@ -180,11 +187,15 @@
 	if err != nil {
 		return nil, err
 	}
+	lowestEpoch, err := m.opts.ConfirmEra(ctx, m.settled)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnavailable)
+	}
 	// The calls may have shown a restore that this process did not know of.
 	if err := m.checkRestoreWait(); err != nil {
 		return nil, err
 	}
-	return m.claim(ctx, name, s, current, revision, takeover)
+	return m.claim(ctx, name, s, max(lowestEpoch, s.minEpoch()), current, revision, takeover)
 }
 
 // checkRestoreWait refuses claims for one TTL after a restore of the key-value service. The backup may lack
@@ -212,6 +223,12 @@
 	return nil, ErrUnavailable
 }
 
+// settled reports whether claims from before a restore that was detected at a time are no longer valid, and the
+// orders under them have ended.
+func (m *Manager) settled(detected time.Time) bool {
+	return m.opts.Now().Sub(detected) >= m.opts.TTL+m.opts.WaitAfterTakeover
+}
+
 func (m *Manager) lookup(name string) *Lease {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -257,9 +274,9 @@
 	return ok
 }
 
-func (m *Manager) claim(ctx context.Context, name string, s *session, current record, revision platform.Revision, takeover bool) (*Lease, error) {
+func (m *Manager) claim(ctx context.Context, name string, s *session, lowestEpoch uint64, current record, revision platform.Revision, takeover bool) (*Lease, error) {
 	next := current.next(m.self(), s.id)
-	next.Epoch = max(next.Epoch, s.minEpoch())
+	next.Epoch = max(next.Epoch, lowestEpoch)
 	got, err := m.opts.KV.CompareAndSwap(ctx, recordPrefix+name, revision, next.encode(), "")
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
@@ -274,7 +291,7 @@
 		return nil, errors.Mark(errors.New("lease: the key-value service was restored between the start of the session and the claim"), ErrUnavailable)
 	}
 	l := &Lease{manager: m, name: name, epoch: next.Epoch, session: s, revision: got, done: make(chan struct{})}
-	recordLost := m.mayHaveLostRecord(s, current)
+	recordLost := m.mayHaveLostRecord(lowestEpoch, current)
 	if takeover || recordLost {
 		l.actAfter = m.opts.Now().Add(m.opts.WaitAfterTakeover)
 		l.expiredHolder = current.Holder
@@ -288,9 +305,9 @@
 // mayHaveLostRecord reports whether the key-value service may have lost the record of a later holder.
 // This is the case if the service was restored and no process has claimed the name since. The era of
 // the record is derived from its epoch, because restored entries have revisions of the new era.
-func (m *Manager) mayHaveLostRecord(s *session, r record) bool {
+func (m *Manager) mayHaveLostRecord(lowestEpoch uint64, r record) bool {
 	_, restored := m.opts.Restored()
-	return restored && r.Epoch < s.minEpoch()
+	return restored && r.Epoch < lowestEpoch
 }
 
 // addLease adds a lease to the held ones, unless its session ended during the claim.
