--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -294,7 +294,7 @@
 func reachesAny(ctx context.Context, some []*replicas.Replica) bool {
 	reached := make(chan bool, len(some))
 	for _, r := range some {
-		go func() { reached <- !r.IsDown(ctx, time.Time{}) }()
+		go func() { reached <- !r.IsDown(ctx, time.Time{}, time.Time{}) }()
 	}
 	for range some {
 		if <-reached {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -59,7 +59,7 @@
 // EndsWithConnection reports whether only the end of the connection told the end of the body of a response that an http.Transport
 // returned.
 func EndsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed && r.Request.Method != http.MethodHead
 }
 
 // End is called when the whole response was sent to the caller and flushed.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,7 +9,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/request"
-	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/target"
 )
 
@@ -82,10 +81,8 @@
 // diedAtEnd reports whether a target died at about the time at which its connection ended, so that the kernel may have ended it
 // before the end of the answer.
 func (g *Gateway) diedAtEnd(ctx context.Context, j *Job, client *target.Client) bool {
-	if sleep.For(ctx, framing.DeathDelay) != nil {
-		return false // the deadline has passed: nothing more is known
-	}
-	ctx, cancel := context.WithTimeout(ctx, framing.MaxEndCheck)
+	time.Sleep(framing.DeathDelay) // also past the call's deadline: a part of an answer would pass for a whole one
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), framing.MaxEndCheck)
 	defer cancel()
 	return g.hasNoListener(ctx, j, client)
 }
--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -396,3 +396,48 @@
 		}
 	}
 }
+
+// TestDeadlineDuringDeathCheckLeavesNoWholeAnswer guards against a part of an answer that passes for a whole one, and is kept in the journal,
+// because the call's deadline passes before it is known that its service died.
+func TestDeadlineDuringDeathCheckLeavesNoWholeAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha")
+		time.Sleep(285 * time.Millisecond)
+		_ = l.Close()
+		_ = c.Close()
+	}()
+	target := &scriptedTarget{listener: l}
+	entry, serving := newScriptedDaemons(t, target, false)
+	serving.serviceTimeout = scriptTimeout
+	c, err := net.Dial("tcp", entry.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "POST /v1/services/cards HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s: key-1\r\n%s: 300\r\nContent-Length: 5\r\n\r\nlabel", testKey, HeaderIdempotencyKey, HeaderDeadline)
+	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	time.Sleep(50 * time.Millisecond)
+	serving.mu.Lock()
+	defer serving.mu.Unlock()
+	if answer.StatusCode == 200 || serving.settled != "doubt" {
+		t.Errorf("status %d, %q, %v; the journal has %q", answer.StatusCode, body, err, serving.settled)
+	}
+}
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -58,11 +58,12 @@
 
 func (v verdict) String() string { return [...]string{"unreached", "lives", "died"}[v] }
 
-// verdictOn finds out whether a replica died at about the time at which its connection ended. Connections end for many reasons, so it
-// counts as dead only if it accepts no new connection, or if another one has its address.
+// verdictOn finds out whether a replica died at about the time at which its connection ended, framing.DeathDelay ago. Connections end for many
+// reasons, so it counts as dead only if it accepts no new connection, or if another one has its address. One that is no longer registered
+// may go on serving.
 func (s *Server) verdictOn(ctx context.Context, r *replicas.Replica, endedAt time.Time) verdict {
-	if !r.IsDown(ctx, endedAt) {
-		if s.o.Replaced != nil && s.o.Replaced(r) {
+	if !r.IsDown(ctx, endedAt, endedAt.Add(framing.DeathDelay)) {
+		if s.o.Succeeded != nil && s.o.Succeeded(r) {
 			return died
 		}
 		return lives
--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,16 +159,19 @@
 	}
 }
 
-func scriptedRoute() *routing.Route {
+// scriptedRoute returns a route whose timeout is short only where it is waited for.
+func (s scriptedAnswer) scriptedRoute() *routing.Route {
 	r := route(routing.KindOnce)
-	r.Timeout = replicaTimeout
+	if r.Timeout = 10 * time.Second; s.end == endsSilent {
+		r.Timeout = replicaTimeout
+	}
 	return r
 }
 
 // TestBrokenAnswerIsNotStatedComplete guards against a framing that states that an answer is complete although it broke off, or that nobody knows.
 func TestBrokenAnswerIsNotStatedComplete(t *testing.T) {
 	eachScriptedAnswer(t, func(t *testing.T, s scriptedAnswer) {
-		f := newFixture(t, scriptedRoute())
+		f := newFixture(t, s.scriptedRoute())
 		f.addScripted(s)
 		answer, body, err := f.call(http.MethodPost, "/x", nil)
 		s.check(t, answer, body, err)
@@ -177,7 +181,7 @@
 // TestBrokenForwardedAnswerIsNotStatedComplete guards against the same with another daemon between.
 func TestBrokenForwardedAnswerIsNotStatedComplete(t *testing.T) {
 	eachScriptedAnswer(t, func(t *testing.T, s scriptedAnswer) {
-		cut, peer, _ := newPair(t, scriptedRoute())
+		cut, peer, _ := newPair(t, s.scriptedRoute())
 		peer.addScripted(s)
 		answer, body, err := cut.call(http.MethodPost, "/x", nil)
 		s.check(t, answer, body, err)
@@ -299,7 +303,7 @@
 // TestOldCallerGetsWholeResponse guards against a connection that is reset after a whole response.
 func TestOldCallerGetsWholeResponse(t *testing.T) {
 	s := scriptedAnswer{framing: chunkFramed, end: endsWhole, kind: streamAnswer}
-	f := newFixture(t, scriptedRoute())
+	f := newFixture(t, s.scriptedRoute())
 	f.addScripted(s)
 	_, body := f.openResponse("HTTP/1.0")
 	rest, err := io.ReadAll(body)
@@ -336,9 +340,9 @@
 // TestUnknownEndIsPassedOnAsUnknown guards against a whole answer without a length that is withheld because this daemon lost the path to the
 // replicas just after its end.
 func TestUnknownEndIsPassedOnAsUnknown(t *testing.T) {
-	f := newFixture(t, scriptedRoute())
-	f.server.o.PathIsSound = func(context.Context, *replicas.Replica) bool { return false }
 	s := scriptedAnswer{framing: connectionFramed, end: endsDead, kind: bufferedAnswer}
+	f := newFixture(t, s.scriptedRoute())
+	f.server.o.PathIsSound = func(context.Context, *replicas.Replica) bool { return false }
 	f.addScripted(s)
 	answer, body, err := f.call(http.MethodPost, "/x", nil)
 	if err != nil || body != s.sent() || statesEnd(answer) {
@@ -349,7 +353,7 @@
 // TestVerdictOutlivesDeadline guards against a part of an answer that passes for the whole one because its deadline passes while its replica,
 // which died, is checked.
 func TestVerdictOutlivesDeadline(t *testing.T) {
-	f := newFixture(t, scriptedRoute())
+	f := newFixture(t, route(routing.KindOnce))
 	f.addUnreachableReplica()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -371,3 +375,59 @@
 		}
 	}
 }
+
+// TestProbeForAnotherRequestDoesNotVouch guards against a part of an answer that passes for a whole one because another request's probe succeeded
+// before the dying replica had closed its listener.
+func TestProbeForAnotherRequestDoesNotVouch(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		t.Run(fmt.Sprint("other request=", other), func(t *testing.T) {
+			f := newFixture(t, route(routing.KindIdempotent))
+			var l net.Listener
+			var mu sync.Mutex
+			n := 0
+			first := make(chan time.Time, 1)
+			l = f.addReplica(func(c net.Conn, id string) {
+				mu.Lock()
+				n++
+				k := n
+				mu.Unlock()
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nConnection: close\r\n\r\n", id)
+				if other && k == 1 {
+					first <- time.Now()
+					_, _ = io.WriteString(c, "whole")
+					return
+				}
+				at := time.Now()
+				if other {
+					at = <-first
+				}
+				_, _ = io.WriteString(c, "ha") // of "half"
+				time.Sleep(time.Until(at.Add(20 * time.Millisecond)))
+				c.Close()
+				time.Sleep(time.Until(at.Add(38 * time.Millisecond))) // 18 ms later the listener is closed
+				l.Close()
+			})
+			if other {
+				go func() { _, _, _ = f.call(http.MethodPost, "/x", nil) }()
+				time.Sleep(3 * time.Millisecond)
+			}
+			a, body, err := f.call(http.MethodPost, "/x", nil)
+			if err == nil && a.StatusCode == 200 {
+				t.Errorf("replica died 18 ms after the end; the caller got status 200, %q in order", body)
+			}
+		})
+	}
+}
+
+// TestReplicaWithoutEntryLives guards against sound answers that count as broken off, and accuse their requests, because the registry entry of
+// a replica that accepts connections is gone.
+func TestReplicaWithoutEntryLives(t *testing.T) {
+	for _, kind := range []answerKind{bufferedAnswer, longAnswer, streamAnswer} {
+		f := newFixture(t, route(routing.KindOnce))
+		f.server.o.Replaced = func(*replicas.Replica) bool { return true }
+		s := scriptedAnswer{framing: connectionFramed, end: endsWhole, kind: kind}
+		f.addScripted(s)
+		answer, body, err := f.call(http.MethodPost, "/x", nil)
+		s.check(t, answer, body, err)
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -69,6 +69,8 @@
 	CrashTracker CrashTracker
 	// Replaced reports whether a replica is no longer registered, or another one has its address; nil: none is.
 	Replaced func(r *replicas.Replica) bool
+	// Succeeded reports whether another replica is registered at a replica's address; nil: none is.
+	Succeeded func(r *replicas.Replica) bool
 	// PathIsSound reports whether this daemon reaches other replicas than one that it does not reach; nil: it always does.
 	PathIsSound func(ctx context.Context, unreached *replicas.Replica) bool
 	// Memory bounds what the daemon holds in memory for requests; the zero value does not.
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -65,13 +65,18 @@
 	}
 }
 
-// IsDown reports whether the replica accepts no connections, after a connection to it ended at some time. Many
-// requests call it at the same time; one probe serves all of them whose connections ended before it.
-func (r *Replica) IsDown(ctx context.Context, endedAt time.Time) bool {
+// IsDown reports whether the replica accepts no connections, after a connection to it ended at some time. A process that dies has closed its
+// listener by settledAt. Many requests call it at the same time; one probe serves all of them that it can tell about: one that failed, those
+// whose connections ended before it, and one that succeeded, those that had settled before it.
+func (r *Replica) IsDown(ctx context.Context, endedAt, settledAt time.Time) bool {
 	r.probeMu.Lock()
 	defer r.probeMu.Unlock()
 	now := time.Now()
-	if now.Sub(r.probedAt) < probeResultTTL && !r.probedAt.Before(endedAt) {
+	after := settledAt
+	if r.down {
+		after = endedAt
+	}
+	if now.Sub(r.probedAt) < probeResultTTL && !r.probedAt.Before(after) {
 		return r.down
 	}
 	down := r.Pool.Probe(ctx) != nil
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -231,14 +231,14 @@
 		<-dialing
 		cancel()
 	}()
-	if !r.IsDown(ctx, time.Time{}) {
+	if !r.IsDown(ctx, time.Time{}, time.Time{}) {
 		t.Error("a replica counts as reached although its probe was cancelled")
 	}
 	if r.Health.Down() {
 		t.Error("a cancelled probe is recorded as a death")
 	}
 	sound = true
-	if r.IsDown(t.Context(), time.Time{}) {
+	if r.IsDown(t.Context(), time.Time{}, time.Time{}) {
 		t.Error("the result of a cancelled probe is used for others")
 	}
 }
