replicas: a probe that its caller gives up tells nothing of the replica

Callers got 502 in doubt for sound answers without a length, at daemons that nothing disturbed. Cause: who asks whether a replica died probes up to three others at once and takes the first that is reached; the probes of the rest are then cancelled. IsDown recorded a cancelled probe as a replica that accepts no connections, for the 300 ms for which its result is used. An answer whose connection ended in order meanwhile then counted as broken off. Ruled out: a crash, a partition or a reset of that replica in the second before. Fix: such a probe is recorded nowhere, as Probe does it; who asked gets "down". No state, memory or calls are added.

--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -74,7 +74,11 @@
 	if now.Sub(r.probedAt) < probeResultTTL && !r.probedAt.Before(endedAt) {
 		return r.down
 	}
-	r.down, r.probedAt = r.Pool.Probe(ctx) != nil, now
+	down := r.Pool.Probe(ctx) != nil
+	if down && ctx.Err() != nil {
+		return true
+	}
+	r.down, r.probedAt = down, now
 	if r.down {
 		r.RecordUnreachable(now)
 	} else {
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -208,6 +208,41 @@
 	}
 }
 
+// TestCancelledProbeIsNoDeath guards against a sound replica that counts as down because who asked did not wait for its probe.
+func TestCancelledProbeIsNoDeath(t *testing.T) {
+	s := NewSet()
+	dialing := make(chan struct{}, 1)
+	sound := false
+	s.WrapDial(func(upstream.DialFunc) upstream.DialFunc {
+		return func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if sound {
+				here, there := net.Pipe()
+				return here, there.Close()
+			}
+			dialing <- struct{}{}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	})
+	s.Apply(time.Now(), Change{Present: []Info{info("alive")}})
+	r := s.Get("alive")
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-dialing
+		cancel()
+	}()
+	if !r.IsDown(ctx, time.Time{}) {
+		t.Error("a replica counts as reached although its probe was cancelled")
+	}
+	if r.Health.Down() {
+		t.Error("a cancelled probe is recorded as a death")
+	}
+	sound = true
+	if r.IsDown(t.Context(), time.Time{}) {
+		t.Error("the result of a cancelled probe is used for others")
+	}
+}
+
 // A replica gets an order to load weights and first waits for long outputs to end. It looks idle
 // meanwhile but refuses all requests. Before daemons shared refusals, one such replica refused 22
 // requests in 0.4 s. One refusal must suffice for all daemons, and must not shorten the longer busy time
