forwarding: replicas that died too don't hide the death of a replica

A part of an answer without a length can reach its caller as if the replica had ended it so. Cause: a replica that accepts no connections counts as dead only if one of three others, drawn at random, is reached. They may be known to be down, or be entries with the very address in question. If all three are down the path counts as lost, and the end as unknown. Half of the replicas dead: one time in eight. Evidence: TestDeadWitnessesDoNotHideDeath, both cases failed (half of 12 replicas dead; all but one of 12 known to be dead). Fix: replicas at the same address are not asked, those known to be down come last, and up to nine are asked, three at a time, until one is reached. While the path is lost that is at most six probes more for each replica that is asked about; IsDown serves all who ask within 300 ms by one. The own interface draws its three in the same way (target.PathIsSound); there it decides on blame and polls, not on the end of an answer.

--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -27,6 +27,7 @@
 	list     []*replicas.Replica
 	cut      atomic.Bool            // no replica is reached
 	dead     atomic.Pointer[string] // address of the replica that is not reached
+	died     atomic.Int64           // that many replicas, the first ones, are not reached
 }
 
 func newNetwork(t *testing.T, count int) *network {
@@ -35,7 +36,11 @@
 	n.dead.Store(new(string))
 	n.set.WrapDial(func(upstream.DialFunc) upstream.DialFunc {
 		return func(_ context.Context, _, address string) (net.Conn, error) {
-			if n.cut.Load() || *n.dead.Load() == address {
+			var number int64
+			if _, err := fmt.Sscanf(address, "10.0.0.%d:1", &number); err != nil {
+				return nil, err
+			}
+			if n.cut.Load() || *n.dead.Load() == address || number < n.died.Load() {
 				return nil, syscall.ECONNREFUSED
 			}
 			here, there := net.Pipe()
@@ -114,6 +119,33 @@
 	}
 }
 
+// TestDeadWitnessesDoNotHideDeath guards against a replica's death that counts as a lost path because the replicas that are asked died, too.
+func TestDeadWitnessesDoNotHideDeath(t *testing.T) {
+	for _, tc := range []struct {
+		name                 string
+		replicas, dead, asks int
+		known                bool // the deaths are known before
+	}{
+		{"half died just now", 12, 6, 1, false},
+		{"all but one are known to be dead", 12, 11, 20, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for range 20 {
+				n := newNetwork(t, tc.replicas)
+				n.died.Store(int64(tc.dead))
+				if tc.known {
+					n.probeAll(t)
+				}
+				for range tc.asks {
+					if !n.observer.PathIsSound(t.Context(), n.list[0]) {
+						t.Fatal("the path counts as lost although a replica is reached")
+					}
+				}
+			}
+		})
+	}
+}
+
 // A daemon that serves nobody must still find out that its path is back, with a bounded number of probes.
 func TestProbesAreBoundedAndFindThePath(t *testing.T) {
 	n := newNetwork(t, 50)
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -26,8 +26,10 @@
 	probeInterval = 250 * time.Millisecond
 	// maxProbes bounds the replicas that are probed at once.
 	maxProbes = 4
-	// maxWitnesses bounds the replicas that are probed to tell a replica's death from the loss of the path to it.
-	maxWitnesses = 3
+	// maxWitnesses bounds the replicas that are probed to tell a replica's death from the loss of the path to it: many may die at
+	// once. witnessesAtOnce of them are probed at the same time.
+	maxWitnesses    = 9
+	witnessesAtOnce = 3
 )
 
 // ObserverOptions configures an Observer.
@@ -257,21 +259,44 @@
 // PathIsSound reports whether this daemon reaches another replica than one that it does not reach. It probes some. Without
 // other replicas the path counts as sound.
 func (o *Observer) PathIsSound(ctx context.Context, unreached *replicas.Replica) bool {
-	var others []*replicas.Replica
+	witnesses := o.witnesses(unreached)
+	for some := range slices.Chunk(witnesses, witnessesAtOnce) {
+		if ctx.Err() == nil && reachesAny(ctx, some) {
+			return true
+		}
+	}
+	return len(witnesses) == 0
+}
+
+// witnesses returns a random choice of the replicas at other addresses than that of unreached. Those that are known to accept no
+// connections come last.
+func (o *Observer) witnesses(unreached *replicas.Replica) []*replicas.Replica {
+	var up, down []*replicas.Replica
 	for _, list := range o.o.Known() {
-		others = append(others, list...)
+		for _, r := range list {
+			switch {
+			case r.Info().Address == unreached.Info().Address:
+			case r.Health.Down():
+				down = append(down, r)
+			default:
+				up = append(up, r)
+			}
+		}
 	}
-	others = slices.DeleteFunc(others, func(r *replicas.Replica) bool { return r == unreached })
-	if len(others) == 0 {
-		return true
+	for _, list := range [][]*replicas.Replica{up, down} {
+		rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	}
-	rand.Shuffle(len(others), func(i, k int) { others[i], others[k] = others[k], others[i] })
-	others = others[:min(maxWitnesses, len(others))]
-	reached := make(chan bool, len(others))
-	for _, r := range others {
+	all := append(up, down...)
+	return all[:min(maxWitnesses, len(all))]
+}
+
+// reachesAny probes replicas at the same time and reports whether one of them accepts connections.
+func reachesAny(ctx context.Context, some []*replicas.Replica) bool {
+	reached := make(chan bool, len(some))
+	for _, r := range some {
 		go func() { reached <- !r.IsDown(ctx, time.Time{}) }()
 	}
-	for range others {
+	for range some {
 		if <-reached {
 			return true
 		}
