relay: the verdict on a replica outlives its request and a stall of the process

A part of an answer without a length reached its caller as if the replica had ended it so, at daemons that were frozen as the replica died. Cause: the check whether a replica died had 300 ms from the end of the connection, of which 30 ms pass before the probe. A process that was frozen in these found its time over when it went on, before any probe: verdict unreached, which passes the end on as unknown. The deadline of the request, or its caller's leaving, ended the check in the same way. Evidence: TestVerdictOutlivesDeadline failed. Fix: the time of the check begins with the probe, and does not end with the request. A response's end is held back for at most 300 ms as before, now also past its deadline. No state, memory or calls are added.

--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -118,16 +118,16 @@
 	return died
 }
 
-// awaitVerdict returns the verdict on a replica whose connection has just ended in order.
+// awaitVerdict returns the verdict on a replica whose connection has just ended in order. It does not end with the request: without
+// a verdict a broken response would pass for a whole one. The time of the check begins with it, so that a process that stalls before still
+// makes it.
 func (s *Server) awaitVerdict(ctx context.Context, r *replicas.Replica) verdict {
-	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
-	defer cancel()
 	endedAt := time.Now()
+	time.Sleep(crashCheckDelay)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxEndCheck-crashCheckDelay)
+	defer cancel()
 	result := make(chan verdict, 1)
-	go func() {
-		time.Sleep(crashCheckDelay)
-		result <- s.verdictOn(ctx, r, endedAt)
-	}()
+	go func() { result <- s.verdictOn(ctx, r, endedAt) }()
 	select {
 	case v := <-result:
 		return v
--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -346,6 +346,18 @@
 	}
 }
 
+// TestVerdictOutlivesDeadline guards against a part of an answer that passes for the whole one because its deadline passes while its replica,
+// which died, is checked.
+func TestVerdictOutlivesDeadline(t *testing.T) {
+	f := newFixture(t, scriptedRoute())
+	f.addUnreachableReplica()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if got := f.server.awaitVerdict(ctx, f.placer.replicas[0]); got != died {
+		t.Errorf("the verdict is %s, want %s", got, died)
+	}
+}
+
 // TestHeadKeepsLengthOfReplica guards against a response to HEAD whose length is that of the body that it does not have.
 func TestHeadKeepsLengthOfReplica(t *testing.T) {
 	for head, want := range map[string]int64{"Content-Length: 77\r\n": 77, "": -1} {
