relay: a stream goes on only at a process whose software version is confirmed

Cause: the version that binds a stream was taken from the last registry entry of the replica's id, however old: for the replica that began the stream and for the one at which it goes on; broken connections said nothing of it, and ObserveStart kept the version of the process before. Ruled out: the outage alone (a late entry breaks the rule too); the resumption alone (records of origins named the wrong version); a report on another connection before the request (the replica may restart in between); an entry with the same born (it may be older than the restart). Fix: a connection leads to one process while it is open. A stream that goes on is sent over a connection on which a report said the born of the entry, or that was opened while such a one was open (TCP_INFO, so that an end that nobody has read counts). New streams ask only at a replica in doubt: after connections that broke or were refused, a peer's report, an expired or unreadable entry, a stall, a new incarnation, or while the registry is not current. One that began unasked and ends early is verified then. Otherwise its version is unknown: recorded as such at once, also where one version is known, not told to a daemon that forwarded the request, and the stream doesn't go on. A replica whose restart an answer reveals has no version until its entry; peers are told. An entry without born at an id that never had it: the id is one process, as before (the replicas of the users' sites are so); one log line, counted. After one with born it names no process. Entries after a change of version with the same born were ignored as late; they count now.

Adds: a report (a probe's price, one round trip) for each stream that goes on over a connection that is not verified, about two of each daemon that uses a replica after a restart, at most one for each new stream at replicas with born in an outage; none at rest. No call to the key-value service.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -196,9 +196,14 @@
 	return v.View(now, keep, current && complete)
 }
 
-// Began implements relay.Origins.
-func (e *Exchange) Began(s relay.StreamID, software string) {
-	now, record := time.Now(), origin.Record{Key: keyOf(s), Software: software}
+// Began implements relay.Origins. A version that is not known is recorded as such, also while this daemon knows of one alone:
+// without a record the stream would go on at that one.
+func (e *Exchange) Began(s relay.StreamID, software relay.SoftwareBinding) {
+	now, record := time.Now(), origin.Record{Key: keyOf(s), Software: software.Version}
+	if !software.Bound {
+		record.Software = origin.UnknownSoftware
+		e.o.Metrics.Counter("streams_of_unknown_software").Inc(1)
+	}
 	current, keep := e.o.Current(), e.o.Keep()
 	e.mu.Lock()
 	if e.began[s.Service] == nil {
@@ -208,7 +213,7 @@
 	e.began[s.Service].Add(now, record)
 	sole := e.view(now, s.Service, current, keep).Certainty == origin.Sole
 	e.mu.Unlock()
-	if !sole {
+	if !sole || !software.Bound {
 		e.sendAll([]origin.Record{record})
 	}
 }
--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -147,7 +147,7 @@
 	first := g.members[0]
 	const streams = 20
 	for n := range streams {
-		first.Began(stream(n), fmt.Sprint("v", n%2+1))
+		first.Began(stream(n), relay.BoundTo(fmt.Sprint("v", n%2+1)))
 	}
 	g.kill(first)
 	for n := range streams {
@@ -162,7 +162,7 @@
 // TestStreamsOfOneVersionNeedNoRecord guards against traffic between daemons at rest, and against streams that end although there is one version alone.
 func TestStreamsOfOneVersionNeedNoRecord(t *testing.T) {
 	g := newGroup(t, 4)
-	g.members[0].Began(stream(1), "v1")
+	g.members[0].Began(stream(1), relay.BoundTo("v1"))
 	for _, m := range g.members {
 		if n := m.records.Len(); n != 0 {
 			t.Errorf("%s keeps %d records", m.name, n)
@@ -179,7 +179,7 @@
 // TestRunningStreamsAreRecordedWhenSecondVersionAppears guards against streams that began before and are taken up after a second version appears.
 func TestRunningStreamsAreRecordedWhenSecondVersionAppears(t *testing.T) {
 	g := newGroup(t, 4)
-	g.members[0].Began(stream(1), "v1")
+	g.members[0].Began(stream(1), relay.BoundTo("v1"))
 	g.appear("v2")
 	g.kill(g.members[0])
 	g.mustGoOn(g.members[1], 1, "v1")
@@ -193,11 +193,11 @@
 	for _, m := range g.members[:3] {
 		m.OnSoftware(service, "v2", true)
 	}
-	g.members[0].Began(stream(1), "v2")
+	g.members[0].Began(stream(1), relay.BoundTo("v2"))
 	g.mustGoOn(stale, 1, "v2")
 	g.mustEnd(stale, 2)
 	stale.current.Store(false)
-	stale.Began(stream(3), "v1")
+	stale.Began(stream(3), relay.BoundTo("v1"))
 	g.kill(stale)
 	g.mustGoOn(g.members[0], 3, "v1")
 }
@@ -206,7 +206,7 @@
 func TestVersionWithoutReplicasIsRemembered(t *testing.T) {
 	g := newGroup(t, 3)
 	g.appear("v2")
-	g.members[0].Began(stream(1), "v1")
+	g.members[0].Began(stream(1), relay.BoundTo("v1"))
 	for _, m := range g.members {
 		m.OnSoftware(service, "v1", false)
 	}
@@ -223,7 +223,7 @@
 		m.OnListed(time.Now())
 	}
 	g.mustEnd(g.members[0], 1)
-	g.members[0].Began(stream(2), "v2")
+	g.members[0].Began(stream(2), relay.BoundTo("v2"))
 	g.kill(g.members[0])
 	g.mustGoOn(g.members[1], 2, "v2")
 }
@@ -234,7 +234,7 @@
 	g.appear("v2")
 	const streams = 10
 	for n := range streams {
-		g.members[0].Began(stream(n), "v1")
+		g.members[0].Began(stream(n), relay.BoundTo("v1"))
 	}
 	for len(g.members) > 2 {
 		stopping := g.members[0]
@@ -274,7 +274,7 @@
 	asking.o.Params.MaxLookups = 20
 	const streams = 200
 	for n := range streams {
-		g.members[1].Began(stream(n), "v1")
+		g.members[1].Began(stream(n), relay.BoundTo("v1"))
 	}
 	hold := make(chan struct{})
 	for _, m := range g.members[1:] {
@@ -334,3 +334,17 @@
 		}
 	}
 }
+
+// TestStreamOfUnknownVersionEnds guards against a stream that another process than that of its replica's entry began, and that goes on
+// because the list of replicas names one version.
+func TestStreamOfUnknownVersionEnds(t *testing.T) {
+	g := newGroup(t, 5)
+	g.members[0].Began(stream(1), relay.SoftwareBinding{})
+	g.members[0].Began(stream(2), relay.BoundTo("v1"))
+	for _, m := range g.members {
+		g.mustEnd(m, 1)
+		g.mustGoOn(m, 2, "v1")
+	}
+	g.kill(g.members[0])
+	g.mustEnd(g.members[1], 1)
+}
--- a/internal/origins/schedule_test.go
+++ b/internal/origins/schedule_test.go
@@ -21,10 +21,11 @@
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
 )
 
 // A schedule runs exchanges in virtual time while versions come and go and daemons are killed, alone or all at once, cut off
-// from the key-value service or from each other. Callers take streams up at random daemons.
+// from the key-value service or from each other, and while replicas restart under their ids with another version. Callers take streams up at random daemons.
 const (
 	scheduleSeeds     = 8 // SCHEDULE_SEEDS runs more
 	stepsPerFault     = 20
@@ -40,6 +41,8 @@
 	maxPropagation    = 20 * time.Millisecond
 	datagramLoss      = 0.03
 	versionFaultShare = 0.5 // share of the faults that change which versions have replicas
+	stepsPerRestart   = 40
+	maxEntryDelay     = 1200 * time.Millisecond // from the restart of a replica under its id to its entry
 )
 
 // errUnreachable is the error of a call to a daemon that is dead or cut off.
@@ -63,11 +66,15 @@
 	mu      sync.Mutex // guards all below, and the daemons' fields
 	daemons []*scheduledDaemon
 	present map[string]bool // versions that have replicas
-	entry   platform.Entry  // in the key-value service
-	streams int
-	wentOn  int
-	refused int
-	wrong   []string
+	// unlisted counts the replicas of a version that restarted under their ids, and whose entries are of the processes before.
+	unlisted map[string]int
+	restarts *rand.Rand
+	unknown  int            // streams that began at such a replica
+	entry    platform.Entry // in the key-value service
+	streams  int
+	wentOn   int
+	refused  int
+	wrong    []string
 }
 
 // TestSchedulesOfVersions guards against streams that go on at another version, whatever fails meanwhile.
@@ -85,7 +92,8 @@
 
 func runSchedule(t *testing.T, seed uint64) {
 	ctx, cancel := context.WithCancel(t.Context())
-	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, present: map[string]bool{"v1": true}}
+	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, present: map[string]bool{"v1": true},
+		unlisted: map[string]int{}, restarts: rand.New(rand.NewPCG(seed, 8))}
 	for i := range scheduleDaemons {
 		s.daemons = append(s.daemons, &scheduledDaemon{name: fmt.Sprint("vm", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)})
 	}
@@ -103,7 +111,7 @@
 	time.Sleep(maxReturn + maxFault)
 	cancel()
 	synctest.Wait()
-	t.Logf("seed %d: %d streams, %d of %d went on", seed, s.streams, s.wentOn, s.wentOn+s.refused)
+	t.Logf("seed %d: %d streams, %d of unknown versions, %d of %d went on", seed, s.streams, s.unknown, s.wentOn, s.wentOn+s.refused)
 	for _, wrong := range s.wrong {
 		t.Errorf("seed %d: %s", seed, wrong)
 	}
@@ -205,24 +213,34 @@
 	i := s.random.IntN(len(s.daemons))
 	d, e := s.daemons[i], s.daemons[i].Exchange
 	software := fmt.Sprint("v", 1+s.random.IntN(scheduleVersions))
-	serves := d.alive && d.view[software] && s.present[software]
+	known := d.alive && d.view[software] && s.present[software]
+	unknown := d.alive && !known && s.unlisted[software] > 0
+	serves := known || unknown
 	n := s.streams
 	returns := s.random.IntN(2) == 0
 	after := time.Duration(s.random.Int64N(int64(maxReturn)))
 	if serves {
 		s.streams++
 	}
+	if unknown {
+		s.unknown++
+	}
 	s.mu.Unlock()
 	if !serves {
 		return
 	}
-	e.Began(stream(n), software)
+	binding := relay.SoftwareBinding{}
+	if known {
+		binding = relay.BoundTo(software)
+	}
+	e.Began(stream(n), binding)
 	if returns {
-		go s.takeUp(n, software, after)
+		go s.takeUp(n, software, known, after)
 	}
 }
 
-func (s *schedule) takeUp(n int, began string, after time.Duration) {
+// takeUp lets a caller take a stream up. A stream of a process that its daemon didn't know can't go on.
+func (s *schedule) takeUp(n int, began string, known bool, after time.Duration) {
 	time.Sleep(after)
 	s.mu.Lock()
 	d := s.daemons[s.random.IntN(len(s.daemons))]
@@ -235,6 +253,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case err != nil && !known:
 	case err != nil:
 		s.refused++
 	case got != began:
@@ -248,6 +267,7 @@
 func (s *schedule) mayInjectFault() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.mayRestartReplica()
 	if s.random.IntN(stepsPerFault) != 0 {
 		return
 	}
@@ -281,6 +301,22 @@
 	}
 }
 
+// mayRestartReplica lets a replica restart under its id with another version, in one of stepsPerRestart steps. Its entry is late.
+func (s *schedule) mayRestartReplica() {
+	if s.restarts.IntN(stepsPerRestart) != 0 {
+		return
+	}
+	software := fmt.Sprint("v", 1+s.restarts.IntN(scheduleVersions))
+	s.unlisted[software]++
+	time.AfterFunc(time.Duration(s.restarts.Int64N(int64(maxEntryDelay))), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.unlisted[software]--
+		s.present[software] = true
+		s.propagate()
+	})
+}
+
 // changeVersions gives a version replicas, or takes its last one away.
 func (s *schedule) changeVersions() {
 	software := fmt.Sprint("v", 1+s.random.IntN(scheduleVersions))
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -48,6 +48,7 @@
 const (
 	ReasonRecorded Reason = "recorded" // a record names the version
 	ReasonSole     Reason = "sole"     // there is no record, and no other version
+	ReasonUnknown  Reason = "unknown"  // a record says that the version was not known
 	ReasonConflict Reason = "conflict" // records contradict each other
 	ReasonSeveral  Reason = "several"  // there is no record, and several versions
 	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
@@ -66,6 +67,8 @@
 	switch {
 	case conflict:
 		return Verdict{Reason: ReasonConflict}
+	case found != nil && found.Software == UnknownSoftware:
+		return Verdict{Reason: ReasonUnknown}
 	case found != nil:
 		return Verdict{GoesOn: true, Software: found.Software, Reason: ReasonRecorded}
 	}
--- a/internal/policy/origin/records.go
+++ b/internal/policy/origin/records.go
@@ -21,6 +21,10 @@
 	return Key(d.Sum64())
 }
 
+// UnknownSoftware stands in a record for a version that was not known: the replica's process may have been another one than
+// that of its entry. Such a stream doesn't go on.
+const UnknownSoftware = "\x00"
+
 // Record says at which version a stream began.
 type Record struct {
 	Key      Key
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -30,6 +30,7 @@
 		return true
 	}
 	a.err = err
+	defer s.verifyOrigin(context.WithoutCancel(ctx), j, out, a)
 	if errors.Is(err, errCallerDisconnected) || ctx.Err() != nil {
 		a.outcome = cancelled
 		return false
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -106,6 +106,7 @@
 func (a *attempt) recordFailure() {
 	if a.peer == nil {
 		a.placement.Replica.Health.RecordFailure(time.Now())
+		a.placement.Replica.Pool.Doubt()
 	}
 }
 
@@ -132,6 +133,7 @@
 		Method: j.Method, URI: j.URI, Host: j.Host, Body: j.Body,
 		Header:  s.o.Dialect.AttemptHeader(j.Header, p.Meta),
 		Matches: func(h http.Header) bool { return s.o.Dialect.ParseResponse(0, h).ID == string(j.ID) },
+		Confirm: j.confirmation(p.Replica),
 	})
 	if a.err != nil {
 		a.outcome = s.classifyError(ctx, p, a.err)
@@ -156,6 +158,9 @@
 	case errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil:
 		p.Replica.Health.RecordAbandoned()
 		return notSent
+	case errors.Is(err, upstream.ErrUnconfirmed):
+		p.Replica.Health.RecordAbandoned()
+		return notSent
 	case errors.Is(err, upstream.ErrUnreachable):
 		p.Replica.RecordUnreachable(time.Now())
 		return notSent
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -6,6 +6,9 @@
 	"net/url"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/replicas"
+	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
 
 // streamID returns the identity of the stream that the request begins or resumes.
@@ -38,15 +41,44 @@
 // recordOrigin records where a stream begins, or was resumed, unless the daemon that chose the replica does.
 func (s *Server) recordOrigin(j *Job, out *sink, a *attempt) {
 	if s.o.Origins != nil && a.peer == nil && j.Route.HasResumableStreams() {
-		s.o.Origins.Began(j.streamID(), out.software.Version)
+		s.o.Origins.Began(j.streamID(), out.software)
+	}
+}
+
+// confirmation returns how the attempt finds out which process of the replica it reaches; nil: the request goes to any. A stream
+// that goes on must reach a process of its version. One that begins reaches any, and the version at which it may go on is recorded.
+func (j *Job) confirmation(r *replicas.Replica) *upstream.Confirmation {
+	if !j.Software.Bound && !j.Route.HasResumableStreams() {
+		return nil
+	}
+	// A daemon that forwarded the request is told the version with the first event, and nothing later.
+	assume := !j.Software.Bound && j.received == nil
+	return r.Confirmation(j.Software.Bound, assume)
+}
+
+// verifyOrigin verifies at which version a stream began, once its first attempt has ended early. Until then it was assumed that the
+// replica had not restarted unnoticed. The stream goes on nowhere if it had.
+func (s *Server) verifyOrigin(ctx context.Context, j *Job, out *sink, a *attempt) {
+	if a.peer != nil || j.Software.Bound || !out.software.Bound || !j.Route.HasResumableStreams() {
+		return
+	}
+	a.cancel() // the replica stops meanwhile
+	if a.placement.Replica.Verify(ctx, a.response) {
+		return
 	}
+	out.software = SoftwareBinding{}
+	s.recordOrigin(j, out, a)
 }
 
-// servedBy returns the version of the software of the replica that answers the attempt; unbound if the daemon that chose it
-// does not say.
+// servedBy returns the version of the software of the process that answers the attempt; unbound if it is not known, or the
+// daemon that chose the replica does not say.
 func (a *attempt) servedBy() SoftwareBinding {
 	if a.peer == nil {
-		return BoundTo(a.software())
+		version, known := a.placement.Replica.SoftwareOf(a.response)
+		if !known {
+			return SoftwareBinding{}
+		}
+		return BoundTo(version)
 	}
 	b, err := parseSoftware(a.response.Header)
 	if err != nil {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -11,9 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
+	"github.com/bluebellscale/bluebellscale/internal/upstream"
 )
 
 // addVersionedReplica adds a replica that runs a version of its software and sends events from the one after Last on. It breaks
@@ -44,10 +47,10 @@
 // fakeOrigins knows where some streams began.
 type fakeOrigins struct {
 	known map[StreamID]string
-	begun map[StreamID]string
+	begun map[StreamID]SoftwareBinding
 }
 
-func (o *fakeOrigins) Began(s StreamID, software string) { o.begun[s] = software }
+func (o *fakeOrigins) Began(s StreamID, software SoftwareBinding) { o.begun[s] = software }
 
 func (o *fakeOrigins) Find(_ context.Context, s StreamID) (string, error) {
 	software, ok := o.known[s]
@@ -114,13 +117,13 @@
 	f.addVersionedReplica("v1", 1)
 	f.addVersionedReplica("v1", 0)
 	known := StreamID{Service: "s", Org: "org", Request: "0"}
-	origins := &fakeOrigins{known: map[StreamID]string{known: "v1"}, begun: map[StreamID]string{}}
+	origins := &fakeOrigins{known: map[StreamID]string{known: "v1"}, begun: map[StreamID]SoftwareBinding{}}
 	f.server.o.Origins = origins
 	_, body, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, "Resumes": {"0"}})
 	if err != nil || body != "id: 2\ndata: v1\n\nid: 3\ndata: v1\n\n" {
 		t.Errorf("got %q, %v", body, err)
 	}
-	if origins.begun[known] != "v1" {
+	if origins.begun[known] != BoundTo("v1") {
 		t.Errorf("recorded %v, want the stream's record renewed", origins.begun)
 	}
 	resp, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"2"}, "Last": {"1"}, "Resumes": {"unknown"}})
@@ -136,7 +139,7 @@
 func TestCallersCannotNameVersion(t *testing.T) {
 	f := newFixture(t, resumableRoute())
 	f.addVersionedReplica("v1", 0)
-	f.server.o.Origins = &fakeOrigins{begun: map[StreamID]string{}}
+	f.server.o.Origins = &fakeOrigins{begun: map[StreamID]SoftwareBinding{}}
 	resp, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, headerSoftware: {"v1"}})
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("%+v, %v", resp, err)
@@ -149,3 +152,98 @@
 		t.Errorf("a wrong header between daemons: %d %s", w.Code, w.Body)
 	}
 }
+
+// errOtherProcess is the error of a confirmation in these tests.
+var errOtherProcess = errors.New("another process")
+
+// doubtProcesses lets all processes of the replicas that are added from now on be other ones than those of their entries.
+func (f *fixture) doubtProcesses() {
+	confirm := func(*replicas.Replica) *upstream.Confirmation {
+		return &upstream.Confirmation{
+			Timeout: time.Second, Report: &upstream.Request{Method: http.MethodGet, URI: "/report", Header: http.Header{"Id": {"report"}}},
+			Check: func(int, []byte) error { return errOtherProcess },
+		}
+	}
+	f.set.ConfirmWith(confirm, func() bool { return false })
+}
+
+// addReportingReplica adds a replica that reports and sends a stream of events on one connection, and breaks it off after some.
+func (f *fixture) addReportingReplica(events int) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.URL.Path == "/report" {
+			return
+		}
+		f.mu.Lock()
+		f.arrivals = append(f.arrivals, arrival{id: r.Header.Get("Id"), lastEventID: r.Header.Get("Last")})
+		f.mu.Unlock()
+		w.Header().Set("Signed", "x")
+		w.Header().Set("Content-Type", streamType)
+		for n := range events {
+			fmt.Fprintf(w, "id: %d\ndata: v1\n\n", n+1)
+		}
+		_ = http.NewResponseController(w).Flush() // the test sees what arrived
+		panic(http.ErrAbortHandler)
+	}))
+	server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	f.t.Cleanup(server.Close)
+	f.register(l)
+}
+
+// TestStreamOfUnknownProcessDoesNotGoOn guards against a stream that goes on although the process that began it may be of another version
+// than its replica's entry, and against a record of that version.
+func TestStreamOfUnknownProcessDoesNotGoOn(t *testing.T) {
+	f := newFixture(t, resumableRoute())
+	f.doubtProcesses()
+	f.addReportingReplica(1)
+	f.addReportingReplica(1)
+	origins := &fakeOrigins{begun: map[StreamID]SoftwareBinding{}}
+	f.server.o.Origins = origins
+	if _, body, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}}); err == nil || body != "id: 1\ndata: v1\n\n" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if software, recorded := origins.begun[StreamID{Service: "s", Org: "org", Request: "1"}]; !recorded || software.Bound {
+		t.Errorf("recorded %v, %v", software, recorded)
+	}
+}
+
+// TestTakenUpStreamReachesNoOtherProcess guards against a stream that is taken up and goes on at a process that is not that of an entry.
+func TestTakenUpStreamReachesNoOtherProcess(t *testing.T) {
+	f := newFixture(t, resumableRoute())
+	f.doubtProcesses()
+	f.addReportingReplica(1)
+	stream := StreamID{Service: "s", Org: "org", Request: "0"}
+	f.server.o.Origins = &fakeOrigins{known: map[StreamID]string{stream: ""}, begun: map[StreamID]SoftwareBinding{}}
+	resp, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, "Resumes": {"0"}})
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %+v, %v", resp, err)
+	}
+	if got := f.received(); len(got) != 0 {
+		t.Errorf("the stream reached the replica: %+v", got)
+	}
+}
+
+// TestForwardedStreamOfUnknownProcessDoesNotGoOn guards against a daemon that passes the version of a replica's entry on as that of its process.
+func TestForwardedStreamOfUnknownProcessDoesNotGoOn(t *testing.T) {
+	cut, first, peers := newPair(t, resumableRoute())
+	first.doubtProcesses()
+	first.addReportingReplica(1)
+	first.server.o.MaxReceived = 10
+	second := newFixture(t, resumableRoute())
+	second.server.o.MaxReceived = 10
+	second.addVersionedReplica("v1", 0)
+	peers.add(t, second.listenForPeers())
+	if _, body, err := cut.call(http.MethodPost, "/x", http.Header{"Id": {"1"}}); err == nil || body != "id: 1\ndata: v1\n\n" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if got := second.received(); len(got) != 0 {
+		t.Errorf("the stream went on: %+v", got)
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -106,6 +106,11 @@
 // Allows reports whether a replica with a version may get the request.
 func (b SoftwareBinding) Allows(version string) bool { return !b.Bound || b.Version == version }
 
+// AllowsReplica reports whether a replica may get the request, by its entry. Its process is confirmed when the request is sent.
+func (b SoftwareBinding) AllowsReplica(i *replicas.Info) bool {
+	return !b.Bound || !i.SoftwareUnknown && b.Allows(i.Software)
+}
+
 // StreamID identifies a stream over all requests of its caller.
 type StreamID struct {
 	Service routing.ServiceID
@@ -115,9 +120,9 @@
 
 // Origins knows at which version of its service's software each stream began.
 type Origins interface {
-	// Began records the version before the first event of a stream, or of a request that resumes it, is delivered. It does
-	// not block.
-	Began(s StreamID, software string)
+	// Began records the version before the first event of a stream, or of a request that resumes it, is delivered; unbound if
+	// it is not known. It does not block.
+	Began(s StreamID, software SoftwareBinding)
 	// Find returns the version. A *request.Error means that it is not known.
 	Find(ctx context.Context, s StreamID) (software string, err error)
 }
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -59,6 +59,7 @@
 // Suspect handles a peer's report that the replica accepts no connections. This daemon probes the
 // replica itself, because the peer may be partitioned.
 func (r *Replica) Suspect(ctx context.Context) {
+	r.Pool.Doubt() // it may have restarted before the probe
 	if r.Health.Suspect() {
 		r.tracked.down.add(r)
 		go r.probe(ctx)
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -47,8 +47,11 @@
 	FailureDomain string
 	Slots         int
 	Software      string // version of the replica's software, not of its weights
-	Leaving       bool   // it accepts no new requests
-	Weights       map[request.Model]uint64
+	// SoftwareUnknown is set if the version of the process that Started identifies is not known: Software is that of an earlier
+	// process, or of an entry without Started.
+	SoftwareUnknown bool
+	Leaving         bool // it accepts no new requests
+	Weights         map[request.Model]uint64
 	// Started is when the replica's process started by its own clock, in Unix milliseconds, or zero if
 	// the replica does not report it. It identifies an incarnation but does not order incarnations: the
 	// clock may be set back between two of them.
@@ -82,6 +85,7 @@
 	brittle       brittleness
 	leaving       atomic.Bool // set by an answer
 	coldFor       func(routing.ServiceID) time.Duration
+	confirm       ConfirmFunc // nil: the process is taken to be the one of the entry
 }
 
 // Info returns the latest entry in the registry.
@@ -108,6 +112,8 @@
 	listeners *listeners
 	tracked   *trackedStates
 	wrapDial  func(upstream.DialFunc) upstream.DialFunc // nil: connections are opened directly
+	confirm   ConfirmFunc
+	isWatched func() bool // the registry would show a restart soon; nil: it would
 
 	mu         sync.Mutex
 	byID       map[request.TargetID]*Replica
@@ -144,6 +150,7 @@
 type listeners struct {
 	down, refused, limit, leaving func(*Replica)
 	reached, failed               func(*Replica) // outcome of a connection
+	restarted                     func(*Replica) // called with the incarnation that has ended
 	brittle                       func(r *Replica, now time.Time, perSecond float64)
 	software                      func(service routing.ServiceID, version string, present bool)
 	ownWork                       func() // the work of this daemon changed
@@ -154,7 +161,7 @@
 func NewSet() *Set {
 	ignore := func(*Replica) {}
 	s := &Set{
-		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, reached: ignore, failed: ignore, ownWork: func() {}, room: ignore, software: func(routing.ServiceID, string, bool) {}}, tracked: &trackedStates{}, update: newViewUpdate(),
+		listeners: &listeners{down: ignore, refused: ignore, limit: ignore, leaving: ignore, reached: ignore, failed: ignore, restarted: ignore, ownWork: func() {}, room: ignore, software: func(routing.ServiceID, string, bool) {}}, tracked: &trackedStates{}, update: newViewUpdate(),
 		byID: map[request.TargetID]*Replica{}, byHash: map[uint64]*Replica{},
 		expiring: map[request.TargetID]time.Time{}, departures: map[request.TargetID]departure{}, software: map[softwareOf]int{}, evacuationExpiry: map[string]time.Time{},
 	}
@@ -172,6 +179,10 @@
 // connections. It must be called before the first Apply.
 func (s *Set) OnDown(f func(*Replica)) { s.listeners.down = f }
 
+// OnRestarted registers a function that is called when an answer reveals that a replica restarted, with the incarnation that has ended.
+// It must be called before the first Apply.
+func (s *Set) OnRestarted(f func(*Replica)) { s.listeners.restarted = f }
+
 // OnReached registers a function that is called when a replica answers or accepts a connection, and OnFailed one that is
 // called whenever a connection to a replica could not be opened. Both must be called before the first Apply, and their
 // functions must not block.
@@ -260,6 +271,7 @@
 		present[id] = true
 		if r := s.byID[id]; r != nil {
 			r.AssumeCold(now) // the entry may have been written at a restart
+			r.Pool.Doubt()
 		}
 	}
 	for _, info := range c.Present {
@@ -285,13 +297,15 @@
 		return // a delayed entry of an earlier incarnation
 	}
 	delete(s.expiring, info.ID)
+	if r != nil && info.Started == 0 && r.Info().Started != 0 {
+		info = r.withoutStart(info)
+	}
 	switch {
 	case r == nil:
 		s.add(info, nil)
-	case info.Started != 0 && info.Started != r.Info().Started, info.Software != r.Info().Software:
+	case info.Started != r.Info().Started, info.Software != r.Info().Software && !info.SoftwareUnknown && !r.completes(info):
 		s.restart(r, info)
 	default:
-		info.Started = r.Info().Started
 		s.countSoftware(&info, 1)
 		s.countSoftware(r.Info(), -1) // the entry may name another service
 		r.info.Store(&info)
@@ -311,8 +325,10 @@
 func (s *Set) add(info Info, earlierStarts []int64) {
 	r := &Replica{
 		Pool: upstream.NewPool(info.Address, dialTimeout, maxIdle), id: info.ID, hash: hashOf(info), earlierStarts: earlierStarts,
-		listeners: s.listeners, tracked: s.tracked, coldFor: s.coldFor,
+		listeners: s.listeners, tracked: s.tracked, coldFor: s.coldFor, confirm: s.confirm,
 	}
+	r.Pool.WatchProcess(s.isWatched)
+	r.Pool.Doubt() // the entry may be of a process that has ended since
 	if s.wrapDial != nil {
 		r.Pool.WrapDial(s.wrapDial)
 	}
@@ -332,7 +348,7 @@
 // Replica, and all assumed state is kept per Replica or by its Hash.
 func (s *Set) restart(r *Replica, info Info) {
 	earlierStarts := slices.Clone(r.earlierStarts)
-	if known := r.Info().Started; known != 0 {
+	if known := r.Info().Started; known != 0 && known != info.Started {
 		earlierStarts = append(earlierStarts, known)
 	}
 	s.forget(r)
@@ -360,22 +376,32 @@
 }
 
 // ObserveStart records which incarnation of a replica answered, and reports whether it is r's.
-// An answer may reveal a restart before the registry does.
+// An answer may reveal a restart before the registry does. The version of the new process is not known until its entry says it.
 func (s *Set) ObserveStart(r *Replica, started int64) bool {
+	same, restarted := s.observeStart(r, started)
+	if restarted {
+		s.listeners.restarted(r)
+	}
+	return same
+}
+
+// observeStart reports whether the incarnation is r's, and whether it is one that was not known.
+func (s *Set) observeStart(r *Replica, started int64) (same, restarted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	info := *r.Info()
 	if started == 0 || started == info.Started {
-		return true
+		return true, false
 	}
 	if s.byID[info.ID] != r || slices.Contains(r.earlierStarts, started) {
-		return false
+		return false, false
 	}
-	info.Started, info.ColdRemaining = started, 0 // the registry's entry is of the previous incarnation
+	// The registry's entry is of the previous incarnation, or says of none.
+	info.Started, info.ColdRemaining, info.SoftwareUnknown = started, 0, info.Started != 0
 	s.restart(r, info)
 	s.byID[info.ID].AssumeCold(time.Now())
 	s.publish()
-	return false
+	return false, true
 }
 
 func (s *Set) remove(now time.Time, id request.TargetID, mayHaveExpired bool) {
@@ -383,6 +409,7 @@
 	if !ok {
 		return
 	}
+	r.Pool.Doubt()
 	if mayHaveExpired {
 		if _, expires := s.expiring[id]; !expires {
 			s.expiring[id] = now.Add(expiryGrace)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,6 +47,8 @@
 	reuseUntil time.Time     // from then on the peer may close the idle connection
 	idleSince  time.Time     // when it was last returned to the pool
 	idleFor    time.Duration // idle time before the current use; zero for a new connection
+	process    knowledge     // to which it leads
+	openedAt   time.Time
 }
 
 // NewDialer returns a dialer whose connections detect an unreachable peer.
@@ -129,9 +131,12 @@
 	maxIdle int
 	dials   atomic.Uint64
 
+	verifyMu sync.Mutex // one connection at a time is opened for Verify
+
 	mu        sync.Mutex
 	idle      []*conn // most recently used last
 	idleLimit idleLimit
+	processes processes
 	closed    bool
 }
 
@@ -162,8 +167,11 @@
 			return nil
 		}
 		c.idleFor = now.Sub(c.idleSince)
-		if now.Before(c.reuseUntil) && p.mayReuse(now, c.idleFor) && c.isReusable() {
-			return c
+		if now.Before(c.reuseUntil) && p.mayReuse(now, c.idleFor) {
+			if c.isReusable() {
+				return c
+			}
+			p.Doubt() // the peer has closed it early
 		}
 		c.Close()
 	}
@@ -200,11 +208,15 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Add(1)
+	doubts := p.Doubts()
 	raw, err := p.dialer(ctx, "tcp", p.address)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.Doubt()
+		}
 		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
 	}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), process: p.knowledgeOf(doubts), openedAt: time.Now()}, nil
 }
 
 // Probe checks whether the address accepts a connection. It sends no request.
@@ -247,8 +259,9 @@
 }
 
 // CloseIdle closes the idle connections; the pool stays usable. It is used after a process stall,
-// when the state of the peer's connections is unknown.
+// when the state of the peer's connections is unknown, and whether its process is still the same.
 func (p *Pool) CloseIdle() {
+	p.Doubt()
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,6 +44,8 @@
 	Body   []byte
 	// Matches reports whether a response belongs to this request.
 	Matches func(http.Header) bool
+	// Confirm finds out whether a connection leads to the process that the request is for; nil: any process may get it.
+	Confirm *Confirmation
 }
 
 // Response is a response whose body has not been read yet.
@@ -64,12 +66,9 @@
 // Do sends a request once and returns its response without reading the body. When ctx ends, the
 // connection is closed, which tells the replica to stop. The caller must call Done on the response.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.take(time.Now())
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx); err != nil {
-			return nil, err
-		}
+	c, err := p.open(ctx, r)
+	if err != nil {
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	response, err := p.exchange(c, r)
@@ -79,9 +78,13 @@
 	if err != nil {
 		stop()
 		c.abort()
+		if ctx.Err() == nil && !errors.Is(err, ErrMismatched) {
+			p.Doubt()
+		}
 		return nil, err
 	}
-	response.stopAbort = stop
+	p.use(c)
+	response.stopAbort, response.Body = stop, &watchedBody{Reader: response.Body, ctx: ctx, response: response}
 	return response, nil
 }
 
@@ -178,6 +181,7 @@
 func (r *Response) Done(complete bool) {
 	r.finished.Do(func() {
 		alive := r.stopAbort()
+		r.pool.endUse(r.c)
 		if complete && alive && r.written.Load() && !r.raw.Close {
 			r.pool.put(r.c, idleTimeout(r.Header))
 			return
