mirror: reports of watching peers tell the age of the service's last answer

Cause: a watcher reported that it watches until its watch had failed (1.2 s + 0.5 s), its last report counted for 1 s, and followers looked each 0.2 s. Ruled out: shorter times alone, which need twice the calls.

Now reports tell the age of the last answer, and that age goes along the chain as it is (ReportTracker). A daemon that knows of no answer younger than bound - 0.5 s, or hears no report for 1 s as before, watches at that moment. A watcher's answers are no further apart than one watch, gathering included. A large answer counts from its beginning (platform.WithOnAnswer), so that its transfer doesn't send all daemons to the service.

Price: three instants in memory, up to six bytes in a datagram of a watcher or relay, and a datagram more for answers that are 0.3 s newer than the last reported one.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -46,6 +46,9 @@
 	maxLimits   = 24 // in one datagram, 24 bytes each
 	maxSpeeds   = 8  // in one datagram, 24 bytes each
 	readBuffer  = 64 << 10
+	// answerStep is how much newer than the last reported answer of the key-value service one must be to be reported
+	// before the next full report.
+	answerStep = 300 * time.Millisecond
 	// refusalBackoff is how long a replica that refused to run a peer's request is avoided. The report
 	// of the refusal is up to one tick old.
 	refusalBackoff = 240 * time.Millisecond
@@ -68,14 +71,16 @@
 	Revisions    func() []uint64
 	RevisionsDue func(before, now []uint64, age time.Duration) bool
 	OnRevisions  func(peer string, revisions []uint64)
-	// Watches reports whether this daemon receives changes from the key-value service directly. OnWatcher
-	// is called when a peer reports that it does. Nil: the daemon has no watch, or reports are ignored.
-	Watches   func() bool
-	OnWatcher func()
-	// Relays reports whether this daemon passes on the changes that it hears from a watching daemon.
-	// OnRelay is called when a peer reports that it does. Nil: as for Watches and OnWatcher.
-	Relays  func() bool
-	OnRelay func()
+	// Watches reports whether this daemon receives changes from the key-value service directly, and the age of
+	// the service's newest answer as of which it knows all of them. OnWatcher is called when a peer reports that.
+	// Nil: the daemon has no watch, or reports are ignored.
+	Watches   func() (age time.Duration, ok bool)
+	OnWatcher func(age time.Duration)
+	// Relays reports whether this daemon passes on the changes that it hears from a watching daemon, and the age of
+	// the newest answer to such a daemon. OnRelay is called when a peer reports that. Nil: as for Watches and
+	// OnWatcher.
+	Relays  func() (age time.Duration, ok bool)
+	OnRelay func(age time.Duration)
 	// Failing reports whether the key-value service does not answer this daemon. OnFailing is called when a
 	// peer reports that. Nil: as for Watches and OnWatcher.
 	Failing   func() bool
@@ -134,7 +139,33 @@
 }
 
 // kvAccess says how a daemon learns of changes in the key-value service.
-type kvAccess struct{ watches, relays, failing bool }
+type kvAccess struct {
+	watches, relays, failing bool
+	watched, relayed         time.Time // newest answer of the service to this daemon, and to one that it hears
+}
+
+// isNews reports whether peers are to be told of a changed access at once. They hear of the answers in between with
+// the next report.
+func (a kvAccess) isNews(before kvAccess) bool {
+	if a.watches != before.watches || a.relays != before.relays || a.failing != before.failing {
+		return true
+	}
+	return a.watches && a.watched.Sub(before.watched) >= answerStep || a.relays && a.relayed.Sub(before.relayed) >= answerStep
+}
+
+// currentAccess returns how this daemon learns of changes.
+func (s *Reporter) currentAccess(now time.Time) kvAccess {
+	watchedAge, watches := s.o.Watches()
+	relayedAge, relays := s.o.Relays()
+	return kvAccess{
+		watches: watches, relays: relays, failing: s.o.Failing(), watched: now.Add(-watchedAge), relayed: now.Add(-relayedAge),
+	}
+}
+
+// ageMs returns the milliseconds from at to now, rounded up.
+func ageMs(now, at time.Time) uint32 {
+	return uint32(max(0, now.Sub(at)+time.Millisecond-1) / time.Millisecond)
+}
 
 // New starts to listen and returns a Reporter.
 func New(o Options) (*Reporter, error) {
@@ -146,16 +177,16 @@
 		o.OnDeath = func(poison.Report) {}
 	}
 	if o.Watches == nil {
-		o.Watches = func() bool { return false }
+		o.Watches = func() (time.Duration, bool) { return 0, false }
 	}
 	if o.OnWatcher == nil {
-		o.OnWatcher = func() {}
+		o.OnWatcher = func(time.Duration) {}
 	}
 	if o.Relays == nil {
-		o.Relays = func() bool { return false }
+		o.Relays = func() (time.Duration, bool) { return 0, false }
 	}
 	if o.OnRelay == nil {
-		o.OnRelay = func() {}
+		o.OnRelay = func(time.Duration) {}
 	}
 	if o.Failing == nil {
 		o.Failing = func() bool { return false }
@@ -277,7 +308,7 @@
 		s.send(withoutRevisions(r), uninformed)
 	}
 	shared := &Report{
-		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, Failing: r.Failing, Reach: r.Reach,
+		From: r.From, Address: r.Address, Revisions: r.Revisions, States: r.States, Deaths: r.Deaths, Limits: r.Limits, Leaving: r.Leaving, Watches: r.Watches, Relays: r.Relays, WatchesAgeMs: r.WatchesAgeMs, RelaysAgeMs: r.RelaysAgeMs, Failing: r.Failing, Reach: r.Reach,
 	}
 	switch {
 	case len(r.States)+len(r.Deaths) > 0:
@@ -364,14 +395,15 @@
 		s.Wake()
 	}
 	s.addWork(now, r, work)
-	revisions, access := s.o.Revisions(), kvAccess{watches: s.o.Watches(), relays: s.o.Relays(), failing: s.o.Failing()}
+	revisions, access := s.o.Revisions(), s.currentAccess(now)
 	age := now.Sub(s.revisionsSentAt)
-	newRevisions := access != s.access || age >= fullReportInterval-reportSlack || s.o.RevisionsDue(s.revisions, revisions, age)
+	newRevisions := access.isNews(s.access) || age >= fullReportInterval-reportSlack || s.o.RevisionsDue(s.revisions, revisions, age)
 	if !newRevisions && isEmpty(r) {
 		return nil
 	}
 	if newRevisions {
 		r.Revisions, r.Address, r.Watches, r.Relays, r.Failing = revisions, s.o.Address, access.watches, access.relays, access.failing
+		r.WatchesAgeMs, r.RelaysAgeMs = ageMs(now, access.watched), ageMs(now, access.relayed)
 		s.revisions, s.access, s.revisionsSentAt = revisions, access, now
 	}
 	return r
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -230,3 +230,32 @@
 		}
 	}
 }
+
+// TestAgeOfAnswersIsReported guards against a report that a daemon watches the key-value service without saying as of
+// when, and against peers that hear of a newer answer only with the next full report.
+func TestAgeOfAnswersIsReported(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	begun := time.Now()
+	answered, relayed := begun.Add(-700*time.Millisecond), begun.Add(-900*time.Millisecond)
+	now := begun
+	a.o.Watches = func() (time.Duration, bool) { return now.Sub(answered), true }
+	a.o.Relays = func() (time.Duration, bool) { return now.Sub(relayed), true }
+	var watcherAge, relayAge time.Duration
+	b.o.OnWatcher = func(age time.Duration) { watcherAge = age }
+	b.o.OnRelay = func(age time.Duration) { relayAge = age }
+	first := a.nextReport(now)
+	b.apply(t.Context(), now, first)
+	if watcherAge != 700*time.Millisecond || relayAge != 900*time.Millisecond {
+		t.Errorf("ages %s and %s", watcherAge, relayAge)
+	}
+	now = begun.Add(reportInterval)
+	answered = answered.Add(answerStep - time.Millisecond)
+	if r := a.nextReport(now); r != nil {
+		t.Errorf("an answer that is hardly newer is reported: %+v", r)
+	}
+	now = begun.Add(2 * reportInterval)
+	answered = now
+	if r := a.nextReport(now); r == nil || r.WatchesAgeMs != 0 || !r.Watches {
+		t.Errorf("reported %+v", r)
+	}
+}
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -49,13 +49,13 @@
 		s.o.OnRevisions(r.Address, r.Revisions)
 	}
 	if r.Watches {
-		s.o.OnWatcher()
+		s.o.OnWatcher(milliseconds(r.WatchesAgeMs))
 	}
 	if r.Failing {
 		s.o.OnFailing(request.DaemonID(r.From))
 	}
 	if r.Relays {
-		s.o.OnRelay()
+		s.o.OnRelay(milliseconds(r.RelaysAgeMs))
 	}
 	s.peerReach.apply(now, request.DaemonID(r.From), r.Reach)
 	if len(r.Work) > 0 {
@@ -142,3 +142,5 @@
 		}
 	}
 }
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -63,8 +63,10 @@
 	faultNone    faultKind = "none"
 	faultRefused faultKind = "refused"
 	faultSilent  faultKind = "silent"
-	faultSlow    faultKind = "slow"  // responses take sixty times as long
-	faultFlaky   faultKind = "flaky" // every second call fails
+	faultSlow    faultKind = "slow"   // responses take sixty times as long
+	faultFlaky   faultKind = "flaky"  // every second call fails
+	faultCut     faultKind = "cut"    // the daemon reaches the service, but no peer reaches the daemon
+	faultFrozen  faultKind = "frozen" // neither calls nor reports, as of a stopped process
 )
 
 // fault is a period of faults of one daemon's calls.
@@ -164,7 +166,7 @@
 	reverted    bool
 	watchers    ReportTracker
 	relays      ReportTracker
-	watches     func() bool // whether this daemon watches the key-value service
+	answerAge   func(time.Time) (time.Duration, bool) // of the key-value service, if this daemon watches it
 }
 
 func (d *modelDaemon) apply(u Update) {
@@ -181,19 +183,31 @@
 	}
 }
 
-// call simulates a call to the key-value service until its response begins.
-func (d *modelDaemon) call(ctx context.Context) error {
+// fault returns the kind of fault that the daemon has now.
+func (d *modelDaemon) fault() faultKind {
 	kind, now := faultNone, time.Since(d.start)
 	for _, f := range d.faults {
 		if now >= f.from && now < f.to {
 			kind = f.kind
 		}
 	}
+	return kind
+}
+
+// isSilent reports whether the daemon gets no answers from the key-value service.
+func (d *modelDaemon) isSilent() bool { k := d.fault(); return k == faultSilent || k == faultFrozen }
+
+// isCut reports whether the daemon and its peers don't reach each other.
+func (d *modelDaemon) isCut() bool { k := d.fault(); return k == faultCut || k == faultFrozen }
+
+// call simulates a call to the key-value service until its response begins.
+func (d *modelDaemon) call(ctx context.Context) error {
+	kind := d.fault()
 	d.calls++
 	switch {
 	case kind == faultRefused || kind == faultFlaky && d.calls%2 == 0:
 		return platform.ErrUnavailable
-	case kind == faultSilent:
+	case kind == faultSilent || kind == faultFrozen:
 		if err := sleep.For(ctx, fleetCallTimeout); err != nil {
 			return err
 		}
@@ -225,6 +239,7 @@
 		if err := d.call(ctx); err != nil {
 			return nil, 0, err
 		}
+		platform.AnswerBegins(ctx)
 		page, at := d.service.list(prefix, after)
 		if err := d.receive(ctx, page); err != nil {
 			return nil, 0, err
@@ -248,8 +263,12 @@
 	defer end.Stop()
 	for {
 		events, at, changed, err := d.service.since(after)
+		if d.isSilent() {
+			return nil, 0, d.loseWatch(ctx, end.C)
+		}
 		if err != nil || len(events) > 0 {
 			if err == nil {
+				platform.AnswerBegins(ctx)
 				err = d.receive(ctx, events)
 			}
 			return events, at, err
@@ -257,6 +276,10 @@
 		select {
 		case <-changed:
 		case <-end.C:
+			if d.isSilent() {
+				return nil, 0, d.loseWatch(ctx, nil)
+			}
+			platform.AnswerBegins(ctx)
 			return nil, at, nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
@@ -264,6 +287,22 @@
 	}
 }
 
+// loseWatch waits until a watch fails whose answer is lost. end receives the time at which it would have ended without a
+// change; nil: it has ended.
+func (d *modelDaemon) loseWatch(ctx context.Context, end <-chan time.Time) error {
+	if end != nil {
+		select {
+		case <-end:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := sleep.For(ctx, WatchSlack); err != nil {
+		return err
+	}
+	return platform.ErrUnavailable
+}
+
 // modelTransport sends requests between daemons over their links.
 type modelTransport struct {
 	self *modelDaemon
@@ -276,6 +315,10 @@
 // RoundTrip implements http.RoundTripper. The peer's handler returns when its response is transferred.
 func (n modelTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	peer := n.by[r.URL.Host]
+	if peer.isCut() {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	r.Header.Set("Accept-Encoding", "gzip")
 	body, w := io.Pipe()
 	response := &modelResponse{
@@ -380,11 +423,13 @@
 	daemons []*modelDaemon
 	start   time.Time
 	way     relaying
+	times   Times
 }
 
-// newModelFleet starts the daemons, each with the faults that were drawn for it.
-func newModelFleet(ctx context.Context, wg *sync.WaitGroup, way relaying, transport func(modelTransport) http.RoundTripper, faults func(daemon int) []fault) *modelFleet {
-	f := &modelFleet{service: newModelService(), start: time.Now(), way: way}
+// newModelFleet starts the daemons, which must apply changes within a bound, each with the faults that were drawn for
+// it.
+func newModelFleet(ctx context.Context, wg *sync.WaitGroup, way relaying, bound time.Duration, transport func(modelTransport) http.RoundTripper, faults func(daemon int) []fault) *modelFleet {
+	f := &modelFleet{service: newModelService(), start: time.Now(), way: way, times: NewTimes(bound)}
 	f.service.put("op/config", []byte("first"))
 	for i := range fleetReplicas {
 		f.service.put(fmt.Sprintf("servers/%04d", i), make([]byte, 300))
@@ -396,9 +441,9 @@
 			service: f.service, start: f.start, faults: faults(i),
 			down: rate.NewLimiter(fleetBandwidth, burst), up: rate.NewLimiter(fleetBandwidth, burst),
 		}
-		isRelayed := func() bool { return f.reliesOnPeers(i) }
-		follower := New(Options{KV: d, WatchTimeout: func() time.Duration { return fleetMaxDelay - 800*time.Millisecond }, Relayed: isRelayed})
-		d.watches = follower.Watching
+		isRelayed := func() bool { return f.relayedFor(i) > 0 }
+		follower := New(Options{KV: d, WatchTimeout: func() time.Duration { return f.times.Watch }, Relayed: func() time.Duration { return f.relayedFor(i) }})
+		d.answerAge = follower.AnswerAge
 		mirrors := []*Mirror{follower.AddMirror("op/", d.apply), follower.AddMirror("servers/", func(Update) {})}
 		d.group = NewGroup(GroupOptions{Client: &http.Client{Transport: transport(modelTransport{self: d, by: by})}, Mirrors: mirrors, Relayed: isRelayed})
 		d.handler, _ = d.group.Handler() // fails for wrong options only
@@ -428,16 +473,19 @@
 	return !isModelWatcher(daemon) && daemon%fleetCellSize < 2*fleetTierSize && daemon%fleetCellSize >= fleetTierSize
 }
 
-// reliesOnPeers reports whether a daemon watches through its peers.
-func (f *modelFleet) reliesOnPeers(i int) bool {
+// relayedFor returns for how long a daemon watches through its peers; zero or less: not at all.
+func (f *modelFleet) relayedFor(i int) time.Duration {
 	d, now := f.daemons[i], time.Now()
-	switch f.way {
-	case someWatch:
-		return i%fleetWatchRatio != 0 && d.watchers.Recent(now)
-	case tiered:
-		return !isModelWatcher(i) && (d.watchers.Recent(now) || !isModelRelay(i) && d.relays.Recent(now))
+	watchers := d.watchers.Left(now, f.times.MaxAge)
+	switch {
+	case f.way == someWatch && i%fleetWatchRatio != 0:
+		return watchers
+	case f.way == tiered && isModelRelay(i):
+		return watchers
+	case f.way == tiered && !isModelWatcher(i):
+		return max(watchers, d.relays.Left(now, f.times.MaxAge))
 	}
-	return false
+	return 0
 }
 
 // informs returns the daemons that a daemon reports to besides a random one.
@@ -472,13 +520,16 @@
 // report sends one daemon's revisions to another, and whether the sender watches the key-value
 // service or hears one that does.
 func (f *modelFleet) report(ctx context.Context, from, to int) {
+	if f.daemons[from].isCut() || f.daemons[to].isCut() {
+		return
+	}
 	f.daemons[to].group.HandleRevisions(ctx, address(from), f.daemons[from].group.Revisions())
 	now := time.Now()
-	if f.daemons[from].watches() {
-		f.daemons[to].watchers.Record(now)
+	if age, watches := f.daemons[from].answerAge(now); watches {
+		f.daemons[to].watchers.Record(now, age)
 	}
-	if f.way == tiered && isModelRelay(from) && f.daemons[from].watchers.Recent(now) {
-		f.daemons[to].relays.Record(now)
+	if age, known := f.daemons[from].watchers.Age(now); f.way == tiered && isModelRelay(from) && known {
+		f.daemons[to].relays.Record(now, age)
 	}
 }
 
@@ -511,14 +562,8 @@
 //
 // FLEET_SEEDS sets how many seeds to run, starting with FLEET_FIRST.
 func TestChangesReachHundredDaemonsInTime(t *testing.T) {
-	first, seeds := uint64(1), 3
-	if n, err := strconv.Atoi(os.Getenv("FLEET_SEEDS")); err == nil {
-		seeds = n
-	}
-	if n, err := strconv.ParseUint(os.Getenv("FLEET_FIRST"), 10, 64); err == nil {
-		first = n
-	}
-	for seed := first; seed < first+uint64(seeds); seed++ {
+	first, seeds := fleetSeeds(3)
+	for seed := first; seed < first+seeds; seed++ {
 		for way, transport := range map[relaying]func(modelTransport) http.RoundTripper{allWatch: buffered, someWatch: buffered, tiered: streamed} {
 			t.Run(fmt.Sprintf("%s seed=%d", way, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { runFleet(t, seed, way, transport) })
@@ -527,6 +572,18 @@
 	}
 }
 
+// fleetSeeds returns the first seed and the number of seeds to run.
+func fleetSeeds(byDefault uint64) (first, seeds uint64) {
+	first, seeds = 1, byDefault
+	if n, err := strconv.ParseUint(os.Getenv("FLEET_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("FLEET_FIRST"), 10, 64); err == nil {
+		first = n
+	}
+	return first, seeds
+}
+
 // The same where a response occupies its sender until it is transferred.
 func TestChangesReachHundredDaemonsOverSmallBuffers(t *testing.T) {
 	for _, seed := range []uint64{3, 4, 8} {
@@ -548,7 +605,7 @@
 	const length = 12 * time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	f := newModelFleet(ctx, &wg, way, transport, func(int) []fault { return drawFaults(draw, length) })
+	f := newModelFleet(ctx, &wg, way, fleetMaxDelay, transport, func(int) []fault { return drawFaults(draw, length) })
 	for range draw.IntN(4) {
 		at := time.Duration(draw.Int64N(int64(length)))
 		wg.Go(func() {
@@ -586,3 +643,96 @@
 		d.mu.Unlock()
 	}
 }
+
+// troubles are what happens to all daemons that watch the key-value service at once, for some seconds.
+var troubles = []struct {
+	name  string
+	kinds []faultKind // by turns, if there are several
+}{
+	{"no answers", []faultKind{faultSilent}},
+	{"refused", []faultKind{faultRefused}},
+	{"frozen", []faultKind{faultFrozen}},
+	{"cut from their peers", []faultKind{faultCut}},
+	{"turned away by turns", []faultKind{faultSilent, faultNone, faultRefused, faultNone}},
+	{"all by turns", []faultKind{faultSilent, faultCut, faultRefused, faultFrozen}},
+}
+
+const (
+	troubleBegins = 6 * time.Second
+	troubleLasts  = 5 * time.Second
+	troubleTurn   = 700 * time.Millisecond
+)
+
+// faultsOf returns the faults of one watcher. Watchers take their turns one after the other.
+func faultsOf(kinds []faultKind, watcher int) (out []fault) {
+	if len(kinds) == 1 {
+		return []fault{{kind: kinds[0], from: troubleBegins, to: troubleBegins + troubleLasts}}
+	}
+	for turn := 0; time.Duration(turn)*troubleTurn < troubleLasts; turn++ {
+		from := troubleBegins + time.Duration(turn)*troubleTurn
+		out = append(out, fault{kind: kinds[(turn+watcher)%len(kinds)], from: from, to: from + troubleTurn})
+	}
+	return out
+}
+
+// TestChangesReachOthersWhileWatchersAreDisturbed guards against daemons that learn of changes through peers and go on
+// with the old desired state for longer than the bound when all these peers lose the key-value service.
+//
+// FLEET_SEEDS and FLEET_FIRST are as above.
+func TestChangesReachOthersWhileWatchersAreDisturbed(t *testing.T) {
+	first, seeds := fleetSeeds(2)
+	for seed := first; seed < first+seeds; seed++ {
+		for _, way := range []relaying{someWatch, tiered} {
+			for _, trouble := range troubles {
+				t.Run(fmt.Sprintf("%s, %s seed=%d", way, trouble.name, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { runDisturbedWatchers(t, seed, way, trouble.kinds) })
+				})
+			}
+		}
+	}
+}
+
+func runDisturbedWatchers(t *testing.T, seed uint64, way relaying, kinds []faultKind) {
+	const bound = 2 * time.Second
+	draw := rand.New(rand.NewPCG(seed, 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	f := newModelFleet(ctx, &wg, way, bound, streamed, func(i int) []fault {
+		if isWatcherOf(way, i) {
+			return faultsOf(kinds, i)
+		}
+		return nil
+	})
+	// The first change decides when the watches end that the trouble interrupts, and the second one meets daemons that
+	// still believe in their peers.
+	_ = sleep.For(ctx, troubleBegins-time.Duration(draw.Int64N(int64(f.times.Watch))))
+	f.service.put("op/config", []byte("before"))
+	_ = sleep.For(ctx, time.Until(f.start.Add(troubleBegins+time.Duration(draw.Int64N(int64(50*time.Millisecond))))))
+	for time.Since(f.start) < troubleBegins+troubleLasts {
+		revision := f.service.put("op/config", fmt.Appendf(nil, "%d", draw.Uint32()))
+		at := time.Since(f.start)
+		wg.Go(func() {
+			_ = sleep.For(ctx, bound)
+			f.checkUndisturbed(t, at, revision)
+		})
+		_ = sleep.For(ctx, time.Duration(draw.Int64N(int64(2*bound))))
+	}
+	_ = sleep.For(ctx, bound+time.Second)
+	cancel()
+	wg.Wait()
+}
+
+func isWatcherOf(way relaying, i int) bool {
+	return way == someWatch && i%fleetWatchRatio == 0 || way == tiered && isModelWatcher(i)
+}
+
+// checkUndisturbed reports daemons without faults that have not applied a change.
+func (f *modelFleet) checkUndisturbed(t *testing.T, at time.Duration, revision platform.Revision) {
+	for i, d := range f.daemons {
+		d.mu.Lock()
+		if len(d.faults) == 0 && d.applied < revision {
+			t.Errorf("daemon %d: the change of %s is not applied after %s", i, at, time.Since(f.start)-at)
+		}
+		d.mu.Unlock()
+	}
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -32,6 +32,8 @@
 	// watchJitter is the random fraction of a watch's timeout. It prevents the watches of many
 	// daemons from ending at the same time.
 	watchJitter = 0.2
+	// shortestWatch is the fraction of a watch's timeout, as its inverse, that is left after a long batch delay.
+	shortestWatch = 4
 	// relayCheckInterval is how often a follower checks whether peers still relay changes.
 	relayCheckInterval = 200 * time.Millisecond
 )
@@ -48,9 +50,11 @@
 	// BatchDelay returns how long to wait for more changes after a change, so that many
 	// concurrent changes don't cost a call each; nil: no wait.
 	BatchDelay func() time.Duration
-	// Relayed reports whether peers currently relay all changes, so that the follower need not
-	// watch; nil: never.
-	Relayed func() bool
+	// Relayed returns for how long the follower need not watch unless peers report anew, because they relay all
+	// changes; zero or less: it must watch. nil: always.
+	Relayed func() time.Duration
+	// OnAnswer is called when the key-value service answers the follower; nil: nobody is told.
+	OnAnswer func()
 	// OnApplied is called when a mirror has applied changes; nil: nobody is told.
 	OnApplied func()
 	// SettleTime returns how long a process waits after its first listing for peers that relay changes, before
@@ -72,7 +76,8 @@
 	opts      Options
 	mirrors   []*Mirror
 	connected atomic.Bool
-	watching  atomic.Bool // the follower watches, and its last watch succeeded
+	watching  atomic.Bool   // the follower watches, and its last watch succeeded
+	answers   ReportTracker // answers of the service that have begun
 	wake      chan struct{}
 	listed    atomic.Bool               // the first listing is done
 	refreshes atomic.Uint64             // listings requested so far
@@ -103,7 +108,7 @@
 		o.BatchDelay = func() time.Duration { return 0 }
 	}
 	if o.Relayed == nil {
-		o.Relayed = func() bool { return false }
+		o.Relayed = func() time.Duration { return 0 }
 	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
@@ -111,6 +116,9 @@
 	if o.OnApplied == nil {
 		o.OnApplied = func() {}
 	}
+	if o.OnAnswer == nil {
+		o.OnAnswer = func() {}
+	}
 	if o.SettleTime == nil {
 		o.SettleTime = func() time.Duration { return 0 }
 	}
@@ -143,6 +151,21 @@
 // Watching reports whether the follower receives changes from the key-value service itself.
 func (f *Follower) Watching() bool { return f.watching.Load() }
 
+// AnswerAge returns the age of the newest answer of the key-value service, and false if the follower does not receive
+// changes from the service itself. The mirrors have all changes as of that answer, or receive them: a large answer
+// counts from its beginning, so that peers don't all read it from the service while it is transferred.
+func (f *Follower) AnswerAge(now time.Time) (age time.Duration, ok bool) {
+	age, ok = f.answers.Age(now)
+	return age, ok && f.Watching()
+}
+
+// recordAnswer records that the key-value service answered at a time.
+func (f *Follower) recordAnswer(at time.Time) {
+	now := time.Now()
+	f.answers.Record(now, now.Sub(at))
+	f.opts.OnAnswer()
+}
+
 // State returns the state of the follower's connection to the key-value service.
 func (f *Follower) State() State {
 	f.mu.Lock()
@@ -190,7 +213,7 @@
 			f.backOff(ctx, f.opts.SettleTime())
 		}
 		for err == nil || errors.Is(err, errRelayed) {
-			if f.opts.Relayed() {
+			if f.opts.Relayed() > 0 {
 				err = f.waitWhileRelayed(ctx)
 				continue
 			}
@@ -260,8 +283,13 @@
 		return 0, nil
 	}
 	var page platform.Page
+	callCtx := ctx
+	if m == f.mirrors[0] {
+		// The watch that follows returns what the other mirrors lack at once.
+		callCtx = platform.WithOnAnswer(ctx, func() { f.recordAnswer(time.Now()) })
+	}
 	err := f.retry(ctx, func() (err error) {
-		page, err = f.firstPage(ctx, m)
+		page, err = f.firstPage(callCtx, m)
 		if err != nil {
 			f.opts.Logger.Debug("A list call failed", "prefix", m.prefix, "error", err)
 		}
@@ -310,7 +338,9 @@
 	defer cancel()
 	go f.cancelOnRefresh(watchCtx, cancel)
 	at := f.watchFrom()
-	entries, next, err := f.opts.KV.Watch(watchCtx, f.opts.Prefix, at, f.nextWatchTimeout())
+	wait, sent := f.nextWatchTimeout(), time.Now()
+	answerCtx := platform.WithOnAnswer(watchCtx, func() { f.recordAnswer(earlier(time.Now(), sent.Add(wait+WatchSlack))) })
+	entries, next, err := f.opts.KV.Watch(answerCtx, f.opts.Prefix, at, wait)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return ctx.Err()
@@ -350,23 +380,36 @@
 	f.watching.Store(false)
 	f.recordSuccess()
 	f.endRecovery()
-	tick := time.NewTicker(relayCheckInterval)
-	defer tick.Stop()
-	for f.opts.Relayed() {
+	for {
+		left := f.opts.Relayed()
+		if left <= 0 {
+			return nil
+		}
 		select {
-		case <-tick.C:
+		case <-time.After(min(left, relayCheckInterval)):
 		case <-f.wake:
 			return errRefreshRequested
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return nil
 }
 
-// nextWatchTimeout returns the timeout of the next watch.
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// nextWatchTimeout returns the timeout of the next watch. The time since the last answer counts, so that answers
+// are never further apart than one watch.
 func (f *Follower) nextWatchTimeout() time.Duration {
 	longest := f.opts.WatchTimeout()
+	if age, ok := f.answers.Age(time.Now()); ok && age < longest {
+		longest = max(longest-age, longest/shortestWatch)
+	}
 	return longest - time.Duration(watchJitter*rand.Float64()*float64(longest))
 }
 
@@ -426,7 +469,7 @@
 // backOff sleeps, and reports whether peers relay changes instead.
 func (f *Follower) backOff(ctx context.Context, d time.Duration) (relayed bool) {
 	for end := time.Now().Add(d); ; {
-		if f.mayRelyOnPeers() && f.opts.Relayed() {
+		if f.mayRelyOnPeers() && f.opts.Relayed() > 0 {
 			return true
 		}
 		left := time.Until(end)
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -97,7 +97,7 @@
 // startLoad applies the first page of a listing and gets the rest in the background. A mirror that was in
 // sync stays so while peers relay changes, because their copies contain what changed meanwhile.
 func (f *Follower) startLoad(ctx context.Context, m *Mirror, first []platform.Entry) {
-	if m.InSync() && f.opts.Relayed() {
+	if m.InSync() && f.opts.Relayed() > 0 {
 		return
 	}
 	afterOutage := f.afterOutage()
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -190,7 +190,7 @@
 				var f *Follower
 				var op, replicas *Mirror
 				f = New(Options{
-					KV: kv, Lists: func(string) bool { return false }, Relayed: func() bool { return true },
+					KV: kv, Lists: func(string) bool { return false }, Relayed: func() time.Duration { return relayedIf(true) },
 					AskPeer: func(_ context.Context, prefix string) {
 						switch {
 						case !peersHaveIt:
--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -14,19 +14,6 @@
 	"github.com/bluebellscale/bluebellscale/internal/sleep"
 )
 
-// When all watching peers die, a daemon that relied on them must watch again within a second.
-func TestDaemonResumesWatchWhenPeersFallSilent(t *testing.T) {
-	var r ReportTracker
-	now := time.Unix(1000, 0)
-	if r.Recent(now) {
-		t.Fatal("a peer counts as watching although none reported it")
-	}
-	r.Record(now)
-	if !r.Recent(now.Add(reportTTL-time.Millisecond)) || r.Recent(now.Add(reportTTL)) {
-		t.Error("a peer's report is not valid for exactly reportTTL")
-	}
-}
-
 // While peers watch, a daemon sends no calls to the key-value service. When they fall silent, it
 // continues from its last revision.
 func TestRelayedDaemonSendsNoCalls(t *testing.T) {
@@ -35,7 +22,7 @@
 	relayed := make(chan bool, 1)
 	relayed <- true
 	is := func() bool { v := <-relayed; relayed <- v; return v }
-	f := New(Options{KV: counted, Relayed: is})
+	f := New(Options{KV: counted, Relayed: func() time.Duration { return relayedIf(is()) }})
 	applied := make(chan Update, 10)
 	f.AddMirror("a/", func(u Update) { applied <- u })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -59,6 +46,14 @@
 	}
 }
 
+// relayedIf returns the time for which peers relay changes, longer than a test if they do.
+func relayedIf(relayed bool) time.Duration {
+	if relayed {
+		return time.Hour
+	}
+	return 0
+}
+
 // faultlessKV serves the model's service without faults.
 type faultlessKV struct{ s *modelService }
 
@@ -183,7 +178,7 @@
 		const pollers = 8
 		var down, relayed atomic.Bool
 		service := &outageKV{pagedKV: newPagedKV(manyReplicas), down: &down}
-		f := New(Options{KV: service, WatchTimeout: func() time.Duration { return time.Second }, Relayed: relayed.Load, Pollers: func() int { return pollers }})
+		f := New(Options{KV: service, WatchTimeout: func() time.Duration { return time.Second }, Relayed: func() time.Duration { return relayedIf(relayed.Load()) }, Pollers: func() int { return pollers }})
 		f.AddMirror("op/", func(Update) {})
 		replicas := f.AddPagedMirror("servers/", "", func(Update) {})
 		ctx, cancel := context.WithCancel(t.Context())
