--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,8 +11,8 @@
 if [ ${#known[@]} -gt 0 ]; then
 	skip=(-skip "^($(printf '%s\n' "${known[@]}" | awk '{print $1}' | paste -sd'|'))\$")
 fi
-# The longest package takes some minutes under the race detector; beside other load, twice as long.
-limit=20m
+# The longest package takes some ten minutes under the race detector; beside other load, twice as long.
+limit=40m
 go test -timeout "$limit" "$@" "${skip[@]}" ./...
 for entry in "${known[@]}"; do
 	read -r name package <<<"$entry"
