--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -74,9 +74,9 @@
 	return died
 }
 
-// awaitVerdict returns the verdict on a replica whose connection has just ended in order. It does not end with the request: without
-// a verdict a broken response would pass for a whole one. The time of the check begins with it, so that a process that stalls before still
-// makes it.
+// awaitVerdict returns the verdict on a replica whose connection has just ended in order, after framing.MaxEndCheck at the latest. The check
+// outlives the request: without a verdict a broken response would pass for a whole one. Its timeout starts after the delay, so that a
+// process that was stalled during the delay still checks.
 func (s *Server) awaitVerdict(ctx context.Context, r *replicas.Replica) verdict {
 	endedAt := time.Now()
 	time.Sleep(framing.DeathDelay)
