replicas: one that left and starts again under its id is used again, also without `born`

Callers saw nothing wrong; a service lost a replica for ten minutes: the departure of one that announced that it leaves is kept by its id and start, and where entries don't say the start, the next process of that id counted as leaving too. Found by going through the facts that are kept by a replica's id. An entry that expired or that an older copy holds reappears within seconds, so that half a minute is enough there. TestReplicaWithoutStartComesBack failed before ("the process that started later is leaving").

--- a/internal/replicas/leaving.go
+++ b/internal/replicas/leaving.go
@@ -10,6 +10,10 @@
 // were removed. An entry that expired, or that an older copy of the registry holds, reappears within seconds.
 const departureRetention = 10 * time.Minute
 
+// unnamedDepartureRetention is departureRetention for replicas whose entries don't say which process they are of: one that starts
+// again under its id can't be told from the one that left.
+const unnamedDepartureRetention = 30 * time.Second
+
 // departure is an incarnation of a replica that announced that it is leaving, and whose entry was removed.
 type departure struct {
 	started int64
@@ -52,8 +56,15 @@
 // pruneDepartures drops replicas that left long ago.
 func (s *Set) pruneDepartures(now time.Time) {
 	for id, l := range s.departures {
-		if now.Sub(l.at) > departureRetention {
+		if now.Sub(l.at) > l.retention() {
 			delete(s.departures, id)
 		}
 	}
 }
+
+func (d departure) retention() time.Duration {
+	if d.started == 0 {
+		return unnamedDepartureRetention
+	}
+	return departureRetention
+}
--- a/internal/replicas/leaving_test.go
+++ b/internal/replicas/leaving_test.go
@@ -38,12 +38,38 @@
 	}
 }
 
+// TestReplicaWithoutStartComesBack guards against a replica that gets no requests for minutes after it left and started again under its
+// id, because its entry doesn't say that it is another process.
+func TestReplicaWithoutStartComesBack(t *testing.T) {
+	s, now := NewSet(), time.Now()
+	s.Apply(now, Change{Present: []Info{info("a")}})
+	s.Get("a").ObserveLeaving()
+	s.Apply(now, Change{Removed: []request.TargetID{"a"}})
+	s.Tick(now.Add(unnamedDepartureRetention - time.Second))
+	s.Apply(now, Change{Present: []Info{info("a")}})
+	if !s.Get("a").Leaving() {
+		t.Error("an entry that reappears within seconds ended the leaving state")
+	}
+	s.Apply(now, Change{Removed: []request.TargetID{"a"}})
+	s.Tick(now.Add(unnamedDepartureRetention + time.Second))
+	s.Apply(now, Change{Present: []Info{info("a")}})
+	if s.Get("a").Leaving() {
+		t.Error("the process that started later is leaving")
+	}
+}
+
 // Replicas come and go every day. Departures must not be remembered forever.
 func TestDeparturesArePruned(t *testing.T) {
 	s, now := NewSet(), time.Now()
-	s.Apply(now, Change{Present: []Info{info("a")}})
+	i := info("a")
+	i.Started = 7
+	s.Apply(now, Change{Present: []Info{i}})
 	s.Get("a").ObserveLeaving()
 	s.Apply(now, Change{Removed: []request.TargetID{"a"}})
+	s.Tick(now.Add(departureRetention - time.Second))
+	if len(s.departures) == 0 {
+		t.Error("the departure is forgotten too early")
+	}
 	s.Tick(now.Add(departureRetention + time.Second))
 	if len(s.departures) != 0 {
 		t.Error("the departure is still remembered")
