upstream: a replica's head is bounded

What callers would see: a replica in trouble that sends the head of a response without end fills a daemon's memory (2.8 to 3.5 GB measured for one request on, and 504 after 3 to 4 s), on VMs of 134 to 284 MB. http.ReadResponse has no bound on the status line and the headers.

Each head of a replica's or, with a forwarded request, of a daemon's response may have 32 KiB, each informational one and each one to another request as well; then the connection is closed and the attempt counts as broken. TestHeadWithoutEnd failed without the bound (the replica wrote all of its 8 MiB in each of four cases) and holds with it; TestLongHeadArrives holds either way.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -44,10 +44,11 @@
 type conn struct {
 	net.Conn
 	br         *bufio.Reader
-	reuseUntil time.Time     // from then on the peer may close the idle connection
-	idleSince  time.Time     // when it was last returned to the pool
-	idleFor    time.Duration // idle time before the current use; zero for a new connection
-	process    knowledge     // to which it leads
+	source     *boundedReader // of br
+	reuseUntil time.Time      // from then on the peer may close the idle connection
+	idleSince  time.Time      // when it was last returned to the pool
+	idleFor    time.Duration  // idle time before the current use; zero for a new connection
+	process    knowledge      // to which it leads
 	openedAt   time.Time
 	continuity *continuity // of its pool; nil: none
 	continuous bool        // it leads to the known process, as far as continuity tells; guarded by its mutex
@@ -229,8 +230,9 @@
 		}
 		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "upstream: dial"), ErrNotSent), ErrUnreachable)
 	}
+	br, source := newConnReader(raw)
 	c := &conn{
-		Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), process: p.knowledgeOf(doubts), openedAt: time.Now(), continuity: &p.continuity,
+		Conn: raw, br: br, source: source, process: p.knowledgeOf(doubts), openedAt: time.Now(), continuity: &p.continuity,
 	}
 	p.continuity.opened(c)
 	return c, nil
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -114,7 +113,7 @@
 			}
 		}()
 	}
-	raw, err := readMatching(c.br, r)
+	raw, err := c.readMatching(r)
 	if err != nil {
 		return nil, err
 	}
@@ -133,10 +132,10 @@
 
 // readMatching reads responses until one belongs to the request. Other responses are delayed or
 // duplicate responses to earlier requests on this connection.
-func readMatching(br *bufio.Reader, r *Request) (*http.Response, error) {
+func (c *conn) readMatching(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxResponsesRead {
-		raw, err := http.ReadResponse(br, request)
+		raw, err := c.readHead(request)
 		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "upstream: read"), ErrBroken)
 		}
--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,49 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHeadBytes bounds the status line and headers of a response. Replicas use less than one kilobyte, services behind proxies up to
+// some 16 KB; without a bound, a replica in trouble could send a head without end into this daemon's memory.
+const maxHeadBytes = 32 << 10
+
+// errHeadTooLong means that the status line and headers of a response exceed maxHeadBytes.
+var errHeadTooLong = errors.New("upstream: the head of the response exceeds the size limit")
+
+// boundedReader reads from a connection, and fails while a head is read that exceeds maxHeadBytes.
+type boundedReader struct {
+	r      io.Reader
+	bounds bool // a head is being read
+	left   int  // bytes that the head may still have
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(to []byte) (int, error) {
+	if !b.bounds {
+		return b.r.Read(to)
+	}
+	if b.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := b.r.Read(to[:min(len(to), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// readHead reads the status line and headers of a response.
+func (c *conn) readHead(q *http.Request) (*http.Response, error) {
+	c.source.bounds, c.source.left = true, maxHeadBytes
+	defer func() { c.source.bounds = false }()
+	return http.ReadResponse(c.br, q)
+}
+
+// newConnReader returns the buffered reader of a connection, and what it reads from.
+func newConnReader(r io.Reader) (*bufio.Reader, *boundedReader) {
+	source := &boundedReader{r: r}
+	return bufio.NewReaderSize(source, readBufferBytes), source
+}
--- a/internal/upstream/process.go
+++ b/internal/upstream/process.go
@@ -237,7 +237,7 @@
 	if _, err := c.Write(r.encodeHead()); err != nil {
 		return 0, nil, errors.Wrap(err, "upstream: report")
 	}
-	raw, err := readMatching(c.br, r)
+	raw, err := c.readMatching(r)
 	if err != nil {
 		return 0, nil, err
 	}
