--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -16,8 +16,9 @@
 const (
 	// deathDelay is the delay between a broken connection and the probe that tells whether its process died.
 	deathDelay = framing.DeathDelay + 20*time.Millisecond
-	// noticeTime is how long after its end a broken connection counts as noticed at once.
-	noticeTime = 100 * time.Millisecond
+	// noticeTime is how long after its end a broken connection counts as noticed at once. Replicas take longer to start again, and a busy
+	// VM may read late.
+	noticeTime = 250 * time.Millisecond
 	// probeTimeout bounds the probe.
 	probeTimeout = 250 * time.Millisecond
 	// detectionTime is how long the end of a process may remain unnoticed on an open connection.
