--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -329,13 +329,12 @@
 		listeners: s.listeners, tracked: s.tracked, coldFor: s.coldFor, confirm: s.confirm,
 	}
 	r.Pool.WatchProcess(s.isWatched)
-	r.Pool.Settles(s.settled)
 	r.Pool.AskAgain() // the entry may be of a process that has ended since
 	if s.wrapDial != nil {
 		r.Pool.WrapDial(s.wrapDial)
 	}
 	if info.Started == 0 {
-		r.Pool.OnSign(func() { s.listeners.restarted(r) })
+		r.Pool.WatchSigns(s.settled, func() { s.listeners.restarted(r) })
 	}
 	r.Load.replica = r
 	r.info.Store(&info)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -232,9 +232,12 @@
 	}
 	br, source := newConnReader(raw)
 	c := &conn{
-		Conn: raw, br: br, source: source, process: p.knowledgeOf(doubts), openedAt: time.Now(), continuity: &p.continuity,
+		Conn: raw, br: br, source: source, process: p.knowledgeOf(doubts), openedAt: time.Now(),
+	}
+	if p.continuity.watches {
+		c.continuity = &p.continuity
+		p.continuity.opened(c)
 	}
-	p.continuity.opened(c)
 	return c, nil
 }
 
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -37,11 +37,9 @@
 // Not covered: a process that is replaced within noticeTime and deathDelay, and one whose connections were all closed before it ended,
 // unless another daemon tells.
 type continuity struct {
-	// settled reports whether the registry's entry is of the process that has been at the address since a time; zero: since the
-	// entry was written. nil: of no other.
-	settled func(since time.Time) bool
-	// onSign is called when this daemon's own connections show that the process may have been replaced.
-	onSign func()
+	watches bool                       // see WatchSigns
+	settled func(since time.Time) bool // see WatchSigns
+	onSign  func()                     // see WatchSigns
 
 	mu      sync.Mutex
 	signAt  time.Time          // last sign of a restart; zero: none since the entry
@@ -50,13 +48,13 @@
 	inquiry chan struct{}      // closed when it is known why a connection broke; nil: none has
 }
 
-// Settles sets how a pool learns whether the registry's entry is of the process that has been at the address since a time; zero: since
-// the entry was written, as far as this pool can tell. It must be called before the first use.
-func (p *Pool) Settles(settled func(since time.Time) bool) { p.continuity.settled = settled }
-
-// OnSign registers a function that is called when the connections of the pool show that the process may have been replaced. It must be
-// called before the first use, and must neither block nor use the pool.
-func (p *Pool) OnSign(f func()) { p.continuity.onSign = f }
+// WatchSigns makes the pool watch for signs that the process at the address was replaced, where it gives no report. settled reports
+// whether the registry's entry is of the process that has been at the address since a time; zero: since the entry was written, as far
+// as this pool can tell; nil: of no other than the first. onSign is called when the pool's own connections give a sign; it must neither
+// block nor use the pool; nil: nothing is. WatchSigns must be called before the first use.
+func (p *Pool) WatchSigns(settled func(since time.Time) bool, onSign func()) {
+	p.continuity.watches, p.continuity.settled, p.continuity.onSign = true, settled, onSign
+}
 
 // opened adds a connection.
 func (t *continuity) opened(c *conn) {
@@ -212,6 +210,9 @@
 // broke records that the peer ended a connection, which was last known to be open at aliveAt.
 func (p *Pool) broke(c *conn, aliveAt time.Time) {
 	p.AskAgain()
+	if !p.continuity.watches {
+		return
+	}
 	switch p.continuity.broke(c, aliveAt) {
 	case replaced:
 		p.continuity.tell()
