--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -85,13 +85,12 @@
 	compacted bool                      // the history of the last watch is gone; used by Run only
 	loads     map[*Mirror]chan struct{} // running loads of paged mirrors, closed at their end; used by Run only
 
-	mu           sync.Mutex
-	recovering   bool      // an outage or a restore happened, and no listing has completed since
-	graceEnds    time.Time // until then, a removal may be an expiry in an outage
-	failingSince time.Time // time of the first failed call; zero: calls succeed
-	// answeringSince is the end of the last outage; zero: there was none.
-	answeringSince time.Time
-	listingSince   time.Time // start of the running listing; zero: none runs
+	mu            sync.Mutex
+	recovering    bool      // an outage or a restore happened, and no listing has completed since
+	graceEnds     time.Time // until then, a removal may be an expiry in an outage
+	failingSince  time.Time // time of the first failed call; zero: calls succeed
+	outageEndedAt time.Time // end of the last outage; zero: there was none
+	listingSince  time.Time // start of the running listing; zero: none runs
 }
 
 // State describes a follower's connection to the key-value service.
@@ -168,11 +167,11 @@
 	f.opts.OnAnswer()
 }
 
-// AnsweringSince returns the end of the last outage of the key-value service that this daemon noticed; zero: there was none.
-func (f *Follower) AnsweringSince() time.Time {
+// OutageEndedAt returns the end of the last outage of the key-value service that this daemon noticed; zero: there was none.
+func (f *Follower) OutageEndedAt() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.answeringSince
+	return f.outageEndedAt
 }
 
 // State returns the state of the follower's connection to the key-value service.
@@ -499,7 +498,7 @@
 	outage := now.Sub(f.failingSince)
 	f.failingSince = time.Time{}
 	if outage >= outageThreshold {
-		f.recovering, f.answeringSince = true, now
+		f.recovering, f.outageEndedAt = true, now
 	}
 	f.opts.Logger.Info(loglines.KVRecovered, "failed_for_ms", outage.Milliseconds())
 }
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -21,7 +21,7 @@
 	noticeTime = 250 * time.Millisecond
 	// probeTimeout bounds the probe.
 	probeTimeout = 250 * time.Millisecond
-	// detectionTime is how long the end of a process may remain unnoticed on an open connection.
+	// detectionTime is how long the end of a process may remain unnoticed on an open connection, and then take to be reported.
 	detectionTime = keepAliveIdle + keepAliveProbes*keepAliveInterval + 500*time.Millisecond
 )
 
@@ -49,9 +49,9 @@
 }
 
 // WatchSigns makes the pool watch for signs that the process at the address was replaced, where it gives no report. settled reports
-// whether the registry's entry is of the process that has been at the address since a time; zero: since the entry was written, as far
-// as this pool can tell; nil: of no other than the first. onSign is called when the pool's own connections give a sign; it must neither
-// block nor use the pool; nil: nothing is. WatchSigns must be called before the first use.
+// whether the registry's entry is of the process that has been at the address since a time; the zero time means that there was no sign.
+// If settled is nil, the entry is of the process that was there before the first sign. onSign is called when the pool's own connections
+// give a sign, and must neither block nor use the pool; it may be nil. WatchSigns must be called before the first use.
 func (p *Pool) WatchSigns(settled func(since time.Time) bool, onSign func()) {
 	p.continuity.watches, p.continuity.settled, p.continuity.onSign = true, settled, onSign
 }
--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,28 +16,21 @@
 // hold sends a request whose connection stays in use until the test ends.
 func (s *startedReplica) hold(t *testing.T, p *Pool) *Response {
 	t.Helper()
-	response, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "r", Confirm: unasked(false)})
+	response, err := getWith(p, unasked(false))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { response.Done(false) })
-	if _, err := io.ReadAll(response.Body); err != nil {
-		t.Fatal(err)
-	}
 	return response
 }
 
 // sendUnasked sends a request and returns whether it reached the known process, as far as is known.
 func (s *startedReplica) sendUnasked(p *Pool, required bool) (known bool, err error) {
-	response, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "r", Confirm: unasked(required)})
-	if err != nil {
-		return false, err
-	}
-	defer response.Done(false)
-	if _, err := io.ReadAll(response.Body); err != nil {
-		return false, err
+	response, err := getWith(p, unasked(required))
+	if response != nil {
+		defer response.Done(false)
 	}
-	return response.Continuous(context.Background()), nil
+	return err == nil && response.Continuous(context.Background()), err
 }
 
 // breakOff lets the replica break one answer off.
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -70,22 +70,11 @@
 	})
 	p := r.pool(t)
 	for range 3 {
-		if _, got, err := roundTrip(p); err != nil || got != body {
-			t.Fatalf("%d bytes, %v", len(got), err)
+		if got := do(t, p, &Request{Method: http.MethodGet, URI: "/", Host: "r"}); got != body {
+			t.Fatalf("%d bytes, want %d", len(got), len(body))
 		}
 	}
 	if p.Dials() != 1 {
 		t.Errorf("%d connections, want 1", p.Dials())
 	}
 }
-
-func roundTrip(p *Pool) (status int, body string, err error) {
-	response, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "r"})
-	if err != nil {
-		return 0, "", err
-	}
-	var b strings.Builder
-	_, err = bufio.NewReader(response.Body).WriteTo(&b)
-	response.Done(err == nil)
-	return response.Status, b.String(), err
-}
--- a/internal/upstream/process_test.go
+++ b/internal/upstream/process_test.go
@@ -95,7 +95,12 @@
 
 // get sends a request for process 1 and returns its response, which is read to the end but in use.
 func (s *startedReplica) get(p *Pool, required bool) (*Response, error) {
-	response, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "r", Confirm: confirmation(required)})
+	return getWith(p, confirmation(required))
+}
+
+// getWith sends a request and returns its response, which is read to the end but in use.
+func getWith(p *Pool, confirm *Confirmation) (*Response, error) {
+	response, err := p.Do(context.Background(), &Request{Method: http.MethodGet, URI: "/", Host: "r", Confirm: confirm})
 	if err != nil {
 		return nil, err
 	}
