--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -41,7 +41,7 @@
 	f.front = &httptest.Server{Listener: listenForCallers(t, stall), Config: &http.Server{Handler: f.server}}
 	f.front.Start()
 	t.Cleanup(f.front.Close)
-	f.state = routing.NewSnapshot(1, routes, []*routing.Service{{ID: "s"}}, map[string]*routing.Org{"k": {ID: "org"}, "k2": {ID: "org2"}},
+	f.state = routing.NewSnapshot(1, routes, []*routing.Service{{ID: "s"}}, organisations(map[string]request.OrgID{"k": "org", "k2": "org2"}),
 		routing.CallerLimits{MaxBodyBytes: 1 << 20})
 	return f
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -113,6 +113,15 @@
 
 const testHost = "h"
 
+// organisations returns organisations that hold one key each.
+func organisations(byKey map[string]request.OrgID) *routing.Organisations {
+	orgs := &routing.Organisations{}
+	for key, id := range byKey {
+		orgs.Add(&routing.Org{ID: id}, key)
+	}
+	return orgs
+}
+
 func newFixture(t testing.TB, routes ...*routing.Route) *fixture {
 	t.Helper()
 	f := &fixture{t: t, set: replicas.NewSet(), placer: &fixedOrderPlacer{}, current: true}
@@ -124,8 +133,7 @@
 		}
 		r.MaxAttempts = max(r.MaxAttempts, 2)
 	}
-	keys := map[string]*routing.Org{"k": {ID: "org"}}
-	f.state = routing.NewSnapshot(1, routes, []*routing.Service{{ID: "s"}}, keys, routing.CallerLimits{MaxBodyBytes: 1000})
+	f.state = routing.NewSnapshot(1, routes, []*routing.Service{{ID: "s"}}, organisations(map[string]request.OrgID{"k": "org"}), routing.CallerLimits{MaxBodyBytes: 1000})
 	f.server = New(Options{
 		Dialect: plainDialect{}, Plain: f.placer,
 		State:       func() (*routing.Snapshot, bool) { return f.state, f.current },
@@ -467,7 +475,7 @@
 func TestStaleDesiredStateGivesRetryableErrors(t *testing.T) {
 	f := newFixture(t, route(routing.KindOnce))
 	f.state = routing.NewSnapshot(1, []*routing.Route{{Host: testHost, Prefix: "/known/", Shares: []routing.Share{{Service: "s"}}}},
-		[]*routing.Service{{ID: "s"}}, map[string]*routing.Org{}, routing.CallerLimits{})
+		[]*routing.Service{{ID: "s"}}, organisations(nil), routing.CallerLimits{})
 	for _, path := range []string{"/unknown", "/known/x"} {
 		for current, want := range map[bool][]int{true: {404, 401}, false: {503, 503}} {
 			f.current = current
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -129,7 +129,7 @@
 	t.Cleanup(f.room.Close)
 	f.set.OnRoom(f.room.OnRoom)
 	service := &routing.Service{ID: "s", Engine: &routing.Engine{Slots: 1}}
-	f.state = routing.NewSnapshot(1, routes, []*routing.Service{service}, map[string]*routing.Org{"k": {ID: "org"}}, routing.CallerLimits{MaxBodyBytes: 1000})
+	f.state = routing.NewSnapshot(1, routes, []*routing.Service{service}, organisations(map[string]request.OrgID{"k": "org"}), routing.CallerLimits{MaxBodyBytes: 1000})
 	f.server.o.Engines = f.placer
 	f.server.o.Room = f.room
 	f.server.o.RetryBudget = func() retry.Params { return retry.Params{Burst: 10} }
@@ -471,7 +471,7 @@
 	f.server.memory = newBudget(memory.Params{Capacity: 64 << 10, Ceiling: 8 << 20}, tally.NoopScope)
 	service := &routing.Service{ID: "s", Engine: &routing.Engine{Slots: 1}}
 	f.state = routing.NewSnapshot(2, []*routing.Route{f.state.Match(testHost, "/x")}, []*routing.Service{service},
-		map[string]*routing.Org{"k": {ID: "org"}}, routing.CallerLimits{MaxBodyBytes: 4 << 20})
+		organisations(map[string]request.OrgID{"k": "org"}), routing.CallerLimits{MaxBodyBytes: 4 << 20})
 	done := make(chan result, 1)
 	go func() {
 		answer, _, err := f.send(http.MethodPost, "/x", nil, strings.Repeat("b", 2<<20)) // the room takes 1 MiB
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -162,21 +162,35 @@
 	// LongestResumable is the longest timeout of the routes whose streams may be resumed; zero: there is none.
 	LongestResumable time.Duration
 
-	byHost       map[string][]*Route // longest prefix first
-	keys         map[string]*Org
-	requiresKeys bool
+	byHost map[string][]*Route // longest prefix first
+	orgs   *Organisations
 }
 
-// NewSnapshot builds a snapshot. keys maps each key to its organisation; nil means that the desired
-// state has no organisations and that no request needs a key.
-func NewSnapshot(version uint64, routes []*Route, services []*Service, keys map[string]*Org, limits CallerLimits) *Snapshot {
+// Organisations are the organisations of a desired state.
+type Organisations struct {
+	all  []*Org // also those without a key
+	keys map[string]*Org
+}
+
+// Add adds an organisation, which holds some keys.
+func (o *Organisations) Add(org *Org, keys ...string) {
+	o.all = append(o.all, org)
+	if o.keys == nil {
+		o.keys = make(map[string]*Org)
+	}
+	for _, key := range keys {
+		o.keys[key] = org
+	}
+}
+
+// NewSnapshot builds a snapshot. orgs is nil if the desired state has no organisations and no request needs a key.
+func NewSnapshot(version uint64, routes []*Route, services []*Service, orgs *Organisations, limits CallerLimits) *Snapshot {
 	s := &Snapshot{
-		Version:      version,
-		Services:     make(map[ServiceID]*Service, len(services)),
-		Limits:       limits,
-		byHost:       make(map[string][]*Route),
-		keys:         keys,
-		requiresKeys: keys != nil,
+		Version:  version,
+		Services: make(map[ServiceID]*Service, len(services)),
+		Limits:   limits,
+		byHost:   make(map[string][]*Route),
+		orgs:     orgs,
 	}
 	for _, service := range services {
 		s.Services[service.ID] = service
@@ -255,23 +269,23 @@
 }
 
 // OrgOf returns the organisation that holds a key, nil if none does.
-func (s *Snapshot) OrgOf(key string) *Org { return s.keys[key] }
+func (s *Snapshot) OrgOf(key string) *Org {
+	if s.orgs == nil {
+		return nil
+	}
+	return s.orgs.keys[key]
+}
 
-// Organisations returns the organisations that have keys, in no order.
+// Organisations returns all organisations, also those without a key.
 func (s *Snapshot) Organisations() []*Org {
-	seen := make(map[*Org]bool)
-	var out []*Org
-	for _, org := range s.keys {
-		if !seen[org] {
-			seen[org] = true
-			out = append(out, org)
-		}
+	if s.orgs == nil {
+		return nil
 	}
-	return out
+	return s.orgs.all
 }
 
 // NeedsKey reports whether requests of a route need a key.
-func (s *Snapshot) NeedsKey(r *Route) bool { return s.requiresKeys && !r.Anonymous }
+func (s *Snapshot) NeedsKey(r *Route) bool { return s.orgs != nil && !r.Anonymous }
 
 // Stores returns the context stores, ordered by id.
 func (s *Snapshot) Stores() []*Service {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -12,7 +12,9 @@
 		{Name: "mid", Host: "a", Prefix: "/x/", Anonymous: true},
 		{Name: "other", Host: "b", Prefix: "/x/"},
 	}
-	return NewSnapshot(1, routes, nil, map[string]*Org{"k": {ID: "o"}}, CallerLimits{})
+	orgs := &Organisations{}
+	orgs.Add(&Org{ID: "o"}, "k")
+	return NewSnapshot(1, routes, nil, orgs, CallerLimits{})
 }
 
 func TestLongestPrefixOfHostWins(t *testing.T) {
