A key counts also on routes that need none

A caller's key on a route with allow_anonymous was ignored: the request reached replicas without Tenant and under the salt of requests without an organisation, which is that of its group's pool. Its priority, regions and share of memory did not count either.

Cause: accept looked a key up only if the route needs one. Now a known key names the organisation on each route; no key, or one that nobody holds, is still served where none is needed.

--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -32,10 +32,8 @@
 	if s.refusedByDrain(j) {
 		return j, request.Refuse(request.CodeDraining, http.StatusServiceUnavailable, drainingRetry, "this daemon stops")
 	}
-	if state.NeedsKey(j.Route) {
-		if j.Org = state.OrgOf(s.o.Dialect.CallerKey(r.Header)); j.Org == nil {
-			return j, s.unlessStale(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
-		}
+	if err := s.identify(j, state, current); err != nil {
+		return j, err
 	}
 	if metaErr != nil {
 		return j, &request.Error{Code: request.CodeBadRequest, Status: http.StatusBadRequest, Message: metaErr.Error(), Ran: request.NotRun}
@@ -51,6 +49,16 @@
 	return j, s.readBody(w, r, j, state.Limits.MaxBodyBytes)
 }
 
+// identify finds the organisation that holds the caller's key. A key counts also on a route that needs none, since what
+// holds for its organisation holds on all routes.
+func (s *Server) identify(j *Job, state *routing.Snapshot, current bool) error {
+	j.Org = state.OrgOf(s.o.Dialect.CallerKey(j.Header))
+	if j.Org == nil && state.NeedsKey(j.Route) {
+		return s.unlessStale(current, request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the key is not known"))
+	}
+	return nil
+}
+
 // unlessStale returns e if the desired state is current. Otherwise it returns a retryable
 // refusal, because the route or key may have been added since the state was read.
 func (s *Server) unlessStale(current bool, e *request.Error) error {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -137,7 +137,7 @@
 	Body     []byte
 	Route    *routing.Route
 	Service  *routing.Service
-	Org      *routing.Org // nil if the route requires no key
+	Org      *routing.Org // nil if no organisation holds the caller's key
 	Start    time.Time
 	Deadline time.Time // earlier of the caller's and the route's deadline
 	// ResponseStarted is set once the caller has received a part of the response. A resumed stream is
