relay: requests in progress follow the newest desired state

Cause: a request took the desired state once, when its head had arrived, and each attempt used that. Now each attempt is judged by the newest state: before it is placed, when it gets its turn in the waiting room, which a new state gives at once, and after the check that may hold it up.

Kept as it was: streams that have begun go on at their service, also with a key that was taken away; a request that may have run is not sent again if its route now allows one run only. Ruled out: judging by the state at the end of the body alone, since retries and waits last as long.

--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -24,10 +24,8 @@
 	if err := s.admitReceived(state, from); err != nil {
 		return j, err
 	}
-	path := rawPath(r.RequestURI)
-	j.Route = state.Match(r.Host, path)
-	if j.Route == nil {
-		return j, s.unlessStale(current, request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no route for %s%s", r.Host, path))
+	if err := s.findRoute(j, state, current); err != nil {
+		return j, err
 	}
 	if s.refusedByDrain(j) {
 		return j, request.Refuse(request.CodeDraining, http.StatusServiceUnavailable, drainingRetry, "this daemon stops")
@@ -41,14 +39,30 @@
 	if j.Invalid != nil {
 		s.o.Logger.Warn("The relay ignores an invalid header of a caller", "request", j.ID, "route", j.Route.Name, "error", j.Invalid)
 	}
-	j.Service = state.Services[j.Route.ServiceFor(splitKey(j))]
-	if j.Service == nil {
-		return j, request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, noCapacityRetry, "the route's service is not known")
+	if err := findService(j, state); err != nil {
+		return j, err
 	}
 	j.Deadline = deadline(j)
 	return j, s.readBody(w, r, j, state.Limits.MaxBodyBytes)
 }
 
+func (s *Server) findRoute(j *Job, state *routing.Snapshot, current bool) error {
+	path := rawPath(j.URI)
+	j.Route = state.Match(j.Host, path)
+	if j.Route == nil {
+		return s.unlessStale(current, request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no route for %s%s", j.Host, path))
+	}
+	return nil
+}
+
+func findService(j *Job, state *routing.Snapshot) error {
+	j.Service = state.Services[j.Route.ServiceFor(splitKey(j))]
+	if j.Service == nil {
+		return request.Refuse(request.CodeNoTarget, http.StatusServiceUnavailable, noCapacityRetry, "the route's service is not known")
+	}
+	return nil
+}
+
 // identify finds the organisation that holds the caller's key. A key counts also on a route that needs none, since what
 // holds for its organisation holds on all routes.
 func (s *Server) identify(j *Job, state *routing.Snapshot, current bool) error {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -89,10 +89,7 @@
 	}
 	err := s.o.CrashTracker.Admit(ctx, j.traits)
 	if err != nil {
-		p.Flight.End()
-		if p.OnEnd != nil {
-			p.OnEnd(false)
-		}
+		p.abandon()
 	}
 	return err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -85,7 +85,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.replicas {
-		if !slices.Contains(tried, r.Info().ID) && j.Software.Allows(r.Info().Software) {
+		if r.Info().Service == j.Service.ID && !slices.Contains(tried, r.Info().ID) && j.Software.Allows(r.Info().Software) {
 			return &Placement{Replica: r, Flight: r.Load.Begin(0, 0)}, nil
 		}
 	}
@@ -106,6 +106,7 @@
 	server   *Server
 	front    *httptest.Server
 	state    *routing.Snapshot
+	newer    atomic.Pointer[routing.Snapshot] // replaces state while requests run
 	current  bool
 	mu       sync.Mutex
 	arrivals []arrival
@@ -136,13 +137,20 @@
 	f.state = routing.NewSnapshot(1, routes, []*routing.Service{{ID: "s"}}, organisations(map[string]request.OrgID{"k": "org"}), routing.CallerLimits{MaxBodyBytes: 1000})
 	f.server = New(Options{
 		Dialect: plainDialect{}, Plain: f.placer,
-		State:       func() (*routing.Snapshot, bool) { return f.state, f.current },
+		State:       f.desired,
 		RetryBudget: func() retry.Params { return retry.Params{Burst: 10} },
 	})
 	f.front = serveRelay(t, f.server)
 	return f
 }
 
+func (f *fixture) desired() (*routing.Snapshot, bool) {
+	if newer := f.newer.Load(); newer != nil {
+		return newer, f.current
+	}
+	return f.state, f.current
+}
+
 // serveRelay serves a handler of the relay as the daemon does.
 func serveRelay(t testing.TB, h http.Handler) *httptest.Server {
 	t.Helper()
@@ -155,6 +163,11 @@
 
 // addReplica adds a replica that handles each request on a connection of its own.
 func (f *fixture) addReplica(handle func(c net.Conn, id string)) net.Listener {
+	f.t.Helper()
+	return f.addReplicaOf("s", handle)
+}
+
+func (f *fixture) addReplicaOf(service routing.ServiceID, handle func(c net.Conn, id string)) net.Listener {
 	f.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -170,14 +183,16 @@
 			go f.serveConn(c, handle)
 		}
 	}()
-	f.register(l)
+	f.registerAt(service, l)
 	return l
 }
 
-// register makes the listener's address a replica.
-func (f *fixture) register(l net.Listener) {
+// register makes the listener's address a replica of service "s".
+func (f *fixture) register(l net.Listener) { f.registerAt("s", l) }
+
+func (f *fixture) registerAt(service routing.ServiceID, l net.Listener) {
 	id := request.TargetID(fmt.Sprint("r", len(f.placer.replicas)))
-	f.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: "s", Address: l.Addr().String(), Started: startedAt}}})
+	f.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{{ID: id, Service: service, Address: l.Addr().String(), Started: startedAt}}})
 	f.placer.replicas = append(f.placer.replicas, f.set.Get(id))
 }
 
@@ -228,7 +243,18 @@
 
 func (f *fixture) send(method, path string, header http.Header, content string) (*http.Response, string, error) {
 	f.t.Helper()
-	r, err := http.NewRequest(method, f.front.URL+path, strings.NewReader(content))
+	return f.sendReader(method, path, header, strings.NewReader(content))
+}
+
+// sendBody is post with a body that is sent as it is read.
+func (f *fixture) sendBody(body io.Reader) (*http.Response, string, error) {
+	f.t.Helper()
+	return f.sendReader(http.MethodPost, "/x", nil, body)
+}
+
+func (f *fixture) sendReader(method, path string, header http.Header, content io.Reader) (*http.Response, string, error) {
+	f.t.Helper()
+	r, err := http.NewRequest(method, f.front.URL+path, content)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// OnState tells that a newer desired state is in force: requests that wait are judged by it. It does not block.
+func (s *Server) OnState() {
+	if s.o.Room != nil {
+		s.o.Room.OnRoom(nil)
+	}
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
@@ -178,7 +185,9 @@
 		if out.started {
 			j.ResponseStarted, j.Software = true, out.software
 		}
-		a, err := s.attempt(ctx, j, out, h)
+		var a *attempt
+		var err error
+		j, a, err = s.attemptCurrent(ctx, j, out, h)
 		if err != nil {
 			s.finishUnanswered(ctx, w, j, out, h.mayHaveRun > 0, err)
 			return
@@ -240,6 +249,10 @@
 	if err := s.admitPlaced(ctx, j, p); err != nil {
 		return nil, err
 	}
+	if s.superseded(j) {
+		p.abandon() // it may have waited, and its replica, salt or organisation may be wrong now
+		return nil, errSuperseded
+	}
 	if out.lastEventID != j.LastEventID {
 		p.Meta.LastEventID = out.lastEventID
 	}
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -70,6 +70,9 @@
 	before := j.wait
 	for err == nil {
 		j.wait = before.add(turn)
+		if s.superseded(j) {
+			return nil, errSuperseded
+		}
 		var p *Placement
 		p, err = placer.Place(ctx, j, tried)
 		if err == nil {
@@ -123,8 +126,9 @@
 			ID: j.ID, Service: j.Service.ID, Org: j.OrgID(), Priority: j.Priority(), Cost: promptCost(j), Bytes: waitingBytes(j),
 			KeepBy: keepBy(j), LatestStart: latestStart(j), CallerUntil: callerUntil(j),
 		},
-		Stream:  j.Route.Kind == routing.KindStream,
-		HasRoom: func() bool { return placer.HasRoom(j, tried) },
+		Stream: j.Route.Kind == routing.KindStream,
+		// A request of an older desired state gets its turn at once, to be judged by the newer one.
+		HasRoom: func() bool { return s.superseded(j) || placer.HasRoom(j, tried) },
 	}
 	if len(tried) > 0 {
 		return w
