A daemon that wakes serves nothing by the desired state of before its stall

Cause: a stall is noticed at the next check, up to 100 ms after the process goes on, and the desired state is read after that; requests that lie in the sockets need a millisecond. Now a stall is pending from the first look at the clocks (stall.Monitor.Pending, no system call of its own: the wall clock tells a suspension), and requests wait until the first mirror was listed, for 500 ms at most, counted from the moment at which the stall was noticed. While the key-value service is away nothing newer can be known, and later requests wait no more. Ruled out: refusing them with 503, since they have waited long already and one call takes some milliseconds; salts of their own for all organisations meanwhile, which lose their cache on each freeze.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -79,11 +79,13 @@
 	watching  atomic.Bool   // the follower watches, and its last watch succeeded
 	answers   ReportTracker // answers of the service that have begun
 	wake      chan struct{}
-	listed    atomic.Bool               // the first listing is done
-	refreshes atomic.Uint64             // listings requested so far
-	refreshed atomic.Uint64             // value of refreshes at the start of the last complete listing
-	compacted bool                      // the history of the last watch is gone; used by Run only
-	loads     map[*Mirror]chan struct{} // running loads of paged mirrors, closed at their end; used by Run only
+	listed    atomic.Bool   // the first listing is done
+	refreshes atomic.Uint64 // listings requested so far
+	refreshed atomic.Uint64 // value of refreshes at the start of the last complete listing
+	// firstRefreshed is the value of refreshes at the start of the last listing of the first mirror.
+	firstRefreshed atomic.Uint64
+	compacted      bool                      // the history of the last watch is gone; used by Run only
+	loads          map[*Mirror]chan struct{} // running loads of paged mirrors, closed at their end; used by Run only
 
 	mu            sync.Mutex
 	recovering    bool      // an outage or a restore happened, and no listing has completed since
@@ -200,6 +202,9 @@
 	}
 }
 
+// Refreshing reports whether the first mirror has not been listed since the last call of Refresh.
+func (f *Follower) Refreshing() bool { return f.firstRefreshed.Load() != f.refreshes.Load() }
+
 // ServiceRestored notifies the follower that the key-value service was restored from a backup. The
 // follower lists all keys again and treats missing entries as possibly lost while their owners are
 // alive.
@@ -291,7 +296,7 @@
 		return 0, nil
 	}
 	var page platform.Page
-	callCtx := ctx
+	callCtx, refreshes := ctx, f.refreshes.Load()
 	if m == f.mirrors[0] {
 		// The watch that follows returns what the other mirrors lack at once.
 		callCtx = platform.WithOnAnswer(ctx, func() { f.recordAnswer(time.Now()) })
@@ -308,6 +313,9 @@
 	}
 	if !page.More {
 		m.applyListing(content{entries: page.Entries, complete: page.Revision, afterOutage: f.afterOutage()})
+		if m == f.mirrors[0] {
+			f.firstRefreshed.Store(refreshes)
+		}
 		return len(page.Entries), nil
 	}
 	f.startLoad(ctx, m, page.Entries)
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -16,6 +16,7 @@
 	j := &Job{Start: time.Now(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: r.Header, received: from, takesChunks: r.ProtoAtLeast(1, 1)}
 	meta, metaErr := s.o.Dialect.ParseRequest(r.Header)
 	j.Meta = meta // set before any refusal, whose log line includes it
+	s.o.AwaitCurrent(r.Context())
 	state, current := s.o.State()
 	if state == nil {
 		return j, request.Refuse(request.CodeStale, http.StatusServiceUnavailable, s.notReadyRetryAfter(), "no desired state is known yet")
--- a/internal/relay/newerstate.go
+++ b/internal/relay/newerstate.go
@@ -53,6 +53,7 @@
 // attemptCurrent makes an attempt by the newest desired state. It returns the request as that state has it.
 func (s *Server) attemptCurrent(ctx context.Context, j *Job, out *sink, h *history) (*Job, *attempt, error) {
 	for {
+		s.o.AwaitCurrent(ctx)
 		next, err := s.current(j, h)
 		if err != nil {
 			return j, nil, err
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -59,6 +59,8 @@
 	// State returns the effective desired state, nil if none is known, and whether it is
 	// confirmed to be current.
 	State func() (s *routing.Snapshot, current bool)
+	// AwaitCurrent waits while the desired state is about to be replaced by one that this daemon has missed; nil: it never is.
+	AwaitCurrent func(ctx context.Context)
 	// OutageDuration returns how long the desired state could not be read; zero: no outage. Nil: always
 	// zero.
 	OutageDuration func() time.Duration
@@ -113,6 +115,9 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	if o.AwaitCurrent == nil {
+		o.AwaitCurrent = func(context.Context) {}
+	}
 	if o.OutageDuration == nil {
 		o.OutageDuration = func() time.Duration { return 0 }
 	}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,10 +21,16 @@
 	minStall = 700 * time.Millisecond
 )
 
+// Monitor notices stalls of the process. The zero value is ready to use.
+type Monitor struct {
+	checked atomic.Pointer[time.Time] // when Watch checked last; nil: not yet
+}
+
 // Watch calls onStall with the duration of each stall until ctx ends.
-func Watch(ctx context.Context, onStall func(time.Duration)) error {
+func (m *Monitor) Watch(ctx context.Context, onStall func(time.Duration)) error {
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
+	m.recordCheck(time.Now())
 	last := now()
 	for {
 		select {
@@ -35,10 +42,26 @@
 		if gap := at - last; gap > minStall {
 			onStall(gap)
 		}
+		m.recordCheck(time.Now())
 		last = at
 	}
 }
 
+func (m *Monitor) recordCheck(at time.Time) { m.checked.Store(&at) }
+
+// Pending reports whether the process may have been stalled since the last check, so that onStall may still have to be called. After a
+// step of the clock it does so too, until the next check.
+func (m *Monitor) Pending() bool { return m.pendingAt(time.Now()) }
+
+func (m *Monitor) pendingAt(at time.Time) bool {
+	last := m.checked.Load()
+	if last == nil {
+		return false
+	}
+	// The monotonic clock excludes suspensions, the wall clock includes them.
+	return max(at.Sub(*last), at.Round(0).Sub(last.Round(0))) > minStall
+}
+
 // now returns the time since boot, which includes suspensions.
 func now() time.Duration {
 	var ts unix.Timespec
