poison: deaths of an id that doesn't say when it started are told apart

Callers saw: at a service of three replicas that keep their ids and addresses and don't say when they started, a part that crashes each replica which begins to answer it was never refused: 19 crashes, 10 requests later than 3 s after the fifth (3 allowed, BUDGET), and 14 of 97 sound requests served afterwards.

Cause: a death was known by id and start; without a start, by the id, so that the second death of an id told nothing. Now two deaths of such an id are two if the request of the second was sent a second or more after the first. Merging compares how many deaths of an id two records have, since the times of another daemon are by another clock (TestMergeCountsDeathsOfUnknownStarts).

Ruled out: telling processes apart by connections, which one daemon knows; by answers since, which only sound requests get.

--- a/internal/policy/poison/bounds_test.go
+++ b/internal/policy/poison/bounds_test.go
@@ -68,3 +68,32 @@
 		t.Errorf("%+v and %+v", recordA, recordB)
 	}
 }
+
+// TestMergeCountsDeathsOfUnknownStarts guards against deaths of one id that count once more because another daemon's clock differs, and
+// against those that a daemon which starts does not learn.
+func TestMergeCountsDeathsOfUnknownStarts(t *testing.T) {
+	const skew = 5 * time.Second
+	bad := NewTrait(KindPart, 1, []byte("bad"))
+	a, b := New(DefaultParams), New(DefaultParams)
+	at := epoch
+	for range 4 {
+		at = at.Add(2 * time.Second)
+		report := Report{Death: DeathID("r", 0), Org: 1, At: at, Accused: []Accused{{Trait: bad, Sent: at.Add(-time.Millisecond)}}}
+		a.OnDeath(at, report)
+		report.At = at.Add(skew)
+		report.Accused[0].Sent = report.At.Add(-time.Millisecond)
+		b.OnDeath(report.At, report)
+	}
+	late := at.Add(time.Minute)
+	recordA, _ := a.Record(bad)
+	recordB, _ := b.Record(bad)
+	starts := New(DefaultParams)
+	for _, to := range []*Registry{a, b, starts} {
+		to.Merge(late, []Record{recordA})
+		to.Merge(late, []Record{recordB})
+		to.Merge(late, []Record{recordA})
+		if r, _ := to.Record(bad); len(r.Deaths) != 4 || !to.IsPoisonous(bad) {
+			t.Errorf("%d deaths, want 4: %+v", len(r.Deaths), r.Deaths)
+		}
+	}
+}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -75,7 +75,7 @@
 
 // Report is the death of a replica with requests of one organisation in flight.
 type Report struct {
-	Death   string // of the replica and its incarnation
+	Death   string // see DeathID
 	Org     Org
 	At      time.Time
 	Accused []Accused
@@ -293,7 +293,7 @@
 			case !ok:
 			case len(reaching) == 0 || d.before(first):
 				first, reaching = d, []*entry{e}
-			case d.ID == first.ID:
+			case d.same(first):
 				reaching = append(reaching, e)
 			}
 		}
@@ -327,7 +327,7 @@
 // explains reports whether one of those poisonous traits for which among is true has a death.
 func (r *Registry) explains(d Death, among func(Trait) bool) bool {
 	for t, b := range r.poisonous {
-		if t.Kind != KindRequest && among(t) && slices.ContainsFunc(b.pending(), func(known Death) bool { return known.ID == d.ID }) {
+		if t.Kind != KindRequest && among(t) && slices.ContainsFunc(b.pending(), d.same) {
 			return true
 		}
 	}
--- a/internal/policy/poison/record.go
+++ b/internal/policy/poison/record.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -9,9 +10,19 @@
 // maxDeaths bounds the deaths in a record; the oldest are dropped.
 const maxDeaths = 24
 
+// restartTime is the least time from a death to the first request of a replica that starts again under its id. It is longer than daemons
+// take to agree on the time of one death, and shorter than replicas take to start.
+const restartTime = time.Second
+
+// unknownStart ends the ID of a death whose replica does not say when its process started.
+const unknownStart = "@0"
+
+// DeathID returns the ID of the death of a process of a replica, which started at a time in Unix milliseconds; zero: it does not say.
+func DeathID(replica string, started int64) string { return fmt.Sprint(replica, "@", started) }
+
 // Death is the death of a replica while it ran a request with a trait.
 type Death struct {
-	ID   string // of the replica and its incarnation
+	ID   string // see DeathID
 	Org  Org    // of the request
 	Sent time.Time
 	At   time.Time
@@ -35,7 +46,7 @@
 }
 
 // merge adds what another daemon's record of the trait says, and reports whether anything changed. The times of a death that is known
-// already stay: those of another daemon are by another clock.
+// already stay: those of another daemon are by another clock. Of the deaths with one ID those are added by which the other record has more.
 func (r *Record) merge(other Record) (changed bool) {
 	if other.Answered.After(r.Answered) {
 		r.Answered, changed = other.Answered, true
@@ -43,29 +54,50 @@
 	if other.Trial.After(r.Trial) {
 		r.Trial, changed = other.Trial, true
 	}
+	known := make(map[string]int, len(r.Deaths))
+	for _, d := range r.Deaths {
+		known[d.ID]++
+	}
 	for _, d := range other.Deaths {
-		if r.indexOf(d.ID) < 0 && r.addDeath(d) {
+		if known[d.ID]--; known[d.ID] < 0 && r.append(d) {
 			changed = true
 		}
 	}
 	return changed
 }
 
-func (r *Record) indexOf(death string) int {
-	return slices.IndexFunc(r.Deaths, func(known Death) bool { return known.ID == death })
+// indexOf returns the index of the death that another report is about, -1 if none is known.
+func (r *Record) indexOf(d Death) int {
+	return slices.IndexFunc(r.Deaths, d.same)
+}
+
+// same reports whether two reports are about one death.
+func (d Death) same(other Death) bool {
+	return d.ID == other.ID && !d.restartedBefore(other) && !other.restartedBefore(d)
+}
+
+// restartedBefore reports whether the replica of a death ran again before another death with the same ID: the request of that one was sent
+// after the first.
+func (d Death) restartedBefore(other Death) bool {
+	return strings.HasSuffix(d.ID, unknownStart) && other.Sent.After(d.At.Add(restartTime))
+}
+
+// append adds a death that is not known, unless it is older than all of a full record.
+func (r *Record) append(d Death) (added bool) {
+	if len(r.Deaths) == maxDeaths && !d.At.After(r.Deaths[0].At) {
+		return false
+	}
+	r.Deaths = append(r.Deaths, d)
+	r.sortDeaths()
+	return true
 }
 
 // addDeath adds a death, or what another report of the same death says: it may come from another daemon, or be about another
 // request.
 func (r *Record) addDeath(d Death) (changed bool) {
-	i := r.indexOf(d.ID)
+	i := r.indexOf(d)
 	if i < 0 {
-		if len(r.Deaths) == maxDeaths && !d.At.After(r.Deaths[0].At) {
-			return false
-		}
-		r.Deaths = append(r.Deaths, d)
-		r.sortDeaths()
-		return true
+		return r.append(d)
 	}
 	known := &r.Deaths[i]
 	if d.Sent.After(known.Sent) {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -155,8 +154,7 @@
 // began, so that only the request itself is accused.
 func (a *attempt) crashReport(j *Job, at time.Time) poison.Report {
 	info := a.placement.Replica.Info()
-	// A replica may restart under its id. The start time makes each of its crashes count once.
-	report := poison.Report{Death: fmt.Sprint(info.ID, "@", info.Started), Org: poison.OrgOf(j.OrgID()), At: at}
+	report := poison.Report{Death: poison.DeathID(string(info.ID), info.Started), Org: poison.OrgOf(j.OrgID()), At: at}
 	first, started := a.firstEventAt.Time()
 	for _, t := range j.traits(true) {
 		switch {
