--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -25,6 +25,9 @@
 	if err := s.admitReceived(state, from); err != nil {
 		return j, err
 	}
+	if limit := state.Limits.MaxHeaderBytes; from == nil && limit > 0 && headerBytes(r.Header) > limit {
+		return j, &request.Error{Code: request.CodePayloadTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Message: "header: too long", Ran: request.NotRun}
+	}
 	if err := s.findRoute(j, state, current); err != nil {
 		return j, err
 	}
@@ -47,6 +50,18 @@
 	return j, s.readBody(w, r, j, state.Limits.MaxBodyBytes)
 }
 
+// headerBytes returns the size of headers as they are sent.
+func headerBytes(h http.Header) int {
+	const delimiters = len(": \r\n")
+	size := 0
+	for name, values := range h {
+		for _, v := range values {
+			size += len(name) + len(v) + delimiters
+		}
+	}
+	return size
+}
+
 func (s *Server) findRoute(j *Job, state *routing.Snapshot, current bool) error {
 	path := rawPath(j.URI)
 	j.Route = state.Match(j.Host, path)
--- a/internal/relay/newerstate_test.go
+++ b/internal/relay/newerstate_test.go
@@ -219,3 +219,22 @@
 		t.Errorf("%d requests count at the replica that got none", n)
 	}
 }
+
+// TestNewerLimitOfHeadersIsInForce guards against requests that run although their headers are longer than the desired state allows, or
+// that are refused although it allows them.
+func TestNewerLimitOfHeadersIsInForce(t *testing.T) {
+	f := newFixture(t, route(routing.KindOnce))
+	f.addReplica(func(conn net.Conn, id string) { writeOK(conn, id, "s") })
+	header := http.Header{"Long": {strings.Repeat("a", 1000)}}
+	for _, c := range []struct{ limit, status int }{{0, 200}, {900, 431}, {2000, 200}} {
+		limits := f.state.Limits
+		limits.MaxHeaderBytes = c.limit
+		next := routing.NewSnapshot(f.state.Version+uint64(c.limit), []*routing.Route{f.state.Match(testHost, "/x")}, []*routing.Service{f.state.Services["s"]},
+			organisations(map[string]request.OrgID{"k": "org"}), limits)
+		f.newer.Store(next)
+		answer, _, err := f.call(http.MethodPost, "/x", header)
+		if err != nil || answer.StatusCode != c.status {
+			t.Errorf("limit %d: got %v, %v, want %d", c.limit, answer, err, c.status)
+		}
+	}
+}
