--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -52,7 +52,8 @@
 // testEnv implements all dependencies of a gateway. It counts acquired and released
 // resources. A step named in fail ends with the outcome given there.
 type testEnv struct {
-	tables          *table.Replica
+	tables          Tables
+	onAcquire       func() // called while a job waits for its grant; nil: nothing happens
 	members         fakeMembers
 	holder          journal.Holder
 	fail            map[string]outcome
@@ -73,8 +74,13 @@
 }
 
 func newTables(t *testing.T) *table.Replica {
+	return tablesWith(t, fmt.Sprintf("atlas,%x,1,1000,1000,500,1000000,verdict,cards;lookup\n", sha256.Sum256([]byte(testKey))))
+}
+
+// tablesWith returns tables with some organisations.
+func tablesWith(t *testing.T, organisations string) *table.Replica {
 	return tabletest.Load(t, kv.NewFake(time.Now).Client("d1"), tabletest.Rows{
-		Organisations: fmt.Sprintf("atlas,%x,1,1000,1000,500,1000000,verdict,cards;lookup\n", sha256.Sum256([]byte(testKey))),
+		Organisations: organisations,
 		Models:        "verdict,v1,1024,3\n",
 		Targets: "engine-1,engine,127.0.0.1:1,conche,verdict,,,true,false,1\n" +
 			"cards-1,service,127.0.0.1:2,conche,,,cards,false,false,1\n" +
@@ -82,7 +88,7 @@
 	})
 }
 
-func newTestEnv(tables *table.Replica) *testEnv {
+func newTestEnv(tables Tables) *testEnv {
 	return &testEnv{
 		tables: tables, members: fakeMembers{self: &peer.Member{Id: "d1"}}, holder: journal.Holder{ID: "d1"},
 		fail: map[string]outcome{}, taken: map[string]int{},
@@ -180,6 +186,9 @@
 	if !e.step("queue", "grant") {
 		return Grant{}, request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, time.Second, "queue")
 	}
+	if e.onAcquire != nil {
+		e.onAcquire()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.acquireIDs = append(e.acquireIDs, a.Request)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,6 +249,7 @@
 		&limitFilter{g},
 		&placeFilter{g},
 		&queueFilter{g},
+		&permitFilter{g},
 		&journalFilter{g},
 		&dispatchFilter{g},
 	}
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -45,8 +45,7 @@
 	}
 	j.org = f.g.organisationOf(j.bearer)
 	if j.org == nil {
-		return pipeline.Finish(request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0,
-			"the bearer key belongs to no organisation"))
+		return pipeline.Finish(unknownKeyRefusal())
 	}
 	if j.kind == kindService {
 		return f.identifyService(j)
@@ -75,11 +74,10 @@
 	if _, known := snapshot.Model(j.model); !known {
 		return pipeline.Finish(request.Refuse(request.CodeUnknownModel, http.StatusNotFound, 0, "no model %q", j.model))
 	}
-	version, allowed := snapshot.VersionFor(j.org.ID, j.model)
-	if !allowed {
-		return pipeline.Finish(request.Refuse(request.CodeForbidden, http.StatusForbidden, 0,
-			"organisation %s may not use model %s", j.org.ID, j.model))
+	if refusal := forbids(snapshot, j.org, j); refusal != nil {
+		return pipeline.Finish(refusal)
 	}
+	version, _ := snapshot.VersionFor(j.org.ID, j.model)
 	j.context.Scope = block.Scope{Org: j.org.ID, Model: j.model, Version: version}
 	head := HeadDigest(j.completion.Prompt)
 	if home := f.g.opts.Members.Owner(homeKey(j.org.ID, j.model, head)); f.g.shouldForward(j, home) {
@@ -88,6 +86,46 @@
 	return pipeline.Await(func(context.Context) pipeline.Decision { return f.hash(j) })
 }
 
+// permitFilter refuses a job that the table no longer allows: it may have waited for long since it was identified, and operators may have
+// taken away its organisation, its key, or the model or service meanwhile. An answer that has begun goes on.
+type permitFilter struct{ g *Gateway }
+
+// Name implements pipeline.Filter.
+func (f *permitFilter) Name() string { return "permit" }
+
+// Process implements pipeline.Filter.
+func (f *permitFilter) Process(j *Job) pipeline.Decision {
+	if j.outputTokens > 0 {
+		return pipeline.Pass()
+	}
+	org := f.g.organisationOf(j.bearer)
+	if org == nil || org.ID != j.org.ID {
+		return pipeline.Finish(unknownKeyRefusal())
+	}
+	if refusal := forbids(f.g.opts.Tables.Current(), org, j); refusal != nil {
+		return pipeline.Finish(refusal)
+	}
+	return pipeline.Pass()
+}
+
+func unknownKeyRefusal() *request.Error {
+	return request.Refuse(request.CodeUnauthorized, http.StatusUnauthorized, 0, "the bearer key belongs to no organisation")
+}
+
+// forbids returns the refusal of a job that an organisation may not send, or nil.
+func forbids(t *table.Snapshot, org *table.Organisation, j *Job) *request.Error {
+	if j.kind == kindService {
+		if !slices.Contains(org.Services, j.call.service) {
+			return request.Refuse(request.CodeForbidden, http.StatusForbidden, 0, "organisation %s may not call service %s", org.ID, j.call.service)
+		}
+		return nil
+	}
+	if _, allowed := t.VersionFor(org.ID, j.model); !allowed {
+		return request.Refuse(request.CodeForbidden, http.StatusForbidden, 0, "organisation %s may not use model %s", org.ID, j.model)
+	}
+	return nil
+}
+
 // hash computes the block hashes and the fingerprint of a prompt. It runs outside the
 // filter's actor, since hashing a long prompt takes milliseconds.
 func (f *identifyFilter) hash(j *Job) pipeline.Decision {
@@ -105,9 +143,8 @@
 	if len(instances) == 0 {
 		return pipeline.Finish(request.Refuse(request.CodeUnknownService, http.StatusNotFound, 0, "no service %q", j.call.service))
 	}
-	if !slices.Contains(j.org.Services, j.call.service) {
-		return pipeline.Finish(request.Refuse(request.CodeForbidden, http.StatusForbidden, 0,
-			"organisation %s may not call service %s", j.org.ID, j.call.service))
+	if refusal := forbids(snapshot, j.org, j); refusal != nil {
+		return pipeline.Finish(refusal)
 	}
 	j.call.repeatable = !slices.ContainsFunc(instances, func(t *table.Target) bool { return !t.Repeatable })
 	if j.call.repeatable {
