--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -771,3 +771,27 @@
 		}
 	}
 }
+
+// TestRetryBudgetFollowsItsShare guards against a daemon that knows no other one when its first request comes, and takes the whole
+// fleet's budget for its own for good.
+func TestRetryBudgetFollowsItsShare(t *testing.T) {
+	f := newFixture(t, route(routing.KindOnce))
+	burst := 100.0
+	f.server.o.RetryBudget = func() retry.Params { return retry.Params{Burst: burst, Share: 1e-9, PerSecond: 1e-9} }
+	f.addReplica(func(c net.Conn, id string) { writeNotRun(c, id) })
+	f.addReplica(func(c net.Conn, id string) { writeNotRun(c, id) })
+	const requests, share = 10, 2
+	if _, _, err := f.post("before the others are known"); err != nil {
+		t.Fatal(err)
+	}
+	burst = share
+	before := len(f.received())
+	for range requests {
+		if _, _, err := f.post("body"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if retries := len(f.received()) - before - requests; retries > share {
+		t.Errorf("%d retries of %d requests, want %d at most", retries, requests, share)
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -64,7 +64,7 @@
 	// OutageDuration returns how long the desired state could not be read; zero: no outage. Nil: always
 	// zero.
 	OutageDuration func() time.Duration
-	// RetryBudget returns this daemon's share of the retry budget of one service.
+	// RetryBudget returns this daemon's current share of the retry budget of one service.
 	RetryBudget func() retry.Params
 	WaitPolicy  WaitPolicy // of requests that may wait in Room
 	// CrashTracker refuses requests that crash replicas; nil: no request is refused.
@@ -357,10 +357,12 @@
 func (s *Server) withBudget(id routing.ServiceID, use func(*retry.Budget) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now, params := time.Now(), s.o.RetryBudget()
 	b, ok := s.budgets[id]
 	if !ok {
-		b = retry.NewBudget(time.Now(), s.o.RetryBudget())
+		b = retry.NewBudget(now, params)
 		s.budgets[id] = b
 	}
+	b.SetParams(now, params) // the share depends on the number of daemons, which changes
 	return use(b)
 }
