--- a/internal/policy/poison/record.go
+++ b/internal/policy/poison/record.go
@@ -59,7 +59,7 @@
 		known[d.ID]++
 	}
 	for _, d := range other.Deaths {
-		if known[d.ID]--; known[d.ID] < 0 && r.append(d) {
+		if known[d.ID]--; known[d.ID] < 0 && r.insert(d) {
 			changed = true
 		}
 	}
@@ -82,8 +82,8 @@
 	return strings.HasSuffix(d.ID, unknownStart) && other.Sent.After(d.At.Add(restartTime))
 }
 
-// append adds a death that is not known, unless it is older than all of a full record.
-func (r *Record) append(d Death) (added bool) {
+// insert adds a death that is not known, unless it is older than all of a full record.
+func (r *Record) insert(d Death) (added bool) {
 	if len(r.Deaths) == maxDeaths && !d.At.After(r.Deaths[0].At) {
 		return false
 	}
@@ -97,7 +97,7 @@
 func (r *Record) addDeath(d Death) (changed bool) {
 	i := r.indexOf(d)
 	if i < 0 {
-		return r.append(d)
+		return r.insert(d)
 	}
 	known := &r.Deaths[i]
 	if d.Sent.After(known.Sent) {
