--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -42,11 +42,8 @@
 	// nothing accumulates.
 	SavedShare float64
 	Window     time.Duration
-	// Started is when the process started. Its predecessor may have used up the budget right before, so that Burst becomes available
-	// over the first Window. Zero: all of it is available from the beginning.
-	Started   time.Time
-	BaseDelay time.Duration
-	MaxDelay  time.Duration
+	BaseDelay  time.Duration
+	MaxDelay   time.Duration
 }
 
 func (p *Params) setDefaults() {
@@ -74,18 +71,10 @@
 	recentAttempts float64 // first attempts within Window, with exponentially decaying weight
 }
 
-// NewBudget returns a budget that is full, as far as Params.Started allows.
+// NewBudget returns a full budget.
 func NewBudget(now time.Time, p Params) *Budget {
 	p.setDefaults()
-	return &Budget{params: p, tokens: p.Burst * (1 - p.unavailable(now)), refilledAt: now}
-}
-
-// unavailable returns the share of Burst that is not available yet.
-func (p *Params) unavailable(now time.Time) float64 {
-	if p.Started.IsZero() || p.Window <= 0 {
-		return 0
-	}
-	return min(1, max(0, 1-now.Sub(p.Started).Seconds()/p.Window.Seconds()))
+	return &Budget{params: p, tokens: p.Burst, refilledAt: now}
 }
 
 // SetParams replaces the bounds. What a lower bound leaves no room for is lost.
@@ -117,8 +106,7 @@
 		if b.params.Window > 0 {
 			b.recentAttempts *= math.Exp(-elapsed.Seconds() / b.params.Window.Seconds())
 		}
-		available := b.params.unavailable(b.refilledAt) - b.params.unavailable(now)
-		b.tokens = min(b.capacity(), b.tokens+elapsed.Seconds()*b.params.PerSecond+available*b.params.Burst)
+		b.tokens = min(b.capacity(), b.tokens+elapsed.Seconds()*b.params.PerSecond)
 		b.refilledAt = now
 	}
 }
