--- a/internal/relay/newerstate_test.go
+++ b/internal/relay/newerstate_test.go
@@ -165,7 +165,7 @@
 		newer  func(f *waitingFixture) *routing.Snapshot
 		status int
 	}{
-		"moved":    {func(f *waitingFixture) *routing.Snapshot { return f.movedToRoom() }, 200},
+		"moved":    {func(f *waitingFixture) *routing.Snapshot { return f.movedToPlain() }, 200},
 		"key gone": {func(f *waitingFixture) *routing.Snapshot { return f.withoutKey() }, 401},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -183,8 +183,8 @@
 	}
 }
 
-// movedToRoom is moved to a plain service, for which nothing waits.
-func (f *waitingFixture) movedToRoom() *routing.Snapshot {
+// movedToPlain is moved with a service that has no engine, for which nothing waits.
+func (f *waitingFixture) movedToPlain() *routing.Snapshot {
 	state := f.moved(routing.KindOnce)
 	state.Services["s2"].Engine = nil
 	return state
