Deaths of all replicas of a small service count: other daemons are asked where no witness is left

What callers saw: at a service of two replicas a part that crashes each one was refused late or never; 3 to 77 of 97 sound requests were served. Cause: a replica that accepts no connections counted as dead only if this daemon reached another one. Where all die within the check, each daemon took the deaths for the loss of its path, and recorded none (trace: 4 of 14 deaths recorded).

Now up to nine other daemons check the replica, those of other failure domains first: dead if none reaches it and more than half say so. A replica without witnesses isn't dead if another daemon reaches it.

Ruled out: deaths that are recorded but not independent; ids, starts, places, replaced daemons (failures with and without each). Price: up to nine calls for each replica that dies while no other is reached; none at a request that no replica died of.

--- a/Makefile
+++ b/Makefile
@@ -45,9 +45,9 @@
 proto:
 	cd internal/peer && protoc --go_out=. --go_opt=paths=source_relative \
 		--twirp_out=. --twirp_opt=paths=source_relative peer.proto
-	for p in mirror contextstore loadshare origins; do (cd internal/$$p && \
+	for p in mirror contextstore loadshare origins forwarding/witness; do (cd internal/$${p%/*} && \
 		protoc --go_out=. --go_opt=paths=source_relative \
-		--twirp_out=. --twirp_opt=paths=source_relative $$p.proto); done
+		--twirp_out=. --twirp_opt=paths=source_relative $${p##*/}.proto); done
 	rm -f internal/loadshare/loadshare.twirp.go
 
 # The days of deploy/days on a site of the users' platform: make days BENCH=... SITE=...
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -8,6 +8,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/reach"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -39,14 +41,18 @@
 	Known func() map[routing.ServiceID][]*replicas.Replica
 	// OnChange is called when a service was lost or is reached again. It must not block. Nil: it is not called.
 	OnChange func()
-	Logger   hclog.Logger
-	Metrics  tally.Scope
+	// Peers returns the peer addresses of other daemons, those first that are least likely to have lost the same paths; nil: there are none.
+	Peers   func() []string
+	Client  *http.Client // calls Peers
+	Logger  hclog.Logger
+	Metrics tally.Scope
 }
 
 // Observer knows which services' replicas this daemon reaches. It is safe for concurrent use.
 type Observer struct {
 	o      ObserverOptions
-	probes chan struct{} // has an element if replicas are to be probed
+	probes chan struct{}      // has an element if replicas are to be probed
+	checks singleflight.Group // by other daemons
 
 	failing atomic.Bool // there are recent failures; without them no service is lost
 
@@ -256,8 +262,9 @@
 	}
 }
 
-// PathIsSound reports whether this daemon reaches another replica than one that it does not reach. It probes some. Without
-// other replicas the path counts as sound.
+// PathIsSound reports whether it isn't by a lost path that this daemon does not reach a replica: it reaches another one, of which it probes
+// some, or other daemons do not reach the replica either, as when all replicas of a small service die. Without other replicas the path counts
+// as sound unless another daemon reaches the replica.
 func (o *Observer) PathIsSound(ctx context.Context, unreached *replicas.Replica) bool {
 	witnesses := o.witnesses(unreached)
 	for some := range slices.Chunk(witnesses, witnessesAtOnce) {
@@ -265,7 +272,11 @@
 			return true
 		}
 	}
-	return len(witnesses) == 0
+	testimonies := o.askPeers(unreached)
+	if len(witnesses) == 0 {
+		return !slices.Contains(testimonies, reach.Reaches)
+	}
+	return reach.Died(testimonies)
 }
 
 // witnesses returns a random choice of the replicas at other addresses than that of unreached. Those that are known to accept no
