A forwarded request names the replicas that may have got it, not those that its daemon didn't reach

What callers saw: 503 from a daemon that had lost the path to the replicas but for open connections, while two others reached them all. Cause, seen in a log of the peers' refusals: one request had been refused a connection by all four replicas, the forwarded request named them as tried, both peers had none left, and counted as unable for 0.5 s, again and again.

Ruled out: peers that lost replicas, that were full, or knew an older desired state (their logs and the refusal's code). TestPeerTriesReplicasThatWereNotReached fails before: 'no untried replica', and the peer counts as unable.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -23,7 +23,7 @@
 	headerForwardedState   = "Bluebellscale-Forwarded-State"    // version of the desired state by which it accepted the request
 	headerForwardedRan     = "Bluebellscale-Forwarded-Ran"      // attempts that may have run
 	headerForwardedCounted = "Bluebellscale-Forwarded-Counted"  // 1: the request counts for its retry budget
-	headerForwardedTried   = "Bluebellscale-Forwarded-Replicas" // replicas that were tried, separated by commas
+	headerForwardedTried   = "Bluebellscale-Forwarded-Replicas" // replicas that may have got the request, separated by commas
 	// headerSoftware is the version of the replicas' software that began a stream: in a forwarded request that resumes it, and in the
 	// response to one that began it.
 	headerSoftware    = "Bluebellscale-Software"
@@ -186,9 +186,9 @@
 		header.Set(headerForwardedCounted, "1")
 	}
 	setSoftware(header, j.Software)
-	if len(h.replicas) > 0 {
-		ids := make([]string, len(h.replicas))
-		for i, id := range h.replicas {
+	if len(h.reached) > 0 { // the other daemon may reach the others
+		ids := make([]string, len(h.reached))
+		for i, id := range h.reached {
 			ids[i] = string(id)
 		}
 		header.Set(headerForwardedTried, strings.Join(ids, ","))
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -137,6 +137,39 @@
 	}
 }
 
+// losingPeers are the peers of a daemon that finds out by a request that it reaches no replica.
+type losingPeers struct {
+	fixedPeers
+	replicas int
+}
+
+func (p *losingPeers) Forwards(_ routing.ServiceID, s forward.Situation) bool {
+	s.Lost = s.Unsent >= p.replicas
+	return s.Forwards()
+}
+
+func (p *losingPeers) Lost(routing.ServiceID) bool { return false }
+
+// TestPeerTriesReplicasThatWereNotReached guards against a request that no daemon serves, and peers that get no further one for a while, because
+// the daemon that lost its path tried all replicas in vain before it forwarded the request.
+func TestPeerTriesReplicasThatWereNotReached(t *testing.T) {
+	cut, peer, fixed := newPair(t, route(routing.KindOnce))
+	peers := &losingPeers{replicas: 2}
+	peers.ids, peers.pools = fixed.ids, fixed.pools
+	cut.server.o.Peers = peers
+	for range peers.replicas {
+		cut.addReplica(closeWithoutResponse).Close()
+		peer.addReplica(func(c net.Conn, id string) { writeOK(c, id, "served") })
+	}
+	_, body, err := cut.call(http.MethodPost, "/x", nil)
+	if err != nil || body != "served" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if peers.unable.Load() != 0 {
+		t.Error("the peer counts as unable")
+	}
+}
+
 // A peer that is cut off as well must refuse, not forward to a third daemon.
 func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
 	cut, peer, _ := newPair(t, route(routing.KindOnce))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -277,11 +278,12 @@
 type history struct {
 	unsent     int // attempts that reached no replica
 	sent       int
-	mayHaveRun int           // sent attempts whose request may have run
-	checks     []*crashCheck // of the replicas at which the request broke
-	counted    bool          // the request counts for the retry budget
-	final      bool          // another daemon has tried what may be tried
-	replicas   []request.TargetID
+	mayHaveRun int                // sent attempts whose request may have run
+	checks     []*crashCheck      // of the replicas at which the request broke
+	counted    bool               // the request counts for the retry budget
+	final      bool               // another daemon has tried what may be tried
+	replicas   []request.TargetID // that were tried
+	reached    []request.TargetID // of replicas: those that may have got the request
 	peers      []request.DaemonID
 	refusal    *request.Error // of the last peer; nil: none refused
 }
@@ -291,7 +293,10 @@
 	if j.received == nil {
 		return &history{}
 	}
-	return &history{sent: j.received.mayHaveRun, mayHaveRun: j.received.mayHaveRun, counted: j.received.counted, replicas: j.received.replicas}
+	return &history{
+		sent: j.received.mayHaveRun, mayHaveRun: j.received.mayHaveRun, counted: j.received.counted,
+		replicas: slices.Clone(j.received.replicas), reached: slices.Clone(j.received.replicas),
+	}
 }
 
 func (h *history) add(a *attempt) {
@@ -300,9 +305,12 @@
 		return
 	}
 	h.replicas = append(h.replicas, a.placement.Meta.Replica)
-	switch a.outcome {
-	case notSent:
+	if a.outcome == notSent {
 		h.unsent++
+		return
+	}
+	h.reached = append(h.reached, a.placement.Meta.Replica)
+	switch a.outcome {
 	case notRun:
 		h.sent++
 	default:
