The check of a replica at the end of an answer is repeated if the process was stalled during it

What callers saw: a part of a stream without a length, whose replica had crashed, ended in order. A check without a verdict that took more than twice its time is made again, three times in all.

Ruled out: a longer time for each check; it would hold back each end that can't be known. TestCheckDuringWhichProcessIsStalledIsRepeated fails with one check only: unreached in place of died.

--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -74,22 +74,44 @@
 	return died
 }
 
-// awaitVerdict returns the verdict on a replica whose connection has just ended in order, after framing.MaxEndCheck at the latest. The check
-// outlives the request: without a verdict a broken response would pass for a whole one. Its timeout starts after the delay, so that a
-// process that was stalled during the delay still checks.
+// awaitVerdict returns the verdict on a replica whose connection has just ended in order, after framing.MaxEndCheck at the latest unless
+// the process is stalled meanwhile. The check outlives the request: without a verdict a broken response would pass for a whole one. Its
+// timeout starts after the delay, so that a process that was stalled during the delay still checks.
 func (s *Server) awaitVerdict(ctx context.Context, r *replicas.Replica) verdict {
 	endedAt := time.Now()
 	time.Sleep(framing.DeathDelay)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), framing.MaxEndCheck-framing.DeathDelay)
-	defer cancel()
-	result := make(chan verdict, 1)
-	go func() { result <- s.verdictOn(ctx, r, endedAt) }()
-	select {
-	case v := <-result:
-		return v
-	case <-ctx.Done():
-		return unreached
+	ctx = context.WithoutCancel(ctx)
+	return repeatIfStalled(time.Now, func() verdict {
+		ctx, cancel := context.WithTimeout(ctx, framing.MaxEndCheck-framing.DeathDelay)
+		defer cancel()
+		result := make(chan verdict, 1)
+		go func() { result <- s.verdictOn(ctx, r, endedAt) }()
+		select {
+		case v := <-result:
+			return v
+		case <-ctx.Done():
+			return unreached
+		}
+	})
+}
+
+const (
+	// stalledCheck is the duration of a check of which the process was stalled for a part.
+	stalledCheck = 2 * framing.MaxEndCheck
+	// maxEndChecks bounds the checks of one end, so that a process that is stalled again and again answers.
+	maxEndChecks = 3
+)
+
+// repeatIfStalled returns the verdict of a check. A check whose time passed while the process was stalled is repeated.
+func repeatIfStalled(now func() time.Time, check func() verdict) (v verdict) {
+	for range maxEndChecks {
+		began := now()
+		v = check()
+		if v != unreached || now().Sub(began) < stalledCheck {
+			return v
+		}
 	}
+	return v
 }
 
 // setLength states the length of a complete body, or of the body that a response to HEAD does not have.
--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
@@ -431,3 +432,35 @@
 		s.check(t, answer, body, err)
 	}
 }
+
+// TestCheckDuringWhichProcessIsStalledIsRepeated guards against the end of a response of a replica that died that counts as unknown because a
+// freeze used up the time of the check, and against an end that is held back for ever.
+func TestCheckDuringWhichProcessIsStalledIsRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		lasts    []time.Duration // of each check
+		last     verdict         // of the last check, the others are unreached
+		want     verdict
+		atChecks int
+	}{
+		{"in time", []time.Duration{framing.MaxEndCheck}, unreached, unreached, 1},
+		{"frozen once", []time.Duration{1500 * time.Millisecond, time.Millisecond}, died, died, 2},
+		{"frozen, but with a verdict", []time.Duration{1500 * time.Millisecond}, lives, lives, 1},
+		{"frozen again and again", []time.Duration{time.Second, time.Second, time.Second, time.Second}, unreached, unreached, maxEndChecks},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now, checks := time.Now(), 0
+			got := repeatIfStalled(func() time.Time { return now }, func() verdict {
+				now = now.Add(c.lasts[checks])
+				checks++
+				if checks == len(c.lasts) {
+					return c.last
+				}
+				return unreached
+			})
+			if got != c.want || checks != c.atChecks {
+				t.Errorf("the verdict is %v after %d checks, want %v after %d", got, checks, c.want, c.atChecks)
+			}
+		})
+	}
+}
