All clients bound the heads of responses, where net/http takes 10 MB of each

Cause: only the replicas' connections had a bound. A server in trouble that sends headers without end, be it the key-value service, a daemon, a context store, an engine or a store VM, filled up to 10 MB a connection, of 134 MB that the smallest VMs have. Now 32 KiB, in one place (transfer.MaxHeadBytes), also for loadgen and bluebellctl.

Ruled out: a bound by the header limit of the desired state, which is for callers. Left, in the design: the sum over all heads, heads that trickle.

--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/ctl"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 	"github.com/bluebellscale/bluebellscale/internal/version"
 )
 
@@ -21,7 +22,7 @@
 	code := ctl.Run(ctx, os.Args, ctl.Deps{
 		NewKV:       newKV,
 		CheckConfig: checkConfig,
-		Client:      &http.Client{},
+		Client:      newHTTPClient(),
 		Operator:    operator(),
 		Version:     version.String(),
 		Stdin:       os.Stdin,
@@ -32,6 +33,12 @@
 	os.Exit(code)
 }
 
+func newHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = transfer.MaxHeadBytes
+	return &http.Client{Transport: t}
+}
+
 // callTimeout is long enough to list the complete table, which has some megabytes.
 const callTimeout = 10 * time.Second
 
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 	"github.com/bluebellscale/bluebellscale/internal/target"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 // targetPool caches one client per target and address.
@@ -77,9 +78,10 @@
 func newPeerPool() *peerPool {
 	return &peerPool{
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdlePerPeer,
-			IdleConnTimeout:     peerIdleTimeout,
+			DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    maxIdlePerPeer,
+			IdleConnTimeout:        peerIdleTimeout,
+			MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 		}},
 		clients: map[string]peer.Steward{},
 	}
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/target"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 const (
@@ -54,10 +55,11 @@
 
 func newHopTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHop,
-		IdleConnTimeout:     hopIdleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHop,
+		IdleConnTimeout:        hopIdleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 }
 
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/sleep"
 	"github.com/bluebellscale/bluebellscale/internal/standin/engine"
 	"github.com/bluebellscale/bluebellscale/internal/standin/service"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 const (
@@ -45,8 +46,9 @@
 	}
 	c = c.withDefaults()
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerDaemon,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerDaemon,
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 	defer transport.CloseIdleConnections()
 	d := &driver{
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/peer"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 // Defaults and limits of a Service.
@@ -60,7 +61,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	if o.Client == nil {
-		o.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+		o.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transfer.MaxHeadBytes}}
 	}
 	if o.Self.Incarnation == 0 {
 		o.Self.Incarnation = uint64(o.Now().UnixNano())
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -49,9 +49,10 @@
 
 func newTransport(opts Options, health *healthTracker) *transport {
 	rt := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opts.Timeout}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            (&net.Dialer{Timeout: opts.Timeout}).DialContext,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 	return &transport{
 		addresses: opts.Addresses,
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -27,6 +27,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/storeapi"
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 // Defaults of Options.
@@ -93,9 +94,10 @@
 
 func newTransport(o Options) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: o.MaxIdle,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    o.MaxIdle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 }
 
--- /dev/null
+++ b/internal/store/heads_test.go
@@ -0,0 +1,10 @@
+package store
+
+import (
+	"testing"
+
+	"github.com/bluebellscale/bluebellscale/internal/transfer/headtest"
+)
+
+// TestHeadsAreBounded guards against a store VM in trouble whose headers without end fill the memory of a daemon.
+func TestHeadsAreBounded(t *testing.T) { headtest.RequireBounded(t, newTransport(Options{})) }
--- a/internal/target/connections.go
+++ b/internal/target/connections.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 // connections holds the two transports to a target: a pool whose connections are reused,
@@ -28,9 +30,10 @@
 
 func newTransport(o Options) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: o.MaxIdle,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    o.MaxIdle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 }
 
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -29,6 +29,10 @@
 	minProgress = 16 << 10
 )
 
+// MaxHeadBytes bounds the status line and headers of a response. Replicas use less than one kilobyte, services behind proxies up to
+// some 16 KB; without a bound, a server in trouble could send a head without end into this process's memory.
+const MaxHeadBytes = 32 << 10
+
 // Errors of cancelled calls, to be tested with errors.Is.
 var (
 	ErrHeaderTimeout = errors.New("transfer: timed out waiting for response headers")
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -6,16 +6,14 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxHeadBytes bounds the status line and headers of a response. Replicas use less than one kilobyte, services behind proxies up to
-// some 16 KB; without a bound, a replica in trouble could send a head without end into this daemon's memory.
-const maxHeadBytes = 32 << 10
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
+)
 
-// errHeadTooLong means that the status line and headers of a response exceed maxHeadBytes.
+// errHeadTooLong means that the status line and headers of a response exceed transfer.MaxHeadBytes.
 var errHeadTooLong = errors.New("upstream: the head of the response exceeds the size limit")
 
-// boundedReader reads from a connection, and fails while a head is read that exceeds maxHeadBytes.
+// boundedReader reads from a connection, and fails while a head is read that exceeds transfer.MaxHeadBytes.
 type boundedReader struct {
 	r      io.Reader
 	bounds bool // a head is being read
@@ -37,7 +35,7 @@
 
 // readHead reads the status line and headers of a response.
 func (c *conn) readHead(q *http.Request) (*http.Response, error) {
-	c.source.bounds, c.source.left = true, maxHeadBytes
+	c.source.bounds, c.source.left = true, transfer.MaxHeadBytes
 	defer func() { c.source.bounds = false }()
 	return http.ReadResponse(c.br, q)
 }
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellscale/bluebellscale/internal/transfer"
 )
 
 // endlessLimit is how many bytes a replica writes before the test gives up on the bound.
@@ -58,8 +60,8 @@
 
 // TestLongHeadArrives guards against a bound that counts bodies, or what earlier responses on the connection took.
 func TestLongHeadArrives(t *testing.T) {
-	value := strings.Repeat("x", maxHeadBytes-(1<<10))
-	body := strings.Repeat("b", 4*maxHeadBytes)
+	value := strings.Repeat("x", transfer.MaxHeadBytes-(1<<10))
+	body := strings.Repeat("b", 4*transfer.MaxHeadBytes)
 	r := startReplica(t, func(r *fakeReplica, _ int, conn net.Conn, br *bufio.Reader) {
 		for {
 			if _, _, ok := r.readRequest(br); !ok {
