--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -1,7 +1,7 @@
 // Package forwarding serves callers of a daemon that is itself partitioned from replicas through daemons that are not.
 //
 // An Observer follows which replicas this daemon reaches, decides with policy/reach when it has lost those of a service,
-// and probes some until they are back.
+// and probes some until they are back. It asks other daemons, by the service Witness, whether a replica died if it reaches none.
 package forwarding
 
 import (
@@ -274,7 +274,7 @@
 	}
 	testimonies := o.askPeers(unreached)
 	if len(witnesses) == 0 {
-		return !slices.Contains(testimonies, reach.Reaches)
+		return reach.Count(testimonies, reach.Reaches) == 0
 	}
 	return reach.Died(testimonies)
 }
--- a/internal/forwarding/witness.go
+++ b/internal/forwarding/witness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/reach"
@@ -42,7 +41,7 @@
 	}
 	o.o.Metrics.Counter("replica_checks_by_peers").Inc(1)
 	o.o.Logger.Info("Other daemons have checked a replica", "replica", question.Replica, "asked", len(peers),
-		"reach_it", count(testimonies, reach.Reaches), "do_not", count(testimonies, reach.Fails))
+		"reached", reach.Count(testimonies, reach.Reaches), "not_reached", reach.Count(testimonies, reach.Fails))
 	return testimonies
 }
 
@@ -61,10 +60,6 @@
 	return reach.NoAnswer
 }
 
-func count(testimonies []reach.Testimony, kind reach.Testimony) int {
-	return len(slices.DeleteFunc(slices.Clone(testimonies), func(t reach.Testimony) bool { return t != kind }))
-}
-
 // witness serves the questions of other daemons.
 type witness struct{ set *replicas.Set }
 
--- a/internal/policy/reach/testimony.go
+++ b/internal/policy/reach/testimony.go
@@ -13,14 +13,15 @@
 // Died reports whether a replica that this daemon does not reach accepts no connections at all, by the testimonies of the daemons that were
 // asked. More than half of them must say so: some may have just terminated, and one that is silent may reach the replica.
 func Died(testimonies []Testimony) bool {
-	fails := 0
+	return Count(testimonies, Reaches) == 0 && 2*Count(testimonies, Fails) > len(testimonies)
+}
+
+// Count returns the number of testimonies that say the same.
+func Count(testimonies []Testimony, same Testimony) (n int) {
 	for _, t := range testimonies {
-		switch t {
-		case Reaches:
-			return false
-		case Fails:
-			fails++
+		if t == same {
+			n++
 		}
 	}
-	return 2*fails > len(testimonies)
+	return n
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -19,11 +19,11 @@
 
 // Headers between daemons. They are read on the listener for other daemons only, and reach neither replicas nor callers.
 const (
-	headerForwardedBy      = "Bluebellscale-Forwarded-By"       // the daemon that forwards the request
-	headerForwardedState   = "Bluebellscale-Forwarded-State"    // version of the desired state by which it accepted the request
-	headerForwardedRan     = "Bluebellscale-Forwarded-Ran"      // attempts that may have run
-	headerForwardedCounted = "Bluebellscale-Forwarded-Counted"  // 1: the request counts for its retry budget
-	headerForwardedTried   = "Bluebellscale-Forwarded-Replicas" // replicas that may have got the request, separated by commas
+	headerForwardedBy       = "Bluebellscale-Forwarded-By"       // the daemon that forwards the request
+	headerForwardedState    = "Bluebellscale-Forwarded-State"    // version of the desired state by which it accepted the request
+	headerForwardedRan      = "Bluebellscale-Forwarded-Ran"      // attempts that may have run
+	headerForwardedCounted  = "Bluebellscale-Forwarded-Counted"  // 1: the request counts for its retry budget
+	headerForwardedReplicas = "Bluebellscale-Forwarded-Replicas" // replicas that may have got the request, separated by commas
 	// headerSoftware is the version of the replicas' software that began a stream: in a forwarded request that resumes it, and in the
 	// response to one that began it.
 	headerSoftware    = "Bluebellscale-Software"
@@ -97,7 +97,7 @@
 	if from.mayHaveRun, err = strconv.Atoi(h.Get(headerForwardedRan)); err != nil || from.mayHaveRun < 0 || from.mayHaveRun > maxSentAttempts {
 		return nil, errors.Newf("%s: %q: want 0 to %d", headerForwardedRan, h.Get(headerForwardedRan), maxSentAttempts)
 	}
-	if tried := h.Get(headerForwardedTried); tried != "" {
+	if tried := h.Get(headerForwardedReplicas); tried != "" {
 		for _, id := range strings.Split(tried, ",") {
 			from.replicas = append(from.replicas, request.TargetID(id))
 		}
@@ -110,7 +110,7 @@
 }
 
 func removeForwarded(h http.Header) {
-	for _, name := range []string{headerForwardedBy, headerForwardedState, headerForwardedRan, headerForwardedCounted, headerForwardedTried, headerSoftware} {
+	for _, name := range []string{headerForwardedBy, headerForwardedState, headerForwardedRan, headerForwardedCounted, headerForwardedReplicas, headerSoftware} {
 		h.Del(name)
 	}
 }
@@ -191,7 +191,7 @@
 		for i, id := range h.reached {
 			ids[i] = string(id)
 		}
-		header.Set(headerForwardedTried, strings.Join(ids, ","))
+		header.Set(headerForwardedReplicas, strings.Join(ids, ","))
 	}
 	return header
 }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -231,7 +231,7 @@
 func TestCallersCannotSendHeadersBetweenDaemons(t *testing.T) {
 	f := newFixture(t, route(routing.KindOnce))
 	f.addReplica(func(c net.Conn, id string) { writeOK(c, id, "served") })
-	forged := http.Header{headerForwardedBy: {"x"}, headerForwardedState: {"99"}, headerForwardedTried: {"r0"}, headerForwardedRan: {"4"}}
+	forged := http.Header{headerForwardedBy: {"x"}, headerForwardedState: {"99"}, headerForwardedReplicas: {"r0"}, headerForwardedRan: {"4"}}
 	if _, body, err := f.call(http.MethodPost, "/x", forged); err != nil || body != "served" {
 		t.Errorf("without a peer: got %q, %v", body, err)
 	}
@@ -356,7 +356,7 @@
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	r.Host = testHost
 	r.Header = http.Header{
-		"Id": {"1"}, "Key": {"k"}, headerForwardedBy: {"cut"}, headerForwardedState: {"1"}, headerForwardedRan: {"1"}, headerForwardedTried: {"r0"},
+		"Id": {"1"}, "Key": {"k"}, headerForwardedBy: {"cut"}, headerForwardedState: {"1"}, headerForwardedRan: {"1"}, headerForwardedReplicas: {"r0"},
 	}
 	f.server.o.MaxReceived = 10
 	f.server.ServeForwarded(w, r)
--- a/internal/transfer/headtest/headtest.go
+++ b/internal/transfer/headtest/headtest.go
@@ -25,14 +25,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
 	sent := make(chan int, 1)
 	go func() { sent <- sendHeaders(listener) }()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String()+"/", nil)
 	if err != nil {
+		listener.Close()
 		t.Fatal(err)
 	}
 	response, err := client.RoundTrip(request)
+	listener.Close() // ends sendHeaders if the client has not connected
 	if err == nil {
 		response.Body.Close()
 		t.Error("the client took headers without end for a response")
