origins: a log line tells on what evidence a stream without a record goes on

The counter of verdicts didn't tell whether three daemons, one or none had answered, so that logs couldn't tell a daemon that goes by its own word from one that was told. The line names asked and answered daemons; it is bounded: 20, then one a second.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
@@ -30,6 +31,9 @@
 	// unknownRetry is the Retry-After of a stream whose origin is not known: daemons that may know it are back after a
 	// restart or a partition of seconds.
 	unknownRetry = time.Second
+	// firstUnrecordedLogs log lines of streams without a record are written at once, later ones at this interval.
+	firstUnrecordedLogs   = 20
+	unrecordedLogInterval = time.Second
 	// busyRetry is the Retry-After if this daemon looks up as many streams as it may.
 	busyRetry = 200 * time.Millisecond
 )
@@ -81,7 +85,9 @@
 	o       Options
 	wake    chan struct{} // has an element if the versions have changed
 	lookups atomic.Int64
-	mirror  *mirror.Mirror // of the histories; nil: they are not kept
+	// unrecordedLog bounds the log lines of streams without a record.
+	unrecordedLog rate.Sometimes
+	mirror        *mirror.Mirror // of the histories; nil: they are not kept
 
 	mu       sync.Mutex
 	versions map[routing.ServiceID]*origin.Versions
@@ -105,7 +111,8 @@
 	o.Logger = o.Logger.Named("origins")
 	e := &Exchange{
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
-		o: o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
+		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
+		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
 		records: origin.NewRecords(o.Params.MaxRecords), began: map[routing.ServiceID]*origin.Records{}, sole: map[routing.ServiceID]bool{},
 	}
 	if o.KV != nil {
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -17,7 +17,8 @@
 		return "", request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, busyRetry, "as many streams are looked up as may be")
 	}
 	defer e.lookups.Add(-1)
-	v := e.decide(ctx, s.Service, keyOf(s))
+	v, heard := e.decide(ctx, s.Service, keyOf(s))
+	e.logLookup(s, v, heard)
 	e.o.Metrics.Tagged(map[string]string{"verdict": string(v.Reason)}).Counter("stream_lookups").Inc(1)
 	if !v.GoesOn {
 		return "", refusal(v)
@@ -25,16 +26,31 @@
 	return v.Software, nil
 }
 
+// hearing is how many daemons were asked for a stream, and how many answered.
+type hearing struct{ asked, answered int }
+
+// logLookup logs on what evidence a stream without a record goes on or ends.
+func (e *Exchange) logLookup(s relay.StreamID, v origin.Verdict, heard hearing) {
+	if v.Reason == origin.ReasonRecorded {
+		return
+	}
+	e.unrecordedLog.Do(func() {
+		e.o.Logger.Info("A stream that was taken up has no record", "service", s.Service, "request", s.Request, "goes_on", v.GoesOn,
+			"software", v.Software, "reason", v.Reason, "asked", heard.asked, "answered", heard.answered)
+	})
+}
+
 // decide asks the daemons that keep the record of a stream, unless this one knows it.
-func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) origin.Verdict {
+func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) (origin.Verdict, hearing) {
 	testimonies := []origin.Testimony{e.testimony(service, key)}
 	if testimonies[0].Found {
-		return origin.Decide(testimonies)
+		return origin.Decide(testimonies), hearing{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
 	defer cancel()
 	peers := e.others()
 	keepers := origin.Keepers(membersOf(peers), key, e.o.Region, e.o.Params.Copies)
+	heard := hearing{asked: len(keepers)}
 	answers := make(chan *origin.Testimony, len(keepers))
 	for _, n := range keepers {
 		go func() { answers <- e.ask(ctx, peers[n], service, key) }()
@@ -44,12 +60,13 @@
 		if t == nil {
 			continue
 		}
+		heard.answered++
 		testimonies = append(testimonies, *t)
 		if t.Found {
 			break
 		}
 	}
-	return origin.Decide(testimonies)
+	return origin.Decide(testimonies), heard
 }
 
 // ask returns what another daemon knows of a stream, nil if it does not answer.
