--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -104,10 +104,17 @@
 	Logger  hclog.Logger
 }
 
+// PacketConn is a socket for datagrams.
+type PacketConn interface {
+	net.PacketConn
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+}
+
 // Reporter reports this daemon's load to its peers and applies their reports. It is safe for concurrent use.
 type Reporter struct {
 	o      Options
-	conn   *net.UDPConn
+	conn   PacketConn
 	Placer *placer.PromptPlacer // records what peers placed; must be set before Run
 	news   chan struct{}        // has an element if there may be something new to report
 
@@ -217,6 +224,9 @@
 	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
+// WrapConn replaces the connection by what wrap makes of it. It must be called before Run.
+func (s *Reporter) WrapConn(wrap func(PacketConn) PacketConn) { s.conn = wrap(s.conn) }
+
 // ReportPlaced queues a placed prompt for the next datagram.
 func (s *Reporter) ReportPlaced(r *replicas.Replica, parts []placer.PlacedPart, other int) {
 	p := &Placed{Replica: r.Hash(), Other: int32(other)}
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -18,7 +18,7 @@
 func (s *Reporter) receive(ctx context.Context) {
 	buffer := make([]byte, readBuffer)
 	for {
-		n, _, err := s.conn.ReadFromUDP(buffer)
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if !errors.Is(err, net.ErrClosed) {
 				s.o.Logger.Error("Failed to read from the UDP socket", "error", err)
--- a/internal/loadshare/rooms_test.go
+++ b/internal/loadshare/rooms_test.go
@@ -132,7 +132,7 @@
 		if err := b.conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
 			t.Fatal(err)
 		}
-		n, _, err := b.conn.ReadFromUDP(buffer)
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			t.Fatalf("%d of %d services arrive: %v", len(got), services, err)
 		}
