origins: streams begin at versions that the key-value service lists

What callers saw: status 200 and text of two versions, after all daemons were killed at once. software/SERVICE lists the versions at which streams that may go on can have begun, but a new version was written there up to a second, and a rank's delay of .5 s each, after its first replica joined, while streams began there at once. If all daemons were killed in between and the replicas of that version left, nobody knew any more that it had existed, and streams of it went on at the other.

Now the daemon of rank 0 writes as soon as it learns of a version, and the first event of a stream whose version isn't listed waits: 50 ms for that daemon, then for its own write, 500 ms at most, and not at all while the service is known to be away or has no entry. A conflict's answer and the own write are applied at once, not with the next watch.

Ruled out: to withhold a new version's replicas from placement until it is listed; requests that aren't streams would wait as well, and a service whose old replicas have gone would refuse. Cost: at rest nothing; for each version that appears one write as before, and one more for each daemon whose stream begins within the first 50 ms and before the watch tells it.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -88,6 +88,8 @@
 	// unrecordedLog bounds the log lines of streams without a record.
 	unrecordedLog rate.Sometimes
 	mirror        *mirror.Mirror // of the histories; nil: they are not kept
+	// historyWake has an element if a history may have to be written.
+	historyWake chan struct{}
 
 	mu       sync.Mutex
 	versions map[routing.ServiceID]*origin.Versions
@@ -95,9 +97,12 @@
 	// histories are the entries in the key-value service; missing says since when a service has had none.
 	histories map[routing.ServiceID]*history
 	missing   map[routing.ServiceID]time.Time
-	records   *origin.Records
-	began     map[routing.ServiceID]*origin.Records // of streams that began here
-	sole      map[routing.ServiceID]bool            // services of which no records were sent at the last check
+	urgent    map[routing.ServiceID]bool // services whose histories streams wait for
+	// listChanged is closed and replaced when histories change.
+	listChanged chan struct{}
+	records     *origin.Records
+	began       map[routing.ServiceID]*origin.Records // of streams that began here
+	sole        map[routing.ServiceID]bool            // services of which no records were sent at the last check
 }
 
 // New returns an Exchange.
@@ -110,6 +115,7 @@
 	}
 	o.Logger = o.Logger.Named("origins")
 	e := &Exchange{
+		historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), urgent: map[routing.ServiceID]bool{},
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
 		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
@@ -147,6 +153,9 @@
 	case e.wake <- struct{}{}:
 	default:
 	}
+	if present {
+		e.wakeHistory()
+	}
 }
 
 // Run sends records and drops old ones until ctx is cancelled.
@@ -205,7 +214,7 @@
 
 // Began implements relay.Origins. A version that is not known is recorded as such, also while this daemon knows of one alone:
 // without a record the stream would go on at that one.
-func (e *Exchange) Began(s relay.StreamID, software relay.SoftwareBinding) {
+func (e *Exchange) Began(ctx context.Context, s relay.StreamID, software relay.SoftwareBinding) {
 	now, record := time.Now(), origin.Record{Key: keyOf(s), Software: software.Version}
 	if !software.Bound {
 		record.Software = origin.UnknownSoftware
@@ -223,6 +232,9 @@
 	if !sole || !software.Bound {
 		e.sendAll([]origin.Record{record})
 	}
+	if software.Bound {
+		e.awaitListed(ctx, s.Service, software.Version)
+	}
 }
 
 // HandOver sends all records to other daemons. A daemon that stops calls it.
--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -41,14 +41,15 @@
 // group is a fleet of exchanges whose datagrams arrive at once.
 type group struct {
 	t       *testing.T
+	kv      *listKV // nil: there is none
 	mu      sync.Mutex
 	members []*member
 }
 
-// newGroup starts daemons that have known one version for long.
+// newGroup starts daemons that have known one version for long, which the key-value service lists.
 func newGroup(t *testing.T, daemons int) *group {
 	t.Helper()
-	g := &group{t: t}
+	g := &group{t: t, kv: newListKV("v1")}
 	for i := range daemons {
 		m := g.start(fmt.Sprint("vm", i))
 		m.OnListed(time.Now().Add(-time.Hour))
@@ -66,6 +67,9 @@
 		Self: name, Region: "r", Peers: g.peers, Send: g.send, Client: http.DefaultClient,
 		Current: m.current.Load, Keep: func() time.Duration { return keepTime }, Params: params, Resumable: isTestService,
 	})
+	if g.kv != nil {
+		m.o.KV = g.kv
+	}
 	handler := NewServer(m.Exchange)
 	m.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if m.silent != nil {
@@ -110,8 +114,9 @@
 	}
 }
 
-// appear makes a second version known to all daemons.
+// appear makes a second version known to all daemons, and lists it.
 func (g *group) appear(software string) {
+	g.kv.list("v1", software)
 	for _, m := range g.members {
 		m.OnSoftware(service, software, true)
 		m.sendAll(m.prune(time.Now()))
@@ -147,7 +152,7 @@
 	first := g.members[0]
 	const streams = 20
 	for n := range streams {
-		first.Began(stream(n), relay.BoundTo(fmt.Sprint("v", n%2+1)))
+		first.Began(context.Background(), stream(n), relay.BoundTo(fmt.Sprint("v", n%2+1)))
 	}
 	g.kill(first)
 	for n := range streams {
@@ -162,7 +167,7 @@
 // TestStreamsOfOneVersionNeedNoRecord guards against traffic between daemons at rest, and against streams that end although there is one version alone.
 func TestStreamsOfOneVersionNeedNoRecord(t *testing.T) {
 	g := newGroup(t, 4)
-	g.members[0].Began(stream(1), relay.BoundTo("v1"))
+	g.members[0].Began(context.Background(), stream(1), relay.BoundTo("v1"))
 	for _, m := range g.members {
 		if n := m.records.Len(); n != 0 {
 			t.Errorf("%s keeps %d records", m.name, n)
@@ -179,7 +184,7 @@
 // TestRunningStreamsAreRecordedWhenSecondVersionAppears guards against streams that began before and are taken up after a second version appears.
 func TestRunningStreamsAreRecordedWhenSecondVersionAppears(t *testing.T) {
 	g := newGroup(t, 4)
-	g.members[0].Began(stream(1), relay.BoundTo("v1"))
+	g.members[0].Began(context.Background(), stream(1), relay.BoundTo("v1"))
 	g.appear("v2")
 	g.kill(g.members[0])
 	g.mustGoOn(g.members[1], 1, "v1")
@@ -193,11 +198,11 @@
 	for _, m := range g.members[:3] {
 		m.OnSoftware(service, "v2", true)
 	}
-	g.members[0].Began(stream(1), relay.BoundTo("v2"))
+	g.members[0].Began(context.Background(), stream(1), relay.BoundTo("v2"))
 	g.mustGoOn(stale, 1, "v2")
 	g.mustEnd(stale, 2)
 	stale.current.Store(false)
-	stale.Began(stream(3), relay.BoundTo("v1"))
+	stale.Began(context.Background(), stream(3), relay.BoundTo("v1"))
 	g.kill(stale)
 	g.mustGoOn(g.members[0], 3, "v1")
 }
@@ -206,7 +211,7 @@
 func TestVersionWithoutReplicasIsRemembered(t *testing.T) {
 	g := newGroup(t, 3)
 	g.appear("v2")
-	g.members[0].Began(stream(1), relay.BoundTo("v1"))
+	g.members[0].Began(context.Background(), stream(1), relay.BoundTo("v1"))
 	for _, m := range g.members {
 		m.OnSoftware(service, "v1", false)
 	}
@@ -223,7 +228,7 @@
 		m.OnListed(time.Now())
 	}
 	g.mustEnd(g.members[0], 1)
-	g.members[0].Began(stream(2), relay.BoundTo("v2"))
+	g.members[0].Began(context.Background(), stream(2), relay.BoundTo("v2"))
 	g.kill(g.members[0])
 	g.mustGoOn(g.members[1], 2, "v2")
 }
@@ -234,7 +239,7 @@
 	g.appear("v2")
 	const streams = 10
 	for n := range streams {
-		g.members[0].Began(stream(n), relay.BoundTo("v1"))
+		g.members[0].Began(context.Background(), stream(n), relay.BoundTo("v1"))
 	}
 	for len(g.members) > 2 {
 		stopping := g.members[0]
@@ -274,7 +279,7 @@
 	asking.o.Params.MaxLookups = 20
 	const streams = 200
 	for n := range streams {
-		g.members[1].Began(stream(n), relay.BoundTo("v1"))
+		g.members[1].Began(context.Background(), stream(n), relay.BoundTo("v1"))
 	}
 	hold := make(chan struct{})
 	for _, m := range g.members[1:] {
@@ -320,7 +325,7 @@
 
 // BenchmarkLookup measures what a stream that is taken up costs this daemon and the three that it asks.
 func BenchmarkLookup(b *testing.B) {
-	g := &group{t: &testing.T{}}
+	g := &group{t: &testing.T{}, kv: newListKV("v1")}
 	for i := range 4 {
 		m := g.start(fmt.Sprint("vm", i))
 		b.Cleanup(m.server.Close)
@@ -339,8 +344,8 @@
 // because the list of replicas names one version.
 func TestStreamOfUnknownVersionEnds(t *testing.T) {
 	g := newGroup(t, 5)
-	g.members[0].Began(stream(1), relay.SoftwareBinding{})
-	g.members[0].Began(stream(2), relay.BoundTo("v1"))
+	g.members[0].Began(context.Background(), stream(1), relay.SoftwareBinding{})
+	g.members[0].Began(context.Background(), stream(2), relay.BoundTo("v1"))
 	for _, m := range g.members {
 		g.mustEnd(m, 1)
 		g.mustGoOn(m, 2, "v1")
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -46,6 +46,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer e.announceList()
 	if u.Full {
 		clear(e.histories)
 	}
@@ -55,6 +56,9 @@
 			delete(e.histories, service)
 			continue
 		}
+		if known := e.histories[service]; known != nil && known.revision > entry.Revision {
+			continue // this daemon has written it since
+		}
 		versions, err := decodeHistory(entry.Value)
 		if err != nil {
 			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", entry.Key, "error", err)
@@ -68,6 +72,15 @@
 	}
 }
 
+// lists reports whether the entry contains a version.
+func (h *history) lists(software string) bool { return slices.Contains(h.versions, software) }
+
+// announceList wakes those that wait for a change of an entry. The mutex must be held.
+func (e *Exchange) announceList() {
+	close(e.listChanged)
+	e.listChanged = make(chan struct{})
+}
+
 // decodeHistory decodes and validates an entry. Its error names the field.
 func decodeHistory(value []byte) ([]string, error) {
 	var entry historyEntry
@@ -88,14 +101,25 @@
 	since    time.Time // since when the entry has differed
 }
 
-// dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written. A daemon that
+// dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
+// for. A daemon that
 // has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
 func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) []dueWrite {
+	urgent := e.takeUrgent()
 	return slices.DeleteFunc(e.differing(now, keep), func(w dueWrite) bool {
-		return now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
+		return !urgent[w.service] && now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
 	})
 }
 
+// takeUrgent returns the services whose entries streams wait for, and forgets them.
+func (e *Exchange) takeUrgent() map[routing.ServiceID]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	urgent := e.urgent
+	e.urgent = map[routing.ServiceID]bool{}
+	return urgent
+}
+
 // differing returns the entries that differ from what this daemon knows.
 func (e *Exchange) differing(now time.Time, keep time.Duration) (out []dueWrite) {
 	e.mu.Lock()
@@ -135,7 +159,7 @@
 	return t
 }
 
-// write writes an entry. A conflict is no error: the entry that another daemon wrote arrives soon, and is compared again.
+// write writes an entry. A conflict is no error: the entry that another daemon wrote is compared again.
 func (e *Exchange) write(ctx context.Context, w dueWrite) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -144,10 +168,16 @@
 		e.o.Logger.Error("Failed to encode a list of versions", "service", w.service, "error", err)
 		return
 	}
-	_, err = e.o.KV.CompareAndSwap(ctx, HistoryPrefix+string(w.service), w.revision, value, "")
+	key := HistoryPrefix + string(w.service)
+	revision, err := e.o.KV.CompareAndSwap(ctx, key, w.revision, value, "")
+	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
+		e.applyHistory(mirror.Update{Entries: []platform.Entry{{Key: key, Value: value, Revision: revision}}})
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
+	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
+		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
+		e.wakeHistory()
 	case !errors.Is(err, platform.ErrConflict):
 		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
 	}
@@ -160,6 +190,7 @@
 	for {
 		select {
 		case <-t.C:
+		case <-e.historyWake:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- /dev/null
+++ b/internal/origins/listed_test.go
@@ -0,0 +1,158 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
+)
+
+// listKV is a key-value service that holds the entry of one service.
+type listKV struct {
+	platform.KV
+	mu     sync.Mutex
+	entry  platform.Entry
+	silent bool          // it answers nothing
+	takes  time.Duration // until it answers a read
+	reads  int
+}
+
+func newListKV(versions ...string) *listKV {
+	kv := &listKV{}
+	kv.list(versions...)
+	return kv
+}
+
+// list replaces the entry.
+func (kv *listKV) list(versions ...string) {
+	value, err := json.Marshal(historyEntry{Versions: versions})
+	if err != nil {
+		panic(err)
+	}
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.entry = platform.Entry{Key: HistoryPrefix + service, Value: value, Revision: kv.entry.Revision + 1}
+}
+
+func (kv *listKV) setSilent(silent bool) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.silent = silent
+}
+
+// await returns the current entry once the service answers.
+func (kv *listKV) await(ctx context.Context) (platform.Entry, error) {
+	kv.mu.Lock()
+	kv.reads++
+	entry, silent, takes := kv.entry, kv.silent, kv.takes
+	kv.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return platform.Entry{}, ctx.Err()
+	}
+	time.Sleep(takes)
+	return entry, nil
+}
+
+// Get implements platform.KV.
+func (kv *listKV) Get(ctx context.Context, _ string) (platform.Entry, error) { return kv.await(ctx) }
+
+// CompareAndSwap implements platform.KV.
+func (kv *listKV) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+	if _, err := kv.await(ctx); err != nil {
+		return 0, err
+	}
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	if kv.entry.Revision != expect {
+		return 0, &platform.ConflictError{Current: kv.entry}
+	}
+	kv.entry = platform.Entry{Key: key, Value: value, Revision: expect + 1}
+	return kv.entry.Revision, nil
+}
+
+// versions returns what is listed.
+func (kv *listKV) versions() []string {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	versions, err := decodeHistory(kv.entry.Value)
+	if err != nil {
+		panic(err)
+	}
+	return versions
+}
+
+// TestFirstEventWaitsUntilItsVersionIsListed guards against a version at which streams begin before any daemon that starts later can learn of
+// it.
+func TestFirstEventWaitsUntilItsVersionIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		began := time.Now()
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) || time.Since(began) > listDelay {
+			t.Errorf("the first event is delivered after %s, and listed are %v", time.Since(began), got)
+		}
+		began = time.Now()
+		e.Began(ctx, stream(2), relay.BoundTo("v2"))
+		e.Began(ctx, stream(3), relay.BoundTo("v1"))
+		if took := time.Since(began); took > 0 {
+			t.Errorf("streams of listed versions waited for %s", took)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestSilentServiceDelaysNoFirstEventForLong guards against callers that wait for a key-value service that does not answer.
+func TestSilentServiceDelaysNoFirstEventForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		kv.setSilent(true)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v2", true)
+		began := time.Now()
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if took := time.Since(began); took > listTimeout {
+			t.Errorf("the first event waited for %s", took)
+		}
+		e.o.Current = func() bool { return false }
+		began = time.Now()
+		e.Began(ctx, stream(2), relay.BoundTo("v2"))
+		if took := time.Since(began); took > 0 {
+			t.Errorf("with the service known to be away the first event waited for %s", took)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// newListingExchange returns an exchange of a daemon of the last rank, the only one that runs.
+func newListingExchange(kv *listKV) *member {
+	m := &member{}
+	m.Exchange = New(Options{
+		Self: "vm", Region: "r", Peers: func() []Peer { return nil }, Current: func() bool { return true },
+		Keep: func() time.Duration { return keepTime }, Params: DefaultParams, Resumable: isTestService, Rank: func(string) int { return 5 },
+	})
+	m.o.KV = kv
+	return m
+}
+
+// applyEntry makes the entry of the key-value service known to a daemon.
+func (m *member) applyEntry(entry platform.Entry) { m.apply(entry.Revision, string(entry.Value)) }
--- a/internal/origins/schedule_test.go
+++ b/internal/origins/schedule_test.go
@@ -233,7 +233,7 @@
 	if known {
 		binding = relay.BoundTo(software)
 	}
-	e.Began(stream(n), binding)
+	e.Began(s.ctx, stream(n), binding)
 	if returns {
 		go s.takeUp(n, software, known, after)
 	}
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -39,9 +39,9 @@
 }
 
 // recordOrigin records where a stream begins, or was resumed, unless the daemon that chose the replica does.
-func (s *Server) recordOrigin(j *Job, out *sink, a *attempt) {
+func (s *Server) recordOrigin(ctx context.Context, j *Job, out *sink, a *attempt) {
 	if s.o.Origins != nil && a.peer == nil && j.Route.HasResumableStreams() {
-		s.o.Origins.Began(j.streamID(), out.software)
+		s.o.Origins.Began(ctx, j.streamID(), out.software)
 	}
 }
 
@@ -67,7 +67,7 @@
 		return
 	}
 	out.software = SoftwareBinding{}
-	s.recordOrigin(j, out, a)
+	s.recordOrigin(ctx, j, out, a)
 }
 
 // servedBy returns the version of the software of the process that answers the attempt; unbound if it is not known, or the
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -50,7 +50,9 @@
 	begun map[StreamID]SoftwareBinding
 }
 
-func (o *fakeOrigins) Began(s StreamID, software SoftwareBinding) { o.begun[s] = software }
+func (o *fakeOrigins) Began(_ context.Context, s StreamID, software SoftwareBinding) {
+	o.begun[s] = software
+}
 
 func (o *fakeOrigins) Find(_ context.Context, s StreamID) (string, error) {
 	software, ok := o.known[s]
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -130,7 +130,7 @@
 		return
 	}
 	out.software = a.servedBy(ctx)
-	s.recordOrigin(j, out, a)
+	s.recordOrigin(ctx, j, out, a)
 	out.started = true
 	out.firstAt = time.Now()
 	s.copyHeader(out.w.Header(), a)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -121,8 +121,8 @@
 // Origins knows at which version of its service's software each stream began.
 type Origins interface {
 	// Began records the version before the first event of a stream, or of a request that resumes it, is delivered; unbound if
-	// it is not known. It does not block.
-	Began(s StreamID, software SoftwareBinding)
+	// it is not known. It blocks for a bounded time at a version that is not listed for all daemons yet.
+	Began(ctx context.Context, s StreamID, software SoftwareBinding)
 	// Find returns the version. A *request.Error means that it is not known.
 	Find(ctx context.Context, s StreamID) (software string, err error)
 }
