origins: a stream without a record goes on by evidence asked for after it came back

What callers saw: status 200, the first part of a text from one software version and the rest from another, at a daemon that had been cut off from the others in silence while replicas of the second version joined.

Cause: no news was taken for news that there is none. Where nobody answered a lookup within 150 ms, the daemon's own word was left; it counted as certain because its last call to the store had succeeded, which says nothing while a watch waits in silence, and because the peers that tell it of changes had not told of any. One answer of three counted as much as three, too.

Now a stream without a record goes on only if nobody that is asked knows of a second version, and either software/SERVICE, read from the store after the stream came back, lists one version, or all daemons asked have answered. A daemon that the store doesn't answer leaves the read to those that it asks (FindRequest.confirm). Lookups share reads, but never one that began before them. Within 3 s of a restore from a copy the entry proves nothing.

Ruled out: a bound on the age of the registry's last answer, which narrows the time and closes nothing; to refuse whenever a daemon doesn't answer, which would end streams of one version whenever one daemon has died; a read of the registry, 1,300 entries.

Cost: at rest nothing; for each stream that is taken up without a record, one read of a key, at most one at a time for each service and daemon.

--- /dev/null
+++ b/internal/origins/confirm_test.go
@@ -0,0 +1,109 @@
+package origins
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestDaemonOutOfStepGoesByNoWordOfItsOwn guards against a daemon that nobody answers taking that for there being neither a record nor a
+// second version.
+func TestDaemonOutOfStepGoesByNoWordOfItsOwn(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		silentPeers int
+		silentKV    bool
+		goesOn      bool
+	}{
+		{"nobody answers", 3, true, false},
+		{"one daemon does not answer", 1, true, false},
+		{"all daemons answer", 0, true, true},
+		{"the key-value service answers", 3, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(t, 4)
+			hold := make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			for _, m := range g.members[1 : 1+c.silentPeers] {
+				m.silent = hold
+			}
+			g.kv.setSilent(c.silentKV)
+			asking := g.members[0]
+			asking.o.Params.Wait = 50 * time.Millisecond
+			if c.goesOn {
+				g.mustGoOn(asking, 1, "v1")
+			} else {
+				g.mustEnd(asking, 1)
+			}
+		})
+	}
+}
+
+// TestListThatNamesAnotherVersionEndsStream guards against a daemon with an old list of replicas going on at the version that it knows while no
+// daemon that has the record answers.
+func TestListThatNamesAnotherVersionEndsStream(t *testing.T) {
+	for _, listed := range [][]string{{"v1", "v2"}, {"v2"}} {
+		g := newGroup(t, 1)
+		g.kv.list(listed...)
+		g.mustEnd(g.members[0], 1)
+	}
+}
+
+// TestListIsReadByDaemonThatIsAsked guards against streams that end at a daemon without the key-value service while one of those that may have
+// the record is gone.
+func TestListIsReadByDaemonThatIsAsked(t *testing.T) {
+	g := newGroup(t, 4)
+	g.members[0].current.Store(false)
+	g.kill(g.members[3])
+	g.mustGoOn(g.members[0], 1, "v1")
+	for _, m := range g.members {
+		m.current.Store(false)
+	}
+	g.mustEnd(g.members[0], 1)
+}
+
+// TestListOfRestoredServiceTellsNothing guards against a version that a restored key-value service lists no more, and whose streams go on at
+// another.
+func TestListOfRestoredServiceTellsNothing(t *testing.T) {
+	g := newGroup(t, 2)
+	asking := g.members[0]
+	g.kill(g.members[1])
+	restoredAt := time.Now()
+	asking.o.RestoredAt = func() (time.Time, bool) { return restoredAt, true }
+	g.mustEnd(asking, 1)
+	restoredAt = restoredAt.Add(-restoreGrace)
+	g.mustGoOn(asking, 1, "v1")
+}
+
+// TestLookupSharesNoReadThatBeganBefore guards against a stream that goes on by what the key-value service listed before it came back.
+func TestLookupSharesNoReadThatBeganBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reads := newFreshReads()
+		listed := []string{"v1"}
+		count := 0
+		read := func() []string {
+			count++
+			answer := slices.Clone(listed)
+			time.Sleep(10 * time.Millisecond)
+			return answer
+		}
+		var all sync.WaitGroup
+		all.Go(func() { reads.get(t.Context(), service, read) })
+		time.Sleep(time.Millisecond)
+		listed = []string{"v1", "v2"}
+		const lookups = 20
+		for range lookups {
+			all.Go(func() {
+				if got := reads.get(t.Context(), service, read); len(got) != 2 {
+					t.Errorf("a lookup got %v", got)
+				}
+			})
+		}
+		all.Wait()
+		if count != 2 {
+			t.Errorf("%d reads, want 2", count)
+		}
+	})
+}
--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -71,6 +71,8 @@
 	KV       platform.KV
 	Follower *mirror.Follower
 	Rank     func(key string) int
+	// RestoredAt returns when the key-value service was restored from a backup, as far as this daemon has observed; nil: never.
+	RestoredAt func() (at time.Time, restored bool)
 	// Resumable reports whether streams of a service may be resumed. The versions of other services are not written.
 	Resumable func(routing.ServiceID) bool
 	// Keep returns how long a stream may go on after its first event.
@@ -88,6 +90,7 @@
 	// unrecordedLog bounds the log lines of streams without a record.
 	unrecordedLog rate.Sometimes
 	mirror        *mirror.Mirror // of the histories; nil: they are not kept
+	reads         *freshReads    // of the histories
 	// historyWake has an element if a history may have to be written.
 	historyWake chan struct{}
 
@@ -114,8 +117,11 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("origins")
+	if o.RestoredAt == nil {
+		o.RestoredAt = func() (time.Time, bool) { return time.Time{}, false }
+	}
 	e := &Exchange{
-		historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), urgent: map[routing.ServiceID]bool{},
+		reads: newFreshReads(), historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), urgent: map[routing.ServiceID]bool{},
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
 		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
@@ -40,20 +41,41 @@
 	})
 }
 
-// decide asks the daemons that keep the record of a stream, unless this one knows it.
+// decide asks the daemons that keep the record of a stream, and reads which versions the key-value service lists, unless this daemon has
+// the record.
 func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) (origin.Verdict, hearing) {
-	testimonies := []origin.Testimony{e.testimony(service, key)}
-	if testimonies[0].Found {
-		return origin.Decide(testimonies), hearing{}
+	own := e.testimony(service, key)
+	if own.Found {
+		return origin.Decide([]origin.Testimony{own}, 0), hearing{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
 	defer cancel()
+	listed := make(chan []string, 1)
+	reads := e.mayConfirm(own.View)
+	if reads {
+		go func() { listed <- e.listedNow(ctx, service) }()
+	}
+	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: !reads})
+	if reads && !recorded(testimonies) {
+		own.View = own.View.ConfirmedBy(<-listed) // ctx bounds the read
+	}
+	return origin.Decide(append(testimonies, own), heard.asked-heard.answered), heard
+}
+
+// recorded reports whether a daemon has the record.
+func recorded(testimonies []origin.Testimony) bool {
+	return slices.ContainsFunc(testimonies, func(t origin.Testimony) bool { return t.Found })
+}
+
+// hear asks the daemons that keep the record of a stream, and returns what they say: all that answer in time, or those up to the first that
+// has the record.
+func (e *Exchange) hear(ctx context.Context, q *FindRequest) (testimonies []origin.Testimony, heard hearing) {
 	peers := e.others()
-	keepers := origin.Keepers(membersOf(peers), key, e.o.Region, e.o.Params.Copies)
-	heard := hearing{asked: len(keepers)}
+	keepers := origin.Keepers(membersOf(peers), origin.Key(q.Stream), e.o.Region, e.o.Params.Copies)
+	heard.asked = len(keepers)
 	answers := make(chan *origin.Testimony, len(keepers))
 	for _, n := range keepers {
-		go func() { answers <- e.ask(ctx, peers[n], service, key) }()
+		go func() { answers <- e.ask(ctx, peers[n], q) }()
 	}
 	for range keepers {
 		t := <-answers // ctx bounds each call
@@ -66,13 +88,13 @@
 			break
 		}
 	}
-	return origin.Decide(testimonies), heard
+	return testimonies, heard
 }
 
 // ask returns what another daemon knows of a stream, nil if it does not answer.
-func (e *Exchange) ask(ctx context.Context, p Peer, service routing.ServiceID, key origin.Key) *origin.Testimony {
+func (e *Exchange) ask(ctx context.Context, p Peer, q *FindRequest) *origin.Testimony {
 	client := NewKeeperProtobufClient("http://"+p.Address.String(), e.o.Client)
-	r, err := client.Find(ctx, &FindRequest{Stream: uint64(key), Service: string(service)})
+	r, err := client.Find(ctx, q)
 	if err != nil {
 		if ctx.Err() == nil {
 			e.o.Logger.Debug("A daemon did not say where a stream began", "daemon", p.Name, "error", err)
@@ -81,7 +103,7 @@
 	}
 	return &origin.Testimony{
 		Finding: origin.Finding{Found: r.Found, Software: r.Software, Conflict: r.Conflict},
-		View:    origin.View{Certainty: certaintyOf(r.Certainty), Software: r.Sole},
+		View:    origin.View{Certainty: certaintyOf(r.Certainty), Software: r.Sole, Confirmed: r.Confirmed},
 	}
 }
 
@@ -95,10 +117,15 @@
 func NewServer(e *Exchange) http.Handler { return NewKeeperServer(keeper{e}) }
 
 // Find implements Keeper.
-func (k keeper) Find(_ context.Context, q *FindRequest) (*FindResponse, error) {
-	t := k.exchange.testimony(routing.ServiceID(q.Service), origin.Key(q.Stream))
+func (k keeper) Find(ctx context.Context, q *FindRequest) (*FindResponse, error) {
+	service := routing.ServiceID(q.Service)
+	t := k.exchange.testimony(service, origin.Key(q.Stream))
+	if q.Confirm && !t.Found && k.exchange.mayConfirm(t.View) {
+		t.View = t.View.ConfirmedBy(k.exchange.listedNow(ctx, service))
+	}
 	return &FindResponse{
 		Found: t.Found, Software: t.Finding.Software, Conflict: t.Conflict, Certainty: messageOf(t.View.Certainty), Sole: t.View.Software,
+		Confirmed: t.View.Confirmed,
 	}, nil
 }
 
--- a/internal/origins/schedule_test.go
+++ b/internal/origins/schedule_test.go
@@ -71,6 +71,7 @@
 	restarts *rand.Rand
 	unknown  int            // streams that began at such a replica
 	entry    platform.Entry // in the key-value service
+	inject   func()         // may inject faults, once in each step
 	streams  int
 	wentOn   int
 	refused  int
@@ -85,18 +86,104 @@
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
+			synctest.Test(t, func(t *testing.T) {
+				s := newSchedule(t, seed)
+				s.inject = s.mayInjectFault
+				s.run(seed)
+			})
 		})
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64) {
-	ctx, cancel := context.WithCancel(t.Context())
-	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, present: map[string]bool{"v1": true},
+const (
+	releaseInterval = 15 * time.Second // longer than streams of the version before may go on
+	maxAfterRelease = 600 * time.Millisecond
+	maxWithdrawal   = 3 * time.Second // until a new version is withdrawn
+)
+
+// TestSchedulesOfReleases guards against the same where daemons are certain of one version when another one joins, and one daemon is out of step
+// then, or all are killed, or the new version is withdrawn at once.
+func TestSchedulesOfReleases(t *testing.T) {
+	seeds := uint64(scheduleSeeds)
+	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSchedule(t, seed)
+				s.entry = platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1"]}`), Revision: 1}
+				next := time.Now()
+				s.inject = func() {
+					if time.Now().Before(next) {
+						return
+					}
+					next = time.Now().Add(releaseInterval + time.Duration(s.random.Int64N(int64(releaseInterval))))
+					s.release()
+				}
+				s.run(seed)
+			})
+		})
+	}
+}
+
+// release lets one version follow another, with faults around the moment at which it joins.
+func (s *schedule) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := []string{"v1", "v2"}
+	if s.present["v2"] {
+		slices.Reverse(versions)
+	}
+	old, joining := versions[0], versions[1]
+	i := s.random.IntN(len(s.daemons))
+	if s.random.IntN(2) == 0 {
+		s.cut(i, maxFault)
+		s.isolate(i, maxFault)
+	}
+	s.present[joining] = true
+	s.propagate()
+	if s.random.IntN(2) == 0 {
+		s.after(maxAfterRelease, func() {
+			for n := range s.daemons {
+				s.kill(n)
+			}
+		})
+	}
+	leaving := old
+	if s.random.IntN(2) == 0 {
+		leaving = joining
+	}
+	s.after(maxWithdrawal, func() {
+		s.present[leaving] = false
+		s.propagate()
+	})
+}
+
+// after does something after a random time.
+func (s *schedule) after(most time.Duration, do func()) {
+	time.AfterFunc(time.Duration(s.random.Int64N(int64(most))), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		do()
+	})
+}
+
+// newSchedule returns a schedule whose daemons don't run yet.
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	s := &schedule{t: t, random: rand.New(rand.NewPCG(seed, 7)), present: map[string]bool{"v1": true},
 		unlisted: map[string]int{}, restarts: rand.New(rand.NewPCG(seed, 8))}
 	for i := range scheduleDaemons {
 		s.daemons = append(s.daemons, &scheduledDaemon{name: fmt.Sprint("vm", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)})
 	}
+	return s
+}
+
+// run starts the daemons, lets callers begin streams and take them up, and checks where they went on.
+func (s *schedule) run(seed uint64) {
+	t := s.t
+	ctx, cancel := context.WithCancel(t.Context())
+	s.ctx = ctx
 	s.mu.Lock()
 	for i := range s.daemons {
 		s.start(i)
@@ -106,7 +193,7 @@
 		for range streamsPerStep {
 			s.beginStream()
 		}
-		s.mayInjectFault()
+		s.inject()
 	}
 	time.Sleep(maxReturn + maxFault)
 	cancel()
@@ -233,10 +320,12 @@
 	if known {
 		binding = relay.BoundTo(software)
 	}
-	e.Began(s.ctx, stream(n), binding)
-	if returns {
-		go s.takeUp(n, software, known, after)
-	}
+	go func() {
+		e.Began(s.ctx, stream(n), binding)
+		if returns {
+			s.takeUp(n, software, known, after)
+		}
+	}()
 }
 
 // takeUp lets a caller take a stream up. A stream of a process that its daemon didn't know can't go on.
@@ -277,7 +366,7 @@
 	}
 	i := s.random.IntN(len(s.daemons))
 	lasts := time.Duration(s.random.Int64N(int64(maxFault)))
-	switch s.random.IntN(8) {
+	switch s.random.IntN(10) {
 	case 0, 1, 2:
 		s.kill(i)
 	case 3:
@@ -290,17 +379,25 @@
 		for n := range s.daemons {
 			s.cut(n, lasts)
 		}
+	case 7:
+		s.isolate(i, lasts)
 	default:
-		d := s.daemons[i]
-		d.isolated = true
-		time.AfterFunc(lasts, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			d.isolated = false
-		})
+		s.cut(i, lasts)
+		s.isolate(i, lasts)
 	}
 }
 
+// isolate cuts a daemon off from the others.
+func (s *schedule) isolate(i int, lasts time.Duration) {
+	d := s.daemons[i]
+	d.isolated = true
+	time.AfterFunc(lasts, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		d.isolated = false
+	})
+}
+
 // mayRestartReplica lets a replica restart under its id with another version, in one of stepsPerRestart steps. Its entry is late.
 func (s *schedule) mayRestartReplica() {
 	if s.restarts.IntN(stepsPerRestart) != 0 {
@@ -379,6 +476,23 @@
 	daemon   int
 }
 
+// Get implements platform.KV. A daemon that is cut off gets no answer.
+func (kv *scheduleKV) Get(ctx context.Context, _ string) (platform.Entry, error) {
+	s := kv.schedule
+	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	cut, entry := !s.daemons[kv.daemon].cutAt.IsZero(), s.entry
+	s.mu.Unlock()
+	switch {
+	case cut:
+		<-ctx.Done()
+		return platform.Entry{}, ctx.Err()
+	case entry.Revision == 0:
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, nil
+}
+
 // CompareAndSwap implements platform.KV.
 func (kv *scheduleKV) CompareAndSwap(_ context.Context, key string, expect platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
 	s := kv.schedule
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -5,8 +5,10 @@
 // may be gone. Invariant: a stream goes on only at the version that began it, and not at all if that version is uncertain.
 //
 // A daemon that knows several versions, or is not sure, records where each stream begins at a few daemons, before its caller
-// receives the first event. A daemon that knows of one version alone records nothing. A stream without a record can therefore
-// go on only if nobody that is asked knows of a second version.
+// receives the first event. A daemon that knows of one version alone records nothing. The key-value service lists a version before
+// the first event at it is delivered. That there is no record is no evidence by itself: those that have it may be out of reach, and
+// so may the news of a second version. A stream without a record therefore goes on only if nobody that is asked knows of a second
+// version, and either the key-value service, read after the stream came back, lists one version, or everybody that was asked answered.
 //
 // The package is pure: it holds no clock, I/O, goroutine or randomness.
 package origin
@@ -27,6 +29,19 @@
 type View struct {
 	Certainty Certainty
 	Software  string // the version, if Certainty is Sole
+	Confirmed bool   // the key-value service lists this version alone, as read after the stream came back; only if Certainty is Sole
+}
+
+// ConfirmedBy returns the view of a daemon that has read, after the stream came back, which versions the key-value service lists; none:
+// it did not get an answer.
+func (v View) ConfirmedBy(listed []string) View {
+	switch {
+	case len(listed) == 0 || v.Certainty == Several:
+		return v
+	case len(listed) > 1 || v.Certainty == Sole && v.Software != listed[0]:
+		return View{Certainty: Several}
+	}
+	return View{Certainty: Sole, Software: listed[0], Confirmed: true}
 }
 
 // Finding is what a daemon has recorded of a stream.
@@ -52,6 +67,7 @@
 	ReasonConflict Reason = "conflict" // records contradict each other
 	ReasonSeveral  Reason = "several"  // there is no record, and several versions
 	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
+	ReasonUnheard  Reason = "unheard"  // there may be a record at a daemon that did not answer, and no other evidence
 )
 
 // Verdict says whether a stream may go on, and at which version.
@@ -61,8 +77,9 @@
 	Reason   Reason
 }
 
-// Decide returns the verdict on a stream from what this daemon and those that it could ask say.
-func Decide(testimonies []Testimony) Verdict {
+// Decide returns the verdict on a stream from what this daemon and those that it asked say. unheard is the number of those that did not
+// answer.
+func Decide(testimonies []Testimony, unheard int) Verdict {
 	found, conflict := recorded(testimonies)
 	switch {
 	case conflict:
@@ -72,7 +89,7 @@
 	case found != nil:
 		return Verdict{GoesOn: true, Software: found.Software, Reason: ReasonRecorded}
 	}
-	return unrecorded(testimonies)
+	return unrecorded(testimonies, unheard)
 }
 
 // recorded returns the finding on which all records agree, nil if there is none.
@@ -93,8 +110,9 @@
 }
 
 // unrecorded returns the verdict on a stream without a record.
-func unrecorded(testimonies []Testimony) Verdict {
+func unrecorded(testimonies []Testimony, unheard int) Verdict {
 	var sole *View
+	confirmed := false
 	for i := range testimonies {
 		v := &testimonies[i].View
 		switch {
@@ -102,10 +120,14 @@
 			return Verdict{Reason: ReasonSeveral}
 		case v.Certainty == Sole:
 			sole = v
+			confirmed = confirmed || v.Confirmed
 		}
 	}
-	if sole == nil {
+	switch {
+	case sole == nil:
 		return Verdict{Reason: ReasonUnsure}
+	case unheard > 0 && !confirmed:
+		return Verdict{Reason: ReasonUnheard}
 	}
 	return Verdict{GoesOn: true, Software: sole.Software, Reason: ReasonSole}
 }
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -9,14 +9,16 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestDecisions runs testdata/decide: each line of an input is what one daemon says.
+// TestDecisions runs testdata/decide: each line of an input is what one daemon says; unheard=N in the command is how many did not answer.
 func TestDecisions(t *testing.T) {
 	datadriven.RunTest(t, "testdata/decide", func(t *testing.T, d *datadriven.TestData) string {
 		var all []Testimony
+		unheard := 0
+		d.MaybeScanArgs(t, "unheard", &unheard)
 		for line := range strings.Lines(d.Input) {
 			all = append(all, parseTestimony(t, strings.Fields(line)))
 		}
-		v := Decide(all)
+		v := Decide(all, unheard)
 		if !v.GoesOn {
 			return fmt.Sprintf("ends: %s\n", v.Reason)
 		}
@@ -37,6 +39,8 @@
 			out.View = View{Certainty: Sole, Software: value}
 		case "several":
 			out.View = View{Certainty: Several}
+		case "listed":
+			out.View = out.View.ConfirmedBy(strings.Split(value, ","))
 		case "unsure":
 		default:
 			t.Fatalf("%q is no testimony", word)
