origins: a daemon that is not sure tells which version it knows

Cause: a daemon whose list of replicas may be old, or that has just started, reported nothing of the versions that it knows. So a version that it alone had seen ended no stream: neither of another daemon that asked it, nor its own once the key-value service listed one other version, as it does until the new one is written (a write that is refused or late, a first event that didn't wait because the daemon was not current).

Evidence: testdata/decide, "unsure=v2 listed=v1" and "unsure=v2" beside "sole=v1 listed=v1" went on at v1; TestDaemonThatIsNotSureTellsWhichVersionItKnows went on at v1 at a daemon that had asked one that knows v2. Both end now.

A daemon that is not sure still makes no stream go on. Between releases: the older one ignores the field of a daemon that is not certain.

--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// TestDaemonThatIsNotSureTellsWhichVersionItKnows guards against the version that a daemon has seen being ignored because its list may be old.
+func TestDaemonThatIsNotSureTellsWhichVersionItKnows(t *testing.T) {
+	g := newGroup(t, 1)
+	young := g.start("young")
+	young.current.Store(false)
+	g.mustGoOn(g.members[0], 1, "v1")
+	young.OnSoftware(service, "v2", true)
+	g.mustEnd(g.members[0], 1)
+}
+
 // TestListIsReadByDaemonThatIsAsked guards against streams that end at a daemon without the key-value service while one of those that may have
 // the record is gone.
 func TestListIsReadByDaemonThatIsAsked(t *testing.T) {
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -28,7 +28,7 @@
 // View is what a daemon knows of a service.
 type View struct {
 	Certainty Certainty
-	Software  string // the version, if Certainty is Sole
+	Software  string // the version, if Certainty is Sole; if Unsure, the one that is known, empty: none
 	Confirmed bool   // the key-value service lists this version alone, as read after the stream came back; only if Certainty is Sole
 }
 
@@ -38,12 +38,15 @@
 	switch {
 	case len(listed) == 0 || v.Certainty == Several:
 		return v
-	case len(listed) > 1 || v.Certainty == Sole && v.Software != listed[0]:
+	case len(listed) > 1 || v.knows() && v.Software != listed[0]:
 		return View{Certainty: Several}
 	}
 	return View{Certainty: Sole, Software: listed[0], Confirmed: true}
 }
 
+// knows reports whether the view names a version.
+func (v View) knows() bool { return v.Certainty == Sole || v.Certainty == Unsure && v.Software != "" }
+
 // Finding is what a daemon has recorded of a stream.
 type Finding struct {
 	Found    bool
@@ -111,23 +114,24 @@
 
 // unrecorded returns the verdict on a stream without a record.
 func unrecorded(testimonies []Testimony, unheard int) Verdict {
-	var sole *View
-	confirmed := false
+	var known *View
+	certain, confirmed := false, false
 	for i := range testimonies {
 		v := &testimonies[i].View
-		switch {
-		case v.Certainty == Several, v.Certainty == Sole && sole != nil && v.Software != sole.Software:
+		if v.Certainty == Several || known != nil && v.knows() && v.Software != known.Software {
 			return Verdict{Reason: ReasonSeveral}
-		case v.Certainty == Sole:
-			sole = v
-			confirmed = confirmed || v.Confirmed
 		}
+		if v.knows() {
+			known = v
+		}
+		certain = certain || v.Certainty == Sole
+		confirmed = confirmed || v.Confirmed
 	}
 	switch {
-	case sole == nil:
+	case !certain:
 		return Verdict{Reason: ReasonUnsure}
 	case unheard > 0 && !confirmed:
 		return Verdict{Reason: ReasonUnheard}
 	}
-	return Verdict{GoesOn: true, Software: sole.Software, Reason: ReasonSole}
+	return Verdict{GoesOn: true, Software: known.Software, Reason: ReasonSole}
 }
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -42,6 +42,7 @@
 		case "listed":
 			out.View = out.View.ConfirmedBy(strings.Split(value, ","))
 		case "unsure":
+			out.View = View{Software: value}
 		default:
 			t.Fatalf("%q is no testimony", word)
 		}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -72,8 +72,10 @@
 	switch {
 	case len(names) > 1:
 		return View{Certainty: Several}
-	case len(names) == 0 || !sure:
+	case len(names) == 0:
 		return View{}
+	case !sure:
+		return View{Software: names[0]}
 	}
 	return View{Certainty: Sole, Software: names[0]}
 }
