relay: a line that fills a buffer ends no event

Cause: an event ended at a blank line, and a line that took several reads was judged by the last of them alone. Where a line had exactly as many bytes as were free in the buffer (8 KB), its line break looked like a blank line. The event was passed on in two parts; if the replica broke off in between, the first part counted as delivered, and the stream went on after it: the rest of the event was missing, and the next one was joined to its first lines.

Evidence: TestLineThatFillsBufferEndsNoEvent read an event of 8200 bytes as one of 8193.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,9 +39,10 @@
 // stream ended between two events.
 func (e *eventReader) next() ([]byte, error) {
 	var event []byte
+	lineStart := 0 // of the current line in event; a line may take several reads
 	for {
-		line, err := e.r.ReadSlice('\n')
-		event = append(event, line...)
+		read, err := e.r.ReadSlice('\n')
+		event = append(event, read...)
 		if len(event) > maxEventBytes {
 			return nil, errEventTooLong
 		}
@@ -55,9 +56,10 @@
 		case err != nil:
 			return nil, err
 		}
-		if isBlank(line) && len(event) > len(line) {
+		if lineStart > 0 && isBlank(event[lineStart:]) {
 			return event, nil
 		}
+		lineStart = len(event)
 	}
 }
 
