relay: a stream isn't resumed before data that had no id

Cause: a stream that broke off was resumed after the last id that was delivered. Events with data but without an id that came later were sent again by the next replica, and without any id the stream began anew: pieces came twice, of two runs, in one answer with status 200.

Such a stream ends broken now, as one that can't be resumed.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -330,7 +330,7 @@
 // where the retry requires it.
 func (s *Server) mayRetry(ctx context.Context, j *Job, a *attempt, h *history, out *sink) bool {
 	switch {
-	case h.final, out.started && !out.software.Bound:
+	case h.final, out.started && !out.software.Bound, out.unnumbered:
 		return false
 	case a.outcome == failed && !out.started:
 		return true // mayRunAgain has allowed and charged the retry
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -78,6 +78,16 @@
 	return ""
 }
 
+// carriesData reports whether an event tells its receiver something. One without data, such as a comment, is ignored.
+func carriesData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // follows reports whether an event's id is greater than the last one. Ids that are not numbers
 // count as greater.
 func follows(id, last string) bool {
@@ -96,6 +106,7 @@
 	started     bool
 	framing     framing.Framing // of the response, once it has started
 	lastEventID string          // id of the last event that was delivered
+	unnumbered  bool            // data without an id was delivered since; a resumed stream would repeat it
 	software    SoftwareBinding // version of the software that began the response; unbound: not known
 	events      int
 	firstAt     time.Time
@@ -174,7 +185,9 @@
 			if out.lastEventID != "" && !follows(id, out.lastEventID) {
 				continue // a resumed stream may repeat delivered events
 			}
-			out.lastEventID = id
+			out.lastEventID, out.unnumbered = id, false
+		} else if carriesData(event) {
+			out.unnumbered = true
 		}
 		a.recordFirstEvent()
 		s.startResponse(ctx, j, out, a)
