origins: a write for which a stream waits stays urgent after a conflict

Cause: a stream whose version isn't listed asks once, after 50 ms, that this daemon write the entry whatever its rank. A conflict used that up: where another daemon had changed the entry in between, the next write waited for the rank again, half a second for each, and the first event was delivered after 500 ms at a version that nobody had listed.

Evidence: TestConflictKeepsWriteUrgent waited for 500 ms and listed [v1 v3]; it lists v2 at once now.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -99,16 +99,20 @@
 	versions []string
 	revision platform.Revision
 	since    time.Time // since when the entry has differed
+	urgent   bool      // a stream waits for it
 }
 
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
-// for. A daemon that
-// has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
-func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) []dueWrite {
+// for. A daemon that has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
+func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
 	urgent := e.takeUrgent()
-	return slices.DeleteFunc(e.differing(now, keep), func(w dueWrite) bool {
-		return !urgent[w.service] && now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
-	})
+	for _, w := range e.differing(now, keep) {
+		w.urgent = urgent[w.service]
+		if w.urgent || now.Sub(w.since) >= time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay {
+			due = append(due, w)
+		}
+	}
+	return due
 }
 
 // takeUrgent returns the services whose entries streams wait for, and forgets them.
@@ -177,6 +181,10 @@
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
 	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
+		if w.urgent {
+			e.listNow(w.service)
+			return
+		}
 		e.wakeHistory()
 	case !errors.Is(err, platform.ErrConflict):
 		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -156,3 +156,25 @@
 
 // applyEntry makes the entry of the key-value service known to a daemon.
 func (m *member) applyEntry(entry platform.Entry) { m.apply(entry.Revision, string(entry.Value)) }
+
+// TestConflictKeepsWriteUrgent guards against a first event that waits in vain because another daemon wrote the entry at the same time.
+func TestConflictKeepsWriteUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		kv.list("v1", "v3")
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		began := time.Now()
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2", "v3"}) {
+			t.Errorf("the first event is delivered after %s, and listed are %v", time.Since(began), got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
