origins: a version with replicas that another daemon removed is listed again at once

Cause: a daemon that knows no replica of a version any more removes it from software/SERVICE. If its list of replicas is old, or its write is late (the revision hasn't changed meanwhile, as the version was listed all the time), the version may have replicas again, and streams begin there without waiting until their daemons hear of the removal. The others put it back at their next comparison, up to a second later. Until then a daemon out of step reads one version.

Evidence: TestVersionThatAnotherDaemonRemovedIsListedAgain listed [v1] after the entry was applied; the daemon of rank 0 puts v2 back at once now. This shortens the time; the removal itself still goes by the absence of news.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -66,8 +66,12 @@
 		}
 		e.histories[service] = &history{versions: versions, revision: entry.Revision}
 		delete(e.missing, service)
+		v := e.versionsOf(service)
 		for _, software := range versions {
-			e.versionsOf(service).Remember(now, software)
+			v.Remember(now, software)
+		}
+		if v.AnyPresent(func(software string) bool { return !slices.Contains(versions, software) }) {
+			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
 }
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -178,3 +178,28 @@
 		synctest.Wait()
 	})
 }
+
+// TestVersionThatAnotherDaemonRemovedIsListedAgain guards against a version with replicas that is not listed for a second, because a daemon
+// that knew none of them removed it.
+func TestVersionThatAnotherDaemonRemovedIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1", "v2")
+		e := newListingExchange(kv)
+		e.o.Rank = firstRank
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		synctest.Wait()
+		kv.list("v1")
+		e.applyEntry(kv.entry)
+		synctest.Wait()
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -27,6 +27,16 @@
 	v.gone[software] = now
 }
 
+// AnyPresent reports whether a version that has replicas satisfies f.
+func (v *Versions) AnyPresent(f func(software string) bool) bool {
+	for software := range v.present {
+		if f(software) {
+			return true
+		}
+	}
+	return false
+}
+
 // Remember records that a version has had replicas until now, unless the daemon knows better.
 func (v *Versions) Remember(now time.Time, software string) {
 	if v.present[software] {
