origins: a daemon whose read failed lets those that it asks read

Cause: only a daemon that knows that the key-value service doesn't answer left the read of software/SERVICE to the daemons that it asks. One that learns of changes through peers makes no calls and doesn't notice: it read in vain for each stream and asked nobody to read. While one of the daemons that may have the record was gone and still listed, its streams of one version ended ("unheard"), for as long as that lasted.

Evidence: TestUnnoticedLossOfServiceLeavesReadToOthers; with the service silent towards the asking daemon alone and one of three others gone, all streams ended; now the first does, and those that follow go on. Once an own read succeeds, the others aren't asked to read.

Cost: three reads more for each stream that comes back while the last own read failed.

--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -33,10 +33,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.o.Params.Wait)
 	defer cancel()
 	entry, err := e.o.KV.Get(ctx, HistoryPrefix+string(service))
+	answered := err == nil || errors.Is(err, platform.ErrNotFound)
+	e.readFailed.Store(!answered)
+	if !answered {
+		e.o.Logger.Debug("Failed to read the versions of a service's software", "service", service, "error", err)
+	}
 	if err != nil {
-		if !errors.Is(err, platform.ErrNotFound) {
-			e.o.Logger.Debug("Failed to read the versions of a service's software", "service", service, "error", err)
-		}
 		return nil
 	}
 	if at, restored := e.o.RestoredAt(); restored && time.Since(at) < restoreGrace {
--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -117,3 +117,27 @@
 		}
 	})
 }
+
+// TestUnnoticedLossOfServiceLeavesReadToOthers guards against streams of one version that end at a daemon that learns of changes through peers,
+// and so does not notice that the key-value service does not answer it, while one of those that may have the record is gone.
+func TestUnnoticedLossOfServiceLeavesReadToOthers(t *testing.T) {
+	g := newGroup(t, 4)
+	asking := g.members[0]
+	asking.o.Params.Wait = 50 * time.Millisecond
+	silent := newListKV("v1")
+	silent.setSilent(true)
+	asking.o.KV = silent
+	g.kill(g.members[3])
+	_, _ = asking.Find(t.Context(), stream(1)) // it notices with the first stream
+	for !asking.readFailed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	g.mustGoOn(asking, 2, "v1")
+	silent.setSilent(false)
+	g.mustGoOn(asking, 3, "v1")
+	before := g.kv.readCount()
+	g.mustGoOn(asking, 4, "v1")
+	if g.kv.readCount() != before {
+		t.Error("others read although the key-value service answers again")
+	}
+}
--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -91,6 +91,7 @@
 	unrecordedLog rate.Sometimes
 	mirror        *mirror.Mirror // of the histories; nil: they are not kept
 	reads         *freshReads    // of the histories
+	readFailed    atomic.Bool    // the last of them
 	// historyWake has an element if a history may have to be written.
 	historyWake chan struct{}
 
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -46,6 +46,12 @@
 	kv.silent = silent
 }
 
+func (kv *listKV) readCount() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	return kv.reads
+}
+
 // await returns the current entry once the service answers.
 func (kv *listKV) await(ctx context.Context) (platform.Entry, error) {
 	kv.mu.Lock()
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -55,7 +55,8 @@
 	if reads {
 		go func() { listed <- e.listedNow(ctx, service) }()
 	}
-	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: !reads})
+	confirm := !reads || e.readFailed.Load()
+	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: confirm})
 	if reads && !recorded(testimonies) {
 		own.View = own.View.ConfirmedBy(<-listed) // ctx bounds the read
 	}
