origins: a daemon that is asked answers in time while the key-value service does not

Cause: a daemon that is asked to read software/SERVICE waited for the read as long as the daemon that asks waits for it, and so answered too late whenever the read failed by its time. What it knew (a second version, or that it has no record) was lost with it, and it counted as one that doesn't answer: streams of one version ended while all three daemons were well.

--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -141,3 +141,16 @@
 		t.Error("others read although the key-value service answers again")
 	}
 }
+
+// TestKeeperAnswersWithoutService guards against daemons that are asked and don't answer in time, because the key-value service doesn't answer
+// them.
+func TestKeeperAnswersWithoutService(t *testing.T) {
+	g := newGroup(t, 4)
+	asking := g.members[0]
+	asking.current.Store(false)
+	g.kv.setSilent(true)
+	for _, m := range g.members {
+		m.o.Params.Wait = 100 * time.Millisecond
+	}
+	g.mustGoOn(asking, 1, "v1")
+}
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -122,6 +122,8 @@
 	service := routing.ServiceID(q.Service)
 	t := k.exchange.testimony(service, origin.Key(q.Stream))
 	if q.Confirm && !t.Found && k.exchange.mayConfirm(t.View) {
+		ctx, cancel := context.WithTimeout(ctx, k.exchange.o.Params.Wait/keeperReadShare)
+		defer cancel()
 		t.View = t.View.ConfirmedBy(k.exchange.listedNow(ctx, service))
 	}
 	return &FindResponse{
