origins: after an outage, listed versions without replicas are remembered anew

Cause: a daemon removes a version from software/SERVICE once it has known no replica of it for as long as streams may go on, counted from the last one that it saw leave. If replicas of the version came back and left again while the daemon was cut off, it counted from the first time, and removed the version while streams of it could go on; the revision hadn't changed, as the version was listed all the time, so that the write succeeded.

Evidence: TestOutageHidesReturnOfVersion wrote [v1] 18 s after the first and 9 s after the second possible leaving, at a keep time of 10 s.

Cost: after an outage a version that is gone counts for up to one keep time more.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -67,8 +67,12 @@
 		e.histories[service] = &history{versions: versions, revision: entry.Revision}
 		delete(e.missing, service)
 		v := e.versionsOf(service)
+		remember := v.Remember
+		if u.Full && u.AfterOutage {
+			remember = v.RememberAnew // replicas may have come and left unseen
+		}
 		for _, software := range versions {
-			v.Remember(now, software)
+			remember(now, software)
 		}
 		if v.AnyPresent(func(software string) bool { return !slices.Contains(versions, software) }) {
 			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
@@ -101,3 +102,27 @@
 		t.Errorf("the second daemon does not stand in for the first: %+v", writes)
 	}
 }
+
+// TestOutageHidesReturnOfVersion guards against a version that is removed from its entry too early, by a daemon that missed in an outage that
+// replicas of it came back and left again.
+func TestOutageHidesReturnOfVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &member{Exchange: New(Options{Current: func() bool { return true }, Keep: func() time.Duration { return keepTime }, Params: DefaultParams, Resumable: isTestService})}
+		m.OnListed(time.Now().Add(-time.Hour))
+		m.OnSoftware(service, "v1", true)
+		m.OnSoftware(service, "v2", true)
+		const listed = `{"versions":["v1","v2"]}`
+		m.apply(7, listed)
+		m.OnSoftware(service, "v2", false)
+		time.Sleep(keepTime - time.Second)
+		m.applyHistory(mirror.Update{Full: true, AfterOutage: true, Entries: []platform.Entry{{Key: HistoryPrefix + service, Value: []byte(listed), Revision: 7}}})
+		time.Sleep(keepTime - time.Second)
+		if writes := m.dueWrites(time.Now(), keepTime, firstRank); len(writes) != 0 {
+			t.Errorf("written is %v", writes[0].versions)
+		}
+		time.Sleep(2 * time.Second)
+		if writes := m.dueWrites(time.Now(), keepTime, firstRank); len(writes) != 1 {
+			t.Errorf("the version stays for ever: %+v", writes)
+		}
+	})
+}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -45,6 +45,14 @@
 	if _, known := v.gone[software]; known {
 		return
 	}
+	v.RememberAnew(now, software)
+}
+
+// RememberAnew records that a version may have had replicas until now, also if the daemon saw the last one leave before.
+func (v *Versions) RememberAnew(now time.Time, software string) {
+	if v.present[software] {
+		return
+	}
 	if v.gone == nil {
 		v.present, v.gone = map[string]bool{}, map[string]time.Time{}
 	}
