origins: a version is listed also while the list of replicas is being brought up to date

Cause: a first event waited for its version to be listed, and a daemon wrote software/SERVICE, only while the daemon's list of replicas was current. It isn't for a moment whenever a peer reports a change that this daemon doesn't have yet, as they do while the replicas of a new version join one after another, nor for seconds after a start before many replicas. Streams of the new version began there unlisted; and a daemon that was woken at such a moment to write the entry let it be until its next comparison, up to a second later, longer than a stream waits.

Evidence: TestVersionIsListedWhileListOfReplicasIsOld; nothing was listed, and the first event didn't wait. Now such a daemon adds versions, and neither creates the entry nor removes one.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -66,6 +66,9 @@
 	Client *http.Client
 	// Current reports whether the list of replicas is current.
 	Current func() bool
+	// Reachable reports whether the key-value service answers, as far as is known, also while the list of replicas is not current; nil: it does
+	// while that is.
+	Reachable func() bool
 	// KV holds the versions of services, which Follower follows; nil: they are not kept there. Rank returns this daemon's rank
 	// for a key; the first one writes it.
 	KV       platform.KV
@@ -118,6 +121,9 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("origins")
+	if o.Reachable == nil {
+		o.Reachable = o.Current
+	}
 	if o.RestoredAt == nil {
 		o.RestoredAt = func() (time.Time, bool) { return time.Time{}, false }
 	}
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -111,7 +111,8 @@
 }
 
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
-// for. A daemon that has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
+// for. A daemon that has not seen a service for long enough, or whose list of replicas may be old, adds versions to its entry, but neither
+// creates it nor knows what it may remove.
 func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
 	urgent := e.takeUrgent()
 	for _, w := range e.differing(now, keep) {
@@ -134,6 +135,7 @@
 
 // differing returns the entries that differ from what this daemon knows.
 func (e *Exchange) differing(now time.Time, keep time.Duration) (out []dueWrite) {
+	current := e.o.Current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.listedAt.IsZero() {
@@ -144,9 +146,14 @@
 			continue
 		}
 		names := v.Names(now, keep)
-		slices.Sort(names)
 		h := e.histories[service]
-		if h == nil && now.Sub(e.listedAt) < keep || len(names) == 0 || len(names) > maxVersions {
+		if !current && h != nil {
+			names = append(names, h.versions...)
+		}
+		slices.Sort(names)
+		names = slices.Compact(names)
+		mayCreate := current && now.Sub(e.listedAt) >= keep
+		if h == nil && !mayCreate || len(names) == 0 || len(names) > maxVersions {
 			continue
 		}
 		if h == nil {
@@ -210,7 +217,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !e.o.Current() {
+		if !e.o.Reachable() {
 			continue
 		}
 		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
--- a/internal/origins/listed.go
+++ b/internal/origins/listed.go
@@ -17,7 +17,7 @@
 // awaitListed waits until the key-value service lists a version at which a stream begins, so that no daemon that reads the entry later takes
 // the others for all. It gives up after listTimeout, and at once while the service does not answer.
 func (e *Exchange) awaitListed(ctx context.Context, service routing.ServiceID, software string) {
-	if e.o.KV == nil || !e.o.Current() {
+	if e.o.KV == nil || !e.o.Reachable() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -138,7 +138,7 @@
 		if took := time.Since(began); took > listTimeout {
 			t.Errorf("the first event waited for %s", took)
 		}
-		e.o.Current = func() bool { return false }
+		e.o.Reachable = func() bool { return false }
 		began = time.Now()
 		e.Began(ctx, stream(2), relay.BoundTo("v2"))
 		if took := time.Since(began); took > 0 {
@@ -209,3 +209,32 @@
 		synctest.Wait()
 	})
 }
+
+// TestVersionIsListedWhileListOfReplicasIsOld guards against a first event that waits for no entry, because this daemon is told of a change
+// among the replicas that it doesn't have yet.
+func TestVersionIsListedWhileListOfReplicasIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v0", "v1")
+		e := newListingExchange(kv)
+		e.o.Current = func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v0", true)
+		e.OnSoftware(service, "v0", false)
+		time.Sleep(2 * keepTime)
+		e.prune(time.Now())
+		e.applyEntry(kv.entry)
+		e.OnSoftware(service, "v2", true)
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if got := kv.versions(); !slices.Equal(got, []string{"v0", "v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		time.Sleep(2 * keepTime)
+		if got := kv.versions(); !slices.Equal(got, []string{"v0", "v1", "v2"}) {
+			t.Errorf("a daemon with an old list removed versions: %v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
