--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -1,8 +1,8 @@
 package origins
 
 import (
-	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,18 +91,19 @@
 func TestLookupSharesNoReadThatBeganBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reads := newFreshReads()
-		listed := []string{"v1"}
+		var listed atomic.Pointer[[]string]
+		listed.Store(&[]string{"v1"})
 		count := 0
 		read := func() []string {
 			count++
-			answer := slices.Clone(listed)
+			answer := *listed.Load()
 			time.Sleep(10 * time.Millisecond)
 			return answer
 		}
 		var all sync.WaitGroup
 		all.Go(func() { reads.get(t.Context(), service, read) })
 		time.Sleep(time.Millisecond)
-		listed = []string{"v1", "v2"}
+		listed.Store(&[]string{"v1", "v2"})
 		const lookups = 20
 		for range lookups {
 			all.Go(func() {
