--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -1,8 +1,8 @@
 package origins
 
 import (
-	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +51,16 @@
 	}
 }
 
+// TestDaemonThatIsNotSureTellsWhichVersionItKnows guards against the version that a daemon has seen being ignored because its list may be old.
+func TestDaemonThatIsNotSureTellsWhichVersionItKnows(t *testing.T) {
+	g := newGroup(t, 1)
+	young := g.start("young")
+	young.current.Store(false)
+	g.mustGoOn(g.members[0], 1, "v1")
+	young.OnSoftware(service, "v2", true)
+	g.mustEnd(g.members[0], 1)
+}
+
 // TestListIsReadByDaemonThatIsAsked guards against streams that end at a daemon without the key-value service while one of those that may have
 // the record is gone.
 func TestListIsReadByDaemonThatIsAsked(t *testing.T) {
@@ -81,18 +91,19 @@
 func TestLookupSharesNoReadThatBeganBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reads := newFreshReads()
-		listed := []string{"v1"}
+		var listed atomic.Pointer[[]string]
+		listed.Store(&[]string{"v1"})
 		count := 0
 		read := func() []string {
 			count++
-			answer := slices.Clone(listed)
+			answer := *listed.Load()
 			time.Sleep(10 * time.Millisecond)
 			return answer
 		}
 		var all sync.WaitGroup
 		all.Go(func() { reads.get(t.Context(), service, read) })
 		time.Sleep(time.Millisecond)
-		listed = []string{"v1", "v2"}
+		listed.Store(&[]string{"v1", "v2"})
 		const lookups = 20
 		for range lookups {
 			all.Go(func() {
@@ -107,3 +118,40 @@
 		}
 	})
 }
+
+// TestUnnoticedLossOfServiceLeavesReadToOthers guards against streams of one version that end at a daemon that learns of changes through peers,
+// and so does not notice that the key-value service does not answer it, while one of those that may have the record is gone.
+func TestUnnoticedLossOfServiceLeavesReadToOthers(t *testing.T) {
+	g := newGroup(t, 4)
+	asking := g.members[0]
+	asking.o.Params.Wait = 50 * time.Millisecond
+	silent := newListKV("v1")
+	silent.setSilent(true)
+	asking.o.KV = silent
+	g.kill(g.members[3])
+	_, _ = asking.Find(t.Context(), stream(1)) // it notices with the first stream
+	for !asking.readFailed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	g.mustGoOn(asking, 2, "v1")
+	silent.setSilent(false)
+	g.mustGoOn(asking, 3, "v1")
+	before := g.kv.readCount()
+	g.mustGoOn(asking, 4, "v1")
+	if g.kv.readCount() != before {
+		t.Error("others read although the key-value service answers again")
+	}
+}
+
+// TestKeeperAnswersWithoutService guards against daemons that are asked and don't answer in time, because the key-value service doesn't answer
+// them.
+func TestKeeperAnswersWithoutService(t *testing.T) {
+	g := newGroup(t, 4)
+	asking := g.members[0]
+	asking.current.Store(false)
+	g.kv.setSilent(true)
+	for _, m := range g.members {
+		m.o.Params.Wait = 100 * time.Millisecond
+	}
+	g.mustGoOn(asking, 1, "v1")
+}
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -66,8 +66,16 @@
 		}
 		e.histories[service] = &history{versions: versions, revision: entry.Revision}
 		delete(e.missing, service)
+		v := e.versionsOf(service)
+		remember := v.Remember
+		if u.Full && u.AfterOutage {
+			remember = v.RememberAnew // replicas may have come and left unseen
+		}
 		for _, software := range versions {
-			e.versionsOf(service).Remember(now, software)
+			remember(now, software)
+		}
+		if v.AnyPresent(func(software string) bool { return !slices.Contains(versions, software) }) {
+			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
 }
@@ -99,16 +107,21 @@
 	versions []string
 	revision platform.Revision
 	since    time.Time // since when the entry has differed
+	urgent   bool      // a stream waits for it
 }
 
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
-// for. A daemon that
-// has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
-func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) []dueWrite {
+// for. A daemon that has not seen a service for long enough, or whose list of replicas may be old, adds versions to its entry, but neither
+// creates it nor knows what it may remove.
+func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
 	urgent := e.takeUrgent()
-	return slices.DeleteFunc(e.differing(now, keep), func(w dueWrite) bool {
-		return !urgent[w.service] && now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
-	})
+	for _, w := range e.differing(now, keep) {
+		w.urgent = urgent[w.service]
+		if w.urgent || now.Sub(w.since) >= time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay {
+			due = append(due, w)
+		}
+	}
+	return due
 }
 
 // takeUrgent returns the services whose entries streams wait for, and forgets them.
@@ -122,6 +135,7 @@
 
 // differing returns the entries that differ from what this daemon knows.
 func (e *Exchange) differing(now time.Time, keep time.Duration) (out []dueWrite) {
+	current := e.o.Current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.listedAt.IsZero() {
@@ -132,9 +146,14 @@
 			continue
 		}
 		names := v.Names(now, keep)
-		slices.Sort(names)
 		h := e.histories[service]
-		if h == nil && now.Sub(e.listedAt) < keep || len(names) == 0 || len(names) > maxVersions {
+		if !current && h != nil {
+			names = append(names, h.versions...)
+		}
+		slices.Sort(names)
+		names = slices.Compact(names)
+		mayCreate := current && now.Sub(e.listedAt) >= keep
+		if h == nil && !mayCreate || len(names) == 0 || len(names) > maxVersions {
 			continue
 		}
 		if h == nil {
@@ -177,6 +196,10 @@
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
 	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
+		if w.urgent {
+			e.listNow(w.service)
+			return
+		}
 		e.wakeHistory()
 	case !errors.Is(err, platform.ErrConflict):
 		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
@@ -194,7 +217,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !e.o.Current() {
+		if !e.o.Reachable() {
 			continue
 		}
 		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -46,6 +46,12 @@
 	kv.silent = silent
 }
 
+func (kv *listKV) readCount() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	return kv.reads
+}
+
 // await returns the current entry once the service answers.
 func (kv *listKV) await(ctx context.Context) (platform.Entry, error) {
 	kv.mu.Lock()
@@ -132,7 +138,7 @@
 		if took := time.Since(began); took > listTimeout {
 			t.Errorf("the first event waited for %s", took)
 		}
-		e.o.Current = func() bool { return false }
+		e.o.Reachable = func() bool { return false }
 		began = time.Now()
 		e.Began(ctx, stream(2), relay.BoundTo("v2"))
 		if took := time.Since(began); took > 0 {
@@ -156,3 +162,79 @@
 
 // applyEntry makes the entry of the key-value service known to a daemon.
 func (m *member) applyEntry(entry platform.Entry) { m.apply(entry.Revision, string(entry.Value)) }
+
+// TestConflictKeepsWriteUrgent guards against a first event that waits in vain because another daemon wrote the entry at the same time.
+func TestConflictKeepsWriteUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		kv.list("v1", "v3")
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		began := time.Now()
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2", "v3"}) {
+			t.Errorf("the first event is delivered after %s, and listed are %v", time.Since(began), got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestVersionThatAnotherDaemonRemovedIsListedAgain guards against a version with replicas that is not listed for a second, because a daemon
+// that knew none of them removed it.
+func TestVersionThatAnotherDaemonRemovedIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1", "v2")
+		e := newListingExchange(kv)
+		e.o.Rank = firstRank
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		synctest.Wait()
+		kv.list("v1")
+		e.applyEntry(kv.entry)
+		synctest.Wait()
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestVersionIsListedWhileListOfReplicasIsOld guards against a first event that waits for no entry, because this daemon is told of a change
+// among the replicas that it doesn't have yet.
+func TestVersionIsListedWhileListOfReplicasIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v0", "v1")
+		e := newListingExchange(kv)
+		e.o.Current = func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v0", true)
+		e.OnSoftware(service, "v0", false)
+		time.Sleep(2 * keepTime)
+		e.prune(time.Now())
+		e.applyEntry(kv.entry)
+		e.OnSoftware(service, "v2", true)
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if got := kv.versions(); !slices.Equal(got, []string{"v0", "v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		time.Sleep(2 * keepTime)
+		if got := kv.versions(); !slices.Equal(got, []string{"v0", "v1", "v2"}) {
+			t.Errorf("a daemon with an old list removed versions: %v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -55,7 +55,8 @@
 	if reads {
 		go func() { listed <- e.listedNow(ctx, service) }()
 	}
-	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: !reads})
+	confirm := !reads || e.readFailed.Load()
+	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: confirm})
 	if reads && !recorded(testimonies) {
 		own.View = own.View.ConfirmedBy(<-listed) // ctx bounds the read
 	}
@@ -121,6 +122,8 @@
 	service := routing.ServiceID(q.Service)
 	t := k.exchange.testimony(service, origin.Key(q.Stream))
 	if q.Confirm && !t.Found && k.exchange.mayConfirm(t.View) {
+		ctx, cancel := context.WithTimeout(ctx, k.exchange.o.Params.Wait/keeperReadShare)
+		defer cancel()
 		t.View = t.View.ConfirmedBy(k.exchange.listedNow(ctx, service))
 	}
 	return &FindResponse{
