A removed roster entry is no daemon's end: the retry budget counts those that may still run

What replicas saw: the service turns some daemons away and serves the others. After 4 s the entries of the former are gone, and the latter divide the retry budget among themselves, while those that were turned away, whom nobody tells, go on with their shares of before.

Cause: an entry that is missing while the service is available was read as a daemon that has ended. It says that a lease ended.

The mend: the roster tells how many daemons may run: those listed, also while they leave, and for ten minutes those whose entries were removed though they had not said that they leave. Replicas' quotas stay as they are: they allow for two views.

Price: no call, no message; a time for each lost daemon. After a real loss of k of n daemons the rest have the bursts of before for ten minutes, n-k of n parts of the extra retries in place of all; their share of requests is not touched. A daemon that starts after the loss knows nothing of it.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -40,6 +41,9 @@
 	// rewriteGrace is how long an entry that was removed after an outage is kept, until its owner has
 	// written it again.
 	rewriteGrace = 4 * time.Second
+	// lostRetention is how long a daemon whose entry was removed, and that did not say that it leaves, counts as one that may still
+	// run: it may only be cut off from the key-value service, and a partition takes seconds to minutes.
+	lostRetention = 10 * time.Minute
 	// discoveryTime is how long a daemon may take to discover the others. Until then it assumes many.
 	discoveryTime = 3 * time.Second
 	callTimeout   = 2 * time.Second
@@ -86,9 +90,12 @@
 
 	leaving atomic.Bool
 
+	mayRun atomic.Int64 // number of daemons; see MayRun
+
 	mu       sync.Mutex
 	known    map[string]Daemon
 	expiring map[string]time.Time // when entries removed after an outage are dropped from known
+	lost     map[string]time.Time // when the entries of daemons that did not say that they leave were removed
 }
 
 // New returns a roster that contains this daemon only.
@@ -97,7 +104,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("roster")
-	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
+	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}, lost: map[string]time.Time{}}
 	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
 	r.publish()
 	return r
@@ -111,6 +118,10 @@
 // replaced only when it changes.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
 
+// MayRun returns how many daemons may be running, including this one: those that are listed, also while they leave, and those whose
+// entries were removed although they did not say that they leave.
+func (r *Roster) MayRun() int { return int(r.mayRun.Load()) }
+
 // Mirror returns the mirror of the entries, for the exchange of copies with peers.
 func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
 
@@ -243,6 +254,7 @@
 		}
 		r.known[id] = d
 		delete(r.expiring, id)
+		delete(r.lost, id)
 	}
 	if u.Full {
 		for id := range r.known {
@@ -275,7 +287,7 @@
 
 func (r *Roster) remove(id string, afterOutage bool) {
 	if !afterOutage {
-		delete(r.known, id)
+		r.drop(id)
 		return
 	}
 	if _, ok := r.expiring[id]; !ok {
@@ -283,6 +295,14 @@
 	}
 }
 
+// drop removes a daemon whose entry is gone.
+func (r *Roster) drop(id string) {
+	if d, known := r.known[id]; known && !d.Leaving && d.ID != r.opts.Self.ID {
+		r.lost[id] = time.Now()
+	}
+	delete(r.known, id)
+}
+
 func (r *Roster) removeExpired() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -290,9 +310,10 @@
 	for id, until := range r.expiring {
 		if now.After(until) {
 			delete(r.expiring, id)
-			delete(r.known, id)
+			r.drop(id)
 		}
 	}
+	maps.DeleteFunc(r.lost, func(_ string, at time.Time) bool { return now.Sub(at) > lostRetention })
 	r.publishLocked()
 }
 
@@ -312,6 +333,10 @@
 	if !r.leaving.Load() {
 		live = append(live, r.opts.Self)
 	}
+	r.mayRun.Store(int64(len(r.known) + len(r.lost)))
+	if _, listed := r.known[string(r.opts.Self.ID)]; !listed {
+		r.mayRun.Add(1)
+	}
 	slices.SortFunc(live, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
 	if old := r.live.Load(); old == nil || !slices.Equal(*old, live) {
 		r.live.Store(&live)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -54,6 +54,29 @@
 	}
 }
 
+// TestDaemonWhoseEntryExpiredMayRun guards against counting a daemon that is cut off from the key-value service as one that has ended, and
+// against counting one for good that said that it leaves.
+func TestDaemonWhoseEntryExpiredMayRun(t *testing.T) {
+	r := newRoster(kv.NewFake(time.Now).Client("a"), "a")
+	leaves := platform.Entry{Key: "d/c", Value: []byte(`{"id":"c","leaving":true,"caller_address":"10.0.0.1:80","peer_address":"10.0.0.1:81"}`), Revision: 2}
+	for _, c := range []struct {
+		name    string
+		entries []platform.Entry
+		want    int
+	}{
+		{"three are listed", []platform.Entry{entry("a"), entry("b"), entry("c")}, 3},
+		{"one leaves", []platform.Entry{entry("a"), entry("b"), leaves}, 3},
+		{"the one that left has ended, another one's entry has expired", []platform.Entry{entry("a")}, 2},
+		{"this daemon's own entry has expired too", nil, 2},
+		{"the daemons are listed again", []platform.Entry{entry("a"), entry("b")}, 2},
+	} {
+		r.apply(mirror.Update{Full: true, Entries: c.entries})
+		if got := r.MayRun(); got != c.want {
+			t.Errorf("%s: %d daemons may run, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // A daemon whose entry is removed while the key-value service is available is unlisted at once.
 func TestTerminatedDaemonIsUnlistedAtOnce(t *testing.T) {
 	r := newRoster(kv.NewFake(time.Now).Client("a"), "a")
