Daemons that the key-value service turns away go on hearing their peers

What callers saw: the service turns a daemon away, or only its path is lost, while peers reach it. After 4 s its entry expires, and from then on it gets no news at all: it serves by the desired state of before, keeps organisations together that were isolated since (WALL names no machines in touch), and hears of no deaths, refusals, limits and loads. It goes on reporting to all others meanwhile.

Cause: daemons report to those that are listed. The design says that a daemon without the service learns of changes through peers; that held for the time to live of its entry.

The mend: a daemon whose entry was removed, that did not say that it leaves and that reported within the last second, gets reports as those that are listed do. It stays known for as long as it reports and ten minutes longer.

Price: the datagrams that it got before its entry expired; none to those that do not report. Without lost daemons an atomic load for each report that is sent or received. Memory: an entry of the roster for each lost daemon.

--- a/internal/mirror/relays.go
+++ b/internal/mirror/relays.go
@@ -28,10 +28,24 @@
 	p.lastReport[peer] = now
 }
 
+// Reports reports whether a peer's report is valid at time now.
+func (p *PeerTracker) Reports(now time.Time, peer request.DaemonID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prune(now)
+	_, reports := p.lastReport[peer]
+	return reports
+}
+
 // Count returns the number of peers whose report is valid at time now.
 func (p *PeerTracker) Count(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.lastReport, func(_ request.DaemonID, at time.Time) bool { return now.Sub(at) >= reportTTL })
+	p.prune(now)
 	return len(p.lastReport)
 }
+
+// prune drops reports that are no longer valid.
+func (p *PeerTracker) prune(now time.Time) {
+	maps.DeleteFunc(p.lastReport, func(_ request.DaemonID, at time.Time) bool { return now.Sub(at) >= reportTTL })
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -42,7 +42,7 @@
 	// written it again.
 	rewriteGrace = 4 * time.Second
 	// lostRetention is how long a daemon whose entry was removed, and that did not say that it leaves, counts as one that may still
-	// run: it may only be cut off from the key-value service, and a partition takes seconds to minutes.
+	// run, unless it reports later: it may only be cut off from the key-value service, and a partition takes seconds to minutes.
 	lostRetention = 10 * time.Minute
 	// discoveryTime is how long a daemon may take to discover the others. Until then it assumes many.
 	discoveryTime = 3 * time.Second
@@ -90,12 +90,19 @@
 
 	leaving atomic.Bool
 
-	mayRun atomic.Int64 // number of daemons; see MayRun
+	mayRun   atomic.Int64             // number of daemons; see MayRun
+	unlisted atomic.Pointer[[]Daemon] // see Lost
 
 	mu       sync.Mutex
 	known    map[string]Daemon
 	expiring map[string]time.Time // when entries removed after an outage are dropped from known
-	lost     map[string]time.Time // when the entries of daemons that did not say that they leave were removed
+	lost     map[string]lostDaemon
+}
+
+// lostDaemon is a daemon whose entry was removed although it did not say that it leaves.
+type lostDaemon struct {
+	Daemon
+	at time.Time // of the removal, or of the last report since
 }
 
 // New returns a roster that contains this daemon only.
@@ -104,7 +111,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("roster")
-	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}, lost: map[string]time.Time{}}
+	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}, lost: map[string]lostDaemon{}}
 	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
 	r.publish()
 	return r
@@ -122,6 +129,24 @@
 // entries were removed although they did not say that they leave.
 func (r *Roster) MayRun() int { return int(r.mayRun.Load()) }
 
+// Lost returns the daemons whose entries were removed although they did not say that they leave, and that may still run.
+func (r *Roster) Lost() []Daemon { return *r.unlisted.Load() }
+
+// OnReport records that a daemon reports to this one, and returns whether it is one of Lost.
+func (r *Roster) OnReport(id request.DaemonID) (lost bool) {
+	if len(r.Lost()) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, lost := r.lost[string(id)]
+	if lost {
+		d.at = time.Now()
+		r.lost[string(id)] = d
+	}
+	return lost
+}
+
 // Mirror returns the mirror of the entries, for the exchange of copies with peers.
 func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
 
@@ -298,7 +323,7 @@
 // drop removes a daemon whose entry is gone.
 func (r *Roster) drop(id string) {
 	if d, known := r.known[id]; known && !d.Leaving && d.ID != r.opts.Self.ID {
-		r.lost[id] = time.Now()
+		r.lost[id] = lostDaemon{Daemon: d, at: time.Now()}
 	}
 	delete(r.known, id)
 }
@@ -313,7 +338,7 @@
 			r.drop(id)
 		}
 	}
-	maps.DeleteFunc(r.lost, func(_ string, at time.Time) bool { return now.Sub(at) > lostRetention })
+	maps.DeleteFunc(r.lost, func(_ string, d lostDaemon) bool { return now.Sub(d.at) > lostRetention })
 	r.publishLocked()
 }
 
@@ -324,6 +349,7 @@
 }
 
 func (r *Roster) publishLocked() {
+	r.publishLost()
 	var live []Daemon
 	for id, d := range r.known {
 		if id != string(r.opts.Self.ID) && !d.Leaving {
@@ -333,12 +359,22 @@
 	if !r.leaving.Load() {
 		live = append(live, r.opts.Self)
 	}
-	r.mayRun.Store(int64(len(r.known) + len(r.lost)))
-	if _, listed := r.known[string(r.opts.Self.ID)]; !listed {
-		r.mayRun.Add(1)
-	}
 	slices.SortFunc(live, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
 	if old := r.live.Load(); old == nil || !slices.Equal(*old, live) {
 		r.live.Store(&live)
 	}
 }
+
+// publishLost publishes which daemons that are not listed may run, and how many may run in all.
+func (r *Roster) publishLost() {
+	var lost []Daemon
+	for _, d := range r.lost {
+		lost = append(lost, d.Daemon)
+	}
+	r.unlisted.Store(&lost)
+	n := len(r.known) + len(r.lost)
+	if _, listed := r.known[string(r.opts.Self.ID)]; !listed {
+		n++
+	}
+	r.mayRun.Store(int64(n))
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// TestDaemonThatReportsStaysLost guards against forgetting a daemon that the key-value service does not answer while it still reports.
+func TestDaemonThatReportsStaysLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoster(kv.NewFake(time.Now).Client("a"), "a")
+		r.apply(mirror.Update{Full: true, Entries: []platform.Entry{entry("b"), entry("c")}})
+		r.apply(mirror.Update{Full: true})
+		time.Sleep(lostRetention / 2)
+		if !r.OnReport("b") || r.OnReport("x") {
+			t.Error("a report does not tell which daemon is lost")
+		}
+		time.Sleep(lostRetention/2 + time.Second)
+		r.removeExpired()
+		if lost := r.Lost(); len(lost) != 1 || lost[0].ID != "b" || r.MayRun() != 2 {
+			t.Errorf("%v are lost and %d may run, want b alone, and it and this daemon", lost, r.MayRun())
+		}
+	})
+}
+
 // A daemon whose entry is removed while the key-value service is available is unlisted at once.
 func TestTerminatedDaemonIsUnlistedAtOnce(t *testing.T) {
 	r := newRoster(kv.NewFake(time.Now).Client("a"), "a")
