--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -40,6 +41,9 @@
 	// rewriteGrace is how long an entry that was removed after an outage is kept, until its owner has
 	// written it again.
 	rewriteGrace = 4 * time.Second
+	// lostRetention is how long a daemon whose entry was removed, and that did not say that it leaves, counts as one that may still
+	// run, unless it reports later: it may only be cut off from the key-value service, and a partition takes seconds to minutes.
+	lostRetention = 10 * time.Minute
 	// discoveryTime is how long a daemon may take to discover the others. Until then it assumes many.
 	discoveryTime = 3 * time.Second
 	callTimeout   = 2 * time.Second
@@ -86,9 +90,19 @@
 
 	leaving atomic.Bool
 
+	mayRun   atomic.Int64             // number of daemons; see MayRun
+	unlisted atomic.Pointer[[]Daemon] // see Lost
+
 	mu       sync.Mutex
 	known    map[string]Daemon
 	expiring map[string]time.Time // when entries removed after an outage are dropped from known
+	lost     map[string]lostDaemon
+}
+
+// lostDaemon is a daemon whose entry was removed although it did not say that it leaves.
+type lostDaemon struct {
+	Daemon
+	at time.Time // of the removal, or of the last report since
 }
 
 // New returns a roster that contains this daemon only.
@@ -97,7 +111,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("roster")
-	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
+	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}, lost: map[string]lostDaemon{}}
 	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
 	r.publish()
 	return r
@@ -111,6 +125,28 @@
 // replaced only when it changes.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
 
+// MayRun returns how many daemons may be running, including this one: those that are listed, also while they leave, and those whose
+// entries were removed although they did not say that they leave.
+func (r *Roster) MayRun() int { return int(r.mayRun.Load()) }
+
+// Lost returns the daemons whose entries were removed although they did not say that they leave, and that may still run.
+func (r *Roster) Lost() []Daemon { return *r.unlisted.Load() }
+
+// OnReport records that a daemon reports to this one, and returns whether it is one of Lost.
+func (r *Roster) OnReport(id request.DaemonID) (lost bool) {
+	if len(r.Lost()) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, lost := r.lost[string(id)]
+	if lost {
+		d.at = time.Now()
+		r.lost[string(id)] = d
+	}
+	return lost
+}
+
 // Mirror returns the mirror of the entries, for the exchange of copies with peers.
 func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
 
@@ -243,6 +279,7 @@
 		}
 		r.known[id] = d
 		delete(r.expiring, id)
+		delete(r.lost, id)
 	}
 	if u.Full {
 		for id := range r.known {
@@ -275,7 +312,7 @@
 
 func (r *Roster) remove(id string, afterOutage bool) {
 	if !afterOutage {
-		delete(r.known, id)
+		r.drop(id)
 		return
 	}
 	if _, ok := r.expiring[id]; !ok {
@@ -283,6 +320,14 @@
 	}
 }
 
+// drop removes a daemon whose entry is gone.
+func (r *Roster) drop(id string) {
+	if d, known := r.known[id]; known && !d.Leaving && d.ID != r.opts.Self.ID {
+		r.lost[id] = lostDaemon{Daemon: d, at: time.Now()}
+	}
+	delete(r.known, id)
+}
+
 func (r *Roster) removeExpired() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -290,9 +335,10 @@
 	for id, until := range r.expiring {
 		if now.After(until) {
 			delete(r.expiring, id)
-			delete(r.known, id)
+			r.drop(id)
 		}
 	}
+	maps.DeleteFunc(r.lost, func(_ string, d lostDaemon) bool { return now.Sub(d.at) > lostRetention })
 	r.publishLocked()
 }
 
@@ -303,6 +349,7 @@
 }
 
 func (r *Roster) publishLocked() {
+	r.publishLost()
 	var live []Daemon
 	for id, d := range r.known {
 		if id != string(r.opts.Self.ID) && !d.Leaving {
@@ -317,3 +364,17 @@
 		r.live.Store(&live)
 	}
 }
+
+// publishLost publishes which daemons that are not listed may run, and how many may run in all.
+func (r *Roster) publishLost() {
+	var lost []Daemon
+	for _, d := range r.lost {
+		lost = append(lost, d.Daemon)
+	}
+	r.unlisted.Store(&lost)
+	n := len(r.known) + len(r.lost)
+	if _, listed := r.known[string(r.opts.Self.ID)]; !listed {
+		n++
+	}
+	r.mayRun.Store(int64(n))
+}
