origins: daemons that were cut off together are no evidence for each other

What callers saw: status 200 and text of two versions. Eight daemons, five of them cut off in silence from the other three and from the store while replicas of a second version join; streams that begin there outside are taken up inside. Where all three daemons that were asked lay inside, each answered "one version" by a list as old as that of the asking one, and that all had answered was taken for evidence.

Now what counts is whether all other daemons have answered, asked or not, so that beyond four daemons only the key-value service closes a lookup without a record. So that a daemon that lacks the store alone goes on as before, it asks once more, and lets the others read, when its own read has failed; and it doesn't wait for its read once another daemon's has confirmed the version.

Cost: with the store silent towards everybody and not yet noticed, streams without a record end in fleets of more than four daemons; once it is noticed they did so before. A lookup takes twice the wait at most.

TestUnnoticedLossOfServiceLeavesReadToOthers asks more: the first stream goes on, too.

--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -28,6 +28,8 @@
 // listedNow returns the versions of a service that the key-value service lists, as of a time after the call began; nil if there is no
 // answer in time, or if it tells nothing.
 func (e *Exchange) listedNow(ctx context.Context, service routing.ServiceID) []string {
+	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
+	defer cancel()
 	return e.reads.get(ctx, service, func() []string { return e.readListed(service) })
 }
 
--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -119,6 +119,25 @@
 	})
 }
 
+// TestPartCutOffConfirmsNothing guards against daemons that were cut off together, with all that may have the record among them, and that
+// take each other's old lists for evidence.
+func TestPartCutOffConfirmsNothing(t *testing.T) {
+	g := newGroup(t, 8)
+	g.kv.setSilent(true)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	for _, m := range g.members {
+		m.o.Params.Wait = 50 * time.Millisecond
+	}
+	for _, m := range g.members[5:] { // v2 is known there alone
+		m.silent = hold
+	}
+	const streams = 100
+	for n := range streams {
+		g.mustEnd(g.members[0], n)
+	}
+}
+
 // TestUnnoticedLossOfServiceLeavesReadToOthers guards against streams of one version that end at a daemon that learns of changes through peers,
 // and so does not notice that the key-value service does not answer it, while one of those that may have the record is gone.
 func TestUnnoticedLossOfServiceLeavesReadToOthers(t *testing.T) {
@@ -129,13 +148,17 @@
 	silent.setSilent(true)
 	asking.o.KV = silent
 	g.kill(g.members[3])
-	_, _ = asking.Find(t.Context(), stream(1)) // it notices with the first stream
-	for !asking.readFailed.Load() {
-		time.Sleep(time.Millisecond)
+	g.mustGoOn(asking, 1, "v1")
+	awaitReadFailed := func(want bool) {
+		for asking.readFailed.Load() != want {
+			time.Sleep(time.Millisecond)
+		}
 	}
+	awaitReadFailed(true)
 	g.mustGoOn(asking, 2, "v1")
 	silent.setSilent(false)
 	g.mustGoOn(asking, 3, "v1")
+	awaitReadFailed(false)
 	before := g.kv.readCount()
 	g.mustGoOn(asking, 4, "v1")
 	if g.kv.readCount() != before {
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -27,8 +27,12 @@
 	return v.Software, nil
 }
 
-// hearing is how many daemons were asked for a stream, and how many answered.
-type hearing struct{ asked, answered int }
+// hearing is how many other daemons there are, how many of them were asked for a stream, and how many answered.
+type hearing struct{ others, asked, answered int }
+
+// unheard returns how many daemons did not say what they know. Those that were not asked count: what the others know may be as old as what
+// this daemon knows, if they were cut off together.
+func (h hearing) unheard() int { return h.others - h.answered }
 
 // logLookup logs on what evidence a stream without a record goes on or ends.
 func (e *Exchange) logLookup(s relay.StreamID, v origin.Verdict, heard hearing) {
@@ -48,32 +52,39 @@
 	if own.Found {
 		return origin.Decide([]origin.Testimony{own}, 0), hearing{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
-	defer cancel()
-	listed := make(chan []string, 1)
 	reads := e.mayConfirm(own.View)
+	listed := make(chan []string, 1)
 	if reads {
 		go func() { listed <- e.listedNow(ctx, service) }()
 	}
 	confirm := !reads || e.readFailed.Load()
-	testimonies, heard := e.hear(ctx, &FindRequest{Stream: uint64(key), Service: string(service), Confirm: confirm})
-	if reads && !recorded(testimonies) {
-		own.View = own.View.ConfirmedBy(<-listed) // ctx bounds the read
+	testimonies, heard := e.hear(ctx, service, key, confirm)
+	if reads && !settled(testimonies) {
+		own.View = own.View.ConfirmedBy(<-listed)
+		if !confirm && !settled([]origin.Testimony{own}) {
+			confirmed, again := e.hear(ctx, service, key, true)
+			testimonies, heard.answered = append(testimonies, confirmed...), max(heard.answered, again.answered)
+		}
 	}
-	return origin.Decide(append(testimonies, own), heard.asked-heard.answered), heard
+	return origin.Decide(append(testimonies, own), heard.unheard()), heard
 }
 
-// recorded reports whether a daemon has the record.
-func recorded(testimonies []origin.Testimony) bool {
-	return slices.ContainsFunc(testimonies, func(t origin.Testimony) bool { return t.Found })
+// settled reports whether a daemon has the record, knows several versions, or has read that the key-value service lists one.
+func settled(testimonies []origin.Testimony) bool {
+	return slices.ContainsFunc(testimonies, func(t origin.Testimony) bool {
+		return t.Found || t.View.Confirmed || t.View.Certainty == origin.Several
+	})
 }
 
 // hear asks the daemons that keep the record of a stream, and returns what they say: all that answer in time, or those up to the first that
-// has the record.
-func (e *Exchange) hear(ctx context.Context, q *FindRequest) (testimonies []origin.Testimony, heard hearing) {
+// has the record. confirm is set if they are to read which versions the key-value service lists.
+func (e *Exchange) hear(ctx context.Context, service routing.ServiceID, key origin.Key, confirm bool) (testimonies []origin.Testimony, heard hearing) {
+	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
+	defer cancel()
 	peers := e.others()
-	keepers := origin.Keepers(membersOf(peers), origin.Key(q.Stream), e.o.Region, e.o.Params.Copies)
-	heard.asked = len(keepers)
+	keepers := origin.Keepers(membersOf(peers), key, e.o.Region, e.o.Params.Copies)
+	heard.others, heard.asked = len(peers), len(keepers)
+	q := &FindRequest{Stream: uint64(key), Service: string(service), Confirm: confirm}
 	answers := make(chan *origin.Testimony, len(keepers))
 	for _, n := range keepers {
 		go func() { answers <- e.ask(ctx, peers[n], q) }()
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -8,7 +8,7 @@
 // receives the first event. A daemon that knows of one version alone records nothing. The key-value service lists a version before
 // the first event at it is delivered. That there is no record is no evidence by itself: those that have it may be out of reach, and
 // so may the news of a second version. A stream without a record therefore goes on only if nobody that is asked knows of a second
-// version, and either the key-value service, read after the stream came back, lists one version, or everybody that was asked answered.
+// version, and either the key-value service, read after the stream came back, lists one version, or all other daemons have answered.
 //
 // The package is pure: it holds no clock, I/O, goroutine or randomness.
 package origin
@@ -70,7 +70,7 @@
 	ReasonConflict Reason = "conflict" // records contradict each other
 	ReasonSeveral  Reason = "several"  // there is no record, and several versions
 	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
-	ReasonUnheard  Reason = "unheard"  // there may be a record at a daemon that did not answer, and no other evidence
+	ReasonUnheard  Reason = "unheard"  // a daemon that said nothing may know of a record or a second version, and there is no other evidence
 )
 
 // Verdict says whether a stream may go on, and at which version.
@@ -80,8 +80,8 @@
 	Reason   Reason
 }
 
-// Decide returns the verdict on a stream from what this daemon and those that it asked say. unheard is the number of those that did not
-// answer.
+// Decide returns the verdict on a stream from what this daemon and those that it asked say. unheard is the number of other daemons that
+// did not say anything, asked or not.
 func Decide(testimonies []Testimony, unheard int) Verdict {
 	found, conflict := recorded(testimonies)
 	switch {
