origins: an entry of more versions than it holds lists several

Cause: software/SERVICE was not written while a service had more than 64 versions. It kept listing what it had listed before, perhaps one version, which confirms that one to a daemon that reads it; and the first event of each stream at another version waited for 500 ms in vain. Replicas that name a version of their own each (a build, a commit) are enough.

Evidence: TestVersionsBeyondBoundAreSeveral; 65 first events waited for 32 s together, and [v0] was listed. Now the first 64 are listed, and no event waits.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -25,7 +25,7 @@
 	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
 	writeDelay   = 500 * time.Millisecond
 	writeTimeout = time.Second
-	// maxVersions bounds the versions in one entry. A service with more counts as one whose versions are not known.
+	// maxVersions bounds the versions in one entry. Of a service with more it lists some: what counts is that there are several.
 	maxVersions = 64
 )
 
@@ -74,14 +74,16 @@
 		for _, software := range versions {
 			remember(now, software)
 		}
-		if v.AnyPresent(func(software string) bool { return !slices.Contains(versions, software) }) {
+		if v.AnyPresent(func(software string) bool { return !e.histories[service].lists(software) }) {
 			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
 }
 
-// lists reports whether the entry contains a version.
-func (h *history) lists(software string) bool { return slices.Contains(h.versions, software) }
+// lists reports whether the entry contains a version, or has no room for it.
+func (h *history) lists(software string) bool {
+	return len(h.versions) == maxVersions || slices.Contains(h.versions, software)
+}
 
 // announceList wakes those that wait for a change of an entry. The mutex must be held.
 func (e *Exchange) announceList() {
@@ -152,8 +154,9 @@
 		}
 		slices.Sort(names)
 		names = slices.Compact(names)
+		names = names[:min(len(names), maxVersions)]
 		mayCreate := current && now.Sub(e.listedAt) >= keep
-		if h == nil && !mayCreate || len(names) == 0 || len(names) > maxVersions {
+		if h == nil && !mayCreate || len(names) == 0 {
 			continue
 		}
 		if h == nil {
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -238,3 +239,36 @@
 		synctest.Wait()
 	})
 }
+
+// TestVersionsBeyondBoundAreSeveral guards against an entry that keeps listing one version, and first events that wait in vain, because there are
+// more versions than an entry holds.
+func TestVersionsBeyondBoundAreSeveral(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v0")
+		e := newListingExchange(kv)
+		e.o.Rank = firstRank
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		e.OnListed(time.Now().Add(-time.Hour))
+		const versions = maxVersions + 1
+		for n := range versions {
+			e.OnSoftware(service, fmt.Sprint("v", n), true)
+		}
+		synctest.Wait()
+		revision := kv.entry.Revision
+		began := time.Now()
+		for n := range versions {
+			e.Began(ctx, stream(n), relay.BoundTo(fmt.Sprint("v", n)))
+		}
+		if took, listed := time.Since(began), kv.versions(); took > 0 || len(listed) < 2 {
+			t.Errorf("first events waited for %s, and listed are %v", took, listed)
+		}
+		time.Sleep(10 * historyInterval)
+		if kv.entry.Revision != revision {
+			t.Error("the entry is written again and again")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
