Daemons that all started together trust no old entry of a replica that hides its start

Cause: a daemon that starts took it for the absence of restarts that no peer had told it of one within a second. Where all started together nobody could have. The same class as the rest of the incident: no news taken for news that there is none.

Now a daemon knows of no signs from before its own start, and trusts entries without born once entry_ms have passed since, as after a sign. A peer that tells it all signs it has seen since its own start (restarts_since_ms, sent beside the signs when a daemon starts, and ignored if it names a replica that isn't known yet) shortens that, to a second as before where the peer has run for entry_ms.

TestDaemonsThatAllStartedTrustNoOldEntry fails without the check; TestDaemonThatSawSignsTellsThoseThatStart holds that others needn't wait.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -97,6 +97,8 @@
 	OnRooms func(from request.DaemonID, rooms []GroupRoom)
 	// Lost returns the services none of whose replicas this daemon reaches; nil: it reaches some of all.
 	Lost func() []routing.ServiceID
+	// OnRestarts is told that a peer has named all replicas that it saw signs of a restart of since a time; nil: it is ignored.
+	OnRestarts func(since time.Time)
 	// OnOrigins receives records of streams; nil: they are ignored.
 	OnOrigins func([]origin.Record)
 	// Lenders returns the daemons that hear of work at a replica, besides Peers; nil: none do.
@@ -122,6 +124,7 @@
 	placed         []*Placed
 	states         []*State            // sent to all daemons, as any may use the replica
 	unreachable    []uint64            // replicas that accept no connections; sent to the daemons that use them
+	restartsSince  time.Duration       // see ReportRestarts; 0: unreachable is not complete
 	refusing       []uint64            // replicas that refused a request; sent to the daemons that use them
 	leaving        []uint64            // replicas that announced in answers that they are leaving; sent to the daemons that use them, and to one other
 	limits         []*replicas.Replica // replicas whose rate limits are to be sent
@@ -201,6 +204,9 @@
 	if o.OnReport == nil {
 		o.OnReport = func(request.DaemonID) {}
 	}
+	if o.OnRestarts == nil {
+		o.OnRestarts = func(time.Time) {}
+	}
 	if o.OnFailing == nil {
 		o.OnFailing = func(request.DaemonID) {}
 	}
@@ -259,6 +265,19 @@
 // ReportUnreachable reports to peers, within one tick, that a replica accepts no connections.
 func (s *Reporter) ReportUnreachable(r *replicas.Replica) { enqueueOnce(s, &s.unreachable, r.Hash()) }
 
+// ReportRestarts reports to peers, within one tick, all replicas that may have restarted in the time since.
+func (s *Reporter) ReportRestarts(since time.Duration, restarted []*replicas.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range restarted {
+		if !slices.Contains(s.unreachable, r.Hash()) {
+			s.unreachable = append(s.unreachable, r.Hash())
+		}
+	}
+	s.restartsSince = since
+	s.Wake()
+}
+
 // ReportRefusing reports to peers, within one tick, that a replica refused to run a request.
 func (s *Reporter) ReportRefusing(r *replicas.Replica) { enqueueOnce(s, &s.refusing, r.Hash()) }
 
@@ -354,14 +373,14 @@
 	}
 	return &Report{
 		From: r.From, Work: r.Work, ChangesOnly: r.ChangesOnly, Placed: r.Placed, States: r.States, Deaths: r.Deaths,
-		Unreachable: r.Unreachable, Refusing: r.Refusing, Leaving: r.Leaving, Limits: r.Limits, Speeds: r.Speeds,
+		Unreachable: r.Unreachable, RestartsSinceMs: r.RestartsSinceMs, Refusing: r.Refusing, Leaving: r.Leaving, Limits: r.Limits, Speeds: r.Speeds,
 		Rooms: r.Rooms, Waiting: r.Waiting, Reach: r.Reach,
 	}
 }
 
 // isEmpty reports whether a report has no content besides the sender's flags and revisions.
 func isEmpty(r *Report) bool {
-	return r.Reach == nil && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving)+len(r.Rooms)+len(r.Waiting)+len(r.Speeds) == 0
+	return r.Reach == nil && r.RestartsSinceMs == 0 && len(r.Work)+len(r.Placed)+len(r.States)+len(r.Unreachable)+len(r.Refusing)+len(r.Deaths)+len(r.Limits)+len(r.Leaving)+len(r.Rooms)+len(r.Waiting)+len(r.Speeds) == 0
 }
 
 func (s *Reporter) send(r *Report, to []netip.AddrPort) {
@@ -391,7 +410,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.placed), maxPlaced)
-	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.unreachable, Refusing: s.refusing, Leaving: s.leaving}
+	r := &Report{From: string(s.o.Self), Placed: s.placed[:n], States: s.states, Unreachable: s.unreachable, Refusing: s.refusing, Leaving: s.leaving, RestartsSinceMs: uint32(s.restartsSince.Milliseconds())}
+	s.restartsSince = 0
 	s.placed, s.states, s.unreachable, s.refusing, s.leaving = s.placed[n:], nil, nil, nil, nil
 	deaths := min(len(s.deaths), maxDeaths)
 	r.Deaths, s.deaths = deathMessages(now, s.deaths[:deaths]), s.deaths[deaths:]
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +87,9 @@
 			known.Suspect(ctx)
 		}
 	})
+	if r.RestartsSinceMs > 0 && s.knowsAll(r.Unreachable) {
+		s.o.OnRestarts(now.Add(-milliseconds(r.RestartsSinceMs)))
+	}
 	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.RecordPeerRefusal(now, refusalBackoff) })
 	s.forEachKnown(r.Leaving, func(known *replicas.Replica) { known.MarkLeaving() })
 	for _, l := range r.Limits {
@@ -112,6 +116,11 @@
 	}
 }
 
+// knowsAll reports whether this daemon knows all replicas by their hashes.
+func (s *Reporter) knowsAll(hashes []uint64) bool {
+	return !slices.ContainsFunc(hashes, func(hash uint64) bool { return s.o.Set.ByHash(hash) == nil })
+}
+
 // applyWork applies the work that a peer reported. In a full report a replica that is not listed has no work.
 func (s *Reporter) applyWork(now time.Time, r *Report) {
 	peer := request.DaemonID(r.From)
