mirror, origins: the versions that are listed are never read from an old listing

What callers saw: status 200 and events of v1 in a stream that had begun at v2, after all daemons had been killed and started while the store was slow.

Cause: the first listing of a process may be seconds old, except that of the desired state. A daemon that started from an entry software/SERVICE of before the second version was certain of the first one until its watch told it otherwise, and with a slow store that takes a while. All daemons had started so and answered each other's lookups, so that all other daemons had answered "one version".

TestFreshMirrorStartsFromNoOldListing.

Cost: a daemon that starts and gets no copy of the few entries from a peer reads them at the price of an ordinary read.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -147,6 +147,13 @@
 	return m
 }
 
+// AddFreshMirror is AddMirror for a prefix of whose entries a process may not learn late: its first listing is as new as all later ones.
+func (f *Follower) AddFreshMirror(prefix string, apply func(Update)) *Mirror {
+	m := f.AddMirror(prefix, apply)
+	m.fresh = true
+	return m
+}
+
 // Connected reports whether the last call succeeded, which means that the copies are as new as the
 // key-value service's responses.
 func (f *Follower) Connected() bool { return f.connected.Load() }
@@ -323,11 +330,11 @@
 }
 
 // firstPage returns all entries of a mirror, or the first page of a paged one. The first listing of a
-// process may be some seconds old, except that of the first mirror: the watch or the copies of peers that
-// follow it bring what it lacks.
+// process may be some seconds old, except that of the first mirror and of fresh ones: the watch or the copies of
+// peers that follow it bring what it lacks.
 func (f *Follower) firstPage(ctx context.Context, m *Mirror) (platform.Page, error) {
 	pager, pages := f.opts.KV.(platform.Pager)
-	stale := !f.listed.Load() && m != f.mirrors[0]
+	stale := !f.listed.Load() && m != f.mirrors[0] && !m.fresh
 	if pages && m.paged {
 		return pager.ListPage(ctx, m.prefix, "", stale)
 	}
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -274,3 +274,31 @@
 		}
 	})
 }
+
+// staleKV serves listings that may be old as they were before the last change.
+type staleKV struct{ *pagedKV }
+
+// ListPage implements platform.Pager.
+func (k staleKV) ListPage(ctx context.Context, prefix, after string, stale bool) (platform.Page, error) {
+	if stale {
+		return platform.Page{}, nil
+	}
+	return k.pagedKV.ListPage(ctx, prefix, after, stale)
+}
+
+// TestFreshMirrorStartsFromNoOldListing guards against a process that acts on an old first listing until its watch tells it of changes.
+func TestFreshMirrorStartsFromNoOldListing(t *testing.T) {
+	kv := staleKV{newPagedKV(1)}
+	kv.s.put("software/s", nil)
+	f := New(Options{KV: kv})
+	f.AddMirror("op/", func(Update) {})
+	first := map[string]int{}
+	f.AddMirror("servers/", func(u Update) { first["servers/"] = len(u.Entries) })
+	f.AddFreshMirror("software/", func(u Update) { first["software/"] = len(u.Entries) })
+	if err := f.list(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if first["servers/"] != 0 || first["software/"] != 1 {
+		t.Errorf("listed first: %v", first)
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,6 +36,8 @@
 
 	// paged is set for a prefix whose listing may take many calls; see Follower.AddPagedMirror.
 	paged bool
+	// fresh is set for a prefix whose first listing may not be old either; see Follower.AddFreshMirror.
+	fresh bool
 	// nearPrefix is the prefix of the keys of a paged mirror that are read first; see
 	// Follower.AddPagedMirror.
 	nearPrefix string
--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -135,7 +135,7 @@
 		records: origin.NewRecords(o.Params.MaxRecords), began: map[routing.ServiceID]*origin.Records{}, sole: map[routing.ServiceID]bool{},
 	}
 	if o.KV != nil {
-		e.mirror = o.Follower.AddMirror(HistoryPrefix, e.applyHistory)
+		e.mirror = o.Follower.AddFreshMirror(HistoryPrefix, e.applyHistory)
 	}
 	return e
 }
