origins: streams are recorded until an entry confirms their version

Cause: a daemon that had seen one version for long enough recorded no streams, also while software/SERVICE had no entry (not written yet, or its writes refused). Nothing confirms the version then, and in fleets of more than four daemons a stream without a record ended ("unheard").

Evidence: TestStreamsGoOnWithoutEntry, all of 10 streams ended.

The fleet of the tests knows the entry from the start; TestEntryIsNotCreatedWithoutVersionOfStreams, which needs one that doesn't, drops it again. That test fails before and after (it is of the creation of the entry).

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -214,14 +214,16 @@
 	return due
 }
 
-// view returns what this daemon knows of a service. The mutex must be held.
+// view returns what this daemon knows of a service. Without an entry in the key-value service, which would confirm the version, it is certain
+// of none, so that streams are recorded. The mutex must be held.
 func (e *Exchange) view(now time.Time, service routing.ServiceID, current bool, keep time.Duration) origin.View {
 	v := e.versions[service]
 	if v == nil {
 		return origin.View{}
 	}
 	recorded := e.histories[service] != nil && len(e.histories[service].versions) > 0
-	complete := !e.listedAt.IsZero() && (recorded || now.Sub(e.listedAt) >= keep)
+	seen := e.o.KV == nil && now.Sub(e.listedAt) >= keep
+	complete := !e.listedAt.IsZero() && (recorded || seen)
 	return v.View(now, keep, current && complete)
 }
 
--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -54,6 +54,7 @@
 		m := g.start(fmt.Sprint("vm", i))
 		m.OnListed(time.Now().Add(-time.Hour))
 		m.OnSoftware(service, "v1", true)
+		m.applyEntry(g.kv.entry)
 	}
 	return g
 }
--- a/internal/origins/herd_test.go
+++ b/internal/origins/herd_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 )
@@ -28,6 +29,9 @@
 func TestEntryIsNotCreatedWithoutVersionOfStreams(t *testing.T) {
 	g := newGroup(t, 2)
 	g.kv.entry = platform.Entry{}
+	for _, m := range g.members {
+		m.applyHistory(mirror.Update{Full: true})
+	}
 	late, first := g.members[0], g.members[1]
 	first.OnSoftware(service, "v2", true)
 	first.Began(context.Background(), stream(1), relay.BoundTo("v2"))
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
+	"github.com/bluebellscale/bluebellscale/internal/relay"
 )
 
 // apply makes the entry of the key-value service known to a daemon.
@@ -126,3 +128,20 @@
 		}
 	})
 }
+
+// TestStreamsGoOnWithoutEntry guards against streams that are not recorded, and then end, while a service has no entry that confirms its version.
+func TestStreamsGoOnWithoutEntry(t *testing.T) {
+	g := &group{t: t, kv: &listKV{}}
+	for i := range 8 {
+		m := g.start(fmt.Sprint("vm", i))
+		m.OnListed(time.Now().Add(-time.Hour))
+		m.OnSoftware(service, "v1", true)
+	}
+	for n := range 10 {
+		g.members[0].Began(t.Context(), stream(n), relay.BoundTo("v1"))
+	}
+	g.kill(g.members[0])
+	for n := range 10 {
+		g.mustGoOn(g.members[1+n%7], n, "v1")
+	}
+}
