--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -135,7 +135,7 @@
 		records: origin.NewRecords(o.Params.MaxRecords), began: map[routing.ServiceID]*origin.Records{}, sole: map[routing.ServiceID]bool{},
 	}
 	if o.KV != nil {
-		e.mirror = o.Follower.AddMirror(HistoryPrefix, e.applyHistory)
+		e.mirror = o.Follower.AddFreshMirror(HistoryPrefix, e.applyHistory)
 	}
 	return e
 }
@@ -214,14 +214,16 @@
 	return due
 }
 
-// view returns what this daemon knows of a service. It is certain of nothing until it has seen the service for as long as streams may go on:
-// its lists of the start may be old, and so may those of all that started with it. The mutex must be held.
+// view returns what this daemon knows of a service. It is certain of nothing until it has seen the service for as long as streams may go on,
+// since its lists of the start may be old, and so may those of all that started with it; nor without an entry in the key-value service, which
+// would confirm the version to others. The mutex must be held.
 func (e *Exchange) view(now time.Time, service routing.ServiceID, current bool, keep time.Duration) origin.View {
 	v := e.versions[service]
 	if v == nil {
 		return origin.View{}
 	}
-	complete := !e.listedAt.IsZero() && now.Sub(e.listedAt) >= keep
+	recorded := e.histories[service] != nil && len(e.histories[service].versions) > 0
+	complete := !e.listedAt.IsZero() && now.Sub(e.listedAt) >= keep && (recorded || e.o.KV == nil)
 	return v.View(now, keep, current && complete)
 }
 
