Entries that lead nowhere are no loss of the path to the replicas

Callers saw: 503 "this daemon reaches no replica of the service" from all daemons while three sound replicas were listed, as long as thirteen odd entries stood beside them.

Cause: three distinct replicas that fail in a row, with none reached in between, counted as the loss of the path to all. An entry of another writer leads nowhere, so that three of them, tried before a sound one, were enough. All daemons concluded it at once, none forwarded, and each refused untried; only four probes each 250 ms, at random among all, could end it, and the next three failures began it again.

Now a replica that this daemon has never reached says nothing of the path while replicas are known that it has reached: of the failures in a row three (or all, if fewer are known) must be of such. A daemon that has reached none yet still takes three failures for a loss and forwards, but tries the replicas that have not failed before it refuses. Probes take replicas first that were reached before.

Test scripts of policy/reach: no expectation changed; failures are of replicas that were reached unless they say "unproven".

--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex
 	tracker  reach.Tracker
 	lost     map[routing.ServiceID]time.Time // services, and since when
+	untried  map[routing.ServiceID]bool      // whether a lost service has replicas that are worth an attempt
 	isolated bool                            // all services with replicas are lost
 	since    time.Time                       // when that began
 	probedAt time.Time
@@ -85,7 +86,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Logger = o.Logger.Named("reach")
-	observer := &Observer{o: o, probes: make(chan struct{}, 1), lost: map[routing.ServiceID]time.Time{}}
+	observer := &Observer{o: o, probes: make(chan struct{}, 1), lost: map[routing.ServiceID]time.Time{}, untried: map[routing.ServiceID]bool{}}
 	o.Set.OnReached(observer.onReached)
 	o.Set.OnFailed(observer.onFailed)
 	return observer
@@ -102,6 +103,17 @@
 	return lost
 }
 
+// Exhausted reports whether this daemon reaches none of a service's replicas, and none is worth an attempt.
+func (o *Observer) Exhausted(service routing.ServiceID) bool {
+	if !o.failing.Load() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, lost := o.lost[service]
+	return lost && !o.untried[service]
+}
+
 // Suspected reports whether this daemon may have lost the path to all replicas.
 func (o *Observer) Suspected() bool {
 	if !o.failing.Load() {
@@ -168,7 +180,7 @@
 	now := time.Now()
 	o.o.Metrics.Counter("replica_connects_failed").Inc(1)
 	o.mu.Lock()
-	o.tracker.OnFailed(now, r.Info().Service, reach.ReplicaID(r.Hash()))
+	o.tracker.OnFailed(now, r.Info().Service, reach.ReplicaID(r.Hash()), r.Proven())
 	o.failing.Store(true)
 	o.mu.Unlock()
 	o.update(now)
@@ -179,12 +191,16 @@
 	known := o.o.Known()
 	o.mu.Lock()
 	o.tracker.Prune(now)
+	o.tracker.SetProven(provenOf(known))
 	wasIsolated := o.isolated
 	o.isolated = o.tracker.Isolated(now)
 	changed, regained := false, false
 	for service, list := range known {
 		since, before := o.lost[service]
-		switch lost := o.tracker.Lost(now, service, idsOf(list)); {
+		ids := idsOf(list)
+		lost := o.tracker.Lost(now, service, ids)
+		o.untried[service] = lost && !o.tracker.Exhausted(now, service, ids)
+		switch {
 		case lost && !before:
 			o.lost[service], changed = now, true
 			o.o.Logger.Warn("This daemon reaches no replica of a service", "service", service, "replicas", len(list), "isolated", o.isolated)
@@ -197,6 +213,7 @@
 	for service := range o.lost {
 		if _, exists := known[service]; !exists {
 			delete(o.lost, service)
+			delete(o.untried, service)
 			changed = true
 		}
 	}
@@ -230,6 +247,18 @@
 	return ids
 }
 
+// provenOf returns how many replicas were ever reached.
+func provenOf(known map[routing.ServiceID][]*replicas.Replica) (n int) {
+	for _, list := range known {
+		for _, r := range list {
+			if r.Proven() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (o *Observer) wake() {
 	select {
 	case o.probes <- struct{}{}:
@@ -316,7 +345,7 @@
 }
 
 // toProbe returns a random sample of the replicas whose state would change what this daemon knows: those of lost services,
-// and if it may have lost all, those that have not failed.
+// and if it may have lost all, those that have not failed. Those that were reached before come first.
 func (o *Observer) toProbe(now time.Time) []*replicas.Replica {
 	known := o.o.Known()
 	o.mu.Lock()
@@ -335,5 +364,14 @@
 		}
 	}
 	rand.Shuffle(len(candidates), func(i, k int) { candidates[i], candidates[k] = candidates[k], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b *replicas.Replica) int {
+		switch {
+		case a.Proven() == b.Proven():
+			return 0
+		case a.Proven():
+			return -1
+		}
+		return 1
+	})
 	return candidates[:min(maxProbes, len(candidates))]
 }
--- a/internal/forwarding/peers.go
+++ b/internal/forwarding/peers.go
@@ -79,8 +79,8 @@
 	return s.Forwards()
 }
 
-// Lost implements relay.Peers.
-func (p *Peers) Lost(service routing.ServiceID) bool { return p.o.Observer.Lost(service) }
+// Exhausted implements relay.Peers.
+func (p *Peers) Exhausted(service routing.ServiceID) bool { return p.o.Observer.Exhausted(service) }
 
 // Choose implements relay.Peers.
 func (p *Peers) Choose(service routing.ServiceID, requestKey uint64, tried []request.DaemonID) *relay.Peer {
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestTracker runs the scripts in testdata. Commands: "known service=S replicas=(..)", "reached at=MS service=S",
-// "failed at=MS service=S replica=N", and "state at=MS".
+// "proven replicas=N", "failed at=MS service=S replica=N [unproven]", "state at=MS", and
+// "exhausted at=MS service=S".
 func TestTracker(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracker, known := &Tracker{}, map[routing.ServiceID][]ReplicaID{}
@@ -36,7 +37,13 @@
 			case "reached":
 				tracker.OnReached(now, service)
 			case "failed":
-				tracker.OnFailed(now, service, ReplicaID(replica))
+				tracker.OnFailed(now, service, ReplicaID(replica), !d.HasArg("unproven"))
+			case "exhausted":
+				return fmt.Sprint(tracker.Exhausted(now, service, known[service]))
+			case "proven":
+				var count int
+				d.ScanArgs(t, "replicas", &count)
+				tracker.SetProven(count)
 			case "prune":
 				tracker.Prune(now)
 			case "state":
@@ -58,7 +65,7 @@
 func TestServiceWithoutReplicasIsNotLost(t *testing.T) {
 	tracker, now := &Tracker{}, time.Unix(1000, 0)
 	for n := range isolationFailures {
-		tracker.OnFailed(now, "gone", ReplicaID(n))
+		tracker.OnFailed(now, "gone", ReplicaID(n), true)
 	}
 	if tracker.Lost(now, "gone", nil) {
 		t.Error("a service without replicas counts as lost")
@@ -69,7 +76,7 @@
 func TestOldFailuresAreDropped(t *testing.T) {
 	tracker, now := &Tracker{}, time.Unix(1000, 0)
 	for n := range 1000 {
-		tracker.OnFailed(now.Add(time.Duration(n)*time.Second), "s", ReplicaID(n))
+		tracker.OnFailed(now.Add(time.Duration(n)*time.Second), "s", ReplicaID(n), true)
 		tracker.Prune(now.Add(time.Duration(n) * time.Second))
 	}
 	if n := len(tracker.failed["s"]); n > int(failureTTL/time.Second)+1 {
--- a/internal/policy/reach/schedule_test.go
+++ b/internal/policy/reach/schedule_test.go
@@ -38,7 +38,7 @@
 					t.Fatalf("%s counts as lost when it was just reached", service)
 				}
 			} else {
-				tracker.OnFailed(now, service, replica)
+				tracker.OnFailed(now, service, replica, true)
 				inARow[fmt.Sprint(service, replica)] = true
 			}
 			if rapid.Bool().Draw(t, "prune") {
@@ -55,7 +55,7 @@
 		}
 		for service, replicas := range known {
 			for _, r := range replicas {
-				tracker.OnFailed(now, service, r)
+				tracker.OnFailed(now, service, r, true)
 			}
 		}
 		for service, replicas := range known {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -53,8 +53,8 @@
 type Peers interface {
 	// Forwards reports whether a request goes to another daemon. Lost and Suspected of the situation are not set.
 	Forwards(service routing.ServiceID, s forward.Situation) bool
-	// Lost reports whether this daemon reaches none of a service's replicas.
-	Lost(service routing.ServiceID) bool
+	// Exhausted reports whether this daemon reaches none of a service's replicas, and none is worth an attempt.
+	Exhausted(service routing.ServiceID) bool
 	// Choose returns the daemon that gets a request, nil if none may.
 	Choose(service routing.ServiceID, requestKey uint64, tried []request.DaemonID) *Peer
 }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -33,7 +33,7 @@
 	return s.Forwards()
 }
 
-func (p *fixedPeers) Lost(routing.ServiceID) bool { return true }
+func (p *fixedPeers) Exhausted(routing.ServiceID) bool { return true }
 
 func (p *fixedPeers) Choose(_ routing.ServiceID, _ uint64, tried []request.DaemonID) *Peer {
 	for i, id := range p.ids {
@@ -148,7 +148,7 @@
 	return s.Forwards()
 }
 
-func (p *losingPeers) Lost(routing.ServiceID) bool { return false }
+func (p *losingPeers) Exhausted(routing.ServiceID) bool { return false }
 
 // TestPeerTriesReplicasThatWereNotReached guards against a request that no daemon serves, and peers that get no further one for a while, because
 // the daemon that lost its path tried all replicas in vain before it forwarded the request.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -241,7 +241,7 @@
 	if a := s.forward(ctx, j, out, h, false); a != nil {
 		return a, nil
 	}
-	if s.o.Peers != nil && s.o.Peers.Lost(j.Service.ID) {
+	if s.o.Peers != nil && s.o.Peers.Exhausted(j.Service.ID) {
 		return nil, h.lostRefusal()
 	}
 	s.countRequest(j, h)
--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -88,11 +88,22 @@
 	if r.down {
 		r.RecordUnreachable(now)
 	} else {
-		r.listeners.reached(r)
+		r.noteReached()
 	}
 	return r.down
 }
 
+// noteReached records that the replica answered or accepted a connection, and notifies the listener.
+func (r *Replica) noteReached() {
+	if !r.proven.Load() {
+		r.proven.Store(true)
+	}
+	r.listeners.reached(r)
+}
+
+// Proven reports whether this daemon has ever reached the replica. An entry alone does not show that there is one.
+func (r *Replica) Proven() bool { return r.proven.Load() }
+
 // RecordNotRun records that the replica answered without running the request.
 func (r *Replica) RecordNotRun(now time.Time) {
 	r.recordReached(now)
@@ -109,7 +120,7 @@
 // recordReached notifies the listener, and assumes that a replica that accepted no connection before has restarted. The
 // listener comes first: it may know that the path was lost instead.
 func (r *Replica) recordReached(now time.Time) {
-	r.listeners.reached(r)
+	r.noteReached()
 	if r.Health.ConfirmedDown() {
 		r.AssumeCold(now)
 	}
@@ -123,7 +134,7 @@
 	}
 	switch err := r.Pool.Probe(ctx); {
 	case err == nil:
-		r.listeners.reached(r)
+		r.noteReached()
 	case ctx.Err() == nil:
 		r.RecordUnreachable(time.Now())
 	}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -84,6 +84,7 @@
 	limit         rateLimit
 	brittle       brittleness
 	leaving       atomic.Bool // set by an answer
+	proven        atomic.Bool // it was reached
 	coldFor       func(routing.ServiceID) time.Duration
 	confirm       ConfirmFunc // nil: the process is taken to be the one of the entry
 }
