Entries of daemons with values that can't be list no daemon

Cause: an entry of another writer needed two addresses that parse. Port 0, 0.0.0.0 and link-local addresses, ids of 5,000 bytes, without a byte or with a slash and any name of a failure domain were listed: callers and peers were led there. The error quoted a number of any length.

Now the same bounds as for entries of replicas; failure_domain may be missing, as older daemons write it. The error has at most 300 bytes, invalid_roster_entries counts them.

internal/roster.TestValuesThatCannotBeListNoDaemon fails on the code before for all but port 65536 and deep nesting; FuzzDaemonEntry holds.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -103,3 +103,11 @@
 	}
 	return errors.New(err.Error()[:maxErrorBytes] + "...")
 }
+
+// BriefKey returns a key, or the beginning of one that is longer than the key-value service takes.
+func BriefKey(key string) string {
+	if len(key) <= MaxKeyBytes {
+		return key
+	}
+	return key[:MaxKeyBytes] + "..."
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,7 +10,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -19,7 +18,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -68,6 +69,7 @@
 	Prefix   string           // of the entries' keys
 	Self     Daemon
 	Logger   hclog.Logger
+	Metrics  tally.Scope // nil: none
 }
 
 // Roster is the list of daemons, and keeps this daemon's own entry. It is safe for concurrent use.
@@ -96,6 +98,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	o.Logger = o.Logger.Named("roster")
 	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
 	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
@@ -235,7 +240,8 @@
 		seen[id] = true
 		d, err := decode(id, e.Value)
 		if err != nil {
-			r.opts.Logger.Warn("Ignoring an invalid roster entry", "key", e.Key, "error", err)
+			r.opts.Metrics.Counter("invalid_roster_entries").Inc(1)
+			r.opts.Logger.Warn("Ignoring an invalid roster entry", "key", bounds.BriefKey(e.Key), "error", err)
 			continue
 		}
 		if invalid := d.Capacity.invalid; invalid != "" && r.known[id].Capacity.invalid != invalid {
@@ -255,22 +261,43 @@
 }
 
 // decode decodes and validates a daemon's entry. An entry without valid addresses would direct
-// callers and peers to an unusable address.
+// callers and peers to an unusable address. Its error is brief and names the field.
 func decode(id string, value []byte) (Daemon, error) {
 	var d Daemon
-	if err := json.Unmarshal(value, &d); err != nil {
+	if err := bounds.Decode(value, &d); err != nil {
 		return Daemon{}, errors.Wrap(err, "roster: entry")
 	}
+	return d, bounds.Brief(errors.Wrap(d.validate(id), "roster: entry"))
+}
+
+// validate returns an error that names the first invalid field. id is that of the key.
+func (d *Daemon) validate(id string) error {
 	if string(d.ID) != id {
-		return Daemon{}, errors.Newf("roster: entry: id: %q: must be that of the key", d.ID)
+		return errors.Newf("id: %.40q: must be that of the key", d.ID)
 	}
-	if _, err := netip.ParseAddrPort(d.CallerAddress); err != nil {
-		return Daemon{}, errors.Wrap(err, "roster: entry: caller_address")
+	if d.Incarnation < 0 {
+		return errors.New("incarnation: must be at least 0")
+	}
+	for _, field := range []struct {
+		name string
+		err  error
+	}{
+		{"id", bounds.CheckID(id)}, {"failure_domain", checkDomain(d.FailureDomain)},
+		{"caller_address", bounds.CheckAddress(d.CallerAddress)}, {"peer_address", bounds.CheckAddress(d.PeerAddress)},
+	} {
+		if field.err != nil {
+			return errors.Wrap(field.err, field.name)
+		}
 	}
-	if _, err := netip.ParseAddrPort(d.PeerAddress); err != nil {
-		return Daemon{}, errors.Wrap(err, "roster: entry: peer_address")
+	return nil
+}
+
+// checkDomain checks the name of a failure domain, which older daemons may omit.
+func checkDomain(name string) error {
+	if name == "" {
+		return nil
 	}
-	return d, nil
+	return bounds.CheckName(name)
 }
 
 func (r *Roster) remove(id string, afterOutage bool) {
