An entry that names a newer version hides no replica's cache

Cause: prompts are placed by the salt of the newest version that any usable replica lists. An entry that leads nowhere and names a high version set it: no sound replica seemed to hold a part, so that sound ones were no cheaper than dead ones and prompts tried more of these; with 30 such entries a request could use up its eight tries ("no replica took it"), and contexts were computed again.

Now versions of replicas that this daemon never reached count only if it reached none.

internal/placer.TestUnreachedVersionHidesNoCache fails before.

--- a/internal/placer/candidates.go
+++ b/internal/placer/candidates.go
@@ -102,13 +102,21 @@
 	return version != 0 && (!outdated || pp.OldWeightsUsableFor <= 0 || time.Since(since) <= pp.OldWeightsUsableFor)
 }
 
-// newestVersion returns the newest version of a model's weights that any of the replicas serves.
+// newestVersion returns the newest version of a model's weights that any of the replicas serves. An entry alone does not show that
+// there is a replica, so that those that were never reached count only if none was.
 func newestVersion(from []*replicas.Replica, m request.Model) uint64 {
-	var version uint64
+	var proven, listed uint64
 	for _, r := range from {
-		version = max(version, r.WeightsVersion(m))
+		version := r.WeightsVersion(m)
+		listed = max(listed, version)
+		if r.Proven() {
+			proven = max(proven, version)
+		}
+	}
+	if proven > 0 {
+		return proven
 	}
-	return version
+	return listed
 }
 
 // weightsPenalty returns the quality loss, from 0 to 1, that the cost of an answer on a version of the
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// TestUnreachedVersionHidesNoCache guards against prompts that leave the replica of their context because an entry names a newer version.
+func TestUnreachedVersionHidesNoCache(t *testing.T) {
+	f := newFixture(4)
+	f.placer.setMemoryTokens(50_000)
+	for i := range 4 {
+		f.set.Get(id(i)).RecordAnswer(time.Now(), false)
+	}
+	first := place(t, f, job("s"))
+	done(first)
+	f.put(4, 1000)
+	for range 20 {
+		p := place(t, f, job("s"))
+		if p.Replica != first.Replica {
+			t.Fatalf("went to %s, want %s", p.Replica.Info().ID, first.Replica.Info().ID)
+		}
+		done(p)
+	}
+}
+
 // A replica that loads weights gets no requests.
 func TestBusyReplicaGetsNoRequests(t *testing.T) {
 	f := newFixture(3)
