A lease record of another writer blocks no name

Cause: a record that could not be decoded failed each attempt to acquire its name, for good: no daemon rolled out weights or owned a context store any more. An epoch of 2^64-1 overflowed: the next holder had epoch 0, which replicas refuse, and might act at once.

Now an epoch is at most what the era and the revision of its entry allow, as each claim takes a revision; where no era is reported, 2^63-1. A record beyond it, or one that can't be read, counts as that of an unknown holder: the name is taken over after the usual wait, under an epoch above all that were assigned before. Left: the holder whose record was overwritten does not notice, and acts on until its session or the next order ends it, as with any record of another writer that can be read.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -243,14 +243,22 @@
 	if err != nil {
 		return record{}, 0, errors.Mark(err, ErrUnavailable)
 	}
-	r, err := decodeRecord(e.Value)
-	return r, e.Revision, err
+	r, err := decodeRecord(e)
+	if err != nil {
+		m.opts.Metrics.Counter("records_unreadable").Inc(1)
+		m.opts.Logger.Warn("A lease record is of another writer", "name", name, "error", err)
+		r = record{Epoch: highestEpoch(e.Revision), unreadable: true}
+	}
+	return r, e.Revision, nil
 }
 
 // checkFree returns an error unless the name of record r may be claimed. takeover reports whether
 // the previous holder did not release the name. A removed session key is never created again, so
 // the name stays free of that holder until the claim is written.
 func (m *Manager) checkFree(ctx context.Context, r record) (takeover bool, err error) {
+	if r.unreadable {
+		return true, nil // or no process could ever hold the name again
+	}
 	if s := m.current(); r.Session == "" || s != nil && r.Session == s.id {
 		return false, nil
 	}
@@ -296,7 +304,7 @@
 		l.actAfter = m.opts.Now().Add(m.opts.WaitAfterTakeover)
 		l.expiredHolder = current.Holder
 	}
-	if recordLost {
+	if recordLost || current.unreadable {
 		l.expiredHolder = UnknownHolder
 	}
 	return l, m.addLease(l)
@@ -326,7 +334,7 @@
 }
 
 func heldBy(conflict *platform.ConflictError) error {
-	r, err := decodeRecord(conflict.Current.Value)
+	r, err := decodeRecord(conflict.Current)
 	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
@@ -362,7 +370,7 @@
 
 // isHeldBy reports whether an entry is a record that refers to the session.
 func isHeldBy(e platform.Entry, session platform.LeaseID) bool {
-	r, err := decodeRecord(e.Value)
+	r, err := decodeRecord(e)
 	return err == nil && r.Session == session
 }
 
@@ -448,7 +456,7 @@
 	}
 	out := map[string]Holder{}
 	for _, e := range records {
-		r, err := decodeRecord(e.Value)
+		r, err := decodeRecord(e)
 		if err == nil && live[string(r.Session)] {
 			out[strings.TrimPrefix(e.Key, recordPrefix)] = r.holder()
 		}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -28,6 +28,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
@@ -71,6 +72,32 @@
 	Holder  request.DaemonID `json:"holder,omitempty"`
 	Address string           `json:"address,omitempty"`
 	Session platform.LeaseID `json:"session,omitempty"`
+
+	unreadable bool // the entry is of another writer; who held the name is not known
+}
+
+// maxEpoch is above all epochs of all eras, which fit in a signed number.
+const maxEpoch = 1<<63 - 1
+
+// highestEpoch returns an epoch that no holder before a revision can have exceeded: each claim took a revision of its own.
+func highestEpoch(at platform.Revision) uint64 {
+	return uint64(platform.NewRevision(at.Era()+1, at.Number()))
+}
+
+// MaxEpoch returns the highest epoch that an entry of a revision can name.
+func MaxEpoch(at platform.Revision) uint64 {
+	if at.Era() == 0 { // not reported; earlier epochs may be of any era
+		return maxEpoch
+	}
+	return highestEpoch(at)
+}
+
+// validate returns an error that names the first field that can't be in a record of a revision.
+func (r record) validate(at platform.Revision) error {
+	if highest := MaxEpoch(at); r.Epoch > highest {
+		return errors.Newf("epoch: %d, want at most %d", r.Epoch, highest)
+	}
+	return nil
 }
 
 func (r record) encode() []byte {
@@ -78,9 +105,13 @@
 	return b
 }
 
-func decodeRecord(value []byte) (record, error) {
+// decodeRecord decodes and validates a record. Its error is brief and names the field.
+func decodeRecord(e platform.Entry) (record, error) {
 	var r record
-	err := json.Unmarshal(value, &r)
+	err := bounds.Decode(e.Value, &r)
+	if err == nil {
+		err = r.validate(e.Revision)
+	}
 	return r, errors.Wrap(err, "decode lease record")
 }
 
@@ -90,7 +121,7 @@
 // HolderIn returns the holder in the entry of a name's record, or the zero Holder if the name was
 // released. The holder's session may have expired since.
 func HolderIn(e platform.Entry) (Holder, error) {
-	r, err := decodeRecord(e.Value)
+	r, err := decodeRecord(e)
 	if err != nil || r.Session == "" {
 		return Holder{}, err
 	}
