An order record of another writer ends no rollout

Cause: a holder of the weights lease that could not read the record of who was ordered before, or read an epoch above its own, never began its term. A wait of less than nothing or one that overflowed let it order replicas whose earlier order might still be pending.

Now such a record counts as lost: all replicas wait for the order lease, once, as after a restore. Waits outside 0 and the order lease count as the order lease.

internal/weights.TestOddOrderRecordEndsNoRollout fails on the code before for each kind.

--- a/internal/weights/controller.go
+++ b/internal/weights/controller.go
@@ -394,7 +394,10 @@
 	for _, id := range p.Ordered {
 		c.inheritedUntil[id] = now.Add(p.wait(id, c.o.OrderLease))
 	}
-	if l.ExpiredHolder() == lease.UnknownHolder {
+	if p.lost {
+		c.o.Logger.Warn("The order record is of another writer: all replicas wait for the order lease")
+	}
+	if p.lost || l.ExpiredHolder() == lease.UnknownHolder {
 		// The order record of the previous holder may be lost: any replica may have a pending order.
 		for _, r := range c.o.Set.NotLeaving() {
 			c.inheritedUntil[r.Info().ID] = now.Add(c.o.OrderLease)
--- a/internal/weights/order_record.go
+++ b/internal/weights/order_record.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
+	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
@@ -28,6 +30,7 @@
 	WaitMs map[request.TargetID]int64 `json:"wait_ms,omitempty"`
 
 	revision platform.Revision
+	lost     bool // another writer replaced the record; any replica may have been ordered
 }
 
 // errRecordTakenOver reports that another daemon has taken the record over.
@@ -44,8 +47,8 @@
 	}
 	p := &orderRecord{}
 	if entry.Revision > 0 {
-		if err := json.Unmarshal(entry.Value, p); err != nil {
-			return nil, errors.Wrap(err, "weights: decode the order record")
+		if err := bounds.Decode(entry.Value, p); err != nil || p.Epoch > lease.MaxEpoch(entry.Revision) {
+			*p = orderRecord{lost: true}
 		}
 	}
 	if p.Epoch > epoch {
@@ -58,10 +61,10 @@
 // wait returns how long the next holder must wait before it orders a recorded replica.
 func (p *orderRecord) wait(id request.TargetID, orderLease time.Duration) time.Duration {
 	ms, known := p.WaitMs[id]
-	if !known {
+	if !known || ms < 0 || ms > orderLease.Milliseconds() {
 		return orderLease
 	}
-	return min(orderLease, time.Duration(ms)*time.Millisecond)
+	return time.Duration(ms) * time.Millisecond
 }
 
 // replaceReplicas replaces the replicas in the stored record.
