A generation that can't be lets no organisation share that must not

Cause: a record below apart/ of a later generation decides who is kept apart. One of another writer with a generation of 2^64-1 let organisations that were kept apart go back into the shared pool at once; the next generation overflowed to 0, so that no later record counted.

Now a generation is at most one an hour for a hundred years; a record beyond it is ignored, counted and replaced. Errors and keys are logged in brief; a key of an unknown section is counted as well.

internal/isolation.TestGenerationThatCannotBeEndsNoIsolation fails on the code before: the organisation uses the pool's salt.

--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -294,6 +294,32 @@
 	}
 }
 
+// TestGenerationThatCannotBeEndsNoIsolation guards against a record of another writer by whose generation organisations share that must not, or no record counts any more.
+func TestGenerationThatCannotBeEndsNoIsolation(t *testing.T) {
+	now, s := time.Now(), newService()
+	section := cachepool.Section("a")
+	d := start(now, s)
+	d.OnDesired(now, desired("a"))
+	s.write(t, now, d, 0)
+	d.onRecords(now, s.list())
+	d.OnDesired(now, desired()) // a is kept apart for ReturnAfter
+	for _, generation := range []string{"18446744073709551615", "1048577", strings.Repeat("9", 1<<20)} {
+		value := fmt.Sprintf(`{"organisations":[],"generation":%s}`, generation)
+		if _, err := decodeRecord(section, []byte(value)); err == nil || !strings.Contains(err.Error(), "generation") || len(err.Error()) > 400 {
+			t.Errorf("%.30s: got %.400v", generation, err)
+		}
+		s.records[recordKey(section)] = platform.Entry{Key: recordKey(section), Value: []byte(value), Revision: 1000}
+		d.onRecords(now, s.list())
+		if got := salt(d, "a"); got != cachepool.Own(1, "a") {
+			t.Errorf("%.30s: an organisation that is kept apart uses %q", generation, got)
+		}
+		if s.write(t, now, d, 0) != 1 {
+			t.Errorf("%.30s: the record is not replaced", generation)
+		}
+		d.onRecords(now, s.list())
+	}
+}
+
 // elsewhere returns an organisation of another section.
 func elsewhere(section int) request.OrgID {
 	for n := 0; ; n++ {
--- a/internal/isolation/record.go
+++ b/internal/isolation/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/cachepool"
@@ -26,6 +27,8 @@
 	// ReturnAfter is how long an organisation is kept apart after its isolation ended, and the least time between two returns.
 	// Each return leaves the cache of the organisation's group.
 	ReturnAfter = time.Hour
+	// maxGeneration is above the returns that a section can have: one each ReturnAfter for a hundred years.
+	maxGeneration = 1 << 20
 	// checkInterval is how often a daemon looks for records that it is to write.
 	checkInterval = 200 * time.Millisecond
 	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
@@ -76,7 +79,8 @@
 func (t *Tracker) applyRecord(now time.Time, e platform.Entry) {
 	n, err := strconv.Atoi(strings.TrimPrefix(e.Key, RecordPrefix))
 	if err != nil || n < 0 || n >= cachepool.Sections {
-		t.o.Logger.Warn("Ignoring a record of isolated organisations with an unknown key", "key", e.Key)
+		t.o.Logger.Warn("Ignoring a record of isolated organisations with an unknown key", "key", bounds.BriefKey(e.Key))
+		t.o.Metrics.Counter("invalid_isolation_records").Inc(1)
 		return
 	}
 	s := &t.sections[n]
@@ -141,15 +145,18 @@
 // decodeRecord decodes and validates the record of a section. Its error names the field.
 func decodeRecord(n int, value []byte) (recordValue, error) {
 	var v recordValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := bounds.Decode(value, &v); err != nil {
 		return v, errors.Wrap(err, "isolation: record")
 	}
+	if v.Generation > maxGeneration {
+		return v, errors.Newf("isolation: record: generation: %d, want at most %d", v.Generation, maxGeneration)
+	}
 	if count := len(v.Organisations); count > maxRecorded {
 		return v, errors.Newf("isolation: record: organisations: %d entries, want at most %d", count, maxRecorded)
 	}
 	for _, org := range v.Organisations {
 		if cachepool.Section(org) != n {
-			return v, errors.Newf("isolation: record: organisations: %q belongs to section %d", org, cachepool.Section(org))
+			return v, errors.Newf("isolation: record: organisations: %.40q belongs to section %d", org, cachepool.Section(org))
 		}
 	}
 	return v, nil
