A version that can't be makes a list below software/ unknown

Cause: versions of any length were taken for those of a service, remembered and written again by each daemon; the error quoted a value of any length. Daemons themselves replace a version of more than 64 bytes by its hash, so that no list of theirs holds one.

Now such a list counts as unreadable, as one with too many versions did: its versions are not known, and the next write replaces it. Counted in invalid_version_lists.

internal/origins.TestVersionThatCannotBeMakesEntryUnknown fails on the code before.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
@@ -27,6 +28,8 @@
 	writeTimeout = time.Second
 	// maxVersions bounds the versions in one entry. A service with more counts as one whose versions are not known.
 	maxVersions = 64
+	// maxVersionBytes is the longest version that daemons tell each other. They replace a longer one by its hash.
+	maxVersionBytes = 64
 )
 
 // historyEntry is the value of a key below HistoryPrefix.
@@ -57,7 +60,8 @@
 		}
 		versions, err := decodeHistory(entry.Value)
 		if err != nil {
-			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", entry.Key, "error", err)
+			e.o.Metrics.Counter("invalid_version_lists").Inc(1)
+			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", bounds.BriefKey(entry.Key), "error", err)
 			versions = nil // the next write replaces it
 		}
 		e.histories[service] = &history{versions: versions, revision: entry.Revision}
@@ -71,12 +75,17 @@
 // decodeHistory decodes and validates an entry. Its error names the field.
 func decodeHistory(value []byte) ([]string, error) {
 	var entry historyEntry
-	if err := json.Unmarshal(value, &entry); err != nil {
+	if err := bounds.Decode(value, &entry); err != nil {
 		return nil, errors.Wrap(err, "origins: history")
 	}
 	if n := len(entry.Versions); n == 0 || n > maxVersions {
 		return nil, errors.Newf("origins: history: versions: %d entries, want 1 to %d", n, maxVersions)
 	}
+	for _, v := range entry.Versions {
+		if len(v) > maxVersionBytes {
+			return nil, errors.Newf("origins: history: versions: has one of %d bytes, want at most %d", len(v), maxVersionBytes)
+		}
+	}
 	return entry.Versions, nil
 }
 
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +102,28 @@
 		t.Errorf("the second daemon does not stand in for the first: %+v", writes)
 	}
 }
+
+// TestVersionThatCannotBeMakesEntryUnknown guards against a list of another writer that daemons take for versions, or log at length.
+func TestVersionThatCannotBeMakesEntryUnknown(t *testing.T) {
+	for _, value := range []string{
+		`{"versions":["` + strings.Repeat("v", 65) + `"]}`, `{"versions":` + strings.Repeat("9", 1<<20) + `}`, strings.Repeat("[", 20_000),
+		`{"versions":["v"` + strings.Repeat(`,"v"`, maxVersions) + `]}`, "null", "",
+	} {
+		if _, err := decodeHistory([]byte(value)); err == nil || len(err.Error()) > 400 {
+			t.Errorf("%.40s: got %.400v", value, err)
+		}
+	}
+	if got, err := decodeHistory([]byte(`{"versions":["` + strings.Repeat("v", 64) + `"],"new":1}`)); err != nil || len(got) != 1 {
+		t.Errorf("the longest version: %v, %v", got, err)
+	}
+}
+
+// FuzzHistory guards against bytes in a list that end the daemon.
+func FuzzHistory(f *testing.F) {
+	f.Add([]byte(`{"versions":["v1"]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if got, err := decodeHistory(raw); err == nil && (len(got) == 0 || len(got) > maxVersions) {
+			t.Errorf("%s is decoded as %q", raw, got)
+		}
+	})
+}
