Pages of crash records with values that can't be are ignored

Cause: times up to 2^63-1 ms were taken over (merging drops those after now, so that no refusal came of them), and pages with any number of records; the error of a page quoted a key or number of any length.

Now times lie before the year 10000, a page has at most the 32 records that daemons write, and errors are brief. Counted in invalid_crash_pages.

internal/crashes.TestInvalidPageNamesItsField has five cases more and a bound on the error; they fail on the code before.

--- a/internal/crashes/pages.go
+++ b/internal/crashes/pages.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
@@ -71,18 +72,24 @@
 // decodePage decodes a page. Its error names the field.
 func decodePage(value []byte) ([]poison.Record, error) {
 	var stored []storedRecord
-	if err := json.Unmarshal(value, &stored); err != nil {
+	if err := bounds.Decode(value, &stored); err != nil {
 		return nil, errors.Wrap(err, "crashes: page")
 	}
+	if len(stored) > maxPageRecords {
+		return nil, errors.Newf("crashes: page: has %d records, want at most %d", len(stored), maxPageRecords)
+	}
 	out := make([]poison.Record, len(stored))
 	for i, r := range stored {
 		key, err := hex.DecodeString(r.Key)
 		if err != nil || len(key) != poison.KeyBytes {
-			return nil, errors.Newf("crashes: page: key: %q: want %d bytes in hexadecimal", r.Key, poison.KeyBytes)
+			return nil, errors.Newf("crashes: page: key: %.40q: want %d bytes in hexadecimal", r.Key, poison.KeyBytes)
 		}
 		if !r.Kind.Valid() {
 			return nil, errors.Newf("crashes: page: kind: %d is unknown", r.Kind)
 		}
+		if err := r.validateTimes(); err != nil {
+			return nil, errors.Wrap(err, "crashes: page")
+		}
 		out[i] = poison.Record{Trait: poison.Trait{Kind: r.Kind, Org: r.Org, Key: poison.Key(key)}, Answered: poison.FromUnixMilli(r.Answered), Trial: poison.FromUnixMilli(r.Trial)}
 		for _, d := range r.Deaths {
 			out[i].Deaths = append(out[i].Deaths, poison.Death{ID: d.ID, Org: d.Org, Sent: time.UnixMilli(d.Sent), At: time.UnixMilli(d.At)})
@@ -91,6 +98,20 @@
 	return out, nil
 }
 
+// validateTimes returns an error that names the first time that can't be.
+func (r *storedRecord) validateTimes() error {
+	times := map[string]int64{"answered": r.Answered, "trial": r.Trial}
+	for _, d := range r.Deaths {
+		times["sent"], times["at"] = max(times["sent"], d.Sent), max(times["at"], d.At)
+	}
+	for name, ms := range times {
+		if ms > bounds.MaxUnixMilli {
+			return errors.Newf("%s: %d, want at most %d", name, ms, int64(bounds.MaxUnixMilli))
+		}
+	}
+	return nil
+}
+
 // applyStored merges the pages that the key-value service has.
 func (t *Tracker) applyStored(u mirror.Update) {
 	now := t.o.Now()
@@ -105,7 +126,8 @@
 		}
 		records, err := decodePage(e.Value)
 		if err != nil {
-			t.o.Logger.Warn("Ignoring an invalid page of records", "key", e.Key, "error", err)
+			t.o.Metrics.Counter("invalid_crash_pages").Inc(1)
+			t.o.Logger.Warn("Ignoring an invalid page of records", "key", bounds.BriefKey(e.Key), "error", err)
 			continue
 		}
 		for _, r := range records {
--- a/internal/crashes/tracker_test.go
+++ b/internal/crashes/tracker_test.go
@@ -102,12 +102,17 @@
 		`{`:                         "page",
 		`[{"kind":2,"key":"zz"}]`:   "key",
 		`[{"kind":9,"key":"%32s"}]`: "kind",
+		`[` + strings.Repeat(`{},`, maxPageRecords) + `{}]`:                        "33 records",
+		`[{"kind":2,"key":"%32s","answered":9223372036854775807}]`:                 "answered",
+		`[{"kind":2,"key":"%32s","deaths":[{"id":"r","at":9223372036854775807}]}]`: "at",
+		`[{"kind":2,"key":"` + strings.Repeat("z", 1<<20) + `"}]`:                  "key",
+		`[{"kind":2,"key":"%32s","trial":` + strings.Repeat("9", 1<<20) + `}]`:     "trial",
 	} {
 		if strings.Contains(page, "%32s") {
 			page = fmt.Sprintf(page, strings.Repeat("0", 2*poison.KeyBytes))
 		}
-		if _, err := decodePage([]byte(page)); err == nil || !strings.Contains(err.Error(), field) {
-			t.Errorf("%s: %v, want an error that names %s", page, err, field)
+		if _, err := decodePage([]byte(page)); err == nil || !strings.Contains(err.Error(), field) || len(err.Error()) > 400 {
+			t.Errorf("%.80s: %.400v, want an error that names %s", page, err, field)
 		}
 	}
 }
