A time that can't be in a context store's record stops no store

Cause: until when another owner may grant permits was taken from the record and handed on to each next owner as the largest known. One of 2^63-1 by another writer kept every owner from freeing parts, for good; a start of the process of -2^63 overflowed to any age.

Now a time more than twice the grace of an owner without its lease ahead, or below 0, makes the record unreadable: as if an owner had just been partitioned, and a new one is written.

internal/contextstore.TestTimeThatCannotBeStopsNoStore fails on the code before.

--- a/internal/contextstore/record.go
+++ b/internal/contextstore/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/storecache"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -31,6 +32,14 @@
 	OtherOwnerUntil int64 `json:"readers"`
 }
 
+// maxPermitsAhead is longer than any owner may grant permits without its lease, by clocks that differ.
+const maxPermitsAhead = 2 * storecache.ReadOnlyGrace
+
+// possible reports whether an owner can have written the record before a time on the replicas' clock.
+func (r record) possible(clock int64) bool {
+	return r.Seen >= 0 && r.OtherOwnerUntil >= 0 && r.OtherOwnerUntil <= clock+maxPermitsAhead.Milliseconds()
+}
+
 // errUnreadableRecord marks a record that was not written by an owner.
 var errUnreadableRecord = errors.New("contextstore: unreadable record")
 
@@ -48,7 +57,7 @@
 		return record{}, 0, errors.Wrap(err, "contextstore: read a store's record")
 	}
 	var known record
-	if err := json.Unmarshal(entry.Value, &known); err != nil {
+	if err := bounds.Decode(entry.Value, &known); err != nil {
 		return record{}, entry.Revision, errors.Mark(errors.Wrap(err, "contextstore: decode a store's record"), errUnreadableRecord)
 	}
 	return known, entry.Revision, nil
@@ -105,6 +114,10 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	clock := s.replicaClock(now)
+	if !known.possible(clock) {
+		s.log.Warn("The record of a context store names a time that can't be; writing a new one", "store", s.id)
+		known, unreadable = record{}, true
+	}
 	if unreadable {
 		s.cache.OnOtherOwner(now.Add(storecache.ReadOnlyGrace)) // as if an owner had just been partitioned
 	}
