Entries that lead nowhere hold up no rollout of weights

Cause: the replicas that may be unavailable at once are a share of all that are listed. With 13 entries that lead nowhere beside three sound replicas the holder ordered three of them first, which counted as unavailable for as long as they were listed, and no sound replica got its order; after 8 s the old weights are used no more.

Now a replica that was never reached and accepts no connection counts in no share and gets no order. The holder finds that out by a probe when it can't read the state of a replica that was never reached; a report that is read shows that there is one.

--- a/internal/replicas/reach.go
+++ b/internal/replicas/reach.go
@@ -101,6 +101,9 @@
 	r.listeners.reached(r)
 }
 
+// RecordReached records that the replica answered a call other than a caller's request.
+func (r *Replica) RecordReached() { r.noteReached() }
+
 // Proven reports whether this daemon has ever reached the replica. An entry alone does not show that there is one.
 func (r *Replica) Proven() bool { return r.proven.Load() }
 
--- a/internal/weights/orders.go
+++ b/internal/weights/orders.go
@@ -22,7 +22,9 @@
 func (c *Controller) orderLoads(ctx context.Context, outdated []outdatedReplica) {
 	byModel := map[request.Model][]outdatedReplica{}
 	for _, r := range outdated {
-		byModel[r.model] = append(byModel[r.model], r)
+		if c.mayExist(r.replica) {
+			byModel[r.model] = append(byModel[r.model], r)
+		}
 	}
 	for _, model := range slices.Sorted(maps.Keys(byModel)) {
 		if c.lease == nil {
@@ -32,6 +34,12 @@
 	}
 }
 
+// mayExist reports whether a replica counts in the shares of its model. An entry that leads nowhere and whose replica was never
+// reached may be of another writer: a rollout that waited for such would never end.
+func (c *Controller) mayExist(r *replicas.Replica) bool {
+	return r.Proven() || !r.Health.Down()
+}
+
 func (c *Controller) orderModelLoads(ctx context.Context, model request.Model, outdated []outdatedReplica) {
 	r := c.rollouts[model]
 	if r == nil {
@@ -130,7 +138,7 @@
 func (c *Controller) maxLoading(model request.Model) int {
 	serving := 0
 	for _, r := range c.o.Set.NotLeaving() {
-		if _, serves := r.Info().Weights[model]; serves {
+		if _, serves := r.Info().Weights[model]; serves && c.mayExist(r) {
 			serving++
 		}
 	}
@@ -176,7 +184,7 @@
 func (c *Controller) addUpToDate(desired []rollout.Desired, observed []rollout.Observed, outdated []outdatedReplica, now time.Time) ([]rollout.Desired, []rollout.Observed) {
 	model, version := outdated[0].model, outdated[0].version
 	for _, r := range c.o.Set.NotLeaving() {
-		if _, serves := r.Info().Weights[model]; !serves || r.WeightsVersion(model) < version {
+		if _, serves := r.Info().Weights[model]; !serves || r.WeightsVersion(model) < version || !c.mayExist(r) {
 			continue
 		}
 		id := r.Info().ID
@@ -231,6 +239,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := c.o.Client.Report(ctx, r)
+	if err == nil {
+		r.RecordReached()
+	} else if !r.Proven() && ctx.Err() == nil {
+		r.Probe(ctx) // it may not exist
+	}
 	if err == nil && !c.o.Set.ObserveStart(r, report.Started) {
 		return Report{}, errRestarted
 	}
