--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -16,6 +16,9 @@
 // before. Daemons that know them list them again.
 const restoreGrace = 3 * time.Second
 
+// keeperReadShare is the part of Params.Wait, as its inverse, for which a daemon that is asked reads, so that its answer is in time without.
+const keeperReadShare = 2
+
 // mayConfirm reports whether a read of the versions that the key-value service lists may add to what this daemon knows. A daemon that
 // the service did not answer last leaves the read to others.
 func (e *Exchange) mayConfirm(v origin.View) bool {
@@ -25,6 +28,8 @@
 // listedNow returns the versions of a service that the key-value service lists, as of a time after the call began; nil if there is no
 // answer in time, or if it tells nothing.
 func (e *Exchange) listedNow(ctx context.Context, service routing.ServiceID) []string {
+	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
+	defer cancel()
 	return e.reads.get(ctx, service, func() []string { return e.readListed(service) })
 }
 
@@ -33,10 +38,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.o.Params.Wait)
 	defer cancel()
 	entry, err := e.o.KV.Get(ctx, HistoryPrefix+string(service))
+	answered := err == nil || errors.Is(err, platform.ErrNotFound)
+	e.readFailed.Store(!answered)
+	if !answered {
+		e.o.Logger.Debug("Failed to read the versions of a service's software", "service", service, "error", err)
+	}
 	if err != nil {
-		if !errors.Is(err, platform.ErrNotFound) {
-			e.o.Logger.Debug("Failed to read the versions of a service's software", "service", service, "error", err)
-		}
 		return nil
 	}
 	if at, restored := e.o.RestoredAt(); restored && time.Since(at) < restoreGrace {
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -25,7 +25,7 @@
 	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
 	writeDelay   = 500 * time.Millisecond
 	writeTimeout = time.Second
-	// maxVersions bounds the versions in one entry. A service with more counts as one whose versions are not known.
+	// maxVersions bounds the versions in one entry. Of a service with more it lists some: what counts is that there are several.
 	maxVersions = 64
 )
 
@@ -66,14 +66,24 @@
 		}
 		e.histories[service] = &history{versions: versions, revision: entry.Revision}
 		delete(e.missing, service)
+		v := e.versionsOf(service)
+		remember := v.Remember
+		if u.Full && u.AfterOutage {
+			remember = v.RememberAnew // replicas may have come and left unseen
+		}
 		for _, software := range versions {
-			e.versionsOf(service).Remember(now, software)
+			remember(now, software)
+		}
+		if v.AnyPresent(func(software string) bool { return !e.histories[service].lists(software) }) {
+			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
 }
 
-// lists reports whether the entry contains a version.
-func (h *history) lists(software string) bool { return slices.Contains(h.versions, software) }
+// lists reports whether the entry contains a version, or has no room for it.
+func (h *history) lists(software string) bool {
+	return len(h.versions) == maxVersions || slices.Contains(h.versions, software)
+}
 
 // announceList wakes those that wait for a change of an entry. The mutex must be held.
 func (e *Exchange) announceList() {
@@ -99,16 +109,21 @@
 	versions []string
 	revision platform.Revision
 	since    time.Time // since when the entry has differed
+	urgent   bool      // a stream waits for it
 }
 
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
-// for. A daemon that
-// has not seen a service for long enough adds versions to its entry, but neither creates it nor knows what it may remove.
-func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) []dueWrite {
+// for. A daemon that has not seen a service for long enough, or whose list of replicas may be old, adds versions to its entry, but neither
+// creates it nor knows what it may remove.
+func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
 	urgent := e.takeUrgent()
-	return slices.DeleteFunc(e.differing(now, keep), func(w dueWrite) bool {
-		return !urgent[w.service] && now.Sub(w.since) < time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay
-	})
+	for _, w := range e.differing(now, keep) {
+		w.urgent = urgent[w.service]
+		if w.urgent || now.Sub(w.since) >= time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay {
+			due = append(due, w)
+		}
+	}
+	return due
 }
 
 // takeUrgent returns the services whose entries streams wait for, and forgets them.
@@ -122,6 +137,7 @@
 
 // differing returns the entries that differ from what this daemon knows.
 func (e *Exchange) differing(now time.Time, keep time.Duration) (out []dueWrite) {
+	current := e.o.Current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.listedAt.IsZero() {
@@ -132,9 +148,15 @@
 			continue
 		}
 		names := v.Names(now, keep)
-		slices.Sort(names)
 		h := e.histories[service]
-		if h == nil && now.Sub(e.listedAt) < keep || len(names) == 0 || len(names) > maxVersions {
+		if !current && h != nil {
+			names = append(names, h.versions...)
+		}
+		slices.Sort(names)
+		names = slices.Compact(names)
+		names = names[:min(len(names), maxVersions)]
+		mayCreate := current && now.Sub(e.listedAt) >= keep
+		if h == nil && !mayCreate || len(names) == 0 {
 			continue
 		}
 		if h == nil {
@@ -177,6 +199,10 @@
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
 	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
+		if w.urgent {
+			e.listNow(w.service)
+			return
+		}
 		e.wakeHistory()
 	case !errors.Is(err, platform.ErrConflict):
 		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
@@ -194,7 +220,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !e.o.Current() {
+		if !e.o.Reachable() {
 			continue
 		}
 		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -27,6 +27,16 @@
 	v.gone[software] = now
 }
 
+// AnyPresent reports whether a version that has replicas satisfies f.
+func (v *Versions) AnyPresent(f func(software string) bool) bool {
+	for software := range v.present {
+		if f(software) {
+			return true
+		}
+	}
+	return false
+}
+
 // Remember records that a version has had replicas until now, unless the daemon knows better.
 func (v *Versions) Remember(now time.Time, software string) {
 	if v.present[software] {
@@ -35,6 +45,14 @@
 	if _, known := v.gone[software]; known {
 		return
 	}
+	v.RememberAnew(now, software)
+}
+
+// RememberAnew records that a version may have had replicas until now, also if the daemon saw the last one leave before.
+func (v *Versions) RememberAnew(now time.Time, software string) {
+	if v.present[software] {
+		return
+	}
 	if v.gone == nil {
 		v.present, v.gone = map[string]bool{}, map[string]time.Time{}
 	}
@@ -72,8 +90,10 @@
 	switch {
 	case len(names) > 1:
 		return View{Certainty: Several}
-	case len(names) == 0 || !sure:
+	case len(names) == 0:
 		return View{}
+	case !sure:
+		return View{Software: names[0]}
 	}
 	return View{Certainty: Sole, Software: names[0]}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -241,7 +241,7 @@
 	if a := s.forward(ctx, j, out, h, false); a != nil {
 		return a, nil
 	}
-	if s.o.Peers != nil && s.o.Peers.Lost(j.Service.ID) {
+	if s.o.Peers != nil && s.o.Peers.Exhausted(j.Service.ID) {
 		return nil, h.lostRefusal()
 	}
 	s.countRequest(j, h)
@@ -330,7 +330,7 @@
 // where the retry requires it.
 func (s *Server) mayRetry(ctx context.Context, j *Job, a *attempt, h *history, out *sink) bool {
 	switch {
-	case h.final, out.started && !out.software.Bound:
+	case h.final, out.started && !out.software.Bound, out.unnumbered:
 		return false
 	case a.outcome == failed && !out.started:
 		return true // mayRunAgain has allowed and charged the retry
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,7 +10,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"net/netip"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -19,7 +19,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/request"
@@ -40,6 +42,9 @@
 	// rewriteGrace is how long an entry that was removed after an outage is kept, until its owner has
 	// written it again.
 	rewriteGrace = 4 * time.Second
+	// lostRetention is how long a daemon whose entry was removed, and that did not say that it leaves, counts as one that may still
+	// run, unless it reports later: it may only be cut off from the key-value service, and a partition takes seconds to minutes.
+	lostRetention = 10 * time.Minute
 	// discoveryTime is how long a daemon may take to discover the others. Until then it assumes many.
 	discoveryTime = 3 * time.Second
 	callTimeout   = 2 * time.Second
@@ -68,6 +73,7 @@
 	Prefix   string           // of the entries' keys
 	Self     Daemon
 	Logger   hclog.Logger
+	Metrics  tally.Scope // nil: none
 }
 
 // Roster is the list of daemons, and keeps this daemon's own entry. It is safe for concurrent use.
@@ -86,9 +92,19 @@
 
 	leaving atomic.Bool
 
+	mayRun   atomic.Int64             // number of daemons; see MayRun
+	unlisted atomic.Pointer[[]Daemon] // see Lost
+
 	mu       sync.Mutex
 	known    map[string]Daemon
 	expiring map[string]time.Time // when entries removed after an outage are dropped from known
+	lost     map[string]lostDaemon
+}
+
+// lostDaemon is a daemon whose entry was removed although it did not say that it leaves.
+type lostDaemon struct {
+	Daemon
+	at time.Time // of the removal, or of the last report since
 }
 
 // New returns a roster that contains this daemon only.
@@ -96,8 +112,11 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	o.Logger = o.Logger.Named("roster")
-	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}}
+	r := &Roster{opts: o, started: time.Now(), self: o.Self, known: map[string]Daemon{}, expiring: map[string]time.Time{}, lost: map[string]lostDaemon{}}
 	r.mirror = o.Follower.AddPagedMirror(o.Prefix, o.Prefix+commonName(o.Self.ID), r.apply)
 	r.publish()
 	return r
@@ -111,6 +130,28 @@
 // replaced only when it changes.
 func (r *Roster) Live() []Daemon { return *r.live.Load() }
 
+// MayRun returns how many daemons may be running, including this one: those that are listed, also while they leave, and those whose
+// entries were removed although they did not say that they leave.
+func (r *Roster) MayRun() int { return int(r.mayRun.Load()) }
+
+// Lost returns the daemons whose entries were removed although they did not say that they leave, and that may still run.
+func (r *Roster) Lost() []Daemon { return *r.unlisted.Load() }
+
+// OnReport records that a daemon reports to this one, and returns whether it is one of Lost.
+func (r *Roster) OnReport(id request.DaemonID) (lost bool) {
+	if len(r.Lost()) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, lost := r.lost[string(id)]
+	if lost {
+		d.at = time.Now()
+		r.lost[string(id)] = d
+	}
+	return lost
+}
+
 // Mirror returns the mirror of the entries, for the exchange of copies with peers.
 func (r *Roster) Mirror() *mirror.Mirror { return r.mirror }
 
@@ -235,7 +276,8 @@
 		seen[id] = true
 		d, err := decode(id, e.Value)
 		if err != nil {
-			r.opts.Logger.Warn("Ignoring an invalid roster entry", "key", e.Key, "error", err)
+			r.opts.Metrics.Counter("invalid_roster_entries").Inc(1)
+			r.opts.Logger.Warn("Ignoring an invalid roster entry", "key", bounds.BriefKey(e.Key), "error", err)
 			continue
 		}
 		if invalid := d.Capacity.invalid; invalid != "" && r.known[id].Capacity.invalid != invalid {
@@ -243,6 +285,7 @@
 		}
 		r.known[id] = d
 		delete(r.expiring, id)
+		delete(r.lost, id)
 	}
 	if u.Full {
 		for id := range r.known {
@@ -255,27 +298,48 @@
 }
 
 // decode decodes and validates a daemon's entry. An entry without valid addresses would direct
-// callers and peers to an unusable address.
+// callers and peers to an unusable address. Its error is brief and names the field.
 func decode(id string, value []byte) (Daemon, error) {
 	var d Daemon
-	if err := json.Unmarshal(value, &d); err != nil {
+	if err := bounds.Decode(value, &d); err != nil {
 		return Daemon{}, errors.Wrap(err, "roster: entry")
 	}
+	return d, bounds.Brief(errors.Wrap(d.validate(id), "roster: entry"))
+}
+
+// validate returns an error that names the first invalid field. id is that of the key.
+func (d *Daemon) validate(id string) error {
 	if string(d.ID) != id {
-		return Daemon{}, errors.Newf("roster: entry: id: %q: must be that of the key", d.ID)
+		return errors.Newf("id: %.40q: must be that of the key", d.ID)
 	}
-	if _, err := netip.ParseAddrPort(d.CallerAddress); err != nil {
-		return Daemon{}, errors.Wrap(err, "roster: entry: caller_address")
+	if d.Incarnation < 0 {
+		return errors.New("incarnation: must be at least 0")
 	}
-	if _, err := netip.ParseAddrPort(d.PeerAddress); err != nil {
-		return Daemon{}, errors.Wrap(err, "roster: entry: peer_address")
+	for _, field := range []struct {
+		name string
+		err  error
+	}{
+		{"id", bounds.CheckID(id)}, {"failure_domain", checkDomain(d.FailureDomain)},
+		{"caller_address", bounds.CheckAddress(d.CallerAddress)}, {"peer_address", bounds.CheckAddress(d.PeerAddress)},
+	} {
+		if field.err != nil {
+			return errors.Wrap(field.err, field.name)
+		}
 	}
-	return d, nil
+	return nil
+}
+
+// checkDomain checks the name of a failure domain, which older daemons may omit.
+func checkDomain(name string) error {
+	if name == "" {
+		return nil
+	}
+	return bounds.CheckName(name)
 }
 
 func (r *Roster) remove(id string, afterOutage bool) {
 	if !afterOutage {
-		delete(r.known, id)
+		r.drop(id)
 		return
 	}
 	if _, ok := r.expiring[id]; !ok {
@@ -283,6 +347,14 @@
 	}
 }
 
+// drop removes a daemon whose entry is gone.
+func (r *Roster) drop(id string) {
+	if d, known := r.known[id]; known && !d.Leaving && d.ID != r.opts.Self.ID {
+		r.lost[id] = lostDaemon{Daemon: d, at: time.Now()}
+	}
+	delete(r.known, id)
+}
+
 func (r *Roster) removeExpired() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -290,9 +362,10 @@
 	for id, until := range r.expiring {
 		if now.After(until) {
 			delete(r.expiring, id)
-			delete(r.known, id)
+			r.drop(id)
 		}
 	}
+	maps.DeleteFunc(r.lost, func(_ string, d lostDaemon) bool { return now.Sub(d.at) > lostRetention })
 	r.publishLocked()
 }
 
@@ -303,6 +376,7 @@
 }
 
 func (r *Roster) publishLocked() {
+	r.publishLost()
 	var live []Daemon
 	for id, d := range r.known {
 		if id != string(r.opts.Self.ID) && !d.Leaving {
@@ -317,3 +391,17 @@
 		r.live.Store(&live)
 	}
 }
+
+// publishLost publishes which daemons that are not listed may run, and how many may run in all.
+func (r *Roster) publishLost() {
+	var lost []Daemon
+	for _, d := range r.lost {
+		lost = append(lost, d.Daemon)
+	}
+	r.unlisted.Store(&lost)
+	n := len(r.known) + len(r.lost)
+	if _, listed := r.known[string(r.opts.Self.ID)]; !listed {
+		n++
+	}
+	r.mayRun.Store(int64(n))
+}
