A retry budget that begins before the roster was read gets its share once it was

Now a share that isn't known is provisional: once the whole roster was read, the rest of the burst is added, once. A share that was known and grows adds nothing, as before. That the roster which was read may lack daemons that start at the same time is as it was, and listed as suspected.

Held by TestProvisionalBudgetGetsItsShareOnce.

--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -44,6 +44,9 @@
 	Window     time.Duration
 	BaseDelay  time.Duration
 	MaxDelay   time.Duration
+	// Provisional is set while Burst is the least, because the share of the holder of the budget is not known. The rest is added once it
+	// is.
+	Provisional bool
 }
 
 func (p *Params) setDefaults() {
@@ -81,6 +84,9 @@
 func (b *Budget) SetParams(now time.Time, p Params) {
 	b.refill(now)
 	p.setDefaults()
+	if b.params.Provisional && !p.Provisional {
+		b.tokens += max(0, p.Burst-b.params.Burst)
+	}
 	b.params = p
 	b.tokens = min(b.capacity(), b.tokens)
 }
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -54,6 +54,23 @@
 	})
 }
 
+// TestProvisionalBudgetGetsItsShareOnce guards against a budget that keeps the least share for good which it had before its holder knew
+// the others, and against one that gains when a share that was known grows.
+func TestProvisionalBudgetGetsItsShareOnce(t *testing.T) {
+	b := NewBudget(epoch, Params{Burst: 1, Provisional: true})
+	if !b.TryTake(epoch) || b.TryTake(epoch) {
+		t.Error("a provisional budget has not the one retry that it begins with")
+	}
+	for _, c := range []struct {
+		burst, want float64
+	}{{5, 4}, {10, 4}, {3, 3}, {10, 3}} {
+		b.SetParams(epoch, Params{Burst: c.burst})
+		if got := b.Remaining(epoch); got != c.want {
+			t.Errorf("%.0f retries are left at a burst of %.0f, want %.0f", got, c.burst, c.want)
+		}
+	}
+}
+
 func describe(d Decision) string {
 	switch d := d.(type) {
 	case RetryElsewhere:
