origins: a version whose replicas return has its entry written anew before its first stream

Cause: a daemon that knows no replica of a version for as long as its streams may go on removes it from software/SERVICE. That goes by the absence of news: if replicas have joined again since, and the daemon's watch waits in silence or its write is applied late, the compare-and-swap succeeded, because the version had been listed all the time. Streams that had begun there were then unlisted, and the removing daemon could confirm the other version by its own write.

Now daemons that see a version return write its entry anew, even with the same content, and streams wait for that as for a listing: a removal by an older view conflicts. One write for each return of a version within that time.

Evidence: TestVersionThatReturnsIsListedAnew fails before. Left: a return that only daemons see which started after the version had left.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -156,10 +156,11 @@
 func (e *Exchange) OnSoftware(service routing.ServiceID, software string, present bool) {
 	e.mu.Lock()
 	v := e.versionsOf(service)
-	if present {
-		v.Appear(software)
-	} else {
+	switch {
+	case !present:
 		v.Vanish(time.Now(), software)
+	case v.Appear(software):
+		e.histories[service].mustRenew()
 	}
 	e.mu.Unlock()
 	select {
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -42,6 +42,16 @@
 	versions []string
 	revision platform.Revision
 	differs  time.Time // since when this daemon has known other versions; zero: it does not
+	// renew is set if the entry must be written anew, whatever it lists: a version that it lists had no replicas for a while, and a daemon that
+	// knows none of those that have joined since may be about to remove it. Its write then conflicts.
+	renew bool
+}
+
+// mustRenew records that a version of the entry has replicas again; nil: there is no entry.
+func (h *history) mustRenew() {
+	if h != nil {
+		h.renew = true
+	}
 }
 
 // applyHistory applies changes of the entries.
@@ -84,9 +94,9 @@
 	}
 }
 
-// lists reports whether the entry contains a version, or has no room for it.
+// lists reports whether the entry contains a version, or has no room for it, and need not be written anew.
 func (h *history) lists(software string) bool {
-	return len(h.versions) == maxVersions || slices.Contains(h.versions, software)
+	return !h.renew && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
 }
 
 // announceList wakes those that wait for a change of an entry. The mutex must be held.
@@ -173,7 +183,7 @@
 			e.missing[service] = earliest(e.missing[service], now)
 			h.differs = e.missing[service]
 		}
-		if slices.Equal(h.versions, names) {
+		if slices.Equal(h.versions, names) && !h.renew {
 			h.differs = time.Time{}
 			continue
 		}
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -272,3 +272,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestVersionThatReturnsIsListedAnew guards against a daemon that has seen no replica of a version for long, and removes it from the entry while
+// streams begin at replicas that have joined since.
+func TestVersionThatReturnsIsListedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1", "v2")
+		e := newListingExchange(kv)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.RunHistory(ctx) }()
+		e.applyEntry(kv.entry)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.OnSoftware(service, "v2", true)
+		e.OnSoftware(service, "v2", false)
+		before := kv.entry.Revision
+		e.OnSoftware(service, "v2", true)
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if _, err := kv.CompareAndSwap(ctx, "", before, []byte(`{"versions":["v1"]}`), ""); err == nil {
+			t.Error("a removal by an old view is applied after a stream of the version began")
+		}
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -9,13 +9,15 @@
 	gone    map[string]time.Time // when the last replica of a version left
 }
 
-// Appear records that replicas of a version are registered.
-func (v *Versions) Appear(software string) {
+// Appear records that replicas of a version are registered. It reports whether the version had lost its last replica before.
+func (v *Versions) Appear(software string) (returned bool) {
 	if v.present == nil {
 		v.present, v.gone = map[string]bool{}, map[string]time.Time{}
 	}
+	_, returned = v.gone[software]
 	v.present[software] = true
 	delete(v.gone, software)
+	return returned
 }
 
 // Vanish records that the last replica of a version is no longer registered. Its streams may go on for a while.
