--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -19,9 +19,9 @@
 // keeperReadShare is the part of Params.Wait, as its inverse, for which a daemon that is asked reads, so that its answer is in time without.
 const keeperReadShare = 2
 
-// mayConfirm reports whether a read of the versions that the key-value service lists may add to what this daemon knows. A daemon that
+// mayReadList reports whether a read of the versions that the key-value service lists may add to what this daemon knows. A daemon that
 // the service did not answer last leaves the read to others.
-func (e *Exchange) mayConfirm(v origin.View) bool {
+func (e *Exchange) mayReadList(v origin.View) bool {
 	return e.o.KV != nil && v.Certainty != origin.Several && e.o.Current()
 }
 
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -1,7 +1,6 @@
 package origins
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -140,8 +139,8 @@
 		kv := &listKV{}
 		e := newListingExchange(kv)
 		e.o.Rank = firstRank
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		_, stop := e.runHistory(t)
+		defer stop()
 		e.OnListed(time.Now())
 		e.OnSoftware(service, "v1", true)
 		time.Sleep(2 * historyInterval)
@@ -156,8 +155,6 @@
 		if got := kv.versions(); !slices.Equal(got, []string{"v1"}) {
 			t.Errorf("after they have: %q", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -101,8 +101,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := newListKV("v1")
 		e := newListingExchange(kv)
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		e.OnListed(time.Now().Add(-time.Hour))
 		e.OnSoftware(service, "v1", true)
@@ -118,8 +118,6 @@
 		if took := time.Since(began); took > 0 {
 			t.Errorf("streams of listed versions waited for %s", took)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -128,8 +126,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := newListKV("v1")
 		e := newListingExchange(kv)
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		kv.setSilent(true)
 		e.OnListed(time.Now().Add(-time.Hour))
@@ -145,8 +143,6 @@
 		if took := time.Since(began); took > 0 {
 			t.Errorf("with the service known to be away the first event waited for %s", took)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -161,6 +157,16 @@
 	return m
 }
 
+// runHistory writes the entries that are due until stop is called, which waits for the end.
+func (m *member) runHistory(t *testing.T) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = m.RunHistory(ctx) }()
+	return ctx, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
 // applyEntry makes the entry of the key-value service known to a daemon.
 func (m *member) applyEntry(entry platform.Entry) { m.apply(entry.Revision, string(entry.Value)) }
 
@@ -169,8 +175,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := newListKV("v1")
 		e := newListingExchange(kv)
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		kv.list("v1", "v3")
 		e.OnListed(time.Now().Add(-time.Hour))
@@ -181,8 +187,6 @@
 		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2", "v3"}) {
 			t.Errorf("the first event is delivered after %s, and listed are %v", time.Since(began), got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -193,8 +197,8 @@
 		kv := newListKV("v1", "v2")
 		e := newListingExchange(kv)
 		e.o.Rank = firstRank
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		_, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		e.OnListed(time.Now().Add(-time.Hour))
 		e.OnSoftware(service, "v1", true)
@@ -206,8 +210,6 @@
 		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
 			t.Errorf("listed are %v", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -218,8 +220,8 @@
 		kv := newListKV("v0", "v1")
 		e := newListingExchange(kv)
 		e.o.Current = func() bool { return false }
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.OnListed(time.Now().Add(-time.Hour))
 		e.OnSoftware(service, "v0", true)
 		e.OnSoftware(service, "v0", false)
@@ -235,8 +237,6 @@
 		if got := kv.versions(); !slices.Equal(got, []string{"v0", "v1", "v2"}) {
 			t.Errorf("a daemon with an old list removed versions: %v", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -247,8 +247,8 @@
 		kv := newListKV("v0")
 		e := newListingExchange(kv)
 		e.o.Rank = firstRank
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		e.OnListed(time.Now().Add(-time.Hour))
 		const versions = maxVersions + 1
@@ -268,8 +268,6 @@
 		if kv.entry.Revision != revision {
 			t.Error("the entry is written again and again")
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -279,8 +277,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := newListKV("v1", "v2")
 		e := newListingExchange(kv)
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = e.RunHistory(ctx) }()
+		ctx, stop := e.runHistory(t)
+		defer stop()
 		e.applyEntry(kv.entry)
 		e.OnListed(time.Now().Add(-time.Hour))
 		e.OnSoftware(service, "v1", true)
@@ -295,7 +293,5 @@
 		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
 			t.Errorf("listed are %v", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -27,15 +27,15 @@
 	return v.Software, nil
 }
 
-// hearing is how many other daemons there are, how many of them were asked for a stream, and how many answered.
-type hearing struct{ others, asked, answered int }
+// turnout is how many other daemons there are, how many of them were asked for a stream, and how many answered.
+type turnout struct{ others, asked, answered int }
 
-// unheard returns how many daemons did not say what they know. Those that were not asked count: what the others know may be as old as what
+// unanswered returns how many daemons did not say what they know. Those that were not asked count: what the others know may be as old as what
 // this daemon knows, if they were cut off together.
-func (h hearing) unheard() int { return h.others - h.answered }
+func (h turnout) unanswered() int { return h.others - h.answered }
 
 // logLookup logs on what evidence a stream without a record goes on or ends.
-func (e *Exchange) logLookup(s relay.StreamID, v origin.Verdict, heard hearing) {
+func (e *Exchange) logLookup(s relay.StreamID, v origin.Verdict, heard turnout) {
 	if v.Reason == origin.ReasonRecorded {
 		return
 	}
@@ -47,26 +47,26 @@
 
 // decide asks the daemons that keep the record of a stream, and reads which versions the key-value service lists, unless this daemon has
 // the record.
-func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) (origin.Verdict, hearing) {
+func (e *Exchange) decide(ctx context.Context, service routing.ServiceID, key origin.Key) (origin.Verdict, turnout) {
 	own := e.testimony(service, key)
 	if own.Found {
-		return origin.Decide([]origin.Testimony{own}, 0), hearing{}
+		return origin.Decide([]origin.Testimony{own}, 0), turnout{}
 	}
-	reads := e.mayConfirm(own.View)
+	reads := e.mayReadList(own.View)
 	listed := make(chan []string, 1)
 	if reads {
 		go func() { listed <- e.listedNow(ctx, service) }()
 	}
 	confirm := !reads || e.readFailed.Load()
-	testimonies, heard := e.hear(ctx, service, key, confirm)
+	testimonies, heard := e.askKeepers(ctx, service, key, confirm)
 	if reads && !settled(testimonies) {
 		own.View = own.View.ConfirmedBy(<-listed)
 		if !confirm && !settled([]origin.Testimony{own}) {
-			confirmed, again := e.hear(ctx, service, key, true)
+			confirmed, again := e.askKeepers(ctx, service, key, true)
 			testimonies, heard.answered = append(testimonies, confirmed...), max(heard.answered, again.answered)
 		}
 	}
-	return origin.Decide(append(testimonies, own), heard.unheard()), heard
+	return origin.Decide(append(testimonies, own), heard.unanswered()), heard
 }
 
 // settled reports whether a daemon has the record, knows several versions, or has read that the key-value service lists one.
@@ -76,9 +76,9 @@
 	})
 }
 
-// hear asks the daemons that keep the record of a stream, and returns what they say: all that answer in time, or those up to the first that
+// askKeepers asks the daemons that keep the record of a stream, and returns what they say: all that answer in time, or those up to the first that
 // has the record. confirm is set if they are to read which versions the key-value service lists.
-func (e *Exchange) hear(ctx context.Context, service routing.ServiceID, key origin.Key, confirm bool) (testimonies []origin.Testimony, heard hearing) {
+func (e *Exchange) askKeepers(ctx context.Context, service routing.ServiceID, key origin.Key, confirm bool) (testimonies []origin.Testimony, heard turnout) {
 	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
 	defer cancel()
 	peers := e.others()
@@ -132,7 +132,7 @@
 func (k keeper) Find(ctx context.Context, q *FindRequest) (*FindResponse, error) {
 	service := routing.ServiceID(q.Service)
 	t := k.exchange.testimony(service, origin.Key(q.Stream))
-	if q.Confirm && !t.Found && k.exchange.mayConfirm(t.View) {
+	if q.Confirm && !t.Found && k.exchange.mayReadList(t.View) {
 		ctx, cancel := context.WithTimeout(ctx, k.exchange.o.Params.Wait/keeperReadShare)
 		defer cancel()
 		t.View = t.View.ConfirmedBy(k.exchange.listedNow(ctx, service))
--- a/internal/origins/schedule_test.go
+++ b/internal/origins/schedule_test.go
@@ -78,23 +78,28 @@
 	wrong    []string
 }
 
-// TestSchedulesOfVersions guards against streams that go on at another version, whatever fails meanwhile.
-func TestSchedulesOfVersions(t *testing.T) {
+// forEachSchedule runs a test in virtual time for each seed.
+func forEachSchedule(t *testing.T, run func(t *testing.T, seed uint64)) {
 	seeds := uint64(scheduleSeeds)
 	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64); err == nil {
 		seeds = n
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSchedule(t, seed)
-				s.inject = s.mayInjectFault
-				s.run(seed)
-			})
+			synctest.Test(t, func(t *testing.T) { run(t, seed) })
 		})
 	}
 }
 
+// TestSchedulesOfVersions guards against streams that go on at another version, whatever fails meanwhile.
+func TestSchedulesOfVersions(t *testing.T) {
+	forEachSchedule(t, func(t *testing.T, seed uint64) {
+		s := newSchedule(t, seed)
+		s.inject = s.mayInjectFault
+		s.run(seed)
+	})
+}
+
 const (
 	releaseInterval = 15 * time.Second // longer than streams of the version before may go on
 	maxAfterRelease = 600 * time.Millisecond
@@ -104,27 +109,19 @@
 // TestSchedulesOfReleases guards against the same where daemons are certain of one version when another one joins, and one daemon is out of step
 // then, or all are killed, or the new version is withdrawn at once.
 func TestSchedulesOfReleases(t *testing.T) {
-	seeds := uint64(scheduleSeeds)
-	if n, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEEDS"), 10, 64); err == nil {
-		seeds = n
-	}
-	for seed := uint64(1); seed <= seeds; seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSchedule(t, seed)
-				s.entry = platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1"]}`), Revision: 1}
-				next := time.Now()
-				s.inject = func() {
-					if time.Now().Before(next) {
-						return
-					}
-					next = time.Now().Add(releaseInterval + time.Duration(s.random.Int64N(int64(releaseInterval))))
-					s.release()
-				}
-				s.run(seed)
-			})
-		})
-	}
+	forEachSchedule(t, func(t *testing.T, seed uint64) {
+		s := newSchedule(t, seed)
+		s.entry = platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1"]}`), Revision: 1}
+		next := time.Now()
+		s.inject = func() {
+			if time.Now().Before(next) {
+				return
+			}
+			next = time.Now().Add(releaseInterval + time.Duration(s.random.Int64N(int64(releaseInterval))))
+			s.release()
+		}
+		s.run(seed)
+	})
 }
 
 // release lets one version follow another, with faults around the moment at which it joins.
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -70,7 +70,7 @@
 	ReasonConflict Reason = "conflict" // records contradict each other
 	ReasonSeveral  Reason = "several"  // there is no record, and several versions
 	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
-	ReasonUnheard  Reason = "unheard"  // a daemon that said nothing may know of a record or a second version, and there is no other evidence
+	ReasonUnanswered  Reason = "unanswered"  // a daemon that said nothing may know of a record or a second version, and there is no other evidence
 )
 
 // Verdict says whether a stream may go on, and at which version.
@@ -80,9 +80,9 @@
 	Reason   Reason
 }
 
-// Decide returns the verdict on a stream from what this daemon and those that it asked say. unheard is the number of other daemons that
+// Decide returns the verdict on a stream from what this daemon and those that it asked say. unanswered is the number of other daemons that
 // did not say anything, asked or not.
-func Decide(testimonies []Testimony, unheard int) Verdict {
+func Decide(testimonies []Testimony, unanswered int) Verdict {
 	found, conflict := recorded(testimonies)
 	switch {
 	case conflict:
@@ -92,7 +92,7 @@
 	case found != nil:
 		return Verdict{GoesOn: true, Software: found.Software, Reason: ReasonRecorded}
 	}
-	return unrecorded(testimonies, unheard)
+	return unrecorded(testimonies, unanswered)
 }
 
 // recorded returns the finding on which all records agree, nil if there is none.
@@ -113,7 +113,7 @@
 }
 
 // unrecorded returns the verdict on a stream without a record.
-func unrecorded(testimonies []Testimony, unheard int) Verdict {
+func unrecorded(testimonies []Testimony, unanswered int) Verdict {
 	var known *View
 	certain, confirmed := false, false
 	for i := range testimonies {
@@ -130,8 +130,8 @@
 	switch {
 	case !certain:
 		return Verdict{Reason: ReasonUnsure}
-	case unheard > 0 && !confirmed:
-		return Verdict{Reason: ReasonUnheard}
+	case unanswered > 0 && !confirmed:
+		return Verdict{Reason: ReasonUnanswered}
 	}
 	return Verdict{GoesOn: true, Software: known.Software, Reason: ReasonSole}
 }
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -9,16 +9,16 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestDecisions runs testdata/decide: each line of an input is what one daemon says; unheard=N in the command is how many did not answer.
+// TestDecisions runs testdata/decide: each line of an input is what one daemon says; unanswered=N in the command is how many did not answer.
 func TestDecisions(t *testing.T) {
 	datadriven.RunTest(t, "testdata/decide", func(t *testing.T, d *datadriven.TestData) string {
 		var all []Testimony
-		unheard := 0
-		d.MaybeScanArgs(t, "unheard", &unheard)
+		unanswered := 0
+		d.MaybeScanArgs(t, "unanswered", &unanswered)
 		for line := range strings.Lines(d.Input) {
 			all = append(all, parseTestimony(t, strings.Fields(line)))
 		}
-		v := Decide(all, unheard)
+		v := Decide(all, unanswered)
 		if !v.GoesOn {
 			return fmt.Sprintf("ends: %s\n", v.Reason)
 		}
