mirror: whether a mirror is in sync is read without its lock

An update of the registry is applied under the mirror's lock and puts replicas in doubt, which takes the lock of their connections. A connection that is opened holds that lock and asks whether the entries have settled, which asked the mirror whether it is in sync, after a sign of a restart. Since any request that opens a connection then waits, the daemon serves nothing.

Evidence: TestInSyncDoesNotWaitForUpdates fails before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -59,6 +59,9 @@
 	// a small VM needs 200 ms to apply a large desired state, and each request checks whether
 	// peers have newer changes.
 	applied atomic.Uint64
+	// synced is the value of inSync after the last applied update. It is read without mu, as functions that apply updates wait for locks whose
+	// holders ask.
+	synced atomic.Bool
 }
 
 // content is a source's view of the keys below a prefix.
@@ -112,8 +115,9 @@
 	m.publishNewest()
 }
 
-// publishNewest makes newest visible to Newest. Callers invoke it after they have applied an update.
+// publishNewest makes newest visible to Newest, and inSync to InSync. Callers invoke it after they have applied an update.
 func (m *Mirror) publishNewest() {
+	m.synced.Store(m.inSync)
 	newest := m.newest
 	if !m.inSync {
 		newest = 0
@@ -129,6 +133,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.inSync = false
+	m.synced.Store(false)
 	m.mergeAndApply(entries, m.complete, afterOutage)
 }
 
@@ -268,8 +273,7 @@
 
 // InSync reports whether the mirror has all entries, up to some revision.
 func (m *Mirror) InSync() bool {
-	_, inSync := m.watchFrom()
-	return inSync
+	return m.synced.Load()
 }
 
 // Newest returns the revision of the newest applied change; zero if the mirror is out of sync.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -350,3 +350,39 @@
 		t.Errorf("the replica's entry is %q", got)
 	}
 }
+
+// TestInSyncDoesNotWaitForUpdates guards against a daemon that stops for good, because a function that applies an update waits for a lock whose
+// holder asks whether the mirror is in sync.
+func TestInSyncDoesNotWaitForUpdates(t *testing.T) {
+	var lock sync.Mutex
+	applying, release := make(chan struct{}), make(chan struct{})
+	m := New(Options{}).AddMirror("p/", func(Update) {
+		close(applying)
+		<-release
+		lock.Lock()
+		defer lock.Unlock()
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.applyListing(content{complete: 1})
+	}()
+	<-applying
+	lock.Lock()
+	close(release)
+	asked := make(chan bool)
+	go func() { asked <- m.InSync() }()
+	select {
+	case inSync := <-asked:
+		if inSync {
+			t.Error("the mirror is in sync before its update is applied")
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("InSync waits for the update")
+	}
+	lock.Unlock()
+	<-done
+	if !m.InSync() {
+		t.Error("the mirror is not in sync")
+	}
+}
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -64,13 +64,13 @@
 type Reason string
 
 const (
-	ReasonRecorded Reason = "recorded" // a record names the version
-	ReasonSole     Reason = "sole"     // there is no record, and no other version
-	ReasonUnknown  Reason = "unknown"  // a record says that the version was not known
-	ReasonConflict Reason = "conflict" // records contradict each other
-	ReasonSeveral  Reason = "several"  // there is no record, and several versions
-	ReasonUnsure   Reason = "unsure"   // there is no record, and nobody knows the versions
-	ReasonUnanswered  Reason = "unanswered"  // a daemon that said nothing may know of a record or a second version, and there is no other evidence
+	ReasonRecorded   Reason = "recorded"   // a record names the version
+	ReasonSole       Reason = "sole"       // there is no record, and no other version
+	ReasonUnknown    Reason = "unknown"    // a record says that the version was not known
+	ReasonConflict   Reason = "conflict"   // records contradict each other
+	ReasonSeveral    Reason = "several"    // there is no record, and several versions
+	ReasonUnsure     Reason = "unsure"     // there is no record, and nobody knows the versions
+	ReasonUnanswered Reason = "unanswered" // a daemon that said nothing may know of a record or a second version, and there is no other evidence
 )
 
 // Verdict says whether a stream may go on, and at which version.
