origins: an entry that must be written anew stays so when it is read again

Cause: the mark that a version's replicas have returned, so that its entry must be written before streams begin there, was kept with the entry as it was last applied. Applying the same revision once more, as each listing after a failed watch does, dropped the mark: streams didn't wait, and a removal by an older view succeeded again. Found by reading the change once more.

Evidence: TestListingKeepsRenewalDue fails before, for a listing and for a watch. internal/origins passes under the race detector.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -60,8 +60,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer e.announceList()
+	before := e.histories
 	if u.Full {
-		clear(e.histories)
+		e.histories = map[routing.ServiceID]*history{}
 	}
 	for _, entry := range u.Entries {
 		service := routing.ServiceID(strings.TrimPrefix(entry.Key, HistoryPrefix))
@@ -78,7 +79,9 @@
 			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", bounds.BriefKey(entry.Key), "error", err)
 			versions = nil // the next write replaces it
 		}
-		e.histories[service] = &history{versions: versions, revision: entry.Revision}
+		known := before[service]
+		renew := known != nil && known.renew && known.revision == entry.Revision
+		e.histories[service] = &history{versions: versions, revision: entry.Revision, renew: renew}
 		delete(e.missing, service)
 		v := e.versionsOf(service)
 		remember := v.Remember
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 )
@@ -295,3 +296,19 @@
 		}
 	})
 }
+
+// TestListingKeepsRenewalDue guards against a version that counts as listed again because the same entry was read once more before it was renewed.
+func TestListingKeepsRenewalDue(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		kv := newListKV("v1", "v2")
+		e := newListingExchange(kv)
+		e.applyEntry(kv.entry)
+		e.OnSoftware(service, "v2", true)
+		e.OnSoftware(service, "v2", false)
+		e.OnSoftware(service, "v2", true)
+		e.applyHistory(mirror.Update{Full: full, Entries: []platform.Entry{kv.entry}})
+		if _, listed := e.isListed(service, "v2"); listed {
+			t.Errorf("full=%v: the version counts as listed before its entry was written anew", full)
+		}
+	}
+}
