Test of probes: the other request reaches the replica first by order, not by 3 ms

The replica took the first connection for that of the other request, whose answer is whole, and the test trusted a sleep of 3 ms to let that one connect first. Under load the request under test came first, got the whole answer ("whole", not the "ha" of the one that breaks off), and was reported. No part of an answer passed for a whole one.

Now the test waits until the replica has answered the other request.

--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -384,33 +384,31 @@
 		t.Run(fmt.Sprint("other request=", other), func(t *testing.T) {
 			f := newFixture(t, route(routing.KindIdempotent))
 			var l net.Listener
-			var mu sync.Mutex
-			n := 0
-			first := make(chan time.Time, 1)
+			var connections atomic.Int32
+			var at time.Time // of the other request's answer
+			answered := make(chan struct{})
 			l = f.addReplica(func(c net.Conn, id string) {
-				mu.Lock()
-				n++
-				k := n
-				mu.Unlock()
+				k := connections.Add(1)
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nConnection: close\r\n\r\n", id)
 				if other && k == 1 {
-					first <- time.Now()
+					at = time.Now()
+					close(answered)
 					_, _ = io.WriteString(c, "whole")
 					return
 				}
-				at := time.Now()
+				end := time.Now().Add(20 * time.Millisecond)
 				if other {
-					at = <-first
+					end = at.Add(20 * time.Millisecond)
 				}
 				_, _ = io.WriteString(c, "ha") // of "half"
-				time.Sleep(time.Until(at.Add(20 * time.Millisecond)))
+				time.Sleep(time.Until(end))
 				c.Close()
-				time.Sleep(time.Until(at.Add(38 * time.Millisecond))) // 18 ms later the listener is closed
+				time.Sleep(time.Until(end.Add(18 * time.Millisecond)))
 				l.Close()
 			})
 			if other {
 				go func() { _, _, _ = f.call(http.MethodPost, "/x", nil) }()
-				time.Sleep(3 * time.Millisecond)
+				<-answered
 			}
 			a, body, err := f.call(http.MethodPost, "/x", nil)
 			if err == nil && a.StatusCode == 200 {
