Streams that may be resumed begin at versions that the key-value service lists, as long as their replicas have room

What callers saw: a version joins while the store takes no writes of software/. Cause: a replica of a version that is not listed got streams like any other, also while those of listed versions were idle.

Now the placer passes replicas of unlisted versions over for streams that may be resumed while a listed version has room, and takes them where none has: a service whose old replicas have gone, or are full, serves as before. A daemon that passes them over for 50 ms lists the version itself (each 500 ms again), since no first event waits for it any more. Only a version that returned must be listed anew now, not all of its service. At rest: one atomic load for each stream that begins.

Ruled out: no streams at unlisted versions at all (a service would refuse; weighed in the design).

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -97,6 +97,7 @@
 	readFailed    atomic.Bool    // the last of them
 	// historyWake has an element if a history may have to be written.
 	historyWake chan struct{}
+	preferences atomic.Pointer[preferences]
 
 	mu       sync.Mutex
 	versions map[routing.ServiceID]*origin.Versions
@@ -160,8 +161,9 @@
 	case !present:
 		v.Vanish(time.Now(), software)
 	case v.Appear(software):
-		e.histories[service].mustRenew()
+		e.histories[service].mustRenew(software)
 	}
+	e.publishPreferences()
 	e.mu.Unlock()
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -42,16 +42,20 @@
 	versions []string
 	revision platform.Revision
 	differs  time.Time // since when this daemon has known other versions; zero: it does not
-	// renew is set if the entry must be written anew, whatever it lists: a version that it lists had no replicas for a while, and a daemon that
-	// knows none of those that have joined since may be about to remove it. Its write then conflicts.
-	renew bool
+	// renew holds versions for which the entry must be written anew, whatever it lists: they had no replicas for a while, and a daemon that
+	// knows none of those that have joined since may be about to remove them. Its write then conflicts.
+	renew map[string]bool
 }
 
-// mustRenew records that a version of the entry has replicas again; nil: there is no entry.
-func (h *history) mustRenew() {
-	if h != nil {
-		h.renew = true
+// mustRenew records that a version has replicas again; nil: there is no entry.
+func (h *history) mustRenew(software string) {
+	if h == nil {
+		return
+	}
+	if h.renew == nil {
+		h.renew = map[string]bool{}
 	}
+	h.renew[software] = true
 }
 
 // applyHistory applies changes of the entries.
@@ -80,8 +84,11 @@
 			versions = nil // the next write replaces it
 		}
 		known := before[service]
-		renew := known != nil && known.renew && known.revision == entry.Revision
-		e.histories[service] = &history{versions: versions, revision: entry.Revision, renew: renew}
+		h := &history{versions: versions, revision: entry.Revision}
+		if known != nil && known.revision == entry.Revision {
+			h.renew = known.renew
+		}
+		e.histories[service] = h
 		delete(e.missing, service)
 		v := e.versionsOf(service)
 		remember := v.Remember
@@ -91,7 +98,7 @@
 		for _, software := range versions {
 			remember(now, software)
 		}
-		if v.AnyPresent(func(software string) bool { return !e.histories[service].lists(software) }) {
+		if !v.AllPresent(h.lists) {
 			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
@@ -99,11 +106,12 @@
 
 // lists reports whether the entry contains a version, or has no room for it, and need not be written anew.
 func (h *history) lists(software string) bool {
-	return !h.renew && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
+	return !h.renew[software] && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
 }
 
 // announceList wakes those that wait for a change of an entry. The mutex must be held.
 func (e *Exchange) announceList() {
+	e.publishPreferences()
 	close(e.listChanged)
 	e.listChanged = make(chan struct{})
 }
@@ -186,7 +194,7 @@
 			e.missing[service] = earliest(e.missing[service], now)
 			h.differs = e.missing[service]
 		}
-		if slices.Equal(h.versions, names) && !h.renew {
+		if slices.Equal(h.versions, names) && len(h.renew) == 0 {
 			h.differs = time.Time{}
 			continue
 		}
--- a/internal/origins/listed.go
+++ b/internal/origins/listed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/monotime"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
@@ -14,6 +15,53 @@
 	listTimeout = 500 * time.Millisecond
 )
 
+// preferences are those of the services that have replicas of listed versions and of others.
+type preferences map[routing.ServiceID]*preference
+
+// preference is for the versions with replicas that the key-value service lists, of a service that has replicas of other versions too.
+type preference struct {
+	listed map[string]bool
+	due    *monotime.Instant // when this daemon lists the others itself if streams still begin
+}
+
+// Preferred returns the versions of a service's software at which streams that may be resumed begin, unless their replicas have no room: those
+// that the key-value service lists, as far as is known. nil: there is no difference between the versions that have replicas. It is called for
+// streams that begin, and sees to it that the other versions are listed.
+func (e *Exchange) Preferred(service routing.ServiceID) map[string]bool {
+	all := e.preferences.Load()
+	if all == nil || (*all)[service] == nil {
+		return nil
+	}
+	p := (*all)[service]
+	if now := time.Now(); !p.due.After(now) {
+		p.due.Set(now.Add(listTimeout))
+		e.listNow(service)
+	}
+	return p.listed
+}
+
+// publishPreferences updates what Preferred returns. The mutex must be held.
+func (e *Exchange) publishPreferences() {
+	now, before, all := time.Now(), e.preferences.Load(), preferences{}
+	for service, h := range e.histories {
+		v := e.versions[service]
+		if v == nil || v.AllPresent(h.lists) {
+			continue
+		}
+		listed := v.Present(h.lists)
+		if len(listed) == 0 {
+			continue
+		}
+		p := &preference{listed: listed, due: &monotime.Instant{}}
+		p.due.Set(now.Add(listDelay))
+		if before != nil && (*before)[service] != nil {
+			p.due = (*before)[service].due
+		}
+		all[service] = p
+	}
+	e.preferences.Store(&all)
+}
+
 // awaitListed waits until the key-value service lists a version at which a stream begins, so that no daemon that reads the entry later takes
 // the others for all. It gives up after listTimeout, and at once while the service does not answer.
 func (e *Exchange) awaitListed(ctx context.Context, service routing.ServiceID, software string) {
--- a/internal/placer/eligible.go
+++ b/internal/placer/eligible.go
@@ -23,6 +23,8 @@
 	// Region returns the region of a failure domain, empty if it is unknown. An unknown region is never a home.
 	Region func(failureDomain string) routing.Region
 	Quotas *Quotas // nil: no quotas apply
+	// PreferredSoftware returns the versions of a service's software at which streams that may be resumed should begin; nil: any.
+	PreferredSoftware func(routing.ServiceID) map[string]bool
 }
 
 // availability tells whether a replica may get a request.
@@ -77,6 +79,28 @@
 	return fit
 }
 
+// preferred returns the replicas at which a request should begin: a stream that may be resumed, at a preferred version. It returns all if there
+// is none.
+func (e *Eligibility) preferred(j *relay.Job, usable []*replicas.Replica) []*replicas.Replica {
+	if e.PreferredSoftware == nil || j.Software.Bound || !j.Route.HasResumableStreams() {
+		return usable
+	}
+	versions := e.PreferredSoftware(j.Service.ID)
+	if len(versions) == 0 {
+		return usable
+	}
+	var out []*replicas.Replica
+	for _, r := range usable {
+		if versions[r.Info().Software] {
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		return usable
+	}
+	return out
+}
+
 // pool returns the assigned replicas, and all replicas if no assigned one is allowed.
 func (e *Eligibility) pool(j *relay.Job, assigned []*replicas.Replica) []*replicas.Replica {
 	if e.anyAllowed(j, assigned) {
--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -118,8 +118,12 @@
 		return nil, pp.noneNow(j, tried)
 	}
 	s := search{job: j, tried: tried, need: pp.pickRequest(j), maxWait: pp.recordAndLimitWait(j)}
-	c, err := pp.claimAndChoose(ctx, s, usable)
-	if noRoom := (*relay.NoRoomError)(nil); errors.As(err, &noRoom) {
+	preferred := pp.preferred(j, usable)
+	c, err := pp.claimAndChoose(ctx, s, preferred)
+	if hasNoRoom(err) && len(preferred) < len(usable) {
+		c, err = pp.claimAndChoose(ctx, s, usable)
+	}
+	if hasNoRoom(err) {
 		if c = pp.chooseBorrowed(ctx, s); c != nil {
 			err = nil
 		}
@@ -130,6 +134,11 @@
 	return pp.placeAt(ctx, s, c), nil
 }
 
+func hasNoRoom(err error) bool {
+	var noRoom *relay.NoRoomError
+	return errors.As(err, &noRoom)
+}
+
 // search is a request for which a replica is looked for.
 type search struct {
 	job     *relay.Job
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -43,7 +43,7 @@
 		if len(usable) == 0 {
 			return nil, noReplica()
 		}
-		r := p.cheapest(usable)
+		r := p.cheapest(p.preferred(j, usable))
 		if p.Quotas.Take(time.Now(), r) {
 			return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
 		}
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -29,14 +29,25 @@
 	v.gone[software] = now
 }
 
-// AnyPresent reports whether a version that has replicas satisfies f.
-func (v *Versions) AnyPresent(f func(software string) bool) bool {
+// AllPresent reports whether all versions that have replicas satisfy f.
+func (v *Versions) AllPresent(f func(software string) bool) bool {
+	for software := range v.present {
+		if !f(software) {
+			return false
+		}
+	}
+	return true
+}
+
+// Present returns the versions that have replicas and satisfy f.
+func (v *Versions) Present(f func(software string) bool) map[string]bool {
+	out := map[string]bool{}
 	for software := range v.present {
 		if f(software) {
-			return true
+			out[software] = true
 		}
 	}
-	return false
+	return out
 }
 
 // Remember records that a version has had replicas until now, unless the daemon knows better.
