origins: a version that a daemon had forgotten is listed anew when its replicas return

Cause: the return was noticed only by daemons that still remembered the version. One whose keep time had passed, the same that had sent the removal, took it for the first appearance; the entry that it knew still named the version, so that it counted as listed. Now a version whose first replica appears once the list of replicas was read is listed anew in any case. At a daemon's start nothing changes.

TestReturnOfForgottenVersionRenewsItsEntry fails without it.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -160,8 +160,11 @@
 	switch {
 	case !present:
 		v.Vanish(time.Now(), software)
-	case v.Appear(software):
-		e.histories[service].mustRenew(software)
+	default:
+		returned := v.Appear(software)
+		if returned || !e.listedAt.IsZero() {
+			e.histories[service].mustRenew(software)
+		}
 	}
 	e.publishPreferences()
 	e.mu.Unlock()
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -312,3 +313,23 @@
 		}
 	}
 }
+
+// TestReturnOfForgottenVersionRenewsItsEntry guards against streams that begin at a version which has replicas again while its removal from the list,
+// by a daemon that has forgotten it, is still under way.
+func TestReturnOfForgottenVersionRenewsItsEntry(t *testing.T) {
+	kv := newListKV("v1", "v2")
+	e := newListingExchange(kv)
+	e.OnSoftware(service, "v1", true)
+	e.OnSoftware(service, "v2", true)
+	e.OnListed(time.Now())
+	e.applyEntry(kv.entry)
+	e.OnSoftware(service, "v2", false)
+	e.prune(time.Now().Add(2 * keepTime))
+	e.OnSoftware(service, "v2", true)
+	if _, listed := e.isListed(service, "v2"); listed {
+		t.Error("the version counts as listed before its entry was written anew")
+	}
+	if got := e.Preferred(service); !maps.Equal(got, map[string]bool{"v1": true}) {
+		t.Errorf("streams should begin at %v", got)
+	}
+}
