waiting: room that came since a turn found none goes to that request first

What callers saw: a request that waits at the head, got its turn and found no room was overtaken by the next, equally urgent one. Cause: a replica's slot becomes free before the room is told so. A request whose turn failed in a generation isn't asked again in it, the one behind it is, and finds the slot that has just come.

Now, when a request finds room behind one whose turn failed in the same generation, that one gets its turn once more, once a generation, so that a request whose HasRoom is wrong keeps no room from those behind it (TestWrongHasRoomKeepsNoRoomFromOthers). Ruled out before: turns that overlap.

--- a/internal/waiting/turns.go
+++ b/internal/waiting/turns.go
@@ -118,6 +118,10 @@
 			rounds.foundNone(t, generation)
 			continue
 		}
+		if failed := r.failedBefore(candidates[:i], generation); failed != nil {
+			r.grant(failed, nil, generation)
+			return
+		}
 		passed := candidates[:i]
 		if rounds.skip > 0 && i >= roundSize {
 			passed = candidates[:roundSize]
@@ -163,6 +167,20 @@
 	return t.failed == generation
 }
 
+// failedBefore returns the first of some requests whose turn in a generation found no room, nil if there is none: the room that a request behind it
+// finds may have come since, unreported. It is returned once a generation, so that one whose HasRoom is wrong keeps no room from the others.
+func (r *Room) failedBefore(candidates []*Ticket, generation uint64) *Ticket {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range candidates {
+		if t.failed == generation && t.retried != generation {
+			t.retried = generation
+			return t
+		}
+	}
+	return nil
+}
+
 // overtakeBefore records that the requests before one that found room were found to have none by earlier rounds.
 func (r *Room) overtakeBefore(t *Ticket) {
 	r.mu.Lock()
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -143,6 +143,7 @@
 	granted    time.Time // zero if the ticket has no turn
 	generation uint64    // in which it was asked for the turn
 	failed     uint64    // generation in which there was no room in spite of HasRoom
+	retried    uint64    // generation in which it got its turn once more
 }
 
 // MayEnter reports whether no request of a service waits that is at least as urgent.
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -359,6 +360,56 @@
 	f.expect("placed", &f.placed, "first")
 }
 
+// TestUnreportedRoomGoesToTheFirst guards against room that a request gets past the one before it, whose turn found none just before the room came.
+func TestUnreportedRoomGoesToTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Options{})
+		var asked atomic.Bool
+		first := f.request("first", 5, patient)
+		first.HasRoom = asked.Load
+		var ticket *Ticket
+		f.wg.Go(func() {
+			ticket, _ = f.room.Wait(t.Context(), first)
+			f.slots.free.Store(1) // after the turn found none
+			if err := ticket.NoRoom(t.Context()); err == nil && f.slots.take() {
+				ticket.Placed()
+				f.record(func() { f.placed = append(f.placed, "first") })
+			}
+			ticket.Leave()
+		})
+		synctest.Wait()
+		f.enter(t.Context(), f.request("behind", 5, patient))
+		synctest.Wait()
+		asked.Store(true)
+		f.room.OnRoom(nil)
+		time.Sleep(roundInterval)
+		synctest.Wait()
+		if got := f.placed; !slices.Equal(got, []request.ID{"first"}) {
+			t.Errorf("placed %v", got)
+		}
+		f.open(1)
+		f.expect("placed", &f.placed, "first", "behind")
+	})
+}
+
+// TestWrongHasRoomKeepsNoRoomFromOthers guards against a request that is given turn after turn in vain while those behind it find room.
+func TestWrongHasRoomKeepsNoRoomFromOthers(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.wg.Go(func() {
+		wrong := f.request("wrong", 5, patient)
+		wrong.HasRoom = func() bool { return true }
+		ticket, err := f.room.Wait(t.Context(), wrong)
+		for err == nil && f.ended() == 0 {
+			err = ticket.NoRoom(t.Context())
+		}
+		ticket.Leave()
+	})
+	f.eventually("it waits", func() bool { return f.room.State().Requests == 1 })
+	f.enter(t.Context(), f.request("behind", 5, patient))
+	f.slots.free.Store(1)
+	f.expect("placed", &f.placed, "behind")
+}
+
 // Guards against a request for whose turn nothing is reported: rate limits end by time alone.
 func TestRoomWithoutReportIsFound(t *testing.T) {
 	f := newFixture(t, Options{})
