placer: plain services pass over replicas of unlisted versions only while listed ones have a free slot

What callers saw: a version joins a plain service while the store takes no writes of its list. All streams that may be resumed went to the replicas of the listed version, however few of them were left, and the others stayed idle. Cause: the preference for listed versions ends where these have no room, and a plain service has no such answer: the cheapest of the preferred replicas was taken at any load.

TestPlainStreamsOverloadNoPreferredSoftware: of 12 streams at two replicas of 6 slots, 12 began at the listed version's one before, 6 and 6 now.

--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/bluebellscale/bluebellscale/internal/policy/pick"
@@ -43,13 +44,30 @@
 		if len(usable) == 0 {
 			return nil, noReplica()
 		}
-		r := p.cheapest(p.preferred(j, usable))
+		r := p.cheapest(p.preferredWithRoom(j, usable))
 		if p.Quotas.Take(time.Now(), r) {
 			return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
 		}
 	}
 }
 
+// preferredWithRoom returns the preferred replicas that have a free slot, and all if none has, or if there is no preference.
+func (p *PlainPlacer) preferredWithRoom(j *relay.Job, usable []*replicas.Replica) []*replicas.Replica {
+	preferred := p.preferred(j, usable)
+	if len(preferred) == len(usable) {
+		return usable
+	}
+	now := time.Now()
+	preferred = slices.DeleteFunc(preferred, func(r *replicas.Replica) bool {
+		slots := r.Info().Slots
+		return slots > 0 && r.Load.Total(now).Requests >= slots
+	})
+	if len(preferred) == 0 {
+		return usable
+	}
+	return preferred
+}
+
 func (p *PlainPlacer) cheapest(usable []*replicas.Replica) *replicas.Replica {
 	now := time.Now()
 	candidates := make([]pick.Candidate, len(usable))
--- a/internal/placer/preferred_test.go
+++ b/internal/placer/preferred_test.go
@@ -93,3 +93,28 @@
 		placement.Flight.End()
 	}
 }
+
+// TestPlainStreamsOverloadNoPreferredSoftware guards against the last replicas of a listed version getting all streams of a plain service while those
+// of the other version are idle.
+func TestPlainStreamsOverloadNoPreferredSoftware(t *testing.T) {
+	const slots = 6
+	f := newFixture(0)
+	for i, software := range []string{"v1", "v2"} {
+		info := replicas.Info{ID: id(i), Service: "llm", Address: "127.0.0.1:1", FailureDomain: "a", Software: software, Slots: slots}
+		f.set.Apply(time.Now(), replicas.Change{Present: []replicas.Info{info}})
+	}
+	p := &PlainPlacer{Eligibility: Eligibility{Set: f.set, PreferredSoftware: func(routing.ServiceID) map[string]bool { return map[string]bool{"v1": true} }}}
+	begun := map[request.TargetID]int{}
+	for range 2 * slots {
+		j := job("s")
+		j.Route.Resumable = true
+		placement, err := p.Place(context.Background(), j, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		begun[placement.Replica.Info().ID]++
+	}
+	if begun["r0"] != slots || begun["r1"] != slots {
+		t.Errorf("streams run at each replica of %d slots: %v", slots, begun)
+	}
+}
