origins: an older listing or removal hides no entry that this daemon has written since

Cause: a daemon applies its own writes of software/SERVICE at once. A whole listing that had been read before, as after a failed watch or from a peer, replaced the entry by the one before the write, unlike changes that a watch reports; so did an older removal. A version that the write had removed, and whose replicas returned, then counted as listed, and its streams began unlisted; the mark that it must be listed anew, kept with the revision, was dropped too. Found by reading; no stream was seen joined by it.

TestOldListingHidesNoWriteOfThisDaemon fails before, for a listing and for a removal.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -70,40 +70,47 @@
 	}
 	for _, entry := range u.Entries {
 		service := routing.ServiceID(strings.TrimPrefix(entry.Key, HistoryPrefix))
+		known := before[service]
+		if known != nil && known.revision > entry.Revision {
+			e.histories[service] = known // this daemon has written it since
+			e.remember(now, u, service, known.versions)
+			continue
+		}
 		if entry.Deleted {
 			delete(e.histories, service)
 			continue
 		}
-		if known := e.histories[service]; known != nil && known.revision > entry.Revision {
-			continue // this daemon has written it since
-		}
 		versions, err := decodeHistory(entry.Value)
 		if err != nil {
 			e.o.Metrics.Counter("invalid_version_lists").Inc(1)
 			e.o.Logger.Warn("Ignoring an invalid list of versions", "key", bounds.BriefKey(entry.Key), "error", err)
 			versions = nil // the next write replaces it
 		}
-		known := before[service]
 		h := &history{versions: versions, revision: entry.Revision}
 		if known != nil && known.revision == entry.Revision {
 			h.renew = known.renew
 		}
 		e.histories[service] = h
 		delete(e.missing, service)
-		v := e.versionsOf(service)
-		remember := v.Remember
-		if u.Full && u.AfterOutage {
-			remember = v.RememberAnew // replicas may have come and left unseen
-		}
-		for _, software := range versions {
-			remember(now, software)
-		}
-		if !v.AllPresent(h.lists) {
+		e.remember(now, u, service, versions)
+		if !e.versionsOf(service).AllPresent(h.lists) {
 			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
 		}
 	}
 }
 
+// remember records that streams may have begun at the listed versions of a service, as of an update. The mutex must be held.
+func (e *Exchange) remember(now time.Time, u mirror.Update, service routing.ServiceID, versions []string) {
+	v := e.versionsOf(service)
+	remember := v.Remember
+	if u.Full && u.AfterOutage {
+		remember = v.RememberAnew // replicas may have come and left unseen
+	}
+	for _, software := range versions {
+		remember(now, software)
+	}
+}
+
 // lists reports whether the entry contains a version, or has no room for it, and need not be written anew.
 func (h *history) lists(software string) bool {
 	return !h.renew[software] && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -333,3 +333,25 @@
 		t.Errorf("streams should begin at %v", got)
 	}
 }
+
+// TestOldListingHidesNoWriteOfThisDaemon guards against a version that counts as listed although this daemon has removed it, because an older copy of
+// the entries, or an older removal of one, is applied after its write.
+func TestOldListingHidesNoWriteOfThisDaemon(t *testing.T) {
+	written := platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1"]}`), Revision: 12}
+	before := platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1","v2"]}`), Revision: 11}
+	for name, old := range map[string]mirror.Update{
+		"listing":     {Full: true, Entries: []platform.Entry{before}},
+		"watch":       {Entries: []platform.Entry{before}},
+		"old removal": {Entries: []platform.Entry{{Key: before.Key, Revision: 11, Deleted: true}}},
+	} {
+		e := newListingExchange(newListKV("v1"))
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.OnSoftware(service, "v1", true)
+		e.applyEntry(written)
+		e.OnSoftware(service, "v2", true)
+		e.applyHistory(old)
+		if _, listed := e.isListed(service, "v2"); listed {
+			t.Errorf("%s: the version counts as listed", name)
+		}
+	}
+}
