origins: a daemon that hasn't read which others there are is not alone

Cause: where no read of the key-value service succeeds, a stream without a record goes on if all other daemons have answered. A daemon whose list of daemons was never read, while its list of replicas was, knew of no others: nobody was asked, nobody was missing, and it went by its own word. Ruled out: a daemon that has just started, which is certain of nothing for the keep time.

Now those that may be unknown count as one that said nothing. The list in the key-value service is evidence as before.

TestDaemonThatReadNoListOfOthersIsNotAlone fails before.

--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// TestDaemonThatReadNoListOfOthersIsNotAlone guards against a daemon that goes by its own word because it doesn't know which others there are.
+func TestDaemonThatReadNoListOfOthersIsNotAlone(t *testing.T) {
+	g := newGroup(t, 1)
+	alone := g.members[0]
+	alone.o.Params.Wait = 50 * time.Millisecond
+	g.kv.setSilent(true)
+	g.mustGoOn(alone, 1, "v1")
+	alone.o.KnowsPeers = func() bool { return false }
+	g.mustEnd(alone, 1)
+	g.kv.setSilent(false)
+	g.mustGoOn(alone, 1, "v1")
+}
+
 // TestListThatNamesAnotherVersionEndsStream guards against a daemon with an old list of replicas going on at the version that it knows while no
 // daemon that has the record answers.
 func TestListThatNamesAnotherVersionEndsStream(t *testing.T) {
--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -61,6 +61,8 @@
 	Region string
 	// Peers returns the live daemons, with or without this one. The slice must not be modified.
 	Peers func() []Peer
+	// KnowsPeers reports whether the list of daemons has been read. Until then it says nothing of those that it lacks. nil: it has.
+	KnowsPeers func() bool
 	// Send sends records to a daemon. It does not block.
 	Send   func(to netip.AddrPort, records []origin.Record)
 	Client *http.Client
@@ -125,6 +127,9 @@
 	if o.Reachable == nil {
 		o.Reachable = o.Current
 	}
+	if o.KnowsPeers == nil {
+		o.KnowsPeers = func() bool { return true }
+	}
 	if o.RestoredAt == nil {
 		o.RestoredAt = func() (time.Time, bool) { return time.Time{}, false }
 	}
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -28,11 +28,20 @@
 }
 
 // turnout is how many other daemons there are, how many of them were asked for a stream, and how many answered.
-type turnout struct{ others, asked, answered int }
+type turnout struct {
+	others, asked, answered int
+	moreUnknown             bool // there may be others of which this daemon doesn't know
+}
 
 // unanswered returns how many daemons did not say what they know. Those that were not asked count: what the others know may be as old as what
-// this daemon knows, if they were cut off together.
-func (h turnout) unanswered() int { return h.others - h.answered }
+// this daemon knows, if they were cut off together. One counts for all that may be unknown.
+func (h turnout) unanswered() int {
+	n := h.others - h.answered
+	if h.moreUnknown {
+		n++
+	}
+	return n
+}
 
 // logLookup logs on what evidence a stream without a record goes on or ends.
 func (e *Exchange) logLookup(s relay.StreamID, v origin.Verdict, heard turnout) {
@@ -81,6 +90,7 @@
 func (e *Exchange) askKeepers(ctx context.Context, service routing.ServiceID, key origin.Key, confirm bool) (testimonies []origin.Testimony, heard turnout) {
 	ctx, cancel := context.WithTimeout(ctx, e.o.Params.Wait)
 	defer cancel()
+	heard.moreUnknown = !e.o.KnowsPeers()
 	peers := e.others()
 	keepers := origin.Keepers(membersOf(peers), key, e.o.Region, e.o.Params.Copies)
 	heard.others, heard.asked = len(peers), len(keepers)
