isolation: another spelling of a section's number is no key of its record

What callers saw: nothing at once. An entry of another writer at apart/027, apart/+27 or apart/0027 was taken for the record of section 27: its revision replaced that of apart/27, so that each write of that record conflicted. An organisation that was isolated later was recorded nowhere, and shared again once all daemons had been started anew.

Cause: strconv.Atoi reads several spellings of one number.

Ruled out: a full listing repairs it only if apart/27 exists, because it sorts later.

Before: TestOtherSpellingOfSectionReplacesNoRecord fails in 9 of 9 cases (3 spellings, 3 values). After: 0 of 9.

--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -355,3 +355,28 @@
 		}
 	}
 }
+
+// TestOtherSpellingOfSectionReplacesNoRecord guards against an entry of another writer whose key reads as the number of a section, and after
+// which the section's own record is never written.
+func TestOtherSpellingOfSectionReplacesNoRecord(t *testing.T) {
+	n := cachepool.Section("a")
+	for _, spelling := range []string{fmt.Sprint("0", n), fmt.Sprint("+", n), fmt.Sprint("00", n)} {
+		for _, value := range []string{"{}", "[", `{"organisations":[],"generation":7}`} {
+			now, s := time.Now(), newService()
+			d := start(now, s)
+			s.revision++
+			odd := platform.Entry{Key: RecordPrefix + spelling, Value: []byte(value), Revision: s.revision}
+			d.onRecords(now, mirror.Update{Entries: []platform.Entry{odd}})
+			d.OnDesired(now, desired("a"))
+			if s.write(t, now, d, 0) != 1 {
+				t.Errorf("%s %s: no record is written", odd.Key, value)
+				continue
+			}
+			d.onRecords(now, s.list())
+			d.onRecords(now, mirror.Update{Entries: []platform.Entry{{Key: odd.Key, Revision: s.revision + 1, Deleted: true}}})
+			if due := d.dueWrites(now.Add(time.Minute), func(string) int { return 0 }); len(due) != 0 {
+				t.Errorf("%s %s: the record is written again: %+v", odd.Key, value, due)
+			}
+		}
+	}
+}
--- a/internal/isolation/record.go
+++ b/internal/isolation/record.go
@@ -54,6 +54,12 @@
 
 func recordKey(n int) string { return RecordPrefix + strconv.Itoa(n) }
 
+// sectionOf returns the section whose record a key holds. Another spelling of its number is no key of a record.
+func sectionOf(key string) (n int, known bool) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, RecordPrefix))
+	return n, err == nil && n >= 0 && n < cachepool.Sections && key == recordKey(n)
+}
+
 // applyRecords applies changes of the records.
 func (t *Tracker) applyRecords(u mirror.Update) { t.onRecords(time.Now(), u) }
 
@@ -77,8 +83,8 @@
 func (s *section) clear() { s.stored, s.generation, s.revision = nil, 0, 0 }
 
 func (t *Tracker) applyRecord(now time.Time, e platform.Entry) {
-	n, err := strconv.Atoi(strings.TrimPrefix(e.Key, RecordPrefix))
-	if err != nil || n < 0 || n >= cachepool.Sections {
+	n, known := sectionOf(e.Key)
+	if !known {
 		t.o.Logger.Warn("Ignoring a record of isolated organisations with an unknown key", "key", bounds.BriefKey(e.Key))
 		t.o.Metrics.Counter("invalid_isolation_records").Inc(1)
 		return
