isolation: no organisation returns beyond the last generation

What callers saw: nothing. A record of another writer that names the largest generation that is accepted made daemons write the next one when an organisation was to share again. All daemons, the writer included, take that record for invalid, write the former one again, and so on without end.

Cause: the reader bounds generations, the writer did not. Now organisations of such a section stay apart, which is safe.

Before: TestLastGenerationIsNotExceeded fails ("a daemon wrote ... generation 1048577, want at most 1048576"). After: it holds.

--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -380,3 +380,26 @@
 		}
 	}
 }
+
+// TestLastGenerationIsNotExceeded guards against a record that all daemons take for another writer's, and write again without end.
+func TestLastGenerationIsNotExceeded(t *testing.T) {
+	now, s := time.Now(), newService()
+	d := start(now, s)
+	s.revision++
+	key := recordKey(cachepool.Section("a"))
+	s.records[key] = platform.Entry{Key: key, Value: fmt.Appendf(nil, `{"organisations":["a"],"generation":%d}`, maxGeneration), Revision: s.revision}
+	d.onRecords(now, s.list())
+	for range 5 {
+		now = now.Add(2 * ReturnAfter)
+		s.write(t, now, d, 0)
+		for _, e := range s.records {
+			if _, err := decodeRecord(cachepool.Section("a"), e.Value); err != nil {
+				t.Fatalf("a daemon wrote %s: %v", e.Value, err)
+			}
+		}
+		d.onRecords(now, s.list())
+	}
+	if salt(d, "a") != cachepool.Own(1, "a") {
+		t.Error("an organisation shares, although no record says so")
+	}
+}
--- a/internal/isolation/record.go
+++ b/internal/isolation/record.go
@@ -210,7 +210,7 @@
 	staying := slices.DeleteFunc(slices.Clone(members), func(org request.OrgID) bool {
 		return !t.isolated[org] && now.Sub(t.apart[org]) >= wait
 	})
-	if len(staying) == len(members) || now.Sub(t.returnedAt) < wait {
+	if len(staying) == len(members) || now.Sub(t.returnedAt) < wait || w.value.Generation == maxGeneration {
 		return w, false
 	}
 	w.value.Generation++
