lease: an epoch that can't be raised is of another writer

What callers saw: nothing by itself. A lease record that names the largest signed number, or the one before it, was accepted as long as the key-value service had never been restored. The next holder's record named one more, which all processes took for another writer's: each of them took the name from its live holder. An order record with that epoch ended the rollout of weights: no holder's epoch was higher.

Cause: what is read was bounded, what is written next was not. A claim now raises epochs up to 2^32 below the largest only and begins anew above it, as after a record that can't be read; a live holder's session still counts.

Before: TestLargestEpochIsHeldByOneProcess fails (a second process gets the name that a holds) and TestOddOrderRecordEndsNoRollout fails with the new value ("the controller did not begin a term"). After: both hold.

Not changed: an order record whose epoch is within the bounds but above the holder's.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -249,7 +249,7 @@
 		m.opts.Logger.Warn("A lease record is of another writer", "name", name, "error", err)
 		r = record{Epoch: highestEpoch(e.Revision), unreadable: true}
 	}
-	return r, e.Revision, nil
+	return r.claimable(e.Revision), e.Revision, nil
 }
 
 // checkFree returns an error unless the name of record r may be claimed. takeover reports whether
--- a/internal/lease/oddrecord_test.go
+++ b/internal/lease/oddrecord_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/standin/kv"
 )
 
@@ -48,3 +51,41 @@
 		}
 	}
 }
+
+// TestLargestEpochIsHeldByOneProcess guards against a record of another writer with an epoch after which none can be told, so that every process takes the
+// name from its holder.
+func TestLargestEpochIsHeldByOneProcess(t *testing.T) {
+	const atLast = `{"epoch":9223372032559808511}` // raised once
+	for _, odd := range []string{atLast, `{"epoch":9223372036854775807}`, `{"epoch":9223372036854775806}`, `{"epoch":9223372036854775807,"session":"x"}`, `{"epoch":9223372036854775000}`} {
+		ctx := context.Background()
+		c := &clock{now: time.Unix(1_700_000_000, 0)}
+		f := kv.NewFake(c.Now)
+		key := lease.RecordPrefix + "duty"
+		if _, err := f.Client("other").CompareAndSwap(ctx, key, 0, []byte(odd), ""); err != nil {
+			t.Fatal(err)
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			held, err := newManager(f, c, id).Acquire(ctx, "duty")
+			if err != nil {
+				t.Errorf("%s: %s: %v", odd, id, err)
+				break
+			}
+			if id == "a" && odd != atLast && held.MayAct(0) {
+				t.Errorf("%s: the first holder acts at once, although another may have held the name", odd)
+			}
+			if _, err := newManager(f, c, "other-"+id).Acquire(ctx, "duty"); !errors.Is(err, lease.ErrHeld) {
+				t.Errorf("%s: %s holds the name, another process gets %v", odd, id, err)
+			}
+			e, err := f.Client("other").Get(ctx, key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if h, err := lease.HolderIn(e); err != nil || h.ID != request.DaemonID(id) || h.Epoch != held.Epoch() {
+				t.Errorf("%s: %s holds the name, its record names %+v, %v", odd, id, h, err)
+			}
+			if err := held.Release(ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -76,30 +76,47 @@
 	unreadable bool // the entry is of another writer; who held the name is not known
 }
 
-// maxEpoch is above all epochs of all eras, which fit in a signed number.
-const maxEpoch = 1<<63 - 1
+const (
+	// maxEpoch is the largest epoch that a record can name. Epochs of all eras fit in a signed number.
+	maxEpoch = 1<<63 - 1
+	// lastRaised is the last epoch that a claim raises: what it writes must be readable. No sound epoch comes near it.
+	lastRaised = maxEpoch - 1<<32
+)
 
 // highestEpoch returns an epoch that no holder before a revision can have exceeded: each claim took a revision of its own.
 func highestEpoch(at platform.Revision) uint64 {
 	return uint64(platform.NewRevision(at.Era()+1, at.Number()))
 }
 
-// MaxEpoch returns the highest epoch that an entry of a revision can name.
+// MaxEpoch returns the highest epoch that a process which holds a name can have written in an entry of a revision.
 func MaxEpoch(at platform.Revision) uint64 {
 	if at.Era() == 0 { // not reported; earlier epochs may be of any era
-		return maxEpoch
+		return lastRaised
 	}
 	return highestEpoch(at)
 }
 
 // validate returns an error that names the first field that can't be in a record of a revision.
 func (r record) validate(at platform.Revision) error {
-	if highest := MaxEpoch(at); r.Epoch > highest {
+	highest := uint64(maxEpoch)
+	if at.Era() != 0 {
+		highest = highestEpoch(at)
+	}
+	if r.Epoch > highest {
 		return errors.Newf("epoch: %d, want at most %d", r.Epoch, highest)
 	}
 	return nil
 }
 
+// claimable returns the record as a claim may raise it. An epoch that can't be raised is of another writer.
+func (r record) claimable(at platform.Revision) record {
+	if r.Epoch <= MaxEpoch(at) {
+		return r
+	}
+	r.Epoch, r.unreadable = highestEpoch(at), r.Session == ""
+	return r
+}
+
 func (r record) encode() []byte {
 	b, _ := json.Marshal(r) // plain fields: can't fail
 	return b
--- a/internal/weights/oddrecord_test.go
+++ b/internal/weights/oddrecord_test.go
@@ -12,7 +12,7 @@
 // TestOddOrderRecordEndsNoRollout guards against an order record of another writer after which no daemon rolls out weights, or orders before an earlier order has ended.
 func TestOddOrderRecordEndsNoRollout(t *testing.T) {
 	for _, odd := range []string{
-		"", "{", "[]", "\xff", strings.Repeat("[", 20_000), `{"epoch":18446744073709551615}`, `{"epoch":-1}`, `{"epoch":1,"ordered":[7]}`,
+		"", "{", "[]", "\xff", strings.Repeat("[", 20_000), `{"epoch":18446744073709551615}`, `{"epoch":9223372036854775807}`, `{"epoch":-1}`, `{"epoch":1,"ordered":[7]}`,
 		`{"epoch":0,"ordered":["r0","r1"],"wait_ms":{"r0":-9223372036854775808,"r1":9223372036854775807}}`,
 	} {
 		fleet := newTestFleet(2)
