loadshare: sums of work fit what peers are told

What callers saw: requests sent to a replica that is full. A caller may name 100 million tokens for a request; 22 such requests at one replica add up to more than the 32 bits of a report, and peers took the work for less than none: that replica seemed emptier than all others.

Cause: the sums were cut to 32 bits, not bounded.

Before: TestSumsOfWorkFitReports fails (30 requests: a peer sees - tokens). After: it holds.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -484,9 +484,7 @@
 		if w == (replicas.Work{}) {
 			continue
 		}
-		out[r.Hash()] = &Work{
-			Replica: r.Hash(), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.LongTokens), Streams: int32(w.Streams),
-		}
+		out[r.Hash()] = workMessage(r.Hash(), w)
 	}
 	return out
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// TestSumsOfWorkFitReports guards against work that peers take for less than none, because the largest prompts that callers may name add up to more
+// than a report holds.
+func TestSumsOfWorkFitReports(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	defer a.conn.Close()
+	defer b.conn.Close()
+	for range 30 {
+		a.set.Get("r").Load.BeginWork(replicas.Work{Requests: 1, Tokens: 100_000_000, Prefill: 100_000_000, LongTokens: 100_000_000})
+	}
+	now := time.Now()
+	b.apply(t.Context(), now, a.nextReport(now))
+	if w := b.set.Get("r").Load.Total(now); w.Requests != 30 || w.Tokens < 1_000_000_000 || w.Prefill < 1_000_000_000 || w.LongTokens < 1_000_000_000 {
+		t.Errorf("the peer sees %+v", w)
+	}
+}
+
 // A peer reports load, weights and refusals of a replica that has crashed meanwhile and restarted under
 // its id. The delayed report is of the dead process and must be ignored.
 func TestReportOfEarlierStartIsIgnored(t *testing.T) {
