loadshare: numbers of peers that can't be are ignored

What callers saw: nothing in a fleet of sound daemons. Any process can send a datagram, and one report was enough that a daemon sent a sound replica nothing for 24 days (busy_ms, or a limit dated 24 days ahead, which no later report could end), took all other replicas for outdated for good (weights), or took a replica for emptier than empty (negative work).

Cause: rooms, waiting demand, speeds and traits of peers had bounds; work, states and limits did not. A part that can't be is now ignored and logged, at most as often as the others; a limit from ahead counts from now.

Before: TestNumbersOfPeersThatCannotBeAreIgnored fails in 9 of its cases, TestLimitOfTheFutureEnds fails. After: both hold.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -20,6 +20,8 @@
 	MaxNumber = 1<<53 - 1
 	// MaxUnixMilli is the last millisecond of the year 9999, the last that a timestamp can be written of.
 	MaxUnixMilli = 253_402_300_799_999
+	// MaxPerSecond is above all rates of requests that a replica can have.
+	MaxPerSecond = 1e9
 	// maxErrorBytes bounds the text of an error about an entry, which may quote a value of any length.
 	maxErrorBytes = 300
 )
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -138,6 +138,7 @@
 
 	lenders    lenderReports  // used by report alone
 	badRooms   rate.Sometimes // bounds log lines
+	badNumbers rate.Sometimes // bounds log lines
 	waiting    waitingReport  // guarded by mu
 	peerDemand peerDemand
 	reach      ownReach // guarded by mu
@@ -227,7 +228,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: listen")
 	}
-	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
+	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, badNumbers: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
 // WrapConn replaces the connection by what wrap makes of it. It must be called before Run.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/placer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/poison"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -116,6 +119,64 @@
 	}
 }
 
+// TestNumbersOfPeersThatCannotBeAreIgnored guards against a report after which a sound replica gets no requests, or any number of them, for weeks.
+func TestNumbersOfPeersThatCannotBeAreIgnored(t *testing.T) {
+	const most, least = math.MaxInt32, math.MinInt32
+	for name, odd := range map[string]*Report{
+		"busy for weeks":       {States: []*State{{BusyMs: most}}},
+		"busy for less than 0": {States: []*State{{BusyMs: least, Model: "m", Weights: 4}}},
+		"weights":              {States: []*State{{Model: "m", Weights: math.MaxUint64}, {Model: "m", Weights: bounds.MaxNumber + 1}}},
+		"model":                {States: []*State{{Model: strings.Repeat("m", 5000), Weights: 4}}},
+		"negative work":        {Work: []*Work{{Requests: least}}},
+		"negative tokens":      {Work: []*Work{{Tokens: least, Prefill: -1, Long: least, Streams: -1}}},
+		"most work":            {Work: []*Work{{Requests: most}}},
+		"most tokens":          {Work: []*Work{{Requests: 1, Tokens: most, Prefill: most, Long: most}}},
+		"infinite limit":       {Limits: []*Limit{{PerSecond: math.Inf(1)}}},
+		"no number as limit":   {Limits: []*Limit{{PerSecond: math.NaN()}}},
+		"negative limit":       {Limits: []*Limit{{PerSecond: -1}}},
+		"huge limit":           {Limits: []*Limit{{PerSecond: math.MaxFloat64}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := start(t, "a")
+			defer n.conn.Close()
+			r, now := n.set.Get("r"), time.Now()
+			for _, m := range odd.States {
+				m.Replica = r.Hash()
+			}
+			for _, m := range odd.Work {
+				m.Replica = r.Hash()
+			}
+			for _, m := range odd.Limits {
+				m.Replica = r.Hash()
+			}
+			odd.From = "x"
+			n.apply(t.Context(), now, odd)
+			if limit, _ := r.Limit(); limit != 0 || r.Busy(now) || r.Load.Total(now) != (replicas.Work{}) || r.WeightsVersion("m") != 0 {
+				t.Errorf("limit %g, busy %t, work %+v, weights %d", limit, r.Busy(now), r.Load.Total(now), r.WeightsVersion("m"))
+			}
+			n.apply(t.Context(), now.Add(time.Millisecond), &Report{
+				From: "x", States: []*State{{Replica: r.Hash(), BusyMs: 9000, Model: "m", Weights: 4}}, Work: []*Work{{Replica: r.Hash(), Requests: 5}},
+				Limits: []*Limit{{Replica: r.Hash(), PerSecond: 2.5, AgeMs: 10}},
+			})
+			if limit, _ := r.Limit(); limit != 2.5 || !r.Busy(now) || r.Load.Total(now).Requests != 5 || r.WeightsVersion("m") != 4 {
+				t.Errorf("a sound report after it: limit %g, busy %t, work %+v, weights %d", limit, r.Busy(now), r.Load.Total(now), r.WeightsVersion("m"))
+			}
+		})
+	}
+}
+
+// TestLimitOfTheFutureEnds guards against a limit that a peer dates from weeks ahead, and that no later report can end.
+func TestLimitOfTheFutureEnds(t *testing.T) {
+	n := start(t, "a")
+	defer n.conn.Close()
+	r, now := n.set.Get("r"), time.Now()
+	n.apply(t.Context(), now, &Report{From: "x", Limits: []*Limit{{Replica: r.Hash(), PerSecond: 0.1, AgeMs: math.MinInt32}}})
+	n.apply(t.Context(), now.Add(time.Second), &Report{From: "y", Limits: []*Limit{{Replica: r.Hash()}}})
+	if limit, _ := r.Limit(); limit != 0 {
+		t.Errorf("the limit %g has not ended", limit)
+	}
+}
+
 // TestSumsOfWorkFitReports guards against work that peers take for less than none, because the largest prompts that callers may name add up to more
 // than a report holds.
 func TestSumsOfWorkFitReports(t *testing.T) {
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -93,12 +93,12 @@
 	s.forEachKnown(r.Refusing, func(known *replicas.Replica) { known.RecordPeerRefusal(now, refusalBackoff) })
 	s.forEachKnown(r.Leaving, func(known *replicas.Replica) { known.MarkLeaving() })
 	for _, l := range r.Limits {
-		if replica := s.o.Set.ByHash(l.Replica); replica != nil && l.PerSecond >= 0 {
-			replica.UpdateLimit(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), l.PerSecond)
+		if replica := s.o.Set.ByHash(l.Replica); replica != nil && s.isPossible(r.From, l.validate()) {
+			replica.UpdateLimit(now.Add(-time.Duration(max(0, l.AgeMs))*time.Millisecond), l.PerSecond)
 		}
 	}
 	for _, state := range r.States {
-		if replica := s.o.Set.ByHash(state.Replica); replica != nil {
+		if replica := s.o.Set.ByHash(state.Replica); replica != nil && s.isPossible(r.From, state.validate()) {
 			replica.SetBusy(now.Add(time.Duration(state.BusyMs) * time.Millisecond))
 			if state.Weights > 0 {
 				replica.ObserveWeights(request.Model(state.Model), state.Weights)
@@ -134,7 +134,7 @@
 	s.mu.Unlock()
 	for _, w := range r.Work {
 		replica := s.o.Set.ByHash(w.Replica)
-		if replica == nil {
+		if replica == nil || !s.isPossible(r.From, w.validate()) {
 			continue
 		}
 		reported[w.Replica] = true
