Limits that replicas announce are bounded

Cause: Server-Limit and Server-Brittle had a least value and no largest, and the share of a window is an integer made of it.

--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -61,24 +61,30 @@
 	if capacity < 1 {
 		return 1, l.onePer(1 / capacity)
 	}
+	whole := int(capacity)
 	senders = daemons
 	if l.MaxSenders > 0 {
 		senders = min(senders, l.MaxSenders)
 	}
 	for ; senders > 1; senders-- {
-		if requests := int(capacity) / senders; float64(senders*requests) >= minUtilization*capacity {
+		if requests := whole / senders; float64(senders*requests) >= minUtilization*capacity {
 			return senders, Share{Requests: requests, Window: l.Window}
 		}
 	}
-	return 1, Share{Requests: int(capacity), Window: l.Window}
+	return 1, Share{Requests: whole, Window: l.Window}
 }
 
 // IsolatedShare returns the share of a daemon that does not know the other daemons, given an upper bound
 // of their number.
 func (l Limits) IsolatedShare(daemons int) Share { return l.onePer(float64(daemons) / l.capacity()) }
 
+// maxCapacity is above the requests that all daemons send to a replica in a window. A larger number may not fit in an integer.
+const maxCapacity = 1 << 30
+
 // capacity returns the requests that all senders together may send in one window.
-func (l Limits) capacity() float64 { return min(l.PerSecond*l.Window.Seconds(), l.Burst/2) }
+func (l Limits) capacity() float64 {
+	return min(l.PerSecond*l.Window.Seconds(), l.Burst/2, maxCapacity)
+}
 
 // onePer returns the share of one request in the given number of windows.
 func (l Limits) onePer(windows float64) Share {
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -295,3 +296,26 @@
 		}
 	}
 }
+
+// TestHugeLimitsEndNoDaemon guards against an answer that names a limit beyond the largest integer, and after which a daemon's share is negative.
+func TestHugeLimitsEndNoDaemon(t *testing.T) {
+	for _, perSecond := range []float64{1e9, 1 << 40, 1e18, 9.3e18, 1e19, 1e300, math.MaxFloat64, math.Inf(1)} {
+		l := Limits{PerSecond: perSecond, Burst: perSecond, Window: time.Second}
+		for _, daemons := range []int{1, 2, 3, 600} {
+			senders, share := l.Shares(daemons)
+			if senders < 1 || share.Requests < 1 || share.Requests > math.MaxInt32 || share.Window <= 0 || share.Gap() < 0 {
+				t.Errorf("%g per second, %d daemons: %d senders, %+v", perSecond, daemons, senders, share)
+				continue
+			}
+			var p Pacer
+			now := time.Now()
+			for range 2 * maxRecordedSends {
+				now = now.Add(time.Millisecond)
+				if !p.Ready(now, share) {
+					t.Errorf("%g per second, %d daemons: no request after %s", perSecond, daemons, time.Millisecond)
+				}
+				p.RecordSent(now)
+			}
+		}
+	}
+}
