--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -138,6 +138,7 @@
 
 	lenders    lenderReports  // used by report alone
 	badRooms   rate.Sometimes // bounds log lines
+	badNumbers rate.Sometimes // bounds log lines
 	waiting    waitingReport  // guarded by mu
 	peerDemand peerDemand
 	reach      ownReach // guarded by mu
@@ -227,7 +228,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: listen")
 	}
-	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
+	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, badNumbers: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
 // WrapConn replaces the connection by what wrap makes of it. It must be called before Run.
@@ -484,9 +485,7 @@
 		if w == (replicas.Work{}) {
 			continue
 		}
-		out[r.Hash()] = &Work{
-			Replica: r.Hash(), Requests: int32(w.Requests), Tokens: int32(w.Tokens), Prefill: int32(w.Prefill), Long: int32(w.LongTokens), Streams: int32(w.Streams),
-		}
+		out[r.Hash()] = workMessage(r.Hash(), w)
 	}
 	return out
 }
