origins: writes of the list of versions don't grow with the daemons while they fail

Cause: while the store refuses writes, each daemon whose streams wait for a listing, or pass replicas over, tried one each 500 ms or more often, and in the end each rank one a second: a store that refuses because of its load gets more of it from a larger fleet. And where a version joined, all daemons with streams tried at the same moment, after 50 ms, all but one in vain, if the news of the first write takes longer.

Now a write that failed is tried again after a time that grows with the number of daemons, at random (0.1 to 0.3 s with up to four), and daemons whose streams pass replicas over write by rank, 50 ms apart. A stream that waits still has its own daemon write at once.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -107,7 +107,8 @@
 	// histories are the entries in the key-value service; missing says since when a service has had none.
 	histories map[routing.ServiceID]*history
 	missing   map[routing.ServiceID]time.Time
-	urgent    map[routing.ServiceID]bool // services whose histories streams wait for
+	asked     askedWrites
+	retryAt   map[routing.ServiceID]time.Time // until when writes of histories are held back
 	// listChanged is closed and replaced when histories change.
 	listChanged chan struct{}
 	records     *origin.Records
@@ -134,7 +135,7 @@
 		o.RestoredAt = func() (time.Time, bool) { return time.Time{}, false }
 	}
 	e := &Exchange{
-		reads: newFreshReads(), historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), urgent: map[routing.ServiceID]bool{},
+		reads: newFreshReads(), historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), asked: newAskedWrites(), retryAt: map[routing.ServiceID]time.Time{},
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
 		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,10 @@
 	// writeDelay, multiplied by a daemon's rank, is how long it leaves a write to the daemons before it.
 	writeDelay   = 500 * time.Millisecond
 	writeTimeout = time.Second
+	// writeSpacing is the average time between the writes of one entry that all daemons together try, while none succeeds.
+	writeSpacing = 50 * time.Millisecond
+	// minWriteRetry is the average time between two tries of a daemon that has few others. Streams wait for longer.
+	minWriteRetry = 200 * time.Millisecond
 	// maxVersions bounds the versions in one entry. Of a service with more it lists some: what counts is that there are several.
 	maxVersions = 64
 	// maxVersionBytes is the longest version that daemons tell each other. They replace a longer one by its hash.
@@ -92,6 +97,9 @@
 		}
 		e.histories[service] = h
 		delete(e.missing, service)
+		if known == nil || known.revision != entry.Revision {
+			delete(e.retryAt, service)
+		}
 		e.remember(now, u, service, versions)
 		if !e.versionsOf(service).AllPresent(h.lists) {
 			e.wakeHistory() // another daemon wrote it without knowing of the version's replicas
@@ -152,23 +160,70 @@
 // dueWrites returns the entries that differ from what this daemon knows and that no daemon before it has written, or that a stream waits
 // for. A daemon whose list of replicas may be old adds versions to an entry, but neither creates it nor knows what it may remove.
 func (e *Exchange) dueWrites(now time.Time, keep time.Duration, rank func(key string) int) (due []dueWrite) {
-	urgent := e.takeUrgent()
+	asked := e.takeAsked()
 	for _, w := range e.differing(now, keep) {
-		w.urgent = urgent[w.service]
-		if w.urgent || now.Sub(w.since) >= time.Duration(rank(HistoryPrefix+string(w.service)))*writeDelay {
+		w.urgent = asked.urgent[w.service]
+		if e.holdBack(now, w) {
+			continue
+		}
+		if w.urgent || now.Sub(w.since) >= e.delayOf(w, rank, asked.passedOver[w.service]) {
 			due = append(due, w)
 		}
 	}
 	return due
 }
 
-// takeUrgent returns the services whose entries streams wait for, and forgets them.
-func (e *Exchange) takeUrgent() map[routing.ServiceID]bool {
+// delayOf returns how long this daemon leaves a write to those before it: not for long if streams pass replicas over until it is made. A daemon that
+// doesn't know its rank comes last.
+func (e *Exchange) delayOf(w dueWrite, rank func(key string) int, passedOver bool) time.Duration {
+	r := rank(HistoryPrefix + string(w.service))
+	delay := time.Duration(r) * writeDelay
+	if !passedOver {
+		return delay
+	}
+	return min(delay, listDelay+time.Duration(min(r, len(e.others())))*writeSpacing)
+}
+
+// askedWrites are the services whose entries are to be written soon.
+type askedWrites struct {
+	urgent     map[routing.ServiceID]bool // streams wait for the entry
+	passedOver map[routing.ServiceID]bool // streams begin at other replicas until then
+}
+
+func newAskedWrites() askedWrites {
+	return askedWrites{urgent: map[routing.ServiceID]bool{}, passedOver: map[routing.ServiceID]bool{}}
+}
+
+// takeAsked returns the services whose entries are to be written soon, and forgets them.
+func (e *Exchange) takeAsked() askedWrites {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	urgent := e.urgent
-	e.urgent = map[routing.ServiceID]bool{}
-	return urgent
+	asked := e.asked
+	e.asked = newAskedWrites()
+	return asked
+}
+
+// holdBack reports whether a write must wait because one of this daemon has failed a moment ago. It stays urgent.
+func (e *Exchange) holdBack(now time.Time, w dueWrite) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !now.Before(e.retryAt[w.service]) {
+		return false
+	}
+	if w.urgent {
+		e.asked.urgent[w.service] = true
+	}
+	return true
+}
+
+// retryLater holds writes of an entry back after one has failed: all daemons together try one each writeSpacing, however many they are.
+func (e *Exchange) retryLater(service routing.ServiceID) {
+	interval := max(minWriteRetry, time.Duration(len(e.others())+1)*writeSpacing)
+	delay := interval/2 + rand.N(interval) // daemons that failed together don't try again together
+	e.mu.Lock()
+	e.retryAt[service] = time.Now().Add(delay)
+	e.mu.Unlock()
+	time.AfterFunc(delay, e.wakeHistory)
 }
 
 // differing returns the entries that differ from what this daemon knows.
@@ -243,6 +298,7 @@
 		e.wakeHistory()
 	case !errors.Is(err, platform.ErrConflict):
 		e.o.Logger.Debug("Failed to write the versions of a service's software", "service", w.service, "error", err)
+		e.retryLater(w.service)
 	}
 }
 
--- a/internal/origins/listed.go
+++ b/internal/origins/listed.go
@@ -21,7 +21,7 @@
 // preference is for the versions with replicas that the key-value service lists, of a service that has replicas of other versions too.
 type preference struct {
 	listed map[string]bool
-	due    *monotime.Instant // when this daemon lists the others itself if streams still begin
+	due    *monotime.Instant // when this daemon asks next that the others be listed, if streams still begin
 }
 
 // Preferred returns the versions of a service's software at which streams that may be resumed begin, unless their replicas have no room: those
@@ -34,8 +34,8 @@
 	}
 	p := (*all)[service]
 	if now := time.Now(); !p.due.After(now) {
-		p.due.Set(now.Add(listTimeout))
-		e.listNow(service)
+		p.due.Set(now.Add(listDelay))
+		e.listSoon(service)
 	}
 	return p.listed
 }
@@ -101,7 +101,15 @@
 // listNow makes this daemon write the entry of a service, whatever its rank.
 func (e *Exchange) listNow(service routing.ServiceID) {
 	e.mu.Lock()
-	e.urgent[service] = true
+	e.asked.urgent[service] = true
+	e.mu.Unlock()
+	e.wakeHistory()
+}
+
+// listSoon makes this daemon write the entry of a service unless one of a lower rank does so first.
+func (e *Exchange) listSoon(service routing.ServiceID) {
+	e.mu.Lock()
+	e.asked.passedOver[service] = true
 	e.mu.Unlock()
 	e.wakeHistory()
 }
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
+	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
 )
 
@@ -22,6 +24,8 @@
 	mu     sync.Mutex
 	entry  platform.Entry
 	silent bool          // it answers nothing
+	refuse bool          // it refuses writes
+	writes int           // that were tried
 	takes  time.Duration // until it answers a read
 	reads  int
 }
@@ -49,6 +53,18 @@
 	kv.silent = silent
 }
 
+func (kv *listKV) writeCount() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	return kv.writes
+}
+
+func (kv *listKV) setRefuse(refuse bool) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.refuse = refuse
+}
+
 func (kv *listKV) readCount() int {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
@@ -79,6 +95,10 @@
 	}
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
+	kv.writes++
+	if kv.refuse {
+		return 0, platform.ErrUnavailable
+	}
 	if kv.entry.Revision != expect {
 		return 0, &platform.ConflictError{Current: kv.entry}
 	}
@@ -355,3 +375,99 @@
 		}
 	}
 }
+
+// newListingFleet returns the exchanges of daemons that know two versions, of which one is listed, with ranks from 0.
+func newListingFleet(kv *listKV, daemons int) []*member {
+	peers := make([]Peer, daemons)
+	for i := range peers {
+		peers[i] = Peer{Member: origin.Member{Name: fmt.Sprint("vm", i)}, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	}
+	fleet := make([]*member, daemons)
+	for i := range fleet {
+		e := newListingExchange(kv)
+		e.o.Self, e.o.Peers, e.o.Send = peers[i].Name, func() []Peer { return peers }, func(netip.AddrPort, []origin.Record) {}
+		e.o.Rank = func(string) int { return i }
+		e.OnSoftware(service, "v1", true)
+		e.OnListed(time.Now().Add(-time.Hour))
+		e.applyEntry(kv.entry)
+		e.OnSoftware(service, "v2", true)
+		fleet[i] = e
+	}
+	return fleet
+}
+
+// TestRefusedWritesGrowNotWithDaemons guards against a key-value service that can't recover from overload because each daemon keeps writing the
+// list of versions.
+func TestRefusedWritesGrowNotWithDaemons(t *testing.T) {
+	const observed = 20 * time.Second
+	for _, daemons := range []int{10, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := newListKV("v1")
+			kv.setRefuse(true)
+			ctx, cancel := context.WithCancel(t.Context())
+			var all sync.WaitGroup
+			fleet := newListingFleet(kv, daemons)
+			for _, e := range fleet {
+				all.Go(func() { _ = e.RunHistory(ctx) })
+				all.Go(func() {
+					for n := 0; ctx.Err() == nil; n++ {
+						e.Preferred(service)
+						e.Began(ctx, stream(n), relay.BoundTo("v2"))
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(10 * time.Second)
+			before := kv.writeCount()
+			time.Sleep(observed)
+			rate := float64(kv.writeCount()-before) / observed.Seconds()
+			t.Logf("%d daemons try %.1f writes a second", daemons, rate)
+			if most := 1.5 * float64(time.Second/writeSpacing); rate > most {
+				t.Errorf("%d daemons try %.1f writes a second, want at most %.0f", daemons, rate, most)
+			}
+			kv.setRefuse(false)
+			time.Sleep(historyInterval)
+			if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
+				t.Errorf("%d daemons: a second after writes are taken again, listed are %v", daemons, got)
+			}
+			cancel()
+			all.Wait()
+		})
+	}
+}
+
+// TestOneDaemonListsVersionThatStreamsPassOver guards against a write of each daemon, all but one in vain, for each version that joins.
+func TestOneDaemonListsVersionThatStreamsPassOver(t *testing.T) {
+	const daemons, newsTake = 100, 2 * listDelay
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		fleet := newListingFleet(kv, daemons)
+		for i, e := range fleet {
+			if i < daemons/2 { // the others have no streams, or are dead
+				continue
+			}
+			all.Go(func() { _ = e.RunHistory(ctx) })
+			all.Go(func() {
+				for ctx.Err() == nil {
+					e.Preferred(service)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		for kv.writeCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(newsTake)
+		for _, e := range fleet {
+			e.applyEntry(kv.entry)
+		}
+		synctest.Wait()
+		if writes := kv.writeCount(); writes > 1+int(newsTake/writeSpacing)+1 {
+			t.Errorf("%d writes of one version", writes)
+		}
+		cancel()
+		all.Wait()
+	})
+}
