origins: an unsure daemon that knows replicas of an empty version says so

Cause: an unsure daemon names the version that it knows, so that a list or another daemon that names another one ends the stream; the empty string stood for none. A replica's entry may say an empty version. A stream of it went on at the version that is listed, or that another daemon is certain of, where a version with a name ended it. Found by reading.

TestVersionWithoutNameIsAVersion fails before, for a daemon that is asked and for the one that asks. Daemons of a release before take the stand-in in an answer for a version, and refuse.

--- a/internal/origins/confirm_test.go
+++ b/internal/origins/confirm_test.go
@@ -74,6 +74,27 @@
 	g.mustEnd(g.members[0], 1)
 }
 
+// TestVersionWithoutNameIsAVersion guards against a daemon that is not sure, and knows replicas whose version is empty, telling that it knows none.
+func TestVersionWithoutNameIsAVersion(t *testing.T) {
+	g := newGroup(t, 1)
+	young := g.start("young")
+	young.current.Store(false)
+	young.OnSoftware(service, "", true)
+	g.mustEnd(g.members[0], 1)
+
+	g = &group{t: t, kv: newListKV("")}
+	young = g.start("young")
+	young.OnSoftware(service, "", true)
+	young.OnListed(time.Now())
+	other := g.start("other young one")
+	other.OnSoftware(service, "", true)
+	other.OnListed(time.Now())
+	g.mustGoOn(young, 1, "")
+	g.kv.list("v1")
+	g.kill(other)
+	g.mustEnd(young, 1)
+}
+
 // TestListIsReadByDaemonThatIsAsked guards against streams that end at a daemon without the key-value service while one of those that may have
 // the record is gone.
 func TestListIsReadByDaemonThatIsAsked(t *testing.T) {
--- a/internal/origins/lookup.go
+++ b/internal/origins/lookup.go
@@ -125,10 +125,30 @@
 	}
 	return &origin.Testimony{
 		Finding: origin.Finding{Found: r.Found, Software: r.Software, Conflict: r.Conflict},
-		View:    origin.View{Certainty: certaintyOf(r.Certainty), Software: r.Sole, Confirmed: r.Confirmed},
+		View:    viewOf(r),
 	}
 }
 
+// namelessSole stands in an answer for the empty version, as the only one that an unsure daemon knows.
+const namelessSole = "\x01"
+
+// viewOf returns the view in an answer.
+func viewOf(r *FindResponse) origin.View {
+	v := origin.View{Certainty: certaintyOf(r.Certainty), Software: r.Sole, Confirmed: r.Confirmed}
+	if v.Certainty == origin.Unsure && v.Software == namelessSole {
+		v.Software, v.Nameless = "", true
+	}
+	return v
+}
+
+// soleOf returns how an answer names the only version of a view.
+func soleOf(v origin.View) string {
+	if v.Nameless {
+		return namelessSole
+	}
+	return v.Software
+}
+
 // keeper serves the questions of other daemons.
 type keeper struct{ exchange *Exchange }
 
@@ -148,7 +168,7 @@
 		t.View = t.View.ConfirmedBy(k.exchange.listedNow(ctx, service))
 	}
 	return &FindResponse{
-		Found: t.Found, Software: t.Finding.Software, Conflict: t.Conflict, Certainty: messageOf(t.View.Certainty), Sole: t.View.Software,
+		Found: t.Found, Software: t.Finding.Software, Conflict: t.Conflict, Certainty: messageOf(t.View.Certainty), Sole: soleOf(t.View),
 		Confirmed: t.View.Confirmed,
 	}, nil
 }
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -28,7 +28,8 @@
 // View is what a daemon knows of a service.
 type View struct {
 	Certainty Certainty
-	Software  string // the version, if Certainty is Sole; if Unsure, the one that is known, empty: none
+	Software  string // the version, if Certainty is Sole; if Unsure, the one that is known, empty: none, unless Nameless
+	Nameless  bool   // Unsure, and the version that is known is the empty one
 	Confirmed bool   // the key-value service lists this version alone, as read after the stream came back; only if Certainty is Sole
 }
 
@@ -45,7 +46,9 @@
 }
 
 // knows reports whether the view names a version.
-func (v View) knows() bool { return v.Certainty == Sole || v.Certainty == Unsure && v.Software != "" }
+func (v View) knows() bool {
+	return v.Certainty == Sole || v.Certainty == Unsure && (v.Software != "" || v.Nameless)
+}
 
 // Finding is what a daemon has recorded of a stream.
 type Finding struct {
--- a/internal/policy/origin/versions.go
+++ b/internal/policy/origin/versions.go
@@ -106,7 +106,7 @@
 	case len(names) == 0:
 		return View{}
 	case !sure:
-		return View{Software: names[0]}
+		return View{Software: names[0], Nameless: names[0] == ""}
 	}
 	return View{Certainty: Sole, Software: names[0]}
 }
