placer: a stream that borrows room begins at a listed version too, as long as one of those that lend has room

Cause: the preference for versions that the key-value service lists was applied to the replicas of this daemon's group alone. A stream that found no room there began at any replica of another group, also at one of a version that is not listed. Found by reading. Left: room at an unlisted version in the own group goes before room at a listed one in another.

TestStreamsBeginAtPreferredSoftwareOfOtherGroup fails before.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -118,11 +118,7 @@
 		return nil, pp.noneNow(j, tried)
 	}
 	s := search{job: j, tried: tried, need: pp.pickRequest(j), maxWait: pp.recordAndLimitWait(j)}
-	preferred := pp.preferred(j, usable)
-	c, err := pp.claimAndChoose(ctx, s, preferred)
-	if hasNoRoom(err) && len(preferred) < len(usable) {
-		c, err = pp.claimAndChoose(ctx, s, usable)
-	}
+	c, err := pp.choosePreferred(ctx, s, usable)
 	if hasNoRoom(err) {
 		if c = pp.chooseBorrowed(ctx, s); c != nil {
 			err = nil
@@ -156,6 +152,16 @@
 	until     int64 // when fetches may start at the latest, on the replicas' clock
 }
 
+// choosePreferred chooses one of the replicas at which the request should begin, and one of all if none of those has room.
+func (pp *PromptPlacer) choosePreferred(ctx context.Context, s search, usable []*replicas.Replica) (*choice, error) {
+	preferred := pp.preferred(s.job, usable)
+	c, err := pp.claimAndChoose(ctx, s, preferred)
+	if hasNoRoom(err) && len(preferred) < len(usable) {
+		return pp.claimAndChoose(ctx, s, usable)
+	}
+	return c, err
+}
+
 // claimAndChoose claims transfers and chooses one of some replicas. It keeps no claims if it returns an error.
 func (pp *PromptPlacer) claimAndChoose(ctx context.Context, s search, usable []*replicas.Replica) (*choice, error) {
 	c := &choice{salt: pp.CacheSalt(s.job.Model, newestVersion(usable, s.job.Model), s.job.Org)}
@@ -175,7 +181,7 @@
 	if loan == nil {
 		return nil
 	}
-	c, err := pp.claimAndChoose(ctx, s, loan.Replicas)
+	c, err := pp.choosePreferred(ctx, s, loan.Replicas)
 	if err != nil {
 		loan.Cancel() // the caller says why the own group has no room
 		return nil
--- a/internal/placer/preferred_test.go
+++ b/internal/placer/preferred_test.go
@@ -118,3 +118,30 @@
 		t.Errorf("streams run at each replica of %d slots: %v", slots, begun)
 	}
 }
+
+// TestStreamsBeginAtPreferredSoftwareOfOtherGroup guards against a stream that begins at a version which is not listed, at a replica of another group,
+// while a replica of a listed one there has room.
+func TestStreamsBeginAtPreferredSoftwareOfOtherGroup(t *testing.T) {
+	f := newFixture(0)
+	f.placer.Lenders = &fakeLenders{set: f.set, tokens: 1 << 30}
+	f.putSoftware(0, "v1") // this group's, full
+	f.putSoftware(1, "v1")
+	f.putSoftware(2, "v2")
+	f.placer.Assigned = func(routing.ServiceID) []*replicas.Replica { return []*replicas.Replica{f.set.Get("r0")} }
+	f.placer.PreferredSoftware = func(routing.ServiceID) map[string]bool { return map[string]bool{"v1": true} }
+	f.set.Get("r0").Load.Begin(50_000, 40_000)
+	f.set.Get("r1").Load.Begin(20_000, 0)
+	for range 10 {
+		j := job("s")
+		j.Route.Resumable = true
+		if got := placedAt(t, f, j); got != "r1" {
+			t.Fatalf("the stream began at %q", got)
+		}
+	}
+	f.set.Get("r1").Load.Begin(50_000, 40_000)
+	j := job("s")
+	j.Route.Resumable = true
+	if got := placedAt(t, f, j); got != "r2" {
+		t.Errorf("with no room at the listed version, the stream began at %q", got)
+	}
+}
