origins: an entry that is created for 64 versions is valid

Cause: the entry that stands for unknown versions was added after the versions had been cut to as many as an entry may have. All daemons, the one that wrote it included, ignored it with a warning, and wrote it again without that entry.

TestEntryOfManyVersionsIsCreatedValid fails before (65 entries, want 1 to 64).

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -245,7 +245,6 @@
 		}
 		slices.Sort(names)
 		names = slices.Compact(names)
-		names = names[:min(len(names), maxVersions)]
 		if h == nil && !current || len(names) == 0 {
 			continue
 		}
@@ -256,6 +255,7 @@
 			e.missing[service] = earliest(e.missing[service], now)
 			h.differs = e.missing[service]
 		}
+		names = names[:min(len(names), maxVersions)]
 		if slices.Equal(h.versions, names) && len(h.renew) == 0 {
 			h.differs = time.Time{}
 			continue
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -293,6 +293,24 @@
 	})
 }
 
+// TestEntryOfManyVersionsIsCreatedValid guards against an entry that is created with more versions than it may have, which all daemons ignore.
+func TestEntryOfManyVersionsIsCreatedValid(t *testing.T) {
+	e := newListingExchange(&listKV{})
+	for n := range maxVersions {
+		e.OnSoftware(service, fmt.Sprint("v", n), true)
+	}
+	e.OnListed(time.Now())
+	for _, w := range e.dueWrites(time.Now(), keepTime, firstRank) {
+		value, err := json.Marshal(historyEntry{Versions: w.versions})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decodeHistory(value); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestVersionThatReturnsIsListedAnew guards against a daemon that has seen no replica of a version for long, and removes it from the entry while
 // streams begin at replicas that have joined since.
 func TestVersionThatReturnsIsListedAnew(t *testing.T) {
