--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -300,7 +300,11 @@
 		e.OnSoftware(service, fmt.Sprint("v", n), true)
 	}
 	e.OnListed(time.Now())
-	for _, w := range e.dueWrites(time.Now(), keepTime, firstRank) {
+	due := e.dueWrites(time.Now(), keepTime, firstRank)
+	if len(due) != 1 {
+		t.Errorf("%d writes are due", len(due))
+	}
+	for _, w := range due {
 		value, err := json.Marshal(historyEntry{Versions: w.versions})
 		if err != nil {
 			t.Fatal(err)
