A daemon that hears of changes and can't fetch them from peers watches the key-value service itself

Cause: a daemon does without a watch of its own for as long as peers report a young answer of the store. Those reports say which revisions there are; the changes themselves are fetched. Each fetch failed, each report went on to count as "up to date": to hear of a change was taken for having it.

Now the group knows for how long peers have answered no fetch of a change that they still report. A daemon relies on them for at most one watch time of that (1.2 s at a bound of 2 s), so that with the read it keeps the bound; a relay passes on no younger age than that. A peer that refuses because it sends other copies has answered. Nothing is called more at rest.

Ruled out: the lag alone, which lasts as long as changes come in a release of a large fleet, and would make all daemons watch.

--- a/internal/mirror/currency.go
+++ b/internal/mirror/currency.go
@@ -39,6 +39,15 @@
 	return Times{Watch: watch, WatchTimeout: watch + WatchSlack, MaxAge: watch + reportTime}
 }
 
+// RelyFor returns for how long a daemon relies on peers, given for how long the newest answer that they report counts and for how long they
+// have answered no fetch of a change that they report (Group.UnansweredFor). To hear of a change is not to have it.
+func (t Times) RelyFor(left, unanswered time.Duration) time.Duration {
+	if unanswered <= 0 {
+		return left
+	}
+	return min(left, t.Watch-unanswered)
+}
+
 // WatchSlack is how long after its wait a watch without an answer fails. The listing that follows has reportTime.
 const WatchSlack = readTime
 
--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -475,6 +475,11 @@
 
 // relayedFor returns for how long a daemon watches through its peers; zero or less: not at all.
 func (f *modelFleet) relayedFor(i int) time.Duration {
+	return f.times.RelyFor(f.reportedFor(i), f.daemons[i].group.UnansweredFor())
+}
+
+// reportedFor returns for how long the newest answer counts that the peers of a daemon have reported.
+func (f *modelFleet) reportedFor(i int) time.Duration {
 	d, now := f.daemons[i], time.Now()
 	watchers := d.watchers.Left(now, f.times.MaxAge)
 	switch {
@@ -529,7 +534,7 @@
 		f.daemons[to].watchers.Record(now, age)
 	}
 	if age, known := f.daemons[from].watchers.Age(now); f.way == tiered && isModelRelay(from) && known {
-		f.daemons[to].relays.Record(now, age)
+		f.daemons[to].relays.Record(now, max(age, f.daemons[from].group.UnansweredFor()))
 	}
 }
 
--- a/internal/mirror/group.go
+++ b/internal/mirror/group.go
@@ -75,13 +75,14 @@
 	lastReport time.Time         // last report of a missing change
 	fetches    int               // number of running fetches
 	lastFetch  time.Time         // start of the last fetch
+	unanswered time.Time         // start of the first fetch in this lag since the last one that a peer answered; zero: none failed
 }
 
 // recordReport records that a peer has a change that this daemon lacks, and reports whether to
 // fetch the peer's copy. The first fetch starts once the lag has lasted for delay.
 func (l *lag) recordReport(now time.Time, revision platform.Revision, delay time.Duration) bool {
 	if l.since.IsZero() || now.Sub(l.lastReport) > lagExpiry {
-		l.since, l.reported = now, 0
+		l.since, l.reported, l.unanswered = now, 0, time.Time{}
 	}
 	l.reported, l.lastReport = max(l.reported, revision), now
 	if now.Sub(l.since) < delay {
@@ -101,10 +102,28 @@
 // clearIfApplied ends the lag if all reported changes are applied.
 func (l *lag) clearIfApplied(m *Mirror) {
 	if m.hasApplied(l.reported) {
-		l.since = time.Time{}
+		l.since, l.unanswered = time.Time{}, time.Time{}
 	}
 }
 
+// recordFetch records whether a peer answered a fetch that began at a time.
+func (l *lag) recordFetch(began time.Time, answered bool) {
+	switch {
+	case answered:
+		l.unanswered = time.Time{}
+	case l.unanswered.IsZero():
+		l.unanswered = began
+	}
+}
+
+// unansweredFor returns for how long fetches of a change that peers still report have had no answer.
+func (l *lag) unansweredFor(now time.Time, m *Mirror) time.Duration {
+	if l.unanswered.IsZero() || l.duration(now, m) == 0 {
+		return 0
+	}
+	return now.Sub(l.unanswered)
+}
+
 // NewGroup returns a group for the mirrors in o.
 func NewGroup(o GroupOptions) *Group {
 	if o.Logger == nil {
@@ -204,11 +223,22 @@
 	return g.lags[prefix].duration(time.Now(), g.byPrefix[prefix])
 }
 
+// UnansweredFor returns for how long peers have reported a change that this daemon lacks and have answered no fetch of it; zero: they answer.
+func (g *Group) UnansweredFor() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, longest := time.Now(), time.Duration(0)
+	for prefix, l := range g.lags {
+		longest = max(longest, l.unansweredFor(now, g.byPrefix[prefix]))
+	}
+	return longest
+}
+
 // beginFetch records the revision that a peer reported for a prefix, and reports whether to fetch
 // the peer's copy. If so, it counts the fetch as running until fetch returns.
 func (g *Group) beginFetch(now time.Time, prefix string, reported platform.Revision) bool {
 	m := g.byPrefix[prefix]
-	applied := m.hasApplied(reported)
+	applied, relayed := m.hasApplied(reported), g.relayed()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.lags[prefix]
@@ -217,7 +247,7 @@
 		return false
 	}
 	delay := fetchDelay
-	if g.relayed() {
+	if relayed {
 		delay = 0
 	}
 	if !l.recordReport(now, reported, delay) || now.Sub(l.lastFetch) < g.interval(prefix) {
@@ -241,15 +271,11 @@
 // weight version has a few bytes, the desired state a megabyte.
 func (g *Group) fetch(ctx context.Context, peer, prefix string) {
 	m := g.byPrefix[prefix]
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.lags[prefix].fetches--
-		g.lags[prefix].clearIfApplied(m)
-	}()
-	known, started := m.completeUpTo(), time.Now()
+	known, started, answered := m.completeUpTo(), time.Now(), false
+	defer func() { g.endFetch(prefix, started, answered) }()
 	resp, err := NewCopiesProtobufClient("http://"+peer, g.client).Read(ctx, &ReadRequest{Prefix: prefix, NewerThan: uint64(known), Changes: true, Removals: true, Partial: m.isEmpty()})
 	if refused := twirp.Error(nil); errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted {
+		answered = true
 		g.countFetch("refused")
 		return
 	}
@@ -258,6 +284,7 @@
 		g.log.Info("Fetching a copy from a peer failed", "peer", peer, "prefix", prefix, "known", known, "after_ms", time.Since(started).Milliseconds(), "error", err)
 		return
 	}
+	answered = true
 	if resp.Partial {
 		g.countFetch("partial")
 		m.applyPartial(resp.content().entries, resp.Lapsing)
@@ -276,6 +303,16 @@
 	}
 }
 
+// endFetch records the end of a fetch.
+func (g *Group) endFetch(prefix string, began time.Time, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lags[prefix]
+	l.fetches--
+	l.recordFetch(began, answered)
+	l.clearIfApplied(g.byPrefix[prefix])
+}
+
 func (r *ReadResponse) content() content {
 	c := content{unchanged: r.Unchanged, complete: platform.Revision(r.Complete), newest: platform.Revision(r.Newest), afterOutage: r.Lapsing}
 	for _, e := range r.Entries {
--- a/internal/mirror/group_test.go
+++ b/internal/mirror/group_test.go
@@ -314,3 +314,50 @@
 		t.Errorf("%d fetches in ten seconds", begun)
 	}
 }
+
+// TestUnansweredFetchesOfChange guards against a daemon that relies on peers whose changes it hears of and can't fetch, and against one that
+// relies on them no more because they refuse for a moment, or because fetches of an earlier change failed.
+func TestUnansweredFetchesOfChange(t *testing.T) {
+	unreachable := httptest.NewServer(http.NotFoundHandler())
+	unreachable.Close()
+	dead := strings.TrimPrefix(unreachable.URL, "http://")
+	ahead, _ := filledMirror(5, map[string]string{"p/1": "new"})
+	peers := NewGroup(GroupOptions{Client: http.DefaultClient, Mirrors: []*Mirror{ahead}})
+	peer := servePeer(t, peers)
+	for range maxServed {
+		peers.serving <- struct{}{}
+	}
+	behind, _ := filledMirror(1, map[string]string{"p/1": "old"})
+	g := NewGroup(GroupOptions{Client: http.DefaultClient, Mirrors: []*Mirror{behind}, Relayed: func() bool { return true }})
+	ctx := context.Background()
+	isUnanswered := func() bool { return g.UnansweredFor() > 0 }
+	report := func(peer string) {
+		if g.beginFetch(time.Now(), "p/", 5) {
+			g.fetch(ctx, peer, "p/")
+		}
+	}
+	g.Ask(ctx, dead, "p/")
+	if isUnanswered() {
+		t.Error("a fetch counts although no peer reported a change")
+	}
+	report(peer)
+	if isUnanswered() {
+		t.Error("a peer that refuses counts as one that does not answer")
+	}
+	report(dead)
+	if !isUnanswered() {
+		t.Error("a fetch of a change that failed does not count")
+	}
+	first := g.UnansweredFor()
+	report(dead)
+	if g.UnansweredFor() < first {
+		t.Error("the second fetch that failed counts as the first")
+	}
+	for range maxServed {
+		<-peers.serving
+	}
+	report(peer)
+	if isUnanswered() || !behind.hasApplied(5) {
+		t.Error("fetches count as failed although the change was applied")
+	}
+}
