Test of cancellation: a request of a stranger is none of the test's

TestCancelReachesReplicaThroughPeer panicked once beside load ("close of closed channel"): its replica took any second request for its own.

By reading, the relay sends the request once to that replica: an attempt writes it once, a daemon places no request at a replica or peer that it tried before, none retries after the cancel, and net/http retries only on a connection that was used before. What is left is a stranger: ports of replicas that ended are given to new listeners, also of other processes. A stranger's request makes the test as it was panic with the same message.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -277,27 +278,40 @@
 	}
 }
 
-// The caller of a forwarded request disconnects. The replica must be told soon, although two daemons are in between.
+// The caller of a forwarded request disconnects. The replica must be told soon, although two daemons are in between, and must not get the request
+// again. Others may call at the replica's port, which was another's before: only this request counts.
 func TestCancelReachesReplicaThroughPeer(t *testing.T) {
+	id := uniqueID(t)
+	var peer *fixture
+	t.Cleanup(func() { // after all servers have ended their attempts
+		if n := peer.receivedOf(id); n != 1 {
+			t.Errorf("the replica got the request %d times, want once", n)
+		}
+	})
 	cut, peer, _ := newPair(t, route(routing.KindIdempotent))
-	began, closed := make(chan struct{}), make(chan struct{})
-	peer.addReplica(func(c net.Conn, _ string) {
-		close(began)
+	began, closed := make(chan struct{}, 8), make(chan struct{}, 8)
+	replica := peer.addReplica(func(c net.Conn, got string) {
+		if got != id {
+			return
+		}
+		began <- struct{}{}
 		_, _ = bufio.NewReader(c).ReadByte() // fails when the connection is closed
-		close(closed)
+		closed <- struct{}{}
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, cut.front.URL+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Host, r.Header = testHost, http.Header{"Id": {"1"}, "Key": {"k"}}
+	r.Host, r.Header = testHost, http.Header{"Id": {id}, "Key": {"k"}}
+	callAsStranger(t, replica)
 	go func() {
 		if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
 			resp.Body.Close()
 		}
 	}()
 	<-began
+	callAsStranger(t, replica)
 	cancel()
 	select {
 	case <-closed:
@@ -306,6 +320,34 @@
 	}
 }
 
+// callAsStranger sends a replica a request as another test does whose replica had the same port before.
+func callAsStranger(t *testing.T, replica net.Listener) {
+	c, err := net.Dial("tcp", replica.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: %s\r\nId: 1\r\n\r\n", testHost)
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// uniqueID returns the id of a request that no other test sends, of this or another process.
+func uniqueID(t *testing.T) string {
+	return fmt.Sprint(t.Name(), "-", os.Getpid(), "-", time.Now().UnixNano())
+}
+
+// receivedOf returns how often replicas received a request.
+func (f *fixture) receivedOf(id string) (n int) {
+	for _, a := range f.received() {
+		if a.id == id {
+			n++
+		}
+	}
+	return n
+}
+
 // A peer dies in the middle of a stream that may be resumed. The next one goes on after the last event, and the caller gets
 // each event once.
 func TestStreamResumesAtAnotherPeer(t *testing.T) {
