origins: a removal that conflicts with a version listed anew is not repeated at once

A daemon that lacks the news of a version's return removes it from software/SERVICE. Those that have the news list it anew first, so that the removal conflicts. Cause: the daemon then took the new revision, still counted the version as gone since the time at which it saw the last replica leave, and removed it again on the new revision, successfully: at once if its removal had conflicted before the records were pruned (each 500 ms), and when that time had passed if another of its writes had. Streams that had begun at the version were then unlisted.

Now the versions of an entry that a write conflicted with count as present until then, for the keep time.

TestRemovalThatConflictsIsNotRepeated: both cases fail before ([v1 v3] listed). internal/origins holds under the race detector.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// rememberAnew records that streams may have begun until now at the versions of an entry that another daemon has written, and of which this one
+// had not heard: it may lack the news of their replicas too.
+func (e *Exchange) rememberAnew(service routing.ServiceID) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := e.histories[service]
+	if h == nil {
+		return // removed since
+	}
+	for _, software := range h.versions {
+		e.versionsOf(service).RememberAnew(now, software)
+	}
+}
+
 // lists reports whether the entry contains a version, or has no room for it, and need not be written anew.
 func (h *history) lists(software string) bool {
 	return !h.renew[software] && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
@@ -291,6 +306,7 @@
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
 	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
+		e.rememberAnew(w.service)
 		if w.urgent {
 			e.listNow(w.service)
 			return
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -493,3 +493,41 @@
 		all.Wait()
 	})
 }
+
+// TestRemovalThatConflictsIsNotRepeated guards against a daemon that removes a version although another one has listed it anew, because it takes only
+// the revision from the conflict, and has seen no replica of the version for long.
+func TestRemovalThatConflictsIsNotRepeated(t *testing.T) {
+	for name, conflictAfter := range map[string]time.Duration{
+		"its removal conflicts":                keepTime + time.Millisecond,
+		"a write of another version conflicts": keepTime - historyInterval,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkRemovalThatConflicts(t, conflictAfter) })
+		})
+	}
+}
+
+// checkRemovalThatConflicts lets a write of a daemon conflict with one that lists a version anew, some time after the daemon saw its last replica leave.
+func checkRemovalThatConflicts(t *testing.T, conflictAfter time.Duration) {
+	kv := newListKV("v1", "v2")
+	e := newListingExchange(kv)
+	e.o.Rank = firstRank
+	e.OnSoftware(service, "v1", true)
+	e.OnSoftware(service, "v2", true)
+	e.OnListed(time.Now().Add(-time.Hour))
+	e.applyEntry(kv.entry)
+	e.OnSoftware(service, "v2", false)
+	kv.list("v1", "v2") // its replicas have returned, as another daemon knows
+	time.Sleep(conflictAfter)
+	e.OnSoftware(service, "v3", true)
+	_, stop := e.runHistory(t)
+	defer stop()
+	time.Sleep(3 * historyInterval)
+	if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2", "v3"}) {
+		t.Errorf("listed are %v", got)
+	}
+	time.Sleep(keepTime)
+	if got := kv.versions(); !slices.Equal(got, []string{"v1", "v3"}) {
+		t.Errorf("the version stays for ever: %v", got)
+	}
+}
