placer: a request that is placed counts at once at a brittle replica

What callers saw: a brittle replica that has to reject many requests falls over with all that it runs. TestBrittleReplicasRejectFewRequests failed in 1 of 6 runs beside a load of 20: "i-3 rejects 26 requests in a second, it falls over above 6".

Cause, by reading and by a test without processes; the failed run itself has no trace: what a brittle replica may get is bounded by the daemon's own requests there, but a request counted only once its placement was complete, after its share had been taken. In between, transfers may be claimed anew from another process, and any number of requests took the same place. Its flight now begins under the lock under which the share is taken.

Ruled out for those runs that were watched (6): a replica that is not known as brittle, or is taken for another process.

--- a/internal/placer/engine.go
+++ b/internal/placer/engine.go
@@ -151,6 +151,7 @@
 type choice struct {
 	replica   *replicas.Replica
 	candidate *pick.Candidate
+	flight    *replicas.Flight
 	salt      string // under which the transfers are claimed
 	offers    []PartOffer
 	until     int64 // when fetches may start at the latest, on the replicas' clock
@@ -161,7 +162,7 @@
 	c := &choice{salt: pp.CacheSalt(s.job.Model, newestVersion(usable, s.job.Model), s.job.Org)}
 	c.offers, c.until = pp.claimTransfers(ctx, s.job, c.salt, usable)
 	var err error
-	if c.replica, c.candidate, err = pp.choose(s, usable, c.salt, c.offers); err != nil {
+	if c.replica, c.candidate, c.flight, err = pp.choose(s, usable, c.salt, c.offers); err != nil {
 		pp.release(c.salt, s.job, c.offers)
 		return nil, err
 	}
@@ -203,37 +204,37 @@
 	pp.announcePlacement(r, j, ownSalt)
 	onFirstEvent, stop := pp.watchFetch(chosen, s.need, sources, c.offers)
 	onLongestGap, observePauses := pp.watchPauses(j, r)
-	compute := costs.TokensToCompute(s.need, chosen.Parts)
 	return &relay.Placement{
 		Replica: r, Meta: meta, StartDeadline: pp.beginBy(j.Model, version), OnFirstEvent: onFirstEvent, OnLongestGap: onLongestGap,
 		OnEnd: pp.onEnded(stop, observePauses, ownSalt, j, c.offers), Reason: placementReason(chosen, &meta, j.OutputTokens),
-		Flight: beginFlight(r, s.need, compute),
+		Flight: c.flight,
 		Stream: pp.observe(j, s.need, r, chosen, sources, &meta),
 	}
 }
 
-// choose returns the cheapest of a sample of the replicas that can serve the request in time, or the
+// choose begins a request at the cheapest of a sample of the replicas that can serve it in time, or returns the
 // reason why none can. If a concurrent request has used up the quota of that replica, choose tries again
 // without it. It places a resumed stream whatever the wait, since the caller would otherwise lose the
 // part of the response that it has received.
-func (pp *PromptPlacer) choose(s search, usable []*replicas.Replica, salt string, offers []PartOffer) (*replicas.Replica, *pick.Candidate, error) {
+func (pp *PromptPlacer) choose(s search, usable []*replicas.Replica, salt string, offers []PartOffer) (*replicas.Replica, *pick.Candidate, *replicas.Flight, error) {
 	j, pickReq, maxWait := s.job, s.need, s.maxWait
 	for len(usable) > 0 {
 		candidates := pp.candidates(j, usable, salt, offers)
 		kept := inTime(pickReq, candidates, maxWait)
 		if len(kept) == 0 && !j.ResponseStarted {
-			return nil, nil, &relay.NoRoomError{Service: j.Service.ID, Wait: shortestWait(pickReq, candidates) - maxWait}
+			return nil, nil, nil, &relay.NoRoomError{Service: j.Service.ID, Wait: shortestWait(pickReq, candidates) - maxWait}
 		}
 		if len(kept) > 0 {
 			usable, candidates = selectIndexes(usable, kept), selectIndexes(candidates, kept)
 		}
 		n := pick.BestSampled(pick.DefaultCosts, pickReq, candidates)
-		if pp.Quotas.Take(time.Now(), usable[n]) {
-			return usable[n], &candidates[n], nil
+		r, chosen := usable[n], &candidates[n]
+		if flight := pp.Quotas.Take(time.Now(), r, func() *replicas.Flight { return beginFlight(r, pickReq, chosen) }); flight != nil {
+			return r, chosen, flight, nil
 		}
 		usable = slices.Delete(usable, n, n+1)
 	}
-	return nil, nil, pp.noneNow(j, s.tried)
+	return nil, nil, nil, pp.noneNow(j, s.tried)
 }
 
 // onEnded returns the OnEnd function of an attempt, which releases the claims that the attempt did not
@@ -295,7 +296,9 @@
 	return permitUntil - max(0, storecache.ReadPermitTTL-maxFetch).Milliseconds()
 }
 
-func beginFlight(r *replicas.Replica, pickReq pick.Request, compute int) *replicas.Flight {
+// beginFlight begins the work of a request at the replica of a candidate.
+func beginFlight(r *replicas.Replica, pickReq pick.Request, chosen *pick.Candidate) *replicas.Flight {
+	compute := pick.DefaultCosts.At(chosen).TokensToCompute(pickReq, chosen.Parts)
 	work := replicas.Work{Requests: 1, Tokens: pickReq.KVTokens, Prefill: compute}
 	if pickReq.LongOutput {
 		work.LongTokens = pickReq.KVTokens
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -44,8 +44,9 @@
 			return nil, noReplica()
 		}
 		r := p.cheapest(p.preferred(j, usable))
-		if p.Quotas.Take(time.Now(), r) {
-			return &relay.Placement{Replica: r, Flight: r.Load.Begin(0, 0), Reason: "load"}, nil
+		begin := func() *replicas.Flight { return r.Load.Begin(0, 0) }
+		if flight := p.Quotas.Take(time.Now(), r, begin); flight != nil {
+			return &relay.Placement{Replica: r, Flight: flight, Reason: "load"}, nil
 		}
 	}
 }
--- a/internal/placer/quotas.go
+++ b/internal/placer/quotas.go
@@ -85,24 +85,25 @@
 	return brittle.Share{Daemons: len(daemons), Rank: subset.Rank(q.Self, daemons, r.Hash())}
 }
 
-// Take consumes one request of this daemon's share of a replica, and reports whether it was available.
-func (q *Quotas) Take(now time.Time, r *replicas.Replica) bool {
+// Take consumes one request of this daemon's share of a replica and begins its flight; nil: none was available. The flight begins
+// before others ask, as its load counts for what a brittle replica may get.
+func (q *Quotas) Take(now time.Time, r *replicas.Replica, begin func() *replicas.Flight) *replicas.Flight {
 	if q == nil {
-		return true
+		return begin()
 	}
 	shares, sends := q.shares(now, r)
 	if !sends {
-		return false
+		return nil
 	}
 	risk := q.riskShare(r)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.allow(now, r, shares) || r.IsBrittle() && !r.MayRisk(now, risk) {
-		return false
+		return nil
 	}
 	r.RecordRisk(now)
 	q.pace(r).RecordSent(now) // even without a bound: one that begins counts earlier requests
-	return true
+	return begin()
 }
 
 // allow reports whether this daemon's shares permit another request.
--- a/internal/placer/quotas_test.go
+++ b/internal/placer/quotas_test.go
@@ -171,7 +171,7 @@
 	f := newFixture(1)
 	setRateQuotas(f, "d0", "d0")
 	q, r, now := f.placer.Quotas, f.set.Get("r0"), time.Now()
-	q.Take(now, r)
+	q.Take(now, r, func() *replicas.Flight { return r.Load.Begin(0, 0) })
 	r.UpdateLimit(now, 0.1)
 	later := now.Add(8 * time.Second)
 	q.Prune(later)
