A daemon that does not know who was isolated lets organisations share no cache from before

Cause: a daemon that gets no records of isolated organisations within 2 s of its first desired state took that for there being none, and used the pools that everybody leaves when an organisation is isolated, in which a daemon that learned late of it may have made that organisation's cache.

Now such a daemon uses provisional pools, whose names contain the revision of the desired state. Who uses one has applied that desired state and knows no records; an organisation that it isolates has a salt of its own. So none holds cache made in an isolation, whatever happened before; organisations go on sharing, also across daemons of the same desired state. The price is the cache from before, until the records are read.

Ruled out: sharing nothing until they are read (TestRecordsAreNotWaitedForWithoutEnd holds as it is); a pool for each start of a daemon, which shares nothing across daemons.

Test: TestDaemonWithoutRecordsSharesNoCacheFromBefore; before, a, b and requests without an organisation used w1, under which a had made cache.

--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,7 @@
 )
 
 // recordsWait is how long after its first desired state a daemon waits for the records. While the key-value service is away it gets
-// them from others, except if there are none.
+// them from others, except if there are none. After that its organisations share provisional pools, which hold no cache from before.
 const recordsWait = 2 * time.Second
 
 // Options configures New.
@@ -48,6 +49,7 @@
 	waited        bool      // for the records, for long enough
 	desiredAt     time.Time // when the first desired state was applied; zero: none was
 	organisations int       // in the desired state
+	desired       platform.Revision
 	isolated      map[request.OrgID]bool
 	apart         map[request.OrgID]time.Time // since when each has not been isolated, zero if it is
 	generations   cachepool.Generations
@@ -75,13 +77,13 @@
 func (t *Tracker) Mirror() *mirror.Mirror { return t.mirror }
 
 // OnDesired records the organisations of a desired state. It must be called before requests see that state.
-func (t *Tracker) OnDesired(now time.Time, organisations []*routing.Org) {
+func (t *Tracker) OnDesired(now time.Time, revision platform.Revision, organisations []*routing.Org) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.desiredAt.IsZero() {
 		t.desiredAt = now
 	}
-	t.organisations = len(organisations)
+	t.organisations, t.desired = len(organisations), revision
 	t.isolated = map[request.OrgID]bool{}
 	for _, org := range organisations {
 		if org.Isolated {
@@ -100,7 +102,7 @@
 		return
 	}
 	t.waited = true
-	t.o.Logger.Warn("The records of isolated organisations are not known; only the desired state says which organisations share")
+	t.o.Logger.Warn("The records of isolated organisations are not known; organisations share cache of the desired state alone")
 	t.update(now)
 }
 
@@ -113,8 +115,11 @@
 	}
 	t.compare(now)
 	t.o.Metrics.Gauge("organisations_kept_apart").Update(float64(len(t.apart)))
-	if t.listed || t.waited {
+	switch {
+	case t.listed:
 		t.pools.Store(cachepool.New(t.organisations, names(t.apart), &t.generations))
+	case t.waited:
+		t.pools.Store(cachepool.NewProvisional(t.organisations, names(t.apart), strconv.FormatUint(uint64(t.desired), 10)))
 	}
 }
 
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -73,7 +73,7 @@
 // start starts a daemon that knows what the service holds.
 func start(now time.Time, s *service) *Tracker {
 	d := New(Options{})
-	d.OnDesired(now, desired(s.isolated...))
+	d.OnDesired(now, 1, desired(s.isolated...))
 	d.onRecords(now, s.list())
 	return d
 }
@@ -84,7 +84,7 @@
 // isolated use what others share.
 func TestNothingIsSharedBeforeRecordsAreKnown(t *testing.T) {
 	d := New(Options{})
-	d.OnDesired(time.Now(), desired())
+	d.OnDesired(time.Now(), 1, desired())
 	if a, b := salt(d, "a"), salt(d, "b"); a == b || a != cachepool.Own(1, "a") {
 		t.Errorf("salts %q and %q", a, b)
 	}
@@ -102,11 +102,11 @@
 func TestRecordsAreNotWaitedForWithoutEnd(t *testing.T) {
 	now, s := time.Now(), newService()
 	recorded := start(now, s)
-	recorded.OnDesired(now, desired("a"))
+	recorded.OnDesired(now, 1, desired("a"))
 	s.write(t, now, recorded, 0)
 	d := New(Options{})
 	d.onTime(now)
-	d.OnDesired(now.Add(time.Minute), desired("c"))
+	d.OnDesired(now.Add(time.Minute), 1, desired("c"))
 	now = now.Add(time.Minute)
 	d.onTime(now.Add(recordsWait - 1))
 	if salt(d, "a") == salt(d, "b") {
@@ -125,6 +125,35 @@
 	}
 }
 
+// TestDaemonWithoutRecordsSharesNoCacheFromBefore guards against a daemon whose listing of the records hangs, and which lets organisations find
+// cache that another one made while it was isolated, through a daemon that learned late of it.
+func TestDaemonWithoutRecordsSharesNoCacheFromBefore(t *testing.T) {
+	now := time.Now()
+	unsure := func(revision platform.Revision, isolated ...request.OrgID) *Tracker {
+		d := New(Options{})
+		d.OnDesired(now, revision, desired(isolated...))
+		d.onTime(now.Add(recordsWait))
+		return d
+	}
+	late, lateAndUnsure := start(now, newService()), unsure(1)
+	made := []string{salt(late, "a"), salt(lateAndUnsure, "a")} // while a is isolated by the desired state of revision 2
+	d, other := unsure(3), unsure(3)
+	for _, org := range []request.OrgID{"b", "a"} {
+		if got := salt(d, org); slices.Contains(made, got) {
+			t.Errorf("%s uses %q, under which a made cache while it was isolated", org, got)
+		}
+	}
+	if a, b := salt(d, "a"), salt(other, "b"); a != b {
+		t.Errorf("organisations share nothing: a uses %q, b %q", a, b)
+	}
+	if got := d.Salt(1, nil); got == late.Salt(1, nil) {
+		t.Errorf("requests without an organisation use %q", got)
+	}
+	if got := salt(unsure(3, "a"), "b"); got == salt(d, "b") {
+		t.Errorf("b uses %q whether a is isolated or not", got)
+	}
+}
+
 // TestOrganisationIsolatedAtItsRequestUsesNoPool guards against a request that was accepted while its organisation was isolated,
 // and placed when it no longer was.
 func TestOrganisationIsolatedAtItsRequestUsesNoPool(t *testing.T) {
@@ -140,11 +169,11 @@
 	now, s := time.Now(), newService()
 	prompt, late := start(now, s), start(now, s)
 	s.isolated = []request.OrgID{"a"}
-	prompt.OnDesired(now, desired("a"))
+	prompt.OnDesired(now, 1, desired("a"))
 	made := salt(late, "a")
 	s.write(t, now, prompt, 0)
 	s.isolated = nil
-	prompt.OnDesired(now, desired())
+	prompt.OnDesired(now, 1, desired())
 	for name, d := range map[string]*Tracker{"same": prompt, "restarted": start(now, s)} {
 		if got := salt(d, "b"); got == made {
 			t.Errorf("%s daemon: b uses %q, under which a made cache while it was isolated", name, got)
@@ -168,7 +197,7 @@
 	for n := range 40 {
 		now = now.Add(time.Minute)
 		s.isolated = []request.OrgID{"a"}[:n%2]
-		d.OnDesired(now, desired(s.isolated...))
+		d.OnDesired(now, 1, desired(s.isolated...))
 		s.write(t, now, d, 0)
 		d.onRecords(now, s.list())
 		if got := salt(d, "b"); !slices.Contains(salts, got) {
@@ -190,7 +219,7 @@
 		now = now.Add(after)
 		s.isolated = isolated
 		for _, d := range all {
-			d.OnDesired(now, desired(isolated...))
+			d.OnDesired(now, 1, desired(isolated...))
 		}
 		s.write(t, now, d, 0)
 		for _, d := range all {
@@ -223,10 +252,10 @@
 	now, s := time.Now(), newService()
 	d := start(now, s)
 	empty := s.backup()
-	d.OnDesired(now, desired("a"))
+	d.OnDesired(now, 1, desired("a"))
 	s.write(t, now, d, 0)
 	d.onRecords(now, s.list())
-	d.OnDesired(now, desired())
+	d.OnDesired(now, 1, desired())
 	isolated := s.backup()
 	for _, c := range []struct {
 		name   string
@@ -257,7 +286,7 @@
 func TestFirstDaemonWritesRecord(t *testing.T) {
 	now, s := time.Now(), newService()
 	d := start(now, s)
-	d.OnDesired(now, desired("a"))
+	d.OnDesired(now, 1, desired("a"))
 	if s.write(t, now, d, 2) != 0 || s.write(t, now.Add(2*writeDelay), d, 2) != 1 {
 		t.Error("a daemon of rank 2 does not write after two delays")
 	}
@@ -281,7 +310,7 @@
 			t.Errorf("%.40s: %v, want an error that names %s", value, err, field)
 		}
 		d := New(Options{Metrics: tally.NoopScope})
-		d.OnDesired(now, desired("a"))
+		d.OnDesired(now, 1, desired("a"))
 		s.records[recordKey(section)] = platform.Entry{Key: recordKey(section), Value: []byte(value), Revision: 9}
 		s.records[RecordPrefix+"x"] = platform.Entry{Key: RecordPrefix + "x", Value: []byte(`{}`), Revision: 9}
 		d.onRecords(now, s.list())
@@ -299,10 +328,10 @@
 	now, s := time.Now(), newService()
 	section := cachepool.Section("a")
 	d := start(now, s)
-	d.OnDesired(now, desired("a"))
+	d.OnDesired(now, 1, desired("a"))
 	s.write(t, now, d, 0)
 	d.onRecords(now, s.list())
-	d.OnDesired(now, desired()) // a is kept apart for ReturnAfter
+	d.OnDesired(now, 1, desired()) // a is kept apart for ReturnAfter
 	for _, generation := range []string{"18446744073709551615", "1048577", strings.Repeat("9", 1<<20)} {
 		value := fmt.Sprintf(`{"organisations":[],"generation":%s}`, generation)
 		if _, err := decodeRecord(section, []byte(value)); err == nil || !strings.Contains(err.Error(), "generation") || len(err.Error()) > 400 {
@@ -339,7 +368,7 @@
 		}
 	}
 	d := start(now, s)
-	d.OnDesired(now, orgs)
+	d.OnDesired(now, 1, orgs)
 	s.write(t, now, d, 0)
 	first := s.records[recordKey(0)]
 	d.onRecords(now, s.list())
--- a/internal/isolation/schedule_test.go
+++ b/internal/isolation/schedule_test.go
@@ -114,7 +114,7 @@
 
 func (s *schedule) deliver(d *scheduledDaemon) {
 	d.isolated = slices.Clone(s.service.isolated)
-	d.OnDesired(s.now, desired(d.isolated...))
+	d.OnDesired(s.now, 1, desired(d.isolated...))
 	s.record("daemon %d applies %v", d.rank, d.isolated)
 }
 
--- a/internal/policy/cachepool/cachepool.go
+++ b/internal/policy/cachepool/cachepool.go
@@ -51,6 +51,16 @@
 
 // New returns the pools for a number of organisations and the set of those that are kept apart.
 func New(organisations int, apart map[request.OrgID]struct{}, generations *Generations) *Pools {
+	return newPools(organisations, apart, generations, "")
+}
+
+// NewProvisional returns the pools of a daemon that knows from a desired state who is kept apart, and not who was before. Only daemons that have
+// applied that desired state, whose name is unique and not empty, and that do not know either use them.
+func NewProvisional(organisations int, apart map[request.OrgID]struct{}, desired string) *Pools {
+	return newPools(organisations, apart, &Generations{}, desired)
+}
+
+func newPools(organisations int, apart map[request.OrgID]struct{}, generations *Generations, desired string) *Pools {
 	p := &Pools{groups: groupsFor(organisations), apart: make(map[request.OrgID]struct{}, len(apart)), digests: map[uint64]string{}}
 	named := map[uint64]*identity{}
 	of := func(group uint64) *identity {
@@ -72,6 +82,11 @@
 			of(group).Generations[section] = generation
 		}
 	}
+	if desired != "" {
+		for group := range p.groups {
+			of(group).Desired = desired
+		}
+	}
 	for group, i := range named {
 		p.digests[group] = i.digest()
 	}
@@ -82,6 +97,7 @@
 type identity struct {
 	Without     []string       // the organisations that do not use it
 	Generations map[int]uint64 // of its sections, if not zero
+	Desired     string         `json:",omitempty"` // the desired state that a provisional pool is of
 }
 
 // digest returns a digest that differs for any other identity.
