--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -396,7 +396,7 @@
 			s.revision++
 			odd := platform.Entry{Key: RecordPrefix + spelling, Value: []byte(value), Revision: s.revision}
 			d.onRecords(now, mirror.Update{Entries: []platform.Entry{odd}})
-			d.OnDesired(now, desired("a"))
+			d.OnDesired(now, 1, desired("a"))
 			if s.write(t, now, d, 0) != 1 {
 				t.Errorf("%s %s: no record is written", odd.Key, value)
 				continue
