--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -18,7 +18,7 @@
 	s.o.Metrics.Tagged(map[string]string{"outcome": a.outcome.String()}).Counter("tries").Inc(1)
 	s.o.Logger.Info(loglines.AttemptFailed, "request", j.ID, "try", number, "replica", a.placement.Meta.Replica,
 		"outcome", a.outcome.String(), "status", status, "weights", a.placement.Meta.WeightsVersion,
-		"why", a.placement.Reason, "error", a.err, "retry_after_ms", a.meta.RetryAfter.Milliseconds(), "after_ms", sinceMs(j.Start), "software", a.software(), "resumed_after", a.resumedAfter(j))
+		"why", a.placement.Reason, "error", a.err, "retry_after_ms", a.meta.RetryAfter.Milliseconds(), "after_ms", sinceMs(j.Start), "software", a.software(), "resumed_after", a.resumedAfter(j), "resumes", j.Resumes)
 }
 
 // software returns the version of the software of the attempt's replica, empty if another daemon chose the replica.
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/bluebellscale/bluebellscale/internal/loglines"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/routing"
@@ -137,6 +139,23 @@
 	}
 }
 
+// TestBrokenTryTellsWhichStreamItResumed guards against a stream that is taken up and breaks again, and whose events can't be traced in the logs to the
+// request that began it.
+func TestBrokenTryTellsWhichStreamItResumed(t *testing.T) {
+	f, log := newFixture(t, resumableRoute()), &lockedBuffer{}
+	f.server.o.Logger = hclog.New(&hclog.LoggerOptions{Output: log, JSONFormat: true})
+	f.addVersionedReplica("v1", 1)
+	f.addVersionedReplica("v1", 0)
+	known := StreamID{Service: "s", Org: "org", Request: "0"}
+	f.server.o.Origins = &fakeOrigins{known: map[StreamID]string{known: "v1"}, begun: map[StreamID]SoftwareBinding{}}
+	if _, _, err := f.call(http.MethodPost, "/x", http.Header{"Id": {"1"}, "Last": {"1"}, "Resumes": {"0"}}); err != nil {
+		t.Fatal(err)
+	}
+	if line := log.line(t, loglines.AttemptFailed); line["resumes"] != "0" || line["resumed_after"] != "1" {
+		t.Errorf("the line does not tell the stream: %v", line)
+	}
+}
+
 // TestCallersCannotNameVersion guards against a caller that sends the header by which daemons tell each other the version.
 func TestCallersCannotNameVersion(t *testing.T) {
 	f := newFixture(t, resumableRoute())
