origins: a conflict with an entry of a lower revision ends

Cause: a daemon ignores entries of a lower revision than the one that it knows, since it has written that one. The entry with which a write conflicts was ignored alike, and the write tried again at once, and so on without end. Now what a write was based on yields to the entry with which it conflicts. TestEntryOfLowerRevisionIsWritten hangs before (it writes without end), holds now.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// outdate makes the entry that a write conflicted with yield to any other one, also to one of a lower revision: the key-value service may have been restored
+// from a backup without a sign.
+func (e *Exchange) outdate(w dueWrite) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h := e.histories[w.service]; h != nil && h.revision == w.revision {
+		h.revision = 0
+	}
+}
+
 // lists reports whether the entry contains a version, or has no room for it, and need not be written anew.
 func (h *history) lists(software string) bool {
 	return !h.renew[software] && (len(h.versions) == maxVersions || slices.Contains(h.versions, software))
@@ -305,6 +315,7 @@
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{{Key: key, Value: value, Revision: revision}}})
 		e.o.Logger.Info("Wrote the versions of a service's software", "service", w.service, "versions", w.versions)
 	case errors.As(err, &conflict) && conflict.Current.Revision != 0:
+		e.outdate(w)
 		e.applyHistory(mirror.Update{Entries: []platform.Entry{conflict.Current}})
 		e.rememberAnew(w.service)
 		if w.urgent {
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -531,3 +531,26 @@
 		t.Errorf("the version stays for ever: %v", got)
 	}
 }
+
+// TestEntryOfLowerRevisionIsWritten guards against writes without end, none of which succeeds, after the key-value service lost its newest entries without a
+// sign.
+func TestEntryOfLowerRevisionIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		e.o.Rank = firstRank
+		e.OnSoftware(service, "v1", true)
+		e.OnListed(time.Now())
+		e.applyEntry(platform.Entry{Key: HistoryPrefix + service, Value: []byte(`{"versions":["v1"]}`), Revision: kv.entry.Revision + 7})
+		e.OnSoftware(service, "v2", true)
+		ctx, stop := e.runHistory(t)
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		stop()
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2"}) {
+			t.Errorf("listed are %v", got)
+		}
+		if n := kv.writeCount(); n > 2 {
+			t.Errorf("%d writes", n)
+		}
+	})
+}
