--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -109,7 +109,6 @@
 	missing   map[routing.ServiceID]time.Time
 	asked     askedWrites
 	retryAt   map[routing.ServiceID]time.Time // until when writes of histories are held back
-	writing   map[routing.ServiceID]bool      // services whose histories are being written
 	// listChanged is closed and replaced when histories change.
 	listChanged chan struct{}
 	records     *origin.Records
@@ -137,7 +136,6 @@
 	}
 	e := &Exchange{
 		reads: newFreshReads(), historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), asked: newAskedWrites(), retryAt: map[routing.ServiceID]time.Time{},
-		writing:   map[routing.ServiceID]bool{},
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
 		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -229,11 +228,11 @@
 	return asked
 }
 
-// holdBack reports whether a write must wait because one of this daemon is running, or has failed a moment ago. It stays urgent.
+// holdBack reports whether a write must wait because one of this daemon has failed a moment ago. It stays urgent.
 func (e *Exchange) holdBack(now time.Time, w dueWrite) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.writing[w.service] && !now.Before(e.retryAt[w.service]) {
+	if !now.Before(e.retryAt[w.service]) {
 		return false
 	}
 	if w.urgent {
@@ -242,17 +241,6 @@
 	return true
 }
 
-// setWriting records that a write of an entry runs, or has ended.
-func (e *Exchange) setWriting(service routing.ServiceID, runs bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if runs {
-		e.writing[service] = true
-		return
-	}
-	delete(e.writing, service)
-}
-
 // retryLater holds writes of an entry back after one has failed: all daemons together try one each writeSpacing, however many they are.
 func (e *Exchange) retryLater(service routing.ServiceID) {
 	interval := max(minWriteRetry, time.Duration(len(e.others())+1)*writeSpacing)
@@ -341,13 +329,10 @@
 	}
 }
 
-// RunHistory writes the entries that this daemon is to write until ctx is cancelled, those of different services at the same time, so that a write that
-// hangs holds up no others.
+// RunHistory writes the entries that this daemon is to write until ctx is cancelled.
 func (e *Exchange) RunHistory(ctx context.Context) error {
 	t := time.NewTicker(historyInterval)
 	defer t.Stop()
-	var writes sync.WaitGroup
-	defer writes.Wait()
 	for {
 		select {
 		case <-t.C:
@@ -359,12 +344,7 @@
 			continue
 		}
 		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
-			e.setWriting(w.service, true)
-			writes.Go(func() {
-				e.write(ctx, w)
-				e.setWriting(w.service, false)
-				e.wakeHistory() // it may differ again
-			})
+			e.write(ctx, w)
 		}
 	}
 }
