--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
 	"github.com/bluebellscale/bluebellscale/internal/relay"
+	"github.com/bluebellscale/bluebellscale/internal/routing"
 )
 
 // listKV is a key-value service that holds the entry of one service.
@@ -554,3 +555,41 @@
 		}
 	})
 }
+
+// hangingKV is a key-value service that answers no write of one key.
+type hangingKV struct {
+	*listKV
+	hangs string
+}
+
+// CompareAndSwap implements platform.KV.
+func (kv *hangingKV) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	if key == kv.hangs {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return kv.listKV.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+// TestHungWriteHoldsUpNoOtherService guards against streams that wait for the list of their service's versions while the write of another one hangs.
+func TestHungWriteHoldsUpNoOtherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		e := newListingExchange(kv)
+		e.o.KV = &hangingKV{listKV: kv, hangs: HistoryPrefix + "other"}
+		e.o.Rank, e.o.Resumable = firstRank, func(routing.ServiceID) bool { return true }
+		e.OnSoftware(service, "v1", true)
+		e.OnListed(time.Now())
+		e.applyEntry(kv.entry)
+		ctx, stop := e.runHistory(t)
+		e.OnSoftware("other", "v1", true)
+		synctest.Wait()
+		e.OnSoftware(service, "v2", true)
+		began := time.Now()
+		e.Began(ctx, stream(1), relay.BoundTo("v2"))
+		if took := time.Since(began); took > listDelay || !slices.Equal(kv.versions(), []string{"v1", "v2"}) {
+			t.Errorf("after %s, listed are %v", took, kv.versions())
+		}
+		stop()
+	})
+}
