--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -163,14 +163,10 @@
 func (e *Exchange) OnSoftware(service routing.ServiceID, software string, present bool) {
 	e.mu.Lock()
 	v := e.versionsOf(service)
-	switch {
-	case !present:
+	if !present {
 		v.Vanish(time.Now(), software)
-	default:
-		returned := v.Appear(software)
-		if returned || !e.listedAt.IsZero() {
-			e.histories[service].mustRenew(software)
-		}
+	} else if returned := v.Appear(software); returned || !e.listedAt.IsZero() {
+		e.histories[service].mustRenew(software)
 	}
 	e.publishPreferences()
 	e.mu.Unlock()
