--- /dev/null
+++ b/internal/ingress/handler.go
@@ -0,0 +1,88 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/bluebellscale/bluebellscale/internal/policy/connlimit"
+	"github.com/bluebellscale/bluebellscale/internal/policy/head"
+	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
+)
+
+// handler tells the connection where its request is.
+func (g *Guard) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, guarded := r.Context().Value(connKey{}).(*conn)
+		if !guarded {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if refusal := c.beginRequest(r); refusal != nil {
+			g.count("refused", http.StatusText(http.StatusServiceUnavailable))
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", fmt.Sprintf("%.3f", refusal.RetryAfter.Seconds()))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.ContentLength != 0 {
+			r.Body = &body{ReadCloser: r.Body, conn: c, large: r.ContentLength > receiveBytes}
+		} else if !g.move(c, connlimit.Serving) {
+			panic(http.ErrAbortHandler) // its connection gave way before the request was served
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// beginRequest takes the memory for parts of a parsed head that were not measured, as they were received with the request before.
+func (c *conn) beginRequest(r *http.Request) *memory.Refusal {
+	c.mu.Lock()
+	missing := parsedCost(r) - c.hold.Bytes()
+	c.mu.Unlock()
+	if missing <= 0 {
+		return nil
+	}
+	return c.guard.takeHead(c, missing)
+}
+
+// parsedCost returns the least that is taken for a head that was measured while it was received.
+func parsedCost(r *http.Request) int64 {
+	lines, bytes, commas := 0, len(r.RequestURI), 0
+	for name, values := range r.Header {
+		lines += len(values)
+		bytes += len(name) * len(values)
+		for _, v := range values {
+			bytes += len(v)
+			commas += strings.Count(v, ",")
+		}
+	}
+	return head.Cost(bytes, lines, commas)
+}
+
+// body is the body of a request. The request is whole once its end has been read.
+type body struct {
+	io.ReadCloser
+	conn  *conn
+	large bool // the receive buffer grows at the first read: whoever reads has the memory for the body
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.large {
+		b.large = false
+		b.conn.beginLargeBody()
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.conn.guard.move(b.conn, connlimit.Serving) {
+		return n, io.ErrUnexpectedEOF // the connection gave way before the request was served
+	}
+	return n, err
+}
+
+func (c *conn) beginLargeBody() {
+	c.mu.Lock()
+	c.largeBody = true
+	c.mu.Unlock()
+	c.setWindow(bodyReceiveBytes)
+}
