ingress: what clients make a daemon hold is bounded by the daemon, at each listener

What callers saw: clients that never end a head, send heads of very many short lines, send whole heads and no body, or send nothing, ended a daemon of a VM with 134 MB (out of memory), or took all its descriptors so that ordinary callers got no answer.

It keeps a bounded number of connections (memory of the VM, half of the descriptors), takes what a head will hold from the memory budget before net/http gets its bytes, and makes those give way first that hold a place longest without a whole request; idle ones only then, those being served never.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -36,14 +36,14 @@
 	guard *Guard
 	entry *connlimit.Entry[*conn] // guarded by guard.mu
 
-	mu        sync.Mutex // not held while guard.mu is acquired
-	phase     phase
-	used      bool // a request has been answered
-	since     time.Time
-	meter     head.Meter
-	hold      memory.Hold
-	released  bool // the connection is closed and must take no more memory
-	largeBody bool // the receive buffer is as large as for a body
+	mu       sync.Mutex // not held while guard.mu is acquired
+	phase    phase
+	used     bool // a request has been answered
+	since    time.Time
+	meter    head.Meter
+	hold     memory.Hold
+	released bool // the connection is closed and must take no more memory
+	grown    bool // the receive buffer is as large as for a body, for as long as the connection lives
 }
 
 // Read implements net.Conn. Bytes of a head are given to net/http only once there is memory for what it will hold for them.
@@ -177,6 +177,9 @@
 func (c *conn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.grown && !c.released {
+		c.guard.grown.Add(-1)
+	}
 	c.released = true
 	c.guard.o.Budget.ReleaseHead(&c.hold)
 }
@@ -186,19 +189,22 @@
 	c.mu.Lock()
 	c.phase, c.used, c.since = awaiting, true, time.Now()
 	c.guard.o.Budget.ReleaseHead(&c.hold)
-	shrink := c.largeBody
-	c.largeBody = false
 	c.mu.Unlock()
 	c.guard.move(c, connlimit.Idle)
-	if shrink {
-		c.setWindow(receiveBytes)
-	}
 }
 
-// setWindow sets the size of the receive buffer. Where it can't be set it stays as it is, which costs speed or memory only.
-func (c *conn) setWindow(bytes int) {
+// growBuffer makes the receive buffer large if others than this connection leave room for that. It never becomes small again: TCP stalls
+// on a window that shrinks.
+func (c *conn) growBuffer() {
+	c.mu.Lock()
+	grows := !c.released && !c.grown && c.guard.takeGrown()
+	c.grown = c.grown || grows
+	c.mu.Unlock()
+	if !grows {
+		return
+	}
 	if raw, err := c.SyscallConn(); err == nil {
-		_ = setWindow(raw, bytes)
+		_ = setWindow(raw, bodyReceiveBytes) // without it the body is read more slowly
 	}
 }
 
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -27,7 +27,7 @@
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, conn: c, large: r.ContentLength > receiveBytes}
+			r.Body = &body{ReadCloser: r.Body, conn: c, large: r.ContentLength > bodyReceiveBytes}
 		} else if !g.move(c, connlimit.Serving) {
 			panic(http.ErrAbortHandler) // its connection gave way before the request was served
 		}
@@ -71,7 +71,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	if b.large {
 		b.large = false
-		b.conn.beginLargeBody()
+		b.conn.growBuffer()
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.conn.guard.move(b.conn, connlimit.Serving) {
@@ -79,10 +79,3 @@
 	}
 	return n, err
 }
-
-func (c *conn) beginLargeBody() {
-	c.mu.Lock()
-	c.largeBody = true
-	c.mu.Unlock()
-	c.setWindow(bodyReceiveBytes)
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 const (
 	// MaxHeadBytes bounds the request line and the header lines of a request where Limits say nothing else.
 	MaxHeadBytes = 64 << 10
+	// connsPerGrown is the number of connections of which one may have a large receive buffer.
+	connsPerGrown = 16
 	// maxOlderHeads bounds the connections that give way to one head.
 	maxOlderHeads = 8
 )
@@ -58,6 +61,9 @@
 type Guard struct {
 	o Options
 
+	grown   atomic.Int64 // connections with a large receive buffer
+	gaveWay atomic.Int64 // connections that were closed for the sake of others
+
 	mu    sync.Mutex
 	conns *connlimit.Set[*conn]
 }
@@ -157,10 +163,20 @@
 // close closes a connection that has been removed from the set.
 func (g *Guard) close(c *conn, why string) {
 	c.release()
+	g.gaveWay.Add(1)
 	_ = c.TCPConn.Close() // its client may have closed it
 	g.count("closed", why)
 }
 
+// takeGrown reports whether one more connection may have a large receive buffer.
+func (g *Guard) takeGrown() bool {
+	if g.grown.Add(1) <= int64(max(1, g.o.MaxConns/connsPerGrown)) {
+		return true
+	}
+	g.grown.Add(-1)
+	return false
+}
+
 func (g *Guard) count(event, why string) {
 	g.o.Metrics.Tagged(map[string]string{"why": why}).Counter("connections_" + event).Inc(1)
 }
@@ -185,10 +201,11 @@
 
 // State is what the clients of a listener hold, for a state dump.
 type State struct {
-	MaxConns  int `json:"max_connections"`
-	Receiving int `json:"receiving"` // a request
-	Serving   int `json:"serving"`
-	Idle      int `json:"idle"`
+	MaxConns  int   `json:"max_connections"`
+	Receiving int   `json:"receiving"` // a request
+	Serving   int   `json:"serving"`
+	Idle      int   `json:"idle"`
+	GaveWay   int64 `json:"gave_way"` // closed for the sake of others, since the start
 }
 
 // State returns what the clients hold.
@@ -197,7 +214,7 @@
 	defer g.mu.Unlock()
 	return State{
 		MaxConns: g.o.MaxConns, Receiving: g.conns.Len(connlimit.Receiving), Serving: g.conns.Len(connlimit.Serving),
-		Idle: g.conns.Len(connlimit.Idle),
+		Idle: g.conns.Len(connlimit.Idle), GaveWay: g.gaveWay.Load(),
 	}
 }
 
--- a/internal/ingress/window.go
+++ b/internal/ingress/window.go
@@ -1,12 +1,10 @@
 package ingress
 
-import (
-	"syscall"
-)
+import "syscall"
 
 const (
 	// receiveBytes is the size of a connection's receive buffer. What clients send before they are read, or accepted, counts towards the
-	// memory of the VM. Heads and most bodies fit.
+	// memory of the VM. Heads and ordinary bodies need one or two round trips.
 	receiveBytes = 16 << 10
 	// bodyReceiveBytes is its size while a larger body is read, for which there is memory. TCP can't announce more on a connection whose
 	// buffer was small when it was opened.
--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -1,7 +1,7 @@
-// Package memory decides what a daemon may hold in memory for callers: request bodies, buffered
+// Package memory decides what a daemon may hold in memory for callers: heads and bodies of requests, buffered
 // answers and the buffers of streams.
 //
-// Invariant: bodies, the buffers of their requests and buffered answers together never exceed Capacity, apart from
+// Invariant: heads, bodies, the buffers of their requests and buffered answers together never exceed Capacity, apart from
 // one body that is larger than Capacity allows and is accepted only if Ceiling has room for both. A burst of large
 // bodies or one organisation's requests therefore neither exhaust the VM's memory nor keep small urgent requests out.
 //
@@ -24,18 +24,23 @@
 	Body   Kind = iota // of a request
 	Answer             // complete response, until the caller has taken it
 	Stream             // buffers of a stream, taken with its request's body
+	Head               // of a request, until it has been answered
 	kinds
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{Body, Answer, Stream}
+var Kinds = []Kind{Body, Answer, Stream, Head}
 
 // String returns the name of the kind in metrics and state dumps.
-func (k Kind) String() string { return [...]string{"bodies", "answers", "streams"}[k] }
+func (k Kind) String() string { return [...]string{"bodies", "answers", "streams", "heads"}[k] }
 
 const (
-	// smallBytes is the size up to which a body counts as small. Most requests are smaller.
+	// smallBytes is the size up to which a body or a head counts as small. Most requests are smaller.
 	smallBytes = 64 << 10
+	// headShare and largeHeadShare are the shares of Capacity of which a small and a large head can use a part. Large heads leave room
+	// for small ones, and all heads for bodies, without which a head is of no use.
+	headShare      = 0.85
+	largeHeadShare = 0.5
 	// reserveShare is the share of Capacity of which large bodies and less urgent requests can use only a part.
 	reserveShare = 0.3
 	// rateWindow is the time constant of the rate at which bytes become free.
@@ -176,6 +181,30 @@
 	return true
 }
 
+// GrowHead adds bytes to the head of a request, whose organisation is not known yet. If it refuses, the head still holds what it held
+// before.
+func (b *Budget) GrowHead(now time.Time, h *Hold, more int64) *Refusal {
+	h.kind = Head
+	more = max(0, more)
+	limit := b.headLimit(h.bytes + more)
+	if !b.unlimited() && more > limit-b.used {
+		return &Refusal{Reason: ReasonFull, Bytes: more, Held: b.total(), RetryAfter: b.retryAfter(now, float64(b.used+more-limit))}
+	}
+	h.bytes += more
+	b.held[Head] += more
+	b.used += more
+	return nil
+}
+
+// headLimit returns how much of Capacity may be in use after a head of a size is accepted.
+func (b *Budget) headLimit(size int64) int64 {
+	share := headShare
+	if size > smallBytes {
+		share = largeHeadShare
+	}
+	return int64(share * float64(b.p.Capacity))
+}
+
 // Release gives back all bytes of h, which holds nothing afterwards.
 func (b *Budget) Release(now time.Time, h *Hold) {
 	total := h.total()
@@ -189,14 +218,20 @@
 	} else {
 		b.used -= total
 	}
-	if b.orgs[h.ask.Org] -= total; b.orgs[h.ask.Org] <= 0 {
-		delete(b.orgs, h.ask.Org)
+	if h.kind != Head {
+		b.releaseOrg(h.ask.Org, total)
 	}
 	b.freed = b.freedRecently(now) + float64(total)
 	b.freedAt = now
 	h.bytes, h.stream, h.oversize = 0, 0, false
 }
 
+func (b *Budget) releaseOrg(org request.OrgID, bytes int64) {
+	if b.orgs[org] -= bytes; b.orgs[org] <= 0 {
+		delete(b.orgs, org)
+	}
+}
+
 func (b *Budget) unlimited() bool { return b.p.Capacity <= 0 }
 
 // limit returns how much of Capacity may be in use after a body is accepted. The unusable part of the reserve
@@ -290,11 +325,16 @@
 	if reason == ReasonOrg {
 		missing = float64(b.orgUsed(ask.Org)+more) - b.orgFactor()*float64(b.p.Capacity-b.used-more)
 	}
+	return &Refusal{Reason: reason, Bytes: more, Held: b.total(), RetryAfter: b.retryAfter(now, missing)}
+}
+
+// retryAfter returns the time in which missing bytes become free at the current rate.
+func (b *Budget) retryAfter(now time.Time, missing float64) time.Duration {
 	wait := maxRetryAfter
 	if rate := b.freedRecently(now) / rateWindow.Seconds(); rate > 0 {
 		wait = time.Duration(min(missing/rate, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
-	return &Refusal{Reason: reason, Bytes: more, Held: b.total(), RetryAfter: max(minRetryAfter, wait)}
+	return max(minRetryAfter, wait)
 }
 
 // freedRecently returns the bytes given back in about the last rateWindow.
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -99,6 +99,26 @@
 	return refusal
 }
 
+// GrowHead implements ingress.HeadBudget.
+func (s *Server) GrowHead(h *memory.Hold, more int64) *memory.Refusal {
+	b := s.memory
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	refusal := b.core.GrowHead(time.Now(), h, more)
+	if refusal != nil {
+		b.metrics.Tagged(map[string]string{"reason": "head"}).Counter("memory_refused").Inc(1)
+		refusal.RetryAfter = jittered(refusal.RetryAfter)
+	}
+	return refusal
+}
+
+// ReleaseHead implements ingress.HeadBudget.
+func (s *Server) ReleaseHead(h *memory.Hold) {
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
+	s.memory.core.Release(time.Now(), h)
+}
+
 func (b *budget) recordRefusal(refusal *memory.Refusal) {
 	b.refused++
 	b.metrics.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("memory_refused").Inc(1)
