daemon: the bounds on clients hold at both listeners of the own interface

The guard of package ingress stands at both listeners now: [daemon] max_connections (2048) for callers, a quarter of it for peers, 16 MiB for the heads of requests in progress, 64 KiB a head, connections idle for 60 s are closed.

The crowds are in package crowdtest, used by the tests of both interfaces.

Left: bodies on the own interface are read before a credit is taken and are bounded by max_prompt_bytes and the connections only.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,8 @@
 	Listen        string // address for callers, ip:port
 	Peer          string // address for peers, debug endpoints and metrics, ip:port
 	MaxInFlight   int    // maximum number of requests in flight
+	// MaxConnections is the maximum number of connections of callers that are kept. Peers may keep a quarter as many beside.
+	MaxConnections int
 }
 
 // Platform sets the addresses of the platform's services and the rate limits for their use.
@@ -162,6 +164,8 @@
 		Listen:        r.address(s, "listen"),
 		Peer:          r.address(s, "peer"),
 		MaxInFlight:   r.integer(s, "max_in_flight", 1024, 1, 65536),
+
+		MaxConnections: r.integer(s, "max_connections", 2048, 16, 65536),
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/crowd_test.go
@@ -0,0 +1,146 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellscale/bluebellscale/internal/ingress/crowdtest"
+)
+
+const (
+	crowdMemoryMB    = 134 // of a small VM; what its process holds stays below
+	crowdDescriptors = 600 // that the daemon may open
+	// crowdOpenDescriptors leaves the daemon a third of its descriptors for targets, stores, peers and the key-value service.
+	crowdOpenDescriptors = crowdDescriptors * 2 / 3
+	crowdTime            = 6 * time.Second
+	crowdHead            = "POST /v1/services/cards/print HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + atlasKey + "\r\n"
+)
+
+// daemonProcess is a daemon of a cluster in a process of its own.
+type daemonProcess struct {
+	t              *testing.T
+	cmd            *exec.Cmd
+	callers, peers string // addresses
+}
+
+func (c *cluster) startProcess(t *testing.T, program string) *daemonProcess {
+	t.Helper()
+	dir := t.TempDir()
+	settings, addresses := filepath.Join(dir, "settings.ini"), filepath.Join(dir, "addresses")
+	text := fmt.Sprintf("[daemon]\nid = crowded\nregion = fes\nfailure_domain = conche\nlisten = 127.0.0.1:0\npeer = 127.0.0.1:0\n"+
+		"[platform]\nkv = %s\n[membership]\nseeds = %s\ninterval = 50ms\nsuspect_after = 1s\ndead_after = 2s\n"+
+		"[journal]\npartitions = 4\nlease_ttl = 2s\n[placement]\nprofile = fonografos\n[fleet]\norder_timeout = 300ms\n", c.kv, c.daemons[0].PeerAddress())
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	script := fmt.Sprintf("ulimit -n %d; exec %s --config %s --addr-file %s", crowdDescriptors, program, settings, addresses)
+	p := &daemonProcess{t: t, cmd: exec.Command("sh", "-c", script)}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = p.cmd.Wait() }() // it is killed at the end
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // fails if it has ended
+		<-ended
+	})
+	p.await("the daemon's addresses", func() bool {
+		raw, err := os.ReadFile(addresses)
+		if err != nil {
+			return false
+		}
+		p.callers, p.peers, _ = strings.Cut(strings.TrimSpace(string(raw)), "\n")
+		return true
+	})
+	return p
+}
+
+func (p *daemonProcess) await(what string, condition func() bool) {
+	p.t.Helper()
+	deadline := time.Now().Add(waitTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("timed out waiting for %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// requireServed requires that an ordinary caller gets an answer, with as many tries as it needs.
+func (p *daemonProcess) requireServed() {
+	p.t.Helper()
+	p.await("an ordinary request is served", func() bool {
+		req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/v1/services/cards/print", strings.NewReader("card"))
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+atlasKey)
+		req.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", time.Now().UnixNano()))
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
+		resp, err := client.Do(req)
+		if err != nil {
+			return false
+		}
+		return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+	})
+}
+
+// TestCrowdIsBounded guards against clients that fill the memory of a VM or take all descriptors of the daemon.
+func TestCrowdIsBounded(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "bluebellscaled")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/bluebellscaled").CombinedOutput(); err != nil {
+		t.Fatalf("building the daemon: %v\n%s", err, out)
+	}
+	c := newCluster(t, 1, 1)
+	lines := crowdtest.ShortNames(15<<10, "\r\n")
+	whole := append([]byte(crowdHead+"Content-Length: 0\r\n"), append(lines, "\r\n"...)...)
+	crowds := map[string]crowdtest.Crowd{
+		"head of short names without end":  {Clients: 300, Send: crowdtest.SendHeld([]byte(crowdHead), crowdtest.ShortNames(60<<10, "\r\n"))},
+		"line without end":                 {Clients: 300, Send: crowdtest.SendWithoutEnd([]byte(crowdHead+"a: "), bytes.Repeat([]byte("x"), 8<<10))},
+		"whole requests one after another": {Clients: 500, Send: crowdtest.SendWithoutEnd(nil, whole)},
+		"silent clients":                   {Clients: 900, Send: crowdtest.SendHeld()},
+	}
+	for name, crowd := range crowds {
+		for _, listener := range []string{"callers", "peers"} {
+			t.Run(listener+", "+name, func(t *testing.T) { c.requireBounded(t, program, crowd, listener) })
+		}
+	}
+}
+
+func (c *cluster) requireBounded(t *testing.T, program string, crowd crowdtest.Crowd, listener string) {
+	p := c.startProcess(t, program)
+	p.requireServed()
+	address := map[string]string{"callers": p.callers, "peers": p.peers}[listener]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clients := crowd.Meet(ctx, address)
+	watched, stop := context.WithTimeout(ctx, crowdTime)
+	defer stop()
+	held, err := crowdtest.Watch(watched, p.cmd.Process.Pid, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.requireServed()
+	cancel()
+	clients.Wait()
+	memory, alive := crowdtest.PeakMemory(p.cmd.Process.Pid)
+	if !alive {
+		t.Fatal("the daemon has ended")
+	}
+	t.Logf("peak: %d MB resident, %d MB unread, %d descriptors", memory>>20, held.Unread>>20, held.Descriptors)
+	if memory+held.Unread > crowdMemoryMB<<20 {
+		t.Errorf("the daemon holds %d MB resident and %d MB unread, its VM has %d MB", memory>>20, held.Unread>>20, crowdMemoryMB)
+	}
+	if held.Descriptors > crowdOpenDescriptors {
+		t.Errorf("the daemon has %d descriptors open, want %d at most of %d", held.Descriptors, crowdOpenDescriptors, crowdDescriptors)
+	}
+	p.requireServed()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellscale/bluebellscale/internal/coordinator"
 	"github.com/bluebellscale/bluebellscale/internal/fleet"
 	"github.com/bluebellscale/bluebellscale/internal/gateway"
+	"github.com/bluebellscale/bluebellscale/internal/ingress"
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/lease"
 	"github.com/bluebellscale/bluebellscale/internal/limiter"
@@ -63,6 +64,7 @@
 
 	callers net.Listener
 	peers   net.Listener
+	guards  map[listenerName]*ingress.Guard
 
 	kv          *platform.Client
 	vms         platform.VMList
@@ -88,11 +90,11 @@
 
 // New opens the listeners and builds all components. No component runs before Run.
 func New(c *config.Config, log hclog.Logger) (*Daemon, error) {
-	callers, err := net.Listen("tcp", c.Daemon.Listen)
+	callers, err := listen(c.Daemon.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "daemon: [daemon] listen = %s", c.Daemon.Listen)
 	}
-	peers, err := net.Listen("tcp", c.Daemon.Peer)
+	peers, err := listen(c.Daemon.Peer)
 	if err != nil {
 		_ = callers.Close()
 		return nil, errors.Wrapf(err, "daemon: [daemon] peer = %s", c.Daemon.Peer)
@@ -109,6 +111,7 @@
 		quorum:      newQuorum(c.Table.StaleAfter),
 	}
 	d.metrics, d.scrape, d.reporter = metrics.New()
+	d.newGuards()
 	d.buildClusterState()
 	d.buildRequestPath()
 	d.buildFleet()
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -64,6 +64,7 @@
 	UptimeSeconds int64  `json:"uptime_seconds"`
 	Draining      bool   `json:"draining"`
 	InFlight      int    `json:"in_flight"`
+	Connections   any    `json:"connections"` // of clients, by listener
 	Platform      string `json:"platform"`
 	Table         any    `json:"table"`
 	Members       any    `json:"members"`
@@ -84,6 +85,7 @@
 		FailureDomain: d.config.Daemon.FailureDomain,
 		Callers:       d.CallerAddress(),
 		Peers:         d.PeerAddress(),
+		Connections:   d.connections(),
 		UptimeSeconds: int64(time.Since(d.started).Seconds()),
 		Draining:      d.draining.Load(),
 		InFlight:      d.gateway.InFlight(),
--- a/internal/daemon/peerbytes.go
+++ b/internal/daemon/peerbytes.go
@@ -47,6 +47,9 @@
 	return conn.SetLinger(seconds)
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -21,8 +21,8 @@
 	background, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	d.startTasks(background, &tasks)
-	callers := d.serve(d.callers, d.gateway.Handler())
-	peers := d.serve(newCountingListener(d.peers, d.metrics), d.peerHandler())
+	callers := d.serve(listenerCallers, d.callers, d.gateway.Handler())
+	peers := d.serve(listenerPeers, d.peers, d.peerHandler())
 	d.log.Info("Daemon started", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
 	var err error
 	select {
@@ -96,18 +96,25 @@
 	failed chan error
 }
 
-func (d *Daemon) serve(l net.Listener, h http.Handler) *server {
+func (d *Daemon) serve(name listenerName, l net.Listener, h http.Handler) *server {
 	s := &server{
 		http: &http.Server{
 			Handler:           h,
 			ConnContext:       framing.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
 			ErrorLog:          d.log.Named("http").StandardLogger(nil),
 
 			DisableGeneralOptionsHandler: true, // the handler's answers carry its headers
 		},
 		failed: make(chan error, 1),
 	}
+	guard := d.guards[name]
+	guard.Attach(s.http)
+	l = guard.Listener(l)
+	if name == listenerPeers {
+		l = newCountingListener(l, d.metrics)
+	}
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.failed <- errors.Wrapf(err, "daemon: serve %s", l.Addr())
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -14,8 +14,8 @@
 // handler tells the connection where its request is.
 func (g *Guard) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, guarded := r.Context().Value(connKey{}).(*conn)
-		if !guarded {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -74,8 +74,8 @@
 	return &Guard{o: o, conns: connlimit.New[*conn](o.MaxConns)}
 }
 
-// Attach makes a server use the guard. The server must serve a listener that Listener returned, and ConnContext, if it is set, gets the
-// guarded connections.
+// Attach makes a server use the guard. The server must serve a listener that Listener returned. Connections that wrap those of the listener
+// have a method NetConn that returns what they wrap.
 func (g *Guard) Attach(s *http.Server) {
 	s.MaxHeaderBytes = 2 * MaxHeadBytes // above what Limits allow, so that the guard decides
 	s.Handler = g.handler(s.Handler)
@@ -84,12 +84,12 @@
 		if inner != nil {
 			ctx = inner(ctx, nc)
 		}
-		return context.WithValue(ctx, connKey{}, nc)
+		return context.WithValue(ctx, connKey{}, guarded(nc))
 	}
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
-		c, guarded := nc.(*conn)
+		c := guarded(nc)
 		switch {
-		case !guarded:
+		case c == nil:
 		case state == http.StateActive:
 			c.endHead()
 		case state == http.StateIdle:
@@ -102,6 +102,20 @@
 
 type connKey struct{}
 
+// guarded returns the guarded connection below those that wrap it, or nil.
+func guarded(nc net.Conn) *conn {
+	for {
+		if c, ok := nc.(*conn); ok {
+			return c
+		}
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = wrapper.NetConn()
+	}
+}
+
 // Listener returns a listener whose connections are guarded.
 func (g *Guard) Listener(l net.Listener) net.Listener { return &listener{Listener: l, guard: g} }
 
