relay: requests of many short lines inside max_header_bytes are served

What callers saw: 431 for requests whose header lines, as sent, are inside max_header_bytes.

Cause: the size was counted from the parsed headers, as if each line had ": " and "\r\n", seven bytes for "abc:\r\n". The listener knows the size as received and decides now; the relay's check, for a limit that was lowered since, counts the least that lines can have had.

--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -50,9 +50,10 @@
 	return j, s.readBody(w, r, j, state.Limits.MaxBodyBytes)
 }
 
-// headerBytes returns the size of headers as they are sent.
+// headerBytes returns the least size that headers can have had as they were received. The listener has checked their exact size; they
+// may have been received under a limit that is no longer in force.
 func headerBytes(h http.Header) int {
-	const delimiters = len(": \r\n")
+	const delimiters = len(":\n")
 	size := 0
 	for name, values := range h {
 		for _, v := range values {
