residency, storecache: what callers' prompts make a daemon remember is bounded

What callers could do: name parts without tokens in Prompt-Prefix. No replica's memory and no store ever fills with them, so that a daemon remembered each for ever (some 110 bytes for each replica, 250 and the name for a store); parts of one token fill an estimate of 50,000 tokens with 5 MB a replica.

Cause: estimates and records of stores were bounded by tokens only, which callers state.

Evidence: by reading; TestPartsWithoutTokensAreBounded failed before in both packages (40,960 parts where 4,096 are wanted; 2,058 in a store of 1,000 tokens).

--- a/internal/policy/residency/residency.go
+++ b/internal/policy/residency/residency.go
@@ -4,11 +4,16 @@
 // from the requests that were sent to the replica. It may be wrong in both directions: a part that was
 // evicted costs a fetch or a recomputation, and a cached part that is not known costs a detour.
 //
+// Invariant: an estimate has at most maxParts parts, however few tokens callers say that theirs have.
+//
 // The package is pure. A MemoryEstimate is not safe for concurrent use.
 package residency
 
 import "container/list"
 
+// maxParts bounds the parts of an estimate, some 100 bytes each. A replica's memory has room for fewer ordinary ones.
+const maxParts = 4096
+
 // Key identifies a part under a cache salt.
 type Key uint64
 
@@ -49,7 +54,7 @@
 }
 
 func (m *MemoryEstimate) evict() {
-	for m.usedTokens > m.capacity && m.lru.Len() > 0 {
+	for (m.usedTokens > m.capacity || m.lru.Len() > maxParts) && m.lru.Len() > 0 {
 		last := m.lru.Back()
 		p := last.Value.(*part)
 		m.lru.Remove(last)
--- a/internal/policy/residency/residency_test.go
+++ b/internal/policy/residency/residency_test.go
@@ -62,3 +62,17 @@
 		}
 	})
 }
+
+// TestPartsWithoutTokensAreBounded guards against an estimate that grows for ever, as parts without tokens never fill a replica's memory.
+func TestPartsWithoutTokensAreBounded(t *testing.T) {
+	m := New(1 << 40)
+	for n := range 10 * maxParts {
+		m.Touch(Key(n), n%2)
+	}
+	if n := m.lru.Len(); n > maxParts || n != len(m.byKey) {
+		t.Errorf("%d parts, %d by key, want %d at most", n, len(m.byKey), maxParts)
+	}
+	if !m.Contains(10*maxParts - 1) {
+		t.Error("the last part is not kept")
+	}
+}
--- a/internal/policy/storecache/free.go
+++ b/internal/policy/storecache/free.go
@@ -48,7 +48,7 @@
 		if remaining <= int(lowWatermark*float64(c.params.CapacityTokens)) {
 			break
 		}
-		remaining -= roundUp(p.tokens)
+		remaining -= c.space(p.tokens)
 		out = append(out, c.markFreeing(now, p))
 	}
 	return out
--- a/internal/policy/storecache/storecache.go
+++ b/internal/policy/storecache/storecache.go
@@ -60,6 +60,8 @@
 	MinProcessAge = restartNoticeDelay + ReadPermitTTL + permitSlack
 	// blockTokens is the number of tokens per unit of space that a store allocates.
 	blockTokens = 16
+	// maxParts bounds the parts for which a store has space, some 250 bytes each: callers may name very many with few tokens or none.
+	maxParts = 1 << 16
 )
 
 // Key identifies a part in the store.
@@ -314,12 +316,15 @@
 // speed implies.
 func (c *Cache) Slowness() float64 { return c.link.slowness }
 
-func roundUp(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
+// space returns the space in tokens that a part counts for.
+func (c *Cache) space(tokens int) int {
+	return max((tokens+blockTokens-1)/blockTokens*blockTokens, blockTokens, c.params.CapacityTokens/maxParts)
+}
 
 func (c *Cache) add(now time.Time, a PartRequest, s partState) *part {
 	p := &part{key: a.Key, tokens: a.Tokens, weightsVersion: a.Version, state: s, since: now, lastUsed: now}
 	c.parts[a.Key] = p
-	c.usedTokens += roundUp(a.Tokens)
+	c.usedTokens += c.space(a.Tokens)
 	return p
 }
 
@@ -328,16 +333,16 @@
 		return
 	}
 	delete(c.parts, p.key)
-	c.usedTokens -= roundUp(p.tokens)
+	c.usedTokens -= c.space(p.tokens)
 }
 
 // hasSpaceFor reports whether a part fits. The store may briefly lack space while parts are
 // freed; a save is not attempted then.
 func (c *Cache) hasSpaceFor(now time.Time, tokens int) bool {
-	if c.usedTokens+roundUp(tokens) <= int(highWatermark*float64(c.params.CapacityTokens)) {
+	if c.usedTokens+c.space(tokens) <= int(highWatermark*float64(c.params.CapacityTokens)) {
 		return true
 	}
-	return c.usedTokens+roundUp(tokens) <= c.params.CapacityTokens && len(c.freeable(now)) > 0
+	return c.usedTokens+c.space(tokens) <= c.params.CapacityTokens && len(c.freeable(now)) > 0
 }
 
 // OnStored records the store's report that a part is complete. weightsVersion is the one that
@@ -355,7 +360,7 @@
 		return
 	}
 	if p.state == saving {
-		c.usedTokens += roundUp(tokens) - roundUp(p.tokens)
+		c.usedTokens += c.space(tokens) - c.space(p.tokens)
 		p.tokens, p.state, p.since, p.mixedWeights = tokens, complete, now, p.weightsVersion < c.newestWeightsVersion
 	}
 }
--- a/internal/policy/storecache/storecache_test.go
+++ b/internal/policy/storecache/storecache_test.go
@@ -458,3 +458,24 @@
 		t.Errorf("the queue grew from %s to %s", queue, got)
 	}
 }
+
+// TestPartsWithoutTokensAreBounded guards against records of a store that grow for ever, as parts without tokens never fill it, and against
+// a store full of them that takes no other part.
+func TestPartsWithoutTokensAreBounded(t *testing.T) {
+	for _, capacity := range []int{1000, 1 << 30} {
+		c := newReadyCache(capacity)
+		for n := range min(2*maxParts, 4*capacity) {
+			if a := req(fmt.Sprint(n), n%2); c.Decide(at(0), a).Save {
+				c.OnStored(at(0), a.Key, a.Tokens, a.Version)
+			}
+		}
+		if len(c.parts) > min(maxParts, capacity) {
+			t.Errorf("capacity %d: %d parts are recorded", capacity, len(c.parts))
+		}
+		later := at(60_000)
+		for _, key := range c.StartFreeing(later) {
+			c.OnRemoved(key)
+		}
+		save(t, c, later, req("ordinary", 500/16))
+	}
+}
