origins: a write that hangs holds up the lists of no other service

What callers saw: streams of a new version began unlisted after 500 ms while the write of another service's list hung (1 s at most), and could not go on after a kill of all daemons.

Cause: the lists were written one service after another. They are written side by side now, one write of a service at a time. The end of a write now wakes it only if a stream has asked for the same list meanwhile.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -228,19 +229,46 @@
 	return asked
 }
 
-// holdBack reports whether a write must wait because one of this daemon has failed a moment ago. It stays urgent.
+// holdBack reports whether a write must wait because one of this daemon runs, or has failed a moment ago. It stays urgent.
 func (e *Exchange) holdBack(now time.Time, w dueWrite) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !now.Before(e.retryAt[w.service]) {
+	_, runs := e.writing[w.service]
+	if !runs && !now.Before(e.retryAt[w.service]) {
 		return false
 	}
 	if w.urgent {
 		e.asked.urgent[w.service] = true
+		if runs {
+			e.writing[w.service] = true
+		}
 	}
 	return true
 }
 
+// startWrite writes an entry while others are written. Of each service one write runs at a time.
+func (e *Exchange) startWrite(ctx context.Context, w dueWrite, writes *sync.WaitGroup) {
+	e.mu.Lock()
+	e.writing[w.service] = false
+	e.mu.Unlock()
+	writes.Go(func() {
+		e.write(ctx, w)
+		e.endWrite(w.service)
+	})
+}
+
+// endWrite tells that a write has ended. It wakes the writer only for a stream that waits: a write that conflicts with a removed entry would be
+// repeated without end.
+func (e *Exchange) endWrite(service routing.ServiceID) {
+	e.mu.Lock()
+	waits := e.writing[service]
+	delete(e.writing, service)
+	e.mu.Unlock()
+	if waits {
+		e.wakeHistory()
+	}
+}
+
 // retryLater holds writes of an entry back after one has failed: all daemons together try one each writeSpacing, however many they are.
 func (e *Exchange) retryLater(service routing.ServiceID) {
 	interval := max(minWriteRetry, time.Duration(len(e.others())+1)*writeSpacing)
@@ -329,10 +357,12 @@
 	}
 }
 
-// RunHistory writes the entries that this daemon is to write until ctx is cancelled.
+// RunHistory writes the entries that this daemon is to write until ctx is cancelled. A write that hangs holds up no other service.
 func (e *Exchange) RunHistory(ctx context.Context) error {
 	t := time.NewTicker(historyInterval)
 	defer t.Stop()
+	var writes sync.WaitGroup
+	defer writes.Wait()
 	for {
 		select {
 		case <-t.C:
@@ -344,7 +374,7 @@
 			continue
 		}
 		for _, w := range e.dueWrites(time.Now(), e.o.Keep(), e.o.Rank) {
-			e.write(ctx, w)
+			e.startWrite(ctx, w, &writes)
 		}
 	}
 }
