peers: calls in the name of other daemons have bounded bodies

What a client could do: send a call to the peers' listener (twirp) whose body has no end. The daemon read all of it into memory.

Cause: twirp reads bodies whole, and no listener bounded them.

TestBodiesOfCallsAreBounded checks the bound and the budget without a process.

--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -95,10 +95,7 @@
 
 // TestCrowdIsBounded guards against clients that fill the memory of a VM or take all descriptors of the daemon.
 func TestCrowdIsBounded(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "bluebellscaled")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/bluebellscaled").CombinedOutput(); err != nil {
-		t.Fatalf("building the daemon: %v\n%s", err, out)
-	}
+	program := buildProgram(t)
 	c := newCluster(t, 1, 1)
 	lines := crowdtest.ShortNames(15<<10, "\r\n")
 	whole := append([]byte(crowdHead+"Content-Length: 0\r\n"), append(lines, "\r\n"...)...)
@@ -108,6 +105,10 @@
 		"whole requests one after another": {Clients: 500, Send: crowdtest.SendWithoutEnd(nil, whole)},
 		"silent clients":                   {Clients: 900, Send: crowdtest.SendHeld()},
 	}
+	call := []byte("POST /twirp/bluebellscale.peer.Gossip/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nContent-Length: 100000000\r\n\r\n")
+	t.Run("peers, calls without end", func(t *testing.T) {
+		c.requireBounded(t, program, crowdtest.Crowd{Clients: 300, Send: crowdtest.SendWithoutEnd(call, bytes.Repeat([]byte("x"), 60_000))}, "peers")
+	})
 	for name, crowd := range crowds {
 		for _, listener := range []string{"callers", "peers"} {
 			t.Run(listener+", "+name, func(t *testing.T) { c.requireBounded(t, program, crowd, listener) })
@@ -115,6 +116,24 @@
 	}
 }
 
+// TestCrowdOfLargePromptsIsBounded guards against callers whose bodies, each inside max_prompt_bytes and never ended, together fill the memory of a VM.
+func TestCrowdOfLargePromptsIsBounded(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	const bodyBytes = 4 << 20 // max_prompt_bytes
+	head := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", crowdHead, bodyBytes)
+	crowd := crowdtest.Crowd{Clients: 60, Send: crowdtest.SendHeld(head, bytes.Repeat([]byte("x"), bodyBytes-1))}
+	c.requireBounded(t, buildProgram(t), crowd, "callers")
+}
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "bluebellscaled")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/bluebellscaled").CombinedOutput(); err != nil {
+		t.Fatalf("building the daemon: %v\n%s", err, out)
+	}
+	return program
+}
+
 func (c *cluster) requireBounded(t *testing.T, program string, crowd crowdtest.Crowd, listener string) {
 	p := c.startProcess(t, program)
 	p.requireServed()
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -22,10 +22,11 @@
 // peerHandler returns the handler for peers, metrics and state dumps.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
+	bounded := func(h http.Handler) http.Handler { return d.guards[listenerPeers].BoundBodies(maxCallBytes, h) }
 	gossip := peer.NewGossipServer(d.members)
-	mux.Handle(gossip.PathPrefix(), gossip)
+	mux.Handle(gossip.PathPrefix(), bounded(gossip))
 	stewardHandler := peer.NewStewardServer(stewardServer{Server: d.coordinator.Server(), slices: d.limiter})
-	mux.Handle(stewardHandler.PathPrefix(), stewardHandler)
+	mux.Handle(stewardHandler.PathPrefix(), bounded(stewardHandler))
 	mux.Handle("/v1/", d.gateway.HopHandler())
 	mux.Handle("GET /metrics", d.scrape)
 	mux.Handle(table.StatePath, table.StateHandler(d.table))
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -79,3 +79,37 @@
 	}
 	return n, err
 }
+
+// bodyCost is what a process holds for each byte of a body that is read whole and decoded.
+const bodyCost = 3
+
+// BoundBodies returns a handler that serves requests whose handlers read their bodies whole and have no memory of their own for them. A body
+// may have maxBytes, and memory for it is taken from the budget as it is read. Reading it fails otherwise.
+func (g *Guard) BoundBodies(maxBytes int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
+		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+			r.Body = &boundedBody{ReadCloser: r.Body, conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// boundedBody is a body for which memory is taken as it is read. It is given back once the request has been answered.
+type boundedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if refusal := b.conn.guard.takeHead(b.conn, bodyCost*int64(n)); refusal != nil {
+		b.conn.guard.count("refused", "body")
+		return 0, refusal
+	}
+	return n, err
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -34,6 +34,8 @@
 	budget  *budget
 	limits  atomic.Pointer[Limits]
 	served  atomic.Int64
+	failed  atomic.Int64 // requests whose body could not be read
+	bodies  int64        // bound of bodies that are read whole; zero: none are
 	proceed chan struct{}
 	release sync.Once
 }
@@ -47,6 +49,13 @@
 	f.limits.Store(&limits)
 	f.guard = New(Options{Name: "test", MaxConns: maxConns, Budget: f.budget, Limits: func() Limits { return *f.limits.Load() }, Metrics: tally.NoopScope})
 	s := &http.Server{ReadHeaderTimeout: waitTimeout, IdleTimeout: waitTimeout, Handler: http.HandlerFunc(f.handle)}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.bodies == 0 {
+			f.handle(w, r)
+			return
+		}
+		f.guard.BoundBodies(f.bodies, http.HandlerFunc(f.handle)).ServeHTTP(w, r)
+	})
 	f.guard.Attach(s)
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return SetReceiveBuffer(raw) }}
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -74,6 +83,8 @@
 func (f *fixture) handle(w http.ResponseWriter, r *http.Request) {
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
+		f.failed.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	f.served.Add(1)
@@ -343,6 +354,26 @@
 	}
 }
 
+// TestBodiesOfCallsAreBounded guards against handlers that read whole bodies without end, and against bodies that are cut off in silence.
+func TestBodiesOfCallsAreBounded(t *testing.T) {
+	const maxBody, room = 10_000, 256 << 10
+	f := newFixture(t, 100, room, Limits{})
+	f.bodies = maxBody
+	for size, want := range map[int]int{maxBody: http.StatusOK, maxBody + 1: http.StatusInternalServerError} {
+		c := f.connect()
+		c.send(fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)))
+		c.requireStatus(want)
+	}
+	for range 40 { // together more than there is room for
+		c := f.connect()
+		c.send(fmt.Sprintf("POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", maxBody, strings.Repeat("b", maxBody)))
+	}
+	f.await("bodies are refused", func() bool { return f.failed.Load() > 1 })
+	if held := f.held(); held > room {
+		t.Errorf("%d bytes are held", held)
+	}
+}
+
 // BenchmarkOrdinaryRequest measures a request of 700 bytes on a kept connection, with and without the guard.
 func BenchmarkOrdinaryRequest(b *testing.B) {
 	for _, guarded := range []bool{false, true} {
