--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -39,7 +39,7 @@
 	smallBytes = 64 << 10
 	// headShare and largeHeadShare are the shares of Capacity of which a small and a large head can use a part. Large heads leave room
 	// for small ones, and all heads for bodies, without which a head is of no use.
-	headShare      = 0.85
+	headShare      = 0.95
 	largeHeadShare = 0.5
 	// reserveShare is the share of Capacity of which large bodies and less urgent requests can use only a part.
 	reserveShare = 0.3
--- a/internal/policy/memory/memory_test.go
+++ b/internal/policy/memory/memory_test.go
@@ -168,6 +168,43 @@
 	}
 }
 
+// TestHeadsLeaveRoom guards against heads that take the room of bodies, and against large ones that take that of small ones.
+func TestHeadsLeaveRoom(t *testing.T) {
+	b := testBudget()
+	large := func() *Refusal {
+		var h Hold
+		return b.GrowHead(at(0), &h, mib)
+	}
+	for large() == nil {
+	}
+	if held := b.Held(Head); held > 20*mib || held < 19*mib {
+		t.Errorf("large heads hold %d bytes", held)
+	}
+	if refusal := large(); refusal.RetryAfter < minRetryAfter || refusal.RetryAfter > maxRetryAfter {
+		t.Errorf("Retry-After is %s", refusal.RetryAfter)
+	}
+	var last Hold
+	for { // until small ones are refused too
+		var h Hold
+		if b.GrowHead(at(0), &h, 10<<10) != nil {
+			break
+		}
+		last = h
+	}
+	body, refusal := b.TakeBody(at(0), Ask{Org: "urgent"}, 32<<10)
+	if refusal != nil {
+		t.Errorf("a small body: %v", refusal)
+	}
+	b.Release(at(1), &body)
+	b.Release(at(1), &last)
+	if refusal := b.GrowHead(at(1), &last, 1<<10); refusal != nil {
+		t.Errorf("a small head after one has ended: %v", refusal)
+	}
+	if n := b.Organisations(); n != 0 {
+		t.Errorf("heads count for %d organisations", n)
+	}
+}
+
 // Any sequence of takes, growth and releases keeps the bounds, and an empty budget accepts any body that the
 // VM can hold.
 func TestBudgetHoldsItsBounds(t *testing.T) {
