--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -78,7 +78,7 @@
 	if tooLong {
 		return http.StatusRequestHeaderFieldsTooLarge, nil
 	}
-	if refusal := c.guard.takeHead(c, more); refusal != nil {
+	if refusal := c.guard.takeMemory(c, more); refusal != nil {
 		return http.StatusServiceUnavailable, refusal
 	}
 	return 0, nil
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -43,7 +43,7 @@
 	if missing <= 0 {
 		return nil
 	}
-	return c.guard.takeHead(c, missing)
+	return c.guard.takeMemory(c, missing)
 }
 
 // parsedCost returns the least that is taken for a head that was measured while it was received.
@@ -107,7 +107,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if refusal := b.conn.guard.takeHead(b.conn, bodyCost*int64(n)); refusal != nil {
+	if refusal := b.conn.guard.takeMemory(b.conn, bodyCost*int64(n)); refusal != nil {
 		b.conn.guard.count("refused", "body")
 		return 0, refusal
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,5 +1,5 @@
-// Package ingress bounds what clients make a daemon hold before their requests are known: connections, heads, and bytes that the kernel
-// has received.
+// Package ingress bounds what clients make a daemon hold before their requests are known: connections, heads, bodies of calls between
+// daemons, and bytes that the kernel has received.
 //
 // Invariant: a listener keeps at most Options.MaxConns connections. What net/http will hold for a head is taken from the memory budget
 // before net/http gets its bytes. A client whose head exceeds the limits is answered 431, one for whose head there is no memory 503; its
@@ -30,8 +30,8 @@
 	MaxHeadBytes = 64 << 10
 	// connsPerGrown is the number of connections of which one may have a large receive buffer.
 	connsPerGrown = 16
-	// maxOlderHeads bounds the connections that give way to one head.
-	maxOlderHeads = 8
+	// maxYielding bounds the connections that give way to one head.
+	maxYielding = 8
 )
 
 // Limits bound what a client may send and for how long. Zero values set no bound of their own.
@@ -195,9 +195,9 @@
 	g.o.Metrics.Tagged(map[string]string{"why": why}).Counter("connections_" + event).Inc(1)
 }
 
-// takeHead takes memory for a head. Older heads that are not whole give way. It returns nil if there was room.
-func (g *Guard) takeHead(c *conn, more int64) *memory.Refusal {
-	for range maxOlderHeads {
+// takeMemory takes memory for a head, or for the body of a call. Older requests that are not whole give way. It returns nil if there was room.
+func (g *Guard) takeMemory(c *conn, more int64) *memory.Refusal {
+	for range maxYielding {
 		refusal := c.grow(more)
 		if refusal == nil {
 			return nil
