ingress: calls between daemons without a length, or too long, are refused before they are read

TestCrowdIsBounded/peers,_calls_without_end (own interface) held 118 MB once and 174 MB in the next run, bound 134: bodies of up to 4 MiB were read until they were refused, and what that leaves for the garbage collector had no bound. Daemons send all calls with their length, so others get 411.

--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -106,6 +106,11 @@
 		"silent clients":                   {Clients: 900, Send: crowdtest.SendHeld()},
 	}
 	call := []byte("POST /twirp/bluebellscale.peer.Gossip/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nContent-Length: 100000000\r\n\r\n")
+	chunked := []byte("POST /twirp/bluebellscale.peer.Gossip/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nTransfer-Encoding: chunked\r\n\r\n")
+	t.Run("peers, chunked calls without end", func(t *testing.T) {
+		chunk := fmt.Appendf(nil, "ea60\r\n%s\r\n", bytes.Repeat([]byte("x"), 60_000))
+		c.requireBounded(t, program, crowdtest.Crowd{Clients: 300, Send: crowdtest.SendWithoutEnd(chunked, chunk)}, "peers")
+	})
 	t.Run("peers, calls without end", func(t *testing.T) {
 		c.requireBounded(t, program, crowdtest.Crowd{Clients: 300, Send: crowdtest.SendWithoutEnd(call, bytes.Repeat([]byte("x"), 60_000))}, "peers")
 	})
--- a/internal/daemon/guards.go
+++ b/internal/daemon/guards.go
@@ -26,7 +26,7 @@
 	// callerDescriptorShare is the share of the process's descriptors that callers may take.
 	callerDescriptorShare = 0.4
 	// maxCallBytes bounds the body of another daemon's call.
-	maxCallBytes = 4 << 20
+	maxCallBytes = 1 << 20
 	// idleTimeout bounds the time between two requests of a connection.
 	idleTimeout = 60 * time.Second
 )
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -84,10 +84,15 @@
 const bodyCost = 3
 
 // BoundBodies returns a handler that serves requests whose handlers read their bodies whole and have no memory of their own for them. A body
-// may have maxBytes, and memory for it is taken from the budget as it is read. Reading it fails otherwise.
+// has a length, of maxBytes at most, and memory for it is taken from the budget as it is read. Reading it fails otherwise.
 func (g *Guard) BoundBodies(maxBytes int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
+		if status := bodyRefusal(r.ContentLength, maxBytes); status != 0 {
+			g.count("refused", "body")
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(status)
+			return
+		}
 		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
 			r.Body = &boundedBody{ReadCloser: r.Body, conn: c}
 		}
@@ -95,6 +100,17 @@
 	})
 }
 
+// bodyRefusal returns the status of the refusal of a body with a length, or zero. Daemons send each call with its length.
+func bodyRefusal(length, maxBytes int64) int {
+	switch {
+	case length < 0:
+		return http.StatusLengthRequired
+	case length > maxBytes:
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
+
 // boundedBody is a body for which memory is taken as it is read. It is given back once the request has been answered.
 type boundedBody struct {
 	io.ReadCloser
