--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -83,8 +83,8 @@
 // bodyCost is what a process holds for each byte of a body that is read whole and decoded.
 const bodyCost = 3
 
-// BoundBodies returns a handler that serves requests whose handlers read their bodies whole and have no memory of their own for them. A body
-// has a length, of maxBytes at most, and memory for it is taken from the budget as it is read. Reading it fails otherwise.
+// BoundBodies returns a handler for calls between daemons, whose handlers read bodies whole. Bodies without a length, or longer than maxBytes,
+// are refused unread. Memory for others is taken from the listener's budget as they are read; reading fails if there is none.
 func (g *Guard) BoundBodies(maxBytes int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if status := bodyRefusal(r.ContentLength, maxBytes); status != 0 {
@@ -100,7 +100,8 @@
 	})
 }
 
-// bodyRefusal returns the status of the refusal of a body with a length, or zero. Daemons send each call with its length.
+// bodyRefusal returns the status with which a body is refused, or zero; length is negative if it is not known. Daemons send all calls with
+// their length.
 func bodyRefusal(length, maxBytes int64) int {
 	switch {
 	case length < 0:
