origins: a version that comes while the list is written is listed at once

What callers saw: first events of streams at a new version waited 50 ms more than before, and a version without streams was listed up to a second late.

Cause: a write that has succeeded wakes the writer for versions that came meanwhile, but still counts as running then. The writer held the next write back, and only a write that a stream waits for was remembered. Now any write that would do something else than the running one follows it. Writes that would repeat it don't, so that conflicts with a removed entry end, also of two services side by side.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -109,8 +109,8 @@
 	missing   map[routing.ServiceID]time.Time
 	asked     askedWrites
 	retryAt   map[routing.ServiceID]time.Time // until when writes of histories are held back
-	// writing has the services whose histories are being written, and whether a stream has waited for another write since.
-	writing map[routing.ServiceID]bool
+	// writing has the writes of histories that run, one a service.
+	writing map[routing.ServiceID]*runningWrite
 	// listChanged is closed and replaced when histories change.
 	listChanged chan struct{}
 	records     *origin.Records
@@ -138,7 +138,7 @@
 	}
 	e := &Exchange{
 		reads: newFreshReads(), historyWake: make(chan struct{}, 1), listChanged: make(chan struct{}), asked: newAskedWrites(), retryAt: map[routing.ServiceID]time.Time{},
-		writing:   map[routing.ServiceID]bool{},
+		writing:   map[routing.ServiceID]*runningWrite{},
 		histories: map[routing.ServiceID]*history{}, missing: map[routing.ServiceID]time.Time{},
 		unrecordedLog: rate.Sometimes{First: firstUnrecordedLogs, Interval: unrecordedLogInterval},
 		o:             o, wake: make(chan struct{}, 1), versions: map[routing.ServiceID]*origin.Versions{},
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -233,38 +233,49 @@
 func (e *Exchange) holdBack(now time.Time, w dueWrite) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, runs := e.writing[w.service]
-	if !runs && !now.Before(e.retryAt[w.service]) {
+	running := e.writing[w.service]
+	if running == nil && !now.Before(e.retryAt[w.service]) {
 		return false
 	}
 	if w.urgent {
 		e.asked.urgent[w.service] = true
-		if runs {
-			e.writing[w.service] = true
-		}
+	}
+	if running != nil && (w.urgent || !w.repeats(running.dueWrite)) {
+		running.followed = true
 	}
 	return true
 }
 
+// repeats reports whether a write does what another one does.
+func (w dueWrite) repeats(other dueWrite) bool {
+	return w.revision == other.revision && slices.Equal(w.versions, other.versions)
+}
+
+// runningWrite is a write that has not ended.
+type runningWrite struct {
+	dueWrite
+	followed bool // another write is due after it
+}
+
 // startWrite writes an entry while others are written. Of each service one write runs at a time.
 func (e *Exchange) startWrite(ctx context.Context, w dueWrite, writes *sync.WaitGroup) {
+	running := &runningWrite{dueWrite: w}
 	e.mu.Lock()
-	e.writing[w.service] = false
+	e.writing[w.service] = running
 	e.mu.Unlock()
 	writes.Go(func() {
 		e.write(ctx, w)
-		e.endWrite(w.service)
+		e.endWrite(running)
 	})
 }
 
-// endWrite tells that a write has ended. It wakes the writer only for a stream that waits: a write that conflicts with a removed entry would be
-// repeated without end.
-func (e *Exchange) endWrite(service routing.ServiceID) {
+// endWrite wakes the writer only if another write is due: one that conflicts with a removed entry would be repeated without end.
+func (e *Exchange) endWrite(w *runningWrite) {
 	e.mu.Lock()
-	waits := e.writing[service]
-	delete(e.writing, service)
+	followed := w.followed
+	delete(e.writing, w.service)
 	e.mu.Unlock()
-	if waits {
+	if followed {
 		e.wakeHistory()
 	}
 }
--- a/internal/origins/listed_test.go
+++ b/internal/origins/listed_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/bluebellscale/bluebellscale/internal/mirror"
 	"github.com/bluebellscale/bluebellscale/internal/platform"
 	"github.com/bluebellscale/bluebellscale/internal/policy/origin"
@@ -593,3 +595,35 @@
 		stop()
 	})
 }
+
+// TestVersionThatComesDuringAWriteIsListedNext guards against a version that waits for the next comparison, because it came while the list without it was written.
+func TestVersionThatComesDuringAWriteIsListedNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newListKV("v1")
+		kv.takes = historyInterval / 50
+		e := newListingExchange(kv)
+		e.o.Rank = firstRank
+		e.o.Logger = hclog.New(&hclog.LoggerOptions{Output: slowWriter{}}) // keeps a write from ending at once
+		_, stop := e.runHistory(t)
+		defer stop()
+		e.OnSoftware(service, "v1", true)
+		e.OnListed(time.Now())
+		e.applyEntry(kv.entry)
+		e.OnSoftware(service, "v2", true)
+		synctest.Wait()
+		e.OnSoftware(service, "v3", true)
+		time.Sleep(4 * kv.takes)
+		if got := kv.versions(); !slices.Equal(got, []string{"v1", "v2", "v3"}) {
+			t.Errorf("listed are %v", got)
+		}
+	})
+}
+
+// slowWriter takes a moment for each write.
+type slowWriter struct{}
+
+// Write implements io.Writer.
+func (slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return len(p), nil
+}
