waiting: a test of estimates no longer depends on the machine's speed

It tells the waiting room a rate of 100,000 tokens a second by sleeping 10 ms between starts; where these take longer, the rate is lower, and requests that wait 1.5 s at most are then refused rightly.

The test runs in a bubble of virtual time now, so that the rate is the one that it names.

--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -315,30 +315,32 @@
 // Guards against refusing requests, for which there is room, by an estimate that counts large prompts for
 // which there is none.
 func TestLargePromptsWithoutRoomDoNotRefuseOthers(t *testing.T) {
-	f := newFixture(t, Options{})
-	blocked := func(id string, priority int, cost int64) {
-		r := f.request(id, priority, patient)
-		r.Cost, r.HasRoom = cost, func() bool { return false }
-		f.enter(t.Context(), r)
-	}
-	blocked("last", 9, 1)
-	for range 50 { // some 100,000 tokens a second
-		f.room.Started("s", 1000)
-		time.Sleep(10 * time.Millisecond)
-	}
-	for i := range 6 {
-		blocked(fmt.Sprint("large", i), 4, 40_000)
-	}
-	const others = 50
-	f.slots.free.Store(others)
-	for i := range others {
-		f.enter(t.Context(), f.request(fmt.Sprint(i), 5, 1500*time.Millisecond))
-	}
-	f.eventually("the others end", func() bool { return f.ended() == others })
-	f.record(func() {
-		if len(f.refused) > 0 {
-			t.Errorf("%d of %d are refused", len(f.refused), others)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Options{})
+		blocked := func(id string, priority int, cost int64) {
+			r := f.request(id, priority, patient)
+			r.Cost, r.HasRoom = cost, func() bool { return false }
+			f.enter(t.Context(), r)
 		}
+		blocked("last", 9, 1)
+		for range 50 { // some 100,000 tokens a second
+			f.room.Started("s", 1000)
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range 6 {
+			blocked(fmt.Sprint("large", i), 4, 40_000)
+		}
+		const others = 50
+		f.slots.free.Store(others)
+		for i := range others {
+			f.enter(t.Context(), f.request(fmt.Sprint(i), 5, 1500*time.Millisecond))
+		}
+		f.eventually("the others end", func() bool { return f.ended() == others })
+		f.record(func() {
+			if len(f.refused) > 0 {
+				t.Errorf("%d of %d are refused", len(f.refused), others)
+			}
+		})
 	})
 }
 
