ingress: answers that clients don't take, and callers' bodies, are bounded at every listener

What callers saw: 300 clients that send requests and read nothing kept the readiness listener from answering an ordinary client for 57 s, that of metrics for 9 s; at the callers' listener a daemon of a 134 MB VM held 143 MB (900 clients, answers of 200 KB) and 151 MB (1,500 clients, refusals), at the peers' listener of the own interface 204 and 214 MB. On the own interface 60 callers that each sent all but a byte of a body of 4 MiB made a daemon hold 370 MB.

Cause: send buffers were 256 KiB a connection (without a bound on the own interface) and counted nowhere; a connection whose handler is blocked in a write counted as served and never gave way; a closed one counted no more while the kernel still held its answer; bodies on the own interface were read without a budget, into buffers that grow in small steps.

Bodies of callers on the own interface take from a quarter of [daemon] memory_mb, 128 by default, which is also the soft limit of the runtime.

The crowds of directory, metrics, readiness and peers stayed in memory before too. The bounds of the crowds sum all listeners now, and count what is unsent.

Ruled out: closing only those that are idle (an answer that fits the buffers leaves the client idle, one that doesn't leaves it served); looking at all connections now and then (a crowd fills its buffers before).

--- a/cmd/bluebellscaled/main.go
+++ b/cmd/bluebellscaled/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -53,6 +54,7 @@
 		fmt.Println("The settings are valid.")
 		return nil
 	}
+	debug.SetMemoryLimit(daemon.SoftMemoryLimit(settings.Daemon))
 	d, err := daemon.New(settings, newLogger(settings.Log))
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,8 @@
 	MaxInFlight   int    // maximum number of requests in flight
 	// MaxConnections is the maximum number of connections of callers that are kept. Peers may keep a quarter as many beside.
 	MaxConnections int
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB int
 }
 
 // Platform sets the addresses of the platform's services and the rate limits for their use.
@@ -166,6 +168,7 @@
 		MaxInFlight:   r.integer(s, "max_in_flight", 1024, 1, 65536),
 
 		MaxConnections: r.integer(s, "max_connections", 2048, 16, 65536),
+		MemoryMB:       r.integer(s, "memory_mb", 128, 64, 65536),
 	}
 }
 
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -184,6 +184,10 @@
 	return b
 }
 
+// memoryPerPrompt is the memory that a process needs beside a prompt of the largest size, as a multiple of it: prompts are decoded, and large
+// ones may take a part of the memory only.
+const memoryPerPrompt = 32
+
 // checkCombinations validates settings that depend on each other.
 func (r *reader) checkCombinations(c *Config) {
 	m := c.Membership
@@ -201,6 +205,10 @@
 		r.addProblem("fleet", "order_timeout", c.Fleet.OrderTimeout.String(),
 			"at most two fifths of [journal] lease_ttl, "+longest.String())
 	}
+	if most := c.Daemon.MemoryMB << 20 / memoryPerPrompt; c.Admission.MaxPromptBytes > most {
+		r.addProblem("admission", "max_prompt_bytes", strconv.Itoa(c.Admission.MaxPromptBytes),
+			fmt.Sprintf("at most 1/%d of [daemon] memory_mb, %d", memoryPerPrompt, most))
+	}
 	if c.Daemon.Listen != "" && c.Daemon.Listen == c.Daemon.Peer && !strings.HasSuffix(c.Daemon.Peer, ":0") {
 		r.addProblem("daemon", "peer", c.Daemon.Peer, "an address other than that of listen")
 	}
--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -130,6 +130,19 @@
 	c.requireBounded(t, buildProgram(t), crowd, "callers")
 }
 
+// TestCrowdThatReadsNothingIsBounded guards against answers that fill the memory of a VM because their clients don't read them.
+func TestCrowdThatReadsNothingIsBounded(t *testing.T) {
+	program := buildProgram(t)
+	c := newCluster(t, 1, 1)
+	get := func(path string) crowdtest.Crowd {
+		q := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", path, atlasKey)
+		return crowdtest.Crowd{Clients: 500, Deaf: true, Send: crowdtest.SendWithoutEnd(nil, bytes.Repeat(q, 16))}
+	}
+	t.Run("callers, routes", func(t *testing.T) { c.requireBounded(t, program, get("/v1/route"), "callers") })
+	t.Run("peers, state dumps", func(t *testing.T) { c.requireBounded(t, program, get("/debug/state"), "peers") })
+	t.Run("peers, metrics", func(t *testing.T) { c.requireBounded(t, program, get("/metrics"), "peers") })
+}
+
 func buildProgram(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "bluebellscaled")
@@ -159,9 +172,9 @@
 	if !alive {
 		t.Fatal("the daemon has ended")
 	}
-	t.Logf("peak: %d MB resident, %d MB unread, %d descriptors", memory>>20, held.Unread>>20, held.Descriptors)
-	if memory+held.Unread > crowdMemoryMB<<20 {
-		t.Errorf("the daemon holds %d MB resident and %d MB unread, its VM has %d MB", memory>>20, held.Unread>>20, crowdMemoryMB)
+	t.Logf("peak: %d MB resident, %d MB unread, %d MB unsent, %d descriptors", memory>>20, held.Unread>>20, held.Unsent>>20, held.Descriptors)
+	if memory+held.Unread+held.Unsent > crowdMemoryMB<<20 {
+		t.Errorf("the daemon holds %d MB resident, %d MB unread and %d MB unsent, its VM has %d MB", memory>>20, held.Unread>>20, held.Unsent>>20, crowdMemoryMB)
 	}
 	if held.Descriptors > crowdOpenDescriptors {
 		t.Errorf("the daemon has %d descriptors open, want %d at most of %d", held.Descriptors, crowdOpenDescriptors, crowdDescriptors)
--- a/internal/daemon/debug.go
+++ b/internal/daemon/debug.go
@@ -27,7 +27,7 @@
 	mux.Handle(gossip.PathPrefix(), bounded(gossip))
 	stewardHandler := peer.NewStewardServer(stewardServer{Server: d.coordinator.Server(), slices: d.limiter})
 	mux.Handle(stewardHandler.PathPrefix(), bounded(stewardHandler))
-	mux.Handle("/v1/", d.gateway.HopHandler())
+	mux.Handle("/v1/", d.guards[listenerPeers].CountBodies(d.gateway.HopHandler()))
 	mux.Handle("GET /metrics", d.scrape)
 	mux.Handle(table.StatePath, table.StateHandler(d.table))
 	mux.HandleFunc("GET /debug/state", d.dump(func() any { return d.State() }))
--- a/internal/daemon/guards.go
+++ b/internal/daemon/guards.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/config"
 	"github.com/bluebellscale/bluebellscale/internal/ingress"
 )
 
@@ -19,8 +20,12 @@
 )
 
 const (
-	// headMemory is the memory for the heads of all requests in progress, in bytes.
-	headMemory = 16 << 20
+	// requestMemoryShare is the share of the process's memory for heads and bodies of callers' requests in progress, and peerMemoryShare that for
+	// those of peers, forwarded ones included. They are apart, so that a crowd of callers takes no memory from peers.
+	requestMemoryShare = 0.25
+	peerMemoryShare    = 0.25
+	// softMemoryShare is the share of the process's memory that is the soft limit of the Go runtime.
+	softMemoryShare = 0.6
 	// peerConnShare is the number of peers' connections as a share of those of callers.
 	peerConnShare = 0.25
 	// callerDescriptorShare is the share of the process's descriptors that callers may take.
@@ -31,21 +36,31 @@
 	idleTimeout = 60 * time.Second
 )
 
+// SoftMemoryLimit returns the soft limit of the Go runtime in bytes.
+func SoftMemoryLimit(c config.Daemon) int64 { return memoryShare(c, softMemoryShare) }
+
+func memoryShare(c config.Daemon, share float64) int64 {
+	return int64(share * float64(c.MemoryMB) * (1 << 20))
+}
+
 // newGuards creates the bounds on the clients of both listeners.
 func (d *Daemon) newGuards() {
-	conns := min(float64(d.config.Daemon.MaxConnections), callerDescriptorShare*float64(ingress.ProcessDescriptors()))
-	heads := ingress.NewBudget(headMemory)
-	guard := func(name listenerName, maxConns float64) *ingress.Guard {
-		return ingress.New(ingress.Options{
-			Name: string(name), MaxConns: max(1, int(maxConns)), Budget: heads, Metrics: d.metrics,
-			Limits: func() ingress.Limits { return ingress.Limits{HeadBytes: ingress.MaxHeadBytes} },
-		})
-	}
+	c := d.config.Daemon
+	conns := min(float64(c.MaxConnections), callerDescriptorShare*float64(ingress.ProcessDescriptors()))
 	d.guards = map[listenerName]*ingress.Guard{
-		listenerCallers: guard(listenerCallers, conns), listenerPeers: guard(listenerPeers, peerConnShare*conns),
+		listenerCallers: d.newGuard(listenerCallers, conns, memoryShare(c, requestMemoryShare)),
+		listenerPeers:   d.newGuard(listenerPeers, peerConnShare*conns, memoryShare(c, peerMemoryShare)),
 	}
 }
 
+// newGuard returns the bounds on the clients of a listener. memory is in bytes.
+func (d *Daemon) newGuard(name listenerName, maxConns float64, memory int64) *ingress.Guard {
+	return ingress.New(ingress.Options{
+		Name: string(name), MaxConns: max(1, int(maxConns)), Budget: ingress.NewBudget(memory), Metrics: d.metrics,
+		Limits: func() ingress.Limits { return ingress.Limits{HeadBytes: ingress.MaxHeadBytes} },
+	})
+}
+
 // connections returns what clients hold at each listener.
 func (d *Daemon) connections() map[listenerName]ingress.State {
 	states := map[listenerName]ingress.State{}
@@ -57,6 +72,6 @@
 
 // listen opens a listener whose connections have small receive buffers.
 func listen(address string) (net.Listener, error) {
-	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return ingress.SetReceiveBuffer(raw) }}
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return ingress.SetBuffers(raw) }}
 	return lc.Listen(context.Background(), "tcp", address)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -21,7 +21,7 @@
 	background, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	d.startTasks(background, &tasks)
-	callers := d.serve(listenerCallers, d.callers, d.gateway.Handler())
+	callers := d.serve(listenerCallers, d.callers, d.guards[listenerCallers].CountBodies(d.gateway.Handler()))
 	peers := d.serve(listenerPeers, d.peers, d.peerHandler())
 	d.log.Info("Daemon started", "id", d.config.Daemon.ID, "callers", d.CallerAddress(), "peers", d.PeerAddress())
 	var err error
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bluebellscale/bluebellscale/internal/block"
+	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 )
 
@@ -137,7 +138,7 @@
 	// without taking a credit, and would delay a planned shutdown up to its limit.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(g.opts.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(g.opts.MaxBody)))
+	body, err := readWhole(http.MaxBytesReader(w, r.Body, int64(g.opts.MaxBody)), r.ContentLength)
 	if err == nil {
 		// After an error the deadline stays set, since the server reads the rest of the
 		// body before it answers.
@@ -148,12 +149,50 @@
 		return nil, request.Refuse(request.CodePayloadTooLarge, http.StatusRequestEntityTooLarge, 0,
 			"body: want at most %d bytes", tooLarge.Limit)
 	}
+	var noMemory *memory.Refusal
+	if errors.As(err, &noMemory) {
+		return nil, request.Refuse(request.CodeOverloaded, http.StatusServiceUnavailable, noMemory.RetryAfter,
+			"this daemon has no memory for the body; ask for another address")
+	}
 	if err != nil {
 		return nil, request.Refuse(request.CodeBadRequest, http.StatusBadRequest, 0, "body: %v", err)
 	}
 	return body, nil
 }
 
+// firstBodyBytes is the size of the buffer into which a body is read first.
+const firstBodyBytes = 64 << 10
+
+// readWhole reads a body of a stated length, negative if there is none. Its buffer grows with what arrives, up to the length: growing in small
+// steps leaves several times the body to the garbage collector.
+func readWhole(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, 0, min(length, firstBodyBytes)+1)
+	for {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, nextSize(int64(cap(body)), length)), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// nextSize returns the size of the buffer after one that is full. A byte beyond the length shows the end of the body.
+func nextSize(size, length int64) int64 {
+	if length >= size {
+		return min(length+1, 2*size)
+	}
+	return 2 * size
+}
+
 func parseCompletion(j *Job) *request.Error {
 	if err := json.Unmarshal(j.body, &j.completion); err != nil {
 		var wrongType *json.UnmarshalTypeError
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bluebellscale/bluebellscale/internal/journal"
 	"github.com/bluebellscale/bluebellscale/internal/peer"
+	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
 	"github.com/bluebellscale/bluebellscale/internal/request"
 	"github.com/bluebellscale/bluebellscale/internal/table"
 
@@ -401,3 +402,40 @@
 		t.Error("a target that is not reached counts as dead, and so would all others")
 	}
 }
+
+// noMemoryBody is a body for which there is no memory.
+type noMemoryBody struct{}
+
+// Read implements io.Reader.
+func (noMemoryBody) Read([]byte) (int, error) {
+	return 0, &memory.Refusal{Reason: memory.ReasonFull, RetryAfter: 1500 * time.Millisecond}
+}
+
+// TestBodyWithoutMemoryIsNotRun guards against callers that take a lack of memory for a fault of their requests.
+func TestBodyWithoutMemoryIsNotRun(t *testing.T) {
+	g := newTestEnv(nil).gateway(t)
+	for _, path := range []string{pathCompletions, pathServices + "cards"} {
+		out := httptest.NewRecorder()
+		g.Handler().ServeHTTP(out, httptest.NewRequest(http.MethodPost, path, noMemoryBody{}))
+		var refused errorBody
+		if err := json.Unmarshal(out.Body.Bytes(), &refused); err != nil {
+			t.Fatal(err)
+		}
+		if out.Code != http.StatusServiceUnavailable || out.Header().Get("Retry-After") == "" || refused.Error.Ran != request.NotRun {
+			t.Errorf("%s: %d %v %s", path, out.Code, out.Header(), out.Body)
+		}
+	}
+}
+
+// TestWholeBodiesAreRead guards against bodies that are cut off, or read without end, at the sizes at which their buffer grows.
+func TestWholeBodiesAreRead(t *testing.T) {
+	for _, size := range []int{0, 1, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, 2*firstBodyBytes + 1, 1 << 20} {
+		sent := bytes.Repeat([]byte("ab"), size/2+1)[:size]
+		for _, length := range []int{size, -1, size / 2} {
+			got, err := readWhole(bytes.NewReader(sent), int64(length))
+			if err != nil || !bytes.Equal(got, sent) {
+				t.Errorf("%d bytes, stated %d: got %d, %v", size, length, len(got), err)
+			}
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/bluebellscale/bluebellscale/internal/monotime"
 	"github.com/bluebellscale/bluebellscale/internal/policy/connlimit"
 	"github.com/bluebellscale/bluebellscale/internal/policy/head"
 	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
@@ -38,12 +40,17 @@
 
 	mu       sync.Mutex // not held while guard.mu is acquired
 	phase    phase
-	used     bool // a request has been answered
-	since    time.Time
+	used     bool      // a request has been answered
+	since    time.Time // when the connection was accepted, the head began or the last request was answered
 	meter    head.Meter
 	hold     memory.Hold
 	released bool // the connection is closed and must take no more memory
-	grown    bool // the receive buffer is as large as for a body, for as long as the connection lives
+	// largeReceive and largeSend: a buffer is large. The receive buffer remains so for as long as the connection lives.
+	largeReceive, largeSend bool
+
+	writingSince monotime.Instant // unset: no write runs
+	gaveUp       atomic.Bool      // a write has reached its deadline: the client doesn't take its answer
+	lingering    atomic.Bool      // closed by net/http while the client has not received all of an answer
 }
 
 // Read implements net.Conn. Bytes of a head are given to net/http only once there is memory for what it will hold for them.
@@ -166,6 +173,13 @@
 	return c.guard.o.Budget.GrowHead(&c.hold, more)
 }
 
+// overdue reports whether the client has had the time to send a whole request.
+func (c *conn) overdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.since) > c.guard.o.StalledAfter
+}
+
 // holdsHead reports whether memory is taken for the connection's head.
 func (c *conn) holdsHead() bool {
 	c.mu.Lock()
@@ -177,9 +191,10 @@
 func (c *conn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.grown && !c.released {
-		c.guard.grown.Add(-1)
+	if c.largeReceive && !c.released {
+		c.guard.largeReceive.giveBack()
 	}
+	c.shrinkSendBuffer()
 	c.released = true
 	c.guard.o.Budget.ReleaseHead(&c.hold)
 }
@@ -188,32 +203,61 @@
 func (c *conn) idle() {
 	c.mu.Lock()
 	c.phase, c.used, c.since = awaiting, true, time.Now()
+	c.shrinkSendBuffer()
 	c.guard.o.Budget.ReleaseHead(&c.hold)
 	c.mu.Unlock()
 	c.guard.move(c, connlimit.Idle)
 }
 
-// growBuffer makes the receive buffer large if others than this connection leave room for that. It never becomes small again: TCP stalls
+// growReceiveBuffer makes the receive buffer large if others than this connection leave room for that. It never becomes small again: TCP stalls
 // on a window that shrinks.
-func (c *conn) growBuffer() {
+func (c *conn) growReceiveBuffer() {
 	c.mu.Lock()
-	grows := !c.released && !c.grown && c.guard.takeGrown()
-	c.grown = c.grown || grows
-	c.mu.Unlock()
-	if !grows {
+	defer c.mu.Unlock()
+	if c.released || c.largeReceive || !c.guard.largeReceive.take() {
 		return
 	}
+	c.largeReceive = true
 	if raw, err := c.SyscallConn(); err == nil {
-		_ = setWindow(raw, bodyReceiveBytes) // without it the body is read more slowly
+		_ = setReceiveBuffer(raw, largeBuffer) // without it the body is read more slowly
 	}
 }
 
-// closed tells that net/http has closed the connection.
+// growSendBuffer makes the send buffer large until the request has been answered, if others than this connection leave room for that.
+func (c *conn) growSendBuffer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.released || c.largeSend || !c.guard.largeSend.take() {
+		return
+	}
+	c.largeSend = true
+	c.setSendBuffer(largeBuffer)
+}
+
+// shrinkSendBuffer makes the send buffer small again. The mutex must be held.
+func (c *conn) shrinkSendBuffer() {
+	if !c.largeSend {
+		return
+	}
+	c.largeSend = false
+	c.guard.largeSend.giveBack()
+	c.setSendBuffer(smallBuffer)
+}
+
+func (c *conn) setSendBuffer(bytes int) {
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = setOptions(raw, sendBuffer(bytes)) // without it answers are sent more slowly, or the connection is closed
+	}
+}
+
+// closed tells that net/http has closed the connection. One that lingers keeps its place.
 func (c *conn) closed() {
 	c.release()
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	c.guard.conns.Remove(c.entry)
+	if c.lingering.Load() {
+		c.guard.move(c, connlimit.Idle)
+		return
+	}
+	c.guard.remove(c)
 }
 
 func (g *Guard) move(c *conn, to connlimit.State) bool {
@@ -222,3 +266,9 @@
 	g.conns.Move(c.entry, to)
 	return c.entry.Kept()
 }
+
+func (g *Guard) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns.Remove(c.entry)
+}
--- a/internal/ingress/crowdtest/crowdtest.go
+++ b/internal/ingress/crowdtest/crowdtest.go
@@ -5,12 +5,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +21,8 @@
 	Clients int
 	// Descriptors: the daemon may open few descriptors only.
 	Descriptors bool
+	// Deaf clients read nothing.
+	Deaf bool
 	// Send writes what client n sends until the connection fails or the context ends.
 	Send func(ctx context.Context, c net.Conn, n int)
 }
@@ -77,9 +81,26 @@
 	return clients
 }
 
-// client connects once, sends and reads nothing until the daemon closes the connection.
+// deafReceiveBytes is the receive buffer of a client that reads nothing: what it doesn't take is left to the daemon.
+const deafReceiveBytes = 4 << 10
+
+func (c Crowd) dialer() net.Dialer {
+	d := net.Dialer{Timeout: time.Second}
+	if c.Deaf {
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			var setErr error
+			err := raw.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, deafReceiveBytes)
+			})
+			return errors.Join(err, setErr)
+		}
+	}
+	return d
+}
+
+// client connects once and sends until the daemon closes the connection.
 func (c Crowd) client(ctx context.Context, address string, n int) {
-	dialer := net.Dialer{Timeout: time.Second}
+	dialer := c.dialer()
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
@@ -87,34 +108,42 @@
 	closed, done := context.WithCancel(ctx)
 	defer done()
 	context.AfterFunc(closed, func() { conn.Close() })
-	go func() {
-		defer done()
-		buffer := make([]byte, 512)
-		for {
-			if _, err := conn.Read(buffer); err != nil {
-				return
-			}
-		}
-	}()
+	if !c.Deaf {
+		go func() {
+			defer done()
+			discard(conn)
+		}()
+	}
 	c.Send(closed, conn, n)
 }
 
+// discard reads until the connection fails.
+func discard(conn net.Conn) {
+	buffer := make([]byte, 512)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 // Peak is the most that a process held.
 type Peak struct {
 	Unread      int64 // bytes that the kernel has received and the process has not read
+	Unsent      int64 // bytes that the process has written and the clients have not received
 	Descriptors int
 }
 
-// Watch records what a process that listens at an address holds until the context ends.
-func Watch(ctx context.Context, pid int, address string) (Peak, error) {
+// Watch records what a process that listens at some addresses holds until the context ends.
+func Watch(ctx context.Context, pid int, addresses ...string) (Peak, error) {
 	const interval = 50 * time.Millisecond
 	var p Peak
 	for ctx.Err() == nil {
-		bytes, err := unread(address)
+		received, sent, err := queued(addresses)
 		if err != nil {
 			return p, err
 		}
-		p.Unread = max(p.Unread, bytes)
+		p.Unread, p.Unsent = max(p.Unread, received), max(p.Unsent, sent)
 		p.Descriptors = max(p.Descriptors, openDescriptors(pid))
 		time.Sleep(interval)
 	}
@@ -135,34 +164,49 @@
 	return kb << 10, err == nil
 }
 
-// unread returns the bytes that the kernel has received for connections of a local port and that were not read, those included
-// that were not accepted.
-func unread(address string) (int64, error) {
+// queued returns the bytes that the kernel holds for connections of local ports: received and not read, those included that were not
+// accepted, and written and not yet received by the client.
+func queued(addresses []string) (received, sent int64, err error) {
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	port, err := portOf(address)
+	ports, err := portsOf(addresses)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	local := fmt.Sprintf(":%04X", port)
 	const listening = "0A"
-	var sum int64
 	lines := bufio.NewScanner(bytes.NewReader(raw))
 	for lines.Scan() {
 		f := strings.Fields(lines.Text())
-		if len(f) < 5 || !strings.HasSuffix(f[1], local) || f[3] == listening {
+		if len(f) < 5 || f[3] == listening {
 			continue
 		}
-		_, received, _ := strings.Cut(f[4], ":")
-		n, err := strconv.ParseInt(received, 16, 64)
+		if _, port, _ := strings.Cut(f[1], ":"); !ports[port] {
+			continue
+		}
+		tx, rx, _ := strings.Cut(f[4], ":")
+		r, receivedErr := strconv.ParseInt(rx, 16, 64)
+		w, sentErr := strconv.ParseInt(tx, 16, 64)
+		if err := errors.Join(receivedErr, sentErr); err != nil {
+			return 0, 0, err
+		}
+		received, sent = received+r, sent+w
+	}
+	return received, sent, nil
+}
+
+// portsOf returns the ports of addresses as the kernel writes them.
+func portsOf(addresses []string) (map[string]bool, error) {
+	ports := map[string]bool{}
+	for _, a := range addresses {
+		port, err := portOf(a)
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
-		sum += n
+		ports[fmt.Sprintf("%04X", port)] = true
 	}
-	return sum, nil
+	return ports, nil
 }
 
 func portOf(address string) (int, error) {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -27,7 +27,7 @@
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, conn: c, large: r.ContentLength > bodyReceiveBytes}
+			r.Body = &body{ReadCloser: r.Body, conn: c, large: r.ContentLength > largeBuffer}
 		} else if !g.move(c, connlimit.Serving) {
 			panic(http.ErrAbortHandler) // its connection gave way before the request was served
 		}
@@ -71,7 +71,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	if b.large {
 		b.large = false
-		b.conn.growBuffer()
+		b.conn.growReceiveBuffer()
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.conn.guard.move(b.conn, connlimit.Serving) {
@@ -80,11 +80,11 @@
 	return n, err
 }
 
-// bodyCost is what a process holds for each byte of a body that is read whole and decoded.
-const bodyCost = 3
+// BodyCost is what a process holds for each byte of a body that is read whole and decoded.
+const BodyCost = 3
 
 // BoundBodies returns a handler for calls between daemons, whose handlers read bodies whole. Bodies without a length, or longer than maxBytes,
-// are refused unread. Memory for others is taken from the listener's budget as they are read; reading fails if there is none.
+// are refused unread. Others are as with CountBodies.
 func (g *Guard) BoundBodies(maxBytes int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if status := bodyRefusal(r.ContentLength, maxBytes); status != 0 {
@@ -93,8 +93,16 @@
 			w.WriteHeader(status)
 			return
 		}
-		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
-			r.Body = &boundedBody{ReadCloser: r.Body, conn: c}
+		g.CountBodies(next).ServeHTTP(w, r)
+	})
+}
+
+// CountBodies returns a handler whose requests' bodies are read whole. Memory for them is taken from the listener's budget as they are read.
+// Reading fails with a *memory.Refusal if there is none.
+func (g *Guard) CountBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil && r.ContentLength != 0 {
+			r.Body = &countedBody{ReadCloser: r.Body, conn: c}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -112,19 +120,19 @@
 	return 0
 }
 
-// boundedBody is a body for which memory is taken as it is read. It is given back once the request has been answered.
-type boundedBody struct {
+// countedBody is a body for which memory is taken as it is read. It is given back once the request has been answered.
+type countedBody struct {
 	io.ReadCloser
 	conn *conn
 }
 
 // Read implements io.Reader.
-func (b *boundedBody) Read(p []byte) (int, error) {
+func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n == 0 {
 		return n, err
 	}
-	if refusal := b.conn.guard.takeMemory(b.conn, bodyCost*int64(n)); refusal != nil {
+	if refusal := b.conn.guard.takeMemory(b.conn, BodyCost*int64(n)); refusal != nil {
 		b.conn.guard.count("refused", "body")
 		return 0, refusal
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,5 +1,5 @@
 // Package ingress bounds what clients make a daemon hold before their requests are known: connections, heads, bodies of calls between
-// daemons, and bytes that the kernel has received.
+// daemons, and bytes that the kernel has received, or holds of answers that clients don't take.
 //
 // Invariant: a listener keeps at most Options.MaxConns connections. What net/http will hold for a head is taken from the memory budget
 // before net/http gets its bytes. A client whose head exceeds the limits is answered 431, one for whose head there is no memory 503; its
@@ -10,6 +10,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -28,8 +29,13 @@
 const (
 	// MaxHeadBytes bounds the request line and the header lines of a request where Limits say nothing else.
 	MaxHeadBytes = 64 << 10
-	// connsPerGrown is the number of connections of which one may have a large receive buffer.
-	connsPerGrown = 16
+	// DefaultStalledAfter is the default of Options.StalledAfter.
+	DefaultStalledAfter = 200 * time.Millisecond
+	// connsPerLarge is the number of connections of which one may have a large receive buffer, and one a large send buffer.
+	connsPerLarge = 16
+	// backlogShare is the number of connections that the kernel keeps until they are accepted, as a share of those that are kept.
+	backlogShare = 0.5
+	minBacklog   = 16
 	// maxYielding bounds the connections that give way to one head.
 	maxYielding = 8
 )
@@ -52,6 +58,9 @@
 	Name     string // of the listener, in metrics and logs
 	MaxConns int    // connections that are kept at the same time
 	Budget   HeadBudget
+	// StalledAfter is how long a client may leave a write blocked, or its request without an end, before its connection gives way first. Answers
+	// that are larger than a send buffer need some round trips. Zero: DefaultStalledAfter.
+	StalledAfter time.Duration
 	// Limits returns the limits in force. They are asked again while a head is received.
 	Limits  func() Limits
 	Metrics tally.Scope
@@ -61,7 +70,8 @@
 type Guard struct {
 	o Options
 
-	grown   atomic.Int64 // connections with a large receive buffer
+	largeReceive, largeSend largeBuffers
+
 	gaveWay atomic.Int64 // connections that were closed for the sake of others
 
 	mu    sync.Mutex
@@ -70,8 +80,12 @@
 
 // New returns a Guard.
 func New(o Options) *Guard {
+	o.StalledAfter = cmp.Or(o.StalledAfter, DefaultStalledAfter)
 	o.Metrics = o.Metrics.Tagged(map[string]string{"listener": o.Name})
-	return &Guard{o: o, conns: connlimit.New[*conn](o.MaxConns)}
+	g := &Guard{o: o, conns: connlimit.New(o.MaxConns, connlimit.Clients[*conn]{Overdue: (*conn).overdue, Stalled: (*conn).stalled})}
+	g.largeReceive.max = max(1, int64(o.MaxConns/connsPerLarge))
+	g.largeSend.max = g.largeReceive.max
+	return g
 }
 
 // Attach makes a server use the guard. The server must serve a listener that Listener returned. Connections that wrap those of the listener
@@ -116,8 +130,22 @@
 	}
 }
 
-// Listener returns a listener whose connections are guarded.
-func (g *Guard) Listener(l net.Listener) net.Listener { return &listener{Listener: l, guard: g} }
+// Listener returns a listener whose connections are guarded. It bounds those that the kernel keeps until they are accepted.
+func (g *Guard) Listener(l net.Listener) net.Listener {
+	if tcp, ok := l.(*net.TCPListener); ok {
+		g.setBacklog(tcp)
+	}
+	return &listener{Listener: l, guard: g}
+}
+
+func (g *Guard) setBacklog(l *net.TCPListener) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return // it is closed
+	}
+	backlog := max(minBacklog, int(backlogShare*float64(g.o.MaxConns)))
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) }) // without it the kernel's own bound holds
+}
 
 type listener struct {
 	net.Listener
@@ -149,7 +177,7 @@
 
 // add returns the guarded connection, or nil if there is no room for it.
 func (g *Guard) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, guard: g}
+	c := &conn{TCPConn: tcp, guard: g, since: time.Now()}
 	g.mu.Lock()
 	added, closed := g.conns.Add(c)
 	c.entry = added
@@ -178,19 +206,10 @@
 func (g *Guard) close(c *conn, why string) {
 	c.release()
 	g.gaveWay.Add(1)
-	_ = c.TCPConn.Close() // its client may have closed it
+	c.reset()
 	g.count("closed", why)
 }
 
-// takeGrown reports whether one more connection may have a large receive buffer.
-func (g *Guard) takeGrown() bool {
-	if g.grown.Add(1) <= int64(max(1, g.o.MaxConns/connsPerGrown)) {
-		return true
-	}
-	g.grown.Add(-1)
-	return false
-}
-
 func (g *Guard) count(event, why string) {
 	g.o.Metrics.Tagged(map[string]string{"why": why}).Counter("connections_" + event).Inc(1)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,9 @@
 
 const waitTimeout = 20 * time.Second
 
+// largePath, with a number, asks for an answer of so many bytes.
+const largePath = "/large/"
+
 // fixture is a guarded server. Its handler reads the body and answers with its length, after a path that begins with /wait once proceed is
 // closed.
 type fixture struct {
@@ -57,7 +61,7 @@
 		f.guard.BoundBodies(f.bodies, http.HandlerFunc(f.handle)).ServeHTTP(w, r)
 	})
 	f.guard.Attach(s)
-	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return SetReceiveBuffer(raw) }}
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return SetBuffers(raw) }}
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -88,6 +92,10 @@
 		return
 	}
 	f.served.Add(1)
+	if bytes, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, largePath)); err == nil {
+		_, _ = w.Write(make([]byte, bytes)) // its client may not read it
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/wait") {
 		<-f.proceed
 	}
@@ -131,6 +139,25 @@
 	return &client{Conn: c, t: f.t, br: bufio.NewReader(c)}
 }
 
+// connectDeaf returns a client whose receive buffer is small.
+func (f *fixture) connectDeaf() *client {
+	f.t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setOptions(raw, option{syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4 << 10})
+	}}
+	c, err := d.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	return &client{Conn: c, t: f.t, br: bufio.NewReader(c)}
+}
+
+// askLarge asks for an answer of a size.
+func (c *client) askLarge(bytes int, header string) {
+	c.send(fmt.Sprintf("GET %s%d HTTP/1.1\r\nHost: h\r\n%s\r\n", largePath, bytes, header))
+}
+
 // send writes; the connection may fail meanwhile.
 func (c *client) send(text string) { _, _ = io.WriteString(c, text) }
 
@@ -315,6 +342,74 @@
 	}
 }
 
+// TestClientsThatReadNothingGiveWay guards against answers that nobody reads and that keep ordinary clients out.
+func TestClientsThatReadNothingGiveWay(t *testing.T) {
+	const maxConns = 4
+	f := newFixture(t, maxConns, 1<<20, Limits{})
+	for range maxConns {
+		f.connectDeaf().askLarge(1<<20, "")
+	}
+	f.await("all are served", func() bool { return f.guard.State().Serving == maxConns })
+	f.await("an ordinary client is served", func() bool {
+		c, err := net.Dial("tcp", f.address)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		ordinaryClient := &client{Conn: c, t: t, br: bufio.NewReader(c)}
+		ordinaryClient.send(ordinary)
+		status, _ := ordinaryClient.status()
+		return status == http.StatusOK
+	})
+	if n := f.guard.State().GaveWay; n == 0 {
+		t.Error("no connection gave way")
+	}
+}
+
+// TestAnswersToClosedConnectionsAreCounted guards against answers that the kernel holds for connections that count no more, and against their loss.
+func TestAnswersToClosedConnectionsAreCounted(t *testing.T) {
+	f := newFixture(t, 10, 1<<20, Limits{})
+	const answerBytes = 12_000 // more than the client's buffer, less than the server's
+	c := f.connectDeaf()
+	c.askLarge(answerBytes, "Connection: close\r\n")
+	f.await("the answer is written", func() bool { return f.guard.State().Idle == 1 })
+	time.Sleep(2 * lingerInterval)
+	if n := f.guard.State().Idle; n != 1 {
+		t.Errorf("%d connections are kept, want 1", n)
+	}
+	r, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if n, err := io.Copy(io.Discard, r.Body); err != nil || n != answerBytes {
+		t.Errorf("got %d bytes, %v", n, err)
+	}
+	f.await("the connection is kept no more", func() bool { return f.guard.State().Idle == 0 })
+}
+
+// TestLargeAnswersPass guards against answers that the small send buffers cut off or hold up, for clients that pause as well.
+func TestLargeAnswersPass(t *testing.T) {
+	f := newFixture(t, 40, 1<<20, Limits{})
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		for _, size := range []int{smallBuffer, 100_000, 4 << 20} {
+			c := f.connectDeaf()
+			c.askLarge(size, header)
+			time.Sleep(2 * lingerInterval)
+			r, err := http.ReadResponse(c.br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := io.Copy(io.Discard, r.Body); err != nil || n != int64(size) {
+				t.Errorf("%q, %d bytes: got %d, %v", header, size, n, err)
+			}
+			r.Body.Close()
+			c.Close()
+		}
+	}
+	f.await("no send buffer is large", func() bool { return f.guard.largeSend.taken.Load() == 0 })
+}
+
 // TestTimesOfLimitsAreInForce guards against heads and idle connections that outlive the limits in force.
 func TestTimesOfLimitsAreInForce(t *testing.T) {
 	f := newFixture(t, 10, 1<<20, Limits{HeadTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond})
@@ -339,7 +434,7 @@
 	f := newFixture(t, 10, 1<<20, Limits{})
 	c := &http.Client{Transport: &http.Transport{}}
 	defer c.CloseIdleConnections()
-	for _, size := range []int{0, 100, receiveBytes, 100_000, 4 << 20} {
+	for _, size := range []int{0, 100, smallBuffer, 100_000, 4 << 20} {
 		for range 3 {
 			resp, err := c.Post("http://"+f.address+"/x", "text/plain", bytes.NewReader(make([]byte, size)))
 			if err != nil {
--- a/internal/policy/connlimit/connlimit.go
+++ b/internal/policy/connlimit/connlimit.go
@@ -1,8 +1,9 @@
 // Package connlimit decides which connections of clients a listener keeps.
 //
 // Invariant: at most Max connections are kept. If there is no room, the one that holds its place longest without having sent a whole
-// request is closed, or else the one that is idle longest. Connections whose request is being served are never closed. Clients that are
-// silent, or never end a request, therefore can't keep others out, and ordinary idle connections are kept while there is room.
+// request is closed, or else the one that is idle longest, or else one whose client doesn't take its answer, which goes before clients that have
+// just connected. Other connections whose request is being served are never closed. Clients that are silent, never end a request or read nothing
+// therefore can't keep others out, and ordinary idle connections are kept while there is room.
 //
 // The package is pure: it holds no clock, I/O, goroutine or randomness.
 package connlimit
@@ -33,15 +34,25 @@
 // Kept reports whether the connection is still kept.
 func (e *Entry[T]) Kept() bool { return e.element != nil }
 
+// maxExamined bounds the connections that are examined for one that gives way.
+const maxExamined = 64
+
 // Set is the connections that are kept. It is not safe for concurrent use.
 type Set[T any] struct {
-	max   int
-	lists [states]*list.List // oldest first
+	max     int
+	clients Clients[T]
+	lists   [states]*list.List // oldest first, but for Serving
+}
+
+// Clients tells how clients behave.
+type Clients[T any] struct {
+	Overdue func(T) bool // it has had the time to send a whole request
+	Stalled func(T) bool // it doesn't take the answer to its request, which is being served
 }
 
 // New returns an empty Set that keeps at most maxConns connections.
-func New[T any](maxConns int) *Set[T] {
-	s := &Set[T]{max: maxConns}
+func New[T any](maxConns int, clients Clients[T]) *Set[T] {
+	s := &Set[T]{max: maxConns, clients: clients}
 	for i := range s.lists {
 		s.lists[i] = list.New()
 	}
@@ -71,14 +82,38 @@
 	return e, closed
 }
 
-// Shed removes the connection that is to be closed next. It returns nil if all serve requests.
+// Shed removes the connection that is to be closed next. It returns nil if all serve requests of clients that take their answers.
 func (s *Set[T]) Shed() *Entry[T] {
-	for _, state := range []State{Receiving, Idle} {
-		if front := s.lists[state].Front(); front != nil {
-			e := front.Value.(*Entry[T])
-			s.Remove(e)
+	receiving, idle := s.lists[Receiving].Front(), s.lists[Idle].Front()
+	switch {
+	case receiving != nil && s.clients.Overdue(receiving.Value.(*Entry[T]).Conn):
+		return s.removeElement(receiving)
+	case receiving != nil:
+		if e := s.shedStalled(); e != nil {
 			return e
 		}
+		return s.removeElement(receiving)
+	case idle != nil:
+		return s.removeElement(idle)
+	}
+	return s.shedStalled()
+}
+
+func (s *Set[T]) removeElement(el *list.Element) *Entry[T] {
+	e := el.Value.(*Entry[T])
+	s.Remove(e)
+	return e
+}
+
+// shedStalled removes a connection whose client doesn't take its answer. Of many connections it examines some, and others at the next call.
+func (s *Set[T]) shedStalled() *Entry[T] {
+	serving := s.lists[Serving]
+	for range min(maxExamined, serving.Len()) {
+		front := serving.Front()
+		if s.clients.Stalled(front.Value.(*Entry[T]).Conn) {
+			return s.removeElement(front)
+		}
+		serving.MoveToBack(front)
 	}
 	return nil
 }
@@ -87,9 +122,8 @@
 // none.
 func (s *Set[T]) ShedBefore(e *Entry[T], match func(T) bool) *Entry[T] {
 	for el := s.lists[Receiving].Front(); el != nil && el != e.element; el = el.Next() {
-		if older := el.Value.(*Entry[T]); match(older.Conn) {
-			s.Remove(older)
-			return older
+		if match(el.Value.(*Entry[T]).Conn) {
+			return s.removeElement(el)
 		}
 	}
 	return nil
--- a/internal/policy/connlimit/connlimit_test.go
+++ b/internal/policy/connlimit/connlimit_test.go
@@ -15,6 +15,8 @@
 	set     *Set[string]
 	entries map[string]*Entry[string]
 	holding map[string]bool // a head
+	stalled map[string]bool // its client takes no answer
+	fresh   map[string]bool // it has had no time to send a request
 	events  map[string][]string
 }
 
@@ -35,6 +37,10 @@
 		s.entries[conn] = added
 	case "remove":
 		s.set.Remove(s.entries[conn])
+	case "stall":
+		s.stalled[conn] = true
+	case "fresh":
+		s.fresh[conn] = true
 	case "hold":
 		s.holding[conn] = true
 	case "older":
@@ -72,7 +78,11 @@
 	datadriven.RunTest(t, "testdata/conns", func(t *testing.T, d *datadriven.TestData) string {
 		var maxConns int
 		d.ScanArgs(t, "max", &maxConns)
-		s := &script{set: New[string](maxConns), entries: map[string]*Entry[string]{}, holding: map[string]bool{}, events: map[string][]string{}}
+		s := &script{entries: map[string]*Entry[string]{}, holding: map[string]bool{}, stalled: map[string]bool{}, fresh: map[string]bool{}, events: map[string][]string{}}
+		s.set = New(maxConns, Clients[string]{
+			Overdue: func(c string) bool { return !s.fresh[c] },
+			Stalled: func(c string) bool { return s.stalled[c] },
+		})
 		for _, line := range strings.Split(d.Input, "\n") {
 			verb, conn, _ := strings.Cut(line, " ")
 			s.step(verb, conn)
@@ -85,7 +95,8 @@
 func TestNeverMoreThanMax(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		maxConns := rapid.IntRange(1, 5).Draw(t, "max")
-		s := New[string](maxConns)
+		overdue, stalls := rapid.Bool().Draw(t, "overdue"), rapid.Bool().Draw(t, "stalls")
+		s := New(maxConns, Clients[string]{Overdue: func(string) bool { return overdue }, Stalled: func(string) bool { return stalls }})
 		var all []*Entry[string]
 		for n := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			if added, _ := s.Add(fmt.Sprint(n)); added != nil {
