loadshare: reports in the names of daemons that don't exist are bounded

What operators would see: anybody who reaches the port of peers sends datagrams in ever new names, and the daemon remembers something for each: within 6 s one of a 134 MB VM held 267 MB (names of replicas that don't exist) and 697 MB (names of 50 kB), and 131 MB of a report without a list.

Cause: what peers report is kept by the name in the datagram, without a bound and mostly for ever; a map was made as large as the list of a report, and lists that were cut to a bound kept what was cut off in memory.

Now reports are taken in 4,096 names at once, of 200 bytes at most, which are forgotten 10 s after the last report; known names are always taken. The aim has 390 daemons.

Ruled out: only listed daemons' addresses (forged as easily, and daemons that are listed no more report too).

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -134,6 +134,8 @@
 	lastFullReport time.Time           // when all work was reported last
 	lastWaiting    time.Time           // when all that waits was reported last
 
+	senders      senders
+	badSender    rate.Sometimes
 	peerReplicas map[request.DaemonID]map[uint64]bool // replicas in the last reports of each peer
 
 	lenders    lenderReports  // used by report alone
@@ -228,7 +230,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "loadshare: listen")
 	}
-	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, badNumbers: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
+	return &Reporter{o: o, conn: conn, news: make(chan struct{}, 1), badRooms: rate.Sometimes{Interval: badReportLogInterval}, badNumbers: rate.Sometimes{Interval: badReportLogInterval}, badSender: rate.Sometimes{Interval: badReportLogInterval}, peerDemand: peerDemand{badLog: rate.Sometimes{Interval: badReportLogInterval}}, peerReplicas: map[request.DaemonID]map[uint64]bool{}}, nil
 }
 
 // WrapConn replaces the connection by what wrap makes of it. It must be called before Run.
--- a/internal/loadshare/reach.go
+++ b/internal/loadshare/reach.go
@@ -69,7 +69,7 @@
 			delete(p.lost, id)
 		}
 	}
-	p.lost[peer] = lostServices{hashes: r.Lost[:min(len(r.Lost), maxLost)], at: now}
+	p.lost[peer] = lostServices{hashes: slices.Clone(r.Lost[:min(len(r.Lost), maxLost)]), at: now}
 }
 
 // has reports whether a peer has lost a service.
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellscale/bluebellscale/internal/bounds"
 	"github.com/bluebellscale/bluebellscale/internal/placer"
 	"github.com/bluebellscale/bluebellscale/internal/policy/residency"
 	"github.com/bluebellscale/bluebellscale/internal/replicas"
@@ -45,6 +46,9 @@
 
 // apply updates the replicas with what a peer reported, and passes revisions, placements and crashes on.
 func (s *Reporter) apply(ctx context.Context, now time.Time, r *Report) {
+	if !s.accepts(now, request.DaemonID(r.From)) {
+		return
+	}
 	s.o.OnReport(request.DaemonID(r.From))
 	if len(r.Revisions) > 0 {
 		s.o.OnRevisions(r.Address, r.Revisions)
@@ -107,6 +111,26 @@
 	}
 }
 
+// accepts reports whether reports in a name are accepted. It forgets the replicas of names that have expired.
+func (s *Reporter) accepts(now time.Time, name request.DaemonID) bool {
+	expired, ok := s.senders.admit(now, name)
+	if !ok {
+		s.badSender.Do(func() {
+			s.o.Logger.Warn("Ignoring reports in too many or too long names", "from", bounds.BriefKey(string(name)))
+		})
+		return false
+	}
+	if len(expired) == 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range expired {
+		delete(s.peerReplicas, name)
+	}
+	return true
+}
+
 // forEachKnown calls do for each hash of a replica that is known to this daemon.
 func (s *Reporter) forEachKnown(hashes []uint64, do func(*replicas.Replica)) {
 	for _, hash := range hashes {
@@ -127,7 +151,7 @@
 	s.mu.Lock()
 	reported := s.peerReplicas[peer]
 	if reported == nil || !r.ChangesOnly {
-		reported = make(map[uint64]bool, len(r.Work))
+		reported = map[uint64]bool{} // of known replicas only, however many the report names
 	}
 	before := s.peerReplicas[peer]
 	s.peerReplicas[peer] = reported
--- a/internal/mirror/relays.go
+++ b/internal/mirror/relays.go
@@ -12,6 +12,9 @@
 // repeat the report more than twice within it.
 const reportTTL = time.Second
 
+// prunedPeers is the number of remembered peers from which on each report drops those that are no longer valid.
+const prunedPeers = 1024
+
 // PeerTracker counts the peers that made a report recently. It is safe for concurrent use.
 type PeerTracker struct {
 	mu         sync.Mutex
@@ -25,6 +28,9 @@
 	if p.lastReport == nil {
 		p.lastReport = map[request.DaemonID]time.Time{}
 	}
+	if len(p.lastReport) >= prunedPeers {
+		p.prune(now)
+	}
 	p.lastReport[peer] = now
 }
 
