--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -4,15 +4,20 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bluebellscale/bluebellscale/internal/ingress/crowdtest"
+	"github.com/bluebellscale/bluebellscale/internal/peer"
 )
 
 const (
@@ -121,6 +126,37 @@
 	}
 }
 
+// sendGossip sends calls that name daemons that don't exist, no two alike, until the connection fails.
+func sendGossip(ctx context.Context, c net.Conn, _ int) {
+	const members = 2000 // some 200 KB
+	for ctx.Err() == nil {
+		r := &peer.ExchangeRequest{From: "crowd"}
+		for range members {
+			id := fmt.Sprint("daemon-", gossiped.Add(1))
+			r.Updates = append(r.Updates, &peer.Member{
+				Id: id, PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:1", Region: "fes", FailureDomain: "conche", Incarnation: 1, Heartbeat: 1,
+			})
+		}
+		body, err := proto.Marshal(r)
+		if err != nil {
+			return
+		}
+		head := fmt.Appendf(nil, "POST /twirp/bluebellscale.peer.Gossip/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", len(body))
+		if _, err := c.Write(append(head, body...)); err != nil {
+			return
+		}
+	}
+}
+
+// gossiped counts the daemons that don't exist.
+var gossiped atomic.Int64
+
+// TestCrowdOfGossipIsBounded guards against daemons that don't exist, each of which is remembered.
+func TestCrowdOfGossipIsBounded(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.requireBounded(t, buildProgram(t), crowdtest.Crowd{Clients: 8, Send: sendGossip}, "peers")
+}
+
 // TestCrowdOfLargePromptsIsBounded guards against callers whose bodies, each inside max_prompt_bytes and never ended, together fill the memory of a VM.
 func TestCrowdOfLargePromptsIsBounded(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -204,7 +204,7 @@
 	e, known := c.entries.get(m.Id)
 	if !known {
 		// An unknown suspect has been removed here or will soon be removed by its peers.
-		if m.State == suspect {
+		if m.State == suspect || !c.hasRoom(m) {
 			return false
 		}
 		c.addMember(m)
@@ -219,6 +219,18 @@
 	return true
 }
 
+const (
+	// maxMembers bounds the daemons that are known. Anybody who reaches the port of peers can name some that don't exist.
+	maxMembers = 4096
+	// maxMemberBytes bounds the record of one.
+	maxMemberBytes = 1024
+)
+
+// hasRoom reports whether one more member may be known.
+func (c *Core) hasRoom(m *peer.Member) bool {
+	return c.entries.len() < maxMembers && proto.Size(m) <= maxMemberBytes
+}
+
 func (c *Core) addMember(m *peer.Member) {
 	c.entries.add(&entry{record: m})
 	// The random position keeps the daemons from all contacting the new member at once.
