ingress: answers that are broken off are reset

What callers would see: an answer that only the end of its connection delimits is broken off, and looks complete.

Cause: closes connections in order while their clients have not received everything, and so ignored that such answers set the connection to be reset when it is closed. The connection remembers that now. Found by reading; TestAbortedAnswersLookIncomplete got 12,075 bytes and the end of the connection before, an error now.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -28,7 +28,7 @@
 	c.writingSince.Set(time.Time{})
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.gaveUp.Store(true)
+		_ = c.SetLinger(0) // the client doesn't take its answer; this fails only on a closed connection
 	case err == nil && time.Since(began) > blockedWrite:
 		c.growSendBuffer()
 	}
@@ -45,7 +45,7 @@
 // bytes outside of any bound.
 func (c *conn) Close() error {
 	switch {
-	case c.gaveUp.Load():
+	case c.resetsOnClose.Load():
 		c.reset()
 		return nil
 	case c.unsent() == 0:
@@ -59,6 +59,13 @@
 	return nil
 }
 
+// SetLinger sets what happens to unsent data when the connection is closed. With 0 it is reset: an answer that was broken off must not look
+// complete.
+func (c *conn) SetLinger(seconds int) error {
+	c.resetsOnClose.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
+}
+
 // checkUntil closes a connection that lingers once its client has received everything, at the latest at the end.
 func (c *conn) checkUntil(end time.Time) {
 	time.AfterFunc(lingerInterval, func() {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,9 +48,9 @@
 	// largeReceive and largeSend: a buffer is large. The receive buffer remains so for as long as the connection lives.
 	largeReceive, largeSend bool
 
-	writingSince monotime.Instant // unset: no write runs
-	gaveUp       atomic.Bool      // a write has reached its deadline: the client doesn't take its answer
-	lingering    atomic.Bool      // closed by net/http while the client has not received all of an answer
+	writingSince  monotime.Instant // unset: no write runs
+	resetsOnClose atomic.Bool
+	lingering     atomic.Bool // closed by net/http while the client has not received all of an answer
 }
 
 // Read implements net.Conn. Bytes of a head are given to net/http only once there is memory for what it will hold for them.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
+	"github.com/bluebellscale/bluebellscale/internal/framing"
 	"github.com/bluebellscale/bluebellscale/internal/policy/memory"
 )
 
@@ -26,6 +27,12 @@
 
 const waitTimeout = 20 * time.Second
 
+// abortedPath asks for an answer without a length, of which abortedBytes come.
+const (
+	abortedPath  = "/aborted"
+	abortedBytes = 12_000
+)
+
 // largePath, with a number, asks for an answer of so many bytes.
 const largePath = "/large/"
 
@@ -60,6 +67,7 @@
 		}
 		f.guard.BoundBodies(f.bodies, http.HandlerFunc(f.handle)).ServeHTTP(w, r)
 	})
+	s.ConnContext = framing.ConnContext
 	f.guard.Attach(s)
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return SetBuffers(raw) }}
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -92,6 +100,12 @@
 		return
 	}
 	f.served.Add(1)
+	if r.URL.Path == abortedPath {
+		framing.ByConnection(r.Context(), w.Header())
+		_, _ = w.Write(make([]byte, abortedBytes)) // its client may not read it
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	if bytes, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, largePath)); err == nil {
 		_, _ = w.Write(make([]byte, bytes)) // its client may not read it
 		return
@@ -388,6 +402,19 @@
 	f.await("the connection is kept no more", func() bool { return f.guard.State().Idle == 0 })
 }
 
+// TestAbortedAnswersLookIncomplete guards against an answer that ends with its connection, is broken off and looks complete, because the connection
+// is closed in order for the sake of what its client has not received.
+func TestAbortedAnswersLookIncomplete(t *testing.T) {
+	f := newFixture(t, 10, 1<<20, Limits{})
+	c := f.connectDeaf()
+	c.send("GET " + abortedPath + " HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.await("the answer is broken off", func() bool { return f.served.Load() == 1 && f.guard.State().Serving == 0 })
+	text, err := io.ReadAll(c.br)
+	if err == nil {
+		t.Errorf("got %d bytes and the end of the connection", len(text))
+	}
+}
+
 // TestLargeAnswersPass guards against answers that the small send buffers cut off or hold up, for clients that pause as well.
 func TestLargeAnswersPass(t *testing.T) {
 	f := newFixture(t, 40, 1<<20, Limits{})
