--- a/internal/daemon/guards.go
+++ b/internal/daemon/guards.go
@@ -70,7 +70,7 @@
 	return states
 }
 
-// listen opens a listener whose connections have small receive buffers.
+// listen opens a listener whose connections have small buffers.
 func listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return ingress.SetBuffers(raw) }}
 	return lc.Listen(context.Background(), "tcp", address)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -80,8 +80,8 @@
 	return n, err
 }
 
-// BodyCost is what a process holds for each byte of a body that is read whole and decoded.
-const BodyCost = 3
+// bodyCost is what a process holds for each byte of a body that is read whole and decoded.
+const bodyCost = 3
 
 // BoundBodies returns a handler for calls between daemons, whose handlers read bodies whole. Bodies without a length, or longer than maxBytes,
 // are refused unread. Others are as with CountBodies.
@@ -132,7 +132,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if refusal := b.conn.guard.takeMemory(b.conn, BodyCost*int64(n)); refusal != nil {
+	if refusal := b.conn.guard.takeMemory(b.conn, bodyCost*int64(n)); refusal != nil {
 		b.conn.guard.count("refused", "body")
 		return 0, refusal
 	}
