--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +42,7 @@
 	status   int
 	events   int
 	complete bool
+	versions []string // of the software that wrote the events, in order
 	problem  string
 	err      error
 }
@@ -102,7 +104,7 @@
 	defer cancel()
 	defer func() {
 		o.took = time.Since(o.sent)
-		c.rec.line("answered  %s with %d, %d events, complete %t, after %d ms %s", id, o.status, o.events, o.complete, o.took.Milliseconds(), short(o.err))
+		c.rec.line("answered  %s with %d, %d events of %v, complete %t, after %d ms %s %s", id, o.status, o.events, o.versions, o.complete, o.took.Milliseconds(), short(o.err), o.problem)
 		c.mu.Lock()
 		c.all = append(c.all, o)
 		c.mu.Unlock()
@@ -158,8 +160,15 @@
 			}
 			o.events++
 		}
-		if data, ok := strings.CutPrefix(line, "data: "); ok && err == nil && last == 0 && !strings.HasPrefix(data, id) {
-			o.problem = "an event of another request"
+		if data, ok := strings.CutPrefix(line, "data: "); ok && err == nil {
+			of, rest, _ := strings.Cut(data, " ")
+			version, _, _ := strings.Cut(rest, " ")
+			if of != id {
+				o.problem = "an event of another request"
+			}
+			if !slices.Contains(o.versions, version) {
+				o.versions = append(o.versions, version)
+			}
 		}
 		if err == io.EOF {
 			o.complete = true
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -84,13 +85,40 @@
 	return d
 }
 
+// usedPorts are those that were given out; portsMu guards them.
+var (
+	portsMu   sync.Mutex
+	usedPorts = map[int]bool{}
+)
+
+// freeAddress returns an address whose port is free for TCP and UDP, and given out once only. It lies below the ports of outgoing channels.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	for range 1000 {
+		port := 12000 + rand.IntN(18000)
+		address := fmt.Sprint("127.0.0.1:", port)
+		if !usedPorts[port] && isFree(address) {
+			usedPorts[port] = true
+			return address
+		}
+	}
+	fatal("no free port")
+	return ""
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		fatal("listen: %v", err)
+		return false
 	}
 	defer l.Close()
-	return l.Addr().String()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	u.Close()
+	return true
 }
 
 func (d *daemon) start() {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -88,7 +88,7 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() { <-signals; exit(notRun) }()
 	time.AfterFunc(115*time.Second, func() { fatal("it takes too long") })
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		fatal("%v", err)
 	}
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -19,6 +19,9 @@
 	headerVersion  = "Expected-Version"
 	headerLast     = "Last-Event-Id"
 	headerUsage    = "Token-Usage"
+
+	// idleTimeout is how long a channel may be idle; each answer says so.
+	idleTimeout = 5 * time.Second
 )
 
 // replica stands in for a replica of a service. It reads requests and writes answers itself, so that it can write anything.
@@ -47,7 +50,7 @@
 }
 
 func startReplica(r *replica, log *record) *replica {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		fatal("listen: %v", err)
 	}
@@ -56,7 +59,7 @@
 	if r.address == "" {
 		r.address = l.Addr().String()
 	}
-	go r.serve()
+	go r.serve(l)
 	return r
 }
 
@@ -108,9 +111,33 @@
 	return r.silent
 }
 
-func (r *replica) serve() {
+// end ends the process: its listener and its channels are closed.
+func (r *replica) end() (open int) {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.Close()
+	}
+	return len(r.conns)
+}
+
+// startAgain starts a process with a version of the software under the id and at the address of the one that has ended. Its entry is not
+// written yet.
+func (r *replica) startAgain(software string) {
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		fatal("listen again: %v", err)
+	}
+	r.mu.Lock()
+	r.listener, r.born, r.software, r.sequence = l, time.Now().UnixMilli(), software, 0
+	r.mu.Unlock()
+	go r.serve(l)
+}
+
+func (r *replica) serve(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -130,10 +157,12 @@
 	}()
 	br := bufio.NewReader(c)
 	for {
+		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 		q, err := http.ReadRequest(br)
 		if err != nil {
 			return
 		}
+		_ = c.SetReadDeadline(time.Time{})
 		body, err := io.ReadAll(q.Body)
 		if err != nil || r.isSilent() {
 			_, _ = io.Copy(io.Discard, br) // until the other end closes
@@ -196,12 +225,15 @@
 
 // stream sends the events of a stream, one for five tokens.
 func (r *replica) stream(c net.Conn, q *http.Request, head string) bool {
+	r.mu.Lock()
+	software := r.software
+	r.mu.Unlock()
 	last, _ := strconv.Atoi(q.Header.Get(headerLast))
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"+head+"\r\n")
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n"+head+"\r\n")
 	time.Sleep(r.firstEvent)
 	events := eventsOf(q)
 	for n := last + 1; n <= events && err == nil; n++ {
-		event := fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", n, q.Header.Get(headerID), n, events)
+		event := fmt.Sprintf("id: %d\ndata: %s %s %d of %d\n\n", n, q.Header.Get(headerID), software, n, events)
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
 		time.Sleep(r.eventGap)
 	}
@@ -261,6 +293,6 @@
 
 // write writes a whole answer.
 func (r *replica) write(c net.Conn, status int, head, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nKeep-Alive: timeout=5\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
 	return err == nil
 }
