--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -200,6 +200,13 @@
 	return 0
 }
 
+// signal sends a signal to the process.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Signal(s) // fails only if it has ended
+}
+
 // stop ends the process for good.
 func (d *daemon) stop() {
 	d.mu.Lock()
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -45,6 +45,7 @@
 	most     int
 	conns    map[net.Conn]bool
 	silent   bool // the path is cut: nothing is answered
+	unframed bool // streams have neither a length nor chunks, and end with their channel
 	// trouble answers a request in place of the replica; it returns false to have it answered as usual.
 	trouble func(c net.Conn, r *http.Request) bool
 }
@@ -226,21 +227,24 @@
 // stream sends the events of a stream, one for five tokens.
 func (r *replica) stream(c net.Conn, q *http.Request, head string) bool {
 	r.mu.Lock()
-	software := r.software
+	software, unframed := r.software, r.unframed
 	r.mu.Unlock()
+	framing, piece := "Transfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n", func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	if unframed {
+		framing, piece = "Connection: close\r\n", func(s string) string { return s }
+	}
 	last, _ := strconv.Atoi(q.Header.Get(headerLast))
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n"+head+"\r\n")
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+framing+head+"\r\n")
 	time.Sleep(r.firstEvent)
 	events := eventsOf(q)
 	for n := last + 1; n <= events && err == nil; n++ {
-		event := fmt.Sprintf("id: %d\ndata: %s %s %d of %d\n\n", n, q.Header.Get(headerID), software, n, events)
-		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		_, err = io.WriteString(c, piece(fmt.Sprintf("id: %d\ndata: %s %s %d of %d\n\n", n, q.Header.Get(headerID), software, n, events)))
 		time.Sleep(r.eventGap)
 	}
-	if err == nil {
+	if err == nil && !unframed {
 		_, err = io.WriteString(c, "0\r\n\r\n")
 	}
-	return err == nil
+	return err == nil && !unframed
 }
 
 // eventsOf returns the number of events of the stream that a request asks for.
