Review case 4: replicas whose entries lapsed in a store outage are lost

An update of the registry that holds the removal of a key and its new entry is applied with the entry first and the removal last, so that live, registered replicas are forgotten and not taken up again.

--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	sequence uint64
 	loading  bool
+	reported uint64 // version in its entry
 	running  int
 	most     int
 	conns    map[net.Conn]bool
@@ -56,6 +57,7 @@
 		fatal("listen: %v", err)
 	}
 	r.listener, r.log, r.born, r.version = l, log, time.Now().UnixMilli(), 1
+	r.reported = 1
 	r.conns = map[net.Conn]bool{}
 	if r.address == "" {
 		r.address = l.Addr().String()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,6 +38,7 @@
 	history  []item
 	leases   map[uint64]*lease
 	changed  chan struct{} // closed at the next change
+	down     bool          // resets all channels
 }
 
 func newStore() *store {
@@ -47,7 +49,12 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.expire()
+	down := s.down
 	s.mu.Unlock()
+	if down {
+		reset(w)
+		return
+	}
 	rest, _ := strings.CutPrefix(r.URL.Path, "/bluebellscale/")
 	call, id, _ := strings.Cut(rest, "/")
 	number, _ := strconv.ParseUint(id, 10, 64)
@@ -71,6 +78,38 @@
 	}
 }
 
+// reset resets the channel of a call.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // it has ended
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// goDown resets all channels, also of the watches that wait.
+func (s *store) goDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// comeBack serves again. The entries of all replicas have lapsed meanwhile.
+func (s *store) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for key := range s.items {
+		if strings.HasPrefix(key, "servers/") {
+			s.write(item{Key: key, Tombstone: true})
+		}
+	}
+	s.down = false
+}
+
 // put writes a key for the operator or a replica.
 func (s *store) put(key string, value any) {
 	raw, err := json.Marshal(value)
@@ -179,8 +218,12 @@
 				events = append(events, i)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			reset(w)
+			return
+		}
 		if len(events) > 0 || over {
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": at})
 			return
